Serve queries end to end: nodes, stand-ins, demo and checks

Cause: nothing ran yet. Change: a thin version of the whole path: node daemon, resources, fan-out, merge and coverage over real HTTP back ends, a platform stand-in, make demo and make test. Conclusion: the module borders hold; routing, cluster, lab and API grow from here.

--- /dev/null
+++ b/tests/unit/test_settings.py
@@ -0,0 +1,42 @@
+"""Settings: files, flags and errors that name field and rule."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tinrudder.settings import SettingsError, load_settings
+
+GOOD = """
+name = "n1"
+zone = "a"
+region = "r"
+platform_url = "http://127.0.0.1:7000"
+"""
+
+
+def write(tmp_path: Path, text: str) -> Path:
+    path = tmp_path / "node.toml"
+    path.write_text(text)
+    return path
+
+
+def test_flags_go_before_the_file(tmp_path: Path) -> None:
+    settings = load_settings(write(tmp_path, GOOD), {"zone": "b"})
+    assert (settings.name, settings.zone) == ("n1", "b")
+
+
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [
+        ("caller_port = 70000", "caller_port"),
+        ("colour = 1", "colour"),
+        ('host = "localhost"', "host: must be an IP address"),
+        ('log_level = "LOUD"', "log_level"),
+        ("caller_port = ", "not TOML"),
+    ],
+)
+def test_bad_settings_name_field_and_rule(tmp_path: Path, line: str, expected: str) -> None:
+    with pytest.raises(SettingsError, match=expected):
+        load_settings(write(tmp_path, GOOD + line), {})
--- /dev/null
+++ b/tinrudder/__init__.py
@@ -0,0 +1,1 @@
+"""A query tier over many shards, shared by tenants who do not trust each other."""
--- /dev/null
+++ b/tinrudder/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP applications for callers, operators and metrics."""
--- /dev/null
+++ b/tinrudder/api/outcome_mapping.py
@@ -0,0 +1,125 @@
+"""Outcomes as HTTP: the one table of status codes (docs/API.md quotes it)."""
+
+from __future__ import annotations
+
+import msgspec
+
+from tinrudder.outcomes import (
+    Answer,
+    Complete,
+    Coverage,
+    Failed,
+    MayHaveRun,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Partial,
+)
+
+OK = 200
+PARTIAL_CONTENT = 206
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+NOT_RUN_STATUS: dict[NotRunReason, int] = {
+    NotRunReason.OVERLOADED: 503,
+    NotRunReason.TENANT_LIMIT: 429,
+    NotRunReason.DEADLINE: 503,
+    NotRunReason.NO_BACKEND: 503,
+    NotRunReason.UNKNOWN_RESOURCE: 404,
+    NotRunReason.INVALID_REQUEST: 400,
+    NotRunReason.STOPPING: 503,
+    NotRunReason.NO_QUORUM: 503,
+    NotRunReason.ALREADY_CLAIMED: 409,
+    NotRunReason.CANCELLED: 499,
+}
+
+
+class MissingShardBody(msgspec.Struct, frozen=True):
+    """A missing shard as callers see it."""
+
+    shard: str
+    reason: str
+
+
+class OwnerCoverageBody(msgspec.Struct, frozen=True):
+    """Coverage of one owner's shards."""
+
+    missing: tuple[MissingShardBody, ...]
+
+
+class CoverageBody(msgspec.Struct, frozen=True):
+    """Coverage as callers see it."""
+
+    ratio: float
+    included: tuple[str, ...]
+    missing_by_owner: dict[str, OwnerCoverageBody]
+
+
+class OutcomeBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The JSON body of every outcome.
+
+    :param outcome: ``complete``, ``partial``, ``not_run``, ``may_have_run`` or ``failed``.
+    """
+
+    query_id: str
+    outcome: str
+    reason: str = ""
+    detail: str = ""
+    version: int | None = None
+    rows: tuple[msgspec.Raw, ...] = ()
+    coverage: CoverageBody | None = None
+    cursor: str | None = None
+
+
+def coverage_body(coverage: Coverage) -> CoverageBody:
+    """Group what is missing by owner."""
+    by_owner: dict[str, list[MissingShardBody]] = {}
+    for shard in coverage.missing:
+        body = MissingShardBody(shard.shard, shard.reason.value)
+        by_owner.setdefault(shard.owner, []).append(body)
+    grouped = {owner: OwnerCoverageBody(tuple(shards)) for owner, shards in by_owner.items()}
+    return CoverageBody(coverage.ratio, coverage.included, grouped)
+
+
+def status_of(outcome: Outcome) -> int:
+    """Return the HTTP status of an outcome."""
+    match outcome:
+        case Complete():
+            return OK
+        case Partial():
+            return PARTIAL_CONTENT
+        case NotRun(reason):
+            return NOT_RUN_STATUS[reason]
+        case MayHaveRun():
+            return GATEWAY_TIMEOUT
+        case Failed():
+            return BAD_GATEWAY
+
+
+def body_of(query_id: str, outcome: Outcome, cursor: str | None) -> OutcomeBody:
+    """Return the JSON body of an outcome."""
+    match outcome:
+        case Complete(answer):
+            return _answer_body(query_id, "complete", answer, cursor)
+        case Partial(answer):
+            return _answer_body(query_id, "partial", answer, cursor)
+        case NotRun(reason, detail):
+            return OutcomeBody(query_id, "not_run", reason.value, detail)
+        case MayHaveRun(may_reason, detail):
+            return OutcomeBody(query_id, "may_have_run", may_reason.value, detail)
+        case Failed(failed_reason, detail, coverage):
+            return OutcomeBody(
+                query_id, "failed", failed_reason.value, detail, coverage=coverage_body(coverage)
+            )
+
+
+def _answer_body(query_id: str, tag: str, answer: Answer, cursor: str | None) -> OutcomeBody:
+    rows = tuple(msgspec.Raw(row.payload) for row in answer.rows)
+    return OutcomeBody(
+        query_id,
+        tag,
+        version=answer.version,
+        rows=rows,
+        coverage=coverage_body(answer.coverage),
+        cursor=cursor,
+    )
--- /dev/null
+++ b/tinrudder/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the back ends: messages, HTTP transport, cancellation."""
--- /dev/null
+++ b/tinrudder/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The tinrudder command: one module per subcommand."""
--- /dev/null
+++ b/tinrudder/cli/main.py
@@ -0,0 +1,28 @@
+"""The ``tinrudder`` command."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Sequence
+
+from tinrudder.cli import serve
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser with every subcommand."""
+    parser = argparse.ArgumentParser(prog="tinrudder", description=__doc__)
+    subparsers = parser.add_subparsers(dest="command", required=True)
+    serve.add_parser(subparsers)
+    return parser
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """Run one subcommand and return its exit code."""
+    arguments = build_parser().parse_args(argv)
+    code: int = arguments.run(arguments)
+    return code
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tinrudder/cli/serve.py
@@ -0,0 +1,105 @@
+"""``tinrudder serve``: run one node daemon until SIGTERM or SIGINT."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import random
+import signal
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import uvicorn
+
+from tinrudder.api.caller_app import CallerApplication
+from tinrudder.api.cursor import CursorCodec
+from tinrudder.backends.http_transport import HttpBackendTransport
+from tinrudder.environment import Environment
+from tinrudder.logs import configure_logs
+from tinrudder.node import Node
+from tinrudder.platform.client import PlatformClient
+from tinrudder.settings import (
+    NodeSettings,
+    SettingsError,
+    add_settings_flags,
+    flags_given,
+    load_settings,
+)
+from tinrudder.wire.peer_transport import TcpPeerTransport
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+CALLER_KEEP_ALIVE_S = 75
+
+
+class CallerServer(uvicorn.Server):
+    """uvicorn without its signal handlers: the daemon decides when to stop."""
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """Leave signals alone."""
+        yield
+
+
+def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser("serve", help="run one node")
+    parser.add_argument("--settings", type=Path, help="TOML settings file")
+    add_settings_flags(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Check the settings and serve."""
+    try:
+        settings = load_settings(arguments.settings, flags_given(arguments))
+    except SettingsError as error:
+        print(f"tinrudder serve: {error}")
+        return EXIT_USAGE
+    configure_logs(settings.name, settings.log_level)
+    asyncio.run(serve(settings))
+    return EXIT_OK
+
+
+async def serve(settings: NodeSettings) -> None:
+    """Serve until told to stop; a planned stop cuts off nothing."""
+    loop = asyncio.get_running_loop()
+    stop_requested = asyncio.Event()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop_requested.set)
+    platform = PlatformClient(settings.platform_url)
+    peers = TcpPeerTransport(settings.host, settings.peer_port)
+    environment = Environment(
+        timers=loop,
+        wall_clock=time.time,
+        random=random.Random(),
+        backends=HttpBackendTransport(),
+        peers=peers,
+        platform=platform,
+    )
+    node = Node(settings, environment)
+    await peers.open()
+    await node.start()
+    callers = CallerApplication(
+        loop, node.coordinator, node.configuration, CursorCodec(b"development")
+    )
+    config = uvicorn.Config(
+        callers.app,
+        host=settings.host,
+        port=settings.caller_port,
+        loop="asyncio",
+        http="httptools",
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        timeout_keep_alive=CALLER_KEEP_ALIVE_S,
+    )
+    server = CallerServer(config)
+    serving = asyncio.create_task(server.serve())
+    await stop_requested.wait()
+    server.should_exit = True
+    await serving
+    await node.stop()
+    await platform.close()
--- /dev/null
+++ b/tinrudder/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination of many nodes: embeddable, without HTTP and without queries."""
--- /dev/null
+++ b/tinrudder/logs.py
@@ -0,0 +1,54 @@
+"""Structured logs: one JSON object a line, over absl.logging."""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+from collections.abc import Mapping
+
+from absl import logging as absl_logging
+
+LogValue = str | int | float | bool | None
+
+
+class JsonLineFormatter(logging.Formatter):
+    """Formats a record as one JSON line with time, level, event and fields."""
+
+    def __init__(self, node: str) -> None:
+        """Put ``node`` into every line."""
+        super().__init__()
+        self._node = node
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line."""
+        line: dict[str, object] = {
+            "time": round(record.created, 6),
+            "level": record.levelname,
+            "node": self._node,
+            "event": record.getMessage(),
+        }
+        line.update(getattr(record, "fields", {}))
+        if record.exc_info:
+            line["exception"] = self.formatException(record.exc_info)
+        return json.dumps(line)
+
+
+def configure_logs(node: str, level: str = "INFO") -> None:
+    """Send all logs of the process to standard error as JSON lines."""
+    handler = absl_logging.get_absl_handler()
+    handler.python_handler.stream = sys.stderr
+    handler.setFormatter(JsonLineFormatter(node))
+    absl_logging.use_absl_handler()
+    absl_logging.get_absl_logger().setLevel(level)
+    logging.getLogger().setLevel(level)
+
+
+def log_event(event: str, fields: Mapping[str, LogValue] | None = None) -> None:
+    """Log an event with its fields."""
+    absl_logging.get_absl_logger().info(event, extra={"fields": dict(fields or {})})
+
+
+def log_problem(event: str, fields: Mapping[str, LogValue] | None = None) -> None:
+    """Log something an operator should look at."""
+    absl_logging.get_absl_logger().warning(event, extra={"fields": dict(fields or {})})
--- /dev/null
+++ b/tinrudder/peers.py
@@ -0,0 +1,57 @@
+"""How nodes talk to each other, as a typed interface without a transport."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+MAX_DATAGRAM_BYTES = 1400
+
+
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """IP address and port where a node listens for other nodes (TCP and UDP alike)."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+
+class PeerNotSentError(Exception):
+    """No byte of the request can have reached the peer."""
+
+
+class PeerLostError(Exception):
+    """The peer may have received the request, but no answer came."""
+
+
+DatagramHandler = Callable[[PeerAddress, bytes], None]
+RequestHandler = Callable[[PeerAddress, bytes], Awaitable[bytes]]
+
+
+class PeerTransport(Protocol):
+    """Carries opaque messages between nodes.
+
+    Datagrams may be lost, doubled or reordered.  A request is answered at most once; when the
+    requesting task is cancelled, the handler's task at the peer is cancelled too.
+    """
+
+    def listen(self, on_datagram: DatagramHandler, on_request: RequestHandler) -> None:
+        """Set who handles what arrives."""
+
+    def send_datagram(self, destination: PeerAddress, payload: bytes) -> None:
+        """Send at most ``MAX_DATAGRAM_BYTES``; loss is silent."""
+
+    async def request(self, destination: PeerAddress, payload: bytes, timeout_s: float) -> bytes:
+        """Send a request and return its answer.
+
+        :raises PeerNotSentError: the peer cannot have received it.
+        :raises PeerLostError: it may have.
+        """
+
+    async def close(self) -> None:
+        """Close every connection and stop listening."""
--- /dev/null
+++ b/tinrudder/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the read-only configuration and membership service."""
--- /dev/null
+++ b/tinrudder/query/__init__.py
@@ -0,0 +1,1 @@
+"""The query core: plan, fan-out, merge, coverage."""
--- /dev/null
+++ b/tinrudder/query/coordinator.py
@@ -0,0 +1,61 @@
+"""Runs queries on this node: plans, fans out, and waits for the outcome."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Protocol
+
+from tinrudder.outcomes import NotRun, NotRunReason, Outcome
+from tinrudder.query.dispatcher import Dispatcher
+from tinrudder.query.fan_out import FanOut
+from tinrudder.query.plan import make_query_plan
+from tinrudder.query.request import QueryRequest
+from tinrudder.resources.configuration import Configuration
+from tinrudder.routing.backend_table import BackendTable
+from tinrudder.timers import Timers
+
+
+class QueryRunner(Protocol):
+    """Whatever can take a query to its outcome, here or on another node."""
+
+    async def run(self, request: QueryRequest) -> Outcome:
+        """Return the outcome; cancelling the task frees the query's work."""
+
+
+class Coordinator:
+    """Owns fan-outs on this node and counts those in progress."""
+
+    def __init__(
+        self,
+        timers: Timers,
+        dispatcher: Dispatcher,
+        backends: BackendTable,
+        configuration: Callable[[], Configuration],
+    ) -> None:
+        """Read the configuration in force through ``configuration`` at every query."""
+        self._timers = timers
+        self._dispatcher = dispatcher
+        self._backends = backends
+        self._configuration = configuration
+        self.in_progress = 0
+
+    async def run(self, request: QueryRequest) -> Outcome:
+        """Run one query."""
+        if self._timers.time() >= request.deadline:
+            return NotRun(NotRunReason.DEADLINE, "deadline: has passed")
+        plan = make_query_plan(request, self._configuration(), self._backends)
+        if isinstance(plan, NotRun):
+            return plan
+        future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        fan_out = FanOut(plan, self._dispatcher, self._timers, future.set_result)
+        self.in_progress += 1
+        try:
+            fan_out.start()
+            return await future
+        except asyncio.CancelledError:
+            future.cancel()
+            fan_out.abandon()
+            raise
+        finally:
+            self.in_progress -= 1
--- /dev/null
+++ b/tinrudder/resources/__init__.py
@@ -0,0 +1,1 @@
+"""Typed resources, their validation and their acceptance."""
--- /dev/null
+++ b/tinrudder/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Pure routing decisions: replica choice, limits, queues, hedging, budgets."""
--- /dev/null
+++ b/tinrudder/routing/backend_table.py
@@ -0,0 +1,54 @@
+"""All back ends this node knows, kept in step with the configuration."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from tinrudder.resources.model import BackendSpec, BackendState
+from tinrudder.routing.backend_record import BackendRecord
+
+
+class BackendTable:
+    """Records by name; a record outlives configuration changes, so observations are kept."""
+
+    def __init__(self) -> None:
+        """Start without back ends."""
+        self._records: dict[str, BackendRecord] = {}
+
+    def update(self, specs: Mapping[str, BackendSpec], share: float = 1.0) -> None:
+        """Follow the configuration.
+
+        :param share: the part of every back end's slots that belongs to this node.
+        """
+        for name in self._records.keys() - specs.keys():
+            self._records.pop(name).leaving = True
+        for name, spec in specs.items():
+            limit = max(1.0, spec.slots * share)
+            record = self._records.get(name)
+            if record is None or (record.host, record.port) != (spec.host, spec.port):
+                if record is not None:
+                    record.leaving = True
+                record = BackendRecord(
+                    name, spec.host, spec.port, spec.zone, spec.slots, limit, spec.tls
+                )
+                self._records[name] = record
+            record.slots = spec.slots
+            record.limit = limit
+            record.leaving = spec.state is BackendState.DRAINING
+
+    def get(self, name: str) -> BackendRecord | None:
+        """Return a back end's record."""
+        return self._records.get(name)
+
+    def all_records(self) -> tuple[BackendRecord, ...]:
+        """Return every record."""
+        return tuple(self._records.values())
+
+    def candidates(self, names: tuple[str, ...]) -> tuple[BackendRecord, ...]:
+        """Return the records among ``names`` that may get new work."""
+        found = (self._records.get(name) for name in names)
+        return tuple(record for record in found if record is not None and not record.leaving)
+
+    def any_usable(self, names: tuple[str, ...]) -> bool:
+        """Tell whether one of ``names`` may get new work."""
+        return bool(self.candidates(names))
--- /dev/null
+++ b/tinrudder/routing/call_queue.py
@@ -0,0 +1,64 @@
+"""Queues of calls that wait for room at a back end."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.pending_call import PendingCall
+
+
+class CallQueue(Protocol):
+    """Decides which waiting call a back end with room takes next."""
+
+    def push(self, call: PendingCall) -> None:
+        """Add a waiting call."""
+
+    def pop(self, backend: BackendRecord) -> PendingCall | None:
+        """Take the next call that ``backend`` may serve."""
+
+    def discard(self, call: PendingCall) -> None:
+        """Drop a call that no longer waits; a no-op if it is not here."""
+
+    def __len__(self) -> int:
+        """Return the number of waiting calls."""
+
+
+class FirstInFirstOutQueue:
+    """Arrival order per back end: the baseline, fair to nobody.
+
+    A call stands in the queue of each of its candidates; the first back end with room takes it.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._by_backend: dict[str, deque[PendingCall]] = {}
+        self._size = 0
+
+    def push(self, call: PendingCall) -> None:
+        """Add a waiting call."""
+        call.waiting = True
+        self._size += 1
+        for backend in call.candidates:
+            self._by_backend.setdefault(backend.name, deque()).append(call)
+
+    def pop(self, backend: BackendRecord) -> PendingCall | None:
+        """Take the oldest call that ``backend`` may serve."""
+        queue = self._by_backend.get(backend.name)
+        while queue:
+            call = queue.popleft()
+            if call.waiting:
+                self.discard(call)
+                return call
+        return None
+
+    def discard(self, call: PendingCall) -> None:
+        """Drop a call; its places in other queues are skipped when reached."""
+        if call.waiting:
+            call.waiting = False
+            self._size -= 1
+
+    def __len__(self) -> int:
+        """Return the number of waiting calls."""
+        return self._size
--- /dev/null
+++ b/tinrudder/settings.py
@@ -0,0 +1,100 @@
+"""A node's settings: a TOML file, every field of which is also a flag.
+
+Unknown fields and values that break a rule are refused with an error that names both.
+"""
+
+from __future__ import annotations
+
+import argparse
+import ipaddress
+import tomllib
+import typing
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+Port = Annotated[int, Meta(ge=0, le=65535)]
+SettingValue = str | int | float
+
+
+class SettingsError(Exception):
+    """The settings break a rule; the text names the field and the rule."""
+
+
+class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings of one node daemon.
+
+    :param name: unique among live nodes.
+    :param host: IP address this node listens on.
+    :param caller_port: TCP port for callers' and operators' HTTP; 0 picks one.
+    :param peer_port: TCP and UDP port for other nodes.
+    :param platform_url: base URL of the platform's read-only service.
+    """
+
+    name: Annotated[str, Meta(min_length=1, max_length=100)]
+    zone: Annotated[str, Meta(min_length=1, max_length=100)]
+    region: Annotated[str, Meta(min_length=1, max_length=100)]
+    host: str = "127.0.0.1"
+    caller_port: Port = 8080
+    peer_port: Port = 8081
+    platform_url: Annotated[str, Meta(pattern="^https?://")]
+    platform_poll_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
+    stop_timeout_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
+    log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+def load_settings(path: Path | None, flags: dict[str, SettingValue]) -> NodeSettings:
+    """Read the file, lay the flags over it and check the result.
+
+    :raises SettingsError: naming the field and the rule it breaks.
+    """
+    values: dict[str, object] = {}
+    if path is not None:
+        values.update(_read_file(path))
+    values.update(flags)
+    try:
+        settings = msgspec.convert(values, NodeSettings)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{path or 'flags'}: {error}") from error
+    _check_host(settings.host)
+    return settings
+
+
+def add_settings_flags(parser: argparse.ArgumentParser) -> None:
+    """Add one flag per settings field."""
+    for field in msgspec.structs.fields(NodeSettings):
+        value_type = _plain_type(field.type)
+        flag = "--" + field.name.replace("_", "-")
+        parser.add_argument(flag, dest=field.name, type=value_type, default=None)
+
+
+def flags_given(arguments: argparse.Namespace) -> dict[str, SettingValue]:
+    """Return the settings given as flags."""
+    names = (field.name for field in msgspec.structs.fields(NodeSettings))
+    values = {name: getattr(arguments, name) for name in names}
+    return {name: value for name, value in values.items() if value is not None}
+
+
+def _read_file(path: Path) -> dict[str, object]:
+    try:
+        return tomllib.loads(path.read_text())
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from error
+
+
+def _check_host(host: str) -> None:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise SettingsError(f"host: must be an IP address, got {host!r}") from error
+
+
+def _plain_type(annotation: object) -> type:
+    """Return str, int or float for a field's annotation."""
+    if typing.get_origin(annotation) is Annotated:
+        return _plain_type(typing.get_args(annotation)[0])
+    return annotation if isinstance(annotation, type) else str
--- /dev/null
+++ b/tinrudder/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between nodes and the transports that carry them."""
--- /dev/null
+++ b/tinrudder_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, simulator, load, experiments and checkers for tinrudder."""
--- /dev/null
+++ b/tinrudder_lab/platform_server.py
@@ -0,0 +1,117 @@
+"""A stand-in of the platform: nodes only read it, operators and the lab write it."""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+
+import msgspec
+import uvicorn
+from starlette.applications import Starlette
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from tinrudder.platform.messages import (
+    MemberList,
+    MemberState,
+    PlatformMember,
+    RawResource,
+    ResourceDocument,
+)
+
+JSON = "application/json"
+NOT_MODIFIED = 304
+
+
+class ResourceWrite(msgspec.Struct, frozen=True):
+    """An operator's write of one resource."""
+
+    kind: str
+    name: str
+    spec: msgspec.Raw
+
+
+class PlatformState(msgspec.Struct):
+    """Everything the platform holds."""
+
+    document: ResourceDocument
+    members: MemberList
+
+    def write(self, resource: ResourceWrite) -> int:
+        """Store one resource, raise its generation and the revision; return the revision."""
+        kept = []
+        generation = 1
+        for raw in self.document.resources:
+            if (raw.kind, raw.name) == (resource.kind, resource.name):
+                generation = raw.generation + 1
+            else:
+                kept.append(raw)
+        kept.append(RawResource(resource.kind, resource.name, generation, resource.spec))
+        revision = self.document.revision + 1
+        self.document = ResourceDocument(revision, tuple(kept))
+        return revision
+
+    def set_member_state(self, name: str, state: MemberState) -> None:
+        """Change what the list says of one machine."""
+        members = tuple(
+            msgspec.structs.replace(member, state=state) if member.name == name else member
+            for member in self.members.members
+        )
+        self.members = MemberList(self.members.revision + 1, members)
+
+    def replace_members(self, members: tuple[PlatformMember, ...]) -> None:
+        """Set the whole list."""
+        self.members = MemberList(self.members.revision + 1, members)
+
+
+def build_app(state: PlatformState) -> Starlette:
+    """Return the HTTP application over ``state``."""
+
+    async def get_resources(request: Request) -> Response:
+        if request.query_params.get("known_revision") == str(state.document.revision):
+            return Response(status_code=NOT_MODIFIED)
+        return Response(msgspec.json.encode(state.document), media_type=JSON)
+
+    async def get_members(_: Request) -> Response:
+        return Response(msgspec.json.encode(state.members), media_type=JSON)
+
+    async def put_resource(request: Request) -> Response:
+        write = msgspec.json.decode(await request.body(), type=ResourceWrite)
+        revision = state.write(write)
+        return Response(msgspec.json.encode({"revision": revision}), media_type=JSON)
+
+    async def put_members(request: Request) -> Response:
+        body = await request.body()
+        state.replace_members(msgspec.json.decode(body, type=tuple[PlatformMember, ...]))
+        return Response(b"{}", media_type=JSON)
+
+    return Starlette(
+        routes=[
+            Route("/v1/resources", get_resources, methods=["GET"]),
+            Route("/v1/resources", put_resource, methods=["PUT"]),
+            Route("/v1/members", get_members, methods=["GET"]),
+            Route("/v1/members", put_members, methods=["PUT"]),
+        ]
+    )
+
+
+def main() -> None:
+    """Serve a state read from a file."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--state", type=Path, required=True)
+    arguments = parser.parse_args()
+    state = msgspec.json.decode(arguments.state.read_bytes(), type=PlatformState)
+    uvicorn.run(
+        build_app(state),
+        host=arguments.host,
+        port=arguments.port,
+        loop="asyncio",
+        log_level="warning",
+    )
+
+
+if __name__ == "__main__":
+    main()
