--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,9 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
+JOBS ?= 6
 
-.PHONY: setup test demo bench format lint types imports unit clean
+.PHONY: setup protobuf test demo bench format lint types imports unit clean
 
 setup: $(VENV)/.ready
 
@@ -30,7 +31,12 @@
 	$(BIN)/lint-imports
 
 unit: setup
-	$(BIN)/pytest -n 8
+	$(BIN)/pytest -n $(JOBS)
+
+# Regenerates the committed protobuf code; needs nothing outside the virtual environment.
+protobuf: setup
+	$(BIN)/python -m grpc_tools.protoc --proto_path=. --python_out=. \
+		--plugin=protoc-gen-mypy=$(BIN)/protoc-gen-mypy --mypy_out=. tinrudder/wire/*.proto
 
 demo: setup
 	$(BIN)/python -m tinrudder_lab.demo
--- a/tinrudder/backends/messages.py
+++ b/tinrudder/backends/messages.py
@@ -29,6 +29,7 @@
     deadline_ms: int
     after: tuple[float, str] | None = None
     operation: str | None = None
+    query_id: str = ""
 
 
 class RowMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -136,4 +136,5 @@
         request.deadline_ms,
         request.after,
         request.operation,
+        request.query_id,
     )
--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -152,6 +152,7 @@
             remaining_ms,
             request.after,
             request.operation,
+            request.query_id,
         )
         sent = self._dispatcher.send(
             backend,
