--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the call path; see docs/CALL_COST.md."""
--- /dev/null
+++ b/bench/caller_process.py
@@ -0,0 +1,34 @@
+"""A caller in its own process, so that its cost is not counted as the node's.
+
+``python -m bench.caller_process PORT`` reads a number of queries a line from standard input,
+sends them one after the other and answers with the statuses it saw.
+"""
+
+from __future__ import annotations
+
+import http.client
+import sys
+from collections import Counter
+
+from bench.node_under_test import AUTHORIZATION, INDEX, RULE
+
+HOST = "127.0.0.1"
+BODY = f'{{"index":"{INDEX}","rule":"{RULE}"}}'
+HEADERS = {"Authorization": AUTHORIZATION, "Content-Type": "application/json"}
+
+
+def main() -> None:
+    """Serve until standard input closes."""
+    connection = http.client.HTTPConnection(HOST, int(sys.argv[1]))
+    for line in sys.stdin:
+        statuses: Counter[int] = Counter()
+        for _ in range(int(line)):
+            connection.request("POST", "/v1/query", BODY, HEADERS)
+            response = connection.getresponse()
+            response.read()
+            statuses[response.status] += 1
+        print(" ".join(f"{status}:{count}" for status, count in statuses.items()), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/canned_backend.py
@@ -0,0 +1,107 @@
+"""Back ends with canned answers: the same bytes every time, but for the call id.
+
+``python -m bench.canned_backend --ports 20`` prints the ports it listens on and serves until its
+standard input closes, so it never outlives the bench.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+
+import msgspec
+
+HOST = "127.0.0.1"
+ANSWER_BYTES = 200
+HEAD_END = b"\r\n\r\n"
+LENGTH_HEADER = b"Content-Length: "
+INDEX_VERSION = 1
+
+
+class AskedFields(msgspec.Struct, frozen=True):
+    """What the canned answer depends on."""
+
+    call_id: int
+    shards: tuple[str, ...]
+
+
+_decoder = msgspec.json.Decoder(AskedFields)
+
+
+def answer_body(call_id: int, shards: tuple[str, ...]) -> bytes:
+    """Return an answer of ``ANSWER_BYTES`` with one row a shard, as ``docs/BACKENDS.md`` says.
+
+    >>> len(answer_body(7, ("s001",)))
+    200
+    """
+    rows = ",".join(
+        f'{{"shard":"{shard}","rows":[[{number}.5,"{shard}-0001",{{"amount":12}}]],"more":false}}'
+        for number, shard in enumerate(shards)
+    )
+    load = '"load":{"in_flight":1,"slots":5}'
+    body = f'{{"call_id":{call_id},"version":{INDEX_VERSION},"shards":[{rows}],{load}}}'
+    return body.ljust(ANSWER_BYTES).encode()
+
+
+def answer(body: bytes) -> bytes:
+    """Return the whole HTTP answer to a request body."""
+    asked = _decoder.decode(body)
+    content = answer_body(asked.call_id, asked.shards)
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {len(content)}"
+    return head.encode() + HEAD_END + content
+
+
+class CannedProtocol(asyncio.Protocol):
+    """One connection of the client under measure."""
+
+    def __init__(self) -> None:
+        """Start without input."""
+        self._transport: asyncio.Transport | None = None
+        self._buffer = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Answer every whole request."""
+        self._buffer += data
+        while True:
+            head_end = self._buffer.find(HEAD_END)
+            if head_end < 0:
+                return
+            body_start = head_end + len(HEAD_END)
+            body_end = body_start + _content_length(self._buffer[:head_end])
+            if len(self._buffer) < body_end:
+                return
+            body = self._buffer[body_start:body_end]
+            self._buffer = self._buffer[body_end:]
+            assert self._transport is not None
+            self._transport.write(answer(body))
+
+
+def _content_length(head: bytes) -> int:
+    """Read the length of a request's body, however the client spells the header."""
+    start = head.lower().index(LENGTH_HEADER.lower()) + len(LENGTH_HEADER)
+    return int(head[start:].split(b"\r\n", 1)[0])
+
+
+async def _serve(port_count: int) -> None:
+    loop = asyncio.get_running_loop()
+    servers = [await loop.create_server(CannedProtocol, HOST, 0) for _ in range(port_count)]
+    ports = [server.sockets[0].getsockname()[1] for server in servers]
+    print(" ".join(map(str, ports)), flush=True)
+    await loop.run_in_executor(None, sys.stdin.read)
+
+
+def main() -> None:
+    """Serve until standard input closes."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--ports", type=int, required=True)
+    asyncio.run(_serve(parser.parse_args().ports))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/node_under_test.py
@@ -0,0 +1,181 @@
+"""The configuration that the bench gives to the node's own code."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import time
+
+import msgspec
+
+from tinrudder.backends.messages import Answered, BackendCall, RowMessage, SearchAnswer, ShardRows
+from tinrudder.environment import BackendTransport, Environment, ReplyListener
+from tinrudder.node import Node
+from tinrudder.peers import DatagramHandler, PeerAddress, PeerNotSentError, RequestHandler
+from tinrudder.platform.messages import MemberList, RawResource, ResourceDocument
+from tinrudder.query.request import QueryRequest
+from tinrudder.resources.model import (
+    AnySpec,
+    BackendSpec,
+    Credential,
+    IndexSpec,
+    IndexVersionSpec,
+    Kind,
+    QueryRuleSpec,
+    ServiceSpec,
+    ShardSpec,
+    TenantSpec,
+)
+from tinrudder.settings import NodeSettings
+
+TENANT = "bench"
+SERVICE = "service"
+RULE = "rule"
+INDEX = "service.stock"
+KEY_ID = "bench-key"
+SECRET = "secret"
+AUTHORIZATION = f"Bearer {KEY_ID}.{SECRET}"
+DEADLINE_MS = 60_000
+SLOTS = 1000
+CONNECTIONS = 1000
+REPLICAS = 2
+
+
+def shard_name(number: int) -> str:
+    """Return e.g. ``s007``."""
+    return f"s{number:03d}"
+
+
+def build_document(host: str, ports: list[int], fan_out: int) -> ResourceDocument:
+    """Return one tenant with one index of ``fan_out`` shards over the ports.
+
+    Slots are ample, so that the figure is the call's and not the queue's.
+    """
+    names = [f"backend-{number}" for number in range(len(ports))]
+    digest = hashlib.sha256(SECRET.encode()).hexdigest()
+    shards = tuple(
+        ShardSpec(
+            shard=shard_name(number),
+            owner="owner",
+            backends=tuple(names[(number + step) % len(names)] for step in range(REPLICAS)),
+        )
+        for number in range(fan_out)
+    )
+    resources = [
+        _raw(
+            Kind.TENANT,
+            TENANT,
+            TenantSpec(credentials=(Credential(key_id=KEY_ID, secret_sha256=digest),)),
+        ),
+        _raw(
+            Kind.SERVICE,
+            SERVICE,
+            ServiceSpec(
+                region="region", tenants=(TENANT,), max_connections_per_backend=CONNECTIONS
+            ),
+        ),
+        _raw(
+            Kind.INDEX,
+            INDEX,
+            IndexSpec(service=SERVICE, versions=(IndexVersionSpec(version=1, shards=shards),)),
+        ),
+        _raw(
+            Kind.QUERY_RULE,
+            RULE,
+            QueryRuleSpec(
+                service=SERVICE, soft_deadline_ms=DEADLINE_MS, hard_deadline_ms=DEADLINE_MS
+            ),
+        ),
+    ]
+    for name, port in zip(names, ports, strict=True):
+        spec = BackendSpec(service=SERVICE, host=host, port=port, zone="zone", slots=SLOTS)
+        resources.append(_raw(Kind.BACKEND, name, spec))
+    return ResourceDocument(revision=1, resources=tuple(resources))
+
+
+class FixedPlatform:
+    """A platform that never changes."""
+
+    def __init__(self, document: ResourceDocument) -> None:
+        """Give out ``document``."""
+        self._document = document
+
+    async def fetch_resources(self, known_revision: int) -> ResourceDocument | None:
+        """Return the document once."""
+        return None if known_revision == self._document.revision else self._document
+
+    async def fetch_members(self) -> MemberList:
+        """Return a list with nobody else."""
+        return MemberList(1, ())
+
+
+class NoPeers:
+    """A node alone."""
+
+    def listen(self, on_datagram: DatagramHandler, on_request: RequestHandler) -> None:
+        """Nothing ever arrives."""
+
+    def send_datagram(self, destination: PeerAddress, payload: bytes) -> None:
+        """Lose it."""
+
+    async def request(self, destination: PeerAddress, payload: bytes, timeout_s: float) -> bytes:
+        """Refuse."""
+        raise PeerNotSentError("no peers")
+
+    async def close(self) -> None:
+        """Nothing to close."""
+
+
+class InstantTransport:
+    """Answers every call in the next turn of the loop: what is left is the cost of decisions."""
+
+    def start(self, call: BackendCall, listener: ReplyListener) -> None:
+        """Answer soon."""
+        shard = call.request.shards[0]
+        rows = (RowMessage(1.5, "row-0001", msgspec.Raw(b'{"amount":12}')),)
+        answer = SearchAnswer(call.call_id, call.request.version, (ShardRows(shard, rows),))
+        asyncio.get_running_loop().call_soon(listener, call, Answered(answer))
+
+    def cancel(self, call: BackendCall) -> None:
+        """Nothing is ever in flight long enough."""
+
+    async def close(self) -> None:
+        """Nothing to close."""
+
+
+async def start_node(document: ResourceDocument, transport: BackendTransport) -> Node:
+    """Return a serving node over ``transport``."""
+    settings = NodeSettings(
+        name="bench", zone="zone", region="region", platform_url="http://unused"
+    )
+    environment = Environment(
+        timers=asyncio.get_running_loop(),
+        wall_clock=time.time,
+        random=random.Random(1),
+        backends=transport,
+        peers=NoPeers(),
+        platform=FixedPlatform(document),
+    )
+    node = Node(settings, environment)
+    await node.start()
+    return node
+
+
+def query_request(deadline: float) -> QueryRequest:
+    """Return the query that is measured."""
+    return QueryRequest(
+        query_id="0" * 32,
+        tenant=TENANT,
+        index=INDEX,
+        rule=RULE,
+        match={},
+        order_by="time",
+        descending=False,
+        limit=100,
+        deadline=deadline,
+    )
+
+
+def _raw(kind: Kind, name: str, spec: AnySpec) -> RawResource:
+    return RawResource(kind.value, name, 1, msgspec.Raw(msgspec.json.encode(spec)))
