Relay queries to a service's coordinators and stop nodes in two steps

Cause: every node fanned out to every back end with the full slots as its limit, so fourteen nodes could hold fourteen times a back end's slots; a stop closed connections at once. Change: coordinator sets by rendezvous hashing with deterministic slot shares, an entry that relays one message, a protobuf codec with limits, and the states leaving and draining with readiness that differs from liveness.

--- /dev/null
+++ b/tests/unit/test_entry.py
@@ -0,0 +1,181 @@
+"""The entry: where a query goes, and what is said when relays are lost."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import pytest
+
+from tests.support.fakes import ManualTimers
+from tinrudder.cluster.view import Member
+from tinrudder.outcomes import (
+    Answer,
+    Complete,
+    Coverage,
+    MayHaveRun,
+    MayHaveRunReason,
+    NotRun,
+    NotRunReason,
+    Outcome,
+)
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
+from tinrudder.query.entry import Entry
+from tinrudder.query.request import QueryRequest
+from tinrudder.resources.configuration import Configuration
+from tinrudder.resources.model import IndexSpec, IndexVersionSpec, QueryRuleSpec, ShardSpec
+from tinrudder.routing.coordinator_ranking import CoordinatorRanking
+from tinrudder.routing.coordinator_set import CoordinatorSet
+
+LOCAL = Complete(Answer(1, (), Coverage(("local",))))
+REMOTE = Complete(Answer(1, (), Coverage(("remote",))))
+REFUSED = NotRun(NotRunReason.OVERLOADED)
+STOPPING = NotRun(NotRunReason.STOPPING)
+NOT_SENT = PeerNotSentError("refused")
+LOST = PeerLostError("reset")
+DEADLINE_S = 1.0
+
+Reaction = Outcome | Exception
+
+
+def member(name: str, zone: str = "far") -> Member:
+    return Member(name, 1, zone, "r", PeerAddress(name, 1))
+
+
+@dataclass
+class Harness:
+    """An entry in zone ``near`` before coordinators that react as scripted."""
+
+    reactions: dict[str, Reaction] = field(default_factory=dict)
+    repeatable: bool = True
+    local: Outcome = LOCAL
+    step_s: float = 0.0
+    timers: ManualTimers = field(default_factory=ManualTimers)
+    asked: list[str] = field(default_factory=list)
+    local_runs: int = 0
+
+    def __post_init__(self) -> None:
+        shard = ShardSpec(shard="s", owner="o", backends=("b",))
+        version = IndexVersionSpec(version=1, shards=(shard,))
+        index = IndexSpec(service="service", versions=(version,))
+        rule = QueryRuleSpec(service="service", repeatable=self.repeatable)
+        self.configuration = Configuration(1, indexes={"index": index}, rules={"rule": rule})
+        self.members = tuple(member(name) for name in self.reactions)
+        self.ranking = CoordinatorRanking("me", "near", self.timers)
+        self.entry = Entry(
+            "me",
+            self.timers,
+            _Runner(self),
+            _Relay(self),
+            self.ranking,
+            self._set,
+            lambda: self.configuration,
+        )
+
+    def _set(self, service: str) -> CoordinatorSet:
+        names = frozenset(entry.name for entry in self.members)
+        return CoordinatorSet(service, self.members, names)
+
+    def run(self) -> Outcome:
+        deadline = self.timers.time() + DEADLINE_S
+        request = QueryRequest("q", "t", "index", "rule", {}, "time", False, 1, deadline)
+        return asyncio.run(self.entry.run(request))
+
+
+@dataclass
+class _Runner:
+    harness: Harness
+
+    async def run(self, request: QueryRequest) -> Outcome:
+        self.harness.local_runs += 1
+        return self.harness.local
+
+
+@dataclass
+class _Relay:
+    harness: Harness
+
+    async def run(self, coordinator: PeerAddress, request: QueryRequest) -> Outcome:
+        self.harness.asked.append(coordinator.host)
+        self.harness.timers.advance(self.harness.step_s)
+        reaction = self.harness.reactions[coordinator.host]
+        if isinstance(reaction, Exception):
+            raise reaction
+        return reaction
+
+
+def test_coordinator_runs_its_own_queries() -> None:
+    harness = Harness({"a": REMOTE, "me": REMOTE})
+    assert harness.run() == LOCAL
+    assert harness.asked == []
+
+
+def test_own_zone_is_asked_first() -> None:
+    harness = Harness({"a": REMOTE, "b": REMOTE, "c": REMOTE})
+    harness.members = (member("a"), member("b", "near"), member("c"))
+    assert harness.run() == REMOTE
+    assert harness.asked == ["b"]
+
+
+@pytest.mark.parametrize("first", [NOT_SENT, STOPPING])
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_untouched_query_goes_on_to_the_next(first: Reaction, repeatable: bool) -> None:
+    harness = Harness({"a": first, "b": REMOTE}, repeatable=repeatable)
+    harness.members = (member("a", "near"), member("b"))
+    assert harness.run() == REMOTE
+    assert harness.asked == ["a", "b"]
+
+
+def test_refusal_for_load_is_not_taken_elsewhere() -> None:
+    harness = Harness({"a": REFUSED, "b": REFUSED})
+    assert harness.run() == REFUSED
+    assert len(harness.asked) == 1
+
+
+def test_lost_non_repeatable_query_may_have_run() -> None:
+    harness = Harness({"a": LOST, "b": REMOTE}, repeatable=False)
+    harness.members = (member("a", "near"), member("b"))
+    outcome = harness.run()
+    assert isinstance(outcome, MayHaveRun)
+    assert outcome.reason is MayHaveRunReason.RELAY_LOST
+    assert harness.asked == ["a"]
+    assert harness.local_runs == 0
+
+
+def test_lost_query_is_asked_again_once_at_most() -> None:
+    harness = Harness({"a": LOST, "b": LOST, "c": LOST})
+    outcome = harness.run()
+    assert isinstance(outcome, MayHaveRun)
+    assert len(harness.asked) == 2
+    assert harness.local_runs == 0
+
+
+def test_not_run_is_never_said_after_a_lost_relay() -> None:
+    harness = Harness({"a": LOST, "b": REFUSED})
+    harness.members = (member("a", "near"), member("b"))
+    assert isinstance(harness.run(), MayHaveRun)
+    harness = Harness({"a": LOST}, local=REFUSED)
+    assert isinstance(harness.run(), MayHaveRun)
+
+
+def test_lost_at_the_deadline_is_not_asked_again() -> None:
+    harness = Harness({"a": LOST, "b": REMOTE}, step_s=DEADLINE_S)
+    assert isinstance(harness.run(), MayHaveRun)
+    assert len(harness.asked) == 1
+
+
+def test_unreachable_coordinators_leave_the_work_to_the_entry() -> None:
+    harness = Harness({"a": NOT_SENT, "b": NOT_SENT}, repeatable=False)
+    assert harness.run() == LOCAL
+    assert harness.run() == LOCAL
+    assert len(harness.asked) == 2, "failed coordinators are left alone for a while"
+
+
+def test_failed_coordinator_is_probed_by_repeatable_queries_only() -> None:
+    harness = Harness({"a": NOT_SENT})
+    harness.run()
+    harness.timers.advance(60.0)
+    harness.reactions["a"] = REMOTE
+    assert harness.ranking.order(harness.members, may_probe=False) == []
+    assert harness.run() == REMOTE
+    assert harness.ranking.order(harness.members, may_probe=False) == list(harness.members)
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -15,6 +15,7 @@
 
 from tinrudder.api.caller_app import CallerApplication
 from tinrudder.api.cursor import CursorCodec
+from tinrudder.api.health import CloseWhenStopping, health_routes
 from tinrudder.backends.http_transport import HttpBackendTransport
 from tinrudder.environment import Environment
 from tinrudder.logs import configure_logs
@@ -82,11 +83,10 @@
     node = Node(settings, environment)
     await peers.open()
     await node.start()
-    callers = CallerApplication(
-        loop, node.coordinator, node.configuration, CursorCodec(b"development")
-    )
+    callers = CallerApplication(loop, node.entry, node.configuration, CursorCodec(b"development"))
+    callers.app.router.routes.extend(health_routes(node.lifecycle, node.configuration))
     config = uvicorn.Config(
-        callers.app,
+        CloseWhenStopping(callers.app, node.lifecycle),
         host=settings.host,
         port=settings.caller_port,
         loop="asyncio",
@@ -99,6 +99,7 @@
     server = CallerServer(config)
     serving = asyncio.create_task(server.serve())
     await stop_requested.wait()
+    await node.leave()
     server.should_exit = True
     await serving
     await node.stop()
--- /dev/null
+++ b/tinrudder/lifecycle.py
@@ -0,0 +1,57 @@
+"""The lifecycle of a node, from its start to the end of a planned stop."""
+
+from __future__ import annotations
+
+import enum
+
+from transitions import Machine
+
+
+class NodeState(enum.StrEnum):
+    """What a node is doing.
+
+    ``leaving``: the stop is announced, and everything that still arrives is served.
+    ``draining``: new work is refused as not run, and what is in progress is finished.
+    """
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+_RUNNING = [NodeState.STARTING.value, NodeState.SERVING.value]
+
+
+class NodeLifecycle:
+    """Walks through :class:`NodeState`, never backwards."""
+
+    state: str
+
+    def __init__(self) -> None:
+        """Begin in ``starting``."""
+        Machine(
+            model=self,
+            states=[state.value for state in NodeState],
+            initial=NodeState.STARTING.value,
+            auto_transitions=False,
+            transitions=[
+                {"trigger": "serve", "source": "starting", "dest": "serving"},
+                {"trigger": "leave", "source": _RUNNING, "dest": "leaving"},
+                {"trigger": "drain", "source": _RUNNING + ["leaving"], "dest": "draining"},
+                {"trigger": "finish", "source": "draining", "dest": "stopped"},
+            ],
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether callers and load balancers should choose this node."""
+        return self.state == NodeState.SERVING
+
+    def accepts_work(self) -> bool:
+        """Tell whether work that still arrives is served."""
+        return self.state in (NodeState.SERVING, NodeState.LEAVING)
+
+    def is_stopping(self) -> bool:
+        """Tell whether a stop has begun."""
+        return self.state in (NodeState.LEAVING, NodeState.DRAINING, NodeState.STOPPED)
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -3,41 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
-from transitions import Machine
-
+from tinrudder.cluster.view import MemberStatus, MemberView, build_view
 from tinrudder.environment import Environment
+from tinrudder.lifecycle import NodeLifecycle
 from tinrudder.logs import log_event, log_problem
+from tinrudder.platform.member_view import view_of
 from tinrudder.platform.messages import PlatformUnavailableError
 from tinrudder.query.coordinator import Coordinator
+from tinrudder.query.coordinator_sets import CoordinatorSets
 from tinrudder.query.dispatcher import Dispatcher
+from tinrudder.query.entry import Entry
+from tinrudder.query.relay import RelayClient, RelayServer
 from tinrudder.resources.configuration import Configuration, ConfigurationStore
 from tinrudder.routing.backend_table import BackendTable
 from tinrudder.routing.call_queue import FirstInFirstOutQueue
+from tinrudder.routing.coordinator_ranking import CoordinatorRanking
 from tinrudder.routing.replica_choice import LeastLoadedReplica
 from tinrudder.settings import NodeSettings
+from tinrudder.wire.channels import Channel, ChannelRouter
 
 DRAIN_CHECK_S = 0.02
-
-
-class NodeLifecycle:
-    """States of a node: starting, serving, stopping, stopped."""
-
-    state: str
-
-    def __init__(self) -> None:
-        """Begin in ``starting``."""
-        Machine(
-            model=self,
-            states=["starting", "serving", "stopping", "stopped"],
-            initial="starting",
-            auto_transitions=False,
-            transitions=[
-                {"trigger": "serve", "source": "starting", "dest": "serving"},
-                {"trigger": "begin_stop", "source": ["starting", "serving"], "dest": "stopping"},
-                {"trigger": "finish_stop", "source": "stopping", "dest": "stopped"},
-            ],
-        )
+REFUSAL_LINGER_S = 0.2
 
 
 class Node:
@@ -49,7 +37,10 @@
         self.lifecycle = NodeLifecycle()
         self.configuration_store = ConfigurationStore()
         self.backends = BackendTable()
+        self.channels = ChannelRouter(environment.peers)
+        self.coordinator_sets = CoordinatorSets(settings.name)
         self._environment = environment
+        self._view = MemberView()
         self._dispatcher = Dispatcher(
             environment.timers,
             environment.backends,
@@ -59,12 +50,44 @@
         self.coordinator = Coordinator(
             environment.timers, self._dispatcher, self.backends, self.configuration
         )
+        self._build_relay()
         self._tasks: list[asyncio.Task[None]] = []
 
+    def _build_relay(self) -> None:
+        """Build both ends of the relay and the entry on top of them."""
+        timers = self._environment.timers
+        channel = self.channels.channel(Channel.RELAY)
+        self._ranking = CoordinatorRanking(self.settings.name, self.settings.zone, timers)
+        self.relay_server = RelayServer(
+            channel,
+            timers,
+            self._environment.wall_clock,
+            self.coordinator,
+            self.lifecycle.accepts_work,
+        )
+        self.entry = Entry(
+            self.settings.name,
+            timers,
+            self.coordinator,
+            RelayClient(channel, timers, self._environment.wall_clock),
+            self._ranking,
+            self.coordinator_sets.of,
+            self.configuration,
+        )
+
     def configuration(self) -> Configuration:
         """Return the configuration in force."""
         return self.configuration_store.current
 
+    def view(self) -> MemberView:
+        """Return what this node believes of the members."""
+        return self._view
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many queries this node has not finished, relayed ones included."""
+        return max(self.coordinator.in_progress, self.relay_server.in_progress)
+
     async def start(self) -> None:
         """Read the configuration once if the platform answers, then keep following it."""
         await self._poll_platform()
@@ -72,19 +95,49 @@
         self.lifecycle.serve()  # type: ignore[attr-defined]
         log_event("serving", {"revision": self.configuration().revision})
 
+    async def leave(self) -> None:
+        """Announce the stop and go on serving until others have had time to notice."""
+        self.lifecycle.leave()  # type: ignore[attr-defined]
+        self.on_view_changed(self._view)
+        log_event("leaving", {"in_progress": self.in_progress})
+        await asyncio.sleep(self.settings.stop_grace_s)
+
     async def stop(self) -> None:
-        """Finish what is in progress, then end."""
-        self.lifecycle.begin_stop()  # type: ignore[attr-defined]
-        log_event("stopping", {"in_progress": self.coordinator.in_progress})
+        """Refuse new work, finish what is in progress, then end."""
+        self.lifecycle.drain()  # type: ignore[attr-defined]
+        log_event("draining", {"in_progress": self.in_progress})
         deadline = self._environment.timers.time() + self.settings.stop_timeout_s
-        while self.coordinator.in_progress and self._environment.timers.time() < deadline:
+        while self.in_progress and self._environment.timers.time() < deadline:
             await asyncio.sleep(DRAIN_CHECK_S)
+        await asyncio.sleep(REFUSAL_LINGER_S)
         for task in self._tasks:
             task.cancel()
         await self._environment.backends.close()
         await self._environment.peers.close()
-        self.lifecycle.finish_stop()  # type: ignore[attr-defined]
-        log_event("stopped", {"in_progress": self.coordinator.in_progress})
+        self.lifecycle.finish()  # type: ignore[attr-defined]
+        log_event("stopped", {"in_progress": self.in_progress})
+
+    def on_view_changed(self, view: MemberView) -> None:
+        """Take a new view of the members; coordinator sets and slot shares follow it."""
+        self._view = self._without_ourselves(view) if self.lifecycle.is_stopping() else view
+        self._ranking.keep_only(frozenset(self._view.by_name))
+        self._update_shares()
+
+    def _without_ourselves(self, view: MemberView) -> MemberView:
+        """Return the view with this node leaving, so that it coordinates nothing any more."""
+        members = tuple(
+            replace(member, status=MemberStatus.LEAVING)
+            if member.name == self.settings.name
+            else member
+            for member in view.members
+        )
+        return build_view(members, view.list_revision)
+
+    def _update_shares(self) -> None:
+        """Bring coordinator sets and limits in step with members and configuration."""
+        configuration = self.configuration()
+        self.coordinator_sets.update(self._view, configuration)
+        self.backends.update(configuration.backends, self.coordinator_sets.share)
 
     async def _follow_platform(self) -> None:
         """Poll the platform until the node ends."""
@@ -93,13 +146,23 @@
             await self._poll_platform()
 
     async def _poll_platform(self) -> None:
-        """Fetch the configuration; an unavailable platform changes nothing."""
-        known = self.configuration().revision
+        """Fetch configuration and members; an unavailable platform changes nothing."""
         try:
-            document = await self._environment.platform.fetch_resources(known)
+            await self._poll_resources()
+            await self._poll_members()
         except PlatformUnavailableError as error:
             log_problem("platform unavailable", {"error": str(error)})
-            return
+
+    async def _poll_resources(self) -> None:
+        """Fetch the configuration."""
+        known = self.configuration().revision
+        document = await self._environment.platform.fetch_resources(known)
         if document is not None and self.configuration_store.offer(document):
-            self.backends.update(self.configuration().backends)
+            self._update_shares()
             log_event("configuration in force", {"revision": document.revision})
+
+    async def _poll_members(self) -> None:
+        """Fetch the list of machines."""
+        view = view_of(await self._environment.platform.fetch_members())
+        if view.list_revision > self._view.list_revision:
+            self.on_view_changed(view)
--- /dev/null
+++ b/tinrudder/query/coordinator_sets.py
@@ -0,0 +1,70 @@
+"""The coordinator sets of every service, kept in step with members and configuration."""
+
+from __future__ import annotations
+
+from tinrudder.cluster.view import MemberView
+from tinrudder.resources.configuration import Configuration
+from tinrudder.resources.model import BackendSpec, ServiceSpec
+from tinrudder.routing.coordinator_set import (
+    MINIMUM_SHARE,
+    CoordinatorSet,
+    choose_coordinators,
+    coordinator_count,
+    members_of_region,
+)
+
+
+class CoordinatorSets:
+    """Computes a service's set when it is first asked for and keeps it until something changes."""
+
+    def __init__(self, node_name: str, minimum_share: int = MINIMUM_SHARE) -> None:
+        """Start without members."""
+        self._node_name = node_name
+        self._minimum_share = minimum_share
+        self._view = MemberView()
+        self._configuration = Configuration()
+        self._slots: dict[str, list[int]] = {}
+        self._sets: dict[str, CoordinatorSet] = {}
+
+    def update(self, view: MemberView, configuration: Configuration) -> None:
+        """Take what is known now; sets are computed again on demand."""
+        if configuration is not self._configuration:
+            self._slots = _slots_by_service(configuration)
+        self._view = view
+        self._configuration = configuration
+        self._sets = {}
+
+    def of(self, service: str) -> CoordinatorSet:
+        """Return a service's coordinators; empty for an unknown service or without members."""
+        known = self._sets.get(service)
+        if known is None:
+            known = self._choose(service)
+            self._sets[service] = known
+        return known
+
+    def share(self, backend: str, spec: BackendSpec) -> float:
+        """Return how many of a back end's slots this node may use."""
+        return self.of(spec.service).share(self._node_name, backend, spec.slots)
+
+    def _choose(self, service: str) -> CoordinatorSet:
+        """Compute a service's set."""
+        spec = self._configuration.services.get(service)
+        if spec is None:
+            return CoordinatorSet(service)
+        members = members_of_region(self._view.members, spec.region)
+        return choose_coordinators(service, members, self._count(service, spec))
+
+    def _count(self, service: str, spec: ServiceSpec) -> int:
+        """Return how many coordinators the service has."""
+        if spec.coordinators is not None:
+            return spec.coordinators
+        slots = self._slots.get(service, [])
+        return coordinator_count(slots, spec.max_connections_per_backend, self._minimum_share)
+
+
+def _slots_by_service(configuration: Configuration) -> dict[str, list[int]]:
+    """Group the back ends' slots by service."""
+    slots: dict[str, list[int]] = {}
+    for spec in configuration.backends.values():
+        slots.setdefault(spec.service, []).append(spec.slots)
+    return slots
--- /dev/null
+++ b/tinrudder/query/entry.py
@@ -0,0 +1,158 @@
+"""The entry: takes a caller's query to a coordinator of its service.
+
+The entry never retries shard calls: that is the coordinator's work.  It may ask a second
+coordinator, and at most ``MAX_SENT_ATTEMPTS`` coordinators ever receive one query.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from tinrudder.cluster.view import Member
+from tinrudder.outcomes import MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
+from tinrudder.query.coordinator import QueryRunner
+from tinrudder.query.request import QueryRequest
+from tinrudder.resources.configuration import Configuration
+from tinrudder.routing.coordinator_ranking import CoordinatorRanking
+from tinrudder.routing.coordinator_set import CoordinatorSet
+from tinrudder.timers import Timers
+
+MAX_SENT_ATTEMPTS = 2
+
+
+class QueryRelay(Protocol):
+    """Takes a query to another node; see :class:`tinrudder.query.relay.RelayClient`."""
+
+    async def run(self, coordinator: PeerAddress, request: QueryRequest) -> Outcome:
+        """Return the outcome that the coordinator reports."""
+
+
+@dataclass(slots=True)
+class EntryCounters:
+    """How queries went through this entry, since start."""
+
+    local: int = 0
+    relayed: int = 0
+    lost: int = 0
+    not_sent: int = 0
+    fallback: int = 0
+
+
+@dataclass(slots=True)
+class _Attempts:
+    """What became of one query's relays so far.
+
+    :param lost: coordinators that may have run it without telling.
+    """
+
+    lost: int = 0
+    details: list[str] = field(default_factory=list)
+
+
+class Entry:
+    """Runs a query here if this node coordinates its service, else relays it."""
+
+    def __init__(
+        self,
+        node_name: str,
+        timers: Timers,
+        coordinator: QueryRunner,
+        relay: QueryRelay,
+        ranking: CoordinatorRanking,
+        coordinators: Callable[[str], CoordinatorSet],
+        configuration: Callable[[], Configuration],
+    ) -> None:
+        """Read sets and configuration through the callables at every query."""
+        self._node_name = node_name
+        self._timers = timers
+        self._coordinator = coordinator
+        self._relay = relay
+        self._ranking = ranking
+        self._coordinators = coordinators
+        self._configuration = configuration
+        self.counters = EntryCounters()
+
+    async def run(self, request: QueryRequest) -> Outcome:
+        """Return the query's outcome; cancelling the task frees its work everywhere."""
+        service = self._service_of(request)
+        chosen = self._coordinators(service) if service is not None else None
+        if chosen is None or not chosen.members or self._node_name in chosen.names:
+            self.counters.local += 1
+            return await self._coordinator.run(request)
+        return await self._relay_to_one_of(chosen.members, request)
+
+    def _service_of(self, request: QueryRequest) -> str | None:
+        """Return the service a query is for, ``None`` if its index is unknown."""
+        index = self._configuration().indexes.get(request.index)
+        return index.service if index is not None else None
+
+    async def _relay_to_one_of(self, members: Sequence[Member], request: QueryRequest) -> Outcome:
+        """Ask one coordinator after the other until one answers, then help ourselves."""
+        attempts = _Attempts()
+        may_probe = self._is_repeatable(request)
+        for member in self._ranking.order(members, may_probe=may_probe):
+            if attempts.lost and not self._may_ask_again(request, attempts):
+                return _lost(attempts)
+            if self._timers.time() >= request.deadline:
+                break
+            outcome = await self._ask(member, request, attempts)
+            if outcome is not None:
+                return _truthful(outcome, attempts)
+        if attempts.lost and not self._may_ask_again(request, attempts):
+            return _lost(attempts)
+        self.counters.fallback += 1
+        return _truthful(await self._coordinator.run(request), attempts)
+
+    async def _ask(
+        self, member: Member, request: QueryRequest, attempts: _Attempts
+    ) -> Outcome | None:
+        """Relay once; ``None`` means that another coordinator may be asked."""
+        self.counters.relayed += 1
+        self._ranking.begin(member)
+        try:
+            outcome = await self._relay.run(member.address, request)
+        except PeerNotSentError as error:
+            self.counters.not_sent += 1
+            self._ranking.fail(member)
+            attempts.details.append(str(error))
+            return None
+        except PeerLostError as error:
+            self.counters.lost += 1
+            self._ranking.fail(member)
+            attempts.lost += 1
+            attempts.details.append(str(error))
+            return None
+        finally:
+            self._ranking.end(member)
+        if isinstance(outcome, NotRun) and outcome.reason is NotRunReason.STOPPING:
+            self._ranking.fail(member)
+            return None
+        self._ranking.succeed(member)
+        return outcome
+
+    def _is_repeatable(self, request: QueryRequest) -> bool:
+        """Tell whether running the query twice does no harm."""
+        rule = self._configuration().rules.get(request.rule)
+        return rule is not None and rule.repeatable
+
+    def _may_ask_again(self, request: QueryRequest, attempts: _Attempts) -> bool:
+        """Tell whether a query whose relay was lost may be sent once more."""
+        if not self._is_repeatable(request):
+            return False
+        has_time = self._timers.time() < request.deadline
+        return has_time and attempts.lost < MAX_SENT_ATTEMPTS
+
+
+def _lost(attempts: _Attempts) -> MayHaveRun:
+    """Return the outcome of a query whose relay was lost for good."""
+    return MayHaveRun(MayHaveRunReason.RELAY_LOST, "; ".join(attempts.details))
+
+
+def _truthful(outcome: Outcome, attempts: _Attempts) -> Outcome:
+    """Return a later attempt's outcome; "not run" is false if an earlier one may have run."""
+    if isinstance(outcome, NotRun) and attempts.lost:
+        return _lost(attempts)
+    return outcome
--- /dev/null
+++ b/tinrudder/query/relay.py
@@ -0,0 +1,118 @@
+"""One relayed query between two nodes: the sending and the receiving end.
+
+A relayed query is run where it arrives and never relayed again, so there are no loops.
+Cancelling the sender's task cancels the receiver's, through the peer transport.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from tinrudder.outcomes import Failed, FailedReason, NotRun, NotRunReason, Outcome
+from tinrudder.peers import PeerAddress, PeerLostError, PeerTransport
+from tinrudder.query.coordinator import QueryRunner
+from tinrudder.query.request import QueryRequest
+from tinrudder.timers import Timers, WallClock
+from tinrudder.wire.relay_codec import (
+    RelayCodecError,
+    RelayedQuery,
+    decode_outcome,
+    decode_query,
+    encode_outcome,
+    encode_query,
+)
+
+RETURN_ALLOWANCE_S = 0.005
+RETURN_ALLOWANCE_SHARE = 0.1
+MAX_CLOCK_SKEW_S = 1.0
+
+
+class RelayClient:
+    """Sends queries to coordinators."""
+
+    def __init__(self, channel: PeerTransport, timers: Timers, wall_clock: WallClock) -> None:
+        """Send over ``channel``."""
+        self._channel = channel
+        self._timers = timers
+        self._wall_clock = wall_clock
+
+    async def run(self, coordinator: PeerAddress, request: QueryRequest) -> Outcome:
+        """Return the outcome that the coordinator reports.
+
+        The coordinator gets a little less time than is left, so that what it has at its
+        deadline still arrives before ours.
+
+        :raises PeerNotSentError: the coordinator cannot have received the query.
+        :raises PeerLostError: it may have run the query; no readable outcome came in time.
+        """
+        remaining_s = request.deadline - self._timers.time()
+        allowance_s = min(RETURN_ALLOWANCE_S, remaining_s * RETURN_ALLOWANCE_SHARE)
+        query = RelayedQuery(request, remaining_s - allowance_s, self._wall_clock())
+        try:
+            payload = encode_query(query)
+        except RelayCodecError as error:
+            return NotRun(NotRunReason.INVALID_REQUEST, str(error))
+        answer = await self._channel.request(coordinator, payload, remaining_s)
+        try:
+            return decode_outcome(answer)
+        except RelayCodecError as error:
+            raise PeerLostError(f"{coordinator}: {error}") from error
+
+
+class RelayServer:
+    """Runs queries that other nodes relay to this one."""
+
+    def __init__(
+        self,
+        channel: PeerTransport,
+        timers: Timers,
+        wall_clock: WallClock,
+        runner: QueryRunner,
+        accepts_work: Callable[[], bool],
+    ) -> None:
+        """Listen on ``channel``; refuse new work once ``accepts_work`` returns ``False``."""
+        self._timers = timers
+        self._wall_clock = wall_clock
+        self._runner = runner
+        self._accepts_work = accepts_work
+        self.in_progress = 0
+        channel.listen(_ignore_datagram, self._on_request)
+
+    async def _on_request(self, _source: PeerAddress, payload: bytes) -> bytes:
+        """Run one relayed query and return its encoded outcome."""
+        self.in_progress += 1
+        try:
+            outcome = await self._run(payload)
+        finally:
+            self.in_progress -= 1
+        try:
+            return encode_outcome(outcome)
+        except RelayCodecError as error:
+            return encode_outcome(Failed(FailedReason.BACKEND_ERROR, str(error)))
+
+    async def _run(self, payload: bytes) -> Outcome:
+        """Decode, check that the query is still wanted, and run it."""
+        if not self._accepts_work():
+            return NotRun(NotRunReason.STOPPING, "this node is stopping")
+        try:
+            query = decode_query(payload)
+        except RelayCodecError as error:
+            return NotRun(NotRunReason.INVALID_REQUEST, str(error))
+        if self._arrived_too_late(query):
+            return NotRun(NotRunReason.DEADLINE, "deadline: had passed when the query was read")
+        deadline = self._timers.time() + query.remaining_s
+        return await self._runner.run(replace(query.request, deadline=deadline))
+
+    def _arrived_too_late(self, query: RelayedQuery) -> bool:
+        """Tell whether the query waited, unread, past its deadline.
+
+        A process that was paused reads old messages when it wakes; ``remaining_s`` alone would
+        make them look fresh.
+        """
+        age_s = self._wall_clock() - query.sent_at
+        return age_s > query.remaining_s + MAX_CLOCK_SKEW_S
+
+
+def _ignore_datagram(_source: PeerAddress, _payload: bytes) -> None:
+    """Queries travel as requests only."""
--- a/tinrudder/resources/model.py
+++ b/tinrudder/resources/model.py
@@ -48,11 +48,16 @@
 
 
 class ServiceSpec(Spec, frozen=True, kw_only=True):
-    """A service: a group of back ends and the tenants that may query it."""
+    """A service: a group of back ends and the tenants that may query it.
+
+    :param coordinators: how many nodes hold its back ends' slots; ``None`` lets the tier choose
+        (see docs/COORDINATORS.md).
+    """
 
     region: Name
     tenants: Annotated[tuple[Name, ...], Meta(max_length=1000)]
     max_connections_per_backend: Annotated[int, Meta(ge=1, le=10_000)] = 70
+    coordinators: Annotated[int, Meta(ge=1, le=1000)] | None = None
 
 
 class BackendState(enum.StrEnum):
--- a/tinrudder/routing/backend_table.py
+++ b/tinrudder/routing/backend_table.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from tinrudder.resources.model import BackendSpec, BackendState
 from tinrudder.routing.backend_record import BackendRecord
 
+SlotShare = Callable[[str, BackendSpec], float]
+
+
+def all_slots(_name: str, spec: BackendSpec) -> float:
+    """Give this node every slot: right only where no other node sends."""
+    return spec.slots
+
 
 class BackendTable:
     """Records by name; a record outlives configuration changes, so observations are kept."""
@@ -15,15 +22,15 @@
         """Start without back ends."""
         self._records: dict[str, BackendRecord] = {}
 
-    def update(self, specs: Mapping[str, BackendSpec], share: float = 1.0) -> None:
-        """Follow the configuration.
+    def update(self, specs: Mapping[str, BackendSpec], share: SlotShare = all_slots) -> None:
+        """Follow the configuration and the coordinator sets.
 
-        :param share: the part of every back end's slots that belongs to this node.
+        :param share: how many of a back end's slots belong to this node.
         """
         for name in self._records.keys() - specs.keys():
             self._records.pop(name).leaving = True
         for name, spec in specs.items():
-            limit = max(1.0, spec.slots * share)
+            limit = max(1.0, share(name, spec))
             record = self._records.get(name)
             if record is None or (record.host, record.port) != (spec.host, spec.port):
                 if record is not None:
--- /dev/null
+++ b/tinrudder/routing/coordinator_ranking.py
@@ -0,0 +1,111 @@
+"""In which order an entry asks the coordinators of a service."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from tinrudder.cluster.view import Member, MemberStatus
+from tinrudder.routing.coordinator_set import rendezvous_score
+from tinrudder.timers import Timers
+
+CROSS_ZONE_COST = 4
+FIRST_AVOIDANCE_S = 0.5
+LONGEST_AVOIDANCE_S = 8.0
+MAX_COUNTED_FAILURES = 10
+
+
+@dataclass(slots=True)
+class _Observed:
+    """What this entry has seen of one coordinator.
+
+    :param tie_break: differs between entries, so equals do not all pick the same coordinator.
+    :param failures: failures in a row.
+    :param avoid_until: monotonic time until which nothing is sent there.
+    """
+
+    incarnation: int
+    tie_break: int
+    in_flight: int = 0
+    failures: int = 0
+    avoid_until: float = 0.0
+
+
+class CoordinatorRanking:
+    """Own zone first, then the fewest of our queries in flight; none that just failed us.
+
+    One query in another zone counts as ``CROSS_ZONE_COST`` in our own: a coordinator next door
+    keeps its advantage of one round trip until it has clearly more of our work than others.
+
+    A coordinator that failed is left alone for a while, then probed by one repeatable query at
+    a time: behind a silent cut each probe costs its query the whole deadline.
+    """
+
+    def __init__(self, node_name: str, zone: str, timers: Timers) -> None:
+        """Rank as seen from ``node_name`` in ``zone``."""
+        self._node_name = node_name
+        self._zone = zone
+        self._timers = timers
+        self._observed: dict[str, _Observed] = {}
+
+    def order(self, members: Sequence[Member], *, may_probe: bool) -> list[Member]:
+        """Return the members to ask, best first, without those to be left alone.
+
+        :param may_probe: whether the query may be lost to a coordinator that failed before.
+        """
+        now = self._timers.time()
+        open_members = [member for member in members if self._is_open(member, now, may_probe)]
+        return sorted(open_members, key=self._cost)
+
+    def begin(self, member: Member) -> None:
+        """Count a query sent to ``member``."""
+        self._of(member).in_flight += 1
+
+    def end(self, member: Member) -> None:
+        """Count a query as ended; a member forgotten meanwhile starts at none."""
+        observed = self._of(member)
+        observed.in_flight = max(0, observed.in_flight - 1)
+
+    def succeed(self, member: Member) -> None:
+        """Forget earlier failures."""
+        observed = self._of(member)
+        observed.failures = 0
+        observed.avoid_until = 0.0
+
+    def fail(self, member: Member) -> None:
+        """Leave a member alone for a while, longer after every failure in a row."""
+        observed = self._of(member)
+        now = self._timers.time()
+        if observed.avoid_until > now:
+            return
+        avoidance_s = min(LONGEST_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2**observed.failures)
+        observed.failures = min(observed.failures + 1, MAX_COUNTED_FAILURES)
+        observed.avoid_until = now + avoidance_s
+
+    def keep_only(self, names: frozenset[str]) -> None:
+        """Forget members that are gone."""
+        for name in [name for name in self._observed if name not in names]:
+            del self._observed[name]
+
+    def _of(self, member: Member) -> _Observed:
+        """Return what is known; a restarted process starts afresh."""
+        observed = self._observed.get(member.name)
+        if observed is None or observed.incarnation != member.incarnation:
+            tie_break = rendezvous_score(self._node_name, member.name)
+            observed = _Observed(member.incarnation, tie_break)
+            self._observed[member.name] = observed
+        return observed
+
+    def _is_open(self, member: Member, now: float, may_probe: bool) -> bool:
+        """Tell whether a query may go there now."""
+        observed = self._of(member)
+        if observed.failures == 0:
+            return True
+        return may_probe and now >= observed.avoid_until and observed.in_flight == 0
+
+    def _cost(self, member: Member) -> tuple[bool, int, int]:
+        """Return the sort key."""
+        observed = self._of(member)
+        distance = 0 if member.zone == self._zone else CROSS_ZONE_COST
+        is_suspect = member.status is MemberStatus.SUSPECT
+        return is_suspect, observed.in_flight + distance, observed.tie_break
--- /dev/null
+++ b/tinrudder/routing/coordinator_set.py
@@ -0,0 +1,112 @@
+"""Which nodes coordinate a service's queries, and which slots each of them holds.
+
+A service's coordinators are chosen by rendezvous hashing over the live members of its region,
+spread over zones.  Every node computes the same set from the same view, without talking.  When
+one node comes or goes, at most a few places of a set change hands (see docs/COORDINATORS.md).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+import xxhash
+
+from tinrudder.cluster.view import Member, MemberStatus
+
+MINIMUM_SHARE = 1
+FALLBACK_LIMIT = 1
+_ELIGIBLE = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
+
+
+@dataclass(frozen=True, slots=True)
+class CoordinatorSet:
+    """The coordinators of one service, best score first.
+
+    :param names: the same members by name, for a quick test of membership.
+    """
+
+    service: str
+    members: tuple[Member, ...] = ()
+    names: frozenset[str] = field(default=frozenset())
+
+    def share(self, node: str, backend: str, slots: int) -> int:
+        """Return how many of a back end's slots ``node`` may use.
+
+        Over all coordinators the shares add up to ``slots`` as long as there are no more
+        coordinators than slots.  Every node, coordinator or not, may use at least
+        ``FALLBACK_LIMIT``: that is what keeps a query alive when no coordinator is reachable.
+        """
+        if node not in self.names:
+            return FALLBACK_LIMIT
+        position = next(i for i, member in enumerate(self.members) if member.name == node)
+        return max(FALLBACK_LIMIT, slot_share(backend, slots, position, len(self.members)))
+
+
+def rendezvous_score(service: str, member: str) -> int:
+    """Return the pseudo-random weight of a member for a service.
+
+    >>> rendezvous_score("stock", "node-1") == rendezvous_score("stock", "node-1")
+    True
+    """
+    return xxhash.xxh64_intdigest(f"{service}\0{member}".encode())
+
+
+def coordinator_count(
+    slots: Iterable[int], max_connections: int, minimum_share: int = MINIMUM_SHARE
+) -> int:
+    """Return how many coordinators a service has.
+
+    As many as possible while each holds at least ``minimum_share`` slots of the smallest back
+    end and one connection of its own there.
+
+    >>> coordinator_count([5, 5], 70)
+    5
+    >>> coordinator_count([5, 2], 70, minimum_share=2)
+    1
+    """
+    smallest = min(slots, default=1)
+    return max(1, min(smallest // minimum_share, max_connections))
+
+
+def choose_coordinators(service: str, members: Iterable[Member], count: int) -> CoordinatorSet:
+    """Choose ``count`` coordinators among the members of the service's region.
+
+    The best of every zone come first, then the second of every zone, and so on.  A suspected
+    member keeps its place: taking its slots away before it is known to be dead would hand them
+    out twice.
+    """
+    eligible = [member for member in members if member.status in _ELIGIBLE]
+    scored = sorted(
+        ((rendezvous_score(service, member.name), member.name, member) for member in eligible),
+        key=lambda entry: entry[:2],
+        reverse=True,
+    )
+    taken_in_zone: dict[str, int] = {}
+    ranked: list[tuple[int, int, Member]] = []
+    for position, (_, _, member) in enumerate(scored):
+        rank = taken_in_zone.get(member.zone, 0)
+        taken_in_zone[member.zone] = rank + 1
+        ranked.append((rank, position, member))
+    ranked.sort(key=lambda entry: entry[:2])
+    chosen = tuple(member for _, _, member in ranked[:count])
+    return CoordinatorSet(service, chosen, frozenset(member.name for member in chosen))
+
+
+def slot_share(backend: str, slots: int, position: int, count: int) -> int:
+    """Return the slots of one back end that belong to the coordinator at ``position``.
+
+    The remainder of an uneven division starts at another coordinator for every back end, so no
+    coordinator gets the larger share everywhere.
+
+    >>> sum(slot_share("b1", 5, position, 3) for position in range(3))
+    5
+    """
+    base, remainder = divmod(slots, count)
+    first = xxhash.xxh64_intdigest(backend.encode()) % count
+    return base + (1 if (position - first) % count < remainder else 0)
+
+
+def members_of_region(members: Sequence[Member], region: str) -> tuple[Member, ...]:
+    """Return the members of one region."""
+    return tuple(member for member in members if member.region == region)
--- a/tinrudder/settings.py
+++ b/tinrudder/settings.py
@@ -31,6 +31,8 @@
     :param caller_port: TCP port for callers' and operators' HTTP; 0 picks one.
     :param peer_port: TCP and UDP port for other nodes.
     :param platform_url: base URL of the platform's read-only service.
+    :param stop_grace_s: how long a node that was told to stop goes on serving what arrives.
+    :param stop_timeout_s: how long it then waits for what is in progress.
     """
 
     name: Annotated[str, Meta(min_length=1, max_length=100)]
@@ -41,6 +43,7 @@
     peer_port: Port = 8081
     platform_url: Annotated[str, Meta(pattern="^https?://")]
     platform_poll_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
+    stop_grace_s: Annotated[float, Meta(ge=0, le=60)] = 2.0
     stop_timeout_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
--- /dev/null
+++ b/tinrudder/wire/relay_codec.py
@@ -0,0 +1,240 @@
+"""Relayed queries and their outcomes as protobuf bytes, with size limits both ways."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TypeVar
+
+from google.protobuf.message import DecodeError, EncodeError, Message
+
+from tinrudder.outcomes import (
+    Answer,
+    Complete,
+    Coverage,
+    Failed,
+    FailedReason,
+    MayHaveRun,
+    MayHaveRunReason,
+    MissingReason,
+    MissingShard,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Partial,
+    Row,
+)
+from tinrudder.query.request import QueryRequest
+from tinrudder.wire import relay_pb2
+
+MAX_REQUEST_BYTES = 256 * 1024
+MAX_OUTCOME_BYTES = 15 * 1024 * 1024
+
+ProtobufMessage = TypeVar("ProtobufMessage", bound=Message)
+
+
+class RelayCodecError(Exception):
+    """The bytes are not a message of this kind, or break a limit."""
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedQuery:
+    """A query on its way to a coordinator.
+
+    :param request: the query; its ``deadline`` has no meaning outside the sender.
+    :param remaining_s: time left when it was sent, seconds.
+    :param sent_at: the sender's calendar time when it was sent, seconds.
+    """
+
+    request: QueryRequest
+    remaining_s: float
+    sent_at: float
+
+
+def encode_query(query: RelayedQuery) -> bytes:
+    """Return the bytes of a relayed query.
+
+    :raises RelayCodecError: it is larger than allowed, or a field is out of range.
+    """
+    request = query.request
+    try:
+        message = relay_pb2.RelayRequest(
+            query_id=request.query_id,
+            tenant=request.tenant,
+            index=request.index,
+            rule=request.rule,
+            match=[
+                relay_pb2.MatchField(name=name, value=value)
+                for name, value in request.match.items()
+            ],
+            order_by=request.order_by,
+            descending=request.descending,
+            limit=request.limit,
+            remaining_s=query.remaining_s,
+            sent_at=query.sent_at,
+            version=request.version,
+            after=_position_message(request.after),
+            operation=request.operation,
+            request_key=request.request_key,
+            valid_until=request.valid_until,
+            shards=request.shards,
+        )
+    except (ValueError, TypeError) as error:
+        raise RelayCodecError(f"query: {error}") from error
+    return _serialize(message, MAX_REQUEST_BYTES)
+
+
+def decode_query(payload: bytes) -> RelayedQuery:
+    """Return the relayed query; its ``deadline`` is 0 until the receiver sets its own.
+
+    :raises RelayCodecError: not a relayed query.
+    """
+    message = _parse(relay_pb2.RelayRequest, payload, MAX_REQUEST_BYTES)
+    request = QueryRequest(
+        query_id=message.query_id,
+        tenant=message.tenant,
+        index=message.index,
+        rule=message.rule,
+        match={field.name: field.value for field in message.match},
+        order_by=message.order_by,
+        descending=message.descending,
+        limit=message.limit,
+        deadline=0.0,
+        version=message.version if message.HasField("version") else None,
+        after=_position(message.after) if message.HasField("after") else None,
+        operation=message.operation if message.HasField("operation") else None,
+        request_key=message.request_key if message.HasField("request_key") else None,
+        valid_until=message.valid_until if message.HasField("valid_until") else None,
+        shards=tuple(message.shards),
+    )
+    return RelayedQuery(request, message.remaining_s, message.sent_at)
+
+
+def encode_outcome(outcome: Outcome) -> bytes:
+    """Return the bytes of an outcome.
+
+    :raises RelayCodecError: it is larger than allowed.
+    """
+    message = relay_pb2.RelayOutcome()
+    match outcome:
+        case Complete(answer):
+            message.complete.CopyFrom(_answer_message(answer))
+        case Partial(answer):
+            message.partial.CopyFrom(_answer_message(answer))
+        case NotRun(not_run_reason, detail, retry_after_s):
+            message.not_run.CopyFrom(
+                relay_pb2.NotRunMessage(
+                    reason=not_run_reason, detail=detail, retry_after_s=retry_after_s
+                )
+            )
+        case MayHaveRun(may_reason, detail):
+            message.may_have_run.CopyFrom(
+                relay_pb2.MayHaveRunMessage(reason=may_reason, detail=detail)
+            )
+        case Failed(failed_reason, detail, coverage):
+            message.failed.CopyFrom(
+                relay_pb2.FailedMessage(
+                    reason=failed_reason, detail=detail, coverage=_coverage_message(coverage)
+                )
+            )
+    return _serialize(message, MAX_OUTCOME_BYTES)
+
+
+def decode_outcome(payload: bytes) -> Outcome:
+    """Return the outcome.
+
+    :raises RelayCodecError: not an outcome, or one with a reason this node does not know.
+    """
+    message = _parse(relay_pb2.RelayOutcome, payload, MAX_OUTCOME_BYTES)
+    try:
+        return _outcome(message)
+    except ValueError as error:
+        raise RelayCodecError(f"outcome: {error}") from error
+
+
+def _outcome(message: relay_pb2.RelayOutcome) -> Outcome:
+    """Turn a message into its tag; an unknown reason is a ``ValueError``."""
+    match message.WhichOneof("outcome"):
+        case "complete":
+            return Complete(_answer(message.complete))
+        case "partial":
+            return Partial(_answer(message.partial))
+        case "not_run":
+            not_run = message.not_run
+            retry_after_s = not_run.retry_after_s if not_run.HasField("retry_after_s") else None
+            return NotRun(NotRunReason(not_run.reason), not_run.detail, retry_after_s)
+        case "may_have_run":
+            may_have_run = message.may_have_run
+            return MayHaveRun(MayHaveRunReason(may_have_run.reason), may_have_run.detail)
+        case "failed":
+            failed = message.failed
+            return Failed(FailedReason(failed.reason), failed.detail, _coverage(failed.coverage))
+    raise ValueError("no outcome is set")
+
+
+def _answer_message(answer: Answer) -> relay_pb2.AnswerMessage:
+    return relay_pb2.AnswerMessage(
+        version=answer.version,
+        rows=[
+            relay_pb2.RowEntry(order=row.order, row_id=row.row_id, payload=row.payload)
+            for row in answer.rows
+        ],
+        coverage=_coverage_message(answer.coverage),
+        next_after=_position_message(answer.next_after),
+    )
+
+
+def _answer(message: relay_pb2.AnswerMessage) -> Answer:
+    return Answer(
+        message.version,
+        tuple(Row(row.order, row.row_id, row.payload) for row in message.rows),
+        _coverage(message.coverage),
+        _position(message.next_after) if message.HasField("next_after") else None,
+    )
+
+
+def _coverage_message(coverage: Coverage) -> relay_pb2.CoverageMessage:
+    return relay_pb2.CoverageMessage(
+        included=coverage.included,
+        missing=[
+            relay_pb2.MissingShardEntry(shard=gap.shard, owner=gap.owner, reason=gap.reason)
+            for gap in coverage.missing
+        ],
+    )
+
+
+def _coverage(message: relay_pb2.CoverageMessage) -> Coverage:
+    missing = tuple(
+        MissingShard(gap.shard, gap.owner, MissingReason(gap.reason)) for gap in message.missing
+    )
+    return Coverage(tuple(message.included), missing)
+
+
+def _position_message(position: tuple[float, str] | None) -> relay_pb2.Position | None:
+    if position is None:
+        return None
+    return relay_pb2.Position(order=position[0], row_id=position[1])
+
+
+def _position(message: relay_pb2.Position) -> tuple[float, str]:
+    return message.order, message.row_id
+
+
+def _serialize(message: Message, limit: int) -> bytes:
+    try:
+        payload = message.SerializeToString()
+    except EncodeError as error:
+        raise RelayCodecError(f"message: {error}") from error
+    if len(payload) > limit:
+        raise RelayCodecError(f"message: {len(payload)} bytes, at most {limit}")
+    return payload
+
+
+def _parse(message_type: type[ProtobufMessage], payload: bytes, limit: int) -> ProtobufMessage:
+    if len(payload) > limit:
+        raise RelayCodecError(f"message: {len(payload)} bytes, at most {limit}")
+    message = message_type()
+    try:
+        message.ParseFromString(payload)
+    except DecodeError as error:
+        raise RelayCodecError(f"message: {error}") from error
+    return message
