Accept configuration as a function of the documents seen

Cause: the store kept the last good specification of a refused resource from whatever it had happened to see, so nodes that skipped revisions disagreed for ever, and a tenant deleted and declared again with a mistake could come back on nodes that had slept. Change: the accepted state is a join-semilattice. Documents are ordered by (revision, digest); a refused resource keeps the most recent decision about it, be it a valid specification or its absence. Validation looks at the document alone and names resource, field and rule: sizes, unknown fields and kinds, references, key ids of two tenants, policy names, partial documents. Conclusion: any two states can be joined in any order with one result, which the exchange between nodes builds on.

--- /dev/null
+++ b/tests/unit/test_acceptance.py
@@ -0,0 +1,158 @@
+"""Acceptance against an oracle: a state is a function of the set of documents seen."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tests.support.documents import document, tenant
+from tinrudder.platform.messages import ResourceDocument
+from tinrudder.resources.accepted import join_states
+from tinrudder.resources.store import ConfigurationStore
+from tinrudder.resources.validation import state_of_document, version_of
+
+NAMES = ("a", "b", "c")
+STORES = 3
+
+
+@dataclass
+class Observed:
+    """A store, and for the oracle every document that reached it, itself or through others."""
+
+    store: ConfigurationStore = field(default_factory=ConfigurationStore)
+    seen: list[ResourceDocument] = field(default_factory=list)
+
+
+def in_force(seen: list[ResourceDocument]) -> dict[str, int]:
+    """The oracle: weights in force, found by walking back through all documents."""
+    ordered = sorted(seen, key=version_of, reverse=True)
+    weights = {}
+    for name in (raw.name for raw in ordered[0].resources) if ordered else ():
+        for older in ordered:
+            raw = next((raw for raw in older.resources if raw.name == name), None)
+            if raw is None:
+                break
+            weight = msgspec.json.decode(raw.spec)["weight"]
+            if weight > 0:
+                weights[name] = weight
+                break
+    return weights
+
+
+documents = st.builds(
+    lambda revision, weights: document(
+        revision, *(tenant(name, weight=weight) for name, weight in weights.items())
+    ),
+    st.integers(1, 6),
+    st.dictionaries(st.sampled_from(NAMES), st.integers(0, 3)),
+)
+store_numbers = st.integers(0, STORES - 1)
+
+
+class AcceptanceMachine(RuleBasedStateMachine):
+    """Stores that read a platform which repeats, restores and reuses revisions, and exchange."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.observed = [Observed() for _ in range(STORES)]
+        self.highest = [0] * STORES
+
+    @rule(number=store_numbers, offered=documents)
+    def read_platform(self, number: int, offered: ResourceDocument) -> None:
+        self.observed[number].store.offer(offered)
+        self.observed[number].seen.append(offered)
+
+    @rule(number=store_numbers, offered=documents)
+    def read_partial_document(self, number: int, offered: ResourceDocument) -> None:
+        partial = document(offered.revision + 10, *offered.resources, count=99)
+        assert not self.observed[number].store.offer(partial)
+
+    @rule(source=store_numbers, destination=store_numbers)
+    def exchange(self, source: int, destination: int) -> None:
+        self.observed[destination].store.merge(self.observed[source].store.state)
+        self.observed[destination].seen.extend(self.observed[source].seen)
+
+    @rule(number=store_numbers)
+    def restart(self, number: int) -> None:
+        self.observed[number] = Observed()
+        self.highest[number] = 0
+
+    @invariant()
+    def matches_the_oracle(self) -> None:
+        for observed in self.observed:
+            specs = observed.store.current.tenants
+            assert {name: spec.weight for name, spec in specs.items()} == in_force(observed.seen)
+
+    @invariant()
+    def revision_is_never_lowered(self) -> None:
+        for number, observed in enumerate(self.observed):
+            revision = observed.store.current.revision
+            assert revision >= self.highest[number]
+            self.highest[number] = revision
+
+    def teardown(self) -> None:
+        """Whatever happened, joining in two different orders gives one digest."""
+        states = [observed.store.state for observed in self.observed]
+        forward = join_states(join_states(states[0], states[1]), states[2])
+        backward = join_states(states[2], join_states(states[1], states[0]))
+        assert forward.digest == backward.digest
+        assert forward.bucket_digests == backward.bucket_digests
+
+
+AcceptanceMachine.TestCase.settings = settings(
+    max_examples=150, stateful_step_count=25, deadline=None
+)
+TestAcceptance = AcceptanceMachine.TestCase
+
+
+def test_restored_platform_reverts_nothing_and_is_reported() -> None:
+    store = ConfigurationStore()
+    store.offer(document(9, tenant("a", 5, weight=7)))
+    assert not store.offer(document(3, tenant("a", 2, weight=2)))
+    assert (store.current.revision, store.current.tenants["a"].weight) == (9, 7)
+    assert store.platform.behind
+
+
+def test_reused_revision_is_settled_alike_in_any_order() -> None:
+    first = document(9, tenant("a", weight=1))
+    second = document(9, tenant("a", weight=2))
+    stores = [ConfigurationStore(), ConfigurationStore()]
+    for store, order in zip(stores, ((first, second), (second, first)), strict=True):
+        for offered in order:
+            store.offer(offered)
+    assert stores[0].state.digest == stores[1].state.digest
+    assert stores[0].platform.reused or stores[1].platform.reused
+
+
+def test_deleted_tenant_does_not_come_back_with_a_bad_successor() -> None:
+    store = ConfigurationStore()
+    store.offer(document(1, tenant("a", weight=1)))
+    store.offer(document(2))
+    store.offer(document(3, tenant("a", 2, weight=0)))
+    sleeper = ConfigurationStore()
+    sleeper.offer(document(1, tenant("a", weight=1)))
+    sleeper.offer(document(3, tenant("a", 2, weight=0)))
+    sleeper.merge(store.state)
+    assert "a" not in store.current.tenants
+    assert "a" not in sleeper.current.tenants
+
+
+def test_key_given_to_another_tenant_goes_with_the_more_recent_decision() -> None:
+    store = ConfigurationStore()
+    store.offer(document(1, tenant("a", key="k")))
+    store.offer(document(2, tenant("a", 2, weight=0, key="k"), tenant("b", key="k")))
+    assert store.current.credentials["k"].tenant == "b"
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_former_objects_are_kept_where_nothing_changed(count: int) -> None:
+    offered = document(count, tenant("a"), tenant("b", count, weight=count))
+    state = state_of_document(document(9, tenant("a"), tenant("b")))
+    again = state_of_document(offered, known=state)
+    same = [again.resources[key] is state.resources[key] for key in sorted(state.resources)]
+    assert same == [True, count == 1]
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -16,7 +16,8 @@
 from tinrudder.query.dispatcher import Dispatcher
 from tinrudder.query.entry import Entry
 from tinrudder.query.relay import RelayClient, RelayServer
-from tinrudder.resources.configuration import Configuration, ConfigurationStore
+from tinrudder.resources.configuration import Configuration
+from tinrudder.resources.store import ConfigurationStore
 from tinrudder.routing.backend_table import BackendTable
 from tinrudder.routing.call_queue import FirstInFirstOutQueue
 from tinrudder.routing.coordinator_ranking import CoordinatorRanking
--- a/tinrudder/platform/messages.py
+++ b/tinrudder/platform/messages.py
@@ -23,11 +23,16 @@
     spec: msgspec.Raw
 
 
-class ResourceDocument(msgspec.Struct, frozen=True):
-    """All resources at one revision; revisions only grow in an honest history."""
+class ResourceDocument(msgspec.Struct, frozen=True, omit_defaults=True):
+    """All resources at one revision; revisions only grow in an honest history.
+
+    :param resource_count: how many resources the platform holds, where it says so; a document
+        with fewer is partial and refused.
+    """
 
     revision: int
     resources: tuple[RawResource, ...]
+    resource_count: int | None = None
 
 
 class MemberState(enum.StrEnum):
--- /dev/null
+++ b/tinrudder/resources/accepted.py
@@ -0,0 +1,196 @@
+"""The accepted state: what is in force, in a form that any two nodes can join.
+
+The state is a function of the *set* of documents that any node has seen, whatever their order:
+
+- Which resources exist, their newest generation and whether it is valid come from the document
+  with the highest :class:`DocumentVersion`.
+- A resource whose newest generation is refused keeps its last good specification: the one of
+  the highest-versioned document in which it was valid, unless it was absent from a document
+  with a higher version than that.
+
+Joining two states is therefore commutative, associative and idempotent, and a node that skipped
+documents reaches the same state as one that saw them all.
+"""
+
+from __future__ import annotations
+
+import functools
+import hashlib
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from tinrudder.resources.model import SPEC_TYPES, AnySpec
+
+DIGEST_BYTES = 16
+BUCKET_COUNT = 256
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class DocumentVersion:
+    """Total order of documents: by revision, by digest where a revision was used twice.
+
+    >>> DocumentVersion(2, b"a") < DocumentVersion(2, b"b") < DocumentVersion(3, b"a")
+    True
+    """
+
+    revision: int = 0
+    digest: bytes = b""
+
+
+NO_VERSION = DocumentVersion()
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class ResourceKey:
+    """Kind and name of a resource; a kind this release does not know stays a plain string."""
+
+    kind: str
+    name: str
+
+
+@dataclass(frozen=True)
+class AcceptedResource:
+    """A resource as it is in force.
+
+    :param observed_generation: the newest generation seen, accepted or not.
+    :param accepted_generation: the generation whose spec is in force, 0 if none is.
+    :param raw_spec: the specification in force as JSON, empty if none is.
+    :param problem: field and rule of a refused newer generation, else empty.
+    :param decided_in: only for a refused generation: the newest document in which the resource
+        was valid or absent, which is where the part in force comes from.
+    """
+
+    key: ResourceKey
+    observed_generation: int
+    accepted_generation: int
+    raw_spec: bytes
+    problem: str = ""
+    decided_in: DocumentVersion = NO_VERSION
+
+    @functools.cached_property
+    def spec(self) -> AnySpec | None:
+        """The specification in force; ``None`` if there is none or this release can't read it."""
+        spec_type = SPEC_TYPES.get(self.key.kind)  # type: ignore[call-overload]
+        if not self.raw_spec or spec_type is None:
+            return None
+        try:
+            spec: AnySpec = msgspec.json.decode(self.raw_spec, type=spec_type)
+        except msgspec.MsgspecError:
+            return None
+        return spec
+
+    @functools.cached_property
+    def digest(self) -> bytes:
+        """Digest over every field."""
+        parts = (
+            self.key.kind.encode(),
+            self.key.name.encode(),
+            self.observed_generation,
+            self.accepted_generation,
+            self.raw_spec,
+            self.problem.encode(),
+            self.decided_in.revision,
+            self.decided_in.digest,
+        )
+        return digest_of(msgspec.msgpack.encode(parts))
+
+
+@dataclass(frozen=True)
+class AcceptedState:
+    """Every resource in force, at the version of the newest document."""
+
+    version: DocumentVersion
+    resources: Mapping[ResourceKey, AcceptedResource]
+
+    @functools.cached_property
+    def buckets(self) -> tuple[tuple[AcceptedResource, ...], ...]:
+        """Resources spread over ``BUCKET_COUNT`` buckets by their key, sorted within each."""
+        buckets: list[list[AcceptedResource]] = [[] for _ in range(BUCKET_COUNT)]
+        for key in sorted(self.resources):
+            buckets[bucket_of(key)].append(self.resources[key])
+        return tuple(tuple(bucket) for bucket in buckets)
+
+    @functools.cached_property
+    def bucket_digests(self) -> tuple[bytes, ...]:
+        """One digest per bucket; equal digests mean equal content."""
+        return tuple(digest_of(b"".join(r.digest for r in bucket)) for bucket in self.buckets)
+
+    @functools.cached_property
+    def digest(self) -> bytes:
+        """Digest over the version and all resources."""
+        revision = self.version.revision.to_bytes(8, "big")
+        return digest_of(revision + self.version.digest + b"".join(self.bucket_digests))
+
+
+EMPTY_STATE = AcceptedState(NO_VERSION, {})
+
+
+def digest_of(content: bytes) -> bytes:
+    """Return the digest of some content."""
+    return hashlib.blake2b(content, digest_size=DIGEST_BYTES).digest()
+
+
+@functools.lru_cache(maxsize=65536)
+def bucket_of(key: ResourceKey) -> int:
+    """Return a resource's bucket, the same on every node."""
+    return digest_of(f"{key.kind}/{key.name}".encode())[0]
+
+
+def make_state(version: DocumentVersion, resources: Iterable[AcceptedResource]) -> AcceptedState:
+    """Return a state of resources with distinct keys."""
+    return AcceptedState(version, {resource.key: resource for resource in resources})
+
+
+def join_states(first: AcceptedState, second: AcceptedState) -> AcceptedState:
+    """Return what a node accepts that has seen what either state has seen.
+
+    Returns the very same object when the other one adds nothing to it.
+    """
+    if first.version == second.version:
+        return _join_equal_versions(first, second)
+    older, newer = sorted((first, second), key=lambda state: state.version)
+    joined = {key: _keep_last_good(newer.resources[key], older) for key in newer.resources}
+    if all(joined[key] is newer.resources[key] for key in joined):
+        return newer
+    return AcceptedState(newer.version, joined)
+
+
+def _join_equal_versions(first: AcceptedState, second: AcceptedState) -> AcceptedState:
+    """Join two states of the same document that know different last good specifications."""
+    if first is second or first.digest == second.digest:
+        return first
+    keys = first.resources.keys() | second.resources.keys()
+    joined = {}
+    for key in sorted(keys):
+        known = (first.resources.get(key), second.resources.get(key))
+        joined[key] = max((r for r in known if r is not None), key=_precedence)
+    return AcceptedState(first.version, joined)
+
+
+def _precedence(resource: AcceptedResource) -> tuple[bool, DocumentVersion, bytes]:
+    """Order entries of one resource at one version; the digest settles what else is equal.
+
+    Two releases of the tier may judge one document differently while they run side by side:
+    then the entry of the release that accepts the newest generation is kept.
+    """
+    return (not resource.problem, resource.decided_in, resource.digest)
+
+
+def _keep_last_good(newer: AcceptedResource, older_state: AcceptedState) -> AcceptedResource:
+    """Give a refused resource the last good part of an older state, if that is more recent."""
+    if not newer.problem:
+        return newer
+    older = older_state.resources.get(newer.key)
+    decided_in = older.decided_in if older and older.problem else older_state.version
+    if decided_in <= newer.decided_in:
+        return newer
+    return AcceptedResource(
+        newer.key,
+        newer.observed_generation,
+        older.accepted_generation if older else 0,
+        older.raw_spec if older else b"",
+        newer.problem,
+        decided_in,
+    )
--- a/tinrudder/resources/model.py
+++ b/tinrudder/resources/model.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from typing import Annotated
 
 import msgspec
@@ -19,6 +20,7 @@
 NAME_PATTERN = r"^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$"
 
 Name = Annotated[str, Meta(pattern=NAME_PATTERN, max_length=MAX_NAME_LENGTH)]
+_name_matcher = re.compile(NAME_PATTERN.removesuffix("$") + r"\Z")
 Milliseconds = Annotated[int, Meta(ge=1, le=600_000)]
 Ratio = Annotated[float, Meta(ge=0.0, le=1.0)]
 
@@ -148,6 +150,15 @@
     QUERY_RULE = "QueryRule"
 
 
+def is_valid_name(name: str) -> bool:
+    """Tell whether a resource may have this name.
+
+    >>> is_valid_name("gate-1.seats"), is_valid_name("Gate"), is_valid_name("gate\\n")
+    (True, False, False)
+    """
+    return len(name) <= MAX_NAME_LENGTH and _name_matcher.match(name) is not None
+
+
 AnySpec = TenantSpec | ServiceSpec | BackendSpec | IndexSpec | QueryRuleSpec
 
 SPEC_TYPES: dict[Kind, type[AnySpec]] = {
--- /dev/null
+++ b/tinrudder/resources/validation.py
@@ -0,0 +1,258 @@
+"""Validation of a document: deterministic, and of the document alone.
+
+Nothing here depends on what was accepted before, on time or on the node: every node that sees
+the same document judges it alike.  References are checked against the names present in the same
+document, whether or not the resource referred to is itself valid.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+import msgspec
+
+from tinrudder.platform.messages import RawResource, ResourceDocument
+from tinrudder.resources.accepted import (
+    AcceptedResource,
+    AcceptedState,
+    DocumentVersion,
+    ResourceKey,
+    digest_of,
+    make_state,
+)
+from tinrudder.resources.model import (
+    SPEC_TYPES,
+    AnySpec,
+    BackendSpec,
+    IndexSpec,
+    Kind,
+    QueryRuleSpec,
+    ServiceSpec,
+    TenantSpec,
+    is_valid_name,
+)
+from tinrudder.resources.rules import PolicyNames, own_problems, policy_problems
+
+MAX_RESOURCES = 20_000
+MAX_SPEC_BYTES = 1024 * 1024
+MAX_DOCUMENT_BYTES = 32 * 1024 * 1024
+MAX_KEY_LENGTH = 253
+MAX_PROBLEM_LENGTH = 300
+MAX_REVISION = 2**63 - 1
+
+
+class DocumentRefusedError(Exception):
+    """A whole document breaks a rule; what is in force stays."""
+
+
+@dataclass(frozen=True, slots=True)
+class Problem:
+    """What is wrong with one resource: the field and the rule it breaks."""
+
+    key: ResourceKey
+    generation: int
+    text: str
+
+    def __str__(self) -> str:
+        """Return resource, field and rule in one line."""
+        return f"{self.key.kind} {self.key.name}: {self.text}"
+
+
+@dataclass(slots=True)
+class _Judged:
+    """A resource on its way through validation."""
+
+    raw: RawResource
+    key: ResourceKey
+    spec: AnySpec | None = None
+    problem: str = ""
+
+
+def check_document(document: ResourceDocument) -> None:
+    """Check what holds for a document as a whole.
+
+    :raises DocumentRefusedError: naming the rule it breaks.
+    """
+    count = len(document.resources)
+    if not 1 <= document.revision <= MAX_REVISION:
+        raise DocumentRefusedError(f"revision: must be from 1 to {MAX_REVISION}")
+    if count > MAX_RESOURCES:
+        raise DocumentRefusedError(f"resources: {count}, at most {MAX_RESOURCES}")
+    if document.resource_count is not None and document.resource_count != count:
+        stated = document.resource_count
+        raise DocumentRefusedError(f"resources: {count} of {stated} arrived, must be whole")
+    size = sum(len(raw.spec) for raw in document.resources)
+    if size > MAX_DOCUMENT_BYTES:
+        raise DocumentRefusedError(f"resources: {size} bytes, at most {MAX_DOCUMENT_BYTES}")
+    for raw in document.resources:
+        if len(raw.kind) > MAX_KEY_LENGTH or len(raw.name) > MAX_KEY_LENGTH:
+            raise DocumentRefusedError(f"kind and name: at most {MAX_KEY_LENGTH} characters")
+        if not 1 <= raw.generation <= MAX_REVISION:
+            raise DocumentRefusedError(f"{raw.kind} {raw.name}: generation: must be 1 or more")
+
+
+def version_of(document: ResourceDocument) -> DocumentVersion:
+    """Return a document's place in the total order of documents."""
+    lines = sorted((r.kind, r.name, r.generation, bytes(r.spec)) for r in document.resources)
+    return DocumentVersion(document.revision, digest_of(msgspec.msgpack.encode(lines)))
+
+
+def state_of_document(
+    document: ResourceDocument,
+    policies: PolicyNames | None = None,
+    known: AcceptedState | None = None,
+) -> AcceptedState:
+    """Return the state of a node that has seen this document and no other.
+
+    :param known: a former state; resources that did not change are not decoded again.
+    :raises DocumentRefusedError: the document as a whole breaks a rule.
+    """
+    check_document(document)
+    resources = []
+    for judged in _judge(document, policies or PolicyNames(), known):
+        raw = judged.raw
+        if judged.problem:
+            text = judged.problem[:MAX_PROBLEM_LENGTH]
+            resources.append(AcceptedResource(judged.key, raw.generation, 0, b"", text))
+            continue
+        resources.append(_good(judged, known))
+    return make_state(version_of(document), resources)
+
+
+def problems_of(document: ResourceDocument, policies: PolicyNames | None = None) -> list[Problem]:
+    """Return what is wrong with each resource of a document, sorted by kind and name.
+
+    :raises DocumentRefusedError: the document as a whole breaks a rule.
+    """
+    state = state_of_document(document, policies)
+    return [
+        Problem(key, state.resources[key].observed_generation, state.resources[key].problem)
+        for key in sorted(state.resources)
+        if state.resources[key].problem
+    ]
+
+
+def _good(judged: _Judged, known: AcceptedState | None) -> AcceptedResource:
+    """Return an accepted resource, the former object if nothing changed."""
+    raw = judged.raw
+    spec = bytes(raw.spec)
+    former = known.resources.get(judged.key) if known else None
+    unchanged = (
+        former is not None
+        and not former.problem
+        and former.accepted_generation == raw.generation
+        and former.raw_spec == spec
+    )
+    if unchanged and former is not None:
+        return former
+    return AcceptedResource(judged.key, raw.generation, raw.generation, spec)
+
+
+def _judge(
+    document: ResourceDocument, policies: PolicyNames, known: AcceptedState | None
+) -> list[_Judged]:
+    """Judge each resource by itself, then its references."""
+    counts = Counter((raw.kind, raw.name) for raw in document.resources)
+    judged: dict[ResourceKey, _Judged] = {}
+    for raw in document.resources:
+        key = ResourceKey(raw.kind, raw.name)
+        if counts[(raw.kind, raw.name)] > 1:
+            # Which of the two is meant is unknown, so the higher generation only names them.
+            if key not in judged or judged[key].raw.generation < raw.generation:
+                judged[key] = _Judged(raw, key, None, "name: listed more than once")
+            continue
+        judged[key] = _judge_alone(raw, key, known)
+    names = _PresentNames.of(judged)
+    for one in judged.values():
+        if one.spec is not None:
+            one.problem = next(_reference_problems(one, names, policies), "")
+    return list(judged.values())
+
+
+def _judge_alone(raw: RawResource, key: ResourceKey, known: AcceptedState | None) -> _Judged:
+    """Check one resource without looking at others."""
+    spec_type = SPEC_TYPES.get(raw.kind)  # type: ignore[call-overload]
+    if spec_type is None:
+        kinds = ", ".join(kind.value for kind in Kind)
+        return _Judged(raw, key, None, f"kind: must be one of {kinds}")
+    if not is_valid_name(raw.name):
+        return _Judged(raw, key, None, "name: must be lower-case letters, digits, '.' and '-'")
+    if len(raw.spec) > MAX_SPEC_BYTES:
+        return _Judged(raw, key, None, f"spec: {len(raw.spec)} bytes, at most {MAX_SPEC_BYTES}")
+    former = known.resources.get(key) if known else None
+    if former is not None and former.raw_spec == bytes(raw.spec) and former.spec is not None:
+        spec: AnySpec = former.spec
+    else:
+        try:
+            spec = msgspec.json.decode(raw.spec, type=spec_type)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            return _Judged(raw, key, None, f"spec: {error}")
+    return _Judged(raw, key, spec, next(own_problems(spec), ""))
+
+
+@dataclass(frozen=True, slots=True)
+class _PresentNames:
+    """What references may name."""
+
+    by_kind: Mapping[str, frozenset[str]]
+    backend_service: Mapping[str, str]
+    key_id_counts: Mapping[str, int]
+
+    @staticmethod
+    def of(judged: Mapping[ResourceKey, _Judged]) -> _PresentNames:
+        by_kind: dict[str, set[str]] = {kind.value: set() for kind in Kind}
+        backend_service: dict[str, str] = {}
+        key_ids: Counter[str] = Counter()
+        for key, one in judged.items():
+            by_kind.setdefault(key.kind, set()).add(key.name)
+            if isinstance(one.spec, BackendSpec):
+                backend_service[key.name] = one.spec.service
+            elif isinstance(one.spec, TenantSpec):
+                key_ids.update({credential.key_id for credential in one.spec.credentials})
+        frozen = {kind: frozenset(names) for kind, names in by_kind.items()}
+        return _PresentNames(frozen, backend_service, key_ids)
+
+    def missing(self, kind: Kind, name: str) -> bool:
+        return name not in self.by_kind[kind.value]
+
+
+def _reference_problems(
+    judged: _Judged, names: _PresentNames, policies: PolicyNames
+) -> Iterator[str]:
+    """Yield what a resource refers to that the document does not hold."""
+    spec = judged.spec
+    if judged.problem:
+        yield judged.problem
+    if isinstance(spec, TenantSpec):
+        yield from _credential_problems(spec, names)
+    elif isinstance(spec, ServiceSpec):
+        for tenant in spec.tenants:
+            if names.missing(Kind.TENANT, tenant):
+                yield f"spec.tenants: no Tenant {tenant!r}"
+    elif spec is not None and names.missing(Kind.SERVICE, spec.service):
+        yield f"spec.service: no Service {spec.service!r}"
+    elif isinstance(spec, QueryRuleSpec):
+        yield from policy_problems(spec, policies)
+    elif isinstance(spec, IndexSpec):
+        yield from _shard_problems(spec, names)
+
+
+def _credential_problems(spec: TenantSpec, names: _PresentNames) -> Iterator[str]:
+    """Yield key ids of several tenants: none gets them, the tier does not guess the owner."""
+    for credential in spec.credentials:
+        if names.key_id_counts[credential.key_id] > 1:
+            yield f"spec.credentials.key_id: {credential.key_id!r} belongs to two tenants"
+
+
+def _shard_problems(spec: IndexSpec, names: _PresentNames) -> Iterator[str]:
+    """Yield shards whose replicas are absent or belong to another service."""
+    for version in spec.versions:
+        for shard in version.shards:
+            where = f"spec.versions[{version.version}].shards[{shard.shard}].backends"
+            for backend in shard.backends:
+                if names.missing(Kind.BACKEND, backend):
+                    yield f"{where}: no Backend {backend!r}"
+                elif names.backend_service.get(backend, spec.service) != spec.service:
+                    yield f"{where}: {backend!r} belongs to another service"
