--- a/bench/state_slopes.py
+++ b/bench/state_slopes.py
@@ -21,7 +21,6 @@
 
 from bench.slopes import Slope, fit
 from tinrudder.platform.messages import RawResource, ResourceDocument
-from tinrudder.resources.configuration import ConfigurationStore
 from tinrudder.resources.model import (
     BackendSpec,
     IndexSpec,
@@ -33,6 +32,7 @@
     Spec,
     TenantSpec,
 )
+from tinrudder.resources.store import ConfigurationStore
 from tinrudder.routing.backend_table import BackendTable
 
 BACKENDS_PER_SERVICE = 132
