Harden the transport between nodes and add TLS at every edge

Cause: a failing handler answered with silence, slow or garbage peers held connections without bound, one slow connect held up every request to that peer, and all edges were plain. Change: frames, client and server in modules of their own with bounds on size, time, requests in flight and unsent bytes; refused and error frames; identities whose files are read again while the process runs, also after a change of authority.

--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -12,11 +12,13 @@
 from pathlib import Path
 
 import uvicorn
+from starlette.types import ASGIApp
 
 from tinrudder.api.caller_app import CallerApplication
 from tinrudder.api.cursor import CursorCodec
 from tinrudder.api.health import CloseWhenStopping, health_routes
 from tinrudder.backends.http_transport import HttpBackendTransport
+from tinrudder.cli.tls_edges import build_edges, follow_files
 from tinrudder.environment import Environment
 from tinrudder.logs import configure_logs
 from tinrudder.node import Node
@@ -28,6 +30,7 @@
     flags_given,
     load_settings,
 )
+from tinrudder.tls import Identity, TlsError
 from tinrudder.wire.peer_transport import TcpPeerTransport
 
 EXIT_OK = 0
@@ -60,7 +63,11 @@
         print(f"tinrudder serve: {error}")
         return EXIT_USAGE
     configure_logs(settings.name, settings.log_level)
-    asyncio.run(serve(settings))
+    try:
+        asyncio.run(serve(settings))
+    except TlsError as error:
+        print(f"tinrudder serve: {error}")
+        return EXIT_USAGE
     return EXIT_OK
 
 
@@ -70,13 +77,14 @@
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
+    edges = build_edges(settings)
     platform = PlatformClient(settings.platform_url)
-    peers = TcpPeerTransport(settings.host, settings.peer_port)
+    peers = TcpPeerTransport(settings.host, settings.peer_port, edges.peers)
     environment = Environment(
         timers=loop,
         wall_clock=time.time,
         random=random.Random(),
-        backends=HttpBackendTransport(),
+        backends=HttpBackendTransport(edges),
         peers=peers,
         platform=platform,
     )
@@ -85,8 +93,26 @@
     await node.start()
     callers = CallerApplication(loop, node.entry, node.configuration, CursorCodec(b"development"))
     callers.app.router.routes.extend(health_routes(node.lifecycle, node.configuration))
-    config = uvicorn.Config(
-        CloseWhenStopping(callers.app, node.lifecycle),
+    app = CloseWhenStopping(callers.app, node.lifecycle)
+    server = CallerServer(caller_config(settings, app, edges.callers))
+    serving = asyncio.create_task(server.serve())
+    reloading = asyncio.create_task(follow_files(edges, settings.tls_check_s))
+    await stop_requested.wait()
+    await node.leave()
+    server.should_exit = True
+    await serving
+    await node.stop()
+    reloading.cancel()
+    await platform.close()
+
+
+def caller_config(
+    settings: NodeSettings, app: ASGIApp, identity: Identity | None
+) -> uvicorn.Config:
+    """Return how callers' and operators' HTTP is served; over TLS with an identity."""
+    context = identity.listening_context() if identity is not None else None
+    return uvicorn.Config(
+        app,
         host=settings.host,
         port=settings.caller_port,
         loop="asyncio",
@@ -95,12 +121,5 @@
         log_config=None,
         access_log=False,
         timeout_keep_alive=CALLER_KEEP_ALIVE_S,
+        ssl_context_factory=(lambda _config, _default: context) if context is not None else None,
     )
-    server = CallerServer(config)
-    serving = asyncio.create_task(server.serve())
-    await stop_requested.wait()
-    await node.leave()
-    server.should_exit = True
-    await serving
-    await node.stop()
-    await platform.close()
