--- /dev/null
+++ b/tinrudder/cluster/membership.py
@@ -0,0 +1,239 @@
+"""Membership on a transport: the part that embedders use.
+
+Binds :class:`~tinrudder.cluster.membership_protocol.MembershipProtocol` to timers, a datagram
+transport and the cluster's keys.  It never raises for anything that arrives.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from tinrudder.cluster.membership_list import ListedMember
+from tinrudder.cluster.membership_messages import Observation, ObservationKind
+from tinrudder.cluster.membership_outbox import Send
+from tinrudder.cluster.membership_protocol import (
+    Action,
+    MemberChanged,
+    MembershipProtocol,
+    NewerRevisionHeard,
+    ObservationHeard,
+)
+from tinrudder.cluster.membership_revisions import EnforcedRevision
+from tinrudder.cluster.membership_settings import MembershipSettings
+from tinrudder.cluster.observations import Hint
+from tinrudder.cluster.pause_detector import PauseDetector
+from tinrudder.cluster.view import Member, MemberView
+from tinrudder.peers import MAX_DATAGRAM_BYTES, PeerAddress, PeerTransport
+from tinrudder.timers import TimerHandle, Timers, WallClock
+from tinrudder.wire.datagram_seal import SEAL_BYTES, DatagramSeal, RefusedDatagramError
+from tinrudder.wire.membership_codec import (
+    MalformedDatagramError,
+    decode_envelope,
+    encode_envelope,
+)
+
+CHANNEL_BYTES = 1
+DATAGRAM_BUDGET = MAX_DATAGRAM_BYTES - CHANNEL_BYTES - SEAL_BYTES
+
+MemberListener = Callable[[MemberChanged], None]
+RevisionListener = Callable[[Member, int], None]
+ObservationListener = Callable[[Observation], None]
+
+
+@dataclass(slots=True)
+class MembershipCounters:
+    """Datagrams and bytes since the start, without UDP and IP headers.
+
+    :param refused: not sealed with a key of ours, old, or seen before.
+    :param malformed: sealed, but no message of this protocol.
+    :param oversized: not sent, for they were larger than a datagram may be.
+    """
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    refused: int = 0
+    malformed: int = 0
+    oversized: int = 0
+
+
+@dataclass(slots=True)
+class _Listeners:
+    members: list[MemberListener] = field(default_factory=list)
+    revisions: list[RevisionListener] = field(default_factory=list)
+    observations: list[ObservationListener] = field(default_factory=list)
+
+
+class Membership:
+    """One node's membership.
+
+    :param transport: datagrams between nodes, usually one channel of a shared transport.
+    :param own: ourselves; the incarnation comes from
+        :func:`~tinrudder.cluster.membership_messages.first_incarnation`.
+    :param keys: shared by all nodes; the first seals, all open.
+    """
+
+    def __init__(
+        self,
+        timers: Timers,
+        wall_clock: WallClock,
+        source: random.Random,
+        transport: PeerTransport,
+        own: Member,
+        keys: Sequence[bytes],
+        settings: MembershipSettings | None = None,
+        pause_detector: PauseDetector | None = None,
+    ) -> None:
+        """Send nothing before :meth:`start`."""
+        self.counters = MembershipCounters()
+        self.pause_detector = pause_detector or PauseDetector(timers, wall_clock)
+        self._timers = timers
+        self._transport = transport
+        self._seal = DatagramSeal(keys, source.getrandbits(64), wall_clock)
+        self._protocol = MembershipProtocol(
+            own, settings or MembershipSettings(), source, DATAGRAM_BUDGET, timers.time()
+        )
+        self._listeners = _Listeners()
+        self._timer: TimerHandle | None = None
+        self._timer_at = 0.0
+        self._running = False
+        self.pause_detector.subscribe(self._on_pause)
+
+    def start(self, seeds: Sequence[PeerAddress] = ()) -> None:
+        """Begin; ``seeds`` are tried like listed members until the first list is offered."""
+        self._running = True
+        self._transport.listen(self._on_datagram, _refuse_request)
+        self.pause_detector.start()
+        if seeds:
+            self.offer_list(0, tuple(ListedMember(str(seed), seed) for seed in seeds))
+        self._arm()
+
+    def stop(self) -> None:
+        """Tell the others that we are gone, and end."""
+        if not self._running:
+            return
+        self._perform(self._protocol.stop(self._timers.time()))
+        self._running = False
+        self.pause_detector.stop()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def announce_leaving(self) -> None:
+        """Tell the others to give us no new work."""
+        self._perform(self._protocol.announce_leaving(self._timers.time()))
+
+    def view(self) -> MemberView:
+        """Return what this node believes now; replaced as a whole with every change."""
+        return self._protocol.view()
+
+    def own(self) -> Member:
+        """Return ourselves, with the current incarnation and status."""
+        return self._protocol.own
+
+    def offer_list(self, revision: int, listed: tuple[ListedMember, ...]) -> None:
+        """Take the platform's list of machines."""
+        self._protocol.offer_list(revision, listed)
+
+    def set_enforced_revision(self, revision: int) -> None:
+        """Tell the others which revision of the configuration we enforce."""
+        self._perform(self._protocol.set_revision(revision, self._timers.time()))
+
+    def enforced_revisions(self) -> tuple[EnforcedRevision, ...]:
+        """Return the revision that every member is known to enforce, by name."""
+        return self._protocol.revisions.by_member()
+
+    def publish_observation(self, backend: str, kind: ObservationKind) -> None:
+        """Tell the others what we observed of a back end."""
+        self._perform(self._protocol.publish(backend, kind, self._timers.time()))
+
+    def heard_observations(self) -> tuple[Hint, ...]:
+        """Return the hints that still count."""
+        return self._protocol.observations.heard(self._timers.time())
+
+    def on_member_changed(self, listener: MemberListener) -> None:
+        """Call ``listener`` whenever a member is new or changes."""
+        self._listeners.members.append(listener)
+
+    def on_newer_revision(self, listener: RevisionListener) -> None:
+        """Call ``listener`` when a member enforces a newer revision than we do.
+
+        Repeated at most twice a second until we have caught up.
+        """
+        self._listeners.revisions.append(listener)
+
+    def on_observation(self, listener: ObservationListener) -> None:
+        """Call ``listener`` with every observation heard that is news."""
+        self._listeners.observations.append(listener)
+
+    def _on_datagram(self, source: PeerAddress, datagram: bytes) -> None:
+        """Take what arrives, or drop and count it."""
+        if not self._running:
+            return
+        self.counters.received += 1
+        self.counters.received_bytes += len(datagram) + CHANNEL_BYTES
+        # A datagram may be the first thing that runs after a pause.
+        self.pause_detector.check()
+        try:
+            envelope = decode_envelope(self._seal.open(datagram))
+        except RefusedDatagramError:
+            self.counters.refused += 1
+            return
+        except MalformedDatagramError:
+            self.counters.malformed += 1
+            return
+        self._perform(self._protocol.on_message(source, envelope, self._timers.time()))
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self.pause_detector.check()
+        self._perform(self._protocol.on_time(self._timers.time()))
+
+    def _on_pause(self, _: float) -> None:
+        if self._running:
+            self._perform(self._protocol.on_pause(self._timers.time()))
+
+    def _perform(self, actions: list[Action]) -> None:
+        """Send datagrams, call listeners, set the timer."""
+        for action in actions:
+            match action:
+                case Send():
+                    self._send(action)
+                case MemberChanged():
+                    for member_listener in self._listeners.members:
+                        member_listener(action)
+                case NewerRevisionHeard(member, revision):
+                    for revision_listener in self._listeners.revisions:
+                        revision_listener(member, revision)
+                case ObservationHeard(observation):
+                    for observation_listener in self._listeners.observations:
+                        observation_listener(observation)
+        self._arm()
+
+    def _send(self, action: Send) -> None:
+        datagram = self._seal.seal(encode_envelope(action.envelope))
+        if len(datagram) + CHANNEL_BYTES > MAX_DATAGRAM_BYTES:
+            self.counters.oversized += 1
+            return
+        self.counters.sent += 1
+        self.counters.sent_bytes += len(datagram) + CHANNEL_BYTES
+        self._transport.send_datagram(action.destination, datagram)
+
+    def _arm(self) -> None:
+        """Set the timer for the next deadline, unless an earlier one is set."""
+        if not self._running:
+            return
+        deadline = self._protocol.next_deadline()
+        if self._timer is not None:
+            if self._timer_at <= deadline:
+                return
+            self._timer.cancel()
+        self._timer_at = deadline
+        self._timer = self._timers.call_at(deadline, self._on_timer)
+
+
+async def _refuse_request(source: PeerAddress, _: bytes) -> bytes:
+    """Membership uses datagrams alone."""
+    raise ValueError(f"{source}: membership takes no requests")
--- /dev/null
+++ b/tinrudder/cluster/membership_list.py
@@ -0,0 +1,74 @@
+"""The platform's list of machines as a hint: whom to contact, and who is said to be leaving.
+
+The list lags.  A listed machine that never answered is not a member, and a member that is not
+listed stays one.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tinrudder.cluster.membership_messages import same_start
+from tinrudder.cluster.membership_table import MembershipTable
+from tinrudder.cluster.view import Member, MemberStatus
+from tinrudder.peers import PeerAddress
+
+
+@dataclass(frozen=True, slots=True)
+class ListedMember:
+    """One entry of the platform's list."""
+
+    name: str
+    address: PeerAddress
+    leaving: bool = False
+
+
+class PlatformListing:
+    """The latest list, set against what this node knows itself."""
+
+    def __init__(self, table: MembershipTable) -> None:
+        """Compare with ``table``."""
+        self.revision = 0
+        self.version = 0
+        self._table = table
+        self._listed: tuple[ListedMember, ...] = ()
+        self._leaving: dict[str, int] = {}
+        self._unanswered: tuple[PeerAddress, ...] = ()
+        self._unanswered_key = (-1, -1)
+
+    def offer(self, revision: int, listed: tuple[ListedMember, ...]) -> None:
+        """Take a new list; ``leaving`` counts only for the start that runs when it appears."""
+        before = {entry.name for entry in self._listed if entry.leaving}
+        for entry in listed:
+            member = self._table.get(entry.name)
+            if not entry.leaving:
+                self._leaving.pop(entry.name, None)
+            elif entry.name not in before and member is not None:
+                self._leaving[entry.name] = member.incarnation
+        self._listed = listed
+        self.revision = revision
+        self.version += 1
+
+    def says_leaving(self, member: Member) -> bool:
+        """Tell whether the list names this start of a member as leaving."""
+        incarnation = self._leaving.get(member.name)
+        return incarnation is not None and same_start(incarnation, member.incarnation)
+
+    def unanswered(self, own: PeerAddress) -> tuple[PeerAddress, ...]:
+        """Return the addresses of listed and of dead members that are not live members."""
+        key = (self._table.version, self.version)
+        if key != self._unanswered_key:
+            self._unanswered = self._find_unanswered(own)
+            self._unanswered_key = key
+        return self._unanswered
+
+    def _find_unanswered(self, own: PeerAddress) -> tuple[PeerAddress, ...]:
+        addresses = [entry.address for entry in self._listed]
+        addresses += [member.address for member in self._table.dead()]
+        found: dict[PeerAddress, None] = {}
+        for address in addresses:
+            member = self._table.at_address(address)
+            live = member is not None and member.status is not MemberStatus.DEAD
+            if address != own and not live:
+                found[address] = None
+        return tuple(found)
--- /dev/null
+++ b/tinrudder/cluster/membership_outbox.py
@@ -0,0 +1,158 @@
+"""Builds the datagrams a node sends and fills what is left of each with news."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from tinrudder.cluster.gossip import BroadcastQueue
+from tinrudder.cluster.membership_messages import (
+    Body,
+    Enforcement,
+    Envelope,
+    MemberUpdate,
+    Ping,
+    PingRequest,
+    SyncAnswer,
+    SyncRequest,
+)
+from tinrudder.cluster.membership_revisions import EnforcedRevisions
+from tinrudder.cluster.membership_settings import MembershipSettings
+from tinrudder.cluster.membership_table import MembershipTable
+from tinrudder.cluster.observations import Observations, observation_size
+from tinrudder.cluster.view import Member
+from tinrudder.peers import PeerAddress
+
+ENVELOPE_BYTES = 48
+UPDATE_BYTES = 32
+PLACE_BYTES = 16
+ENFORCEMENT_BYTES = 28
+BODY_BYTES = 16
+DIGEST_BYTES = 4
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """A datagram to be sent."""
+
+    destination: PeerAddress
+    envelope: Envelope
+
+
+class Outbox:
+    """Collects datagrams until the driver takes them."""
+
+    def __init__(
+        self,
+        own: Member,
+        budget: int,
+        settings: MembershipSettings,
+        table: MembershipTable,
+        revisions: EnforcedRevisions,
+        observations: Observations,
+    ) -> None:
+        """Build datagrams of at most ``budget`` bytes; ``now`` is set before every use."""
+        self.own = own
+        self._budget = budget
+        self._settings = settings
+        self._table = table
+        self._revisions = revisions
+        self._observations = observations
+        self._news: BroadcastQueue[MemberUpdate] = BroadcastQueue()
+        self._revision_transmissions = 0
+        self._sends: list[Send] = []
+        self.now = 0.0
+
+    @property
+    def has_news(self) -> bool:
+        """Tell whether rounds of gossip are worth sending."""
+        waiting = len(self._news) > 0 or self._observations.waiting
+        return waiting or self._revision_transmissions > 0
+
+    def announce(self, update: MemberUpdate) -> None:
+        """Spread an update."""
+        self._news.put(update.name, update, update_size(update))
+
+    def announce_revisions(self) -> None:
+        """Spread what is known of enforced revisions."""
+        self._revision_transmissions = self._limit()
+
+    def send(
+        self, destination: PeerAddress, body: Body, updates: tuple[MemberUpdate, ...] = ()
+    ) -> None:
+        """Queue a datagram; ``updates`` go before any other news."""
+        room = self._budget - ENVELOPE_BYTES - len(self.own.name.encode()) - body_size(body)
+        room -= sum(update_size(update) for update in updates)
+        enforcement = self._enforcement(body)
+        if enforcement is not None:
+            room -= ENFORCEMENT_BYTES + len(enforcement.bits)
+        limit = self._limit()
+        observations = self._observations.take(room, limit, self.now)
+        room -= sum(observation_size(item.backend, item.origin) for item in observations)
+        if not isinstance(body, SyncAnswer):
+            updates += self._news.take(room, limit)
+        envelope = Envelope(
+            self.own.name,
+            self.own.incarnation,
+            self._revisions.get(self.own.name),
+            body,
+            updates,
+            enforcement,
+            observations,
+        )
+        self._sends.append(Send(destination, envelope))
+
+    def room_for_updates(self, body: Body) -> int:
+        """Return the bytes a datagram without other news leaves for updates."""
+        size = ENVELOPE_BYTES + len(self.own.name.encode()) + body_size(body)
+        bits = (len(self._table.roster) + 7) // 8
+        return self._budget - size - ENFORCEMENT_BYTES - bits
+
+    def sample(self, source: random.Random, count: int) -> list[Member]:
+        """Return random members of the roster, never ourselves."""
+        roster = self._table.roster
+        names = source.sample(roster, min(len(roster), count + 1))
+        others = [name for name in names if name != self.own.name][:count]
+        members = (self._table.get(name) for name in others)
+        return [member for member in members if member is not None]
+
+    def drain(self) -> list[Send]:
+        """Return and clear what was queued."""
+        sends = self._sends
+        self._sends = []
+        return sends
+
+    def _limit(self) -> int:
+        return self._settings.retransmit_limit(len(self._table.roster))
+
+    def _enforcement(self, body: Body) -> Enforcement | None:
+        """Attach the revisions while they change, and wherever digests are compared."""
+        if self._revision_transmissions > 0:
+            self._revision_transmissions -= 1
+            return self._revisions.encode()
+        if isinstance(body, SyncRequest | SyncAnswer):
+            return self._revisions.encode()
+        return None
+
+
+def update_size(update: MemberUpdate) -> int:
+    """Return an upper bound of an update's encoded size, bytes."""
+    size = UPDATE_BYTES + len(update.name.encode()) + len(update.reporter.encode())
+    if update.place is not None:
+        place = update.place
+        size += PLACE_BYTES + len(place.zone.encode()) + len(place.region.encode())
+        size += len(place.address.host)
+    return size
+
+
+def body_size(body: Body) -> int:
+    """Return an upper bound of a body's encoded size, bytes."""
+    match body:
+        case Ping():
+            return BODY_BYTES + len(body.target.encode())
+        case PingRequest():
+            return BODY_BYTES * 2 + len(body.target.encode()) + len(body.address.host)
+        case SyncRequest():
+            return BODY_BYTES + DIGEST_BYTES * len(body.digests)
+        case _:
+            return BODY_BYTES
--- /dev/null
+++ b/tinrudder/cluster/membership_probes.py
@@ -0,0 +1,179 @@
+"""Probes one member at a time: directly, then through relays; and relays for others."""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from dataclasses import dataclass
+
+from tinrudder.cluster.failure_detector import LocalHealth, Probe, ProbeOrder
+from tinrudder.cluster.membership_messages import (
+    Acknowledgement,
+    MemberUpdate,
+    NegativeAcknowledgement,
+    Ping,
+    PingRequest,
+    claim,
+)
+from tinrudder.cluster.membership_outbox import Outbox
+from tinrudder.cluster.membership_settings import MembershipSettings
+from tinrudder.cluster.membership_table import MembershipTable
+from tinrudder.cluster.view import Member, MemberStatus
+from tinrudder.peers import PeerAddress
+
+MAX_RELAYED = 256
+RELAY_PATIENCE = 0.8
+"""Share of the acknowledgement's timeout after which a relay says that it got none."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Relayed:
+    """A probe made for another node; the negative answer is due at ``negative_at``."""
+
+    sequence: int
+    origin: PeerAddress
+    origin_sequence: int
+    negative_at: float
+
+
+class Prober:
+    """The probe in progress and the probes relayed for others."""
+
+    def __init__(
+        self,
+        settings: MembershipSettings,
+        source: random.Random,
+        table: MembershipTable,
+        outbox: Outbox,
+        health: LocalHealth,
+        now: float,
+    ) -> None:
+        """Start probing within one interval, at a random phase."""
+        self.order = ProbeOrder(source)
+        self._settings = settings
+        self._random = source
+        self._table = table
+        self._outbox = outbox
+        self._health = health
+        self._probe: Probe | None = None
+        self._next_probe_at = now + settings.probe_interval_s * source.random()
+        self._sequence = 0
+        self._relayed: deque[_Relayed] = deque()
+
+    def next_deadline(self) -> float:
+        """Return when :meth:`on_time` has something to do."""
+        deadline = self._next_probe_at
+        probe = self._probe
+        if probe is not None and probe.wants_relays(probe.indirect_at):
+            deadline = min(deadline, probe.indirect_at)
+        relayed = self._relayed[0].negative_at if self._relayed else math.inf
+        return min(deadline, relayed)
+
+    def on_time(self, now: float) -> str | None:
+        """Go on with the probe; return the name of a member that did not answer."""
+        self._answer_negatively(now)
+        probe = self._probe
+        if now >= self._next_probe_at:
+            failed = self._finish_probe()
+            self._start_probe(now)
+            return failed
+        if probe is not None and probe.wants_relays(now):
+            self._ask_relays(probe)
+        return None
+
+    def restart(self, now: float) -> None:
+        """Drop the probe in progress, whose time ran while this process did not."""
+        self._probe = None
+        self._relayed.clear()
+        self._next_probe_at = now
+
+    def on_acknowledgement(self, sequence: int) -> None:
+        """Take an answer to our probe, or pass on one that we relay."""
+        probe = self._probe
+        if probe is not None and probe.sequence == sequence:
+            if not probe.answered:
+                self._health.note_success()
+            probe.answered = True
+            return
+        for relayed in self._relayed:
+            if relayed.sequence == sequence:
+                self._outbox.send(relayed.origin, Acknowledgement(relayed.origin_sequence))
+                self._relayed.remove(relayed)
+                return
+
+    def on_negative(self, sequence: int) -> None:
+        """A relay is well but got no answer."""
+        if self._probe is not None and self._probe.sequence == sequence:
+            self._probe.negative += 1
+
+    def on_ping_request(self, origin: PeerAddress, request: PingRequest, now: float) -> None:
+        """Probe in another node's place."""
+        if len(self._relayed) >= MAX_RELAYED:
+            return
+        sequence = self._next_sequence()
+        negative_at = now + RELAY_PATIENCE * self._settings.acknowledge_timeout_s
+        self._relayed.append(_Relayed(sequence, origin, request.sequence, negative_at))
+        self._outbox.send(request.address, Ping(sequence, request.target))
+
+    def ping(self, member: Member) -> int:
+        """Send a ping; a suspect learns of the suspicion at once, so that it can refute."""
+        sequence = self._next_sequence()
+        updates: tuple[MemberUpdate, ...] = ()
+        if member.status is MemberStatus.SUSPECT:
+            updates = (claim(member, MemberStatus.SUSPECT, self._outbox.own.name),)
+        self._outbox.send(member.address, Ping(sequence, member.name), updates)
+        return sequence
+
+    def _start_probe(self, now: float) -> None:
+        ends_at = now + self._health.stretch(self._settings.probe_interval_s)
+        self._next_probe_at = ends_at
+        self._probe = None
+        target = self._next_target()
+        if target is None:
+            return
+        sequence = self.ping(target)
+        indirect_at = now + self._health.stretch(self._settings.acknowledge_timeout_s)
+        self._probe = Probe(target.name, sequence, indirect_at, ends_at)
+
+    def _next_target(self) -> Member | None:
+        """Return the next other member that is still on the roster."""
+        for _ in range(len(self._table.roster) + 1):
+            name = self.order.next(self._table.roster)
+            member = self._table.get(name) if name is not None else None
+            if member is None or name == self._outbox.own.name:
+                continue
+            if member.status is not MemberStatus.DEAD:
+                return member
+        return None
+
+    def _ask_relays(self, probe: Probe) -> None:
+        """Probe through others, and once more directly: most losses are of one datagram."""
+        probe.indirect_sent = True
+        target = self._table.get(probe.target)
+        if target is None:
+            return
+        self._outbox.send(target.address, Ping(probe.sequence, target.name))
+        request = PingRequest(probe.sequence, target.name, target.address)
+        for relay in self._outbox.sample(self._random, self._settings.indirect_probes + 1):
+            usable = relay.status is MemberStatus.ALIVE and relay.name != target.name
+            if usable and probe.relays < self._settings.indirect_probes:
+                probe.relays += 1
+                self._outbox.send(relay.address, request)
+
+    def _finish_probe(self) -> str | None:
+        """Judge the probe that ends: relays that say nothing at all hint at our own trouble."""
+        probe = self._probe
+        if probe is None or probe.answered:
+            return None
+        self._health.note_trouble(probe.relays - min(probe.relays, probe.negative))
+        return probe.target
+
+    def _answer_negatively(self, now: float) -> None:
+        while self._relayed and self._relayed[0].negative_at <= now:
+            relayed = self._relayed.popleft()
+            self._outbox.send(relayed.origin, NegativeAcknowledgement(relayed.origin_sequence))
+
+    def _next_sequence(self) -> int:
+        self._sequence = (self._sequence + 1) % (1 << 32)
+        return self._sequence
--- /dev/null
+++ b/tinrudder/cluster/membership_protocol.py
@@ -0,0 +1,405 @@
+"""Membership as a state machine: messages and time in, datagrams and events out.
+
+Failure detection is SWIM's, with Lifeguard's local health and shrinking suspicion; news rides on
+every datagram; digests are compared now and then.  Time and randomness are passed in.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+
+from tinrudder.cluster.failure_detector import LocalHealth, Suspicions
+from tinrudder.cluster.membership_list import ListedMember, PlatformListing
+from tinrudder.cluster.membership_messages import (
+    Acknowledgement,
+    Envelope,
+    Gossip,
+    MemberUpdate,
+    NegativeAcknowledgement,
+    Observation,
+    ObservationKind,
+    Ping,
+    PingRequest,
+    SyncAnswer,
+    SyncRequest,
+    claim,
+    full_update,
+    same_start,
+)
+from tinrudder.cluster.membership_outbox import Outbox, Send
+from tinrudder.cluster.membership_probes import Prober
+from tinrudder.cluster.membership_revisions import EnforcedRevisions
+from tinrudder.cluster.membership_settings import MembershipSettings
+from tinrudder.cluster.membership_sync import AntiEntropy
+from tinrudder.cluster.membership_table import MembershipTable, Merged
+from tinrudder.cluster.observations import Observations
+from tinrudder.cluster.view import Member, MemberStatus, MemberView, build_view
+from tinrudder.peers import PeerAddress
+
+MEET_INTERVAL_S = 0.1
+REVISION_EVENT_INTERVAL_S = 0.5
+CONTACTS_WHEN_ALONE = 3
+SYNCS_AFTER_PAUSE = 3
+PAUSE_TROUBLE = 2
+
+
+@dataclass(frozen=True, slots=True)
+class MemberChanged:
+    """A member is new or has another state; ``previous`` is ``None`` for a new one."""
+
+    member: Member
+    previous: Member | None
+
+
+@dataclass(frozen=True, slots=True)
+class NewerRevisionHeard:
+    """A member enforces a newer revision of the configuration than we do."""
+
+    member: Member
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ObservationHeard:
+    """Another node observed something of a back end."""
+
+    observation: Observation
+
+
+Action = Send | MemberChanged | NewerRevisionHeard | ObservationHeard
+
+
+class MembershipProtocol:
+    """One node's part; every public method takes the monotonic time ``now``, seconds."""
+
+    def __init__(
+        self,
+        own: Member,
+        settings: MembershipSettings,
+        source: random.Random,
+        datagram_budget: int,
+        now: float,
+    ) -> None:
+        """Start knowing only ourselves."""
+        self.table = MembershipTable()
+        self.revisions = EnforcedRevisions(self.table)
+        self.observations = Observations(own.name, own.incarnation)
+        self.listing = PlatformListing(self.table)
+        self.health = LocalHealth()
+        self._settings = settings
+        self._random = source
+        self._suspicions = Suspicions(settings)
+        self._outbox = Outbox(
+            own, datagram_budget, settings, self.table, self.revisions, self.observations
+        )
+        self._sync = AntiEntropy(source, self.table, self.revisions, self._outbox)
+        self._prober = Prober(settings, source, self.table, self._outbox, self.health, now)
+        self._events: list[MemberChanged | NewerRevisionHeard | ObservationHeard] = []
+        self._next_gossip_at = now
+        self._next_sync_at = now + settings.sync_interval_s * source.random()
+        self._next_contact_at = now
+        self._next_meeting_at = now
+        self._revision_told = (0, now)
+        self._view = MemberView()
+        self._view_key = (-1, -1)
+        self._stopped = False
+        self.table.apply(full_update(own, 0), now)
+
+    @property
+    def own(self) -> Member:
+        """Return ourselves."""
+        return self._outbox.own
+
+    def view(self) -> MemberView:
+        """Return what we believe now; the same object until something changes."""
+        key = (self.table.version, self.listing.version)
+        if key != self._view_key:
+            members = tuple(self._as_listed(member) for member in self.table.members())
+            self._view = build_view(members, self.listing.revision)
+            self._view_key = key
+        return self._view
+
+    def next_deadline(self) -> float:
+        """Return when :meth:`on_time` is due."""
+        deadline = min(self._prober.next_deadline(), self._suspicions.next_deadline())
+        deadline = min(deadline, self._next_sync_at, self._next_contact_at)
+        if self._outbox.has_news:
+            deadline = min(deadline, self._next_gossip_at)
+        return deadline
+
+    def on_time(self, now: float) -> list[Action]:
+        """Do whatever is due."""
+        self._outbox.now = now
+        failed = self._prober.on_time(now) if now >= self._prober.next_deadline() else None
+        if failed is not None:
+            self._on_probe_failed(failed, now)
+        for name, incarnation in self._suspicions.expired(now):
+            self._adopt(MemberUpdate(name, incarnation, MemberStatus.DEAD), now)
+        if now >= self._next_sync_at:
+            self._start_sync(now)
+        if now >= self._next_contact_at:
+            self._contact_unanswered(now)
+        if self._outbox.has_news and now >= self._next_gossip_at:
+            self._gossip(now)
+        return self._take_actions()
+
+    def on_message(self, source: PeerAddress, envelope: Envelope, now: float) -> list[Action]:
+        """Take one datagram of a member."""
+        self._outbox.now = now
+        if envelope.sender == self.own.name and same_start(
+            envelope.incarnation, self.own.incarnation
+        ):
+            return []
+        is_sync = isinstance(envelope.body, SyncAnswer)
+        for update in envelope.updates:
+            self._on_update(source, envelope.sender, update, is_sync, now)
+        self._on_sender(source, envelope, now)
+        self._on_revisions(envelope, now)
+        for observation in envelope.observations:
+            if self.observations.merge(observation, now):
+                self._events.append(ObservationHeard(observation))
+        self._on_body(source, envelope, now)
+        return self._take_actions()
+
+    def on_pause(self, now: float) -> list[Action]:
+        """We slept: others may have buried us, and what we suspect ran on without us."""
+        self._outbox.now = now
+        self.health.note_trouble(PAUSE_TROUBLE)
+        self._suspicions.restart_all(now)
+        self._prober.restart(now)
+        self._raise_incarnation(self.own.incarnation, now)
+        for member in self._outbox.sample(self._random, SYNCS_AFTER_PAUSE):
+            self._sync.ask(member.address)
+        return self._take_actions()
+
+    def offer_list(self, revision: int, listed: tuple[ListedMember, ...]) -> None:
+        """Take the platform's list."""
+        self.listing.offer(revision, listed)
+
+    def set_revision(self, revision: int, now: float) -> list[Action]:
+        """We enforce a revision of the configuration now."""
+        self._outbox.now = now
+        if self.revisions.note(self.own.name, revision):
+            self._outbox.announce_revisions()
+        return self._take_actions()
+
+    def publish(self, backend: str, kind: ObservationKind, now: float) -> list[Action]:
+        """Tell the others what we observed of a back end."""
+        self._outbox.now = now
+        self.observations.publish(backend, kind, now)
+        return self._take_actions()
+
+    def announce_leaving(self, now: float) -> list[Action]:
+        """Tell the others that we finish what we have and take nothing new."""
+        self._outbox.now = now
+        self._set_own(replace(self.own, status=MemberStatus.LEAVING), now)
+        self._gossip(now)
+        return self._take_actions()
+
+    def stop(self, now: float) -> list[Action]:
+        """Tell the others that we are gone; nothing is answered any more."""
+        self._outbox.now = now
+        self._stopped = True
+        gone = claim(self.own, MemberStatus.DEAD)
+        for member in self._outbox.sample(self._random, 2 * self._settings.gossip_fanout):
+            self._outbox.send(member.address, Gossip(), (gone,))
+        return self._take_actions()
+
+    def _on_body(self, source: PeerAddress, envelope: Envelope, now: float) -> None:
+        match envelope.body:
+            case Ping(sequence, target):
+                if target in ("", self.own.name):
+                    self._outbox.send(source, Acknowledgement(sequence))
+            case PingRequest() as request:
+                self._prober.on_ping_request(source, request, now)
+            case Acknowledgement(sequence):
+                self._prober.on_acknowledgement(sequence)
+            case NegativeAcknowledgement(sequence):
+                self._prober.on_negative(sequence)
+            case SyncRequest() as request:
+                self._sync.answer(source, request)
+            case Gossip() | SyncAnswer():
+                pass
+
+    def _on_update(
+        self, source: PeerAddress, sender: str, update: MemberUpdate, is_sync: bool, now: float
+    ) -> None:
+        """Merge one statement about a member."""
+        if update.name == self.own.name:
+            self._on_claim_about_us(source, update, now)
+            return
+        if is_sync and update.status is MemberStatus.DEAD:
+            self._doubt(sender, update, now)
+            return
+        held = self.table.get(update.name)
+        merged = self.table.apply(update, now)
+        if merged is Merged.CHANGED:
+            self._after_change(update, held, now)
+            if not is_sync:
+                self._outbox.announce(update)
+        elif merged is Merged.SAME and update.status is MemberStatus.SUSPECT:
+            if self._suspicions.confirm(update.name, update.incarnation, update.reporter):
+                self._outbox.announce(update)
+        elif merged is Merged.STALE and is_sync and held is not None:
+            self._correct(source, held)
+
+    def _on_claim_about_us(self, source: PeerAddress, update: MemberUpdate, now: float) -> None:
+        """Refute what is wrong: a suspicion, a death, or an earlier start of ours."""
+        if self._stopped or update.incarnation < self.own.incarnation:
+            return
+        same = update.incarnation == self.own.incarnation
+        if same and update.status in (self.own.status, MemberStatus.ALIVE):
+            return
+        if update.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
+            self.health.note_trouble()
+        self._raise_incarnation(update.incarnation, now)
+        self._outbox.send(source, Gossip())
+
+    def _on_sender(self, source: PeerAddress, envelope: Envelope, now: float) -> None:
+        """Compare how we hold the sender with the fact that it speaks."""
+        held = self.table.get(envelope.sender)
+        if held is None or not same_start(held.incarnation, envelope.incarnation):
+            self._meet(source, now)
+            return
+        if envelope.incarnation > held.incarnation:
+            update = MemberUpdate(envelope.sender, envelope.incarnation, MemberStatus.ALIVE)
+            self._adopt(update, now)
+        elif held.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
+            self._outbox.send(source, Gossip(), (claim(held, held.status, self.own.name),))
+        if held.status is MemberStatus.DEAD:
+            self._meet(source, now)
+
+    def _on_revisions(self, envelope: Envelope, now: float) -> None:
+        """Learn who enforces what, and whether someone is ahead of us."""
+        news = False
+        sender = self.table.get(envelope.sender)
+        if sender is not None and same_start(sender.incarnation, envelope.incarnation):
+            news = self.revisions.note(envelope.sender, envelope.enforced_revision)
+        if envelope.enforcement is not None:
+            news = self.revisions.merge(envelope.enforcement) or news
+        if news:
+            self._outbox.announce_revisions()
+        revision = envelope.enforced_revision
+        if sender is None or revision <= self.revisions.get(self.own.name):
+            return
+        told, told_at = self._revision_told
+        if revision > told or now >= told_at + REVISION_EVENT_INTERVAL_S:
+            self._revision_told = (revision, now)
+            self._events.append(NewerRevisionHeard(sender, revision))
+
+    def _adopt(self, update: MemberUpdate, now: float) -> None:
+        """Merge a statement of our own making and spread it."""
+        held = self.table.get(update.name)
+        if self.table.apply(update, now) is Merged.CHANGED:
+            self._after_change(update, held, now)
+            self._outbox.announce(update)
+
+    def _after_change(self, update: MemberUpdate, held: Member | None, now: float) -> None:
+        """Adjust everything that hangs on a member's state."""
+        member = self.table.get(update.name)
+        if member is None:
+            return
+        if member.status is MemberStatus.SUSPECT:
+            nodes = len(self.table.roster)
+            self._suspicions.start(member.name, member.incarnation, update.reporter, now, nodes)
+        else:
+            self._suspicions.drop(member.name)
+        if held is None or held.status is MemberStatus.DEAD:
+            self._prober.order.add(member.name)
+        if held is None or not same_start(held.incarnation, member.incarnation):
+            self.revisions.reset(member.name, update.enforced_revision)
+        self._events.append(MemberChanged(member, held))
+
+    def _on_probe_failed(self, name: str, now: float) -> None:
+        """Suspect a member; one that said it leaves is simply gone."""
+        member = self.table.get(name)
+        if member is None or member.status is MemberStatus.DEAD:
+            return
+        status = MemberStatus.SUSPECT
+        if member.status is MemberStatus.LEAVING:
+            status = MemberStatus.DEAD
+        suspicion = claim(member, status, self.own.name)
+        self._adopt(suspicion, now)
+        self._outbox.send(member.address, Gossip(), (suspicion,))
+
+    def _doubt(self, sender: str, update: MemberUpdate, now: float) -> None:
+        """Another table holds a member dead that ours may hold alive, say after a cut.
+
+        Adopting it would bury the living, so the member is suspected here only and asked.
+        """
+        held = self.table.get(update.name)
+        if held is None or held.status not in (MemberStatus.ALIVE, MemberStatus.SUSPECT):
+            return
+        if update.incarnation < held.incarnation:
+            return
+        suspicion = claim(held, MemberStatus.SUSPECT, sender)
+        if self.table.apply(suspicion, now) is Merged.CHANGED:
+            self._after_change(suspicion, held, now)
+        suspect = self.table.get(update.name)
+        if suspect is not None:
+            self._prober.ping(suspect)
+
+    def _correct(self, source: PeerAddress, held: Member) -> None:
+        """Answer an outdated statement of an anti-entropy answer with what we hold."""
+        if held.status is MemberStatus.DEAD:
+            update = claim(held, MemberStatus.DEAD)
+        else:
+            update = full_update(held, self.revisions.get(held.name))
+        self._outbox.send(source, SyncAnswer(), (update,))
+
+    def _raise_incarnation(self, above: int, now: float) -> None:
+        self._set_own(replace(self.own, incarnation=above + 1), now)
+
+    def _set_own(self, own: Member, now: float) -> None:
+        """Change and spread our own state."""
+        started_anew = not same_start(own.incarnation, self.own.incarnation)
+        self._outbox.own = own
+        update = full_update(own, self.revisions.get(own.name))
+        self.table.apply(update, now)
+        if not started_anew:
+            update = replace(update, place=None)
+        self._outbox.announce(update)
+
+    def _meet(self, source: PeerAddress, now: float) -> None:
+        """Compare tables with a node that we did not know, or thought dead."""
+        if now < self._next_meeting_at:
+            return
+        self._next_meeting_at = now + MEET_INTERVAL_S
+        self._sync.ask(source)
+
+    def _start_sync(self, now: float) -> None:
+        self._next_sync_at = now + self._settings.sync_interval_s
+        for member in self._outbox.sample(self._random, 1):
+            self._sync.ask(member.address)
+        for name in self.table.forgettable(now - self._settings.dead_retention_s):
+            self.table.forget(name)
+            self.revisions.forget(name)
+
+    def _contact_unanswered(self, now: float) -> None:
+        """Try a listed or dead member: it may be up, or on the far side of a cut that healed."""
+        self._next_contact_at = now + self._settings.contact_interval_s
+        candidates = self.listing.unanswered(self.own.address)
+        count = CONTACTS_WHEN_ALONE if len(self.table.roster) == 1 else 1
+        for address in self._random.sample(candidates, min(count, len(candidates))):
+            held = self.table.at_address(address)
+            updates = () if held is None else (claim(held, held.status, self.own.name),)
+            self._outbox.send(address, Ping(0), updates)
+
+    def _gossip(self, now: float) -> None:
+        """One round of gossip."""
+        self._next_gossip_at = now + self._settings.gossip_interval_s
+        for member in self._outbox.sample(self._random, self._settings.gossip_fanout):
+            if self._outbox.has_news:
+                self._outbox.send(member.address, Gossip())
+
+    def _as_listed(self, member: Member) -> Member:
+        """Return a member as leaving when the platform says so of this start."""
+        if member.status is MemberStatus.ALIVE and self.listing.says_leaving(member):
+            return replace(member, status=MemberStatus.LEAVING)
+        return member
+
+    def _take_actions(self) -> list[Action]:
+        actions: list[Action] = [*self._events, *self._outbox.drain()]
+        self._events = []
+        return actions
--- /dev/null
+++ b/tinrudder/cluster/membership_revisions.py
@@ -0,0 +1,99 @@
+"""Which member enforces which revision of the configuration.
+
+Spread as one bit a member: 92 bytes for 730 members, where separate statements would take 730
+times the datagrams.  Bits are only ever added, so any two nodes can merge what they hold.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tinrudder.cluster.membership_messages import Enforcement
+from tinrudder.cluster.membership_table import MembershipTable
+
+
+@dataclass(frozen=True, slots=True)
+class EnforcedRevision:
+    """The newest revision a member is known to enforce, 0 for none."""
+
+    name: str
+    revision: int
+
+
+class EnforcedRevisions:
+    """Revisions by member, for the members of one roster."""
+
+    def __init__(self, table: MembershipTable) -> None:
+        """Follow the roster of ``table``."""
+        self._table = table
+        self._revisions: dict[str, int] = {}
+        self._roster_version = -1
+        self._bits = 0
+        self._bits_revision = -1
+
+    def get(self, name: str) -> int:
+        """Return a member's revision."""
+        return self._revisions.get(name, 0)
+
+    def reset(self, name: str, revision: int) -> None:
+        """A member has started anew and enforces only what it says now."""
+        self._revisions[name] = revision
+        self._bits_revision = -1
+
+    def forget(self, name: str) -> None:
+        """Drop a member."""
+        self._revisions.pop(name, None)
+        self._bits_revision = -1
+
+    def note(self, name: str, revision: int) -> bool:
+        """Take a member's word; return whether it was news."""
+        if revision <= self._revisions.get(name, 0):
+            return False
+        self._revisions[name] = revision
+        self._bits_revision = -1
+        return True
+
+    def by_member(self) -> tuple[EnforcedRevision, ...]:
+        """Return the revision of every member of the roster."""
+        return tuple(EnforcedRevision(name, self.get(name)) for name in self._table.roster)
+
+    def converged(self) -> bool:
+        """Tell whether all members enforce the newest revision known."""
+        self._refresh()
+        return self._bits == (1 << len(self._table.roster)) - 1
+
+    def encode(self) -> Enforcement:
+        """Return what this node knows."""
+        self._refresh()
+        size = (len(self._table.roster) + 7) // 8
+        bits = self._bits.to_bytes(size, "little")
+        return Enforcement(self._bits_revision, self._table.roster_digest, bits)
+
+    def merge(self, heard: Enforcement) -> bool:
+        """Add another node's knowledge, if its roster is ours; return whether any was new."""
+        self._refresh()
+        if heard.roster_digest != self._table.roster_digest:
+            return False
+        bits = int.from_bytes(heard.bits, "little")
+        if heard.revision == self._bits_revision:
+            bits &= ~self._bits
+        if bits >> len(self._table.roster):
+            return False
+        news = False
+        while bits:
+            lowest = bits & -bits
+            news |= self.note(self._table.roster[lowest.bit_length() - 1], heard.revision)
+            bits ^= lowest
+        return news
+
+    def _refresh(self) -> None:
+        """Rebuild the bits after a change."""
+        unchanged = self._roster_version == self._table.roster_version
+        if unchanged and self._bits_revision >= 0:
+            return
+        roster = self._table.roster
+        newest = max((self.get(name) for name in roster), default=0)
+        text = "".join("1" if self.get(name) == newest else "0" for name in reversed(roster))
+        self._bits = int(text or "0", 2)
+        self._bits_revision = newest
+        self._roster_version = self._table.roster_version
--- /dev/null
+++ b/tinrudder/cluster/membership_sync.py
@@ -0,0 +1,78 @@
+"""Anti-entropy: two nodes compare digests and exchange only the buckets that differ.
+
+Heals what gossip missed, gives a new node the members, and joins the two sides of a healed cut.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable
+
+from tinrudder.cluster.membership_messages import MemberUpdate, SyncAnswer, SyncRequest, full_update
+from tinrudder.cluster.membership_outbox import Outbox, update_size
+from tinrudder.cluster.membership_revisions import EnforcedRevisions
+from tinrudder.cluster.membership_table import BUCKETS, MembershipTable
+from tinrudder.peers import PeerAddress
+
+MAX_ANSWER_DATAGRAMS = 8
+
+
+class AntiEntropy:
+    """Asks and answers comparisons of the membership table."""
+
+    def __init__(
+        self,
+        source: random.Random,
+        table: MembershipTable,
+        revisions: EnforcedRevisions,
+        outbox: Outbox,
+    ) -> None:
+        """Compare ``table``; ``source`` picks which buckets go first."""
+        self._random = source
+        self._table = table
+        self._revisions = revisions
+        self._outbox = outbox
+
+    def ask(self, destination: PeerAddress, *, is_return: bool = False) -> None:
+        """Send our digests, and ourselves for those who do not know us."""
+        own = self._outbox.own
+        update = full_update(own, self._revisions.get(own.name))
+        request = SyncRequest(tuple(self._table.bucket_digests), is_return)
+        self._outbox.send(destination, request, (update,))
+
+    def answer(self, source: PeerAddress, request: SyncRequest) -> None:
+        """Send the buckets that differ, and ask for the same in return."""
+        differing = [
+            bucket
+            for bucket in range(BUCKETS)
+            if request.digests[bucket] != self._table.bucket_digests[bucket]
+        ]
+        if not differing:
+            return
+        if not request.is_return:
+            self.ask(source, is_return=True)
+        members = list(self._table.in_buckets(frozenset(differing)))
+        # A large difference takes several rounds: not always the same part of it first.
+        start = self._random.randrange(len(members)) if members else 0
+        rotated = members[start:] + members[:start]
+        self.send_updates(
+            source, (full_update(member, self._revisions.get(member.name)) for member in rotated)
+        )
+
+    def send_updates(self, destination: PeerAddress, updates: Iterable[MemberUpdate]) -> None:
+        """Send updates in as many answers as allowed."""
+        room = full_room = self._outbox.room_for_updates(SyncAnswer())
+        batch: list[MemberUpdate] = []
+        sent = 0
+        for update in updates:
+            size = update_size(update)
+            if size > room:
+                self._outbox.send(destination, SyncAnswer(), tuple(batch))
+                sent += 1
+                batch, room = [], full_room
+                if sent == MAX_ANSWER_DATAGRAMS:
+                    return
+            batch.append(update)
+            room -= size
+        if batch:
+            self._outbox.send(destination, SyncAnswer(), tuple(batch))
--- /dev/null
+++ b/tinrudder/cluster/membership_table.py
@@ -0,0 +1,194 @@
+"""Everything one node holds of the others, and which of two statements wins.
+
+A larger incarnation wins; within one incarnation, the state further down the list alive, suspect,
+leaving, dead.  So the order in which statements arrive does not matter.
+"""
+
+from __future__ import annotations
+
+import bisect
+import enum
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import xxhash
+
+from tinrudder.cluster.membership_messages import (
+    REFUTATION_BITS,
+    MemberUpdate,
+    Place,
+    same_start,
+)
+from tinrudder.cluster.view import Member, MemberStatus
+from tinrudder.peers import PeerAddress
+
+BUCKETS = 64
+DIGEST_MASK = 0xFFFFFFFF
+
+_RANKS = {
+    MemberStatus.ALIVE: 0,
+    MemberStatus.SUSPECT: 1,
+    MemberStatus.LEAVING: 2,
+    MemberStatus.DEAD: 3,
+}
+
+
+class Merged(enum.Enum):
+    """What became of an update."""
+
+    CHANGED = "changed"
+    SAME = "same"
+    STALE = "stale"
+    UNKNOWN_START = "unknown_start"
+
+
+@dataclass(slots=True)
+class MemberRecord:
+    """A member and since when its status holds, monotonic seconds."""
+
+    member: Member
+    since: float
+
+
+class MembershipTable:
+    """Members by name, with digests kept in step.
+
+    The roster is the sorted names of all members that are not dead.
+    """
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.roster: list[str] = []
+        self.roster_digest = 0
+        self.roster_version = 0
+        self.version = 0
+        self.bucket_digests = [0] * BUCKETS
+        self._records: dict[str, MemberRecord] = {}
+        self._by_address: dict[PeerAddress, str] = {}
+
+    def get(self, name: str) -> Member | None:
+        """Return a member."""
+        record = self._records.get(name)
+        return record.member if record is not None else None
+
+    def at_address(self, address: PeerAddress) -> Member | None:
+        """Return the member last known at an address."""
+        name = self._by_address.get(address)
+        return self.get(name) if name is not None else None
+
+    def members(self) -> tuple[Member, ...]:
+        """Return every member, dead ones included."""
+        return tuple(record.member for record in self._records.values())
+
+    def live(self) -> Iterator[Member]:
+        """Return the members of the roster, in order."""
+        return (self._records[name].member for name in self.roster)
+
+    def dead(self) -> tuple[Member, ...]:
+        """Return members believed dead."""
+        return tuple(member for member in self.members() if member.status is MemberStatus.DEAD)
+
+    def apply(self, update: MemberUpdate, now: float) -> Merged:
+        """Merge one statement."""
+        held = self.get(update.name)
+        if held is None:
+            if update.place is None or update.status is MemberStatus.DEAD:
+                return Merged.UNKNOWN_START
+            self._store(_member_of(update, update.place), None, now)
+            return Merged.CHANGED
+        if update.place is None and not same_start(update.incarnation, held.incarnation):
+            older = update.incarnation < held.incarnation
+            return Merged.STALE if older else Merged.UNKNOWN_START
+        order = _order(update.incarnation, update.status)
+        held_order = _order(held.incarnation, held.status)
+        if order <= held_order:
+            return Merged.SAME if order == held_order else Merged.STALE
+        place = update.place or Place(held.zone, held.region, held.address)
+        self._store(_member_of(update, place), held, now)
+        return Merged.CHANGED
+
+    def forget(self, name: str) -> None:
+        """Drop a dead member."""
+        member = self._records.pop(name).member
+        if self._by_address.get(member.address) == name:
+            del self._by_address[member.address]
+        self.version += 1
+
+    def forgettable(self, before: float) -> tuple[str, ...]:
+        """Return the names of members that died before a monotonic time."""
+        return tuple(
+            record.member.name
+            for record in self._records.values()
+            if record.member.status is MemberStatus.DEAD and record.since < before
+        )
+
+    def in_buckets(self, buckets: frozenset[int]) -> tuple[Member, ...]:
+        """Return the roster's members in some buckets."""
+        return tuple(member for member in self.live() if bucket_of(member.name) in buckets)
+
+    def _store(self, member: Member, held: Member | None, now: float) -> None:
+        """Replace a member and adjust roster and digests."""
+        if held is not None:
+            self._remove_digests(held)
+            if self._by_address.get(held.address) == held.name:
+                del self._by_address[held.address]
+        self._records[member.name] = MemberRecord(member, now)
+        self._by_address[member.address] = member.name
+        self._add_digests(member)
+        self._update_roster(member, held)
+        self.version += 1
+
+    def _update_roster(self, member: Member, held: Member | None) -> None:
+        was_in = held is not None and held.status is not MemberStatus.DEAD
+        is_in = member.status is not MemberStatus.DEAD
+        if (
+            was_in == is_in
+            and held is not None
+            and same_start(held.incarnation, member.incarnation)
+        ):
+            return
+        self.roster_version += 1
+        if is_in and not was_in:
+            bisect.insort(self.roster, member.name)
+        elif was_in and not is_in:
+            del self.roster[bisect.bisect_left(self.roster, member.name)]
+
+    def _add_digests(self, member: Member) -> None:
+        """Digests are exclusive-or sums, so adding twice removes."""
+        if member.status is MemberStatus.DEAD:
+            return
+        leaving = member.status is MemberStatus.LEAVING
+        text = f"{member.name}|{member.incarnation}|{leaving}"
+        digest = _hash(text)
+        self.bucket_digests[bucket_of(member.name)] ^= digest & DIGEST_MASK
+        start = member.incarnation >> REFUTATION_BITS
+        self.roster_digest ^= _hash(f"{member.name}|{start}")
+
+    _remove_digests = _add_digests
+
+
+def bucket_of(name: str) -> int:
+    """Return the bucket of a name."""
+    return _hash(name) % BUCKETS
+
+
+def _order(incarnation: int, status: MemberStatus) -> tuple[int, int]:
+    return incarnation, _RANKS[status]
+
+
+def _member_of(update: MemberUpdate, place: Place) -> Member:
+    """Return the member an update describes; names are interned, for every node repeats them."""
+    address = PeerAddress(sys.intern(place.address.host), place.address.port)
+    return Member(
+        sys.intern(update.name),
+        update.incarnation,
+        sys.intern(place.zone),
+        sys.intern(place.region),
+        address,
+        update.status,
+    )
+
+
+def _hash(text: str) -> int:
+    return xxhash.xxh3_64_intdigest(text.encode())
--- /dev/null
+++ b/tinrudder/cluster/observations.py
@@ -0,0 +1,143 @@
+"""What other nodes say of back ends: small, aged hints, never trusted over one's own observations.
+
+Each back end has at most one entry, the most recent observation of any node.  Times are ages,
+added to on every hop, so that nodes need not agree on the clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tinrudder.cluster.gossip import BroadcastQueue
+from tinrudder.cluster.membership_messages import Observation, ObservationKind
+
+TIME_TO_LIVE_S = 10.0
+REPEAT_AFTER_S = 4.0
+MAX_ENTRIES = 512
+MAX_BYTES_IN_DATAGRAM = 400
+MAX_BACKEND_NAME_CHARACTERS = 100
+_ENTRY_OVERHEAD_BYTES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Hint:
+    """One heard observation.
+
+    :param age_s: seconds since ``origin`` made it.
+    """
+
+    backend: str
+    kind: ObservationKind
+    origin: str
+    age_s: float
+
+
+@dataclass(slots=True)
+class _Entry:
+    kind: ObservationKind
+    origin: str
+    sequence: int
+    observed_at: float
+
+
+class Observations:
+    """The hints one node holds and spreads."""
+
+    def __init__(self, own_name: str, first_sequence: int = 0) -> None:
+        """Publish as ``own_name``.
+
+        :param first_sequence: above all that an earlier start of this node used.
+        """
+        self._own_name = own_name
+        self._sequence = first_sequence
+        self._entries: dict[str, _Entry] = {}
+        self._queue: BroadcastQueue[str] = BroadcastQueue()
+
+    @property
+    def waiting(self) -> bool:
+        """Tell whether there is something to spread."""
+        return len(self._queue) > 0
+
+    def publish(self, backend: str, kind: ObservationKind, now: float) -> bool:
+        """Spread an own observation; return whether it was worth a message.
+
+        The same word while it is still fresh everywhere is not repeated, and ``RECOVERED`` is
+        only said where something is to be taken back.
+        """
+        held = self._entries.get(backend)
+        fresh = held is not None and now - held.observed_at < TIME_TO_LIVE_S
+        if kind is ObservationKind.RECOVERED and not fresh:
+            return False
+        if held is not None and held.kind is kind and now - held.observed_at < REPEAT_AFTER_S:
+            return False
+        self._sequence += 1
+        self._store(backend, _Entry(kind, self._own_name, self._sequence, now))
+        return True
+
+    def merge(self, heard: Observation, now: float) -> bool:
+        """Take another node's observation; return whether it is the most recent one."""
+        if heard.origin == self._own_name or heard.age_s >= TIME_TO_LIVE_S:
+            return False
+        held = self._entries.get(heard.backend)
+        observed_at = now - heard.age_s
+        if held is not None and not _replaces(heard, observed_at, held):
+            return False
+        self._store(heard.backend, _Entry(heard.kind, heard.origin, heard.sequence, observed_at))
+        return True
+
+    def heard(self, now: float) -> tuple[Hint, ...]:
+        """Return the hints that still count, by back end."""
+        self._expire(now)
+        return tuple(
+            Hint(backend, entry.kind, entry.origin, now - entry.observed_at)
+            for backend, entry in sorted(self._entries.items())
+            if entry.kind is not ObservationKind.RECOVERED
+        )
+
+    def take(self, budget: int, limit: int, now: float) -> tuple[Observation, ...]:
+        """Return observations to piggyback within ``budget`` bytes."""
+        if not len(self._queue):
+            return ()
+        self._expire(now)
+        names = self._queue.take(min(budget, MAX_BYTES_IN_DATAGRAM), limit)
+        return tuple(self._message(name, self._entries[name], now) for name in names)
+
+    def _store(self, backend: str, entry: _Entry) -> None:
+        """Keep an entry; the oldest goes when there are too many."""
+        self._entries[backend] = entry
+        self._queue.put(backend, backend, observation_size(backend, entry.origin))
+        if len(self._entries) > MAX_ENTRIES:
+            oldest = min(self._entries, key=lambda name: self._entries[name].observed_at)
+            self._drop(oldest)
+
+    def _expire(self, now: float) -> None:
+        expired = [
+            backend
+            for backend, entry in self._entries.items()
+            if now - entry.observed_at >= TIME_TO_LIVE_S
+        ]
+        for backend in expired:
+            self._drop(backend)
+
+    def _drop(self, backend: str) -> None:
+        del self._entries[backend]
+        self._queue.discard(backend)
+
+    @staticmethod
+    def _message(backend: str, entry: _Entry, now: float) -> Observation:
+        age = now - entry.observed_at
+        return Observation(backend, entry.kind, entry.origin, entry.sequence, age)
+
+
+def observation_size(backend: str, origin: str) -> int:
+    """Return an upper bound of an observation's encoded size, bytes."""
+    return _ENTRY_OVERHEAD_BYTES + len(backend.encode()) + len(origin.encode())
+
+
+def _replaces(heard: Observation, observed_at: float, held: _Entry) -> bool:
+    """Tell whether a heard observation is more recent than the held one."""
+    if heard.origin == held.origin:
+        return heard.sequence > held.sequence
+    if heard.kind is held.kind:
+        return observed_at - held.observed_at > REPEAT_AFTER_S
+    return observed_at > held.observed_at
--- /dev/null
+++ b/tinrudder/wire/datagram_seal.py
@@ -0,0 +1,129 @@
+"""Authenticates datagrams between nodes that share a key.
+
+A sealed datagram is the sender's session (8 bytes), its wall clock in seconds (4), a counter (4),
+the payload and a truncated HMAC-SHA256 (16).  Copies are refused twice over: by the clock when
+old, by a window of counters for each session when recent.  The payload is not encrypted.
+"""
+
+from __future__ import annotations
+
+import enum
+import hmac
+import struct
+from collections import OrderedDict
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from tinrudder.timers import WallClock
+
+MAX_CLOCK_DIFFERENCE_S = 60
+WINDOW_COUNTERS = 64
+MAX_SESSIONS = 4096
+TAG_BYTES = 16
+_HEADER = struct.Struct("!QII")
+SEAL_BYTES = _HEADER.size + TAG_BYTES
+_WINDOW_MASK = (1 << WINDOW_COUNTERS) - 1
+_COUNTER_LIMIT = 1 << 32
+
+
+class RefusalReason(enum.StrEnum):
+    """Why a datagram was not let in."""
+
+    TOO_SHORT = "too_short"
+    FORGED = "forged"
+    CLOCK = "clock"
+    REPLAYED = "replayed"
+
+
+class RefusedDatagramError(Exception):
+    """A datagram that no holder of the key sent just now."""
+
+    def __init__(self, reason: RefusalReason) -> None:
+        """Keep the reason for the counters."""
+        super().__init__(reason.value)
+        self.reason = reason
+
+
+@dataclass(slots=True)
+class _Session:
+    """Counters of one sender: the highest, and a bit for each of the last ones seen."""
+
+    highest: int = 0
+    seen: int = 0
+
+
+class DatagramSeal:
+    """Seals what this node sends and opens what it receives.
+
+    >>> seal = DatagramSeal((b"secret",), session=7, wall_clock=lambda: 1000.0)
+    >>> other = DatagramSeal((b"secret",), session=8, wall_clock=lambda: 1000.0)
+    >>> sealed = seal.seal(b"hello")
+    >>> other.open(sealed)
+    b'hello'
+    >>> other.open(sealed)
+    Traceback (most recent call last):
+    ...
+    tinrudder.wire.datagram_seal.RefusedDatagramError: replayed
+    """
+
+    def __init__(self, keys: Sequence[bytes], session: int, wall_clock: WallClock) -> None:
+        """Seal with the first key, open with any: so keys change without a stop.
+
+        :param session: random 64 bits, new at every start.
+        """
+        if not keys or not all(keys):
+            raise ValueError("keys: at least one, none empty")
+        self._keys = tuple(keys)
+        self._session = session
+        self._wall_clock = wall_clock
+        self._counter = 0
+        self._sessions: OrderedDict[int, _Session] = OrderedDict()
+
+    def seal(self, payload: bytes) -> bytes:
+        """Return the payload with header and tag."""
+        self._counter = (self._counter + 1) % _COUNTER_LIMIT
+        seconds = int(self._wall_clock()) % _COUNTER_LIMIT
+        content = _HEADER.pack(self._session, seconds, self._counter) + payload
+        return content + _tag(self._keys[0], content)
+
+    def open(self, sealed: bytes) -> bytes:
+        """Return the payload.
+
+        :raises RefusedDatagramError: forged, old or seen before.
+        """
+        if len(sealed) < SEAL_BYTES:
+            raise RefusedDatagramError(RefusalReason.TOO_SHORT)
+        content, tag = sealed[:-TAG_BYTES], sealed[-TAG_BYTES:]
+        if not any(hmac.compare_digest(_tag(key, content), tag) for key in self._keys):
+            raise RefusedDatagramError(RefusalReason.FORGED)
+        session, seconds, counter = _HEADER.unpack_from(content)
+        if abs(seconds - self._wall_clock()) > MAX_CLOCK_DIFFERENCE_S:
+            raise RefusedDatagramError(RefusalReason.CLOCK)
+        if not self._is_new(session, counter):
+            raise RefusedDatagramError(RefusalReason.REPLAYED)
+        return content[_HEADER.size :]
+
+    def _is_new(self, number: int, counter: int) -> bool:
+        """Record a counter; refuse it when seen, or older than the window remembers."""
+        session = self._sessions.get(number)
+        if session is None:
+            session = self._sessions[number] = _Session()
+            if len(self._sessions) > MAX_SESSIONS:
+                self._sessions.popitem(last=False)
+        else:
+            self._sessions.move_to_end(number)
+        ahead = counter - session.highest
+        if ahead > 0:
+            kept = session.seen << ahead if ahead < WINDOW_COUNTERS else 0
+            session.seen = (kept | 1) & _WINDOW_MASK
+            session.highest = counter
+            return True
+        bit = 1 << -ahead
+        if -ahead >= WINDOW_COUNTERS or session.seen & bit:
+            return False
+        session.seen |= bit
+        return True
+
+
+def _tag(key: bytes, content: bytes) -> bytes:
+    return hmac.digest(key, content, "sha256")[:TAG_BYTES]
