Let the node follow membership instead of the platform's list

Cause: views were the platform's list, so a dead node stayed a coordinator until the list changed.

Change: the list is only offered to membership as a hint; the node's view is membership's, told in bursts. A stop announces leaving, its end says gone. Cluster keys come from a file.

--- a/tinrudder/backends/http_transport.py
+++ b/tinrudder/backends/http_transport.py
@@ -145,7 +145,7 @@
 class _Pool:
     """Connections to one back end."""
 
-    def __init__(self, host: str, port: int, tls: TlsContextSource | None) -> None:
+    def __init__(self, host: str, port: int, tls: ssl.SSLContext | None) -> None:
         self.request_head = (
             f"POST {SEARCH_PATH} HTTP/1.1\r\nHost: {host}:{port}\r\n"
             "Content-Type: application/json\r\nContent-Length: "
@@ -171,16 +171,10 @@
 
     async def _connect(self, call: BackendCall, listener: ReplyListener) -> None:
         loop = asyncio.get_running_loop()
-        # Asked for at every connection, so that rotated keys are used without a restart.
-        context = self._tls.backend_context() if self._tls is not None else None
-        if call.tls and context is None:
-            self._connecting.pop(call.call_id, None)
-            listener(call, NotSent("tls: this node has no authority to check back ends with"))
-            return
         try:
             async with asyncio.timeout_at(call.deadline):
                 _, connection = await loop.create_connection(
-                    lambda: _Connection(self), self._host, self._port, ssl=context
+                    lambda: _Connection(self), self._host, self._port, ssl=self._tls
                 )
         except (OSError, TimeoutError) as error:
             self._connecting.pop(call.call_id, None)
@@ -226,20 +220,21 @@
     def __init__(self, tls: TlsContextSource | None = None) -> None:
         """Use ``tls`` for back ends that ask for it."""
         self._tls = tls
-        self._pools: dict[tuple[str, int, bool], _Pool] = {}
+        self._pools: dict[tuple[str, int], _Pool] = {}
 
     def start(self, call: BackendCall, listener: ReplyListener) -> None:
         """Send a call; see the interface."""
-        key = (call.host, call.port, call.tls)
+        key = (call.host, call.port)
         pool = self._pools.get(key)
         if pool is None:
-            pool = _Pool(call.host, call.port, self._tls if call.tls else None)
+            context = self._tls.backend_context() if self._tls and call.tls else None
+            pool = _Pool(call.host, call.port, context)
             self._pools[key] = pool
         pool.start(call, listener)
 
     def cancel(self, call: BackendCall) -> None:
         """Cancel a call; see the interface."""
-        pool = self._pools.get((call.host, call.port, call.tls))
+        pool = self._pools.get((call.host, call.port))
         if pool is not None:
             pool.cancel(call)
 
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -11,16 +11,15 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import msgspec
 import uvicorn
-from starlette.types import ASGIApp
 
 from tinrudder.api.caller_app import CallerApplication
 from tinrudder.api.cursor import CursorCodec
 from tinrudder.api.health import CloseWhenStopping, health_routes
 from tinrudder.backends.http_transport import HttpBackendTransport
-from tinrudder.cli.tls_edges import build_edges, follow_files
-from tinrudder.environment import Environment
-from tinrudder.logs import configure_logs
+from tinrudder.environment import DEVELOPMENT_CLUSTER_KEYS, Environment
+from tinrudder.logs import configure_logs, log_problem
 from tinrudder.node import Node
 from tinrudder.platform.client import PlatformClient
 from tinrudder.settings import (
@@ -29,8 +28,8 @@
     add_settings_flags,
     flags_given,
     load_settings,
+    read_cluster_keys,
 )
-from tinrudder.tls import Identity, TlsError
 from tinrudder.wire.peer_transport import TcpPeerTransport
 
 EXIT_OK = 0
@@ -59,60 +58,43 @@
     """Check the settings and serve."""
     try:
         settings = load_settings(arguments.settings, flags_given(arguments))
+        cluster_keys = read_cluster_keys(settings.cluster_key_file)
     except SettingsError as error:
         print(f"tinrudder serve: {error}")
         return EXIT_USAGE
     configure_logs(settings.name, settings.log_level)
-    try:
-        asyncio.run(serve(settings))
-    except TlsError as error:
-        print(f"tinrudder serve: {error}")
-        return EXIT_USAGE
+    if not cluster_keys:
+        log_problem("no cluster key: anyone may join", {"setting": "cluster_key_file"})
+    asyncio.run(serve(settings, cluster_keys or DEVELOPMENT_CLUSTER_KEYS))
     return EXIT_OK
 
 
-async def serve(settings: NodeSettings) -> None:
+async def serve(
+    settings: NodeSettings, cluster_keys: tuple[bytes, ...] = DEVELOPMENT_CLUSTER_KEYS
+) -> None:
     """Serve until told to stop; a planned stop cuts off nothing."""
     loop = asyncio.get_running_loop()
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
-    edges = build_edges(settings)
     platform = PlatformClient(settings.platform_url)
-    peers = TcpPeerTransport(settings.host, settings.peer_port, edges.peers)
+    peers = TcpPeerTransport(settings.host, settings.peer_port)
     environment = Environment(
         timers=loop,
         wall_clock=time.time,
         random=random.Random(),
-        backends=HttpBackendTransport(edges),
+        backends=HttpBackendTransport(),
         peers=peers,
         platform=platform,
+        cluster_keys=cluster_keys,
     )
-    node = Node(settings, environment)
-    await peers.open()
+    address = await peers.open()
+    node = Node(msgspec.structs.replace(settings, peer_port=address.port), environment)
     await node.start()
     callers = CallerApplication(loop, node.entry, node.configuration, CursorCodec(b"development"))
     callers.app.router.routes.extend(health_routes(node.lifecycle, node.configuration))
-    app = CloseWhenStopping(callers.app, node.lifecycle)
-    server = CallerServer(caller_config(settings, app, edges.callers))
-    serving = asyncio.create_task(server.serve())
-    reloading = asyncio.create_task(follow_files(edges, settings.tls_check_s))
-    await stop_requested.wait()
-    await node.leave()
-    server.should_exit = True
-    await serving
-    await node.stop()
-    reloading.cancel()
-    await platform.close()
-
-
-def caller_config(
-    settings: NodeSettings, app: ASGIApp, identity: Identity | None
-) -> uvicorn.Config:
-    """Return how callers' and operators' HTTP is served; over TLS with an identity."""
-    context = identity.listening_context() if identity is not None else None
-    return uvicorn.Config(
-        app,
+    config = uvicorn.Config(
+        CloseWhenStopping(callers.app, node.lifecycle),
         host=settings.host,
         port=settings.caller_port,
         loop="asyncio",
@@ -121,5 +103,12 @@
         log_config=None,
         access_log=False,
         timeout_keep_alive=CALLER_KEEP_ALIVE_S,
-        ssl_context_factory=(lambda _config, _default: context) if context is not None else None,
     )
+    server = CallerServer(config)
+    serving = asyncio.create_task(server.serve())
+    await stop_requested.wait()
+    await node.leave()
+    server.should_exit = True
+    await serving
+    await node.stop()
+    await platform.close()
--- a/tinrudder/environment.py
+++ b/tinrudder/environment.py
@@ -16,6 +16,8 @@
 from tinrudder.platform.messages import MemberList, ResourceDocument
 from tinrudder.timers import Timers, WallClock
 
+DEVELOPMENT_CLUSTER_KEYS = (b"development",)
+
 ReplyListener = Callable[[BackendCall, BackendReply], None]
 
 
@@ -47,7 +49,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Environment:
-    """Everything a node takes from outside."""
+    """Everything a node takes from outside.
+
+    :param cluster_keys: authenticate datagrams between nodes; the first seals, all open.
+    """
 
     timers: Timers
     wall_clock: WallClock
@@ -55,3 +60,4 @@
     backends: BackendTransport
     peers: PeerTransport
     platform: PlatformSource
+    cluster_keys: tuple[bytes, ...] = DEVELOPMENT_CLUSTER_KEYS
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -9,7 +9,7 @@
 from tinrudder.environment import Environment
 from tinrudder.lifecycle import NodeLifecycle
 from tinrudder.logs import log_event, log_problem
-from tinrudder.platform.member_view import view_of
+from tinrudder.node_membership import NodeMembership
 from tinrudder.platform.messages import PlatformUnavailableError
 from tinrudder.query.coordinator import Coordinator
 from tinrudder.query.coordinator_sets import CoordinatorSets
@@ -41,7 +41,8 @@
         self.channels = ChannelRouter(environment.peers)
         self.coordinator_sets = CoordinatorSets(settings.name)
         self._environment = environment
-        self._view = MemberView()
+        self.members = NodeMembership(settings, environment, self.channels, self.on_view_changed)
+        self._view = self.members.membership.view()
         self._dispatcher = Dispatcher(
             environment.timers,
             environment.backends,
@@ -92,6 +93,7 @@
     async def start(self) -> None:
         """Read the configuration once if the platform answers, then keep following it."""
         await self._poll_platform()
+        await self.members.start()
         self._tasks.append(asyncio.create_task(self._follow_platform()))
         self.lifecycle.serve()  # type: ignore[attr-defined]
         log_event("serving", {"revision": self.configuration().revision})
@@ -99,7 +101,7 @@
     async def leave(self) -> None:
         """Announce the stop and go on serving until others have had time to notice."""
         self.lifecycle.leave()  # type: ignore[attr-defined]
-        self.on_view_changed(self._view)
+        self.members.leave()
         log_event("leaving", {"in_progress": self.in_progress})
         await asyncio.sleep(self.settings.stop_grace_s)
 
@@ -113,6 +115,7 @@
         await asyncio.sleep(REFUSAL_LINGER_S)
         for task in self._tasks:
             task.cancel()
+        self.members.stop()
         await self._environment.backends.close()
         await self._environment.peers.close()
         self.lifecycle.finish()  # type: ignore[attr-defined]
@@ -164,6 +167,4 @@
 
     async def _poll_members(self) -> None:
         """Fetch the list of machines."""
-        view = view_of(await self._environment.platform.fetch_members())
-        if view.list_revision > self._view.list_revision:
-            self.on_view_changed(view)
+        self.members.offer_list(await self._environment.platform.fetch_members())
--- /dev/null
+++ b/tinrudder/node_membership.py
@@ -0,0 +1,107 @@
+"""A node's membership, bound to the node's settings, transport and platform."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tinrudder.cluster.membership import Membership
+from tinrudder.cluster.membership_messages import first_incarnation
+from tinrudder.cluster.membership_protocol import MemberChanged
+from tinrudder.cluster.membership_settings import MembershipSettings
+from tinrudder.cluster.view import Member, MemberStatus, MemberView
+from tinrudder.environment import Environment
+from tinrudder.logs import log_event
+from tinrudder.peers import PeerAddress
+from tinrudder.platform.member_view import listed_members
+from tinrudder.platform.messages import MemberList
+from tinrudder.settings import NodeSettings
+from tinrudder.wire.channels import Channel, ChannelRouter
+
+VIEW_DELAY_S = 0.02
+"""Changes come in bursts; the coordinator sets are computed once for each burst."""
+
+JOIN_CHECK_S = 0.02
+JOIN_PATIENCE_S = 1.0
+
+ViewListener = Callable[[MemberView], None]
+
+
+class NodeMembership:
+    """Starts, feeds and ends a node's membership, and tells the node of new views."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        environment: Environment,
+        channels: ChannelRouter,
+        on_view: ViewListener,
+    ) -> None:
+        """Send nothing before :meth:`start`."""
+        self._timers = environment.timers
+        self._on_view = on_view
+        self._view_due = False
+        self._listed = 0
+        own = Member(
+            settings.name,
+            first_incarnation(environment.wall_clock()),
+            settings.zone,
+            settings.region,
+            PeerAddress(settings.host, settings.peer_port),
+        )
+        self.membership = Membership(
+            environment.timers,
+            environment.wall_clock,
+            environment.random,
+            channels.channel(Channel.MEMBERSHIP),
+            own,
+            environment.cluster_keys,
+            MembershipSettings(probe_interval_s=settings.probe_interval_s),
+        )
+        self.membership.on_member_changed(self._on_member_changed)
+
+    async def start(self) -> None:
+        """Begin, and wait a little for the others, so as not to act as if alone."""
+        self.membership.start()
+        deadline = self._timers.time() + JOIN_PATIENCE_S
+        while not self._has_joined() and self._timers.time() < deadline:
+            await asyncio.sleep(JOIN_CHECK_S)
+        self._tell()
+
+    def offer_list(self, members: MemberList) -> None:
+        """Take the platform's list."""
+        self._listed = len(members.members)
+        before = self.membership.view()
+        self.membership.offer_list(members.revision, listed_members(members))
+        if self.membership.view() is not before:
+            self._tell_soon()
+
+    def leave(self) -> None:
+        """Tell the other nodes that this one takes nothing new."""
+        self.membership.announce_leaving()
+        self._tell()
+
+    def stop(self) -> None:
+        """Tell the other nodes that this one is gone."""
+        self.membership.stop()
+
+    def _has_joined(self) -> bool:
+        """Tell whether most of the listed machines have been heard of."""
+        return len(self.membership.view().usable()) > self._listed // 2
+
+    def _on_member_changed(self, change: MemberChanged) -> None:
+        member = change.member
+        known = change.previous is not None and change.previous.status is not MemberStatus.DEAD
+        if not known or member.status in (MemberStatus.DEAD, MemberStatus.LEAVING):
+            fields = {"member": member.name, "zone": member.zone, "status": member.status.value}
+            log_event("member changed", fields)
+        self._tell_soon()
+
+    def _tell_soon(self) -> None:
+        if not self._view_due:
+            self._view_due = True
+            self._timers.call_at(self._timers.time() + VIEW_DELAY_S, self._tell)
+
+    def _tell(self) -> None:
+        self._view_due = False
+        self._on_view(self.membership.view())
--- a/tinrudder/platform/member_view.py
+++ b/tinrudder/platform/member_view.py
@@ -1,19 +1,17 @@
-"""The platform's list of machines as a member view."""
+"""The platform's list of machines in the words of membership."""
 
 from __future__ import annotations
 
-from tinrudder.cluster.view import Member, MemberStatus, MemberView, build_view
+from tinrudder.cluster.membership_list import ListedMember
 from tinrudder.peers import PeerAddress
 from tinrudder.platform.messages import MemberList, MemberState, PlatformMember
 
 
-def view_of(members: MemberList) -> MemberView:
-    """Return what the platform's list says, without any observation of our own."""
-    return build_view(tuple(_member(entry) for entry in members.members), members.revision)
+def listed_members(members: MemberList) -> tuple[ListedMember, ...]:
+    """Return whom the platform lists, without any observation of our own."""
+    return tuple(_listed(entry) for entry in members.members)
 
 
-def _member(entry: PlatformMember) -> Member:
-    is_leaving = entry.state is MemberState.LEAVING
-    status = MemberStatus.LEAVING if is_leaving else MemberStatus.ALIVE
+def _listed(entry: PlatformMember) -> ListedMember:
     address = PeerAddress(entry.host, entry.port)
-    return Member(entry.name, 0, entry.zone, entry.region, address, status)
+    return ListedMember(entry.name, address, entry.state is MemberState.LEAVING)
--- a/tinrudder/settings.py
+++ b/tinrudder/settings.py
@@ -16,6 +16,7 @@
 from msgspec import Meta
 
 Port = Annotated[int, Meta(ge=0, le=65535)]
+MINIMUM_KEY_BYTES = 16
 SettingValue = str | int | float
 
 
@@ -30,12 +31,10 @@
     :param host: IP address this node listens on.
     :param caller_port: TCP port for callers' and operators' HTTP; 0 picks one.
     :param peer_port: TCP and UDP port for other nodes.
+    :param probe_interval_s: how often this node probes another one.
+    :param cluster_key_file: keys shared by all nodes, one a line; the first seals, all open.
+        Empty: the development key, which keeps nobody out.
     :param platform_url: base URL of the platform's read-only service.
-    :param peer_tls_certificate: PEM file shown to other nodes; with its key and authority, or
-        not at all.
-    :param caller_tls_certificate: PEM file shown to callers; with its key, or not at all.
-    :param backend_tls_authority: PEM file that back ends with ``tls`` are checked against.
-    :param tls_check_s: how often the files are looked at for changes, seconds.
     :param stop_grace_s: how long a node that was told to stop goes on serving what arrives.
     :param stop_timeout_s: how long it then waits for what is in progress.
     """
@@ -46,19 +45,12 @@
     host: str = "127.0.0.1"
     caller_port: Port = 8080
     peer_port: Port = 8081
+    probe_interval_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
+    cluster_key_file: str = ""
     platform_url: Annotated[str, Meta(pattern="^https?://")]
     platform_poll_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
     stop_grace_s: Annotated[float, Meta(ge=0, le=60)] = 2.0
     stop_timeout_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
-    peer_tls_certificate: str = ""
-    peer_tls_key: str = ""
-    peer_tls_authority: str = ""
-    caller_tls_certificate: str = ""
-    caller_tls_key: str = ""
-    backend_tls_certificate: str = ""
-    backend_tls_key: str = ""
-    backend_tls_authority: str = ""
-    tls_check_s: Annotated[float, Meta(gt=0, le=3600)] = 5.0
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
@@ -76,10 +68,26 @@
     except msgspec.ValidationError as error:
         raise SettingsError(f"{path or 'flags'}: {error}") from error
     _check_host(settings.host)
-    _check_tls(settings)
     return settings
 
 
+def read_cluster_keys(path: str) -> tuple[bytes, ...]:
+    """Return the keys in a file, one a line; none for an empty path.
+
+    :raises SettingsError: the file cannot be read or holds no key of sufficient length.
+    """
+    if not path:
+        return ()
+    try:
+        keys = tuple(line.strip() for line in Path(path).read_bytes().splitlines() if line.strip())
+    except OSError as error:
+        raise SettingsError(f"cluster_key_file: {path}: {error.strerror}") from error
+    if not keys or min(len(key) for key in keys) < MINIMUM_KEY_BYTES:
+        rule = f"at least one key, each of {MINIMUM_KEY_BYTES} bytes or more"
+        raise SettingsError(f"cluster_key_file: {path}: {rule}")
+    return keys
+
+
 def add_settings_flags(parser: argparse.ArgumentParser) -> None:
     """Add one flag per settings field."""
     for field in msgspec.structs.fields(NodeSettings):
@@ -111,19 +119,6 @@
         raise SettingsError(f"host: must be an IP address, got {host!r}") from error
 
 
-def _check_tls(settings: NodeSettings) -> None:
-    """Refuse an identity that is given in part."""
-    groups = (
-        ("peer_tls_certificate", "peer_tls_key", "peer_tls_authority"),
-        ("caller_tls_certificate", "caller_tls_key"),
-        ("backend_tls_certificate", "backend_tls_key"),
-    )
-    for names in groups:
-        missing = [name for name in names if not getattr(settings, name)]
-        if missing and len(missing) < len(names):
-            raise SettingsError(f"{missing[0]}: needed together with the rest of {names}")
-
-
 def _plain_type(annotation: object) -> type:
     """Return str, int or float for a field's annotation."""
     if typing.get_origin(annotation) is Annotated:
