Bound connections per back end and read answers into a buffer of our own

Cause: every read allocated 256 KiB inside asyncio, every answer built a new parser, and a connection went back to the pool while the parser still held bytes behind the answer. Nothing bounded the connections to a back end. A BufferedProtocol with a 16 KiB buffer and one parser per connection; headers are read only for refusals. The pool opens at most call.max_connections, a call waiting for one is not sent (may_have_left), long idle connections are closed. Bytes behind an answer close the connection.

--- a/tests/unit/test_fan_out.py
+++ b/tests/unit/test_fan_out.py
@@ -139,6 +139,14 @@
     assert isinstance(harness.outcome, MayHaveRun)
 
 
+def test_calls_still_waiting_for_a_connection_are_not_run() -> None:
+    harness = Harness(QueryRuleSpec(service="service", repeatable=False))
+    for call in harness.transport.calls:
+        call.may_have_left = False
+    harness.timers.advance(DEADLINE_S)
+    assert isinstance(harness.outcome, NotRun)
+
+
 def test_waiting_calls_go_out_when_room_is_made() -> None:
     harness = Harness(slots=1)
     for backend in harness.backends:
--- /dev/null
+++ b/tinrudder/backends/connection.py
@@ -0,0 +1,176 @@
+"""One HTTP/1.1 connection to a back end, with at most one call at a time.
+
+The parser object and the read buffer live as long as the connection; reading into a buffer of our
+own spares asyncio a 256 KiB allocation per read (docs/CALL_COST.md has the figures).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Protocol
+
+import httptools
+import msgspec
+
+from tinrudder.backends.messages import BackendCall, BackendReply, Broken
+from tinrudder.backends.reply_decoding import (
+    REFUSAL_STATUSES,
+    STATUS_OK,
+    decode_answer,
+    decode_refusal,
+)
+from tinrudder.environment import ReplyListener
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+READ_BUFFER_BYTES = 16 * 1024
+OK_ANSWER_START = b"HTTP/1.1 200"
+HEAD_END = b"\r\n\r\n"
+REUSABLE_STATUSES = (STATUS_OK, *REFUSAL_STATUSES)
+
+_encoder = msgspec.json.Encoder()
+
+
+class ConnectionOwner(Protocol):
+    """The pool, as its connections see it."""
+
+    request_head: bytes
+
+    def connection_free(self, connection: BackendConnection) -> None:
+        """Take back a connection that may carry another call."""
+
+    def connection_closed(self, connection: BackendConnection) -> None:
+        """Forget a connection."""
+
+
+class BackendConnection(asyncio.BufferedProtocol):
+    """Sends a call, reads its answer, and tells a connection that may be used again from one
+    that must be closed.
+    """
+
+    def __init__(self, owner: ConnectionOwner) -> None:
+        """Belong to ``owner``."""
+        self.idle_since = 0.0
+        self._owner = owner
+        self._transport: asyncio.Transport | None = None
+        self._call: BackendCall | None = None
+        self._listener: ReplyListener | None = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._buffer = bytearray(READ_BUFFER_BYTES)
+        self._view = memoryview(self._buffer)
+        self._received_bytes = 0
+        self._refusal_bytes = b""
+        self._body: list[bytes] = []
+        self._complete = False
+        self._keep_alive = False
+        self._excess = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+
+    def send(self, call: BackendCall, listener: ReplyListener) -> None:
+        """Write one request; from here on its bytes may have left."""
+        assert self._transport is not None
+        self._call = call
+        self._listener = listener
+        call.carrier = self
+        call.may_have_left = True
+        body = _encoder.encode(call.request)
+        self._transport.write(b"%b%d\r\n\r\n%b" % (self._owner.request_head, len(body), body))
+
+    def abort(self) -> None:
+        """Drop the connection and whatever still arrives on it."""
+        self._call = None
+        self._listener = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def is_usable(self) -> bool:
+        """Tell whether another call may be sent."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Give asyncio the buffer to read into."""
+        return self._buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Parse what was read; the call ends only after the parser has returned.
+
+        Otherwise the listener could send the next call from inside the parser, and bytes behind
+        this answer would be taken for that call's.
+        """
+        if self._call is None:
+            self.abort()
+            return
+        if self._received_bytes == 0 or self._refusal_bytes:
+            self._keep_refusal(nbytes)
+        self._received_bytes += nbytes
+        try:
+            self._parser.feed_data(self._view[:nbytes])
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._end(Broken(f"unreadable answer: {error!r}"), reusable=False)
+            return
+        if self._complete:
+            self._end_complete()
+        elif self._received_bytes > MAX_ANSWER_BYTES:
+            self._end(Broken("answer larger than MAX_ANSWER_BYTES"), reusable=False)
+
+    def _keep_refusal(self, nbytes: int) -> None:
+        """Keep the bytes of whatever is not plainly a 200: its headers may be wanted."""
+        if self._refusal_bytes or not self._buffer.startswith(OK_ANSWER_START):
+            self._refusal_bytes += bytes(self._view[:nbytes])
+
+    def on_message_begin(self) -> None:
+        """Notice bytes behind a whole answer (called by the parser)."""
+        self._excess = self._complete
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body (called by the parser)."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the answer (called by the parser, which then forgets the headers)."""
+        self._complete = True
+        self._keep_alive = self._parser.should_keep_alive()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Without its whole answer, a call that was sent may have run."""
+        self._transport = None
+        if self._call is not None:
+            self._end(Broken(f"connection lost: {exc}"), reusable=False)
+        self._owner.connection_closed(self)
+
+    def _end_complete(self) -> None:
+        """End the call with the answer that was read."""
+        assert self._call is not None
+        status = self._parser.get_status_code()
+        body = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        if status == STATUS_OK:
+            reply = decode_answer(self._call, body)
+        else:
+            reply = decode_refusal(status, body, self._refusal_bytes)
+        reusable = (
+            not self._excess
+            and status in REUSABLE_STATUSES
+            and not isinstance(reply, Broken)
+            and self._keep_alive
+        )
+        self._end(reply, reusable=reusable)
+
+    def _end(self, reply: BackendReply, *, reusable: bool) -> None:
+        """Free or close the connection, then report."""
+        call, listener = self._call, self._listener
+        assert call is not None and listener is not None
+        call.carrier = None
+        if reusable:
+            self._call = None
+            self._listener = None
+            self._received_bytes = 0
+            self._refusal_bytes = b""
+            self._body.clear()
+            self._complete = False
+            self._owner.connection_free(self)
+        else:
+            self.abort()
+        listener(call, reply)
--- /dev/null
+++ b/tinrudder/backends/connection_pool.py
@@ -0,0 +1,165 @@
+"""Connections to one back end, never more than its share for this node.
+
+A call takes an idle connection, or waits until one is free while another is opened.  Waiting
+calls have not been sent: no byte of theirs has left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import ssl
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tinrudder.backends.connection import BackendConnection
+from tinrudder.backends.messages import BackendCall, NotSent
+from tinrudder.environment import ReplyListener
+
+SEARCH_PATH = "/v1/search"
+CONNECT_TIMEOUT_S = 1.0
+IDLE_TIMEOUT_S = 30.0
+CLOSED_DETAIL = "the transport is closed"
+
+ContextSource = Callable[[], ssl.SSLContext | None]
+
+
+@dataclass(slots=True, eq=False)
+class WaitingCall:
+    """A call without a connection; cancelled ones are skipped when reached."""
+
+    call: BackendCall
+    listener: ReplyListener
+    cancelled: bool = False
+
+
+class ConnectionPool:
+    """All connections to one address."""
+
+    def __init__(self, host: str, port: int, context: ContextSource) -> None:
+        """Open connections to ``host:port``; ``context`` is asked anew for each of them."""
+        self.request_head = (
+            f"POST {SEARCH_PATH} HTTP/1.1\r\nHost: {host}:{port}\r\n"
+            "Content-Type: application/json\r\nContent-Length: "
+        ).encode()
+        self._host = host
+        self._port = port
+        self._context = context
+        self._idle: deque[BackendConnection] = deque()
+        self._open: set[BackendConnection] = set()
+        self._connecting: set[asyncio.Task[None]] = set()
+        self._waiting: deque[WaitingCall] = deque()
+        self._max_connections = 1
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def connections(self) -> int:
+        """Return the number of connections, those being opened included."""
+        return len(self._open) + len(self._connecting)
+
+    @property
+    def unused(self) -> bool:
+        """Tell whether nothing is left here."""
+        return not self._open and not self._connecting and not self._waiting
+
+    def start(self, call: BackendCall, listener: ReplyListener) -> None:
+        """Send a call over an idle connection, or let it wait for one."""
+        idle = self._idle
+        while idle:
+            connection = idle.pop()
+            if connection.is_usable():
+                connection.send(call, listener)
+                return
+        call.may_have_left = False
+        waiting = WaitingCall(call, listener)
+        call.carrier = waiting
+        self._waiting.append(waiting)
+        self._max_connections = call.max_connections
+        self._open_as_allowed()
+
+    def cancel(self, call: BackendCall) -> None:
+        """Take back a waiting call; close the connection of one that was sent.
+
+        Closing is how HTTP/1.1 cancels, and it keeps the answer away from any later call.
+        """
+        carrier = call.carrier
+        call.carrier = None
+        if isinstance(carrier, WaitingCall):
+            carrier.cancelled = True
+        elif isinstance(carrier, BackendConnection):
+            carrier.abort()
+
+    def connection_free(self, connection: BackendConnection) -> None:
+        """Give a free connection to the oldest waiting call, else keep it."""
+        waiting = self._next_waiting() if self._waiting else None
+        if waiting is not None:
+            connection.send(waiting.call, waiting.listener)
+            return
+        connection.idle_since = self._loop.time()
+        self._idle.append(connection)
+
+    def connection_closed(self, connection: BackendConnection) -> None:
+        """Forget a connection; waiting calls may open another in its place."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._open_as_allowed()
+
+    def trim(self) -> None:
+        """Close connections that were idle for long; the longest idle stand first."""
+        horizon = self._loop.time() - IDLE_TIMEOUT_S
+        while self._idle and self._idle[0].idle_since < horizon:
+            self._idle.popleft().abort()
+
+    def close(self) -> None:
+        """Close every connection; waiting calls are told that they were not sent."""
+        for task in self._connecting:
+            task.cancel()
+        for connection in tuple(self._open):
+            connection.abort()
+        while (waiting := self._next_waiting()) is not None:
+            self._refuse(waiting, CLOSED_DETAIL)
+
+    def _open_as_allowed(self) -> None:
+        """Open connections for waiting calls, as many as are missing and allowed."""
+        missing = len(self._waiting) - len(self._connecting)
+        allowed = self._max_connections - self.connections
+        for _ in range(min(missing, allowed)):
+            task = self._loop.create_task(self._connect())
+            self._connecting.add(task)
+            task.add_done_callback(self._connecting.discard)
+
+    async def _connect(self) -> None:
+        """Open one connection; when that fails, the oldest waiting call was not sent."""
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, connection = await self._loop.create_connection(
+                    lambda: BackendConnection(self), self._host, self._port, ssl=self._context()
+                )
+        except (OSError, TimeoutError) as error:
+            waiting = self._next_waiting()
+            if waiting is not None:
+                self._refuse(waiting, f"connect: {error}")
+            return
+        self._open.add(connection)
+        if connection.is_usable():
+            self.connection_free(connection)
+
+    def _next_waiting(self) -> WaitingCall | None:
+        """Take the oldest waiting call that is still wanted."""
+        now = self._loop.time()
+        while self._waiting:
+            waiting = self._waiting.popleft()
+            if waiting.cancelled:
+                continue
+            if waiting.call.deadline <= now:
+                self._refuse(waiting, "no connection before the deadline")
+                continue
+            return waiting
+        return None
+
+    def _refuse(self, waiting: WaitingCall, detail: str) -> None:
+        """Report a call that no byte of was sent, in the next turn of the loop."""
+        waiting.cancelled = True
+        waiting.call.carrier = None
+        self._loop.call_soon(waiting.listener, waiting.call, NotSent(detail))
--- a/tinrudder/backends/messages.py
+++ b/tinrudder/backends/messages.py
@@ -10,6 +10,8 @@
 
 import msgspec
 
+DEFAULT_MAX_CONNECTIONS = 70
+
 
 class SearchRequest(msgspec.Struct, frozen=True):
     """One call's body: which rows of which shards, at one index version.
@@ -71,6 +73,10 @@
 
     :param host: the back end's IP address; :param port: its TCP port.
     :param deadline: monotonic time after which the answer is of no use.
+    :param max_connections: connections this node may hold to the back end.
+    :param may_have_left: bytes of the call may have left this process; only a transport that
+        knows better clears it.
+    :param carrier: what carries the call now, for the transport's own use.
     """
 
     call_id: int
@@ -80,6 +86,9 @@
     request: SearchRequest
     deadline: float
     tls: bool = False
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
+    may_have_left: bool = True
+    carrier: object = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -66,7 +66,9 @@
     @property
     def untouched(self) -> bool:
         """Tell whether no back end can have started this shard's call so far."""
-        return not self.touched and not self.in_flight and self.rows is None
+        if self.touched or self.rows is not None:
+            return False
+        return not any(sent.call.may_have_left for sent in self.in_flight)
 
     @property
     def settled(self) -> bool:
