--- /dev/null
+++ b/bench/fair_queue.py
@@ -0,0 +1,269 @@
+"""Shares, isolation and cost of the fair queues, in virtual time on a plain model of back ends.
+
+    python -m bench.fair_queue [--seeds 5]
+
+Prints a table, then one JSON object.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import itertools
+import json
+import random
+import statistics
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tinrudder.resources.model import Priority
+from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.call_queue import CallQueue, FirstInFirstOutQueue
+from tinrudder.routing.fair_queue import (
+    DecayingCostQueue,
+    DeficitRoundRobinQueue,
+    StartTimeQueue,
+)
+from tinrudder.routing.pending_call import PendingCall
+
+SERVICE_MEDIAN_S = 0.004
+SERVICE_SIGMA = 0.4
+FAN_OUT = 16
+SHARES = (1, 2, 4, 8)
+
+
+@dataclass
+class VirtualTime:
+    """A clock and its events."""
+
+    now: float = 0.0
+    events: list[tuple[float, int, Callable[[], None]]] = field(default_factory=list)
+    order: itertools.count[int] = field(default_factory=itertools.count)
+
+    def time(self) -> float:
+        """Return virtual seconds."""
+        return self.now
+
+    def call_at(self, when: float, callback: Callable[[], None]) -> None:
+        """Add an event."""
+        heapq.heappush(self.events, (when, next(self.order), callback))
+
+    def run_until(self, end: float) -> None:
+        """Run events in order."""
+        while self.events and self.events[0][0] <= end:
+            self.now, _, callback = heapq.heappop(self.events)
+            callback()
+        self.now = end
+
+
+QUEUES: dict[str, Callable[[VirtualTime], CallQueue]] = {
+    "fifo": lambda clock: FirstInFirstOutQueue(),
+    "drr": lambda clock: DeficitRoundRobinQueue(),
+    "sfq": lambda clock: StartTimeQueue(),
+    "sfq-credit-8": lambda clock: StartTimeQueue(8.0),
+    "sfq-credit-16": lambda clock: StartTimeQueue(16.0),
+    "sfq-credit-32": lambda clock: StartTimeQueue(32.0),
+    "sfq-credit-64": lambda clock: StartTimeQueue(64.0),
+    "decay-0.1s": lambda clock: DecayingCostQueue(clock, 0.1),
+    "decay-0.5s": lambda clock: DecayingCostQueue(clock, 0.5),
+    "decay-2s": lambda clock: DecayingCostQueue(clock, 2.0),
+}
+
+
+@dataclass
+class Service:
+    """Back ends with slots, fed by one queue."""
+
+    clock: VirtualTime
+    queue: CallQueue
+    source: random.Random
+    backend_count: int = 2
+    slots: int = 3
+    served: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Make the back ends."""
+        self.backends = [
+            BackendRecord(f"b{number}", "127.0.0.1", 1, "z", self.slots, self.slots)
+            for number in range(self.backend_count)
+        ]
+
+    def submit(self, tenant: str, weight: int, shard: int, on_done: Callable[[], None]) -> None:
+        """Queue one call, or send it when there is room."""
+        candidates = tuple(
+            self.backends[(shard + step) % self.backend_count]
+            for step in range(min(2, self.backend_count))
+        )
+        call = PendingCall(
+            tenant,
+            weight,
+            Priority.INTERACTIVE,
+            1.0,
+            candidates,
+            0.0,
+            0.0,
+            lambda backend: self._run(backend, tenant, on_done),
+        )
+        for backend in candidates:
+            if backend.may_send():
+                self.queue.record_direct(call, backend)
+                call.on_dispatch(backend)
+                return
+        self.queue.push(call)
+
+    def _run(self, backend: BackendRecord, tenant: str, on_done: Callable[[], None]) -> None:
+        backend.in_flight += 1
+        seconds = SERVICE_MEDIAN_S * self.source.lognormvariate(0.0, SERVICE_SIGMA)
+        self.clock.call_at(
+            self.clock.now + seconds, lambda: self._complete(backend, tenant, on_done)
+        )
+
+    def _complete(self, backend: BackendRecord, tenant: str, on_done: Callable[[], None]) -> None:
+        backend.in_flight -= 1
+        self.served[tenant] = self.served.get(tenant, 0) + 1
+        while backend.may_send():
+            call = self.queue.pop(backend)
+            if call is None:
+                break
+            call.on_dispatch(backend)
+        on_done()
+
+
+def measure_shares(name: str, seed: int) -> float:
+    """Return the largest relative error of the shares 1:2:4:8, all tenants backlogged 60 s."""
+    clock = VirtualTime()
+    service = Service(clock, QUEUES[name](clock), random.Random(seed))
+
+    def keep_going(tenant: str, weight: int) -> None:
+        service.submit(tenant, weight, 0, lambda: keep_going(tenant, weight))
+
+    for weight in SHARES:
+        for _ in range(64):
+            keep_going(f"t{weight}", weight)
+    clock.run_until(60.0)
+    total = sum(service.served.values())
+    errors = [
+        abs(service.served[f"t{weight}"] / total / (weight / sum(SHARES)) - 1) for weight in SHARES
+    ]
+    return max(errors)
+
+
+def measure_isolation(name: str, seed: int, noisy_calls_per_s: float) -> list[float]:
+    """Return latencies of three light tenants' queries, beside a noisy tenant or without."""
+    clock = VirtualTime()
+    source = random.Random(seed)
+    noise = random.Random(seed + 1000)
+    service = Service(clock, QUEUES[name](clock), random.Random(seed + 2000))
+    latencies: list[float] = []
+    waiting_noise = [0]
+
+    def light_query(tenant: str) -> None:
+        started = clock.now
+        left = [FAN_OUT]
+
+        def done() -> None:
+            left[0] -= 1
+            if left[0] == 0:
+                latencies.append(clock.now - started)
+
+        for shard in range(FAN_OUT):
+            service.submit(tenant, 1, shard, done)
+        clock.call_at(clock.now + source.expovariate(10.0), lambda: light_query(tenant))
+
+    def noisy_done() -> None:
+        waiting_noise[0] -= 1
+
+    def noisy_query() -> None:
+        if waiting_noise[0] < 512:
+            for shard in range(FAN_OUT):
+                waiting_noise[0] += 1
+                service.submit("noisy", 1, shard, noisy_done)
+        gap = noise.expovariate(noisy_calls_per_s / FAN_OUT)
+        clock.call_at(clock.now + gap, noisy_query)
+
+    for number in range(3):
+        clock.call_at(0.01 * number, lambda number=number: light_query(f"light{number}"))
+    if noisy_calls_per_s:
+        clock.call_at(0.0, noisy_query)
+    clock.run_until(60.0)
+    return latencies
+
+
+def measure_stall(name: str, seed: int) -> float:
+    """Return the longest time without a call of a tenant, long alone, when an equal arrives."""
+    clock = VirtualTime()
+    service = Service(clock, QUEUES[name](clock), random.Random(seed))
+    done_at: list[float] = []
+
+    def keep_going(tenant: str) -> None:
+        if tenant == "incumbent":
+            done_at.append(clock.now)
+        service.submit(tenant, 1, 0, lambda: keep_going(tenant))
+
+    def arrive(tenant: str) -> None:
+        for _ in range(64):
+            keep_going(tenant)
+
+    arrive("incumbent")
+    clock.call_at(5.0, lambda: arrive("newcomer"))
+    clock.run_until(10.0)
+    return max(after - before for before, after in itertools.pairwise(done_at))
+
+
+def measure_cost(name: str, tenants: int, backends: int) -> float:
+    """Return microseconds of one push and one pop, with eight calls waiting per tenant."""
+    clock = VirtualTime()
+    queue = QUEUES[name](clock)
+    records = [BackendRecord(f"b{n}", "127.0.0.1", 1, "z", 3, 3) for n in range(backends)]
+
+    def call_of(number: int) -> PendingCall:
+        candidates = (records[number % backends], records[(number + 1) % backends])
+        tenant = f"t{number * 7919 % tenants}"
+        return PendingCall(
+            tenant, 1, Priority.INTERACTIVE, 1.0, candidates, 0, 0, lambda backend: None
+        )
+
+    for number in range(tenants * 8):
+        queue.push(call_of(number))
+    rounds = 20_000
+    calls = [call_of(number) for number in range(rounds)]
+    started = time.process_time()
+    for number, call in enumerate(calls):
+        queue.push(call)
+        queue.pop(records[number % backends])
+    return (time.process_time() - started) / rounds * 1e6
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return a quantile by rank."""
+    return sorted(values)[min(len(values) - 1, int(len(values) * share))]
+
+
+def main() -> None:
+    """Measure every queue."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--seeds", type=int, default=5)
+    seeds = range(parser.parse_args().seeds)
+    results: dict[str, dict[str, float]] = {}
+    for name in QUEUES:
+        alone = [measure_isolation(name, seed, 0.0) for seed in seeds]
+        beside = [measure_isolation(name, seed, 3500.0) for seed in seeds]
+        ratios = [quantile(b, 0.99) / quantile(a, 0.99) for a, b in zip(alone, beside, strict=True)]
+        results[name] = {
+            "share_error": statistics.median(measure_shares(name, seed) for seed in seeds),
+            "alone_p99_ms": statistics.median(quantile(a, 0.99) * 1e3 for a in alone),
+            "beside_p99_ms": statistics.median(quantile(b, 0.99) * 1e3 for b in beside),
+            "p99_ratio": statistics.median(ratios),
+            "stall_ms": statistics.median(measure_stall(name, seed) * 1e3 for seed in seeds),
+            "us_8_tenants_4_backends": measure_cost(name, 8, 4),
+            "us_500_tenants_4_backends": measure_cost(name, 500, 4),
+            "us_500_tenants_200_backends": measure_cost(name, 500, 200),
+        }
+        row = "  ".join(f"{key} {value:8.4f}" for key, value in results[name].items())
+        print(f"{name:14} {row}", flush=True)
+    print(json.dumps(results))
+
+
+if __name__ == "__main__":
+    main()
--- a/tinrudder/routing/backend_record.py
+++ b/tinrudder/routing/backend_record.py
@@ -12,9 +12,12 @@
     """Mutable state of one back end as seen from one node.
 
     :param slots: calls the back end runs at once, as configured: a hint.
-    :param limit: calls this node may have in flight there now.
+    :param limit: calls this node may have in flight there now; its whole part counts.
+    :param ceiling: this node's share of the slots; ``limit`` never exceeds it.  0 takes ``limit``.
+    :param waiting: calls that wait in this node's queue and may go there.
     :param latency_s: smoothed time of answered calls, seconds; 0 before the first.
     :param leaving: no new work goes there.
+    :param paused: it asked for a pause with a refusal; no new work until that is over.
     """
 
     name: str
@@ -27,10 +30,23 @@
     in_flight: int = 0
     latency_s: float = 0.0
     leaving: bool = False
+    ceiling: float = 0.0
+    waiting: int = 0
+    paused: bool = False
+
+    def __post_init__(self) -> None:
+        """Begin at the limit given."""
+        self.ceiling = self.ceiling or self.limit
 
     def may_send(self) -> bool:
         """Tell whether one more call fits under the limit."""
-        return not self.leaving and self.in_flight < self.limit
+        return self.in_flight + 1 <= self.limit and not self.leaving and not self.paused
+
+    def set_ceiling(self, ceiling: float) -> None:
+        """Follow a changed share; a limit that stood at the old ceiling moves along."""
+        if self.limit >= self.ceiling or self.limit > ceiling:
+            self.limit = ceiling
+        self.ceiling = ceiling
 
     def observe_latency(self, seconds: float) -> None:
         """Fold one answered call into the smoothed latency."""
--- a/tinrudder/routing/backend_table.py
+++ b/tinrudder/routing/backend_table.py
@@ -21,6 +21,7 @@
     def __init__(self) -> None:
         """Start without back ends."""
         self._records: dict[str, BackendRecord] = {}
+        self.on_update: Callable[[], None] | None = None
 
     def update(self, specs: Mapping[str, BackendSpec], share: SlotShare = all_slots) -> None:
         """Follow the configuration and the coordinator sets.
@@ -40,8 +41,10 @@
                 )
                 self._records[name] = record
             record.slots = spec.slots
-            record.limit = limit
+            record.set_ceiling(limit)
             record.leaving = spec.state is BackendState.DRAINING
+        if self.on_update is not None:
+            self.on_update()
 
     def get(self, name: str) -> BackendRecord | None:
         """Return a back end's record."""
--- a/tinrudder/routing/call_queue.py
+++ b/tinrudder/routing/call_queue.py
@@ -5,12 +5,16 @@
 from collections import deque
 from typing import Protocol
 
+from tinrudder.resources.model import Priority
 from tinrudder.routing.backend_record import BackendRecord
 from tinrudder.routing.pending_call import PendingCall
 
 
 class CallQueue(Protocol):
-    """Decides which waiting call a back end with room takes next."""
+    """Decides which waiting call a back end with room takes next.
+
+    A call stands in the queue of each of its candidates; the first back end with room takes it.
+    """
 
     def push(self, call: PendingCall) -> None:
         """Add a waiting call."""
@@ -21,6 +25,17 @@
     def discard(self, call: PendingCall) -> None:
         """Drop a call that no longer waits; a no-op if it is not here."""
 
+    def record_direct(self, call: PendingCall, backend: BackendRecord) -> None:
+        """Charge a call that went to ``backend`` without waiting."""
+
+    def expected_work(
+        self, backend: BackendRecord, tenant: str, weight: int, priority: Priority, added: float
+    ) -> float:
+        """Return the work ``backend`` does until ``added`` work of a tenant is done too.
+
+        Calls with several candidates count in equal parts at each.
+        """
+
     def __len__(self) -> int:
         """Return the number of waiting calls."""
 
@@ -28,7 +43,7 @@
 class FirstInFirstOutQueue:
     """Arrival order per back end: the baseline, fair to nobody.
 
-    A call stands in the queue of each of its candidates; the first back end with room takes it.
+    When to use: to compare against.  Cost: the lowest.
     """
 
     def __init__(self) -> None:
@@ -41,6 +56,7 @@
         call.waiting = True
         self._size += 1
         for backend in call.candidates:
+            backend.waiting += 1
             self._by_backend.setdefault(backend.name, deque()).append(call)
 
     def pop(self, backend: BackendRecord) -> PendingCall | None:
@@ -58,6 +74,17 @@
         if call.waiting:
             call.waiting = False
             self._size -= 1
+            for backend in call.candidates:
+                backend.waiting -= 1
+
+    def record_direct(self, call: PendingCall, backend: BackendRecord) -> None:
+        """Keep no accounts."""
+
+    def expected_work(
+        self, backend: BackendRecord, tenant: str, weight: int, priority: Priority, added: float
+    ) -> float:
+        """Return everything that waits, whoever it belongs to, and ``added``."""
+        return backend.waiting + added
 
     def __len__(self) -> int:
         """Return the number of waiting calls."""
--- a/tinrudder/routing/pending_call.py
+++ b/tinrudder/routing/pending_call.py
@@ -9,6 +9,10 @@
 from tinrudder.routing.backend_record import BackendRecord
 
 
+def _ignore_shed() -> None:
+    """Do nothing: for callers that only watch their deadline."""
+
+
 @dataclass(slots=True, eq=False)
 class PendingCall:
     """A call that wants any one of its candidate back ends.
@@ -16,6 +20,9 @@
     :param cost: estimated work, in shards.
     :param deadline: monotonic time after which it is not worth sending.
     :param on_dispatch: called with the chosen back end once there is room.
+    :param on_shed: called instead when the call can no longer be answered in time, or its
+        tenant has no queue place left; nothing of it was sent.
+    :param places: where it stands in the queue; owned by the queue.
     """
 
     tenant: str
@@ -26,4 +33,6 @@
     deadline: float
     enqueued_at: float
     on_dispatch: Callable[[BackendRecord], None]
+    on_shed: Callable[[], None] = _ignore_shed
     waiting: bool = False
+    places: tuple[object, ...] = ()
