Keep start-time fair queueing with a bounded burst

Cause: three candidates stood side by side; the credit was in virtual time, so its size hung on the unit of the weights, and giving it per tenant as calls bent the shares while lanes were new. Change: one queue is left, its burst is in calls of the mean weight and accounts start at 0; the baseline stays. Idle flows and lanes of back ends that are gone are dropped.

--- a/bench/fair_queue.py
+++ b/bench/fair_queue.py
@@ -1,4 +1,6 @@
-"""Shares, isolation and cost of the fair queues, in virtual time on a plain model of back ends.
+"""Shares, isolation and cost of the fair queue and the baseline.
+
+Virtual time, on a plain model of back ends.
 
     python -m bench.fair_queue [--seeds 5]
 
@@ -16,20 +18,20 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from tinrudder.resources.model import Priority
 from tinrudder.routing.backend_record import BackendRecord
 from tinrudder.routing.call_queue import CallQueue, FirstInFirstOutQueue
-from tinrudder.routing.fair_queue import (
-    DecayingCostQueue,
-    DeficitRoundRobinQueue,
-    StartTimeQueue,
-)
+from tinrudder.routing.fair_queue import StartTimeFairQueue
 from tinrudder.routing.pending_call import PendingCall
 
 SERVICE_MEDIAN_S = 0.004
 SERVICE_SIGMA = 0.4
 FAN_OUT = 16
+LIGHT_QUERIES_PER_S = 10.0
+NOISY_CALLS_PER_S = 3500.0
+NOISY_QUEUE_PLACES = 512
 SHARES = (1, 2, 4, 8)
 
 
@@ -57,17 +59,13 @@
         self.now = end
 
 
-QUEUES: dict[str, Callable[[VirtualTime], CallQueue]] = {
-    "fifo": lambda clock: FirstInFirstOutQueue(),
-    "drr": lambda clock: DeficitRoundRobinQueue(),
-    "sfq": lambda clock: StartTimeQueue(),
-    "sfq-credit-8": lambda clock: StartTimeQueue(8.0),
-    "sfq-credit-16": lambda clock: StartTimeQueue(16.0),
-    "sfq-credit-32": lambda clock: StartTimeQueue(32.0),
-    "sfq-credit-64": lambda clock: StartTimeQueue(64.0),
-    "decay-0.1s": lambda clock: DecayingCostQueue(clock, 0.1),
-    "decay-0.5s": lambda clock: DecayingCostQueue(clock, 0.5),
-    "decay-2s": lambda clock: DecayingCostQueue(clock, 2.0),
+QUEUES: dict[str, Callable[[], CallQueue]] = {
+    "fifo": FirstInFirstOutQueue,
+    "burst-0": lambda: StartTimeFairQueue(0.0),
+    "burst-16": lambda: StartTimeFairQueue(16.0),
+    "burst-32": lambda: StartTimeFairQueue(32.0),
+    "burst-64": lambda: StartTimeFairQueue(64.0),
+    "burst-128": lambda: StartTimeFairQueue(128.0),
 }
 
 
@@ -133,7 +131,7 @@
 def measure_shares(name: str, seed: int) -> float:
     """Return the largest relative error of the shares 1:2:4:8, all tenants backlogged 60 s."""
     clock = VirtualTime()
-    service = Service(clock, QUEUES[name](clock), random.Random(seed))
+    service = Service(clock, QUEUES[name](), random.Random(seed))
 
     def keep_going(tenant: str, weight: int) -> None:
         service.submit(tenant, weight, 0, lambda: keep_going(tenant, weight))
@@ -149,51 +147,65 @@
     return max(errors)
 
 
-def measure_isolation(name: str, seed: int, noisy_calls_per_s: float) -> list[float]:
-    """Return latencies of three light tenants' queries, beside a noisy tenant or without."""
-    clock = VirtualTime()
-    source = random.Random(seed)
-    noise = random.Random(seed + 1000)
-    service = Service(clock, QUEUES[name](clock), random.Random(seed + 2000))
-    latencies: list[float] = []
-    waiting_noise = [0]
-
-    def light_query(tenant: str) -> None:
+@dataclass
+class Isolation:
+    """Three light tenants' queries, beside a noisy tenant or without."""
+
+    service: Service
+    arrivals: random.Random
+    noise: random.Random
+    latencies: list[float] = field(default_factory=list)
+    noise_waiting: int = 0
+
+    def light_query(self, tenant: str) -> None:
+        """Ask one query of a light tenant and schedule its next."""
+        clock = self.service.clock
         started = clock.now
-        left = [FAN_OUT]
+        left = FAN_OUT
 
         def done() -> None:
-            left[0] -= 1
-            if left[0] == 0:
-                latencies.append(clock.now - started)
+            nonlocal left
+            left -= 1
+            if left == 0:
+                self.latencies.append(clock.now - started)
 
         for shard in range(FAN_OUT):
-            service.submit(tenant, 1, shard, done)
-        clock.call_at(clock.now + source.expovariate(10.0), lambda: light_query(tenant))
+            self.service.submit(tenant, 1, shard, done)
+        gap = self.arrivals.expovariate(LIGHT_QUERIES_PER_S)
+        clock.call_at(clock.now + gap, lambda: self.light_query(tenant))
+
+    def noisy_query(self) -> None:
+        """Ask one query of the noisy tenant, unless its queue places are taken."""
+        clock = self.service.clock
+        if self.noise_waiting < NOISY_QUEUE_PLACES:
+            for shard in range(FAN_OUT):
+                self.noise_waiting += 1
+                self.service.submit("noisy", 1, shard, self._noisy_done)
+        gap = self.noise.expovariate(NOISY_CALLS_PER_S / FAN_OUT)
+        clock.call_at(clock.now + gap, self.noisy_query)
 
-    def noisy_done() -> None:
-        waiting_noise[0] -= 1
+    def _noisy_done(self) -> None:
+        self.noise_waiting -= 1
 
-    def noisy_query() -> None:
-        if waiting_noise[0] < 512:
-            for shard in range(FAN_OUT):
-                waiting_noise[0] += 1
-                service.submit("noisy", 1, shard, noisy_done)
-        gap = noise.expovariate(noisy_calls_per_s / FAN_OUT)
-        clock.call_at(clock.now + gap, noisy_query)
 
+def measure_isolation(name: str, seed: int, *, noisy: bool) -> list[float]:
+    """Return the latencies of light tenants' queries over 60 s."""
+    clock = VirtualTime()
+    service = Service(clock, QUEUES[name](), random.Random(seed + 2000))
+    isolation = Isolation(service, random.Random(seed), random.Random(seed + 1000))
     for number in range(3):
-        clock.call_at(0.01 * number, lambda number=number: light_query(f"light{number}"))
-    if noisy_calls_per_s:
-        clock.call_at(0.0, noisy_query)
+        tenant = f"light{number}"
+        clock.call_at(0.01 * number, partial(isolation.light_query, tenant))
+    if noisy:
+        clock.call_at(0.0, isolation.noisy_query)
     clock.run_until(60.0)
-    return latencies
+    return isolation.latencies
 
 
 def measure_stall(name: str, seed: int) -> float:
     """Return the longest time without a call of a tenant, long alone, when an equal arrives."""
     clock = VirtualTime()
-    service = Service(clock, QUEUES[name](clock), random.Random(seed))
+    service = Service(clock, QUEUES[name](), random.Random(seed))
     done_at: list[float] = []
 
     def keep_going(tenant: str) -> None:
@@ -213,8 +225,7 @@
 
 def measure_cost(name: str, tenants: int, backends: int) -> float:
     """Return microseconds of one push and one pop, with eight calls waiting per tenant."""
-    clock = VirtualTime()
-    queue = QUEUES[name](clock)
+    queue = QUEUES[name]()
     records = [BackendRecord(f"b{n}", "127.0.0.1", 1, "z", 3, 3) for n in range(backends)]
 
     def call_of(number: int) -> PendingCall:
@@ -247,8 +258,8 @@
     seeds = range(parser.parse_args().seeds)
     results: dict[str, dict[str, float]] = {}
     for name in QUEUES:
-        alone = [measure_isolation(name, seed, 0.0) for seed in seeds]
-        beside = [measure_isolation(name, seed, 3500.0) for seed in seeds]
+        alone = [measure_isolation(name, seed, noisy=False) for seed in seeds]
+        beside = [measure_isolation(name, seed, noisy=True) for seed in seeds]
         ratios = [quantile(b, 0.99) / quantile(a, 0.99) for a, b in zip(alone, beside, strict=True)]
         results[name] = {
             "share_error": statistics.median(measure_shares(name, seed) for seed in seeds),
--- a/tinrudder/routing/fair_queue.py
+++ b/tinrudder/routing/fair_queue.py
@@ -1,39 +1,62 @@
-"""Weighted fair queues over tenants: candidates under measurement (see docs/FAIRNESS.md)."""
+"""A weighted fair queue over tenants, with one lane per back end (see docs/FAIRNESS.md).
+
+Start-time fair queueing: every tenant has an account of virtual time at every back end, which
+advances by cost / weight with each call, and the tenant with the lowest account goes next.  A
+tenant that comes back from idleness may lag behind the lane's virtual time by a bounded burst,
+which is what keeps a light tenant's fan-out fast beside a noisy one.
+"""
 
 from __future__ import annotations
 
 import heapq
-import math
-from collections import deque
 from dataclasses import dataclass, field
 
 from tinrudder.resources.model import Priority
 from tinrudder.routing.backend_record import BackendRecord
 from tinrudder.routing.pending_call import PendingCall
 from tinrudder.routing.tenant_flow import TenantFlow
-from tinrudder.timers import Timers
 
+DEFAULT_BURST = 64.0
+SWEEP_SLACK = 64
 HeapEntry = tuple[float, int, TenantFlow]
 
 
 @dataclass(slots=True, eq=False)
 class BackendLane:
-    """All tenants' calls that may go to one back end."""
+    """All tenants' calls that may go to one back end.
+
+    :param heap: flows with entries by account; an account charged since is read again at pop.
+    :param active_weight: the weights of the flows in which calls wait.
+    :param total_weight: the weights of all flows.
+    :param work: the cost of the waiting calls, each divided by its number of candidates.
+    :param virtual_time: the account at which the last call was taken.
+    :param sweep_at: number of flows at which idle ones are dropped.
+    """
 
     flows: dict[str, TenantFlow] = field(default_factory=dict)
     heap: list[HeapEntry] = field(default_factory=list)
     active_weight: int = 0
+    total_weight: int = 0
     work: float = 0.0
     virtual_time: float = 0.0
-    ring: deque[TenantFlow] = field(default_factory=deque)
+    sweep_at: int = SWEEP_SLACK
+
 
+class StartTimeFairQueue:
+    """Start-time fair queueing over tenants, then priority classes.
 
-class TenantQueue:
-    """What the candidates share: places, accounts and estimates; subclasses choose the order."""
+    When to use: always; the default.  Default: a burst of 64 calls per tenant and back end.
+    Cost: a few microseconds per call, growing with the logarithm of the tenants that wait.
+    """
 
-    def __init__(self) -> None:
-        """Start empty."""
+    def __init__(self, burst: float = DEFAULT_BURST) -> None:
+        """Start empty.
+
+        :param burst: work that a tenant may be served ahead of its share after idleness.
+        """
+        self._burst = burst
         self._lanes: dict[BackendRecord, BackendLane] = {}
+        self._sweep_lanes_at = SWEEP_SLACK
         self._size = 0
         self._sequence = 0
 
@@ -44,7 +67,8 @@
         part = call.cost / len(call.candidates)
         places = []
         for backend in call.candidates:
-            lane, flow = self._flow(backend, call)
+            lane = self._lane(backend)
+            flow = self._flow(lane, backend, call)
             if flow.waiting == 0:
                 lane.active_weight += flow.weight
             flow.add(call)
@@ -52,10 +76,32 @@
             backend.waiting += 1
             places.append(flow)
             if not flow.queued:
-                flow.queued = True
-                self._activate(lane, flow)
+                self._enter_heap(lane, flow)
         call.places = tuple(places)
 
+    def pop(self, backend: BackendRecord) -> PendingCall | None:
+        """Take the next call of the tenant with the lowest account."""
+        lane = self._lanes.get(backend)
+        if lane is None:
+            return None
+        heap = lane.heap
+        while heap:
+            account, _, flow = heap[0]
+            if account != flow.account:
+                self._replace_first(heap, flow)
+                continue
+            call = flow.next_call()
+            if call is None:
+                heapq.heappop(heap)
+                flow.queued = False
+                continue
+            lane.virtual_time = max(lane.virtual_time, account)
+            flow.account += call.cost / flow.weight
+            self._replace_first(heap, flow)
+            self.discard(call)
+            return call
+        return None
+
     def discard(self, call: PendingCall) -> None:
         """Drop a call; its entries are skipped when they are reached."""
         if not call.waiting:
@@ -64,7 +110,6 @@
         self._size -= 1
         part = call.cost / len(call.candidates)
         for flow in call.places:
-            assert isinstance(flow, TenantFlow)
             flow.remove(call)
             backend = flow.backend
             backend.waiting -= 1
@@ -75,20 +120,27 @@
         call.places = ()
 
     def record_direct(self, call: PendingCall, backend: BackendRecord) -> None:
-        """Charge a call that went out without waiting."""
-        lane, flow = self._flow(backend, call)
-        self._charge(lane, flow, call.cost)
+        """Charge a call that went to ``backend`` without waiting."""
+        lane = self._lane(backend)
+        flow = self._flow(lane, backend, call)
+        flow.account = max(flow.account, self._lowest_account(lane))
+        lane.virtual_time = max(lane.virtual_time, flow.account)
+        flow.account += call.cost / flow.weight
 
     def expected_work(
         self, backend: BackendRecord, tenant: str, weight: int, priority: Priority, added: float
     ) -> float:
-        """Return the work done at ``backend`` until ``added`` work of a tenant is done too."""
+        """Return the work ``backend`` does until ``added`` work of a tenant is done too.
+
+        The lower of two bounds: everything that waits there, and the tenant's own part of it
+        served at the tenant's share.
+        """
         lane = self._lanes.get(backend)
         if lane is None or not backend.waiting:
             return added
-        flow = lane.flows.get(tenant)
         own = added
         others = lane.active_weight
+        flow = lane.flows.get(tenant)
         if flow is not None and flow.waiting:
             own += flow.work_ahead(priority)
             others -= flow.weight
@@ -98,129 +150,69 @@
         """Return the number of waiting calls."""
         return self._size
 
-    def _flow(self, backend: BackendRecord, call: PendingCall) -> tuple[BackendLane, TenantFlow]:
+    def _lane(self, backend: BackendRecord) -> BackendLane:
+        """Return a back end's lane."""
         lane = self._lanes.get(backend)
         if lane is None:
+            if len(self._lanes) >= self._sweep_lanes_at:
+                self._sweep_lanes()
             lane = self._lanes[backend] = BackendLane()
+        return lane
+
+    def _flow(self, lane: BackendLane, backend: BackendRecord, call: PendingCall) -> TenantFlow:
+        """Return a tenant's flow at a back end, under its present weight."""
         flow = lane.flows.get(call.tenant)
         if flow is None:
-            flow = lane.flows[call.tenant] = TenantFlow(call.tenant, backend)
+            if len(lane.flows) >= lane.sweep_at:
+                self._sweep_flows(lane)
+            flow = lane.flows[call.tenant] = TenantFlow(call.tenant, backend, call.weight)
+            lane.total_weight += call.weight
+            flow.account = self._lowest_account(lane)
         if flow.weight != call.weight:
+            lane.total_weight += call.weight - flow.weight
             if flow.waiting:
                 lane.active_weight += call.weight - flow.weight
             flow.weight = call.weight
-        return lane, flow
-
-    def _place(self, lane: BackendLane, flow: TenantFlow) -> None:
+        return flow
+
+    def _lowest_account(self, lane: BackendLane) -> float:
+        """Return how far back an account may lag.
+
+        Relative to the mean weight, the burst is the same work whatever unit the weights have,
+        and tenants that come back together share as their weights say.  The account starts at 0:
+        nobody has anything to catch up with at a new lane.
+        """
+        mean_weight = lane.total_weight / len(lane.flows)
+        return max(0.0, lane.virtual_time - self._burst / mean_weight)
+
+    def _enter_heap(self, lane: BackendLane, flow: TenantFlow) -> None:
+        """Let a flow take part again."""
+        flow.queued = True
+        flow.account = max(flow.account, self._lowest_account(lane))
         self._sequence += 1
         heapq.heappush(lane.heap, (flow.account, self._sequence, flow))
 
-    def _activate(self, lane: BackendLane, flow: TenantFlow) -> None:
-        self._place(lane, flow)
-
-    def _charge(self, lane: BackendLane, flow: TenantFlow, cost: float) -> None:
-        raise NotImplementedError
-
-    def pop(self, backend: BackendRecord) -> PendingCall | None:
-        """Take the next call of the tenant with the lowest account."""
-        lane = self._lanes.get(backend)
-        if lane is None:
-            return None
-        heap = lane.heap
-        while heap:
-            account, _, flow = heap[0]
-            call = None
-            if account == flow.account:
-                call = flow.next_call()
-                if call is None:
-                    heapq.heappop(heap)
-                    flow.queued = False
-                    continue
-                self._charge(lane, flow, call.cost)
-                self.discard(call)
-            self._sequence += 1
-            heapq.heapreplace(heap, (flow.account, self._sequence, flow))
-            if call is not None:
-                return call
-        return None
-
-
-class DecayingCostQueue(TenantQueue):
-    """The account is the cost of the recent past, decaying with a time constant."""
-
-    def __init__(self, timers: Timers, time_constant_s: float = 0.1) -> None:
-        """Decay with ``time_constant_s``."""
-        super().__init__()
-        self._timers = timers
-        self._time_constant_s = time_constant_s
-        self._epoch = timers.time()
-
-    def _charge(self, lane: BackendLane, flow: TenantFlow, cost: float) -> None:
-        exponent = (self._timers.time() - self._epoch) / self._time_constant_s
-        if exponent > 60:
-            self._renormalise(math.exp(-exponent))
-            exponent = 0.0
-        flow.account += math.exp(exponent) * cost / flow.weight
-
-    def _renormalise(self, factor: float) -> None:
-        self._epoch = self._timers.time()
-        for lane in self._lanes.values():
-            for flow in lane.flows.values():
-                flow.account *= factor
-            lane.heap[:] = [(flow.account, order, flow) for _, order, flow in lane.heap]
-
-
-class StartTimeQueue(TenantQueue):
-    """Start-time fair queueing: accounts are virtual finish times."""
-
-    def __init__(self, credit: float = 0.0) -> None:
-        """Let an idle tenant come back at most ``credit`` behind the virtual time."""
-        super().__init__()
-        self._credit = credit
-
-    def _activate(self, lane: BackendLane, flow: TenantFlow) -> None:
-        flow.account = max(flow.account, lane.virtual_time - self._credit)
-        self._place(lane, flow)
-
-    def _charge(self, lane: BackendLane, flow: TenantFlow, cost: float) -> None:
-        if not flow.queued:
-            flow.account = max(flow.account, lane.virtual_time - self._credit)
-        lane.virtual_time = max(lane.virtual_time, flow.account)
-        flow.account += cost / flow.weight
-
-
-class DeficitRoundRobinQueue(TenantQueue):
-    """Deficit round robin: the account is what is left of the tenant's quantum."""
-
-    def _activate(self, lane: BackendLane, flow: TenantFlow) -> None:
-        flow.account = 0.0
-        lane.ring.append(flow)
-
-    def _charge(self, lane: BackendLane, flow: TenantFlow, cost: float) -> None:
-        flow.account -= cost
-
-    def pop(self, backend: BackendRecord) -> PendingCall | None:
-        """Take the next call of the tenant whose turn it is."""
-        lane = self._lanes.get(backend)
-        if lane is None:
-            return None
-        ring = lane.ring
-        while ring:
-            flow = ring[0]
-            if flow.account <= 0:
-                if flow.waiting == 0:
-                    flow.queued = False
-                    ring.popleft()
-                    continue
-                flow.account += flow.weight
-                ring.rotate(-1)
-                continue
-            call = flow.next_call()
-            if call is None:
-                flow.queued = False
-                ring.popleft()
-                continue
-            flow.account -= call.cost
-            self.discard(call)
-            return call
-        return None
+    def _replace_first(self, heap: list[HeapEntry], flow: TenantFlow) -> None:
+        """Put the first flow back under its present account; equals take turns."""
+        self._sequence += 1
+        heapq.heapreplace(heap, (flow.account, self._sequence, flow))
+
+    def _sweep_flows(self, lane: BackendLane) -> None:
+        """Drop idle flows that a new one would equal, so that memory follows active tenants."""
+        lowest = self._lowest_account(lane)
+        lane.flows = {
+            tenant: flow
+            for tenant, flow in lane.flows.items()
+            if flow.queued or flow.account > lowest
+        }
+        lane.total_weight = sum(flow.weight for flow in lane.flows.values())
+        lane.sweep_at = 2 * len(lane.flows) + SWEEP_SLACK
+
+    def _sweep_lanes(self) -> None:
+        """Drop the lanes of back ends that are gone."""
+        self._lanes = {
+            backend: lane
+            for backend, lane in self._lanes.items()
+            if backend.waiting or not backend.leaving
+        }
+        self._sweep_lanes_at = 2 * len(self._lanes) + SWEEP_SLACK
--- a/tinrudder/routing/pending_call.py
+++ b/tinrudder/routing/pending_call.py
@@ -4,10 +4,14 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from tinrudder.resources.model import Priority
 from tinrudder.routing.backend_record import BackendRecord
 
+if TYPE_CHECKING:
+    from tinrudder.routing.tenant_flow import TenantFlow
+
 
 def _ignore_shed() -> None:
     """Do nothing: for callers that only watch their deadline."""
@@ -35,4 +39,4 @@
     on_dispatch: Callable[[BackendRecord], None]
     on_shed: Callable[[], None] = _ignore_shed
     waiting: bool = False
-    places: tuple[object, ...] = ()
+    places: tuple[TenantFlow, ...] = ()
