--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -19,8 +19,8 @@
 from tinrudder.resources.configuration import Configuration
 from tinrudder.resources.store import ConfigurationStore
 from tinrudder.routing.backend_table import BackendTable
-from tinrudder.routing.call_queue import FirstInFirstOutQueue
 from tinrudder.routing.coordinator_ranking import CoordinatorRanking
+from tinrudder.routing.fair_queue import StartTimeFairQueue
 from tinrudder.routing.replica_choice import LeastLoadedReplica
 from tinrudder.settings import NodeSettings
 from tinrudder.wire.channels import Channel, ChannelRouter
@@ -46,9 +46,10 @@
         self._dispatcher = Dispatcher(
             environment.timers,
             environment.backends,
-            FirstInFirstOutQueue(),
+            StartTimeFairQueue(),
             LeastLoadedReplica(),
         )
+        self.backends.on_update = self._fill_backends
         self.coordinator = Coordinator(
             environment.timers, self._dispatcher, self.backends, self.configuration
         )
@@ -137,6 +138,11 @@
         )
         return build_view(members, view.list_revision)
 
+    def _fill_backends(self) -> None:
+        """Let waiting calls use room that a new configuration or share has made."""
+        for backend in self.backends.all_records():
+            self._dispatcher.fill(backend)
+
     def _update_shares(self) -> None:
         """Bring coordinator sets and limits in step with members and configuration."""
         configuration = self.configuration()
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -55,12 +55,15 @@
         self.sent_calls = 0
 
     def submit(self, pending: PendingCall) -> None:
-        """Dispatch now if a candidate has room, else wait."""
+        """Dispatch now if a candidate has room and nobody waits for it, else wait."""
         backend = self._replica_choice.choose(pending.candidates)
-        if backend is None:
-            self._queue.push(pending)
+        if backend is not None and not backend.waiting:
+            self._queue.record_direct(pending, backend)
+            pending.on_dispatch(backend)
             return
-        pending.on_dispatch(backend)
+        self._queue.push(pending)
+        if backend is not None:
+            self.fill(backend)
 
     def withdraw(self, pending: PendingCall) -> None:
         """Take a waiting call back; a no-op if it was dispatched."""
@@ -115,7 +118,11 @@
     def _release(self, backend: BackendRecord) -> None:
         """Free one place and let waiting calls take it."""
         backend.in_flight -= 1
-        while backend.may_send():
+        self.fill(backend)
+
+    def fill(self, backend: BackendRecord) -> None:
+        """Let waiting calls take the room there is, e.g. after a limit was raised."""
+        while backend.waiting and backend.may_send():
             pending = self._queue.pop(backend)
             if pending is None:
                 return
