--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -19,6 +19,7 @@
 from tinrudder.api.health import CloseWhenStopping, health_routes
 from tinrudder.backends.http_transport import HttpBackendTransport
 from tinrudder.environment import DEVELOPMENT_CLUSTER_KEYS, Environment
+from tinrudder.garbage_collection import tune_garbage_collection
 from tinrudder.logs import configure_logs, log_problem
 from tinrudder.node import Node
 from tinrudder.platform.client import PlatformClient
