Give every coordinator its share of a back end's connections

Cause: the pool bounded connections by a constant, so k coordinators could open k times what a back end takes. Change: max_connections_per_backend is divided over a service's coordinators as slots are; other nodes may hold one. The share travels with each call to the pool. Conclusion: nodes outside the set that help themselves during a cut add one connection each on top.

--- a/tests/unit/test_coordinator_set.py
+++ b/tests/unit/test_coordinator_set.py
@@ -5,8 +5,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tinrudder.cluster.view import Member, MemberStatus
+from tinrudder.cluster.view import Member, MemberStatus, build_view
 from tinrudder.peers import PeerAddress
+from tinrudder.query.coordinator_sets import CoordinatorSets
+from tinrudder.resources.configuration import Configuration
+from tinrudder.resources.model import BackendSpec, ServiceSpec
+from tinrudder.routing.backend_table import BackendTable
 from tinrudder.routing.coordinator_set import choose_coordinators
 
 ZONES = ("z1", "z2", "z3")
@@ -59,3 +63,24 @@
         assert "n0" not in chosen.names
     every = choose_coordinators("service", members, 99)
     assert "n1" in every.names
+
+
+def test_connections_of_all_coordinators_stay_within_the_service_maximum() -> None:
+    backend = BackendSpec(service="service", host="127.0.0.1", port=1, zone="zone-0", slots=5)
+    service = ServiceSpec(region="r", tenants=(), max_connections_per_backend=7)
+    configuration = Configuration(services={"service": service}, backends={"backend": backend})
+    view = build_view(tuple(member(number) for number in range(9)), 1)
+    shares = []
+    for name in view.by_name:
+        sets = CoordinatorSets(name)
+        sets.update(view, configuration)
+        table = BackendTable()
+        table.update({"backend": backend})
+        table.share_connections({"backend": backend}, sets.connections)
+        record = table.get("backend")
+        assert record is not None
+        if name in sets.of("service").names:
+            shares.append(record.max_connections)
+        else:
+            assert record.max_connections == 1
+    assert len(shares) == 5 and sum(shares) == 7
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -148,6 +148,7 @@
         configuration = self.configuration()
         self.coordinator_sets.update(self._view, configuration)
         self.backends.update(configuration.backends, self.coordinator_sets.share)
+        self.backends.share_connections(configuration.backends, self.coordinator_sets.connections)
 
     async def _follow_platform(self) -> None:
         """Poll the platform until the node ends."""
--- a/tinrudder/query/coordinator_sets.py
+++ b/tinrudder/query/coordinator_sets.py
@@ -6,6 +6,7 @@
 from tinrudder.resources.configuration import Configuration
 from tinrudder.resources.model import BackendSpec, ServiceSpec
 from tinrudder.routing.coordinator_set import (
+    FALLBACK_LIMIT,
     MINIMUM_SHARE,
     CoordinatorSet,
     choose_coordinators,
@@ -46,6 +47,14 @@
         """Return how many of a back end's slots this node may use."""
         return self.of(spec.service).share(self._node_name, backend, spec.slots)
 
+    def connections(self, backend: str, spec: BackendSpec) -> int:
+        """Return how many connections to a back end this node may hold."""
+        service = self._configuration.services.get(spec.service)
+        if service is None:
+            return FALLBACK_LIMIT
+        chosen = self.of(spec.service)
+        return chosen.share(self._node_name, backend, service.max_connections_per_backend)
+
     def _choose(self, service: str) -> CoordinatorSet:
         """Compute a service's set."""
         spec = self._configuration.services.get(service)
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -81,7 +81,14 @@
         call_id = self._last_call_id
         request = _with_call_id(request, call_id)
         call = BackendCall(
-            call_id, backend.name, backend.host, backend.port, request, deadline, backend.tls
+            call_id,
+            backend.name,
+            backend.host,
+            backend.port,
+            request,
+            deadline,
+            backend.tls,
+            backend.max_connections,
         )
         sent = SentCall(backend, call, self._timers.time(), listener)
         self._in_flight[call_id] = sent
--- a/tinrudder/routing/backend_record.py
+++ b/tinrudder/routing/backend_record.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 LATENCY_SMOOTHING = 0.1
+DEFAULT_MAX_CONNECTIONS = 70
 
 
 @dataclass(slots=True, eq=False)
@@ -18,6 +19,7 @@
     :param latency_s: smoothed time of answered calls, seconds; 0 before the first.
     :param leaving: no new work goes there.
     :param paused: it asked for a pause with a refusal; no new work until that is over.
+    :param max_connections: this node's share of the connections the back end takes.
     """
 
     name: str
@@ -30,6 +32,7 @@
     in_flight: int = 0
     latency_s: float = 0.0
     leaving: bool = False
+    max_connections: int = DEFAULT_MAX_CONNECTIONS
     ceiling: float = 0.0
     waiting: int = 0
     paused: bool = False
--- a/tinrudder/routing/backend_table.py
+++ b/tinrudder/routing/backend_table.py
@@ -8,6 +8,7 @@
 from tinrudder.routing.backend_record import BackendRecord
 
 SlotShare = Callable[[str, BackendSpec], float]
+ConnectionShare = Callable[[str, BackendSpec], int]
 
 
 def all_slots(_name: str, spec: BackendSpec) -> float:
@@ -46,6 +47,11 @@
         if self.on_update is not None:
             self.on_update()
 
+    def share_connections(self, specs: Mapping[str, BackendSpec], share: ConnectionShare) -> None:
+        """Set how many connections to each back end this node may hold."""
+        for name, spec in specs.items():
+            self._records[name].max_connections = share(name, spec)
+
     def get(self, name: str) -> BackendRecord | None:
         """Return a back end's record."""
         return self._records.get(name)
