Spread the accepted configuration between nodes

Cause: every node read whole documents from the platform by itself, so a node that started while the platform was down had nothing, and zones with different revisions never met. Change: nodes send rumours of (revision, digests) to random peers after a change, and one peer now and then; whoever differs pulls only the differing ones of 256 buckets, compressed and chunked, checks the digest of the whole and joins it. A starting node asks peers. Nodes together read the platform at a steady rate instead of each at its own.

--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -34,6 +34,8 @@
         ("colour = 1", "colour"),
         ('host = "localhost"', "host: must be an IP address"),
         ('log_level = "LOUD"', "log_level"),
+        ('seed_peers = "somewhere:1"', "seed_peers: must be an IP address"),
+        ('seed_peers = "10.0.0.1"', "seed_peers: must be HOST:PORT"),
         ("caller_port = ", "not TOML"),
     ],
 )
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -9,6 +9,7 @@
 from tinrudder.environment import Environment
 from tinrudder.lifecycle import NodeLifecycle
 from tinrudder.logs import log_event, log_problem
+from tinrudder.node_configuration import NodeConfiguration
 from tinrudder.node_membership import NodeMembership
 from tinrudder.platform.messages import PlatformUnavailableError
 from tinrudder.query.coordinator import Coordinator
@@ -17,7 +18,6 @@
 from tinrudder.query.entry import Entry
 from tinrudder.query.relay import RelayClient, RelayServer
 from tinrudder.resources.configuration import Configuration
-from tinrudder.resources.store import ConfigurationStore
 from tinrudder.routing.backend_table import BackendTable
 from tinrudder.routing.coordinator_ranking import CoordinatorRanking
 from tinrudder.routing.fair_queue import StartTimeFairQueue
@@ -36,13 +36,16 @@
         """Build the parts; nothing runs before :meth:`start`."""
         self.settings = settings
         self.lifecycle = NodeLifecycle()
-        self.configuration_store = ConfigurationStore()
         self.backends = BackendTable()
         self.channels = ChannelRouter(environment.peers)
         self.coordinator_sets = CoordinatorSets(settings.name)
         self._environment = environment
         self.members = NodeMembership(settings, environment, self.channels, self.on_view_changed)
         self._view = self.members.membership.view()
+        self.node_configuration = NodeConfiguration(
+            settings, environment, self.channels, self.view, self._update_shares
+        )
+        self.configuration_store = self.node_configuration.store
         self._dispatcher = Dispatcher(
             environment.timers,
             environment.backends,
@@ -92,9 +95,10 @@
         return max(self.coordinator.in_progress, self.relay_server.in_progress)
 
     async def start(self) -> None:
-        """Read the configuration once if the platform answers, then keep following it."""
-        await self._poll_platform()
+        """Learn members and configuration from whoever answers, then keep following them."""
+        await self._poll_members()
         await self.members.start()
+        await self.node_configuration.start()
         self._tasks.append(asyncio.create_task(self._follow_platform()))
         self.lifecycle.serve()  # type: ignore[attr-defined]
         log_event("serving", {"revision": self.configuration().revision})
@@ -114,6 +118,7 @@
         while self.in_progress and self._environment.timers.time() < deadline:
             await asyncio.sleep(DRAIN_CHECK_S)
         await asyncio.sleep(REFUSAL_LINGER_S)
+        self.node_configuration.stop()
         for task in self._tasks:
             task.cancel()
         self.members.stop()
@@ -153,25 +158,13 @@
     async def _follow_platform(self) -> None:
         """Poll the platform until the node ends."""
         while True:
-            await asyncio.sleep(self.settings.platform_poll_s)
-            await self._poll_platform()
+            await asyncio.sleep(self.node_configuration.poll_delay_s())
+            await self._poll_members()
+            await self.node_configuration.poll()
 
-    async def _poll_platform(self) -> None:
-        """Fetch configuration and members; an unavailable platform changes nothing."""
+    async def _poll_members(self) -> None:
+        """Fetch the list of machines; an unavailable platform changes nothing."""
         try:
-            await self._poll_resources()
-            await self._poll_members()
+            self.members.offer_list(await self._environment.platform.fetch_members())
         except PlatformUnavailableError as error:
             log_problem("platform unavailable", {"error": str(error)})
-
-    async def _poll_resources(self) -> None:
-        """Fetch the configuration."""
-        known = self.configuration().revision
-        document = await self._environment.platform.fetch_resources(known)
-        if document is not None and self.configuration_store.offer(document):
-            self._update_shares()
-            log_event("configuration in force", {"revision": document.revision})
-
-    async def _poll_members(self) -> None:
-        """Fetch the list of machines."""
-        self.members.offer_list(await self._environment.platform.fetch_members())
--- /dev/null
+++ b/tinrudder/node_configuration.py
@@ -0,0 +1,120 @@
+"""The configuration of a node: read from the platform, exchanged with peers, put in force."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tinrudder.cluster.state_exchange import StateExchange
+from tinrudder.cluster.view import MemberStatus, MemberView
+from tinrudder.environment import Environment
+from tinrudder.logs import log_event, log_problem
+from tinrudder.peers import PeerAddress
+from tinrudder.platform.messages import PlatformUnavailableError
+from tinrudder.platform.poll_pace import poll_delay_s
+from tinrudder.resources.accepted import AcceptedState
+from tinrudder.resources.exchange import ReplicatedConfiguration
+from tinrudder.resources.store import ConfigurationStore
+from tinrudder.settings import NodeSettings, parse_seed_peers
+from tinrudder.wire.channels import Channel, ChannelRouter
+
+LEARN_TIMEOUT_S = 3.0
+
+
+class NodeConfiguration:
+    """Keeps the store in step with the platform and with the other nodes."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        environment: Environment,
+        channels: ChannelRouter,
+        view: Callable[[], MemberView],
+        on_change: Callable[[], None],
+    ) -> None:
+        """Call ``on_change`` after every change; nothing runs before :meth:`start`."""
+        self.store = ConfigurationStore()
+        self.exchange = StateExchange(
+            ReplicatedConfiguration(self.store),
+            channels.channel(Channel.CONFIGURATION),
+            environment.timers,
+            environment.random,
+            self._peers,
+        )
+        self._settings = settings
+        self._environment = environment
+        self._view = view
+        self._on_change = on_change
+        self._seeds = parse_seed_peers(settings.seed_peers)
+        self.store.subscribe(self._on_state)
+
+    async def start(self) -> None:
+        """Read the platform and ask peers: either may be down, or behind the other."""
+        await self.poll()
+        try:
+            async with asyncio.timeout(LEARN_TIMEOUT_S):
+                await self.exchange.learn_from_peers()
+        except TimeoutError:
+            log_problem("no peer stated its configuration in time")
+        self.exchange.start()
+
+    def stop(self) -> None:
+        """End the exchange."""
+        self.exchange.stop()
+
+    def poll_delay_s(self) -> float:
+        """Return seconds until the platform is to be read again."""
+        reachable = len(self._view().usable())
+        return poll_delay_s(reachable, self._settings.platform_poll_s, self._environment.random)
+
+    async def poll(self) -> None:
+        """Read the platform once; an unavailable one changes nothing."""
+        known = self.store.current.revision
+        try:
+            document = await self._environment.platform.fetch_resources(known)
+        except PlatformUnavailableError as error:
+            self.store.note_platform_unavailable(str(error))
+            log_problem("platform unavailable", {"error": str(error)})
+            return
+        if document is None:
+            self.store.note_platform_unchanged()
+            return
+        self.store.offer(document)
+        self._log_platform()
+
+    async def refresh(self) -> None:
+        """Compare with peers and the platform at once, as after a pause.
+
+        What is held stays in force meanwhile: it is ordered by revision, so it can only be behind.
+        """
+        self.exchange.refresh_now()
+        await self.poll()
+
+    def _peers(self) -> list[PeerAddress]:
+        """Return whom to exchange with: known members, else the seeds."""
+        own = self._settings.name
+        members = [
+            member.address
+            for member in self._view().members
+            if member.name != own and member.status is not MemberStatus.DEAD
+        ]
+        return members or list(self._seeds)
+
+    def _on_state(self, state: AcceptedState) -> None:
+        """Put a changed state in force and tell the others."""
+        problems = sum(1 for resource in state.resources.values() if resource.problem)
+        fields = {"revision": state.version.revision, "refused_resources": problems}
+        log_event("configuration in force", dict(fields))
+        self._on_change()
+        self.exchange.announce()
+
+    def _log_platform(self) -> None:
+        """Log what is odd about the document just read."""
+        seen = self.store.platform
+        if seen.refused:
+            log_problem("document refused", {"revision": seen.revision, "rule": seen.refused})
+        elif seen.behind:
+            in_force = self.store.current.revision
+            log_problem("platform behind", {"revision": seen.revision, "in_force": in_force})
+        elif seen.reused:
+            log_problem("revision reused", {"revision": seen.revision})
--- /dev/null
+++ b/tinrudder/resources/exchange.py
@@ -0,0 +1,108 @@
+"""The accepted state as the exchange between nodes sees it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from google.protobuf.message import DecodeError
+
+from tinrudder.cluster.replicated_state import MalformedUpdateError, StateHeader, StateUpdate
+from tinrudder.resources.accepted import (
+    BUCKET_COUNT,
+    AcceptedResource,
+    AcceptedState,
+    DocumentVersion,
+    ResourceKey,
+    bucket_of,
+    make_state,
+)
+from tinrudder.resources.store import ConfigurationStore
+from tinrudder.resources.validation import (
+    MAX_KEY_LENGTH,
+    MAX_PROBLEM_LENGTH,
+    MAX_RESOURCES,
+    MAX_REVISION,
+    MAX_SPEC_BYTES,
+)
+from tinrudder.wire import configuration_pb2
+
+
+class ReplicatedConfiguration:
+    """A :class:`tinrudder.cluster.replicated_state.ReplicatedState` over a store."""
+
+    def __init__(self, store: ConfigurationStore) -> None:
+        """Read and join the state of ``store``."""
+        self._store = store
+
+    def header(self) -> StateHeader:
+        """Return what is in force now."""
+        state = self._store.state
+        return StateHeader(state.version.revision, state.version.digest, state.digest)
+
+    def bucket_digests(self) -> Sequence[bytes]:
+        """Return one digest per bucket."""
+        return self._store.state.bucket_digests
+
+    def encode_buckets(self, buckets: Sequence[int]) -> list[bytes]:
+        """Return all entries of some buckets."""
+        held = self._store.state.buckets
+        return [
+            _encode(resource)
+            for bucket in buckets
+            if bucket < BUCKET_COUNT
+            for resource in held[bucket]
+        ]
+
+    def merge(self, update: StateUpdate) -> bool:
+        """Rebuild the peer's state from ours and what differs, check its digest, and join it."""
+        if len(update.entries) > MAX_RESOURCES or update.header.revision > MAX_REVISION:
+            raise MalformedUpdateError("update: too many entries, or revision out of range")
+        version = DocumentVersion(update.header.revision, update.header.document_digest)
+        theirs = [_decode(entry) for entry in update.entries]
+        ours = self._store.state.resources.values()
+        same = [resource for resource in ours if bucket_of(resource.key) not in update.buckets]
+        state: AcceptedState = make_state(version, [*same, *theirs])
+        if state.digest != update.header.state_digest:
+            raise MalformedUpdateError("update: does not have the digest it states")
+        return self._store.merge(state)
+
+
+def _encode(resource: AcceptedResource) -> bytes:
+    return configuration_pb2.ResourceEntry(
+        kind=resource.key.kind,
+        name=resource.key.name,
+        observed_generation=resource.observed_generation,
+        accepted_generation=resource.accepted_generation,
+        raw_spec=resource.raw_spec,
+        problem=resource.problem,
+        decided_revision=resource.decided_in.revision,
+        decided_digest=resource.decided_in.digest,
+    ).SerializeToString()
+
+
+def _decode(entry: bytes) -> AcceptedResource:
+    """Return a peer's entry.
+
+    :raises MalformedUpdateError: it breaks a limit.
+    """
+    message = configuration_pb2.ResourceEntry()
+    try:
+        message.ParseFromString(entry)
+    except DecodeError as error:
+        raise MalformedUpdateError(f"entry: {error}") from error
+    within_limits = (
+        len(message.kind) <= MAX_KEY_LENGTH
+        and len(message.name) <= MAX_KEY_LENGTH
+        and len(message.raw_spec) <= MAX_SPEC_BYTES
+        and len(message.problem) <= MAX_PROBLEM_LENGTH
+    )
+    if not within_limits:
+        raise MalformedUpdateError(f"entry {message.kind[:20]} {message.name[:20]}: too large")
+    return AcceptedResource(
+        ResourceKey(message.kind, message.name),
+        message.observed_generation,
+        message.accepted_generation,
+        message.raw_spec,
+        message.problem,
+        DocumentVersion(message.decided_revision, message.decided_digest),
+    )
--- a/tinrudder/settings.py
+++ b/tinrudder/settings.py
@@ -15,7 +15,10 @@
 import msgspec
 from msgspec import Meta
 
-Port = Annotated[int, Meta(ge=0, le=65535)]
+from tinrudder.peers import PeerAddress
+
+MAX_PORT = 65535
+Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
 MINIMUM_KEY_BYTES = 16
 SettingValue = str | int | float
 
@@ -34,6 +37,8 @@
     :param probe_interval_s: how often this node probes another one.
     :param cluster_key_file: keys shared by all nodes, one a line; the first seals, all open.
         Empty: the development key, which keeps nobody out.
+    :param seed_peers: ``HOST:PORT`` of other nodes, separated by commas: asked for the
+        configuration while no list of machines is known.
     :param platform_url: base URL of the platform's read-only service.
     :param stop_grace_s: how long a node that was told to stop goes on serving what arrives.
     :param stop_timeout_s: how long it then waits for what is in progress.
@@ -47,6 +52,7 @@
     peer_port: Port = 8081
     probe_interval_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
     cluster_key_file: str = ""
+    seed_peers: str = ""
     platform_url: Annotated[str, Meta(pattern="^https?://")]
     platform_poll_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
     stop_grace_s: Annotated[float, Meta(ge=0, le=60)] = 2.0
@@ -68,6 +74,7 @@
     except msgspec.ValidationError as error:
         raise SettingsError(f"{path or 'flags'}: {error}") from error
     _check_host(settings.host)
+    parse_seed_peers(settings.seed_peers)
     return settings
 
 
@@ -88,6 +95,27 @@
     return keys
 
 
+def parse_seed_peers(text: str) -> tuple[PeerAddress, ...]:
+    """Return the addresses of a ``seed_peers`` setting.
+
+    >>> parse_seed_peers("10.0.0.1:8081, 10.0.0.2:8081")[1]
+    PeerAddress(host='10.0.0.2', port=8081)
+
+    :raises SettingsError: an entry is not ``HOST:PORT`` with an IP address.
+    """
+    addresses = []
+    for entry in filter(None, (part.strip() for part in text.split(","))):
+        host, _, port = entry.rpartition(":")
+        if not port.isdecimal() or not 1 <= int(port) <= MAX_PORT:
+            raise SettingsError(f"seed_peers: must be HOST:PORT, got {entry!r}")
+        try:
+            ipaddress.ip_address(host)
+        except ValueError as error:
+            raise SettingsError(f"seed_peers: must be an IP address, got {host!r}") from error
+        addresses.append(PeerAddress(host, int(port)))
+    return tuple(addresses)
+
+
 def add_settings_flags(parser: argparse.ArgumentParser) -> None:
     """Add one flag per settings field."""
     for field in msgspec.structs.fields(NodeSettings):
--- /dev/null
+++ b/tinrudder/wire/configuration_codec.py
@@ -0,0 +1,176 @@
+"""Messages of the configuration exchange as protobuf bytes, with size limits both ways."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from google.protobuf.message import DecodeError
+
+from tinrudder.cluster.replicated_state import MalformedUpdateError, StateHeader
+from tinrudder.wire import configuration_pb2
+
+SHORT_DIGEST_BYTES = 8
+MAX_HEADER_DIGEST_BYTES = 64
+MAX_BUCKETS = 4096
+MAX_CHUNK_BYTES = 4 * 1024 * 1024
+COMPRESSION_LEVEL = 6
+
+
+@dataclass(frozen=True, slots=True)
+class PullRequest:
+    """Asks for what differs from the asker's buckets.
+
+    :param bucket_digests: of the asker, cut to ``SHORT_DIGEST_BYTES``.
+    :param state_digest: of the state whose later entries are wanted, empty for the first chunk.
+    :param skip: how many entries arrived already.
+    """
+
+    bucket_digests: tuple[bytes, ...]
+    state_digest: bytes = b""
+    skip: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PullAnswer:
+    """Some entries of the buckets that differ.
+
+    :param more: further entries follow; :param changed: the state asked for is gone.
+    """
+
+    header: StateHeader
+    differing: frozenset[int] = frozenset()
+    entries: tuple[bytes, ...] = ()
+    more: bool = False
+    changed: bool = False
+
+
+def encode_notice(header: StateHeader) -> bytes:
+    """Return the bytes of a notice."""
+    return configuration_pb2.StateNotice(header=_header_message(header)).SerializeToString()
+
+
+def decode_notice(payload: bytes) -> StateHeader:
+    """Return the header a notice states.
+
+    :raises MalformedUpdateError: the bytes are no notice.
+    """
+    message = configuration_pb2.StateNotice()
+    _parse(message, payload)
+    return _header(message.header)
+
+
+def encode_request(request: PullRequest) -> bytes:
+    """Return the bytes of a request."""
+    return configuration_pb2.PullRequest(
+        bucket_digests=b"".join(request.bucket_digests),
+        state_digest=request.state_digest,
+        skip=request.skip,
+    ).SerializeToString()
+
+
+def decode_request(payload: bytes) -> PullRequest:
+    """Return a request.
+
+    :raises MalformedUpdateError: the bytes are no request.
+    """
+    message = configuration_pb2.PullRequest()
+    _parse(message, payload)
+    joined = message.bucket_digests
+    if len(joined) % SHORT_DIGEST_BYTES or len(joined) > MAX_BUCKETS * SHORT_DIGEST_BYTES:
+        raise MalformedUpdateError("bucket_digests: not a whole number of digests")
+    starts = range(0, len(joined), SHORT_DIGEST_BYTES)
+    digests = tuple(joined[start : start + SHORT_DIGEST_BYTES] for start in starts)
+    return PullRequest(digests, message.state_digest, message.skip)
+
+
+def encode_answer(answer: PullAnswer) -> bytes:
+    """Return the bytes of an answer, its entries compressed."""
+    chunk = configuration_pb2.EntryChunk(entries=answer.entries).SerializeToString()
+    return configuration_pb2.PullAnswer(
+        header=_header_message(answer.header),
+        differing=_bits(answer.differing),
+        chunk=zlib.compress(chunk, COMPRESSION_LEVEL),
+        more=answer.more,
+        changed=answer.changed,
+    ).SerializeToString()
+
+
+def decode_answer(payload: bytes) -> PullAnswer:
+    """Return an answer.
+
+    :raises MalformedUpdateError: the bytes are no answer, or unpack to too much.
+    """
+    message = configuration_pb2.PullAnswer()
+    _parse(message, payload)
+    chunk = configuration_pb2.EntryChunk()
+    _parse(chunk, _unpack(message.chunk))
+    if len(message.differing) * 8 > MAX_BUCKETS:
+        raise MalformedUpdateError("differing: too many buckets")
+    return PullAnswer(
+        _header(message.header),
+        _positions(message.differing),
+        tuple(chunk.entries),
+        message.more,
+        message.changed,
+    )
+
+
+def short_digests(digests: Sequence[bytes]) -> tuple[bytes, ...]:
+    """Return digests as they travel; a rare collision shows in the whole state's digest."""
+    return tuple(digest[:SHORT_DIGEST_BYTES] for digest in digests)
+
+
+def _unpack(compressed: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    try:
+        content = decompressor.decompress(compressed, MAX_CHUNK_BYTES)
+    except zlib.error as error:
+        raise MalformedUpdateError(f"chunk: {error}") from error
+    if not decompressor.eof:
+        raise MalformedUpdateError(f"chunk: cut short, or more than {MAX_CHUNK_BYTES} bytes")
+    return content
+
+
+def _parse(
+    message: configuration_pb2.StateNotice
+    | configuration_pb2.PullRequest
+    | configuration_pb2.PullAnswer
+    | configuration_pb2.EntryChunk,
+    payload: bytes,
+) -> None:
+    try:
+        message.ParseFromString(payload)
+    except DecodeError as error:
+        raise MalformedUpdateError(str(error)) from error
+
+
+def _header_message(header: StateHeader) -> configuration_pb2.StateHeader:
+    return configuration_pb2.StateHeader(
+        revision=header.revision,
+        document_digest=header.document_digest,
+        state_digest=header.state_digest,
+    )
+
+
+def _header(message: configuration_pb2.StateHeader) -> StateHeader:
+    longest = max(len(message.document_digest), len(message.state_digest))
+    if longest > MAX_HEADER_DIGEST_BYTES:
+        raise MalformedUpdateError("header: digest too long")
+    return StateHeader(message.revision, message.document_digest, message.state_digest)
+
+
+def _bits(positions: frozenset[int]) -> bytes:
+    """Return a bit per position.
+
+    >>> _bits(frozenset({0, 9})).hex(), sorted(_positions(bytes.fromhex("0102")))
+    ('0102', [0, 9])
+    """
+    value = sum(1 << position for position in positions)
+    return value.to_bytes((value.bit_length() + 7) // 8, "little")
+
+
+def _positions(content: bytes) -> frozenset[int]:
+    value = int.from_bytes(content, "little")
+    return frozenset(position for position in range(value.bit_length()) if value >> position & 1)
