--- /dev/null
+++ b/tinrudder/api/operator_authentication.py
@@ -0,0 +1,54 @@
+"""Who asks for resources: an operator, by a credential of the settings, or a tenant."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from tinrudder.api.authentication import BEARER, authenticate
+from tinrudder.resources.configuration import Configuration
+
+_ABSENT_HASH = "0" * 64
+
+
+@dataclass(frozen=True, slots=True)
+class Viewer:
+    """Who looks at resources.
+
+    :param tenant: the tenant, ``None`` for an operator, who sees everything.
+    """
+
+    name: str
+    tenant: str | None = None
+
+    @property
+    def is_operator(self) -> bool:
+        """Tell whether everything may be seen."""
+        return self.tenant is None
+
+
+def authenticate_operator(authorization: str | None, credentials: Mapping[str, str]) -> str | None:
+    """Return the key id of an operator's ``Bearer KEY_ID.SECRET`` header, ``None`` if invalid.
+
+    The secret's hash is compared in constant time, also for an unknown key id.
+    """
+    if authorization is None or not authorization.startswith(BEARER):
+        return None
+    key_id, _, secret = authorization.removeprefix(BEARER).rpartition(".")
+    expected = credentials.get(key_id)
+    actual = hashlib.sha256(secret.encode()).hexdigest()
+    matches = hmac.compare_digest(actual, expected or _ABSENT_HASH)
+    return key_id if expected and matches else None
+
+
+def authenticate_viewer(
+    authorization: str | None, operators: Mapping[str, str], configuration: Configuration
+) -> Viewer | None:
+    """Return who asks, ``None`` if the credential is neither an operator's nor a tenant's."""
+    operator = authenticate_operator(authorization, operators)
+    if operator is not None:
+        return Viewer(operator)
+    tenant = authenticate(authorization, configuration)
+    return None if tenant is None else Viewer(tenant, tenant)
--- /dev/null
+++ b/tinrudder/api/resource_app.py
@@ -0,0 +1,221 @@
+"""The resource API: read, watch and validate on every node; writes go to the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response, StreamingResponse
+from starlette.routing import Route
+
+from tinrudder.api.operator_authentication import Viewer, authenticate_viewer
+from tinrudder.api.resource_bodies import (
+    ErrorBody,
+    NodeBody,
+    NodesBody,
+    ProblemBody,
+    ProposedResource,
+    ResourceListBody,
+    ValidateBody,
+    ValidationBody,
+    condition_bodies,
+    enforcement_body,
+    resource_body,
+)
+from tinrudder.api.resource_visibility import Snapshot, may_see, visible_keys
+from tinrudder.api.resource_watch import ResourceWatch, WatchRequest
+from tinrudder.platform.messages import RawResource, ResourceDocument
+from tinrudder.resources.accepted import ResourceKey
+from tinrudder.resources.status import StatusReporter
+from tinrudder.resources.store import ConfigurationStore
+from tinrudder.resources.validation import DocumentRefusedError, problems_of
+
+JSON = "application/json"
+NEWLINE_DELIMITED_JSON = "application/x-ndjson"
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+FORBIDDEN = 403
+NOT_FOUND = 404
+METHOD_NOT_ALLOWED = 405
+CONTENT_TOO_LARGE = 413
+TOO_MANY_REQUESTS = 429
+MAX_VALIDATE_BYTES = 4 * 1024 * 1024
+ALL_METHODS = ["GET", "PUT", "POST", "PATCH", "DELETE"]
+
+_validate_decoder = msgspec.json.Decoder(ValidateBody)
+
+
+@dataclass(frozen=True, slots=True)
+class ResourceApiSettings:
+    """What the API needs of the node's settings.
+
+    :param operators: SHA-256 of every operator's secret, by key id.
+    :param write_url: where operators write, empty if not known.
+    """
+
+    node: str
+    operators: Mapping[str, str]
+    write_url: str = ""
+
+
+class ResourceApplication:
+    """Answers ``/v1/resources``."""
+
+    def __init__(
+        self,
+        settings: ResourceApiSettings,
+        store: ConfigurationStore,
+        reporter: StatusReporter,
+        is_stopping: Callable[[], bool],
+    ) -> None:
+        """Show what is in force in ``store``."""
+        self._settings = settings
+        self._store = store
+        self._reporter = reporter
+        self._watch = ResourceWatch(store, reporter, is_stopping)
+
+    def routes(self) -> list[Route]:
+        """Return the routes, the fixed paths before those with names."""
+        return [
+            Route("/v1/resources", self._guarded(self._list), methods=ALL_METHODS),
+            Route("/v1/resources/watch", self._guarded(self._watch_lines), methods=ALL_METHODS),
+            Route("/v1/resources/nodes", self._guarded(self._nodes), methods=ALL_METHODS),
+            Route("/v1/resources/validate", self.validate, methods=["POST"]),
+            Route("/v1/resources/{kind}/{name}", self._guarded(self._get), methods=ALL_METHODS),
+        ]
+
+    async def validate(self, request: Request) -> Response:
+        """Judge proposed resources together with what is in force; operators only."""
+        viewer = self._viewer(request)
+        if viewer is None:
+            return _unauthorized()
+        if not viewer.is_operator:
+            return _operators_only()
+        body = await _read_body(request)
+        if body is None:
+            return _error(CONTENT_TOO_LARGE, "too_large", f"body: over {MAX_VALIDATE_BYTES} bytes")
+        try:
+            proposed = _validate_decoder.decode(body)
+            problems = problems_of(self._proposed_document(proposed.resources))
+        except (msgspec.MsgspecError, DocumentRefusedError) as error:
+            return _error(BAD_REQUEST, "invalid", str(error))
+        bodies = tuple(ProblemBody(one.key.kind, one.key.name, one.text) for one in problems)
+        return _json(ValidationBody(not bodies, bodies))
+
+    def _guarded(self, handler: Callable[[Request, Viewer], Response]) -> Callable[..., object]:
+        """Return an endpoint that knows its viewer and refuses writes."""
+
+        async def endpoint(request: Request) -> Response:
+            viewer = self._viewer(request)
+            if viewer is None:
+                return _unauthorized()
+            if request.method not in ("GET", "HEAD"):
+                return self._read_only(viewer)
+            return handler(request, viewer)
+
+        return endpoint
+
+    def _viewer(self, request: Request) -> Viewer | None:
+        authorization = request.headers.get("authorization")
+        return authenticate_viewer(authorization, self._settings.operators, self._store.current)
+
+    def _read_only(self, viewer: Viewer) -> Response:
+        """Say where to write instead."""
+        detail = "resources are read-only here: write them to the platform"
+        write_url = self._settings.write_url if viewer.is_operator else ""
+        body = ErrorBody("read_only", detail, write_url)
+        content = msgspec.json.encode(body)
+        return Response(content, METHOD_NOT_ALLOWED, {"Allow": "GET, HEAD"}, JSON)
+
+    def _list(self, request: Request, viewer: Viewer) -> Response:
+        kind = request.query_params.get("kind", "")
+        snapshot = self._snapshot()
+        keys = visible_keys(viewer, snapshot)
+        resources = tuple(
+            resource_body(
+                viewer, snapshot.state.resources[key], self._reporter, self._changed_at(key)
+            )
+            for key in keys
+            if not kind or key.kind == kind
+        )
+        return _json(ResourceListBody(snapshot.configuration.revision, resources))
+
+    def _get(self, request: Request, viewer: Viewer) -> Response:
+        key = ResourceKey(request.path_params["kind"], request.path_params["name"])
+        resource = self._store.state.resources.get(key)
+        if resource is None or not may_see(viewer, key, self._store.current):
+            return _error(NOT_FOUND, "not_found", f"no {key.kind} {key.name}")
+        return _json(resource_body(viewer, resource, self._reporter, self._changed_at(key)))
+
+    def _watch_lines(self, request: Request, viewer: Viewer) -> Response:
+        text = request.query_params.get("from_revision", "0")
+        if not text.isdecimal():
+            return _error(BAD_REQUEST, "invalid", "from_revision: must be a whole number")
+        if not self._watch.has_room(viewer):
+            return _error(TOO_MANY_REQUESTS, "too_many_watches", "end another watch first")
+        watch = WatchRequest(viewer, request.query_params.get("kind", ""), int(text))
+        return StreamingResponse(self._watch.lines(watch), media_type=NEWLINE_DELIMITED_JSON)
+
+    def _nodes(self, request: Request, viewer: Viewer) -> Response:
+        if not viewer.is_operator:
+            return _operators_only()
+        text = request.query_params.get("revision", str(self._store.current.revision))
+        if not text.isdecimal():
+            return _error(BAD_REQUEST, "invalid", "revision: must be a whole number")
+        nodes = tuple(
+            NodeBody(one.name, one.zone, one.status, one.revision) for one in self._reporter.nodes()
+        )
+        body = NodesBody(
+            self._settings.node,
+            self._store.current.revision,
+            self._store.state.digest.hex(),
+            enforcement_body(self._reporter.enforcement(int(text))),
+            nodes,
+            condition_bodies(self._reporter.platform_conditions()),
+        )
+        return _json(body)
+
+    def _proposed_document(self, proposed: tuple[ProposedResource, ...]) -> ResourceDocument:
+        """Return what is in force with the proposed resources in place of their namesakes."""
+        replaced = {(one.kind, one.name) for one in proposed}
+        kept = tuple(
+            RawResource(key.kind, key.name, held.accepted_generation, msgspec.Raw(held.raw_spec))
+            for key, held in self._store.state.resources.items()
+            if held.raw_spec and key not in replaced
+        )
+        new = tuple(RawResource(one.kind, one.name, 1, one.spec) for one in proposed)
+        return ResourceDocument(self._store.current.revision + 1, kept + new)
+
+    def _changed_at(self, key: ResourceKey) -> int:
+        return self._store.changes.since.get(key, self._store.current.revision)
+
+    def _snapshot(self) -> Snapshot:
+        return Snapshot(self._store.state, self._store.current)
+
+
+async def _read_body(request: Request) -> bytes | None:
+    """Return the body, ``None`` when it is longer than allowed."""
+    body = bytearray()
+    async for part in request.stream():
+        body += part
+        if len(body) > MAX_VALIDATE_BYTES:
+            return None
+    return bytes(body)
+
+
+def _json(body: msgspec.Struct) -> Response:
+    return Response(msgspec.json.encode(body), media_type=JSON)
+
+
+def _error(status: int, error: str, detail: str) -> Response:
+    return Response(msgspec.json.encode(ErrorBody(error, detail)), status, media_type=JSON)
+
+
+def _unauthorized() -> Response:
+    return _error(UNAUTHORIZED, "unauthorized", "authorization: not a valid credential")
+
+
+def _operators_only() -> Response:
+    return _error(FORBIDDEN, "forbidden", "for operators only")
--- /dev/null
+++ b/tinrudder/api/resource_bodies.py
@@ -0,0 +1,170 @@
+"""JSON bodies of the resource API, and what of a resource each viewer may see."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from tinrudder.api.operator_authentication import Viewer
+from tinrudder.resources.accepted import AcceptedResource
+from tinrudder.resources.model import Kind, TenantSpec
+from tinrudder.resources.status import Condition, ConditionType, Enforcement, StatusReporter
+
+ASK_AN_OPERATOR = "the newest generation was refused; operators see why"
+NO_SPEC = msgspec.Raw(b"null")
+
+
+class ConditionBody(msgspec.Struct, frozen=True):
+    """A condition; ``status`` is ``True`` in the healthy state."""
+
+    type: str
+    status: bool
+    reason: str
+    message: str
+
+
+class ResourceBody(msgspec.Struct, frozen=True):
+    """A resource: the spec in force and its status.
+
+    :param changed_at: revision at which this node saw it change last.
+    """
+
+    kind: str
+    name: str
+    observed_generation: int
+    accepted_generation: int
+    changed_at: int
+    spec: msgspec.Raw
+    conditions: tuple[ConditionBody, ...]
+
+
+class ResourceListBody(msgspec.Struct, frozen=True):
+    """Resources at one revision."""
+
+    revision: int
+    resources: tuple[ResourceBody, ...]
+
+
+class NodeBody(msgspec.Struct, frozen=True):
+    """A member and what it enforces."""
+
+    name: str
+    zone: str
+    status: str
+    revision: int
+
+
+class EnforcementBody(msgspec.Struct, frozen=True):
+    """How many nodes enforce a revision or a newer one."""
+
+    revision: int
+    enforcing: int
+    nodes: int
+    lagging: tuple[str, ...]
+
+
+class NodesBody(msgspec.Struct, frozen=True):
+    """All members, and how the answering node sees the platform."""
+
+    answered_by: str
+    revision: int
+    digest: str
+    enforcement: EnforcementBody
+    nodes: tuple[NodeBody, ...]
+    platform: tuple[ConditionBody, ...]
+
+
+class ProposedResource(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A resource somebody may write."""
+
+    kind: str
+    name: str
+    spec: msgspec.Raw
+
+
+class ValidateBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What to validate together with what is in force."""
+
+    resources: tuple[ProposedResource, ...]
+
+
+class ProblemBody(msgspec.Struct, frozen=True):
+    """One broken rule."""
+
+    kind: str
+    name: str
+    problem: str
+
+
+class ValidationBody(msgspec.Struct, frozen=True):
+    """The result of a validation."""
+
+    valid: bool
+    problems: tuple[ProblemBody, ...]
+
+
+class ErrorBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Any error.
+
+    :param write_url: where to write instead, if known.
+    """
+
+    error: str
+    detail: str
+    write_url: str = ""
+
+
+def condition_bodies(conditions: Sequence[Condition]) -> tuple[ConditionBody, ...]:
+    """Return conditions as JSON bodies."""
+    return tuple(
+        ConditionBody(one.type.value, one.holds, one.reason, one.message) for one in conditions
+    )
+
+
+def enforcement_body(enforcement: Enforcement) -> EnforcementBody:
+    """Return an enforcement as a JSON body."""
+    return EnforcementBody(
+        enforcement.revision, enforcement.enforcing, enforcement.nodes, enforcement.lagging
+    )
+
+
+def resource_body(
+    viewer: Viewer, resource: AcceptedResource, reporter: StatusReporter, changed_at: int
+) -> ResourceBody:
+    """Return what a viewer, who may see the resource, sees of it."""
+    conditions = condition_bodies(reporter.conditions_of(resource))
+    spec = msgspec.Raw(resource.raw_spec) if resource.raw_spec else NO_SPEC
+    if viewer.tenant is not None:
+        conditions = tuple(map(_without_names, conditions))
+        spec = _spec_for_tenant(viewer.tenant, resource)
+    return ResourceBody(
+        resource.key.kind,
+        resource.key.name,
+        resource.observed_generation,
+        resource.accepted_generation,
+        changed_at,
+        spec,
+        conditions,
+    )
+
+
+def _without_names(condition: ConditionBody) -> ConditionBody:
+    """Drop what may name other tenants or machines."""
+    message = condition.message.partition(";")[0]
+    if condition.type == ConditionType.ACCEPTED and not condition.status:
+        message = ASK_AN_OPERATOR
+    return msgspec.structs.replace(condition, message=message)
+
+
+def _spec_for_tenant(tenant: str, resource: AcceptedResource) -> msgspec.Raw:
+    """Return the spec without hashes of secrets and without other tenants."""
+    spec = resource.spec
+    if spec is None:
+        return NO_SPEC
+    fields = msgspec.to_builtins(spec)
+    if isinstance(spec, TenantSpec):
+        fields["credentials"] = [{"key_id": one.key_id} for one in spec.credentials]
+    elif resource.key.kind == Kind.SERVICE:
+        fields["tenants"] = [tenant]
+    return msgspec.Raw(msgspec.json.encode(fields))
--- /dev/null
+++ b/tinrudder/api/resource_visibility.py
@@ -0,0 +1,82 @@
+"""What of the accepted state a viewer may know to exist."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tinrudder.api.operator_authentication import Viewer
+from tinrudder.resources.accepted import AcceptedState, ResourceKey
+from tinrudder.resources.configuration import Configuration
+from tinrudder.resources.model import Kind
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The accepted state and its view at one moment."""
+
+    state: AcceptedState
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class VisibleChanges:
+    """What a viewer sees change between two snapshots, sorted."""
+
+    changed: tuple[ResourceKey, ...]
+    deleted: tuple[ResourceKey, ...]
+
+
+def may_see(viewer: Viewer, key: ResourceKey, configuration: Configuration) -> bool:
+    """Tell whether a viewer may know that a resource exists.
+
+    A tenant sees itself, the services it may use and their rules.
+    """
+    if viewer.tenant is None:
+        return True
+    if key.kind == Kind.TENANT:
+        return key.name == viewer.tenant
+    if key.kind == Kind.QUERY_RULE:
+        rule = configuration.rules.get(key.name)
+        return rule is not None and _uses(viewer.tenant, rule.service, configuration)
+    return key.kind == Kind.SERVICE and _uses(viewer.tenant, key.name, configuration)
+
+
+def visible_keys(viewer: Viewer, snapshot: Snapshot) -> list[ResourceKey]:
+    """Return all a viewer may see, sorted."""
+    keys = sorted(snapshot.state.resources)
+    return [key for key in keys if may_see(viewer, key, snapshot.configuration)]
+
+
+def visible_changes(viewer: Viewer, before: Snapshot, after: Snapshot) -> VisibleChanges:
+    """Return what a viewer sees change; what it may no longer see counts as deleted."""
+    changed: list[ResourceKey] = []
+    deleted: list[ResourceKey] = []
+    for key in _candidates(viewer, before, after):
+        old = before.state.resources.get(key)
+        new = after.state.resources.get(key)
+        was_seen = old is not None and may_see(viewer, key, before.configuration)
+        is_seen = new is not None and may_see(viewer, key, after.configuration)
+        if was_seen and not is_seen:
+            deleted.append(key)
+        elif is_seen and not (was_seen and old and new and old.digest == new.digest):
+            changed.append(key)
+    return VisibleChanges(tuple(changed), tuple(deleted))
+
+
+def _candidates(viewer: Viewer, before: Snapshot, after: Snapshot) -> list[ResourceKey]:
+    """Return the keys that can differ, sorted."""
+    if viewer.tenant is not None:
+        # A change of one resource can show or hide others, so all that is visible counts.
+        return sorted({*visible_keys(viewer, before), *visible_keys(viewer, after)})
+    keys: set[ResourceKey] = set()
+    digests = zip(before.state.bucket_digests, after.state.bucket_digests, strict=True)
+    for number, (old, new) in enumerate(digests):
+        if old != new:
+            for state in (before.state, after.state):
+                keys.update(resource.key for resource in state.buckets[number])
+    return sorted(keys)
+
+
+def _uses(tenant: str, service: str, configuration: Configuration) -> bool:
+    spec = configuration.services.get(service)
+    return spec is not None and tenant in spec.tenants
--- /dev/null
+++ b/tinrudder/resources/status.py
@@ -0,0 +1,132 @@
+"""Status of resources and nodes: what was asked for, what is accepted, and where it is in force."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+from tinrudder.resources.accepted import AcceptedResource
+from tinrudder.resources.store import ConfigurationStore
+
+MAX_LAGGING_NAMED = 50
+
+
+class ConditionType(enum.StrEnum):
+    """What a condition is about; docs/CONFIGURATION.md tells operators what to do."""
+
+    ACCEPTED = "Accepted"
+    ENFORCED = "Enforced"
+    PLATFORM_AVAILABLE = "PlatformAvailable"
+    PLATFORM_CURRENT = "PlatformCurrent"
+    REVISION_UNIQUE = "RevisionUnique"
+    DOCUMENT_VALID = "DocumentValid"
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """One statement; every type is worded so that ``True`` is the healthy state."""
+
+    type: ConditionType
+    holds: bool
+    reason: str
+    message: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeRevision:
+    """A member and the newest revision it is known to enforce, 0 for none."""
+
+    name: str
+    zone: str
+    status: str
+    revision: int
+
+
+NodeRevisions = Callable[[], Sequence[NodeRevision]]
+
+
+@dataclass(frozen=True, slots=True)
+class Enforcement:
+    """How many nodes enforce a revision or a newer one.
+
+    :param lagging: names of the others, at most ``MAX_LAGGING_NAMED`` of them.
+    """
+
+    revision: int
+    enforcing: int
+    nodes: int
+    lagging: tuple[str, ...]
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether every node enforces it."""
+        return self.enforcing == self.nodes
+
+
+class StatusReporter:
+    """Derives conditions from the store and from what members say they enforce."""
+
+    def __init__(self, store: ConfigurationStore, nodes: NodeRevisions) -> None:
+        """Report on ``store``; ``nodes`` includes this node."""
+        self._store = store
+        self._nodes = nodes
+
+    def nodes(self) -> tuple[NodeRevision, ...]:
+        """Return every member, sorted by name."""
+        return tuple(sorted(self._nodes(), key=lambda node: node.name))
+
+    def enforcement(self, revision: int) -> Enforcement:
+        """Return how many nodes enforce a revision."""
+        nodes = self.nodes()
+        lagging = tuple(node.name for node in nodes if node.revision < revision)
+        enforcing = len(nodes) - len(lagging)
+        return Enforcement(revision, enforcing, len(nodes), lagging[:MAX_LAGGING_NAMED])
+
+    def conditions_of(self, resource: AcceptedResource) -> tuple[Condition, ...]:
+        """Return a resource's conditions."""
+        since = self._store.changes.since.get(resource.key, self._store.current.revision)
+        enforcement = self.enforcement(since)
+        return (_accepted(resource), enforced_condition(enforcement))
+
+    def platform_conditions(self) -> tuple[Condition, ...]:
+        """Return what this node, by itself, last saw of the platform."""
+        seen = self._store.platform
+        in_force = self._store.current.revision
+        behind = f"platform has revision {seen.revision}, {in_force} is in force"
+        reused = f"revision {seen.revision} came with other content than the one in force"
+        return (
+            _statement(
+                ConditionType.PLATFORM_AVAILABLE,
+                not seen.unavailable,
+                "Unavailable",
+                seen.unavailable,
+            ),
+            _statement(ConditionType.PLATFORM_CURRENT, not seen.behind, "Behind", behind),
+            _statement(ConditionType.REVISION_UNIQUE, not seen.reused, "Reused", reused),
+            _statement(ConditionType.DOCUMENT_VALID, not seen.refused, "Refused", seen.refused),
+        )
+
+
+def enforced_condition(enforcement: Enforcement) -> Condition:
+    """Return the condition that states an enforcement."""
+    counts = f"{enforcement.enforcing} of {enforcement.nodes} nodes"
+    if enforcement.complete:
+        return Condition(ConditionType.ENFORCED, True, "Everywhere", counts)
+    unnamed = enforcement.nodes - enforcement.enforcing - len(enforcement.lagging)
+    names = ", ".join(enforcement.lagging) + (f" and {unnamed} more" if unnamed else "")
+    return Condition(ConditionType.ENFORCED, False, "Lagging", f"{counts}; lagging: {names}")
+
+
+def _accepted(resource: AcceptedResource) -> Condition:
+    if not resource.problem:
+        return Condition(ConditionType.ACCEPTED, True, "Valid")
+    if not resource.raw_spec:
+        return Condition(ConditionType.ACCEPTED, False, "NeverAccepted", resource.problem)
+    return Condition(ConditionType.ACCEPTED, False, "LastGoodInForce", resource.problem)
+
+
+def _statement(condition_type: ConditionType, holds: bool, reason: str, message: str) -> Condition:
+    if holds:
+        return Condition(condition_type, True, "AsExpected")
+    return Condition(condition_type, False, reason, message)
--- a/tinrudder/resources/store.py
+++ b/tinrudder/resources/store.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
-from types import MappingProxyType
 
 from tinrudder.platform.messages import ResourceDocument
-from tinrudder.resources.accepted import EMPTY_STATE, AcceptedState, ResourceKey, join_states
+from tinrudder.resources.accepted import EMPTY_STATE, AcceptedState, join_states
+from tinrudder.resources.change_log import ChangeLog
 from tinrudder.resources.configuration import Configuration, build_configuration
 from tinrudder.resources.rules import PolicyNames
 from tinrudder.resources.validation import DocumentRefusedError, state_of_document
@@ -47,17 +47,12 @@
         self.platform = PlatformObservation()
         self._policies = policies or PolicyNames()
         self._listeners: list[StateListener] = []
-        self._since: dict[ResourceKey, int] = {}
+        self.changes = ChangeLog()
 
     def subscribe(self, listener: StateListener) -> None:
         """Call ``listener`` after every change of the accepted state."""
         self._listeners.append(listener)
 
-    @property
-    def since(self) -> Mapping[ResourceKey, int]:
-        """The revision at which each resource last changed, as far as this node has seen."""
-        return MappingProxyType(self._since)
-
     def offer(self, document: ResourceDocument) -> bool:
         """Take a document of the platform.
 
@@ -96,22 +91,8 @@
             return False
         former = self.state
         self.state = joined
-        self._note_changes(former)
+        self.changes.note(former, joined)
         self.current = build_configuration(joined.version.revision, joined.resources)
         for listener in tuple(self._listeners):
             listener(joined)
         return True
-
-    def _note_changes(self, former: AcceptedState) -> None:
-        """Remember at which revision each resource changed."""
-        revision = self.state.version.revision
-        for number, digest in enumerate(self.state.bucket_digests):
-            if digest == former.bucket_digests[number]:
-                continue
-            before = {resource.key: resource for resource in former.buckets[number]}
-            for resource in self.state.buckets[number]:
-                old = before.pop(resource.key, None)
-                if old is None or old.digest != resource.digest:
-                    self._since[resource.key] = revision
-            for key in before:
-                del self._since[key]
--- a/tinrudder/settings.py
+++ b/tinrudder/settings.py
@@ -7,6 +7,7 @@
 
 import argparse
 import ipaddress
+import re
 import tomllib
 import typing
 from pathlib import Path
@@ -20,6 +21,7 @@
 MAX_PORT = 65535
 Port = Annotated[int, Meta(ge=0, le=MAX_PORT)]
 MINIMUM_KEY_BYTES = 16
+SHA256_PATTERN = re.compile("[0-9a-f]{64}")
 SettingValue = str | int | float
 
 
@@ -39,6 +41,8 @@
         Empty: the development key, which keeps nobody out.
     :param seed_peers: ``HOST:PORT`` of other nodes, separated by commas: asked for the
         configuration while no list of machines is known.
+    :param operator_credentials: ``KEY_ID:SHA256`` of operators' secrets, separated by commas.
+    :param platform_write_url: where operators write resources; only told to them, never used.
     :param platform_url: base URL of the platform's read-only service.
     :param stop_grace_s: how long a node that was told to stop goes on serving what arrives.
     :param stop_timeout_s: how long it then waits for what is in progress.
@@ -53,6 +57,8 @@
     probe_interval_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
     cluster_key_file: str = ""
     seed_peers: str = ""
+    operator_credentials: str = ""
+    platform_write_url: str = ""
     platform_url: Annotated[str, Meta(pattern="^https?://")]
     platform_poll_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
     stop_grace_s: Annotated[float, Meta(ge=0, le=60)] = 2.0
@@ -75,6 +81,7 @@
         raise SettingsError(f"{path or 'flags'}: {error}") from error
     _check_host(settings.host)
     parse_seed_peers(settings.seed_peers)
+    parse_operator_credentials(settings.operator_credentials)
     return settings
 
 
@@ -116,6 +123,22 @@
     return tuple(addresses)
 
 
+def parse_operator_credentials(text: str) -> dict[str, str]:
+    """Return the SHA-256 of every operator's secret, by key id.
+
+    :raises SettingsError: an entry is not ``KEY_ID:SHA256``, or a key id stands twice.
+    """
+    credentials: dict[str, str] = {}
+    for entry in filter(None, (part.strip() for part in text.split(","))):
+        key_id, _, digest = entry.partition(":")
+        if not key_id or not SHA256_PATTERN.fullmatch(digest):
+            raise SettingsError("operator_credentials: must be KEY_ID:SHA256 in hexadecimal")
+        if key_id in credentials:
+            raise SettingsError(f"operator_credentials: {key_id!r} is listed more than once")
+        credentials[key_id] = digest
+    return credentials
+
+
 def add_settings_flags(parser: argparse.ArgumentParser) -> None:
     """Add one flag per settings field."""
     for field in msgspec.structs.fields(NodeSettings):
