--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -8,7 +8,7 @@
 from tinrudder.cluster.view import MemberStatus, MemberView, build_view
 from tinrudder.environment import Environment
 from tinrudder.lifecycle import NodeLifecycle
-from tinrudder.logs import log_event, log_problem
+from tinrudder.logs import LogValue, log_event, log_problem
 from tinrudder.node_configuration import NodeConfiguration
 from tinrudder.node_membership import NodeMembership
 from tinrudder.platform.messages import PlatformUnavailableError
@@ -125,7 +125,15 @@
         await self._environment.backends.close()
         await self._environment.peers.close()
         self.lifecycle.finish()  # type: ignore[attr-defined]
-        log_event("stopped", {"in_progress": self.in_progress})
+        counters = self.entry.counters
+        fields: dict[str, LogValue] = {
+            "in_progress": self.in_progress,
+            "local": counters.local,
+            "relayed": counters.relayed,
+            "lost": counters.lost,
+            "fallback": counters.fallback,
+        }
+        log_event("stopped", fields)
 
     def on_view_changed(self, view: MemberView) -> None:
         """Take a new view of the members; coordinator sets and slot shares follow it."""
