--- /dev/null
+++ b/tests/functional/test_peer_transport.py
@@ -0,0 +1,243 @@
+"""Requests between nodes over loopback TCP: refusals, bad peers, cancellation and TLS."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import struct
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+import trustme
+
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
+from tinrudder.tls import Identity, TlsError, TlsFiles
+from tinrudder.wire import peer_server
+from tinrudder.wire.frames import MAX_FRAME_BYTES, Frame, FrameType, encode_frame
+from tinrudder.wire.peer_transport import TcpPeerTransport
+
+HOST = "127.0.0.1"
+TIMEOUT_S = 5.0
+
+
+class Handler:
+    """Echoes; ``hold`` waits to be cancelled, ``fail`` raises."""
+
+    def __init__(self) -> None:
+        self.started: list[bytes] = []
+        self.cancelled = asyncio.Event()
+        self.holding = asyncio.Event()
+
+    async def __call__(self, _source: PeerAddress, payload: bytes) -> bytes:
+        self.started.append(payload)
+        if payload == b"fail":
+            raise RuntimeError("secret of a tenant")
+        if payload == b"hold":
+            self.holding.set()
+            try:
+                await asyncio.Event().wait()
+            finally:
+                self.cancelled.set()
+        return payload
+
+
+@contextlib.asynccontextmanager
+async def serving(
+    identity: Identity | None = None,
+) -> AsyncIterator[tuple[PeerAddress, Handler, TcpPeerTransport]]:
+    transport = TcpPeerTransport(HOST, 0, identity)
+    handler = Handler()
+    transport.listen(lambda _source, _payload: None, handler)
+    address = await transport.open()
+    try:
+        yield address, handler, transport
+    finally:
+        await transport.close()
+
+
+async def ask(address: PeerAddress, identity: Identity | None = None) -> bytes:
+    transport = TcpPeerTransport(HOST, 0, identity)
+    try:
+        return await transport.request(address, b"hello", TIMEOUT_S)
+    finally:
+        await transport.close()
+
+
+def test_failed_handler_is_an_error_without_its_text() -> None:
+    async def scenario() -> None:
+        async with serving() as (address, _, transport):
+            with pytest.raises(PeerLostError, match="RuntimeError") as caught:
+                await transport.request(address, b"fail", TIMEOUT_S)
+            assert "secret" not in str(caught.value)
+            assert await transport.request(address, b"again", TIMEOUT_S) == b"again"
+
+    asyncio.run(scenario())
+
+
+def test_cancelled_request_cancels_the_handler() -> None:
+    async def scenario() -> None:
+        async with serving() as (address, handler, transport):
+            request = asyncio.create_task(transport.request(address, b"hold", TIMEOUT_S))
+            await handler.holding.wait()
+            request.cancel()
+            async with asyncio.timeout(TIMEOUT_S):
+                await handler.cancelled.wait()
+
+    asyncio.run(scenario())
+
+
+def test_requests_beyond_the_bound_are_refused_as_not_started(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(peer_server, "MAX_REQUESTS_IN_FLIGHT", 1)
+
+    async def scenario() -> None:
+        async with serving() as (address, handler, transport):
+            held = asyncio.create_task(transport.request(address, b"hold", TIMEOUT_S))
+            await handler.holding.wait()
+            with pytest.raises(PeerNotSentError):
+                await transport.request(address, b"more", TIMEOUT_S)
+            assert handler.started == [b"hold"]
+            held.cancel()
+
+    asyncio.run(scenario())
+
+
+def test_request_and_cancel_read_together_start_nothing() -> None:
+    async def scenario() -> None:
+        async with serving() as (address, handler, transport):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+            request = encode_frame(Frame(FrameType.REQUEST, 1, b"late"))
+            writer.write(request + encode_frame(Frame(FrameType.CANCEL, 1)))
+            assert await transport.request(address, b"other", TIMEOUT_S) == b"other"
+            assert b"late" not in handler.started
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "garbage",
+    [
+        struct.pack("!IBQ", MAX_FRAME_BYTES + 1, FrameType.REQUEST, 1),
+        struct.pack("!IBQ", 0, 99, 1),
+        encode_frame(Frame(FrameType.ANSWER, 1, b"unasked")),
+        b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+    ],
+)
+def test_garbage_costs_its_sender_the_connection(garbage: bytes) -> None:
+    async def scenario() -> None:
+        async with serving() as (address, handler, transport):
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            writer.write(garbage)
+            async with asyncio.timeout(TIMEOUT_S):
+                assert await reader.read() == b""
+            writer.close()
+            assert await transport.request(address, b"fine", TIMEOUT_S) == b"fine"
+            assert handler.started == [b"fine"]
+
+    asyncio.run(scenario())
+
+
+def test_lost_connection_is_lost_and_the_next_request_connects_again() -> None:
+    async def scenario() -> None:
+        client = TcpPeerTransport(HOST, 0)
+        async with serving() as (address, handler, _):
+            held = asyncio.create_task(client.request(address, b"hold", TIMEOUT_S))
+            await handler.holding.wait()
+        with pytest.raises(PeerLostError):
+            await held
+        with pytest.raises(PeerNotSentError):
+            await client.request(address, b"gone", TIMEOUT_S)
+        restarted = TcpPeerTransport(HOST, address.port)
+        restarted.listen(lambda _source, _payload: None, Handler())
+        await restarted.open()
+        assert await client.request(address, b"back", TIMEOUT_S) == b"back"
+        await restarted.close()
+        await client.close()
+
+    asyncio.run(scenario())
+
+
+class Authority:
+    """A certificate authority that writes identities into a directory."""
+
+    def __init__(self, directory: Path) -> None:
+        self.directory = directory
+        self.renew()
+
+    def renew(self) -> None:
+        """Start a new authority and issue a certificate, over the old files."""
+        authority = trustme.CA()
+        certificate = authority.issue_cert(HOST)
+        authority.cert_pem.write_to_path(str(self.directory / "ca.pem"))
+        certificate.cert_chain_pems[0].write_to_path(str(self.directory / "cert.pem"))
+        certificate.private_key_pem.write_to_path(str(self.directory / "key.pem"))
+
+    def identity(self) -> Identity:
+        names = ("cert.pem", "key.pem", "ca.pem")
+        return Identity(TlsFiles(*(self.directory / name for name in names)))
+
+
+@pytest.fixture
+def authorities(tmp_path: Path) -> tuple[Authority, Authority]:
+    (tmp_path / "ours").mkdir()
+    (tmp_path / "foreign").mkdir()
+    return Authority(tmp_path / "ours"), Authority(tmp_path / "foreign")
+
+
+def test_nodes_of_another_authority_or_without_tls_are_refused(
+    authorities: tuple[Authority, Authority],
+) -> None:
+    ours, foreign = authorities
+
+    async def scenario() -> None:
+        async with serving(ours.identity()) as (address, handler, _):
+            assert await ask(address, ours.identity()) == b"hello"
+            for stranger in (foreign.identity(), None):
+                with pytest.raises((PeerNotSentError, PeerLostError)):
+                    await ask(address, stranger)
+            assert handler.started == [b"hello"]
+
+    asyncio.run(scenario())
+
+
+def test_certificates_rotate_while_connections_stay_open(
+    authorities: tuple[Authority, Authority],
+) -> None:
+    ours, _ = authorities
+
+    async def scenario() -> None:
+        identity = ours.identity()
+        async with serving(identity) as (address, _handler, _):
+            before = ours.identity()
+            client = TcpPeerTransport(HOST, 0, before)
+            assert await client.request(address, b"open", TIMEOUT_S) == b"open"
+            ours.renew()
+            assert identity.reload_if_changed()
+            assert not identity.reload_if_changed()
+            assert await ask(address, ours.identity()) == b"hello"
+            with pytest.raises((PeerNotSentError, PeerLostError)):
+                await ask(address, before)
+            assert await client.request(address, b"still", TIMEOUT_S) == b"still"
+            await client.close()
+
+    asyncio.run(scenario())
+
+
+def test_half_written_files_change_nothing(authorities: tuple[Authority, Authority]) -> None:
+    ours, _ = authorities
+
+    async def scenario() -> None:
+        identity = ours.identity()
+        client = ours.identity()
+        async with serving(identity) as (address, _, _):
+            (ours.directory / "key.pem").write_text("-----BEGIN")
+            with pytest.raises(TlsError):
+                identity.reload_if_changed()
+            assert await ask(address, client) == b"hello"
+            ours.renew()
+            assert identity.reload_if_changed()
+
+    asyncio.run(scenario())
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -37,6 +37,8 @@
         ('seed_peers = "somewhere:1"', "seed_peers: must be an IP address"),
         ('seed_peers = "10.0.0.1"', "seed_peers: must be HOST:PORT"),
         ("caller_port = ", "not TOML"),
+        ('peer_tls_key = "key.pem"', "peer_tls_certificate: needed"),
+        ("stop_grace_s = -1", "stop_grace_s"),
     ],
 )
 def test_bad_settings_name_field_and_rule(tmp_path: Path, line: str, expected: str) -> None:
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -13,11 +13,13 @@
 
 import msgspec
 import uvicorn
+from starlette.types import ASGIApp
 
 from tinrudder.api.caller_app import CallerApplication
 from tinrudder.api.cursor import CursorCodec
 from tinrudder.api.health import CloseWhenStopping, health_routes
 from tinrudder.backends.http_transport import HttpBackendTransport
+from tinrudder.cli.tls_edges import build_edges, follow_files
 from tinrudder.environment import DEVELOPMENT_CLUSTER_KEYS, Environment
 from tinrudder.garbage_collection import tune_garbage_collection
 from tinrudder.logs import configure_logs, log_problem
@@ -31,6 +33,7 @@
     load_settings,
     read_cluster_keys,
 )
+from tinrudder.tls import Identity, TlsError
 from tinrudder.wire.peer_transport import TcpPeerTransport
 
 EXIT_OK = 0
@@ -66,7 +69,11 @@
     configure_logs(settings.name, settings.log_level)
     if not cluster_keys:
         log_problem("no cluster key: anyone may join", {"setting": "cluster_key_file"})
-    asyncio.run(serve(settings, cluster_keys or DEVELOPMENT_CLUSTER_KEYS))
+    try:
+        asyncio.run(serve(settings, cluster_keys or DEVELOPMENT_CLUSTER_KEYS))
+    except TlsError as error:
+        print(f"tinrudder serve: {error}")
+        return EXIT_USAGE
     return EXIT_OK
 
 
@@ -78,13 +85,14 @@
     stop_requested = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
+    edges = build_edges(settings)
     platform = PlatformClient(settings.platform_url)
-    peers = TcpPeerTransport(settings.host, settings.peer_port)
+    peers = TcpPeerTransport(settings.host, settings.peer_port, edges.peers)
     environment = Environment(
         timers=loop,
         wall_clock=time.time,
         random=random.Random(),
-        backends=HttpBackendTransport(),
+        backends=HttpBackendTransport(edges),
         peers=peers,
         platform=platform,
         cluster_keys=cluster_keys,
@@ -95,8 +103,26 @@
     tune_garbage_collection()
     callers = CallerApplication(loop, node.entry, node.configuration, CursorCodec(b"development"))
     callers.app.router.routes.extend(health_routes(node.lifecycle, node.configuration))
-    config = uvicorn.Config(
-        CloseWhenStopping(callers.app, node.lifecycle),
+    app = CloseWhenStopping(callers.app, node.lifecycle)
+    server = CallerServer(caller_config(settings, app, edges.callers))
+    serving = asyncio.create_task(server.serve())
+    reloading = asyncio.create_task(follow_files(edges, settings.tls_check_s))
+    await stop_requested.wait()
+    await node.leave()
+    server.should_exit = True
+    await serving
+    await node.stop()
+    reloading.cancel()
+    await platform.close()
+
+
+def caller_config(
+    settings: NodeSettings, app: ASGIApp, identity: Identity | None
+) -> uvicorn.Config:
+    """Return how callers' and operators' HTTP is served; over TLS with an identity."""
+    context = identity.listening_context() if identity is not None else None
+    return uvicorn.Config(
+        app,
         host=settings.host,
         port=settings.caller_port,
         loop="asyncio",
@@ -105,12 +131,5 @@
         log_config=None,
         access_log=False,
         timeout_keep_alive=CALLER_KEEP_ALIVE_S,
+        ssl_context_factory=(lambda _config, _default: context) if context is not None else None,
     )
-    server = CallerServer(config)
-    serving = asyncio.create_task(server.serve())
-    await stop_requested.wait()
-    await node.leave()
-    server.should_exit = True
-    await serving
-    await node.stop()
-    await platform.close()
--- a/tinrudder/peers.py
+++ b/tinrudder/peers.py
@@ -22,7 +22,7 @@
 
 
 class PeerNotSentError(Exception):
-    """No byte of the request can have reached the peer."""
+    """The peer did not start the request: no byte can have reached it, or it refused."""
 
 
 class PeerLostError(Exception):
@@ -49,7 +49,7 @@
     async def request(self, destination: PeerAddress, payload: bytes, timeout_s: float) -> bytes:
         """Send a request and return its answer.
 
-        :raises PeerNotSentError: the peer cannot have received it.
+        :raises PeerNotSentError: the peer cannot have started it.
         :raises PeerLostError: it may have.
         """
 
--- a/tinrudder/settings.py
+++ b/tinrudder/settings.py
@@ -44,6 +44,11 @@
     :param operator_credentials: ``KEY_ID:SHA256`` of operators' secrets, separated by commas.
     :param platform_write_url: where operators write resources; only told to them, never used.
     :param platform_url: base URL of the platform's read-only service.
+    :param peer_tls_certificate: PEM file shown to other nodes; with its key and authority, or
+        not at all.
+    :param caller_tls_certificate: PEM file shown to callers; with its key, or not at all.
+    :param backend_tls_authority: PEM file that back ends with ``tls`` are checked against.
+    :param tls_check_s: how often the files are looked at for changes, seconds.
     :param stop_grace_s: how long a node that was told to stop goes on serving what arrives.
     :param stop_timeout_s: how long it then waits for what is in progress.
     """
@@ -63,6 +68,15 @@
     platform_poll_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
     stop_grace_s: Annotated[float, Meta(ge=0, le=60)] = 2.0
     stop_timeout_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
+    peer_tls_certificate: str = ""
+    peer_tls_key: str = ""
+    peer_tls_authority: str = ""
+    caller_tls_certificate: str = ""
+    caller_tls_key: str = ""
+    backend_tls_certificate: str = ""
+    backend_tls_key: str = ""
+    backend_tls_authority: str = ""
+    tls_check_s: Annotated[float, Meta(gt=0, le=3600)] = 5.0
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
@@ -82,6 +96,7 @@
     _check_host(settings.host)
     parse_seed_peers(settings.seed_peers)
     parse_operator_credentials(settings.operator_credentials)
+    _check_tls(settings)
     return settings
 
 
@@ -170,6 +185,19 @@
         raise SettingsError(f"host: must be an IP address, got {host!r}") from error
 
 
+def _check_tls(settings: NodeSettings) -> None:
+    """Refuse an identity that is given in part."""
+    groups = (
+        ("peer_tls_certificate", "peer_tls_key", "peer_tls_authority"),
+        ("caller_tls_certificate", "caller_tls_key"),
+        ("backend_tls_certificate", "backend_tls_key"),
+    )
+    for names in groups:
+        missing = [name for name in names if not getattr(settings, name)]
+        if missing and len(missing) < len(names):
+            raise SettingsError(f"{missing[0]}: needed together with the rest of {names}")
+
+
 def _plain_type(annotation: object) -> type:
     """Return str, int or float for a field's annotation."""
     if typing.get_origin(annotation) is Annotated:
--- /dev/null
+++ b/tinrudder/wire/peer_server.py
@@ -0,0 +1,144 @@
+"""Connections that other nodes open to us: read requests, run the handler, answer."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from tinrudder.logs import log_problem
+from tinrudder.peers import PeerAddress, RequestHandler
+from tinrudder.wire.frames import (
+    MAX_ERROR_BYTES,
+    MAX_FRAME_BYTES,
+    Frame,
+    FrameError,
+    FrameHeader,
+    FrameType,
+    encode_frame,
+    read_header,
+    read_payload,
+)
+
+MAX_REQUESTS_IN_FLIGHT = 1024
+MAX_UNREAD_BYTES = 32 * 1024 * 1024
+IDLE_TIMEOUT_S = 300.0
+CLOSE_TIMEOUT_S = 2.0
+
+
+@dataclass(eq=False)
+class _Accepted:
+    """One accepted connection and the requests that run for it."""
+
+    source: PeerAddress
+    writer: asyncio.StreamWriter
+    running: dict[int, asyncio.Task[None]] = field(default_factory=dict)
+
+
+class PeerServer:
+    """Serves requests; a peer that breaks the rules loses its connection, nobody else's."""
+
+    def __init__(self, handler: Callable[[], RequestHandler | None]) -> None:
+        """Give requests to the handler that ``handler`` returns at that moment."""
+        self._handler = handler
+        self._accepted: set[_Accepted] = set()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection until it ends, then cancel what still runs for it."""
+        host, port = writer.get_extra_info("peername")[:2]
+        accepted = _Accepted(PeerAddress(host, port), writer)
+        self._accepted.add(accepted)
+        try:
+            while True:
+                header = await _next_header(reader, accepted)
+                self._on_frame(accepted, await read_payload(reader, header))
+        except (OSError, EOFError):
+            pass
+        except FrameError as error:
+            log_problem("peer connection closed", {"peer": str(accepted.source), "why": str(error)})
+        finally:
+            self._accepted.discard(accepted)
+            for task in tuple(accepted.running.values()):
+                task.cancel()
+            writer.close()
+
+    async def close(self) -> None:
+        """Close every connection once the answers written to it have left."""
+        writers = [accepted.writer for accepted in self._accepted]
+        for writer in writers:
+            writer.close()
+        closing = [writer.wait_closed() for writer in writers]
+        try:
+            async with asyncio.timeout(CLOSE_TIMEOUT_S):
+                await asyncio.gather(*closing, return_exceptions=True)
+        except TimeoutError:
+            for writer in writers:
+                writer.transport.abort()
+
+    def _on_frame(self, accepted: _Accepted, frame: Frame) -> None:
+        """Start or cancel a request.
+
+        A request and its cancellation that arrive together start nothing: the task is cancelled
+        before its first step.  A process that slept reads such pairs when it wakes.
+        """
+        match frame.frame_type:
+            case FrameType.REQUEST:
+                self._start(accepted, frame)
+            case FrameType.CANCEL:
+                task = accepted.running.get(frame.request_id)
+                if task is not None:
+                    task.cancel()
+            case _:
+                raise FrameError(f"frame: {frame.frame_type.name} is not for a server")
+
+    def _start(self, accepted: _Accepted, frame: Frame) -> None:
+        """Run the handler in a task of its own, within the limits of a connection."""
+        handler = self._handler()
+        if handler is None or len(accepted.running) >= MAX_REQUESTS_IN_FLIGHT:
+            _write(accepted, Frame(FrameType.REFUSED, frame.request_id, b"too many requests"))
+            return
+        task = asyncio.create_task(_answer(accepted, handler, frame))
+        accepted.running[frame.request_id] = task
+        task.add_done_callback(partial(_forget, accepted, frame.request_id))
+
+
+async def _next_header(reader: asyncio.StreamReader, accepted: _Accepted) -> FrameHeader:
+    """Read a frame's header; a connection that carries nothing for long is closed."""
+    while True:
+        try:
+            async with asyncio.timeout(IDLE_TIMEOUT_S):
+                return await read_header(reader)
+        except TimeoutError:
+            if not accepted.running:
+                raise FrameError(f"idle for {IDLE_TIMEOUT_S} s") from None
+
+
+async def _answer(accepted: _Accepted, handler: RequestHandler, frame: Frame) -> None:
+    """Run the handler and send its answer, or an error in its place: never silence."""
+    try:
+        payload = await handler(accepted.source, frame.payload)
+        if len(payload) > MAX_FRAME_BYTES:
+            raise FrameError(f"answer: {len(payload)} bytes, at most {MAX_FRAME_BYTES}")
+    except Exception as error:
+        log_problem("peer request failed", {"peer": str(accepted.source), "error": repr(error)})
+        text = type(error).__name__.encode()[:MAX_ERROR_BYTES]
+        _write(accepted, Frame(FrameType.ERROR, frame.request_id, text))
+        return
+    _write(accepted, Frame(FrameType.ANSWER, frame.request_id, payload))
+
+
+def _write(accepted: _Accepted, frame: Frame) -> None:
+    """Write a frame; a peer that does not read its answers loses the connection."""
+    if accepted.writer.is_closing():
+        return
+    if accepted.writer.transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
+        accepted.writer.transport.abort()
+        return
+    accepted.writer.write(encode_frame(frame))
+
+
+def _forget(accepted: _Accepted, request_id: int, task: asyncio.Task[None]) -> None:
+    """Drop an ended request."""
+    if accepted.running.get(request_id) is task:
+        del accepted.running[request_id]
