Harden the callers' API, bind cursors to their query and stream long histories

Change: one typed error per broken rule, naming field and rule; unknown and forbidden are refused alike before anything is planned. Cursor keys derive from the cluster key; a cursor is bound to tenant, index, match and order. POST /v1/stream sends pages of one version under backpressure and ends with the outcome of the whole stream. Retry-After rounded up, exact in the body.

--- a/bench/subjects.py
+++ b/bench/subjects.py
@@ -201,7 +201,7 @@
             asyncio.get_running_loop(),
             self._node.entry,
             self._node.configuration,
-            CursorCodec(b"bench"),
+            CursorCodec([b"bench"]),
         )
         config = uvicorn.Config(
             application.app,
--- a/tinrudder/api/caller_app.py
+++ b/tinrudder/api/caller_app.py
@@ -1,54 +1,77 @@
-"""The callers' HTTP application: one query in, one truthful outcome out."""
+"""The callers' HTTP application: one query in, one truthful outcome out; see docs/API.md."""
 
 from __future__ import annotations
 
-import asyncio
-import math
-import uuid
-from collections.abc import Callable
+import secrets
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 
 import msgspec
 from starlette.applications import Starlette
+from starlette.exceptions import HTTPException
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
 from tinrudder.api.authentication import authenticate
-from tinrudder.api.cursor import CursorCodec, CursorError, PagePosition
-from tinrudder.api.outcome_mapping import OutcomeBody, body_of, status_of
-from tinrudder.logs import LogValue, log_event
-from tinrudder.outcomes import Complete, NotRun, NotRunReason, Outcome, Partial
+from tinrudder.api.cursor import CursorCodec, PagePosition
+from tinrudder.api.disconnect import CallerGoneError, run_unless_disconnected
+from tinrudder.api.finished_query import FinishedQuery, QueryObserver
+from tinrudder.api.outcome_mapping import body_of, headers_of, status_of
+from tinrudder.api.problems import (
+    JSON,
+    ProblemReason,
+    RequestProblemError,
+    on_http_exception,
+    on_internal_error,
+    problem_response,
+)
+from tinrudder.api.query_body import (
+    QueryBody,
+    UnknownResourceError,
+    decode_query_body,
+    find_rule,
+    make_request,
+    open_cursor,
+    scope_of,
+)
+from tinrudder.api.request_body import read_json_body
+from tinrudder.api.stream import NDJSON, QueryStream
+from tinrudder.outcomes import (
+    Complete,
+    MayHaveRun,
+    MayHaveRunReason,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Partial,
+)
 from tinrudder.query.coordinator import QueryRunner
-from tinrudder.query.request import QueryRequest
 from tinrudder.resources.configuration import Configuration
+from tinrudder.resources.model import QueryRuleSpec
 from tinrudder.timers import Timers
 
-MAX_BODY_BYTES = 64 * 1024
-UNAUTHORIZED = 401
-CONTENT_TOO_LARGE = 413
-JSON = "application/json"
+QUERY_ID_BYTES = 16
+UNKNOWN_RESOURCE = NotRun(NotRunReason.UNKNOWN_RESOURCE, "index or rule: unknown to this tenant")
 
+_encoder = msgspec.json.Encoder()
 
-class QueryBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What a caller sends.
 
-    :param match: field values that rows must have.
-    :param deadline_ms: shortens the rule's hard deadline, never lengthens it.
-    :param cursor: where a former page ended; pins its index version.
-    """
+def new_query_id() -> str:
+    """Return an id that no caller can guess."""
+    return secrets.token_hex(QUERY_ID_BYTES)
 
-    index: str
-    rule: str
-    match: dict[str, str] = {}
-    order_by: str = "time"
-    descending: bool = False
-    limit: int = 100
-    deadline_ms: int | None = None
-    cursor: str | None = None
 
+@dataclass(slots=True)
+class CallerQuery:
+    """One query on its way through the application."""
 
-_body_decoder = msgspec.json.Decoder(QueryBody)
-_encoder = msgspec.json.Encoder()
+    query_id: str
+    tenant: str
+    body: QueryBody
+    started: float
+    rule: QueryRuleSpec | None = None
+    position: PagePosition | None = field(default=None)
 
 
 class CallerApplication:
@@ -60,120 +83,115 @@
         runner: QueryRunner,
         configuration: Callable[[], Configuration],
         cursors: CursorCodec,
+        observers: Sequence[QueryObserver] = (),
     ) -> None:
-        """Run queries through ``runner``."""
+        """Run queries through ``runner``; tell ``observers`` of each that ended."""
         self._timers = timers
         self._runner = runner
         self._configuration = configuration
         self._cursors = cursors
-        self.app = Starlette(routes=[Route("/v1/query", self.query, methods=["POST"])])
+        self._observers = observers
+        self.app = Starlette(
+            routes=[
+                Route("/v1/query", self.query, methods=["POST"]),
+                Route("/v1/stream", self.stream, methods=["POST"]),
+            ],
+            exception_handlers={
+                HTTPException: on_http_exception,
+                Exception: on_internal_error,
+            },
+        )
 
     async def query(self, request: Request) -> Response:
         """Answer ``POST /v1/query``."""
-        query_id = uuid.uuid4().hex
+        if NDJSON in request.headers.get("accept", ""):
+            return await self.stream(request)
+        query_id = new_query_id()
+        try:
+            query = await self._read(request, query_id)
+        except RequestProblemError as problem:
+            return problem_response(query_id, problem)
+        if query.rule is None:
+            outcome: Outcome = UNKNOWN_RESOURCE
+        else:
+            outcome = await self._run(request, query, query.rule)
+        self._finished(query, outcome)
+        return self._respond(query, outcome)
+
+    async def stream(self, request: Request) -> Response:
+        """Answer ``POST /v1/stream``."""
+        query_id = new_query_id()
+        try:
+            query = await self._read(request, query_id)
+        except RequestProblemError as problem:
+            return problem_response(query_id, problem)
+        if query.rule is None:
+            self._finished(query, UNKNOWN_RESOURCE)
+            return self._respond(query, UNKNOWN_RESOURCE)
+        rule = query.rule
+
+        async def run_page(position: PagePosition | None) -> Outcome:
+            now = self._timers.time()
+            page = make_request(query_id, query.tenant, query.body, rule, position, now)
+            return await self._runner.run(page)
+
+        def on_end(outcome: Outcome) -> None:
+            self._finished(query, outcome)
+
+        def cursor_of(position: PagePosition) -> str:
+            return self._cursors.encode(position, scope_of(query.body, query.tenant))
+
+        return QueryStream(query_id, query.position, run_page, cursor_of, on_end)
+
+    async def _read(self, request: Request, query_id: str) -> CallerQuery:
+        """Authenticate the caller, then read and check its body.
+
+        :raises RequestProblemError: naming the field and the rule it breaks.
+        """
         configuration = self._configuration()
         tenant = authenticate(request.headers.get("authorization"), configuration)
         if tenant is None:
-            return _error(query_id, UNAUTHORIZED, "authorization: not a valid credential")
-        body = await _read_body(request)
-        if body is None:
-            detail = f"body: longer than {MAX_BODY_BYTES} bytes"
-            return _error(query_id, CONTENT_TOO_LARGE, detail)
-        started = self._timers.time()
+            rule = "not a valid credential"
+            raise RequestProblemError(ProblemReason.UNAUTHORIZED, "authorization", rule)
+        body = decode_query_body(await read_json_body(request))
+        query = CallerQuery(query_id, tenant, body, self._timers.time())
         try:
-            parsed = self._parse(query_id, tenant, body, configuration)
-        except (msgspec.MsgspecError, CursorError) as error:
-            outcome: Outcome = NotRun(NotRunReason.INVALID_REQUEST, str(error))
-            return self._respond(query_id, tenant, outcome)
-        outcome = await self._run_unless_disconnected(request, parsed)
-        elapsed_ms = round((self._timers.time() - started) * 1000, 3)
-        response = self._respond(query_id, tenant, outcome)
-        fields: dict[str, LogValue] = {
-            "query_id": query_id,
-            "tenant": tenant,
-            "index": parsed.index,
-            "rule": parsed.rule,
-            "status": response.status_code,
-            "outcome": type(outcome).__name__,
-            "elapsed_ms": elapsed_ms,
-        }
-        log_event("query", fields)
-        return response
-
-    def _parse(
-        self, query_id: str, tenant: str, body: bytes, configuration: Configuration
-    ) -> QueryRequest:
-        """Check the body and turn it into a request."""
-        query = _body_decoder.decode(body)
-        rule = configuration.rules.get(query.rule)
-        allowed_ms = rule.hard_deadline_ms if rule else 0
-        if query.deadline_ms is not None:
-            allowed_ms = min(allowed_ms, query.deadline_ms)
-        max_rows = rule.max_rows if rule else 1
-        position: PagePosition | None = None
-        if query.cursor is not None:
-            position = self._cursors.decode(query.cursor, tenant, query.index)
-        return QueryRequest(
-            query_id=query_id,
-            tenant=tenant,
-            index=query.index,
-            rule=query.rule,
-            match=query.match,
-            order_by=query.order_by,
-            descending=query.descending,
-            limit=max(1, min(query.limit, max_rows)),
-            deadline=self._timers.time() + allowed_ms / 1000,
-            version=position.version if position else None,
-            after=position.after if position else None,
+            query.rule = find_rule(body, tenant, self._configuration())
+        except UnknownResourceError:
+            return query
+        query.position = open_cursor(body, tenant, self._cursors)
+        return query
+
+    async def _run(self, request: Request, query: CallerQuery, rule: QueryRuleSpec) -> Outcome:
+        """Run one page; a caller that goes away frees its work."""
+        core = make_request(
+            query.query_id, query.tenant, query.body, rule, query.position, query.started
         )
-
-    async def _run_unless_disconnected(self, request: Request, parsed: QueryRequest) -> Outcome:
-        """Run the query; a caller that goes away frees its work."""
-        run = asyncio.ensure_future(self._runner.run(parsed))
-        gone = asyncio.ensure_future(_wait_for_disconnect(request))
         try:
-            await asyncio.wait((run, gone), return_when=asyncio.FIRST_COMPLETED)
-            if run.done():
-                return run.result()
-            return NotRun(NotRunReason.CANCELLED, "the caller went away")
-        finally:
-            run.cancel()
-            gone.cancel()
-
-    def _respond(self, query_id: str, tenant: str, outcome: Outcome) -> Response:
+            return await run_unless_disconnected(request.receive, self._runner.run(core))
+        except CallerGoneError:
+            return MayHaveRun(MayHaveRunReason.CANCELLED, "the caller went away")
+
+    def _finished(self, query: CallerQuery, outcome: Outcome) -> None:
+        """Tell the observers of an ended query."""
+        finished = FinishedQuery(
+            query.query_id,
+            query.tenant,
+            query.rule.service if query.rule else "",
+            query.body.index,
+            query.body.rule,
+            outcome,
+            status_of(outcome),
+            self._timers.time() - query.started,
+        )
+        for observer in self._observers:
+            observer(finished)
+
+    def _respond(self, query: CallerQuery, outcome: Outcome) -> Response:
         """Encode an outcome."""
         cursor = None
         if isinstance(outcome, Complete | Partial) and outcome.answer.next_after is not None:
             position = PagePosition(outcome.answer.version, outcome.answer.next_after)
-            cursor = self._cursors.encode(position, tenant)
-        headers = {}
-        if isinstance(outcome, NotRun) and outcome.retry_after_s is not None:
-            headers["Retry-After"] = str(math.ceil(outcome.retry_after_s))
-        content = _encoder.encode(body_of(query_id, outcome, cursor))
-        return Response(content, status_of(outcome), headers, JSON)
-
-
-async def _read_body(request: Request) -> bytes | None:
-    """Return the body, ``None`` when it is longer than allowed."""
-    parts: list[bytes] = []
-    size = 0
-    async for part in request.stream():
-        size += len(part)
-        if size > MAX_BODY_BYTES:
-            return None
-        parts.append(part)
-    return b"".join(parts)
-
-
-async def _wait_for_disconnect(request: Request) -> None:
-    """Return when the caller has closed its connection."""
-    while True:
-        message = await request.receive()
-        if message["type"] == "http.disconnect":
-            return
-
-
-def _error(query_id: str, status: int, detail: str) -> Response:
-    """Return an error that never reached the query core."""
-    body = OutcomeBody(query_id, "not_run", NotRunReason.INVALID_REQUEST.value, detail)
-    return Response(_encoder.encode(body), status, media_type=JSON)
+            cursor = self._cursors.encode(position, scope_of(query.body, query.tenant))
+        content = _encoder.encode(body_of(query.query_id, outcome, cursor))
+        return Response(content, status_of(outcome), headers_of(outcome), JSON)
--- /dev/null
+++ b/tinrudder/api/disconnect.py
@@ -0,0 +1,40 @@
+"""Noticing that a caller went away while its query runs."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from starlette.types import Receive
+
+Result = TypeVar("Result")
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection; the work for it has been cancelled."""
+
+
+async def run_unless_disconnected(receive: Receive, work: Coroutine[Any, Any, Result]) -> Result:
+    """Return the result of ``work``, whose task is cancelled as soon as the caller goes away.
+
+    :param receive: the request's ASGI receive, after the whole body was read from it.
+    :raises CallerGoneError: the caller went away first.
+    """
+    running = asyncio.ensure_future(work)
+    gone = asyncio.ensure_future(_wait_for_disconnect(receive))
+    try:
+        await asyncio.wait((running, gone), return_when=asyncio.FIRST_COMPLETED)
+        if not running.done():
+            raise CallerGoneError
+        return running.result()
+    finally:
+        running.cancel()
+        gone.cancel()
+
+
+async def _wait_for_disconnect(receive: Receive) -> None:
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return
--- a/tinrudder/api/outcome_mapping.py
+++ b/tinrudder/api/outcome_mapping.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from tinrudder.outcomes import (
@@ -58,6 +60,7 @@
 class OutcomeBody(msgspec.Struct, frozen=True, omit_defaults=True):
     """The JSON body of every outcome.
 
+    :param retry_after_ms: when asking again is worth it; the Retry-After header rounds it up.
     :param outcome: ``complete``, ``partial``, ``not_run``, ``may_have_run`` or ``failed``.
     """
 
@@ -69,6 +72,7 @@
     rows: tuple[msgspec.Raw, ...] = ()
     coverage: CoverageBody | None = None
     cursor: str | None = None
+    retry_after_ms: int | None = None
 
 
 def coverage_body(coverage: Coverage) -> CoverageBody:
@@ -96,20 +100,35 @@
             return BAD_GATEWAY
 
 
+def headers_of(outcome: Outcome) -> dict[str, str]:
+    """Return the headers of an outcome: Retry-After in whole seconds, rounded up, where known."""
+    if isinstance(outcome, NotRun) and outcome.retry_after_s is not None:
+        return {"Retry-After": str(max(1, math.ceil(outcome.retry_after_s)))}
+    return {}
+
+
 def body_of(query_id: str, outcome: Outcome, cursor: str | None) -> OutcomeBody:
-    """Return the JSON body of an outcome."""
+    """Return the JSON body of an outcome; a cut stream's has a cursor, too."""
     match outcome:
         case Complete(answer):
             return _answer_body(query_id, "complete", answer, cursor)
         case Partial(answer):
             return _answer_body(query_id, "partial", answer, cursor)
-        case NotRun(reason, detail):
-            return OutcomeBody(query_id, "not_run", reason.value, detail)
+        case NotRun(reason, detail, retry_after_s):
+            retry_after_ms = None if retry_after_s is None else math.ceil(retry_after_s * 1000)
+            return OutcomeBody(
+                query_id, "not_run", reason.value, detail, retry_after_ms=retry_after_ms
+            )
         case MayHaveRun(may_reason, detail):
             return OutcomeBody(query_id, "may_have_run", may_reason.value, detail)
         case Failed(failed_reason, detail, coverage):
             return OutcomeBody(
-                query_id, "failed", failed_reason.value, detail, coverage=coverage_body(coverage)
+                query_id,
+                "failed",
+                failed_reason.value,
+                detail,
+                coverage=coverage_body(coverage),
+                cursor=cursor,
             )
 
 
--- /dev/null
+++ b/tinrudder/api/problems.py
@@ -0,0 +1,138 @@
+"""Requests that are refused before the query core: a typed JSON error each.
+
+Every error names the field and the rule it breaks.  None depends on what other tenants own.
+"""
+
+from __future__ import annotations
+
+import enum
+import re
+
+import msgspec
+from starlette.exceptions import HTTPException
+from starlette.requests import Request
+from starlette.responses import Response
+
+JSON = "application/json"
+NOT_FOUND = 404
+METHOD_NOT_ALLOWED = 405
+UNAUTHORIZED = 401
+ERROR_PATH = re.compile(r"^(?P<rule>.*?)(?: - at `\$\.?(?P<path>.*)`)?$", re.DOTALL)
+NAMED_FIELD = re.compile(r"`(?P<field>[^`]*)`$")
+
+
+class ProblemReason(enum.StrEnum):
+    """Why a request was refused before it became a query."""
+
+    UNAUTHORIZED = "unauthorized"
+    INVALID_REQUEST = "invalid_request"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
+    UNSUPPORTED_CONTENT = "unsupported_content"
+    UNKNOWN_PATH = "unknown_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    INTERNAL_ERROR = "internal_error"
+
+
+STATUS_OF_PROBLEM: dict[ProblemReason, int] = {
+    ProblemReason.INVALID_REQUEST: 400,
+    ProblemReason.UNAUTHORIZED: UNAUTHORIZED,
+    ProblemReason.UNKNOWN_PATH: NOT_FOUND,
+    ProblemReason.METHOD_NOT_ALLOWED: METHOD_NOT_ALLOWED,
+    ProblemReason.BODY_TOO_SLOW: 408,
+    ProblemReason.BODY_TOO_LARGE: 413,
+    ProblemReason.UNSUPPORTED_CONTENT: 415,
+    ProblemReason.INTERNAL_ERROR: 500,
+}
+CLOSING_PROBLEMS = frozenset(
+    {
+        ProblemReason.UNAUTHORIZED,
+        ProblemReason.BODY_TOO_LARGE,
+        ProblemReason.BODY_TOO_SLOW,
+        ProblemReason.UNSUPPORTED_CONTENT,
+    }
+)
+"""After these the body may be unread, so the connection cannot carry another request."""
+
+
+class ProblemBody(msgspec.Struct, frozen=True):
+    """Body of an error; but for ``internal_error`` the query did not run."""
+
+    query_id: str
+    reason: str
+    field: str
+    rule: str
+    outcome: str = "not_run"
+    detail: str = ""
+
+
+class RequestProblemError(Exception):
+    """A request that breaks a rule.
+
+    :param field: what is wrong: a body field, a header, ``body``, ``method`` or ``path``.
+    :param rule: the rule it breaks.
+    """
+
+    def __init__(self, reason: ProblemReason, field: str, rule: str) -> None:
+        """Name reason, field and rule."""
+        super().__init__(f"{field}: {rule}")
+        self.reason = reason
+        self.field = field
+        self.rule = rule
+
+
+def problem_response(query_id: str, problem: RequestProblemError) -> Response:
+    """Return the answer to a refused request."""
+    headers = {}
+    if problem.reason in CLOSING_PROBLEMS:
+        headers["Connection"] = "close"
+    if problem.reason is ProblemReason.UNAUTHORIZED:
+        headers["WWW-Authenticate"] = "Bearer"
+    body = ProblemBody(
+        query_id, problem.reason.value, problem.field, problem.rule, detail=str(problem)
+    )
+    status = STATUS_OF_PROBLEM[problem.reason]
+    return Response(msgspec.json.encode(body), status, headers, JSON)
+
+
+def invalid_body(error: msgspec.MsgspecError | UnicodeDecodeError) -> RequestProblemError:
+    """Turn a decoder's error into one that names field and rule.
+
+    >>> problem = invalid_body(msgspec.ValidationError("Expected `int` >= 1 - at `$.limit`"))
+    >>> problem.field, problem.rule
+    ('limit', 'Expected `int` >= 1')
+    >>> invalid_body(msgspec.ValidationError("Object contains unknown field `x`")).field
+    'x'
+    >>> invalid_body(msgspec.DecodeError("JSON is malformed")).field
+    'body'
+    """
+    match = ERROR_PATH.match(str(error))
+    rule, path = (match["rule"], match["path"]) if match else (str(error), None)
+    named = NAMED_FIELD.search(rule)
+    if not path and named and "field" in rule:
+        path = named["field"]
+    return RequestProblemError(ProblemReason.INVALID_REQUEST, path or "body", rule)
+
+
+async def on_internal_error(_: Request, error: Exception) -> Response:
+    """Answer a fault of this node without its details; starlette passes the error on to the log.
+
+    How far the request had come is unknown, so it may have run.
+    """
+    reason = ProblemReason.INTERNAL_ERROR
+    body = ProblemBody("", reason.value, "", "", outcome="may_have_run", detail="internal error")
+    return Response(msgspec.json.encode(body), STATUS_OF_PROBLEM[reason], media_type=JSON)
+
+
+async def on_http_exception(request: Request, error: Exception) -> Response:
+    """Answer paths and methods that do not exist; for starlette's exception handlers."""
+    status = error.status_code if isinstance(error, HTTPException) else NOT_FOUND
+    if status == METHOD_NOT_ALLOWED:
+        rule = f"not {request.method} on this path"
+        problem = RequestProblemError(ProblemReason.METHOD_NOT_ALLOWED, "method", rule)
+    else:
+        problem = RequestProblemError(ProblemReason.UNKNOWN_PATH, "path", "no such path")
+    response = problem_response("", problem)
+    if isinstance(error, HTTPException) and error.headers:
+        response.headers.update(error.headers)
+    return response
--- /dev/null
+++ b/tinrudder/api/stream.py
@@ -0,0 +1,185 @@
+"""Streaming of long histories: pages of one index version as newline-delimited JSON.
+
+Pages are pulled one at a time, the next only once the transport has taken the one before, so a
+stream holds one page of memory however long the history is and however slow the caller reads.
+The last line states the outcome of the whole stream; a stream without one was cut off.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field, replace
+
+import msgspec
+from starlette.responses import Response
+from starlette.types import Receive, Scope, Send
+
+from tinrudder.api.cursor import PagePosition
+from tinrudder.api.disconnect import CallerGoneError, run_unless_disconnected
+from tinrudder.api.outcome_mapping import OutcomeBody, body_of, headers_of, status_of
+from tinrudder.api.problems import JSON
+from tinrudder.outcomes import (
+    Answer,
+    Complete,
+    Coverage,
+    Failed,
+    FailedReason,
+    MayHaveRun,
+    MayHaveRunReason,
+    MissingShard,
+    NotRun,
+    Outcome,
+    Partial,
+)
+
+NDJSON = "application/x-ndjson"
+WRITE_TIMEOUT_S = 30.0
+HEADERS = [(b"content-type", NDJSON.encode()), (b"cache-control", b"no-store")]
+
+RunPage = Callable[[PagePosition | None], Awaitable[Outcome]]
+CursorOf = Callable[[PagePosition], str]
+OutcomeObserver = Callable[[Outcome], None]
+
+_encoder = msgspec.json.Encoder()
+
+
+class RowLine(msgspec.Struct, frozen=True):
+    """One row."""
+
+    row: msgspec.Raw
+
+
+class EndLine(msgspec.Struct, frozen=True):
+    """The last line: what the whole stream covers and how it ended."""
+
+    end: OutcomeBody
+    rows: int
+    pages: int
+
+
+@dataclass(slots=True)
+class StreamCoverage:
+    """Coverage over all pages: a shard is included only if every page includes it."""
+
+    shards: dict[str, None] = field(default_factory=dict)
+    missing: dict[str, MissingShard] = field(default_factory=dict)
+
+    def add(self, coverage: Coverage) -> None:
+        """Fold in one page; the first reason of a missing shard stays."""
+        self.shards.update(dict.fromkeys(coverage.included))
+        for gap in coverage.missing:
+            self.shards.setdefault(gap.shard)
+            self.missing.setdefault(gap.shard, gap)
+
+    def total(self) -> Coverage:
+        """Return the coverage so far."""
+        included = tuple(shard for shard in self.shards if shard not in self.missing)
+        return Coverage(included, tuple(self.missing.values()))
+
+
+class QueryStream(Response):
+    """The answer to one streamed query."""
+
+    media_type = NDJSON
+
+    def __init__(
+        self,
+        query_id: str,
+        position: PagePosition | None,
+        run_page: RunPage,
+        cursor_of: CursorOf,
+        on_end: OutcomeObserver,
+    ) -> None:
+        """Start at ``position``; ``on_end`` is told the outcome of the whole stream once."""
+        super().__init__()
+        self._query_id = query_id
+        self._position = position
+        self._run_page = run_page
+        self._cursor_of = cursor_of
+        self._on_end = on_end
+        self._coverage = StreamCoverage()
+        self._rows = 0
+        self._pages = 0
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Send pages until the history ends, a page fails, or the caller goes away."""
+        try:
+            outcome = await run_unless_disconnected(receive, self._pump(send))
+        except TimeoutError:
+            outcome = MayHaveRun(MayHaveRunReason.CANCELLED, "the caller stopped reading")
+        except (CallerGoneError, OSError):
+            outcome = MayHaveRun(MayHaveRunReason.CANCELLED, "the caller went away")
+        self._on_end(outcome)
+
+    async def _pump(self, send: Send) -> Outcome:
+        """Send everything; return the outcome of the whole stream."""
+        outcome = await self._run_page(self._position)
+        if not isinstance(outcome, Complete | Partial):
+            await self._refuse(send, outcome)
+            return outcome
+        await send({"type": "http.response.start", "status": 200, "headers": HEADERS})
+        while isinstance(outcome, Complete | Partial):
+            answer = outcome.answer
+            await self._send_page(send, answer)
+            if answer.next_after is None:
+                break
+            self._position = PagePosition(answer.version, answer.next_after)
+            outcome = await self._run_page(self._position)
+        total = self._whole(outcome)
+        await _write(send, self._end_line(total), more=False)
+        return total
+
+    async def _refuse(self, send: Send, outcome: Outcome) -> None:
+        """Answer a first page without rows as a plain query's."""
+        content = _encoder.encode(body_of(self._query_id, outcome, None))
+        response = Response(content, status_of(outcome), headers_of(outcome), JSON)
+        start = {"status": response.status_code, "headers": response.raw_headers}
+        await send({"type": "http.response.start", **start})
+        await _write(send, content, more=False)
+
+    async def _send_page(self, send: Send, answer: Answer) -> None:
+        """Send the rows of one page."""
+        self._coverage.add(answer.coverage)
+        self._rows += len(answer.rows)
+        self._pages += 1
+        lines = _encoder.encode_lines([RowLine(msgspec.Raw(row.payload)) for row in answer.rows])
+        if lines:
+            await _write(send, lines, more=True)
+
+    def _whole(self, last: Outcome) -> Outcome:
+        """Return the outcome of all pages together.
+
+        A page that did not run leaves a stream that did: its rows so far were sent.
+        """
+        coverage = self._coverage.total()
+        match last:
+            case Complete(answer) | Partial(answer):
+                whole = replace(answer, rows=(), coverage=coverage)
+                return Partial(whole) if coverage.missing else Complete(whole)
+            case NotRun(reason, detail):
+                text = f"page {self._pages + 1}: {reason.value}: {detail}"
+                return Failed(FailedReason.STREAM_CUT, text, coverage)
+            case MayHaveRun(may_reason, detail):
+                text = f"page {self._pages + 1}: {may_reason.value}: {detail}"
+                return Failed(FailedReason.STREAM_CUT, text, coverage)
+            case Failed(failed_reason, detail):
+                text = f"page {self._pages + 1}: {failed_reason.value}: {detail}"
+                return Failed(FailedReason.STREAM_CUT, text, coverage)
+
+    def _end_line(self, outcome: Outcome) -> bytes:
+        """Encode the last line; a cut stream names the cursor to go on from."""
+        cursor = None
+        if isinstance(outcome, Failed) and self._position is not None:
+            cursor = self._cursor_of(self._position)
+        body = body_of(self._query_id, outcome, cursor)
+        return _encoder.encode(EndLine(body, self._rows, self._pages)) + b"\n"
+
+
+async def _write(send: Send, content: bytes, *, more: bool) -> None:
+    """Hand bytes to the transport and wait until it has room again.
+
+    :raises TimeoutError: the caller has not read for long.
+    """
+    async with asyncio.timeout(WRITE_TIMEOUT_S):
+        await send({"type": "http.response.body", "body": content, "more_body": more})
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -17,6 +17,7 @@
 
 from tinrudder.api.caller_app import CallerApplication
 from tinrudder.api.cursor import CursorCodec
+from tinrudder.api.finished_query import QueryLog
 from tinrudder.api.health import CloseWhenStopping, health_routes
 from tinrudder.backends.http_transport import HttpBackendTransport
 from tinrudder.cli.tls_edges import build_edges, follow_files
@@ -101,7 +102,13 @@
     node = Node(msgspec.structs.replace(settings, peer_port=address.port), environment)
     await node.start()
     tune_garbage_collection()
-    callers = CallerApplication(loop, node.entry, node.configuration, CursorCodec(b"development"))
+    callers = CallerApplication(
+        loop,
+        node.entry,
+        node.configuration,
+        CursorCodec(cluster_keys),
+        [QueryLog(settings.query_log_share)],
+    )
     callers.app.router.routes.extend(health_routes(node.lifecycle, node.configuration))
     app = CloseWhenStopping(callers.app, node.lifecycle)
     server = CallerServer(caller_config(settings, app, edges.callers))
--- a/tinrudder/outcomes.py
+++ b/tinrudder/outcomes.py
@@ -51,6 +51,7 @@
     COVERAGE_TOO_LOW = "coverage_too_low"
     BACKEND_ERROR = "backend_error"
     VERSION_GONE = "version_gone"
+    STREAM_CUT = "stream_cut"
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/settings.py
+++ b/tinrudder/settings.py
@@ -43,6 +43,7 @@
         configuration while no list of machines is known.
     :param operator_credentials: ``KEY_ID:SHA256`` of operators' secrets, separated by commas.
     :param platform_write_url: where operators write resources; only told to them, never used.
+    :param query_log_share: part of the complete queries that are logged; others always are.
     :param platform_url: base URL of the platform's read-only service.
     :param peer_tls_certificate: PEM file shown to other nodes; with its key and authority, or
         not at all.
@@ -77,6 +78,7 @@
     backend_tls_key: str = ""
     backend_tls_authority: str = ""
     tls_check_s: Annotated[float, Meta(gt=0, le=3600)] = 5.0
+    query_log_share: Annotated[float, Meta(ge=0, le=1)] = 1.0
     log_level: typing.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
