Give a service as few coordinators as can carry it, two calls a slot

Cause: with one coordinator a slot, each coordinator had one call in flight at each back end: a query of 16 shards went out in eight rounds, and a slot stood idle while its answer travelled. Change: one coordinator for every 40 slots, and two calls in flight for a slot in all; a service may still set the number itself. The connection test names its five coordinators, since the default for its one back end is now one; what it checks is unchanged.

--- a/tests/unit/test_coordinator_set.py
+++ b/tests/unit/test_coordinator_set.py
@@ -67,7 +67,7 @@
 
 def test_connections_of_all_coordinators_stay_within_the_service_maximum() -> None:
     backend = BackendSpec(service="service", host="127.0.0.1", port=1, zone="zone-0", slots=5)
-    service = ServiceSpec(region="r", tenants=(), max_connections_per_backend=7)
+    service = ServiceSpec(region="r", tenants=(), max_connections_per_backend=7, coordinators=5)
     configuration = Configuration(services={"service": service}, backends={"backend": backend})
     view = build_view(tuple(member(number) for number in range(9)), 1)
     shares = []
--- a/tinrudder/query/coordinator_sets.py
+++ b/tinrudder/query/coordinator_sets.py
@@ -7,8 +7,8 @@
 from tinrudder.resources.model import BackendSpec, ServiceSpec
 from tinrudder.routing.coordinator_set import (
     FALLBACK_LIMIT,
-    MINIMUM_SHARE,
     CoordinatorSet,
+    calls_allowed,
     choose_coordinators,
     coordinator_count,
     members_of_region,
@@ -18,10 +18,9 @@
 class CoordinatorSets:
     """Computes a service's set when it is first asked for and keeps it until something changes."""
 
-    def __init__(self, node_name: str, minimum_share: int = MINIMUM_SHARE) -> None:
+    def __init__(self, node_name: str) -> None:
         """Start without members."""
         self._node_name = node_name
-        self._minimum_share = minimum_share
         self._view = MemberView()
         self._configuration = Configuration()
         self._slots: dict[str, list[int]] = {}
@@ -44,8 +43,12 @@
         return known
 
     def share(self, backend: str, spec: BackendSpec) -> float:
-        """Return how many of a back end's slots this node may use."""
-        return self.of(spec.service).share(self._node_name, backend, spec.slots)
+        """Return how many calls this node may have in flight at a back end."""
+        service = self._configuration.services.get(spec.service)
+        if service is None:
+            return FALLBACK_LIMIT
+        calls = calls_allowed(spec.slots, service.max_connections_per_backend)
+        return self.of(spec.service).share(self._node_name, backend, calls)
 
     def connections(self, backend: str, spec: BackendSpec) -> int:
         """Return how many connections to a back end this node may hold."""
@@ -67,8 +70,7 @@
         """Return how many coordinators the service has."""
         if spec.coordinators is not None:
             return spec.coordinators
-        slots = self._slots.get(service, [])
-        return coordinator_count(slots, spec.max_connections_per_backend, self._minimum_share)
+        return coordinator_count(self._slots.get(service, []))
 
 
 def _slots_by_service(configuration: Configuration) -> dict[str, list[int]]:
--- a/tinrudder/routing/backend_table.py
+++ b/tinrudder/routing/backend_table.py
@@ -27,7 +27,7 @@
     def update(self, specs: Mapping[str, BackendSpec], share: SlotShare = all_slots) -> None:
         """Follow the configuration and the coordinator sets.
 
-        :param share: how many of a back end's slots belong to this node.
+        :param share: how many calls this node may have in flight at a back end.
         """
         for name in self._records.keys() - specs.keys():
             self._records.pop(name).leaving = True
--- a/tinrudder/routing/coordinator_set.py
+++ b/tinrudder/routing/coordinator_set.py
@@ -1,4 +1,4 @@
-"""Which nodes coordinate a service's queries, and which slots each of them holds.
+"""Which nodes coordinate a service's queries, and how many calls each may have in flight.
 
 A service's coordinators are chosen by rendezvous hashing over the live members of its region,
 spread over zones.  Every node computes the same set from the same view, without talking.  When
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -14,7 +15,13 @@
 
 from tinrudder.cluster.view import Member, MemberStatus
 
-MINIMUM_SHARE = 1
+MAX_SLOTS_HELD = 40
+"""Slots of all back ends together that one coordinator holds: at 5 ms a call they keep one
+processor core about three quarters busy (docs/COORDINATORS.md)."""
+
+SLOT_HEADROOM = 2
+"""Calls in flight for one slot: while an answer travels, the next call is already waiting."""
+
 FALLBACK_LIMIT = 1
 _ELIGIBLE = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
 
@@ -30,17 +37,17 @@
     members: tuple[Member, ...] = ()
     names: frozenset[str] = field(default=frozenset())
 
-    def share(self, node: str, backend: str, slots: int) -> int:
-        """Return how many of a back end's slots ``node`` may use.
+    def share(self, node: str, backend: str, calls: int) -> int:
+        """Return how many of the calls that a back end may have in flight are ``node``'s.
 
-        Over all coordinators the shares add up to ``slots`` as long as there are no more
-        coordinators than slots.  Every node, coordinator or not, may use at least
-        ``FALLBACK_LIMIT``: that is what keeps a query alive when no coordinator is reachable.
+        Over all coordinators the shares add up to ``calls`` as long as there are no more
+        coordinators than that.  Every node, coordinator or not, may have ``FALLBACK_LIMIT``:
+        that is what keeps a query alive when no coordinator is reachable.
         """
         if node not in self.names:
             return FALLBACK_LIMIT
         position = next(i for i, member in enumerate(self.members) if member.name == node)
-        return max(FALLBACK_LIMIT, slot_share(backend, slots, position, len(self.members)))
+        return max(FALLBACK_LIMIT, even_share(backend, calls, position, len(self.members)))
 
 
 def rendezvous_score(service: str, member: str) -> int:
@@ -52,21 +59,33 @@
     return xxhash.xxh64_intdigest(f"{service}\0{member}".encode())
 
 
-def coordinator_count(
-    slots: Iterable[int], max_connections: int, minimum_share: int = MINIMUM_SHARE
-) -> int:
+def coordinator_count(slots: Sequence[int]) -> int:
     """Return how many coordinators a service has.
 
-    As many as possible while each holds at least ``minimum_share`` slots of the smallest back
-    end and one connection of its own there.
+    As few as possible: one coordinator sees every query and every slot, so it wastes none.
+    More only where one process could not carry the calls, and never so many that a coordinator
+    holds less than one slot of the smallest back end.
 
-    >>> coordinator_count([5, 5], 70)
-    5
-    >>> coordinator_count([5, 2], 70, minimum_share=2)
+    >>> coordinator_count([5, 5])
     1
+    >>> coordinator_count([5] * 26)
+    4
+    >>> coordinator_count([2] * 130)
+    2
+    """
+    needed = math.ceil(sum(slots) / MAX_SLOTS_HELD)
+    return max(1, min(needed, min(slots, default=1)))
+
+
+def calls_allowed(slots: int, max_connections: int) -> int:
+    """Return how many calls all coordinators together may have in flight at one back end.
+
+    >>> calls_allowed(5, 70)
+    10
+    >>> calls_allowed(50, 70)
+    70
     """
-    smallest = min(slots, default=1)
-    return max(1, min(smallest // minimum_share, max_connections))
+    return min(slots * SLOT_HEADROOM, max_connections)
 
 
 def choose_coordinators(service: str, members: Iterable[Member], count: int) -> CoordinatorSet:
@@ -93,16 +112,16 @@
     return CoordinatorSet(service, chosen, frozenset(member.name for member in chosen))
 
 
-def slot_share(backend: str, slots: int, position: int, count: int) -> int:
-    """Return the slots of one back end that belong to the coordinator at ``position``.
+def even_share(backend: str, calls: int, position: int, count: int) -> int:
+    """Return the calls to one back end that belong to the coordinator at ``position``.
 
     The remainder of an uneven division starts at another coordinator for every back end, so no
     coordinator gets the larger share everywhere.
 
-    >>> sum(slot_share("b1", 5, position, 3) for position in range(3))
+    >>> sum(even_share("b1", 5, position, 3) for position in range(3))
     5
     """
-    base, remainder = divmod(slots, count)
+    base, remainder = divmod(calls, count)
     first = xxhash.xxh64_intdigest(backend.encode()) % count
     return base + (1 if (position - first) % count < remainder else 0)
 
