Test a planned stop and the rotation of keys on real processes

Cause: stop and TLS were tested in parts only. Change: two node processes over mutual TLS; every node is told to stop, once or twice, with relayed queries in progress; all keys and their authority change while the nodes run. Conclusion: a second SIGTERM changes nothing; readiness and liveness differ while leaving.

--- /dev/null
+++ b/tests/functional/test_serve.py
@@ -0,0 +1,204 @@
+"""Two node processes over TLS: a relayed query, rotation of keys and a planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import socket
+import ssl
+import sys
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgspec
+import pytest
+import trustme
+import uvicorn
+
+from tinrudder.platform.messages import MemberList, PlatformMember, RawResource, ResourceDocument
+from tinrudder.resources.model import BackendSpec, Kind
+from tinrudder_lab.backend_model import BackendBehaviour, BackendModel
+from tinrudder_lab.backend_server import serve_model
+from tinrudder_lab.datasets import ShardStore
+from tinrudder_lab.deployment import LOOPBACK, PLATA_REGION, Deployment, build_deployment
+from tinrudder_lab.platform_server import PlatformState, build_app
+
+SERVICE = "finance"
+SERVICE_S = 0.03
+TIMEOUT_S = 20.0
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclass
+class Reply:
+    """One HTTP answer."""
+
+    status: int
+    headers: bytes
+    body: dict[str, object] = field(default_factory=dict)
+
+
+@dataclass
+class Cluster:
+    """Two nodes, a platform and the back ends of one service."""
+
+    directory: Path
+    deployment: Deployment
+    authority: trustme.CA
+    ports: dict[str, int] = field(default_factory=dict)
+    processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
+
+    def write_identity(self) -> None:
+        certificate = self.authority.issue_cert(LOOPBACK)
+        self.authority.cert_pem.write_to_path(str(self.directory / "ca.pem"))
+        certificate.private_key_pem.write_to_path(str(self.directory / "key.pem"))
+        certificate.cert_chain_pems[0].write_to_path(str(self.directory / "cert.pem"))
+
+    async def start_node(self, member: PlatformMember, platform_port: int) -> None:
+        self.ports[member.name] = free_port()
+        files = {name: self.directory / f"{name}.pem" for name in ("cert", "key", "ca")}
+        arguments = [
+            f"--name={member.name}",
+            f"--zone={member.zone}",
+            f"--region={member.region}",
+            f"--caller-port={self.ports[member.name]}",
+            f"--peer-port={member.port}",
+            f"--platform-url=http://{LOOPBACK}:{platform_port}",
+            "--stop-grace-s=0.5",
+            "--tls-check-s=0.1",
+            f"--peer-tls-certificate={files['cert']}",
+            f"--peer-tls-key={files['key']}",
+            f"--peer-tls-authority={files['ca']}",
+            f"--caller-tls-certificate={files['cert']}",
+            f"--caller-tls-key={files['key']}",
+        ]
+        self.processes[member.name] = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "tinrudder.cli.main", "serve", *arguments),
+            stderr=(self.directory / f"{member.name}.log").open("wb"),
+        )
+
+    async def request(
+        self, node: str, method: str, path: str, body: bytes = b"", head: str = ""
+    ) -> Reply:
+        """Send one request over a connection of its own."""
+        context = ssl.create_default_context(cadata=self.authority.cert_pem.bytes().decode())
+        reader, writer = await asyncio.open_connection(LOOPBACK, self.ports[node], ssl=context)
+        lines = f"{method} {path} HTTP/1.1\r\nHost: n\r\nContent-Length: {len(body)}\r\n{head}\r\n"
+        writer.write(lines.encode() + body)
+        headers = await reader.readuntil(b"\r\n\r\n")
+        length = int(headers.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        content = await reader.readexactly(length)
+        writer.close()
+        return Reply(int(headers.split()[1]), headers.lower(), msgspec.json.decode(content))
+
+    async def query(self, node: str) -> Reply:
+        kind = next(kind for kind in self.deployment.query_kinds if kind.rule == SERVICE)
+        body = msgspec.json.encode({"index": kind.index, "rule": kind.rule, "limit": 5})
+        head = f"Authorization: {kind.caller.authorization}\r\n"
+        return await self.request(node, "POST", "/v1/query", body, head)
+
+    async def wait_for_status(self, node: str, path: str, status: int) -> Reply:
+        async with asyncio.timeout(TIMEOUT_S):
+            while True:
+                try:
+                    reply = await self.request(node, "GET", path)
+                    if reply.status == status:
+                        return reply
+                except (OSError, EOFError):
+                    pass
+                await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def running_cluster(directory: Path):
+    """Start everything and end it again."""
+    loop = asyncio.get_running_loop()
+    deployment = build_deployment(1024, services_per_shape=1)
+    cluster = Cluster(directory, deployment, trustme.CA())
+    cluster.write_identity()
+    servers = []
+    resources: list[RawResource] = []
+    for raw in deployment.resources:
+        spec = deployment.backends.get(raw.name) if raw.kind == Kind.BACKEND.value else None
+        if spec is not None and spec.service == SERVICE:
+            behaviour = BackendBehaviour(slots=spec.slots, service_median_s=SERVICE_S)
+            model = BackendModel(raw.name, loop, random.Random(1), ShardStore(), behaviour)
+            servers.append(await serve_model(model, LOOPBACK, 0))
+            port = servers[-1].sockets[0].getsockname()[1]
+            moved: BackendSpec = msgspec.structs.replace(spec, port=port)
+            raw = msgspec.structs.replace(raw, spec=msgspec.Raw(msgspec.json.encode(moved)))
+        resources.append(raw)
+    members = tuple(
+        PlatformMember(name, f"mvd-{name}", PLATA_REGION, LOOPBACK, free_port())
+        for name in ("a", "b")
+    )
+    state = PlatformState(ResourceDocument(1, tuple(resources)), MemberList(1, members))
+    platform_port = free_port()
+    config = uvicorn.Config(
+        build_app(state), host=LOOPBACK, port=platform_port, loop="asyncio", log_level="error"
+    )
+    platform = uvicorn.Server(config)
+    serving = asyncio.create_task(platform._serve())
+    try:
+        for member in members:
+            await cluster.start_node(member, platform_port)
+        for member in members:
+            await cluster.wait_for_status(member.name, "/readyz", 200)
+        yield cluster
+    finally:
+        for process in cluster.processes.values():
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        platform.should_exit = True
+        await serving
+        for server in servers:
+            server.close()
+
+
+@pytest.mark.parametrize("signals", [1, 2])
+def test_planned_stop_of_every_node_cuts_off_nothing(tmp_path: Path, signals: int) -> None:
+    async def scenario() -> None:
+        async with running_cluster(tmp_path) as cluster:
+            queries = [asyncio.create_task(cluster.query(node)) for node in ("a", "b") * 3]
+            await asyncio.sleep(SERVICE_S)
+            assert not any(query.done() for query in queries)
+            for _ in range(signals):
+                for process in cluster.processes.values():
+                    process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(0.01)
+            unready = await cluster.wait_for_status("a", "/readyz", 503)
+            assert unready.body["state"] == "leaving"
+            alive = await cluster.request("a", "GET", "/healthz")
+            assert alive.status == 200
+            assert b"connection: close" in alive.headers
+            late = asyncio.create_task(cluster.query("b"))
+            for reply in await asyncio.gather(*queries, late):
+                assert reply.status == 200, reply.body
+            for process in cluster.processes.values():
+                assert await process.wait() == 0
+        logs = b"".join(path.read_bytes() for path in tmp_path.glob("*.log"))
+        stopped = [line for line in logs.splitlines() if b'"stopped"' in line]
+        assert len(stopped) == 2
+        assert sum(msgspec.json.decode(line)["relayed"] for line in stopped) >= 3
+
+    asyncio.run(scenario())
+
+
+def test_keys_of_callers_and_nodes_rotate_without_restart(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_cluster(tmp_path) as cluster:
+            cluster.authority = trustme.CA()
+            cluster.write_identity()
+            for node in ("a", "b"):
+                await cluster.wait_for_status(node, "/healthz", 200)
+                assert (await cluster.query(node)).status == 200
+
+    asyncio.run(scenario())
