--- a/tests/support/virtual_caller.py
+++ b/tests/support/virtual_caller.py
@@ -42,6 +42,7 @@
     cut_off: bool = False
     leaves_at: float = FAR_AWAY_S
     read_gap_s: float = 0.0
+    host: str = "127.0.0.1"
     status: int = 0
     answer_headers: dict[str, str] = field(default_factory=dict)
     pieces: list[bytes] = field(default_factory=list)
@@ -63,7 +64,7 @@
             "raw_path": self.path.encode(),
             "query_string": b"",
             "headers": [(name.encode(), value.encode()) for name, value in headers.items()],
-            "client": ("127.0.0.1", 1),
+            "client": (self.host, 1),
         }
         await app(scope, self._receive, self._send)
         return self
--- /dev/null
+++ b/tinrudder/api/explain_app.py
@@ -0,0 +1,50 @@
+"""``GET /v1/explain/{query_id}``: why a finished query went as it did."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+
+import msgspec
+from starlette.requests import Request
+from starlette.responses import Response
+from starlette.routing import Route
+
+from tinrudder.api.operator_authentication import Viewer, authenticate_viewer
+from tinrudder.api.problems import JSON, ProblemReason, RequestProblemError, problem_response
+from tinrudder.query.explain import QueryExplanation
+from tinrudder.resources.configuration import Configuration
+
+MAX_QUERY_ID_LENGTH = 64
+
+FindExplanation = Callable[[str, str | None], Awaitable[QueryExplanation | None]]
+
+
+def explain_route(
+    find: FindExplanation,
+    operators: Mapping[str, str],
+    configuration: Callable[[], Configuration],
+) -> Route:
+    """Return the route.
+
+    :param find: looks for a query id among a tenant's queries, or all for an operator.
+    """
+
+    async def show(request: Request) -> Response:
+        query_id = request.path_params["query_id"]
+        header = request.headers.get("authorization")
+        viewer: Viewer | None = authenticate_viewer(header, operators, configuration())
+        if viewer is None:
+            rule = "not a valid credential"
+            problem = RequestProblemError(ProblemReason.UNAUTHORIZED, "authorization", rule)
+            return problem_response("", problem)
+        found = None
+        if len(query_id) <= MAX_QUERY_ID_LENGTH:
+            found = await find(query_id, viewer.tenant)
+        if found is None:
+            rule = "no query of this tenant that is still remembered"
+            return problem_response(
+                "", RequestProblemError(ProblemReason.UNKNOWN_QUERY, "query_id", rule)
+            )
+        return Response(msgspec.json.encode(found), media_type=JSON)
+
+    return Route("/v1/explain/{query_id}", show)
--- a/tinrudder/api/problems.py
+++ b/tinrudder/api/problems.py
@@ -30,6 +30,7 @@
     BODY_TOO_SLOW = "body_too_slow"
     UNSUPPORTED_CONTENT = "unsupported_content"
     UNKNOWN_PATH = "unknown_path"
+    UNKNOWN_QUERY = "unknown_query"
     METHOD_NOT_ALLOWED = "method_not_allowed"
     INTERNAL_ERROR = "internal_error"
 
@@ -38,6 +39,7 @@
     ProblemReason.INVALID_REQUEST: 400,
     ProblemReason.UNAUTHORIZED: UNAUTHORIZED,
     ProblemReason.UNKNOWN_PATH: NOT_FOUND,
+    ProblemReason.UNKNOWN_QUERY: NOT_FOUND,
     ProblemReason.METHOD_NOT_ALLOWED: METHOD_NOT_ALLOWED,
     ProblemReason.BODY_TOO_SLOW: 408,
     ProblemReason.BODY_TOO_LARGE: 413,
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -16,15 +16,19 @@
 from starlette.types import ASGIApp
 
 from tinrudder.api.caller_app import CallerApplication
+from tinrudder.api.caller_protocol import CallerProtocol
 from tinrudder.api.cursor import CursorCodec
 from tinrudder.api.finished_query import QueryLog
 from tinrudder.api.health import CloseWhenStopping, health_routes
+from tinrudder.api.metrics_app import metrics_route
 from tinrudder.backends.http_transport import HttpBackendTransport
 from tinrudder.cli.tls_edges import build_edges, follow_files
 from tinrudder.environment import DEVELOPMENT_CLUSTER_KEYS, Environment
 from tinrudder.garbage_collection import tune_garbage_collection
 from tinrudder.logs import configure_logs, log_problem
+from tinrudder.metrics import NodeMetrics
 from tinrudder.node import Node
+from tinrudder.node_metrics import show_node
 from tinrudder.platform.client import PlatformClient
 from tinrudder.settings import (
     NodeSettings,
@@ -32,6 +36,7 @@
     add_settings_flags,
     flags_given,
     load_settings,
+    parse_operator_credentials,
     read_cluster_keys,
 )
 from tinrudder.tls import Identity, TlsError
@@ -102,13 +107,17 @@
     node = Node(msgspec.structs.replace(settings, peer_port=address.port), environment)
     await node.start()
     tune_garbage_collection()
+    metrics = NodeMetrics()
+    show_node(metrics, node)
     callers = CallerApplication(
         loop,
         node.entry,
         node.configuration,
         CursorCodec(cluster_keys),
-        [QueryLog(settings.query_log_share)],
+        [QueryLog(settings.query_log_share), metrics],
     )
+    operators = parse_operator_credentials(settings.operator_credentials)
+    callers.app.router.routes.append(metrics_route(metrics, operators))
     callers.app.router.routes.extend(health_routes(node.lifecycle, node.configuration))
     app = CloseWhenStopping(callers.app, node.lifecycle)
     server = CallerServer(caller_config(settings, app, edges.callers))
@@ -133,7 +142,7 @@
         host=settings.host,
         port=settings.caller_port,
         loop="asyncio",
-        http="httptools",
+        http=CallerProtocol,
         lifespan="off",
         log_config=None,
         access_log=False,
--- /dev/null
+++ b/tinrudder/metrics.py
@@ -0,0 +1,97 @@
+"""Metrics of one node, in a registry of its own, with bounded label sets.
+
+What parts of the node count anyway is read when somebody scrapes; only the latency histogram and
+the refusals cost anything per query.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.registry import Collector
+
+from tinrudder.api.finished_query import FinishedQuery, reason_of
+from tinrudder.outcomes import NotRun
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+MAX_SERVICE_LABELS = 1000
+OTHER_SERVICES = "other"
+
+Reading = Callable[[], float]
+
+
+@dataclass(frozen=True, slots=True)
+class ReadMetric:
+    """A figure that some part of the node keeps.
+
+    :param is_counter: it only grows while the process lives.
+    """
+
+    name: str
+    help: str
+    read: Reading
+    is_counter: bool = True
+
+
+class _ReadCollector(Collector):
+    """Reads the figures at every scrape."""
+
+    def __init__(self) -> None:
+        self.metrics: list[ReadMetric] = []
+
+    def collect(self) -> Iterable[Metric]:
+        for metric in self.metrics:
+            family = CounterMetricFamily if metric.is_counter else GaugeMetricFamily
+            yield family(metric.name, metric.help, value=metric.read())
+
+
+class NodeMetrics:
+    """Everything ``/metrics`` shows."""
+
+    def __init__(self) -> None:
+        """Start with an empty registry of its own."""
+        self.registry = CollectorRegistry()
+        self._read = _ReadCollector()
+        self.registry.register(self._read)
+        self._latency = Histogram(
+            "tinrudder_query_seconds",
+            "Time from a caller's whole body to its outcome.",
+            ["service", "outcome"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self._refusals = Counter(
+            "tinrudder_refusals",
+            "Queries that did not run, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
+        self._services: set[str] = set()
+
+    def add(self, *metrics: ReadMetric) -> None:
+        """Show further figures."""
+        self._read.metrics.extend(metrics)
+
+    def __call__(self, query: FinishedQuery) -> None:
+        """Count one finished query; an observer of the callers' application."""
+        service = self._bounded(query.service)
+        outcome = type(query.outcome).__name__
+        self._latency.labels(service, outcome).observe(query.elapsed_s)
+        if isinstance(query.outcome, NotRun):
+            self._refusals.labels(reason_of(query.outcome)).inc()
+
+    def render(self) -> bytes:
+        """Return the text format."""
+        return generate_latest(self.registry)
+
+    def _bounded(self, service: str) -> str:
+        """Return the service as a label; names beyond the maximum share one."""
+        if service in self._services:
+            return service
+        if len(self._services) >= MAX_SERVICE_LABELS:
+            return OTHER_SERVICES
+        self._services.add(service)
+        return service
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -46,7 +46,7 @@
             settings, environment, self.channels, self.view, self._update_shares
         )
         self.configuration_store = self.node_configuration.store
-        self._dispatcher = Dispatcher(
+        self.dispatcher = Dispatcher(
             environment.timers,
             environment.backends,
             StartTimeFairQueue(),
@@ -54,7 +54,7 @@
         )
         self.backends.on_update = self._fill_backends
         self.coordinator = Coordinator(
-            environment.timers, self._dispatcher, self.backends, self.configuration
+            environment.timers, self.dispatcher, self.backends, self.configuration
         )
         self._build_relay()
         self._tasks: list[asyncio.Task[None]] = []
@@ -154,7 +154,7 @@
     def _fill_backends(self) -> None:
         """Let waiting calls use room that a new configuration or share has made."""
         for backend in self.backends.all_records():
-            self._dispatcher.fill(backend)
+            self.dispatcher.fill(backend)
 
     def _update_shares(self) -> None:
         """Bring coordinator sets and limits in step with members and configuration."""
--- /dev/null
+++ b/tinrudder/node_metrics.py
@@ -0,0 +1,34 @@
+"""Which figures of a node ``/metrics`` shows besides those of callers' queries."""
+
+from __future__ import annotations
+
+from tinrudder.metrics import NodeMetrics, Reading, ReadMetric
+from tinrudder.node import Node
+
+
+def show_node(metrics: NodeMetrics, node: Node) -> None:
+    """Add a node's own figures; docs/OPERATING.md says what to make of each."""
+    dispatcher = node.dispatcher
+    counters = node.entry.counters
+    metrics.add(
+        ReadMetric("tinrudder_backend_calls", "Calls sent.", lambda: dispatcher.sent_calls),
+        ReadMetric(
+            "tinrudder_needed_shards",
+            "Calls that one per needed shard would take; extra load is calls sent over these.",
+            lambda: node.coordinator.needed_shards,
+        ),
+        ReadMetric("tinrudder_queries_local", "Coordinated here.", lambda: counters.local),
+        ReadMetric("tinrudder_queries_relayed", "Relayed.", lambda: counters.relayed),
+        ReadMetric("tinrudder_relays_lost", "Relays without reply.", lambda: counters.lost),
+        ReadMetric("tinrudder_queries_fallback", "Without coordinator.", lambda: counters.fallback),
+        _gauge("tinrudder_queued_calls", "Waiting for room.", lambda: dispatcher.queue_length),
+        _gauge("tinrudder_queries_in_progress", "Not finished.", lambda: node.in_progress),
+        _gauge(
+            "tinrudder_configuration_revision", "In force.", lambda: node.configuration().revision
+        ),
+        _gauge("tinrudder_members", "Usable nodes.", lambda: len(node.view().usable())),
+    )
+
+
+def _gauge(name: str, text: str, read: Reading) -> ReadMetric:
+    return ReadMetric(name, text, read, is_counter=False)
--- a/tinrudder/query/coordinator.py
+++ b/tinrudder/query/coordinator.py
@@ -39,6 +39,7 @@
         self._backends = backends
         self._configuration = configuration
         self.in_progress = 0
+        self.needed_shards = 0
 
     async def run(self, request: QueryRequest) -> Outcome:
         """Run one query."""
@@ -47,6 +48,7 @@
         plan = make_query_plan(request, self._configuration(), self._backends)
         if isinstance(plan, NotRun):
             return plan
+        self.needed_shards += len(plan.shards)
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         fan_out = FanOut(plan, self._dispatcher, self._timers, future.set_result)
         self.in_progress += 1
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -54,6 +54,11 @@
         self._last_call_id = 0
         self.sent_calls = 0
 
+    @property
+    def queue_length(self) -> int:
+        """Return how many calls wait for room."""
+        return len(self._queue)
+
     def submit(self, pending: PendingCall) -> None:
         """Dispatch now if a candidate has room and nobody waits for it, else wait."""
         backend = self._replica_choice.choose(pending.candidates)
