--- a/bench/call_cost.py
+++ b/bench/call_cost.py
@@ -26,6 +26,8 @@
     TransportClient,
     WholeNode,
     WholeNodeWithCallers,
+    grouped_requests,
+    single_requests,
 )
 from tinrudder.backends.http_transport import HttpBackendTransport
 from tinrudder.garbage_collection import tune_garbage_collection
@@ -68,7 +70,8 @@
     """Return the subjects in the order of their turns."""
     return [
         Measurement("floor", Floor(ports, fan_out)),
-        Measurement("client", TransportClient(ports, fan_out)),
+        Measurement("client", TransportClient(ports, single_requests(fan_out))),
+        Measurement("grouped", TransportClient(ports, grouped_requests(fan_out, len(ports)))),
         Measurement("aiosonic", AiosonicClient(ports, fan_out)),
         Measurement("decision", WholeNode(ports, fan_out, InstantTransport())),
         Measurement("node", WholeNode(ports, fan_out, HttpBackendTransport())),
--- a/bench/subjects.py
+++ b/bench/subjects.py
@@ -43,14 +43,27 @@
         """Give everything back."""
 
 
-def search_request(call_id: int, shard: str) -> SearchRequest:
-    """Return the request that all subjects send."""
+def search_request(call_id: int, *shards: str) -> SearchRequest:
+    """Return the request that all subjects send, for one shard or several."""
     deadline_ms = int(DEADLINE_S * 1000)
     return SearchRequest(
-        call_id, INDEX, 1, (shard,), {}, "time", False, 100, deadline_ms, query_id="0" * 32
+        call_id, INDEX, 1, shards, {}, "time", False, 100, deadline_ms, query_id="0" * 32
     )
 
 
+def single_requests(fan_out: int) -> list[SearchRequest]:
+    """Return one request a shard."""
+    return [search_request(number, shard_name(number)) for number in range(fan_out)]
+
+
+def grouped_requests(fan_out: int, ports: int) -> list[SearchRequest]:
+    """Return one request a back end, for all of its shards."""
+    return [
+        search_request(number, *(shard_name(shard) for shard in range(number, fan_out, ports)))
+        for number in range(ports)
+    ]
+
+
 class Floor:
     """Bare asyncio; requests are encoded beforehand."""
 
@@ -85,11 +98,11 @@
 class TransportClient:
     """The node's own transport, with requests made beforehand and answers decoded."""
 
-    def __init__(self, ports: list[int], fan_out: int) -> None:
-        """Prepare the requests."""
+    def __init__(self, ports: list[int], requests: list[SearchRequest]) -> None:
+        """Send ``requests`` over the ports in turn."""
         self._ports = ports
         self._transport = HttpBackendTransport()
-        self._requests = [search_request(number, shard_name(number)) for number in range(fan_out)]
+        self._requests = requests
         self._left = 0
         self._done: asyncio.Future[None] | None = None
 
