Test answers larger than the read buffer, in clear and over TLS

Cause: reading into a buffer of our own was tested with small answers and without TLS only. Change: a test with answers of five buffers, both ways, and with the wrong kind of connection.

--- a/tests/functional/test_connection_pool.py
+++ b/tests/functional/test_connection_pool.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import ssl
 from collections.abc import Awaitable, Callable
 
 import pytest
+import trustme
 
 from tests.functional.test_backend_http import HOST, call_to, exchange, with_backend
 from tinrudder.backends import connection_pool
+from tinrudder.backends.connection import READ_BUFFER_BYTES
 from tinrudder.backends.http_transport import HttpBackendTransport
 from tinrudder.backends.messages import Answered, BackendReply, Broken, NotSent
 from tinrudder_lab.backend_model import BackendBehaviour, BackendModel
@@ -130,3 +133,52 @@
         assert model.counters.received == 0
 
     run_against(BackendBehaviour(), scenario)
+
+
+class TrustedContexts:
+    """Trusts one authority."""
+
+    def __init__(self, authority: trustme.CA) -> None:
+        self.context = ssl.create_default_context()
+        authority.configure_trust(self.context)
+
+    def backend_context(self) -> ssl.SSLContext:
+        return self.context
+
+
+def test_answers_larger_than_the_buffer_arrive_whole_in_clear_and_over_tls(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    authority = trustme.CA()
+    listening = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    authority.issue_cert(HOST).configure_cert(listening)
+    filler = "x" * (5 * READ_BUFFER_BYTES)
+    rows = f'[{{"shard":"s","rows":[[1.0,"r",{{"filler":"{filler}"}}]]}}]'
+    body = f'{{"call_id":1,"version":1,"shards":{rows}}}'.encode()
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head = await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(int(head.rsplit(b":", 1)[1]))
+            writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+    async def scenario(context: ssl.SSLContext | None) -> None:
+        server = await asyncio.start_server(answer, HOST, 0, ssl=context)
+        port = server.sockets[0].getsockname()[1]
+        transport = HttpBackendTransport(TrustedContexts(authority))
+        for _ in range(2):
+            call = call_to(port)
+            call.tls = context is not None
+            reply = await exchange(transport, call)
+            assert isinstance(reply, Answered)
+            assert filler.encode() in bytes(reply.answer.shards[0].rows[0].payload)
+        assert transport.connections(HOST, port) == 1
+        monkeypatch.setattr(connection_pool, "CONNECT_TIMEOUT_S", 0.02 if context is None else 1.0)
+        wrong = call_to(port)
+        wrong.tls = context is None
+        assert isinstance(await exchange(transport, wrong), NotSent if wrong.tls else Broken)
+        await transport.close()
+        server.close()
+
+    asyncio.run(scenario(listening))
+    asyncio.run(scenario(None))
