--- /dev/null
+++ b/tinrudder/routing/admission.py
@@ -0,0 +1,118 @@
+"""Refusing a query before anything of it is sent, when it would come too late anyway."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from tinrudder.resources.model import Priority
+from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.call_queue import CallQueue
+
+TAIL_LATENCIES = 2.0
+SAFETY_FACTOR = 1.2
+MINIMUM_RETRY_AFTER_S = 0.05
+MAXIMUM_RETRY_AFTER_S = 5.0
+RETRY_JITTER = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class QueryDemand:
+    """What a query wants of the back ends.
+
+    :param replicas: the back ends of each shard.
+    :param needed: how many shards must answer for the query to meet its rule, at least 1.
+    :param deadline: monotonic time by which they must.
+    """
+
+    tenant: str
+    weight: int
+    priority: Priority
+    replicas: Sequence[tuple[BackendRecord, ...]]
+    needed: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Overload:
+    """The query would come too late; asking again is worth it after ``retry_after_s``."""
+
+    retry_after_s: float
+
+
+class AdmissionPolicy(Protocol):
+    """Decides at once, without waiting, whether a query is worth starting."""
+
+    def check(self, demand: QueryDemand, now: float) -> Overload | None:
+        """Return why the query is refused, ``None`` to start it."""
+
+
+class AdmitAll:
+    """Starts every query: the baseline."""
+
+    def check(self, demand: QueryDemand, now: float) -> Overload | None:
+        """Refuse nothing."""
+        return None
+
+
+class ExpectedWaitAdmission:
+    """Refuses a query whose last needed shard is expected after its deadline.
+
+    A back end answers, by Little's law, limit / latency calls a second; what the fair queue
+    lets go first is the work ahead.  Nothing is refused where nothing waits, so a wrong estimate
+    can't shut a service for good.
+
+    When to use: always; the default.  Cost: a fraction of a microsecond per shard, and only
+    where calls wait.
+    """
+
+    def __init__(self, queue: CallQueue, source: random.Random) -> None:
+        """Estimate from ``queue``; spread the retries of refused callers by ``source``."""
+        self._queue = queue
+        self._random = source
+
+    def check(self, demand: QueryDemand, now: float) -> Overload | None:
+        """Compare the expected time with what the deadline leaves."""
+        added = _added_work(demand.replicas)
+        if not any(backend.waiting for backend in added):
+            return None
+        expected_s = self._expected_s(demand, added) * SAFETY_FACTOR
+        left_s = demand.deadline - now
+        if expected_s <= left_s:
+            return None
+        return Overload(self._retry_after_s(expected_s - left_s))
+
+    def _expected_s(self, demand: QueryDemand, added: dict[BackendRecord, float]) -> float:
+        """Return in how many seconds the last needed shard is expected."""
+        expected = {
+            backend: self._backend_s(demand, backend, work) for backend, work in added.items()
+        }
+        by_shard = sorted(
+            min((expected[backend] for backend in replicas if backend in expected), default=0.0)
+            for replicas in demand.replicas
+        )
+        return by_shard[demand.needed - 1]
+
+    def _backend_s(self, demand: QueryDemand, backend: BackendRecord, added: float) -> float:
+        """Return in how many seconds a back end is done with a query's part."""
+        work = self._queue.expected_work(
+            backend, demand.tenant, demand.weight, demand.priority, added
+        )
+        return backend.latency_s * (work / backend.limit + TAIL_LATENCIES)
+
+    def _retry_after_s(self, excess_s: float) -> float:
+        """Return when to ask again, spread so that refused callers don't return together."""
+        bounded = min(MAXIMUM_RETRY_AFTER_S, max(MINIMUM_RETRY_AFTER_S, excess_s))
+        return bounded * (1.0 + RETRY_JITTER * self._random.random())
+
+
+def _added_work(replicas: Sequence[tuple[BackendRecord, ...]]) -> dict[BackendRecord, float]:
+    """Return a query's work by back end, each shard in equal parts on its replicas."""
+    added: dict[BackendRecord, float] = {}
+    for backends in replicas:
+        usable = [backend for backend in backends if not backend.leaving]
+        for backend in usable:
+            added[backend] = added.get(backend, 0.0) + 1.0 / len(usable)
+    return added
--- /dev/null
+++ b/tinrudder/routing/backend_limit.py
@@ -0,0 +1,57 @@
+"""How many calls this node may have in flight at a back end (see docs/LIMITS.md).
+
+The ceiling is the node's share of the configured slots.  Below it the limit follows what the
+back end itself says by refusing calls.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from tinrudder.routing.backend_record import BackendRecord
+
+MINIMUM_LIMIT = 1.0
+DECREASE_FACTOR = 0.7
+ANSWERS_PER_STEP = 8.0
+
+
+class BackendLimitPolicy(Protocol):
+    """Moves a back end's limit between 1 and its ceiling."""
+
+    def on_answer(self, backend: BackendRecord, now: float) -> None:
+        """Learn of an answered call; the record still counts it as in flight."""
+
+    def on_shed(self, backend: BackendRecord, sent_at: float, now: float) -> None:
+        """Learn of a call refused for load."""
+
+
+class FixedLimit:
+    """The share of the configured slots, whatever happens: the baseline."""
+
+    def on_answer(self, backend: BackendRecord, now: float) -> None:
+        """Learn nothing."""
+
+    def on_shed(self, backend: BackendRecord, sent_at: float, now: float) -> None:
+        """Learn nothing."""
+
+
+class AdaptiveLimit:
+    """Additive increase while the limit is used, multiplicative decrease on refusals.
+
+    When to use: always; the default.  Default: 0.7 times the limit after a refusal, at most once
+    per round of calls; one more call after 8 rounds of answers at the limit.  Cost: one
+    comparison an answer.
+    """
+
+    def on_answer(self, backend: BackendRecord, now: float) -> None:
+        """Raise a limit that is in full use and below its ceiling."""
+        limit = backend.limit
+        if limit < backend.ceiling and backend.in_flight + 1 > limit:
+            backend.limit = min(backend.ceiling, limit + 1.0 / (ANSWERS_PER_STEP * limit))
+
+    def on_shed(self, backend: BackendRecord, sent_at: float, now: float) -> None:
+        """Lower the limit, unless the refused call was sent under the limit before last."""
+        if sent_at < backend.lowered_at:
+            return
+        backend.lowered_at = now
+        backend.limit = max(MINIMUM_LIMIT, backend.limit * DECREASE_FACTOR)
--- a/tinrudder/routing/backend_record.py
+++ b/tinrudder/routing/backend_record.py
@@ -15,6 +15,7 @@
     :param slots: calls the back end runs at once, as configured: a hint.
     :param limit: calls this node may have in flight there now; its whole part counts.
     :param ceiling: this node's share of the slots; ``limit`` never exceeds it.  0 takes ``limit``.
+    :param lowered_at: when ``limit`` was last lowered, monotonic seconds.
     :param waiting: calls that wait in this node's queue and may go there.
     :param latency_s: smoothed time of answered calls, seconds; 0 before the first.
     :param leaving: no new work goes there.
@@ -34,6 +35,7 @@
     leaving: bool = False
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     ceiling: float = 0.0
+    lowered_at: float = 0.0
     waiting: int = 0
     paused: bool = False
 
