Refuse early, cap tenants and adapt limits on the query path

Cause: a node queued without bound; a tenant's queries, queue places and bytes had no limit, calls went out after it was too late for them, and a refusing back end got as much as before. Change: a gate applies the tenant's caps, then the expected wait, before anything is sent; the dispatcher counts queue places, drops waiting calls that come too late, honours a pause where the limit is at its floor, and fills back ends one after the other, so that many late queries at once don't nest. Answers beyond the byte cap are dropped and named in the coverage. The size of an answer is no part of its identity, so replies still compare equal. Conclusion: a refusal is immediate and nothing of it was sent.

--- a/tinrudder/backends/messages.py
+++ b/tinrudder/backends/messages.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -93,9 +93,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Answered:
-    """The back end ran the call."""
+    """The back end ran the call.
+
+    :param size_bytes: encoded size of the answer, which it keeps in memory while rows are held.
+    """
 
     answer: SearchAnswer
+    size_bytes: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/backends/reply_decoding.py
+++ b/tinrudder/backends/reply_decoding.py
@@ -44,7 +44,7 @@
         return Broken(f"unreadable answer: {error}")
     if answer.call_id != call.call_id:
         return Broken("answer to another call")
-    return Answered(answer)
+    return Answered(answer, len(body))
 
 
 def decode_refusal(status: int, body: bytes, answer_head: bytes) -> BackendReply:
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -12,16 +12,20 @@
 from tinrudder.node_configuration import NodeConfiguration
 from tinrudder.node_membership import NodeMembership
 from tinrudder.platform.messages import PlatformUnavailableError
+from tinrudder.query.admission_gate import AdmissionGate
 from tinrudder.query.coordinator import Coordinator
 from tinrudder.query.coordinator_sets import CoordinatorSets
 from tinrudder.query.dispatcher import Dispatcher
 from tinrudder.query.entry import Entry
 from tinrudder.query.relay import RelayClient, RelayServer
 from tinrudder.resources.configuration import Configuration
+from tinrudder.routing.admission import ExpectedWaitAdmission
+from tinrudder.routing.backend_limit import AdaptiveLimit
 from tinrudder.routing.backend_table import BackendTable
 from tinrudder.routing.coordinator_ranking import CoordinatorRanking
 from tinrudder.routing.fair_queue import StartTimeFairQueue
 from tinrudder.routing.replica_choice import LeastLoadedReplica
+from tinrudder.routing.tenant_usage import TenantUsageTable
 from tinrudder.settings import NodeSettings
 from tinrudder.wire.channels import Channel, ChannelRouter
 
@@ -46,18 +50,25 @@
             settings, environment, self.channels, self.view, self._update_shares
         )
         self.configuration_store = self.node_configuration.store
+        self._build_coordinator()
+        self._build_relay()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _build_coordinator(self) -> None:
+        """Build queue, limits, admission and the coordinator on top of them."""
+        timers = self._environment.timers
+        queue = StartTimeFairQueue()
+        usage = TenantUsageTable()
         self.dispatcher = Dispatcher(
-            environment.timers,
-            environment.backends,
-            StartTimeFairQueue(),
-            LeastLoadedReplica(),
+            timers, self._environment.backends, queue, LeastLoadedReplica(), AdaptiveLimit(), usage
         )
         self.backends.on_update = self._fill_backends
+        source = self._environment.random
+        admission = ExpectedWaitAdmission(queue, source)
+        gate = AdmissionGate(timers, admission, usage, self.configuration, source)
         self.coordinator = Coordinator(
-            environment.timers, self.dispatcher, self.backends, self.configuration
+            timers, self.dispatcher, self.backends, self.configuration, gate
         )
-        self._build_relay()
-        self._tasks: list[asyncio.Task[None]] = []
 
     def _build_relay(self) -> None:
         """Build both ends of the relay and the entry on top of them."""
--- a/tinrudder/outcomes.py
+++ b/tinrudder/outcomes.py
@@ -20,6 +20,7 @@
     BROKEN = "broken"
     VERSION_GONE = "version_gone"
     NOT_ASKED = "not_asked"
+    TENANT_LIMIT = "tenant_limit"
 
 
 class NotRunReason(enum.StrEnum):
--- a/tinrudder/query/coordinator.py
+++ b/tinrudder/query/coordinator.py
@@ -7,6 +7,7 @@
 from typing import Protocol
 
 from tinrudder.outcomes import NotRun, NotRunReason, Outcome
+from tinrudder.query.admission_gate import AdmissionGate
 from tinrudder.query.dispatcher import Dispatcher
 from tinrudder.query.fan_out import FanOut
 from tinrudder.query.plan import make_query_plan
@@ -32,8 +33,10 @@
         dispatcher: Dispatcher,
         backends: BackendTable,
         configuration: Callable[[], Configuration],
+        gate: AdmissionGate,
     ) -> None:
         """Read the configuration in force through ``configuration`` at every query."""
+        self._gate = gate
         self._timers = timers
         self._dispatcher = dispatcher
         self._backends = backends
@@ -48,9 +51,12 @@
         plan = make_query_plan(request, self._configuration(), self._backends)
         if isinstance(plan, NotRun):
             return plan
+        permit = self._gate.enter(plan)
+        if isinstance(permit, NotRun):
+            return permit
         self.needed_shards += len(plan.shards)
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
-        fan_out = FanOut(plan, self._dispatcher, self._timers, future.set_result)
+        fan_out = FanOut(plan, self._dispatcher, self._timers, future.set_result, permit)
         self.in_progress += 1
         try:
             fan_out.start()
@@ -61,3 +67,4 @@
             raise
         finally:
             self.in_progress -= 1
+            permit.close()
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -14,14 +14,20 @@
     BackendReply,
     Draining,
     SearchRequest,
+    Shed,
 )
 from tinrudder.environment import BackendTransport
+from tinrudder.routing.backend_limit import MINIMUM_LIMIT, AdaptiveLimit, BackendLimitPolicy
 from tinrudder.routing.backend_record import BackendRecord
 from tinrudder.routing.call_queue import CallQueue
 from tinrudder.routing.pending_call import PendingCall
 from tinrudder.routing.replica_choice import ReplicaChoicePolicy
+from tinrudder.routing.tenant_usage import TenantUsageTable
 from tinrudder.timers import Timers
 
+MAXIMUM_PAUSE_S = 1.0
+QUICK_ANSWER_SHARE = 0.5
+
 SentCallListener = Callable[["SentCall", BackendReply], None]
 
 
@@ -44,12 +50,21 @@
         transport: BackendTransport,
         queue: CallQueue,
         replica_choice: ReplicaChoicePolicy,
+        limit: BackendLimitPolicy | None = None,
+        usage: TenantUsageTable | None = None,
     ) -> None:
-        """Use the given policies; all times come from ``timers``."""
+        """Use the given policies; all times come from ``timers``.
+
+        :param usage: where tenants' queue places are counted.
+        """
         self._timers = timers
         self._transport = transport
         self._queue = queue
         self._replica_choice = replica_choice
+        self._limit = limit if limit is not None else AdaptiveLimit()
+        self._usage = usage if usage is not None else TenantUsageTable()
+        self._to_fill: list[BackendRecord] = []
+        self._filling = False
         self._in_flight: dict[int, SentCall] = {}
         self._last_call_id = 0
         self.sent_calls = 0
@@ -66,13 +81,19 @@
             self._queue.record_direct(pending, backend)
             pending.on_dispatch(backend)
             return
+        usage = self._usage.of(pending.tenant)
+        if usage is not None and not usage.take_place():
+            pending.on_shed()
+            return
         self._queue.push(pending)
         if backend is not None:
             self.fill(backend)
 
     def withdraw(self, pending: PendingCall) -> None:
         """Take a waiting call back; a no-op if it was dispatched."""
-        self._queue.discard(pending)
+        if pending.waiting:
+            self._queue.discard(pending)
+            self._return_place(pending)
 
     def send(
         self,
@@ -120,25 +141,76 @@
 
     def _observe(self, sent: SentCall, reply: BackendReply) -> None:
         """Learn from a reply."""
+        now = self._timers.time()
+        backend = sent.backend
         if isinstance(reply, Answered):
-            sent.backend.observe_latency(self._timers.time() - sent.sent_at)
+            backend.observe_latency(now - sent.sent_at)
+            self._limit.on_answer(backend, now)
             if reply.answer.draining:
-                sent.backend.leaving = True
+                backend.leaving = True
+        elif isinstance(reply, Shed):
+            self._limit.on_shed(backend, sent.sent_at, now)
+            if reply.retry_after_s is not None and backend.limit <= MINIMUM_LIMIT:
+                self._pause(backend, now + min(reply.retry_after_s, MAXIMUM_PAUSE_S))
         elif isinstance(reply, Draining):
-            sent.backend.leaving = True
+            backend.leaving = True
+
+    def _pause(self, backend: BackendRecord, until: float) -> None:
+        """Honour the wait a back end asks for, where the limit can go no lower."""
+        if not backend.paused:
+            backend.paused = True
+            self._timers.call_at(until, self._resume, backend)
+
+    def _resume(self, backend: BackendRecord) -> None:
+        """End a pause."""
+        backend.paused = False
+        self.fill(backend)
 
     def _release(self, backend: BackendRecord) -> None:
         """Free one place and let waiting calls take it."""
         backend.in_flight -= 1
-        self.fill(backend)
+        if backend.waiting:
+            self.fill(backend)
 
     def fill(self, backend: BackendRecord) -> None:
-        """Let waiting calls take the room there is, e.g. after a limit was raised."""
+        """Let waiting calls take the room there is, e.g. after a limit was raised.
+
+        A call taken may end its query, which frees places at other back ends.  Those are filled
+        one after the other and not from within each other: when many queries are late at once,
+        as after a pause of the process, the stack would not hold them.
+        """
+        self._to_fill.append(backend)
+        if self._filling:
+            return
+        self._filling = True
+        try:
+            while self._to_fill:
+                self._fill_one(self._to_fill.pop())
+        finally:
+            self._filling = False
+
+    def _fill_one(self, backend: BackendRecord) -> None:
+        """Dispatch to one back end until it has no room or nothing waits for it."""
         while backend.waiting and backend.may_send():
             pending = self._queue.pop(backend)
             if pending is None:
                 return
-            pending.on_dispatch(backend)
+            self._return_place(pending)
+            if self._is_too_late(pending, backend):
+                pending.on_shed()
+            else:
+                pending.on_dispatch(backend)
+
+    def _is_too_late(self, pending: PendingCall, backend: BackendRecord) -> bool:
+        """Tell whether even a quick answer would come after the deadline."""
+        quick_s = QUICK_ANSWER_SHARE * backend.latency_s
+        return self._timers.time() + quick_s > pending.deadline
+
+    def _return_place(self, pending: PendingCall) -> None:
+        """Give a queue place back to the tenant."""
+        usage = self._usage.of(pending.tenant)
+        if usage is not None:
+            usage.return_place()
 
 
 def _with_call_id(request: SearchRequest, call_id: int) -> SearchRequest:
--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -41,6 +41,7 @@
 from tinrudder.resources.model import Preference
 from tinrudder.routing.backend_record import BackendRecord
 from tinrudder.routing.pending_call import PendingCall
+from tinrudder.routing.tenant_usage import QueryPermit
 from tinrudder.timers import TimerHandle, Timers
 
 MAX_ATTEMPTS_PER_SHARD = 3
@@ -80,9 +81,18 @@
     """Runs one plan to its outcome, which is reported exactly once."""
 
     def __init__(
-        self, plan: QueryPlan, dispatcher: Dispatcher, timers: Timers, on_outcome: OutcomeListener
+        self,
+        plan: QueryPlan,
+        dispatcher: Dispatcher,
+        timers: Timers,
+        on_outcome: OutcomeListener,
+        permit: QueryPermit | None = None,
     ) -> None:
-        """Prepare; nothing is sent before :meth:`start`."""
+        """Prepare; nothing is sent before :meth:`start`.
+
+        :param permit: counts the answers that the query holds; its owner closes it.
+        """
+        self._permit = permit
         self._plan = plan
         self._dispatcher = dispatcher
         self._timers = timers
@@ -119,7 +129,7 @@
             if not backend.leaving and backend not in progress.tried
         )
         if not candidates:
-            self._settle(progress, progress_problem(progress))
+            self._settle(progress, progress_problem(progress, MissingReason.NO_REPLICA))
             return
         request = self._plan.request
         pending = PendingCall(
@@ -131,10 +141,17 @@
             request.deadline,
             self._timers.time(),
             lambda backend: self._send(progress, backend),
+            lambda: self._on_shed(progress),
         )
         progress.pending = pending
         self._dispatcher.submit(pending)
 
+    def _on_shed(self, progress: ShardProgress) -> None:
+        """Give up a shard whose waiting call will not be sent any more."""
+        progress.pending = None
+        if not self._finished:
+            self._settle(progress, progress_problem(progress, MissingReason.NOT_ASKED))
+
     def _send(self, progress: ShardProgress, backend: BackendRecord) -> None:
         """Send a shard's call to the chosen back end."""
         progress.pending = None
@@ -170,7 +187,11 @@
         if self._finished or progress.settled:
             return
         match reply:
-            case Answered(answer):
+            case Answered(answer, size_bytes):
+                if self._permit is not None and not self._permit.hold_bytes(size_bytes):
+                    progress.touched = True
+                    self._settle(progress, MissingReason.TENANT_LIMIT)
+                    return
                 self._on_answer(progress, answer.version, answer.shards)
             case Shed() | Draining() | NotSent() | VersionGone():
                 self._retry_or_settle(progress, _reason_of(reply))
@@ -284,9 +305,9 @@
     """Drop an outcome nobody waits for."""
 
 
-def progress_problem(progress: ShardProgress) -> MissingReason:
-    """Return why a shard without further candidates is missing."""
-    return MissingReason.BROKEN if progress.attempts else MissingReason.NO_REPLICA
+def progress_problem(progress: ShardProgress, if_never_sent: MissingReason) -> MissingReason:
+    """Return why a shard that is not asked again is missing."""
+    return MissingReason.BROKEN if progress.attempts else if_never_sent
 
 
 def _reason_of(reply: BackendReply) -> MissingReason:
