Explain finished queries to their tenant and to operators

Cause: nobody could see why a query went as it did. Change: a coordinator condenses each finished fan-out into a bounded ring per tenant; the node that took a query asks the coordinators for it over a channel of its own. GET /v1/explain/{query_id}. Conclusion: a query pays when it has ended; nothing is recorded while it runs.

--- a/tinrudder/api/explain_app.py
+++ b/tinrudder/api/explain_app.py
@@ -4,19 +4,17 @@
 
 from collections.abc import Awaitable, Callable, Mapping
 
-import msgspec
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
 
 from tinrudder.api.operator_authentication import Viewer, authenticate_viewer
 from tinrudder.api.problems import JSON, ProblemReason, RequestProblemError, problem_response
-from tinrudder.query.explain import QueryExplanation
 from tinrudder.resources.configuration import Configuration
 
 MAX_QUERY_ID_LENGTH = 64
 
-FindExplanation = Callable[[str, str | None], Awaitable[QueryExplanation | None]]
+FindExplanation = Callable[[str, str | None], Awaitable[bytes | None]]
 
 
 def explain_route(
@@ -26,7 +24,8 @@
 ) -> Route:
     """Return the route.
 
-    :param find: looks for a query id among a tenant's queries, or all for an operator.
+    :param find: looks for a query id among a tenant's queries, or all for an operator; returns
+        the explanation as JSON.
     """
 
     async def show(request: Request) -> Response:
@@ -45,6 +44,6 @@
             return problem_response(
                 "", RequestProblemError(ProblemReason.UNKNOWN_QUERY, "query_id", rule)
             )
-        return Response(msgspec.json.encode(found), media_type=JSON)
+        return Response(found, media_type=JSON)
 
     return Route("/v1/explain/{query_id}", show)
--- a/tinrudder/api/finished_query.py
+++ b/tinrudder/api/finished_query.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from tinrudder.logs import LogValue, log_event
-from tinrudder.outcomes import Complete, Failed, MayHaveRun, NotRun, Outcome
+from tinrudder.outcomes import Complete, Outcome, reason_of
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,13 +30,6 @@
 QueryObserver = Callable[[FinishedQuery], None]
 
 
-def reason_of(outcome: Outcome) -> str:
-    """Return the reason of an outcome without an answer, else an empty text."""
-    if isinstance(outcome, NotRun | MayHaveRun | Failed):
-        return outcome.reason.value
-    return ""
-
-
 class QueryLog:
     """Logs one JSON line per query: all that are not complete, and a share of the others.
 
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -18,6 +18,7 @@
 from tinrudder.api.caller_app import CallerApplication
 from tinrudder.api.caller_protocol import CallerProtocol
 from tinrudder.api.cursor import CursorCodec
+from tinrudder.api.explain_app import explain_route
 from tinrudder.api.finished_query import QueryLog
 from tinrudder.api.health import CloseWhenStopping, health_routes
 from tinrudder.api.metrics_app import metrics_route
@@ -28,6 +29,7 @@
 from tinrudder.logs import configure_logs, log_problem
 from tinrudder.metrics import NodeMetrics
 from tinrudder.node import Node
+from tinrudder.node_explain import NodeExplanations
 from tinrudder.node_metrics import show_node
 from tinrudder.platform.client import PlatformClient
 from tinrudder.settings import (
@@ -109,15 +111,19 @@
     tune_garbage_collection()
     metrics = NodeMetrics()
     show_node(metrics, node)
+    explanations = NodeExplanations(node)
     callers = CallerApplication(
         loop,
         node.entry,
         node.configuration,
         CursorCodec(cluster_keys),
-        [QueryLog(settings.query_log_share), metrics],
+        [QueryLog(settings.query_log_share), metrics, explanations.on_finished],
     )
     operators = parse_operator_credentials(settings.operator_credentials)
     callers.app.router.routes.append(metrics_route(metrics, operators))
+    callers.app.router.routes.append(
+        explain_route(explanations.lookup.find, operators, node.configuration)
+    )
     callers.app.router.routes.extend(health_routes(node.lifecycle, node.configuration))
     app = CloseWhenStopping(callers.app, node.lifecycle)
     server = CallerServer(caller_config(settings, app, edges.callers))
--- /dev/null
+++ b/tinrudder/node_explain.py
@@ -0,0 +1,50 @@
+"""Wires explanations into a node: what is recorded, where it is looked for."""
+
+from __future__ import annotations
+
+from tinrudder.api.finished_query import FinishedQuery
+from tinrudder.node import Node
+from tinrudder.outcomes import Complete, Partial, reason_of
+from tinrudder.query.explain import ExplanationRing, QueryExplanation
+from tinrudder.query.explain_lookup import ExplainLookup
+from tinrudder.query.explain_recorder import OUTCOME_NAMES, FanOutRecorder, milliseconds
+from tinrudder.wire.channels import Channel
+
+
+class NodeExplanations:
+    """One node's rings, their recorders and the search over them."""
+
+    def __init__(self, node: Node) -> None:
+        """Record what ``node`` coordinates from now on."""
+        self._node_name = node.settings.name
+        self._taken = ExplanationRing()
+        coordinated = ExplanationRing()
+        node.coordinator.recorder = FanOutRecorder(self._node_name, coordinated)
+        self.lookup = ExplainLookup(
+            self._node_name,
+            node.channels.channel(Channel.EXPLAIN),
+            coordinated,
+            self._taken,
+            node.coordinator_sets.of,
+        )
+
+    def on_finished(self, query: FinishedQuery) -> None:
+        """Remember a caller's query; an observer of the callers' application."""
+        outcome = query.outcome
+        version = outcome.answer.version if isinstance(outcome, Complete | Partial) else 0
+        self._taken.add(
+            QueryExplanation(
+                query.query_id,
+                query.tenant,
+                self._node_name,
+                query.service,
+                query.index,
+                query.rule,
+                version,
+                OUTCOME_NAMES[type(outcome)],
+                reason_of(outcome),
+                milliseconds(query.elapsed_s),
+                "",
+                (),
+            )
+        )
--- a/tinrudder/outcomes.py
+++ b/tinrudder/outcomes.py
@@ -154,3 +154,10 @@
 
 
 Outcome = Complete | Partial | NotRun | MayHaveRun | Failed
+
+
+def reason_of(outcome: Outcome) -> str:
+    """Return the reason of an outcome without an answer, else an empty text."""
+    if isinstance(outcome, NotRun | MayHaveRun | Failed):
+        return outcome.reason.value
+    return ""
--- a/tinrudder/query/coordinator.py
+++ b/tinrudder/query/coordinator.py
@@ -3,19 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from tinrudder.outcomes import NotRun, NotRunReason, Outcome
 from tinrudder.query.admission_gate import AdmissionGate
 from tinrudder.query.dispatcher import Dispatcher
-from tinrudder.query.fan_out import FanOut
-from tinrudder.query.plan import make_query_plan
+from tinrudder.query.fan_out import FanOut, ShardProgress
+from tinrudder.query.plan import QueryPlan, make_query_plan
 from tinrudder.query.request import QueryRequest
 from tinrudder.resources.configuration import Configuration
 from tinrudder.routing.backend_table import BackendTable
 from tinrudder.timers import Timers
 
+FanOutObserver = Callable[[QueryPlan, Sequence[ShardProgress], Outcome, float, float], None]
+
 
 class QueryRunner(Protocol):
     """Whatever can take a query to its outcome, here or on another node."""
@@ -43,6 +45,7 @@
         self._configuration = configuration
         self.in_progress = 0
         self.needed_shards = 0
+        self.recorder: FanOutObserver | None = None
 
     async def run(self, request: QueryRequest) -> Outcome:
         """Run one query."""
@@ -59,8 +62,12 @@
         fan_out = FanOut(plan, self._dispatcher, self._timers, future.set_result, permit)
         self.in_progress += 1
         try:
+            started = self._timers.time()
             fan_out.start()
-            return await future
+            outcome = await future
+            if self.recorder is not None:
+                self.recorder(fan_out.plan, fan_out.shards, outcome, started, self._timers.time())
+            return outcome
         except asyncio.CancelledError:
             future.cancel()
             fan_out.abandon()
--- /dev/null
+++ b/tinrudder/query/explain_lookup.py
@@ -0,0 +1,89 @@
+"""Finds the explanation of a query: here, or at a coordinator of its service.
+
+The node that took a query remembers its outcome and service; the coordinator that ran it remembers
+each call.  Ask the node that took it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError, PeerTransport
+from tinrudder.query.explain import ExplanationRing
+from tinrudder.routing.coordinator_set import CoordinatorSet
+from tinrudder.wire.explain_codec import (
+    ExplainCodecError,
+    ExplainQuestion,
+    decode_explanation,
+    decode_question,
+    encode_explanation,
+    encode_question,
+)
+
+ASK_TIMEOUT_S = 1.0
+
+
+class ExplainLookup:
+    """Both ends: asks coordinators, and answers other nodes."""
+
+    def __init__(
+        self,
+        node_name: str,
+        channel: PeerTransport,
+        coordinated: ExplanationRing,
+        taken: ExplanationRing,
+        coordinators: Callable[[str], CoordinatorSet],
+    ) -> None:
+        """Search two rings.
+
+        :param coordinated: queries that this node ran; :param taken: those callers gave to it.
+        """
+        self._node_name = node_name
+        self._channel = channel
+        self._coordinated = coordinated
+        self._taken = taken
+        self._coordinators = coordinators
+        channel.listen(_ignore_datagram, self._on_request)
+
+    async def find(self, query_id: str, tenant: str | None) -> bytes | None:
+        """Return the best explanation there is, as JSON.
+
+        :param tenant: whose query it must be, ``None`` for an operator.
+        """
+        found = self._coordinated.find(query_id, tenant)
+        if found is not None:
+            return msgspec.json.encode(found)
+        taken = self._taken.find(query_id, tenant)
+        if taken is None:
+            return None
+        question = ExplainQuestion(query_id, tenant)
+        for member in self._coordinators(taken.service).members:
+            if member.name == self._node_name:
+                continue
+            explanation = await self._ask(member.address, question)
+            if explanation is not None:
+                return explanation
+        return msgspec.json.encode(taken)
+
+    async def _ask(self, peer: PeerAddress, question: ExplainQuestion) -> bytes | None:
+        """Ask one coordinator; one that is lost knows nothing."""
+        try:
+            answer = await self._channel.request(peer, encode_question(question), ASK_TIMEOUT_S)
+            return decode_explanation(answer)
+        except (PeerNotSentError, PeerLostError, ExplainCodecError):
+            return None
+
+    async def _on_request(self, _source: PeerAddress, payload: bytes) -> bytes:
+        """Answer another node; an unreadable question is about nothing."""
+        try:
+            question = decode_question(payload)
+        except ExplainCodecError:
+            return encode_explanation(None)
+        found = self._coordinated.find(question.query_id, question.tenant)
+        return encode_explanation(msgspec.json.encode(found) if found is not None else None)
+
+
+def _ignore_datagram(_source: PeerAddress, _payload: bytes) -> None:
+    """Questions travel as requests only."""
--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -52,6 +52,7 @@
 class ShardProgress:
     """How far one shard of the query has come.
 
+    :param first_sent_at: monotonic time of its first call, seconds.
     :param touched: some ended call may have been started by its back end.
     """
 
@@ -63,6 +64,7 @@
     pending: PendingCall | None = None
     in_flight: list[SentCall] = field(default_factory=list)
     tried: list[BackendRecord] = field(default_factory=list)
+    first_sent_at: float | None = None
 
     @property
     def untouched(self) -> bool:
@@ -102,6 +104,16 @@
         self._finished = False
         self._timer_handles: list[TimerHandle] = []
 
+    @property
+    def plan(self) -> QueryPlan:
+        """Return the plan."""
+        return self._plan
+
+    @property
+    def shards(self) -> Sequence[ShardProgress]:
+        """Return how far each shard has come."""
+        return self._progress
+
     def start(self) -> None:
         """Submit one call per shard and set the deadlines."""
         now = self._timers.time()
@@ -180,6 +192,8 @@
             lambda call, reply: self._on_reply(progress, call, reply),
         )
         progress.in_flight.append(sent)
+        if progress.first_sent_at is None:
+            progress.first_sent_at = sent.sent_at
 
     def _on_reply(self, progress: ShardProgress, sent: SentCall, reply: BackendReply) -> None:
         """Take one reply; a second answer for a settled shard changes nothing."""
--- a/tinrudder/wire/channels.py
+++ b/tinrudder/wire/channels.py
@@ -18,6 +18,7 @@
     CLAIMS = 3
     RELAY = 4
     OBSERVATIONS = 5
+    EXPLAIN = 6
 
 
 class UnknownChannelError(Exception):
