Put explanations into words only when somebody asks

Cause: condensing every finished fan-out cost as much as an eighth of all decisions. Change: a ring keeps references to what the fan-out used, without its rows; explain() does the rest. The rings are smaller, as a query kept whole takes more memory.

--- a/bench/node_under_test.py
+++ b/bench/node_under_test.py
@@ -12,6 +12,7 @@
 from tinrudder.backends.messages import Answered, BackendCall, RowMessage, SearchAnswer, ShardRows
 from tinrudder.environment import BackendTransport, Environment, ReplyListener
 from tinrudder.node import Node
+from tinrudder.node_explain import NodeExplanations
 from tinrudder.peers import DatagramHandler, PeerAddress, PeerNotSentError, RequestHandler
 from tinrudder.platform.messages import MemberList, RawResource, ResourceDocument
 from tinrudder.query.request import QueryRequest
@@ -158,6 +159,7 @@
         platform=FixedPlatform(document),
     )
     node = Node(settings, environment)
+    NodeExplanations(node)
     await node.start()
     return node
 
--- a/tinrudder/query/explain.py
+++ b/tinrudder/query/explain.py
@@ -1,24 +1,24 @@
 """Why a finished query went as it did, kept in a bounded ring per tenant.
 
-Nothing is recorded while a query runs: what the fan-out knows anyway is condensed once, when it
-ends.  A tenant sees its own queries only.
+Nothing is recorded while a query runs.  When it ends, what the fan-out knows anyway is kept as it
+is, and only put into words when somebody asks.  A tenant sees its own queries only.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict, deque
+from typing import Protocol
 
 import msgspec
 
-QUERIES_PER_TENANT = 32
-MAX_TENANTS = 256
+QUERIES_PER_TENANT = 16
+MAX_TENANTS = 128
 
 
 class CallExplanation(msgspec.Struct, frozen=True):
     """One shard of a query.
 
     :param backends: back ends its calls were sent to, in order; several after a retry or hedge.
-    :param hedges: how many of the calls were hedges.
     :param waited_ms: from the start of the query until its first call was sent, if it was.
     :param missing: why the shard is not in the answer, empty if it is.
     """
@@ -27,7 +27,6 @@
     owner: str
     candidates: tuple[str, ...]
     backends: tuple[str, ...] = ()
-    hedges: int = 0
     waited_ms: float | None = None
     missing: str = ""
 
@@ -51,6 +50,25 @@
     choice: str
     shards: tuple[CallExplanation, ...]
 
+    def explain(self) -> QueryExplanation:
+        """Return itself; see :class:`RememberedQuery`."""
+        return self
+
+
+class RememberedQuery(Protocol):
+    """What a ring keeps of one finished query."""
+
+    @property
+    def query_id(self) -> str:
+        """Return the query's id."""
+
+    @property
+    def tenant(self) -> str:
+        """Return whose query it was."""
+
+    def explain(self) -> QueryExplanation:
+        """Put it into words."""
+
 
 class ExplanationRing:
     """The last queries of each tenant; the tenant that was quiet the longest goes first.
@@ -73,24 +91,24 @@
         """Start empty."""
         self._queries_per_tenant = queries_per_tenant
         self._max_tenants = max_tenants
-        self._rings: OrderedDict[str, deque[QueryExplanation]] = OrderedDict()
+        self._rings: OrderedDict[str, deque[RememberedQuery]] = OrderedDict()
 
-    def add(self, explanation: QueryExplanation) -> None:
+    def add(self, query: RememberedQuery) -> None:
         """Keep one query, at the expense of its tenant's oldest."""
-        ring = self._rings.get(explanation.tenant)
+        ring = self._rings.get(query.tenant)
         if ring is None:
             ring = deque(maxlen=self._queries_per_tenant)
-            self._rings[explanation.tenant] = ring
+            self._rings[query.tenant] = ring
             if len(self._rings) > self._max_tenants:
                 self._rings.popitem(last=False)
-        ring.append(explanation)
-        self._rings.move_to_end(explanation.tenant)
+        ring.append(query)
+        self._rings.move_to_end(query.tenant)
 
     def find(self, query_id: str, tenant: str | None) -> QueryExplanation | None:
         """Return a query of a tenant, or of any tenant for an operator (``None``)."""
         rings = self._rings.values() if tenant is None else [self._rings.get(tenant, deque())]
         for ring in rings:
-            for explanation in ring:
-                if explanation.query_id == query_id:
-                    return explanation
+            for query in ring:
+                if query.query_id == query_id:
+                    return query.explain()
         return None
--- a/tinrudder/query/explain_recorder.py
+++ b/tinrudder/query/explain_recorder.py
@@ -28,8 +28,82 @@
 }
 
 
+class RememberedFanOut:
+    """One finished fan-out: references to what it used, none to the rows of its answer."""
+
+    __slots__ = (
+        "_coverage",
+        "_elapsed_s",
+        "_node_name",
+        "_outcome_name",
+        "_plan",
+        "_reason",
+        "_sent_at",
+        "_started",
+        "_tried",
+        "query_id",
+        "tenant",
+    )
+
+    def __init__(
+        self,
+        node_name: str,
+        plan: QueryPlan,
+        shards: Sequence[ShardProgress],
+        outcome: Outcome,
+        started: float,
+        ended: float,
+    ) -> None:
+        """Keep what :meth:`explain` needs."""
+        self.query_id = plan.request.query_id
+        self.tenant = plan.request.tenant
+        self._node_name = node_name
+        self._plan = plan
+        self._tried = [shard.tried for shard in shards]
+        self._sent_at = [shard.first_sent_at for shard in shards]
+        self._outcome_name = OUTCOME_NAMES[type(outcome)]
+        self._reason = reason_of(outcome)
+        self._coverage = coverage_of(outcome)
+        self._started = started
+        self._elapsed_s = ended - started
+
+    def explain(self) -> QueryExplanation:
+        """Put it into words."""
+        request = self._plan.request
+        return QueryExplanation(
+            self.query_id,
+            self.tenant,
+            self._node_name,
+            self._plan.service,
+            request.index,
+            request.rule,
+            self._plan.version,
+            self._outcome_name,
+            self._reason,
+            milliseconds(self._elapsed_s),
+            self._plan.rule.policies.get("replica_choice", ""),
+            self._explain_shards(),
+        )
+
+    def _explain_shards(self) -> tuple[CallExplanation, ...]:
+        missing = {gap.shard: gap.reason.value for gap in self._coverage.missing}
+        return tuple(
+            CallExplanation(
+                planned.spec.shard,
+                planned.spec.owner,
+                tuple(backend.name for backend in planned.candidates),
+                tuple(backend.name for backend in tried),
+                None if sent_at is None else milliseconds(sent_at - self._started),
+                missing.get(planned.spec.shard, ""),
+            )
+            for planned, tried, sent_at in zip(
+                self._plan.shards, self._tried, self._sent_at, strict=True
+            )
+        )
+
+
 class FanOutRecorder:
-    """Keeps what a coordinator's fan-outs did; costs a query nothing before it has ended."""
+    """Remembers the fan-outs of a coordinator."""
 
     def __init__(self, node_name: str, ring: ExplanationRing) -> None:
         """Record into ``ring``."""
@@ -48,50 +122,16 @@
 
         :param started: monotonic time of its start, seconds; :param ended: and of its end.
         """
-        request = plan.request
-        missing = missing_reasons(outcome)
-        explanation = QueryExplanation(
-            request.query_id,
-            request.tenant,
-            self._node_name,
-            plan.service,
-            request.index,
-            request.rule,
-            plan.version,
-            OUTCOME_NAMES[type(outcome)],
-            reason_of(outcome),
-            milliseconds(ended - started),
-            plan.rule.policies.get("replica_choice", ""),
-            tuple(_explain(shard, missing, started) for shard in shards),
-        )
-        self._ring.add(explanation)
-
-
-def _explain(shard: ShardProgress, missing: dict[str, str], started: float) -> CallExplanation:
-    """Condense one shard."""
-    spec = shard.planned.spec
-    waited = None
-    if shard.first_sent_at is not None:
-        waited = milliseconds(shard.first_sent_at - started)
-    return CallExplanation(
-        spec.shard,
-        spec.owner,
-        tuple(backend.name for backend in shard.planned.candidates),
-        tuple(backend.name for backend in shard.tried),
-        0,
-        waited,
-        missing.get(spec.shard, "") if shard.rows is None else "",
-    )
+        self._ring.add(RememberedFanOut(self._node_name, plan, shards, outcome, started, ended))
 
 
-def missing_reasons(outcome: Outcome) -> dict[str, str]:
-    """Return why each missing shard is missing, by shard."""
-    coverage = Coverage(())
+def coverage_of(outcome: Outcome) -> Coverage:
+    """Return what an outcome covers, nothing for one without an answer."""
     if isinstance(outcome, Complete | Partial):
-        coverage = outcome.answer.coverage
-    elif isinstance(outcome, Failed):
-        coverage = outcome.coverage
-    return {gap.shard: gap.reason.value for gap in coverage.missing}
+        return outcome.answer.coverage
+    if isinstance(outcome, Failed):
+        return outcome.coverage
+    return Coverage(())
 
 
 def milliseconds(seconds: float) -> float:
