Fuzz the callers' API with whole requests

Cause: bad input was tested by example only. Change: a property: whatever body or credential is sent, the answer is JSON and typed. Conclusion: none found; kept as a guard.

--- a/tests/unit/test_caller_app.py
+++ b/tests/unit/test_caller_app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import hashlib
+import json
 import re
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
@@ -11,12 +12,15 @@
 
 import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from tests.support.virtual_caller import FakeCaller, run_virtual
 from tinrudder.api.caller_app import CallerApplication
 from tinrudder.api.cursor import CursorCodec
 from tinrudder.api.finished_query import FinishedQuery
 from tinrudder.api.outcome_mapping import status_of
+from tinrudder.api.query_body import QueryBody
 from tinrudder.api.request_body import MAX_BODY_BYTES
 from tinrudder.outcomes import (
     Answer,
@@ -306,3 +310,24 @@
         + [(MayHaveRun(reason), "may_have_run") for reason in MayHaveRunReason]
     )
     assert documented == {(status_of(o), tag, o.reason.value) for o, tag in every}
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+FIELDS = st.sampled_from([*QueryBody.__struct_fields__, "tenant", ""])
+BODIES = st.binary() | st.dictionaries(FIELDS, JSON_VALUES).map(
+    lambda fields: json.dumps({"index": "stock", "rule": "stock-rule", **fields}).encode()
+)
+
+
+@settings(max_examples=300)
+@given(BODIES, st.text(st.characters(max_codepoint=255), max_size=30))
+def test_whatever_is_sent_is_answered_in_json_and_harms_nothing(body: bytes, token: str) -> None:
+    harness = Harness()
+    caller = harness.call(ask(body))
+    assert caller.status in (200, 400, 404) and caller.json["outcome"] in ("complete", "not_run")
+    assert all(request.tenant == "acme" for request in harness.runner.requests)
+    assert harness.call(ask(authorization=f"Bearer {token}")).status == 401
