Send the demo's queries with their content type

Cause: the callers' API refuses other content types since it was hardened, and the demo's client sent a form's; every query of the demo was not_run. Change: the demo names JSON. Conclusion: the demo shows the tier again.

--- a/tinrudder_lab/demo_callers.py
+++ b/tinrudder_lab/demo_callers.py
@@ -122,7 +122,10 @@
         content = {"index": kind.index, "rule": kind.rule, "limit": ROWS_WANTED}
         response = await self.client.post(
             f"{node.url}/v1/query",
-            headers={"Authorization": kind.caller.authorization},
+            headers={
+                "Authorization": kind.caller.authorization,
+                "Content-Type": "application/json",
+            },
             data=msgspec.json.encode(content),
         )
         return msgspec.json.decode(await response.content(), type=OutcomeBody)
