Claim keys by majority of voters, checked by an exhaustive model

Cause: a request that must not be repeated had nothing that kept two nodes from running it. Change: pure voter, proposer, electorates and list history, with joint majorities while member lists differ; a model that explores all interleavings of the same classes, and planted defects that it must find.

--- /dev/null
+++ b/tinrudder/cluster/electorate.py
@@ -0,0 +1,117 @@
+"""Who votes on a key: a few nodes chosen from one revision of the platform's member list."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import xxhash
+
+from tinrudder.peers import PeerAddress
+
+FULL_ELECTORATE = 5
+SMALL_ELECTORATE = 3
+SINGLE_ELECTORATE = 1
+ZONES_TO_SPREAD_OVER = 3
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Voter:
+    """A node as a voter.
+
+    Name and address together are its identity: a process that came back under its name at
+    another address is another voter, for the old one may still be running.
+    """
+
+    name: str
+    zone: str
+    address: PeerAddress
+
+    @property
+    def identity(self) -> str:
+        """Return the name and address."""
+        return f"{self.name}@{self.address}"
+
+
+@dataclass(frozen=True, slots=True)
+class Electorate:
+    """The voters of one key under one member list, sorted.
+
+    :param fingerprint: equal for equal sets of voters.
+    """
+
+    voters: tuple[Voter, ...]
+    fingerprint: int = field(compare=False, default=0)
+
+    @property
+    def majority(self) -> int:
+        """Return how many votes any two claims cannot both have."""
+        return len(self.voters) // 2 + 1
+
+
+def make_electorate(voters: Sequence[Voter]) -> Electorate:
+    """Return the electorate of these voters.
+
+    >>> a = Voter("a", "z1", PeerAddress("127.0.0.1", 1))
+    >>> b = Voter("b", "z2", PeerAddress("127.0.0.1", 2))
+    >>> make_electorate([a, b]) == make_electorate([b, a])
+    True
+    """
+    ordered = tuple(sorted(voters))
+    text = "\n".join(voter.identity for voter in ordered)
+    return Electorate(ordered, xxhash.xxh3_64_intdigest(text.encode()))
+
+
+class VoterList:
+    """The voters of one region at one list revision; chooses an electorate for each key."""
+
+    def __init__(self, revision: int, voters: Sequence[Voter]) -> None:
+        """Keep ``voters`` in a fixed order."""
+        self.revision = revision
+        self.voters = tuple(sorted(voters))
+        self._identities = [voter.identity.encode() for voter in self.voters]
+        self.zones = len({voter.zone for voter in self.voters})
+        self.size = electorate_size(len(self.voters))
+
+    def electorate(self, digest: bytes) -> Electorate:
+        """Return a key's electorate: rendezvous hashing, spread over the zones.
+
+        With three zones or more, no zone holds a majority unless the others have too few nodes.
+        """
+        seed = int.from_bytes(digest[:8], "big")
+        scores = [xxhash.xxh3_64_intdigest(identity, seed) for identity in self._identities]
+        order = sorted(range(len(scores)), key=scores.__getitem__, reverse=True)
+        chosen = self._spread([self.voters[position] for position in order])
+        return make_electorate(chosen)
+
+    def _spread(self, ranked: Sequence[Voter]) -> list[Voter]:
+        """Take the best voters, at most a minority of the electorate from any one zone."""
+        zone_limit = self.size
+        if self.zones >= ZONES_TO_SPREAD_OVER:
+            zone_limit = max(1, self.size // 2)
+        chosen: list[Voter] = []
+        passed_over: list[Voter] = []
+        in_zone: dict[str, int] = {}
+        for voter in ranked:
+            if len(chosen) == self.size:
+                break
+            if in_zone.get(voter.zone, 0) >= zone_limit:
+                passed_over.append(voter)
+                continue
+            in_zone[voter.zone] = in_zone.get(voter.zone, 0) + 1
+            chosen.append(voter)
+        missing = self.size - len(chosen)
+        return chosen + passed_over[:missing]
+
+
+def electorate_size(nodes: int) -> int:
+    """Return the number of voters of a key among so many nodes.
+
+    >>> [electorate_size(nodes) for nodes in (0, 1, 2, 3, 4, 5, 730)]
+    [0, 1, 1, 3, 3, 5, 5]
+    """
+    if nodes >= FULL_ELECTORATE:
+        return FULL_ELECTORATE
+    if nodes >= SMALL_ELECTORATE:
+        return SMALL_ELECTORATE
+    return min(nodes, SINGLE_ELECTORATE)
--- /dev/null
+++ b/tinrudder/cluster/electorate_history.py
@@ -0,0 +1,151 @@
+"""Which electorates a claim must win while member lists change.
+
+A superseded list keeps its say until it is *sealed* for a key: ``settle_s`` have passed since
+its successor was learned, and a majority of its voters on that key either were heard to know
+a later list or have been off the list for ``removed_wait_s``; all of it before the request can
+have been accepted.  docs/CLAIMS.md tells why no two claims can then both win.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from tinrudder.cluster.claims import ClaimKey, ClaimLimits
+from tinrudder.cluster.electorate import Electorate, Voter, VoterList
+
+MAX_UNSEALED_LISTS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class ListedVoter:
+    """A machine on the platform's list; a leaving one is not chosen for new electorates."""
+
+    voter: Voter
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRevision:
+    """That a voter was heard to know a list revision, and when we first heard so (wall clock)."""
+
+    revision: int
+    heard_at: float
+
+
+@dataclass(slots=True)
+class LearnedList:
+    """One list revision and when its successor was learned (wall clock)."""
+
+    voters: VoterList
+    superseded_at: float | None = None
+
+
+class ElectorateHistory:
+    """One node's knowledge of the list's revisions in one region."""
+
+    def __init__(self, limits: ClaimLimits) -> None:
+        """Start without a list."""
+        self._limits = limits
+        self._lists: list[LearnedList] = []
+        self._known: dict[str, list[KnownRevision]] = {}
+        self._removed_at: dict[str, float] = {}
+
+    @property
+    def revision(self) -> int:
+        """Return the newest list revision known, 0 before the first."""
+        return self._lists[-1].voters.revision if self._lists else 0
+
+    @property
+    def settled(self) -> bool:
+        """Tell whether every list that may still matter is remembered."""
+        return 0 < len(self._lists) <= MAX_UNSEALED_LISTS
+
+    def learn(self, revision: int, members: Sequence[ListedVoter], now: float) -> bool:
+        """Take a list newer than any known; a lower or equal revision changes nothing."""
+        if revision <= self.revision:
+            return False
+        if self._lists:
+            self._lists[-1].superseded_at = now
+        voters = [member.voter for member in members if not member.leaving]
+        self._lists.append(LearnedList(VoterList(revision, voters)))
+        self._note_removed({member.voter.identity for member in members}, now)
+        self._forget_sealed(now)
+        return True
+
+    def heard(self, identity: str, revision: int, now: float) -> None:
+        """Note that a voter knows a revision."""
+        known = self._known.setdefault(identity, [])
+        if not known or known[-1].revision < revision:
+            known.append(KnownRevision(revision, now))
+
+    def required(self, key: ClaimKey, valid_until: float) -> tuple[Electorate, ...]:
+        """Return the electorates a claim must win, the newest list's last."""
+        issued_after = valid_until - self._limits.window_s - 2 * self._limits.clock_skew_s
+        electorates: dict[int, Electorate] = {}
+        for learned in self._lists:
+            electorate = learned.voters.electorate(key.digest)
+            if not self._sealed(learned, electorate, issued_after):
+                electorates[electorate.fingerprint] = electorate
+        return tuple(electorates.values())
+
+    def _sealed(self, learned: LearnedList, electorate: Electorate, before: float) -> bool:
+        """Tell whether a list has lost its say for requests accepted after ``before``."""
+        if learned.superseded_at is None:
+            return False
+        if learned.superseded_at + self._limits.settle_s >= before:
+            return False
+        revision = learned.voters.revision
+        moved = sum(self._moved(voter, revision, before) for voter in electorate.voters)
+        return moved >= electorate.majority
+
+    def _moved(self, voter: Voter, revision: int, before: float) -> bool:
+        """Tell whether a voter can no longer grant to a proposer that knows only ``revision``."""
+        removed_at = self._removed_at.get(voter.identity)
+        if removed_at is not None and removed_at + self._limits.removed_wait_s < before:
+            return True
+        known = self._known.get(voter.identity, ())
+        return any(one.revision > revision and one.heard_at < before for one in known)
+
+    def _note_removed(self, present: set[str], now: float) -> None:
+        """Remember since when voters of remembered lists are off the platform's list."""
+        for identity in sorted(self._named()):
+            if identity in present:
+                self._removed_at.pop(identity, None)
+            else:
+                self._removed_at.setdefault(identity, now)
+
+    def _forget_sealed(self, now: float) -> None:
+        """Drop the oldest lists that are sealed for every key."""
+        before = now - self._limits.window_s - 2 * self._limits.clock_skew_s
+        while len(self._lists) > 1 and self._sealed_for_all_keys(self._lists[0], before):
+            del self._lists[0]
+        self._forget_absent()
+
+    def _sealed_for_all_keys(self, learned: LearnedList, before: float) -> bool:
+        """Tell whether even the electorate with the fewest voters that moved has a majority."""
+        if learned.superseded_at is None:
+            return False
+        if learned.superseded_at + self._limits.settle_s >= before:
+            return False
+        voters = learned.voters
+        moved = sum(self._moved(voter, voters.revision, before) for voter in voters.voters)
+        minority = max(0, (voters.size - 1) // 2)
+        return len(voters.voters) - moved <= minority
+
+    def _forget_absent(self) -> None:
+        """Drop what is known of voters and revisions that no longer matter."""
+        named = self._named()
+        oldest = self._lists[0].voters.revision
+        for identity in sorted(self._known):
+            kept = [one for one in self._known[identity] if one.revision > oldest]
+            if kept and identity in named:
+                self._known[identity] = kept
+            else:
+                del self._known[identity]
+        for identity in sorted(self._removed_at.keys() - named):
+            del self._removed_at[identity]
+
+    def _named(self) -> set[str]:
+        """Return the identities of every voter of a remembered list."""
+        return {voter.identity for learned in self._lists for voter in learned.voters.voters}
--- /dev/null
+++ b/tinrudder_lab/claim_model_state.py
@@ -0,0 +1,229 @@
+"""States of the claim model: small, immutable and hashable.
+
+Whatever belongs to one voter stands in that voter's column, so that renaming interchangeable
+voters is sorting columns.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import cache
+from typing import NamedTuple
+
+from tinrudder.cluster.claim_proposer import ClaimPhase
+
+NOBODY = -1
+NOT_YET = -1
+NOT_ACCEPTED = ""
+EARLY = -100
+LATE = 100
+FINAL_PHASES = (ClaimPhase.DISPATCHED, ClaimPhase.GIVEN_UP)
+
+
+@dataclass(frozen=True, slots=True)
+class ModelSetup:
+    """One configuration.
+
+    :param memberships: for each voter a bit set of the lists (0b01 first, 0b10 second) whose
+        electorate it belongs to.
+    :param restarts: how many times a voter may restart, in all.
+    :param learns: whether a second list appears.
+    :param reduced: leave out steps that only stand in the way of a later one, and so cannot
+        break a promise: a lost or late reply (like a vote not asked for, or a later dispatch),
+        a refusal (a proposer may give up at any time), a vote for a submission that no longer
+        asks, a lost release, a request that cites less than another one under way.
+        ``three-voters-all-steps`` and ``list-moves`` have them all.
+    :param window: ticks from the earliest acceptance to ``valid_until``.
+    """
+
+    memberships: tuple[int, ...]
+    restarts: int
+    learns: bool = False
+    skew: int = 0
+    window: int = 1
+    reduced: bool = True
+
+    @property
+    def valid_until(self) -> int:
+        """Return the request's limit: a tick passes before anything can touch the request."""
+        return self.window + 1 + 2 * self.skew
+
+    def learned_class(self, learned_at: int) -> int:
+        """Return the one representative of all moments of learning with the same effect."""
+        early = learned_at < self.valid_until - self.window - 2 * self.skew
+        return EARLY if early else LATE
+
+    def started_class(self, started_at: int) -> int:
+        """Return the one representative of all moments of starting with the same effect."""
+        early = started_at + self.skew < self.valid_until - self.window
+        return EARLY if early else LATE
+
+    @property
+    def last_tick(self) -> int:
+        """Return the last tick: every voter has forgotten by then."""
+        return self.valid_until + self.skew + 1
+
+
+class Exchange(NamedTuple):
+    """What is between one voter and one submission.
+
+    :param requests: for each request under way, the electorates it cites, as a bit set.
+    :param replies: names of the replies under way.
+    :param record: what the proposer holds of the voter: ``""``, ``granted`` or ``refused``.
+    :param cited_to: how many electorates the proposer's last request cited.
+    """
+
+    requests: tuple[int, ...] = ()
+    replies: tuple[str, ...] = ()
+    record: str = ""
+    cited_to: int = 0
+
+
+class Column(NamedTuple):
+    """One voter and everything between it and the submissions.
+
+    :param holder: the submission that has its vote.
+    :param learned_at: when it first learned the second list, by its own clock.
+    :param knows: whether it knows the second list now.
+    """
+
+    offset: int = 0
+    started_at: int = EARLY
+    holder: int = NOBODY
+    learned_at: int = NOT_YET
+    knows: bool = False
+    exchanges: tuple[Exchange, Exchange] = (Exchange(), Exchange())
+
+
+class Submission(NamedTuple):
+    """One submission of the request and the proposer that handles it.
+
+    :param phase: a :class:`ClaimPhase`, or ``NOT_ACCEPTED``.
+    :param accepted_at: by its own clock.
+    :param cited: the electorates it wants majorities in, as a bit set.
+    """
+
+    offset: int = 0
+    phase: str = NOT_ACCEPTED
+    accepted_at: int = NOT_YET
+    cited: int = 0
+    learned_at: int = NOT_YET
+    ran: bool = False
+    ran_late: bool = False
+
+
+class State(NamedTuple):
+    """The whole model at one moment; ``now`` is true time in ticks."""
+
+    now: int
+    restarts_left: int
+    submissions: tuple[Submission, Submission]
+    columns: tuple[Column, ...]
+
+    def with_submission(self, number: int, submission: Submission) -> State:
+        """Return the state with one submission replaced."""
+        first, second = self.submissions
+        pair = (first, submission) if number else (submission, second)
+        return self._replace(submissions=pair)
+
+    def with_column(self, position: int, column: Column) -> State:
+        """Return the state with one column replaced."""
+        columns = (*self.columns[:position], column, *self.columns[position + 1 :])
+        return State(self.now, self.restarts_left, self.submissions, columns)
+
+    def with_exchange(self, position: int, number: int, exchange: Exchange) -> State:
+        """Return the state with one exchange replaced."""
+        column = self.columns[position]
+        first, second = column.exchanges
+        pair = (first, exchange) if number else (exchange, second)
+        return self.with_column(position, _with_exchanges(column, pair))
+
+    def canonical(self, setup: ModelSetup) -> State:
+        """Return the representative of all states that differ only in names."""
+        tidy = self._tidied(setup)
+        return min(tidy._sorted(setup), tidy._swapped()._sorted(setup))
+
+    def _tidied(self, setup: ModelSetup) -> State:
+        """Drop what can no longer have an effect."""
+        first, second = self.submissions
+        if first.phase in FINAL_PHASES and second.phase in FINAL_PHASES:
+            columns: tuple[Column, ...] = tuple(Column() for _ in self.columns)
+            return State(setup.last_tick, 0, self.submissions, columns)
+        if all(self.now + column.offset >= setup.valid_until for column in self.columns):
+            first, second = _without_hope(first), _without_hope(second)
+        asking = (first.phase == ClaimPhase.ASKING, second.phase == ClaimPhase.ASKING)
+        until = setup.valid_until - self.now
+        gone = tuple(one.phase == ClaimPhase.GIVEN_UP for one in (first, second))
+        given = self.columns
+        if setup.reduced and any(gone):
+            given = tuple(_released(column, gone) for column in given)
+        columns = tuple(
+            _tidy(column, asking, column.offset >= until, setup.reduced) for column in given
+        )
+        return State(self.now, self.restarts_left, (first, second), columns)
+
+    def _sorted(self, setup: ModelSetup) -> State:
+        """Sort the columns of voters with the same memberships."""
+        paired = sorted(zip(setup.memberships, self.columns, strict=True))
+        columns = tuple(column for _, column in paired)
+        return State(self.now, self.restarts_left, self.submissions, columns)
+
+    def _swapped(self) -> State:
+        """Return the state with the two submissions' names exchanged."""
+        first, second = self.submissions
+        columns = tuple(map(_swapped_column, self.columns))
+        return State(self.now, self.restarts_left, (second, first), columns)
+
+
+@cache
+def _released(column: Column, gave_up: tuple[bool, ...]) -> Column:
+    """Give a vote back that a submission without hope holds."""
+    if column.holder != NOBODY and gave_up[column.holder]:
+        return column._replace(holder=NOBODY)
+    return column
+
+
+def _without_hope(submission: Submission) -> Submission:
+    """End a submission that asks voters which can only abstain."""
+    if submission.phase != ClaimPhase.ASKING:
+        return submission
+    return submission._replace(phase=ClaimPhase.GIVEN_UP.value)
+
+
+@cache
+def _with_exchanges(column: Column, exchanges: tuple[Exchange, Exchange]) -> Column:
+    return column._replace(exchanges=exchanges)
+
+
+@cache
+def _swapped_column(column: Column) -> Column:
+    holder = column.holder if column.holder == NOBODY else 1 - column.holder
+    first, second = column.exchanges
+    return column._replace(holder=holder, exchanges=(second, first))
+
+
+@cache
+def _tidy(column: Column, asking: tuple[bool, bool], expired: bool, reduced: bool) -> Column:
+    """Forget replies nobody waits for, and requests once the voter can only abstain."""
+    first, second = column.exchanges
+    if reduced:
+        first = first._replace(requests=_undominated(first.requests) if asking[0] else ())
+        second = second._replace(requests=_undominated(second.requests) if asking[1] else ())
+    pair = (_tidy_exchange(first, asking[0], expired), _tidy_exchange(second, asking[1], expired))
+    return column._replace(exchanges=pair)
+
+
+def _undominated(requests: tuple[int, ...]) -> tuple[int, ...]:
+    """Drop requests that cite a part of what another cites."""
+    return tuple(
+        one
+        for one in requests
+        if not any(one != other and one & other == one for other in requests)
+    )
+
+
+def _tidy_exchange(exchange: Exchange, asking: bool, expired: bool) -> Exchange:
+    requests = () if expired else exchange.requests
+    if asking:
+        return exchange._replace(requests=requests)
+    return Exchange(requests)
