Fire membership's timers at their deadline by their own clock

Cause: an event loop fires timers up to its clock's resolution early; by the clock nothing was due then, and the same timer was set again.

Change: a timer counts as due once it fires.

Conclusion: deadlines are compared with the time the timer was set for.

--- a/tinrudder/cluster/membership.py
+++ b/tinrudder/cluster/membership.py
@@ -189,7 +189,10 @@
     def _on_timer(self) -> None:
         self._timer = None
         self.pause_detector.check()
-        self._perform(self._protocol.on_time(self._timers.time()))
+        # An event loop fires up to its clock's resolution early.  By the clock nothing would be
+        # due then, and in virtual time the same timer would be set again for ever.
+        now = max(self._timers.time(), self._timer_at)
+        self._perform(self._protocol.on_time(now))
 
     def _on_pause(self, _: float) -> None:
         if self._running:
