--- a/tests/unit/test_fan_out.py
+++ b/tests/unit/test_fan_out.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 
 import pytest
@@ -17,6 +18,7 @@
 from tinrudder.routing.backend_record import BackendRecord
 from tinrudder.routing.call_queue import FirstInFirstOutQueue
 from tinrudder.routing.replica_choice import LeastLoadedReplica
+from tinrudder.routing.service_routing import RoutingTable
 
 DEADLINE_S = 0.1
 
@@ -36,6 +38,16 @@
     return QueryRequest(**{**values, **changes})
 
 
+class NoOtherVersion:
+    """Keeps every query on its version."""
+
+    def note_version_gone(self, plan: QueryPlan, backend: BackendRecord) -> None:
+        pass
+
+    def replan(self, plan: QueryPlan) -> QueryPlan | None:
+        return None
+
+
 @dataclass
 class Harness:
     """One fan-out over two shards, each on the same two back ends."""
@@ -57,8 +69,11 @@
             PlannedShard(ShardSpec(shard=name, owner="owner", backends=("a", "b")), self.backends)
             for name in ("s1", "s2")
         )
-        plan = QueryPlan(request_of(), self.rule, 1, "service", 7, shards)
-        self.fan_out = FanOut(plan, self.dispatcher, self.timers, self.outcomes.append)
+        routing = RoutingTable(self.timers.time, random.Random(1)).routing_of("service", {})
+        plan = QueryPlan(request_of(), self.rule, 1, "service", 7, shards, routing)
+        self.fan_out = FanOut(
+            plan, self.dispatcher, self.timers, self.outcomes.append, NoOtherVersion()
+        )
         self.fan_out.start()
 
     @property
--- a/tests/unit/test_overload.py
+++ b/tests/unit/test_overload.py
@@ -14,6 +14,7 @@
 from tinrudder.query.admission_gate import AdmissionGate
 from tinrudder.query.coordinator import Coordinator
 from tinrudder.query.dispatcher import Dispatcher
+from tinrudder.query.plan import Planner
 from tinrudder.resources.configuration import Configuration
 from tinrudder.resources.model import (
     BackendSpec,
@@ -29,6 +30,7 @@
 from tinrudder.routing.backend_table import BackendTable
 from tinrudder.routing.fair_queue import StartTimeFairQueue
 from tinrudder.routing.replica_choice import LeastLoadedReplica
+from tinrudder.routing.service_routing import RoutingTable
 from tinrudder.routing.tenant_usage import TenantUsageTable
 
 LATENCY_S = 0.01
@@ -58,9 +60,9 @@
         self.record = self.backends.all_records()[0]
         self.record.latency_s = LATENCY_S
         gate = AdmissionGate(self.timers, admission, self.usage, lambda: self.configuration, source)
-        self.coordinator = Coordinator(
-            self.timers, self.dispatcher, self.backends, lambda: self.configuration, gate
-        )
+        routing = RoutingTable(self.timers.time, source)
+        planner = Planner(self.timers, lambda: self.configuration, self.backends, routing)
+        self.coordinator = Coordinator(self.timers, self.dispatcher, planner, gate)
 
     async def ask(self, **changes: object) -> asyncio.Task:
         changes.setdefault("deadline", self.timers.now + DEADLINE_S)
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -17,6 +17,7 @@
 from tinrudder.query.coordinator_sets import CoordinatorSets
 from tinrudder.query.dispatcher import Dispatcher
 from tinrudder.query.entry import Entry
+from tinrudder.query.plan import Planner
 from tinrudder.query.relay import RelayClient, RelayServer
 from tinrudder.resources.configuration import Configuration
 from tinrudder.routing.admission import ExpectedWaitAdmission
@@ -25,6 +26,7 @@
 from tinrudder.routing.coordinator_ranking import CoordinatorRanking
 from tinrudder.routing.fair_queue import StartTimeFairQueue
 from tinrudder.routing.replica_choice import LeastLoadedReplica
+from tinrudder.routing.service_routing import RoutingTable
 from tinrudder.routing.tenant_usage import TenantUsageTable
 from tinrudder.settings import NodeSettings
 from tinrudder.wire.channels import Channel, ChannelRouter
@@ -66,9 +68,9 @@
         source = self._environment.random
         admission = ExpectedWaitAdmission(queue, source)
         gate = AdmissionGate(timers, admission, usage, self.configuration, source)
-        self.coordinator = Coordinator(
-            timers, self.dispatcher, self.backends, self.configuration, gate
-        )
+        self.routing = RoutingTable(timers.time, source)
+        planner = Planner(timers, self.configuration, self.backends, self.routing)
+        self.coordinator = Coordinator(timers, self.dispatcher, planner, gate)
 
     def _build_relay(self) -> None:
         """Build both ends of the relay and the entry on top of them."""
--- a/tinrudder/outcomes.py
+++ b/tinrudder/outcomes.py
@@ -12,7 +12,11 @@
 
 
 class MissingReason(enum.StrEnum):
-    """Why a shard's rows are not part of an answer."""
+    """Why a shard's rows are not part of an answer.
+
+    ``NOT_ASKED``: no call for the shard left this node.  ``GIVEN_UP``: its call was withdrawn
+    because the query could no longer meet its rule.
+    """
 
     NO_REPLICA = "no_replica"
     TIMED_OUT = "timed_out"
@@ -21,6 +25,7 @@
     VERSION_GONE = "version_gone"
     NOT_ASKED = "not_asked"
     TENANT_LIMIT = "tenant_limit"
+    GIVEN_UP = "given_up"
 
 
 class NotRunReason(enum.StrEnum):
--- a/tinrudder/query/coordinator.py
+++ b/tinrudder/query/coordinator.py
@@ -9,11 +9,10 @@
 from tinrudder.outcomes import NotRun, NotRunReason, Outcome
 from tinrudder.query.admission_gate import AdmissionGate
 from tinrudder.query.dispatcher import Dispatcher
-from tinrudder.query.fan_out import FanOut, ShardProgress
-from tinrudder.query.plan import QueryPlan, make_query_plan
+from tinrudder.query.fan_out import FanOut
+from tinrudder.query.plan import Planner, QueryPlan
 from tinrudder.query.request import QueryRequest
-from tinrudder.resources.configuration import Configuration
-from tinrudder.routing.backend_table import BackendTable
+from tinrudder.query.shard_progress import ShardProgress
 from tinrudder.timers import Timers
 
 FanOutObserver = Callable[[QueryPlan, Sequence[ShardProgress], Outcome, float, float], None]
@@ -30,19 +29,13 @@
     """Owns fan-outs on this node and counts those in progress."""
 
     def __init__(
-        self,
-        timers: Timers,
-        dispatcher: Dispatcher,
-        backends: BackendTable,
-        configuration: Callable[[], Configuration],
-        gate: AdmissionGate,
+        self, timers: Timers, dispatcher: Dispatcher, planner: Planner, gate: AdmissionGate
     ) -> None:
-        """Read the configuration in force through ``configuration`` at every query."""
+        """Plan by ``planner``, admit by ``gate`` and send through ``dispatcher``."""
         self._gate = gate
         self._timers = timers
         self._dispatcher = dispatcher
-        self._backends = backends
-        self._configuration = configuration
+        self._planner = planner
         self.in_progress = 0
         self.needed_shards = 0
         self.recorder: FanOutObserver | None = None
@@ -51,15 +44,17 @@
         """Run one query."""
         if self._timers.time() >= request.deadline:
             return NotRun(NotRunReason.DEADLINE, "deadline: has passed")
-        plan = make_query_plan(request, self._configuration(), self._backends)
-        if isinstance(plan, NotRun):
+        plan = self._planner.plan(request)
+        if not isinstance(plan, QueryPlan):
             return plan
         permit = self._gate.enter(plan)
         if isinstance(permit, NotRun):
             return permit
         self.needed_shards += len(plan.shards)
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
-        fan_out = FanOut(plan, self._dispatcher, self._timers, future.set_result, permit)
+        fan_out = FanOut(
+            plan, self._dispatcher, self._timers, future.set_result, self._planner, permit
+        )
         self.in_progress += 1
         try:
             started = self._timers.time()
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -76,7 +76,8 @@
 
     def submit(self, pending: PendingCall) -> None:
         """Dispatch now if a candidate has room and nobody waits for it, else wait."""
-        backend = self._replica_choice.choose(pending.candidates)
+        choice = pending.choice or self._replica_choice
+        backend = choice.choose(pending.candidates)
         if backend is not None and not backend.waiting:
             self._queue.record_direct(pending, backend)
             pending.on_dispatch(backend)
--- a/tinrudder/query/explain_recorder.py
+++ b/tinrudder/query/explain_recorder.py
@@ -15,8 +15,8 @@
     reason_of,
 )
 from tinrudder.query.explain import CallExplanation, ExplanationRing, QueryExplanation
-from tinrudder.query.fan_out import ShardProgress
 from tinrudder.query.plan import QueryPlan
+from tinrudder.query.shard_progress import ShardProgress
 
 MILLISECONDS = 1000.0
 OUTCOME_NAMES: dict[type[Outcome], str] = {
--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -1,82 +1,52 @@
-"""One query's fan-out: a call per shard, retries, deadlines, and the final outcome.
+"""One query's fan-out: a call per shard, retries, hedges, deadlines, and the final outcome.
 
-Everything runs in callbacks of the event loop; no task is made per call, which is what keeps
-the call path near the cost of the transport (see docs/CALL_COST.md).
+Everything runs in callbacks of the event loop: no task and no closure is made per call, and one
+timer serves the whole query, which keeps the call path near the cost of the transport (see
+docs/CALL_COST.md).  docs/ROUTING.md says why each decision is taken as it is.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from typing import Protocol
 
 from tinrudder.backends.messages import (
     Answered,
     BackendReply,
     Broken,
-    Draining,
     NotSent,
     SearchRequest,
     ShardRows,
     Shed,
     VersionGone,
 )
-from tinrudder.outcomes import (
-    Answer,
-    Complete,
-    Coverage,
-    Failed,
-    FailedReason,
-    MayHaveRun,
-    MayHaveRunReason,
-    MissingReason,
-    MissingShard,
-    NotRun,
-    NotRunReason,
-    Outcome,
-    Partial,
-)
+from tinrudder.outcomes import MissingReason, Outcome
 from tinrudder.query.dispatcher import Dispatcher, SentCall
-from tinrudder.query.merge import merge_rows
-from tinrudder.query.plan import PlannedShard, QueryPlan
+from tinrudder.query.judgement import judge
+from tinrudder.query.overdue import find_overdue, next_look, order_by_need, owners_included
+from tinrudder.query.plan import QueryPlan
+from tinrudder.query.shard_progress import ShardProgress
 from tinrudder.resources.model import Preference
 from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.hedging import is_widespread
 from tinrudder.routing.pending_call import PendingCall
 from tinrudder.routing.tenant_usage import QueryPermit
 from tinrudder.timers import TimerHandle, Timers
 
 MAX_ATTEMPTS_PER_SHARD = 3
+MAX_REPLANS = 1
+REFUSAL_PATIENCE_S = 0.02
 OutcomeListener = Callable[[Outcome], None]
 
 
-@dataclass(slots=True, eq=False)
-class ShardProgress:
-    """How far one shard of the query has come.
-
-    :param first_sent_at: monotonic time of its first call, seconds.
-    :param touched: some ended call may have been started by its back end.
-    """
-
-    planned: PlannedShard
-    rows: ShardRows | None = None
-    problem: MissingReason | None = None
-    attempts: int = 0
-    touched: bool = False
-    pending: PendingCall | None = None
-    in_flight: list[SentCall] = field(default_factory=list)
-    tried: list[BackendRecord] = field(default_factory=list)
-    first_sent_at: float | None = None
+class Replanner(Protocol):
+    """Moves a query to another index version when its own is going away."""
 
-    @property
-    def untouched(self) -> bool:
-        """Tell whether no back end can have started this shard's call so far."""
-        if self.touched or self.rows is not None:
-            return False
-        return not any(sent.call.may_have_left for sent in self.in_flight)
+    def note_version_gone(self, plan: QueryPlan, backend: BackendRecord) -> None:
+        """Remember that a back end does not serve the plan's version."""
 
-    @property
-    def settled(self) -> bool:
-        """Tell whether this shard is done, with or without rows."""
-        return self.rows is not None or self.problem is not None
+    def replan(self, plan: QueryPlan) -> QueryPlan | None:
+        """Return the query's plan on a version that reaches more, ``None`` to stay."""
 
 
 class FanOut:
@@ -88,6 +58,7 @@
         dispatcher: Dispatcher,
         timers: Timers,
         on_outcome: OutcomeListener,
+        replanner: Replanner,
         permit: QueryPermit | None = None,
     ) -> None:
         """Prepare; nothing is sent before :meth:`start`.
@@ -95,14 +66,25 @@
         :param permit: counts the answers that the query holds; its owner closes it.
         """
         self._permit = permit
-        self._plan = plan
         self._dispatcher = dispatcher
         self._timers = timers
         self._on_outcome = on_outcome
-        self._progress = [ShardProgress(shard) for shard in plan.shards]
-        self._unsettled = len(self._progress)
+        self._replanner = replanner
         self._finished = False
-        self._timer_handles: list[TimerHandle] = []
+        self._touched_before = False
+        self._hopeless = False
+        self._replans = 0
+        self._timer: TimerHandle | None = None
+        self._adopt(plan)
+
+    def _adopt(self, plan: QueryPlan) -> None:
+        """Begin a plan with nothing of an earlier one but the knowledge that it ran."""
+        self._plan = plan
+        self._routing = plan.routing
+        self._progress = [ShardProgress(shard, self) for shard in plan.shards]
+        self._unsettled = len(self._progress)
+        self._answered = 0
+        self._may_miss = int((1.0 - plan.rule.minimum_coverage) * self._unsettled + 1e-9)
 
     @property
     def plan(self) -> QueryPlan:
@@ -115,60 +97,70 @@
         return self._progress
 
     def start(self) -> None:
-        """Submit one call per shard and set the deadlines."""
+        """Submit one call per shard and set the timer."""
         now = self._timers.time()
-        deadline = self._plan.request.deadline
-        self._timer_handles.append(self._timers.call_at(deadline, self._on_hard_deadline))
-        if self._plan.rule.preference is Preference.LATENCY:
-            soft = now + self._plan.rule.soft_deadline_ms / 1000
-            if soft < deadline:
-                self._timer_handles.append(self._timers.call_at(soft, self._on_soft_deadline))
-        for progress in self._progress:
-            self._submit(progress)
-            if self._finished:
-                return
+        rule = self._plan.rule
+        self._hard_deadline = self._plan.request.deadline
+        self._soft_deadline = self._hard_deadline
+        if rule.preference is Preference.LATENCY:
+            self._soft_deadline = now + rule.soft_deadline_ms / 1000
+        self._submit_all(now)
+        if not self._finished:
+            self._arm(now)
 
     def abandon(self) -> None:
         """End the query for a caller that went away; nobody is told an outcome."""
-        self._on_outcome = _tell_nobody
-        self._finish(MayHaveRun(MayHaveRunReason.CANCELLED))
+        if not self._finished:
+            self._finished = True
+            self._stop()
+
+    def _submit_all(self, now: float) -> None:
+        """Submit the first call of every shard."""
+        self._routing.earn(len(self._progress))
+        plan = self._plan
+        for progress in self._progress:
+            self._submit(progress, now)
+            if self._finished or self._hopeless or self._plan is not plan:
+                return
 
-    def _submit(self, progress: ShardProgress) -> None:
+    def _submit(self, progress: ShardProgress, now: float) -> None:
         """Queue one call for a shard, or settle it when no replica is left."""
-        candidates = tuple(
-            backend
-            for backend in progress.planned.candidates
-            if not backend.leaving and backend not in progress.tried
-        )
+        candidates = self._routing.candidates(progress.planned.candidates, progress.tried, now)
         if not candidates:
-            self._settle(progress, progress_problem(progress, MissingReason.NO_REPLICA))
+            self._settle(progress, progress.last_reason or MissingReason.NO_REPLICA)
             return
-        request = self._plan.request
+        plan = self._plan
+        request = plan.request
         pending = PendingCall(
             request.tenant,
-            self._plan.weight,
-            self._plan.rule.priority,
+            plan.weight,
+            plan.rule.priority,
             1.0,
             candidates,
             request.deadline,
-            self._timers.time(),
-            lambda backend: self._send(progress, backend),
-            lambda: self._on_shed(progress),
+            now,
+            progress.dispatch,
+            progress.shed,
+            choice=self._routing.choice,
         )
         progress.pending = pending
         self._dispatcher.submit(pending)
 
-    def _on_shed(self, progress: ShardProgress) -> None:
+    def on_shed(self, progress: ShardProgress) -> None:
         """Give up a shard whose waiting call will not be sent any more."""
         progress.pending = None
-        if not self._finished:
-            self._settle(progress, progress_problem(progress, MissingReason.NOT_ASKED))
+        if not self._finished and not progress.settled:
+            self._settle(progress, progress.last_reason or MissingReason.NOT_ASKED)
 
-    def _send(self, progress: ShardProgress, backend: BackendRecord) -> None:
-        """Send a shard's call to the chosen back end."""
+    def on_dispatch(self, progress: ShardProgress, backend: BackendRecord) -> None:
+        """Send a shard's waiting call to the chosen back end."""
         progress.pending = None
         progress.attempts += 1
-        progress.tried.append(backend)
+        self._send(progress, backend)
+
+    def _send(self, progress: ShardProgress, backend: BackendRecord) -> None:
+        """Send one call."""
+        progress.tried += (backend,)
         request = self._plan.request
         remaining_ms = max(1, int((request.deadline - self._timers.time()) * 1000))
         message = SearchRequest(
@@ -185,149 +177,257 @@
             request.operation,
             request.query_id,
         )
-        sent = self._dispatcher.send(
-            backend,
-            message,
-            request.deadline,
-            lambda call, reply: self._on_reply(progress, call, reply),
-        )
-        progress.in_flight.append(sent)
+        sent = self._dispatcher.send(backend, message, request.deadline, progress.take_reply)
+        progress.calls.append(sent)
         if progress.first_sent_at is None:
             progress.first_sent_at = sent.sent_at
 
-    def _on_reply(self, progress: ShardProgress, sent: SentCall, reply: BackendReply) -> None:
+    def on_reply(self, progress: ShardProgress, sent: SentCall, reply: BackendReply) -> None:
         """Take one reply; a second answer for a settled shard changes nothing."""
-        progress.in_flight.remove(sent)
+        progress.calls.remove(sent)
+        now = self._timers.time()
+        if type(reply) is Answered:
+            answer = reply.answer
+            reported = answer.load.in_flight if answer.load is not None else None
+            self._routing.observe_answer(sent.backend, now - sent.sent_at, reported, now)
+            if not self._finished and not progress.settled:
+                self._on_answer(progress, reply, now)
+            return
+        if type(reply) is Broken or type(reply) is NotSent:
+            self._routing.observe_failure(sent.backend, now)
         if self._finished or progress.settled:
             return
-        match reply:
-            case Answered(answer, size_bytes):
-                if self._permit is not None and not self._permit.hold_bytes(size_bytes):
-                    progress.touched = True
-                    self._settle(progress, MissingReason.TENANT_LIMIT)
-                    return
-                self._on_answer(progress, answer.version, answer.shards)
-            case Shed() | Draining() | NotSent() | VersionGone():
-                self._retry_or_settle(progress, _reason_of(reply))
-            case Broken():
-                progress.touched = True
-                self._retry_or_settle(progress, MissingReason.BROKEN)
-
-    def _on_answer(
-        self, progress: ShardProgress, version: int, shards: Sequence[ShardRows]
-    ) -> None:
+        if type(reply) is Broken:
+            progress.touched = True
+        elif type(reply) is VersionGone:
+            self._replanner.note_version_gone(self._plan, sent.backend)
+        progress.last_reason = _reason_of(reply)
+        self._retry_or_settle(progress, reply, now)
+
+    def _on_answer(self, progress: ShardProgress, reply: Answered, now: float) -> None:
         """Take rows, but only of the pinned version and of the shard that was asked."""
-        wanted = progress.planned.spec.shard
-        rows = next((rows for rows in shards if rows.shard == wanted), None)
-        if version != self._plan.version or rows is None:
+        answer = reply.answer
+        if self._permit is not None and not self._permit.hold_bytes(reply.size_bytes):
+            progress.touched = True
+            self._settle(progress, MissingReason.TENANT_LIMIT)
+            return
+        rows = _rows_of(answer.shards, progress.planned.spec.shard)
+        if answer.version != self._plan.version or rows is None:
             progress.touched = True
-            self._retry_or_settle(progress, MissingReason.VERSION_GONE)
+            progress.last_reason = MissingReason.VERSION_GONE
+            self._retry_or_settle(progress, None, now)
             return
         progress.rows = rows
-        for other in progress.in_flight:
-            self._dispatcher.cancel(other)
-        progress.in_flight.clear()
-        self._after_settling()
-
-    def _retry_or_settle(self, progress: ShardProgress, reason: MissingReason) -> None:
-        """Ask another replica if the rule allows it, else give the shard up."""
-        if progress.in_flight:
+        self._answered += 1
+        if progress.calls:
+            self._cancel_losers(progress, now)
+        self._unsettled -= 1
+        enough = now >= self._soft_deadline and self._suffices()
+        if self._unsettled == 0 or self._hopeless or enough:
+            self._finish(at_deadline=False)
+
+    def _cancel_losers(self, progress: ShardProgress, now: float) -> None:
+        """Stop the copies that a quicker answer has overtaken."""
+        losers = tuple(progress.calls)
+        progress.calls.clear()
+        for loser in losers:
+            self._dispatcher.cancel(loser)
+            self._routing.observe_loser(loser.backend, now - loser.sent_at, now)
+
+    def _retry_or_settle(
+        self, progress: ShardProgress, reply: BackendReply | None, now: float
+    ) -> None:
+        """Ask another replica if the rule and the budget allow it, else give the shard up.
+
+        A call that was not sent put no load on any back end, so sending it elsewhere is free.
+        """
+        if progress.calls:
             return
-        may_repeat = self._plan.rule.repeatable or progress.untouched
+        may_repeat = not self._hopeless and (self._plan.repeatable or progress.untouched)
         if may_repeat and progress.attempts < MAX_ATTEMPTS_PER_SHARD:
-            self._submit(progress)
-            return
-        self._settle(progress, reason)
+            if type(reply) is Shed and len(progress.tried) >= len(progress.planned.candidates):
+                progress.tried = ()
+            if self._routing.candidates(progress.planned.candidates, progress.tried, now):
+                free = type(reply) is NotSent
+                if free or self._routing.retry.may_retry(urgent=self._is_urgent(progress)):
+                    self._submit(progress, now)
+                    return
+        self._settle(progress, progress.last_reason or MissingReason.NO_REPLICA)
 
     def _settle(self, progress: ShardProgress, reason: MissingReason) -> None:
-        """Give a shard up."""
+        """Give a shard up; the whole query too when it can no longer meet its rule."""
         progress.problem = reason
-        self._after_settling()
-
-    def _after_settling(self) -> None:
-        """Finish once every shard is settled."""
         self._unsettled -= 1
+        if reason is MissingReason.VERSION_GONE and self._try_replan():
+            return
+        missing = len(self._progress) - self._answered - self._unsettled
         if self._unsettled == 0:
-            self._finish(self._outcome())
+            self._finish(at_deadline=False)
+        elif missing > self._may_miss:
+            self._give_up()
+
+    def _give_up(self) -> None:
+        """End a query that can no longer meet its rule, without waiting for its deadline.
+
+        While nothing was started yet, refusals of what is in flight may still make it a true
+        "not run"; they are awaited for about as long as a slow answer takes.
+        """
+        if not self._hopeless:
+            self._hopeless = True
+            self._withdraw_pending()
+            now = self._timers.time()
+            patience = self._routing.hedge_delay_s(0) or REFUSAL_PATIENCE_S
+            self._hard_deadline = min(self._hard_deadline, now + patience)
+            self._arm(now)
+        in_flight = any(progress.calls for progress in self._progress)
+        may_be_not_run = not self._touched_before and not any(
+            progress.touched or progress.rows is not None for progress in self._progress
+        )
+        if not in_flight or not may_be_not_run:
+            self._finish(at_deadline=False)
 
-    def _on_soft_deadline(self) -> None:
-        """Return early if the coverage suffices."""
-        answered = sum(1 for progress in self._progress if progress.rows is not None)
-        if answered / len(self._progress) >= self._plan.rule.minimum_coverage:
-            self._finish(self._outcome())
+    def _try_replan(self) -> bool:
+        """Start again on a version that reaches more shards; no row of the old one is kept."""
+        if self._hopeless or self._replans >= MAX_REPLANS:
+            return False
+        plan = self._replanner.replan(self._plan)
+        if plan is None:
+            return False
+        self._replans += 1
+        if not all(progress.untouched for progress in self._progress):
+            self._touched_before = True
+        self._release_calls()
+        self._adopt(plan)
+        now = self._timers.time()
+        self._submit_all(now)
+        if not self._finished:
+            self._arm(now)
+        return True
+
+    def _is_urgent(self, progress: ShardProgress) -> bool:
+        """Tell whether a coverage-first answer has no shard of this one's owner yet."""
+        if self._plan.rule.preference is not Preference.COVERAGE:
+            return False
+        return progress.planned.spec.owner not in owners_included(self._progress)
+
+    def _arm(self, now: float) -> None:
+        """Set the one timer to whatever comes first: a deadline or a look for overdue calls."""
+        when = self._hard_deadline
+        if now < self._soft_deadline < when:
+            when = self._soft_deadline
+        if self._plan.repeatable and not self._hopeless:
+            look = next_look(self._progress, self._routing, now)
+            if look is not None and look < when:
+                when = look
+        if self._timer is not None:
+            self._timer.cancel()
+        self._timer = self._timers.call_at(when, self._on_timer, when)
+
+    def _on_timer(self, when: float) -> None:
+        """Return at a deadline, hedge what is overdue, and set the timer again.
+
+        :param when: the time it was set to; an event loop may call a little early, by the
+            resolution of its clock, and must not be asked again for the same moment.
+        """
+        if self._finished:
+            return
+        now = max(when, self._timers.time())
+        if now >= self._hard_deadline:
+            self._finish(at_deadline=not self._hopeless)
+            return
+        if now >= self._soft_deadline and self._suffices():
+            self._finish(at_deadline=False)
+            return
+        if self._plan.repeatable and not self._hopeless:
+            self._hedge_overdue(now)
+        self._arm(now)
+
+    def _hedge_overdue(self, now: float) -> None:
+        """Hedge what is overdue, unless the whole fleet is slow."""
+        overdue = find_overdue(self._progress, self._routing, now)
+        if not overdue:
+            return
+        backends = [progress.calls[-1].backend.name for progress in overdue]
+        if is_widespread(backends, len(self._progress)):
+            return
+        included = owners_included(self._progress)
+        preference = self._plan.rule.preference
+        for progress in order_by_need(overdue, included, preference):
+            owner_is_missing = progress.planned.spec.owner not in included
+            urgent = owner_is_missing and preference is Preference.COVERAGE
+            backend = self._routing.choose_hedge(progress.planned.candidates, progress.tried)
+            if backend is None:
+                continue
+            if not self._routing.hedge.may_hedge(urgent=urgent):
+                return
+            progress.hedges += 1
+            self._send(progress, backend)
 
-    def _on_hard_deadline(self) -> None:
-        """Return with what is there."""
-        self._finish(self._outcome())
+    def _suffices(self) -> bool:
+        """Tell whether the coverage meets the rule."""
+        return len(self._progress) - self._answered <= self._may_miss
 
-    def _finish(self, outcome: Outcome) -> None:
-        """Report once, stop timers and free every place the query still holds."""
+    def _finish(self, *, at_deadline: bool) -> None:
+        """Report once, after freeing every place the query still holds."""
         if self._finished:
             return
         self._finished = True
-        for handle in self._timer_handles:
-            handle.cancel()
-        for progress in self._progress:
-            if progress.pending is not None:
-                self._dispatcher.withdraw(progress.pending)
-            for sent in progress.in_flight:
-                self._dispatcher.cancel(sent)
-            progress.in_flight.clear()
+        if self._hopeless:
+            self._give_up_rest()
+        outcome = judge(
+            self._plan,
+            self._progress,
+            touched_before=self._touched_before,
+            at_deadline=at_deadline,
+        )
+        self._stop()
         self._on_outcome(outcome)
 
-    def _outcome(self) -> Outcome:
-        """Judge the shards as they stand now."""
-        coverage = self._coverage()
-        if not coverage.included:
-            return self._empty_outcome(coverage)
-        if coverage.ratio < self._plan.rule.minimum_coverage:
-            return Failed(FailedReason.COVERAGE_TOO_LOW, f"coverage {coverage.ratio:.3f}", coverage)
-        request = self._plan.request
-        answered = [progress.rows for progress in self._progress if progress.rows is not None]
-        page = merge_rows(
-            [rows.rows for rows in answered],
-            descending=request.descending,
-            limit=request.limit,
-            more=any(rows.more for rows in answered),
-        )
-        answer = Answer(self._plan.version, page.rows, coverage, page.next_after)
-        return Partial(answer) if coverage.missing else Complete(answer)
-
-    def _empty_outcome(self, coverage: Coverage) -> Outcome:
-        """Judge a query without a single answered shard."""
-        if all(progress.untouched for progress in self._progress):
-            return NotRun(NotRunReason.OVERLOADED, "no back end started any part")
-        if not self._plan.rule.repeatable:
-            return MayHaveRun(MayHaveRunReason.NO_ANSWER)
-        return Failed(FailedReason.COVERAGE_TOO_LOW, "no shard answered", coverage)
-
-    def _coverage(self) -> Coverage:
-        """State which shards are in and why the others are not."""
-        included: list[str] = []
-        missing: list[MissingShard] = []
+    def _give_up_rest(self) -> None:
+        """State that the query did not wait for what is still open."""
         for progress in self._progress:
-            spec = progress.planned.spec
-            if progress.rows is not None:
-                included.append(spec.shard)
-                continue
-            reason = progress.problem or MissingReason.TIMED_OUT
-            missing.append(MissingShard(spec.shard, spec.owner, reason))
-        return Coverage(tuple(included), tuple(missing))
+            if not progress.settled and progress.calls:
+                progress.problem = MissingReason.GIVEN_UP
 
+    def _stop(self) -> None:
+        """Stop the timer and free every place."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._release_calls()
 
-def _tell_nobody(_: Outcome) -> None:
-    """Drop an outcome nobody waits for."""
+    def _release_calls(self) -> None:
+        """Withdraw what waits, then cancel what is in flight.
+
+        In this order, because a cancelled call's place goes to whatever waits for it.
+        """
+        self._withdraw_pending()
+        now = self._timers.time()
+        for progress in self._progress:
+            for sent in progress.calls:
+                self._dispatcher.cancel(sent)
+                self._routing.observe_withdrawn(sent.backend, now - sent.sent_at, now)
+            progress.calls.clear()
+
+    def _withdraw_pending(self) -> None:
+        """Take back every call that waits for room."""
+        for progress in self._progress:
+            if progress.pending is not None:
+                self._dispatcher.withdraw(progress.pending)
+                progress.pending = None
 
 
-def progress_problem(progress: ShardProgress, if_never_sent: MissingReason) -> MissingReason:
-    """Return why a shard that is not asked again is missing."""
-    return MissingReason.BROKEN if progress.attempts else if_never_sent
+def _rows_of(shards: Sequence[ShardRows], wanted: str) -> ShardRows | None:
+    """Return the rows of the shard that was asked."""
+    for rows in shards:
+        if rows.shard == wanted:
+            return rows
+    return None
 
 
 def _reason_of(reply: BackendReply) -> MissingReason:
-    """Turn a refusal into the reason stated in the coverage."""
+    """Turn a failed call into the reason stated in the coverage."""
     if isinstance(reply, VersionGone):
         return MissingReason.VERSION_GONE
-    if isinstance(reply, NotSent):
+    if isinstance(reply, NotSent | Broken):
         return MissingReason.BROKEN
     return MissingReason.REFUSED
--- /dev/null
+++ b/tinrudder/query/judgement.py
@@ -0,0 +1,87 @@
+"""The outcome of a query, judged from its shards as they stand at one moment."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from tinrudder.outcomes import (
+    Answer,
+    Complete,
+    Coverage,
+    Failed,
+    FailedReason,
+    MayHaveRun,
+    MayHaveRunReason,
+    MissingReason,
+    MissingShard,
+    NotRun,
+    NotRunReason,
+    Outcome,
+    Partial,
+)
+from tinrudder.query.merge import merge_rows
+from tinrudder.query.plan import QueryPlan
+from tinrudder.query.shard_progress import ShardProgress
+
+
+def judge(
+    plan: QueryPlan, progress: Sequence[ShardProgress], *, touched_before: bool, at_deadline: bool
+) -> Outcome:
+    """Return the outcome of a query that ends now.
+
+    :param touched_before: an earlier plan of the same query reached a back end.
+    :param at_deadline: it ends because its time is over.
+    """
+    coverage = coverage_of(progress)
+    if not coverage.included:
+        untouched = not touched_before and all(shard.untouched for shard in progress)
+        return _empty_outcome(plan, coverage, untouched=untouched, at_deadline=at_deadline)
+    if coverage.ratio < plan.rule.minimum_coverage:
+        return Failed(FailedReason.COVERAGE_TOO_LOW, f"coverage {coverage.ratio:.3f}", coverage)
+    request = plan.request
+    answered = [shard.rows for shard in progress if shard.rows is not None]
+    page = merge_rows(
+        [rows.rows for rows in answered],
+        descending=request.descending,
+        limit=request.limit,
+        more=any(rows.more for rows in answered),
+    )
+    answer = Answer(plan.version, page.rows, coverage, page.next_after)
+    return Partial(answer) if coverage.missing else Complete(answer)
+
+
+def coverage_of(progress: Sequence[ShardProgress]) -> Coverage:
+    """State which shards are in and why the others are not."""
+    included: list[str] = []
+    missing: list[MissingShard] = []
+    for shard in progress:
+        spec = shard.planned.spec
+        if shard.rows is not None:
+            included.append(spec.shard)
+        else:
+            missing.append(MissingShard(spec.shard, spec.owner, shard.missing_reason()))
+    return Coverage(tuple(included), tuple(missing))
+
+
+def _empty_outcome(
+    plan: QueryPlan, coverage: Coverage, *, untouched: bool, at_deadline: bool
+) -> Outcome:
+    """Judge a query without a single answered shard."""
+    reasons = {shard.reason for shard in coverage.missing}
+    if reasons == {MissingReason.VERSION_GONE} and plan.request.operation is None:
+        detail = f"version: {plan.version} is no longer served"
+        return Failed(FailedReason.VERSION_GONE, detail, coverage)
+    if untouched:
+        return NotRun(_not_run_reason(reasons, at_deadline), "no back end started any part")
+    if not plan.repeatable:
+        return MayHaveRun(MayHaveRunReason.NO_ANSWER)
+    return Failed(FailedReason.COVERAGE_TOO_LOW, "no shard answered", coverage)
+
+
+def _not_run_reason(reasons: set[MissingReason], at_deadline: bool) -> NotRunReason:
+    """Name what kept the query from running."""
+    if reasons <= {MissingReason.NO_REPLICA, MissingReason.BROKEN, MissingReason.VERSION_GONE}:
+        return NotRunReason.NO_BACKEND
+    if at_deadline and MissingReason.REFUSED not in reasons:
+        return NotRunReason.DEADLINE
+    return NotRunReason.OVERLOADED
--- a/tinrudder/query/plan.py
+++ b/tinrudder/query/plan.py
@@ -2,19 +2,25 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 
-from tinrudder.outcomes import NotRun, NotRunReason
+from tinrudder.outcomes import Failed, FailedReason, NotRun, NotRunReason
 from tinrudder.query.request import QueryRequest
 from tinrudder.resources.configuration import Configuration
 from tinrudder.resources.model import IndexVersionSpec, QueryRuleSpec, ShardSpec
 from tinrudder.routing.backend_record import BackendRecord
 from tinrudder.routing.backend_table import BackendTable
+from tinrudder.routing.service_routing import RoutingTable, ServiceRouting
+from tinrudder.routing.version_hints import VersionHints
+from tinrudder.timers import Timers
+
+VERSION_CHOICE_LIFETIME_S = 0.05
 
 
 @dataclass(frozen=True, slots=True)
 class PlannedShard:
-    """A shard and the back ends that may serve it at the pinned version."""
+    """A shard and the back ends that hold it at the pinned version."""
 
     spec: ShardSpec
     candidates: tuple[BackendRecord, ...]
@@ -22,7 +28,10 @@
 
 @dataclass(frozen=True, slots=True)
 class QueryPlan:
-    """Everything decided before the first call: one version, its shards, its rule."""
+    """Everything decided before the first call: one version, its shards, its rule.
+
+    :param repeatable: whether a call that may have run may be sent again.
+    """
 
     request: QueryRequest
     rule: QueryRuleSpec
@@ -30,54 +39,171 @@
     service: str
     version: int
     shards: tuple[PlannedShard, ...]
+    routing: ServiceRouting
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether a call that may have run may be sent again."""
+        return self.rule.repeatable and self.request.operation is None
 
 
-def make_query_plan(
-    request: QueryRequest, configuration: Configuration, backends: BackendTable
-) -> QueryPlan | NotRun:
-    """Plan a request, or say why it cannot run.
+Refusal = NotRun | Failed
 
-    A tenant that may not use a service gets the same answer as for one that does not exist.
+
+@dataclass(slots=True, eq=False)
+class _Template:
+    """What queries of one rule and index have in common under one configuration.
+
+    :param chosen_until: monotonic time until which ``chosen`` need not be weighed again.
     """
-    rule = configuration.rules.get(request.rule)
-    index = configuration.indexes.get(request.index)
-    if rule is None or index is None or index.service != rule.service:
-        return _unknown(request)
-    service = configuration.services.get(index.service)
-    tenant = configuration.tenants.get(request.tenant)
-    if service is None or tenant is None or request.tenant not in service.tenants:
-        return _unknown(request)
-    version = _choose_version(request, index.versions, backends)
-    if version is None:
-        return NotRun(NotRunReason.UNKNOWN_RESOURCE, "version: no longer served")
-    wanted = frozenset(request.shards)
-    shards = tuple(
-        PlannedShard(shard, backends.candidates(shard.backends))
-        for shard in version.shards
-        if not wanted or shard.shard in wanted
-    )
-    if not any(shard.candidates for shard in shards):
-        return NotRun(NotRunReason.NO_BACKEND, "no back end is left for any shard")
-    return QueryPlan(request, rule, tenant.weight, index.service, version.version, shards)
+
+    rule: QueryRuleSpec
+    service: str
+    tenants: frozenset[str]
+    versions: dict[int, tuple[PlannedShard, ...]]
+    routing: ServiceRouting
+    chosen: int = 0
+    chosen_until: float = field(default=-1.0)
+
+
+class Planner:
+    """Plans queries; what does not depend on the request is kept until something changes."""
+
+    def __init__(
+        self,
+        timers: Timers,
+        configuration: Callable[[], Configuration],
+        backends: BackendTable,
+        routing: RoutingTable,
+    ) -> None:
+        """Read the configuration in force through ``configuration`` at every query."""
+        self._timers = timers
+        self._configuration = configuration
+        self._backends = backends
+        self._routing = routing
+        self._templates: dict[tuple[str, str], _Template] = {}
+        self._hints = VersionHints(timers.time)
+        self._built_from: Configuration | None = None
+        self._built_at_generation = -1
+
+    def plan(self, request: QueryRequest) -> QueryPlan | Refusal:
+        """Plan a request, or say why it cannot run.
+
+        A tenant that may not use a service gets the same answer as for one that does not exist.
+        """
+        configuration = self._configuration()
+        template = self._template(configuration, request)
+        tenant = configuration.tenants.get(request.tenant)
+        if template is None or tenant is None or request.tenant not in template.tenants:
+            return _unknown(request)
+        version = request.version or self._choose_version(template, request.index)
+        return self._make(request, template, tenant.weight, version)
+
+    def replan(self, plan: QueryPlan) -> QueryPlan | None:
+        """Plan a query again on another version that now reaches more shards.
+
+        :returns: ``None`` for later pages, which stay on their version, for what must not be
+            repeated, and where no other version reaches more.
+        """
+        request = plan.request
+        if request.version is not None or not plan.repeatable:
+            return None
+        template = self._template(self._configuration(), request)
+        if template is None:
+            return None
+        template.chosen_until = -1.0
+        version = self._choose_version(template, request.index)
+        if version == plan.version:
+            return None
+        planned = self._make(request, template, plan.weight, version)
+        return planned if isinstance(planned, QueryPlan) else None
+
+    def note_version_gone(self, plan: QueryPlan, backend: BackendRecord) -> None:
+        """Remember that a back end does not serve the plan's version."""
+        self._hints.note_gone(backend, plan.request.index, plan.version)
+
+    def _make(
+        self, request: QueryRequest, template: _Template, weight: int, version: int
+    ) -> QueryPlan | Refusal:
+        """Build the plan for a version."""
+        shards = template.versions.get(version)
+        if shards is None:
+            return Failed(FailedReason.VERSION_GONE, f"version: {version} is no longer served")
+        if request.shards:
+            wanted = frozenset(request.shards)
+            shards = tuple(shard for shard in shards if shard.spec.shard in wanted)
+        if request.operation is not None and len(shards) != 1:
+            return NotRun(NotRunReason.INVALID_REQUEST, "shards: an operation names exactly one")
+        if not any(_has_usable(shard) for shard in shards):
+            return NotRun(NotRunReason.NO_BACKEND, "no back end is left for any shard")
+        return QueryPlan(
+            request, template.rule, weight, template.service, version, shards, template.routing
+        )
+
+    def _template(self, configuration: Configuration, request: QueryRequest) -> _Template | None:
+        """Return what queries of this rule and index have in common."""
+        changed = configuration is not self._built_from
+        if changed or self._backends.generation != self._built_at_generation:
+            self._templates.clear()
+            self._built_from = configuration
+            self._built_at_generation = self._backends.generation
+        key = (request.rule, request.index)
+        template = self._templates.get(key)
+        if template is None:
+            template = self._build_template(configuration, request)
+            if template is not None:
+                self._templates[key] = template
+        return template
+
+    def _build_template(
+        self, configuration: Configuration, request: QueryRequest
+    ) -> _Template | None:
+        """Join rule, index and service; ``None`` when they do not belong together."""
+        rule = configuration.rules.get(request.rule)
+        index = configuration.indexes.get(request.index)
+        if rule is None or index is None or index.service != rule.service:
+            return None
+        service = configuration.services.get(index.service)
+        if service is None:
+            return None
+        routing = self._routing.routing_of(index.service, rule.policies)
+        records = self._backends.of_service(index.service)
+        routing.ejection.follow(records, self._timers.time())
+        versions = {spec.version: self._planned_shards(spec) for spec in index.versions}
+        tenants = frozenset(service.tenants)
+        return _Template(rule, index.service, tenants, versions, routing)
+
+    def _planned_shards(self, spec: IndexVersionSpec) -> tuple[PlannedShard, ...]:
+        """Bind a version's shards to the records of their back ends."""
+        return tuple(
+            PlannedShard(shard, self._backends.records(shard.backends)) for shard in spec.shards
+        )
+
+    def _choose_version(self, template: _Template, index: str) -> int:
+        """Return the version with the best reachable coverage, the newest on a tie."""
+        versions = template.versions
+        if len(versions) == 1:
+            return next(iter(versions))
+        now = self._timers.time()
+        if now >= template.chosen_until:
+            template.chosen = max(versions, key=lambda v: (self._reachable(versions, v, index), v))
+            template.chosen_until = now + VERSION_CHOICE_LIFETIME_S
+        return template.chosen
+
+    def _reachable(
+        self, versions: dict[int, tuple[PlannedShard, ...]], version: int, index: str
+    ) -> float:
+        """Return the share of a version's shards that have a usable replica."""
+        replicas = [shard.candidates for shard in versions[version]]
+        return self._hints.reachable_share(replicas, index, version)
+
+
+def _has_usable(shard: PlannedShard) -> bool:
+    """Tell whether one of a shard's back ends may get new work."""
+    return any(not backend.leaving for backend in shard.candidates)
 
 
 def _unknown(request: QueryRequest) -> NotRun:
     """Answer alike for what is absent and for what the tenant may not see."""
     detail = f"index or rule: no {request.index!r} with rule {request.rule!r} for this tenant"
     return NotRun(NotRunReason.UNKNOWN_RESOURCE, detail)
-
-
-def _choose_version(
-    request: QueryRequest, versions: tuple[IndexVersionSpec, ...], backends: BackendTable
-) -> IndexVersionSpec | None:
-    """Return the pinned version, or the one with the best reachable coverage, newest on a tie."""
-    if request.version is not None:
-        pinned = (version for version in versions if version.version == request.version)
-        return next(pinned, None)
-    return max(versions, key=lambda version: (_reachable(version, backends), version.version))
-
-
-def _reachable(version: IndexVersionSpec, backends: BackendTable) -> float:
-    """Return the share of a version's shards that have a usable replica."""
-    usable = sum(1 for shard in version.shards if backends.any_usable(shard.backends))
-    return usable / len(version.shards)
--- a/tinrudder/routing/backend_record.py
+++ b/tinrudder/routing/backend_record.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+
+from tinrudder.routing.backend_health import BackendHealth
 
 LATENCY_SMOOTHING = 0.1
 DEFAULT_MAX_CONNECTIONS = 70
+MAX_LATENCY_STEP = 3.0
 
 
 @dataclass(slots=True, eq=False)
@@ -21,6 +24,7 @@
     :param leaving: no new work goes there.
     :param paused: it asked for a pause with a refusal; no new work until that is over.
     :param max_connections: this node's share of the connections the back end takes.
+    :param health: own judgement and hints of others.
     """
 
     name: str
@@ -38,14 +42,20 @@
     lowered_at: float = 0.0
     waiting: int = 0
     paused: bool = False
+    health: BackendHealth = field(default_factory=BackendHealth)
 
     def __post_init__(self) -> None:
         """Begin at the limit given."""
         self.ceiling = self.ceiling or self.limit
 
     def may_send(self) -> bool:
-        """Tell whether one more call fits under the limit."""
-        return self.in_flight + 1 <= self.limit and not self.leaving and not self.paused
+        """Tell whether one more call fits under the limit, and under the ramp of a cold start."""
+        return (
+            self.in_flight + 1 <= self.limit
+            and not self.leaving
+            and not self.paused
+            and self.in_flight < self.health.ramp_limit
+        )
 
     def set_ceiling(self, ceiling: float) -> None:
         """Follow a changed share; a limit that stood at the old ceiling moves along."""
@@ -54,8 +64,18 @@
         self.ceiling = ceiling
 
     def observe_latency(self, seconds: float) -> None:
-        """Fold one answered call into the smoothed latency."""
+        """Fold one answered call into the smoothed latency.
+
+        A single slow call counts as a bounded step, so that a heavy tail, which every back end
+        has, does not look like a slow back end; one that stays slow is seen within ten calls.
+        """
         if self.latency_s == 0.0:
             self.latency_s = seconds
             return
-        self.latency_s += LATENCY_SMOOTHING * (seconds - self.latency_s)
+        bounded = min(seconds, MAX_LATENCY_STEP * self.latency_s)
+        self.latency_s += LATENCY_SMOOTHING * (bounded - self.latency_s)
+
+    def observe_unanswered(self, seconds: float) -> None:
+        """Learn from a call given up after ``seconds``: it would have taken longer still."""
+        if seconds > self.latency_s:
+            self.observe_latency(seconds)
--- a/tinrudder/routing/backend_table.py
+++ b/tinrudder/routing/backend_table.py
@@ -17,18 +17,25 @@
 
 
 class BackendTable:
-    """Records by name; a record outlives configuration changes, so observations are kept."""
+    """Records by name; a record outlives configuration changes, so observations are kept.
+
+    :ivar generation: raised by every update; what was looked up before may be stale.
+    """
 
     def __init__(self) -> None:
         """Start without back ends."""
         self._records: dict[str, BackendRecord] = {}
         self.on_update: Callable[[], None] | None = None
+        self._by_service: dict[str, list[BackendRecord]] = {}
+        self.generation = 0
 
     def update(self, specs: Mapping[str, BackendSpec], share: SlotShare = all_slots) -> None:
         """Follow the configuration and the coordinator sets.
 
         :param share: how many calls this node may have in flight at a back end.
         """
+        self.generation += 1
+        self._by_service = {}
         for name in self._records.keys() - specs.keys():
             self._records.pop(name).leaving = True
         for name, spec in specs.items():
@@ -44,6 +51,7 @@
             record.slots = spec.slots
             record.set_ceiling(limit)
             record.leaving = spec.state is BackendState.DRAINING
+            self._by_service.setdefault(spec.service, []).append(record)
         if self.on_update is not None:
             self.on_update()
 
@@ -60,11 +68,11 @@
         """Return every record."""
         return tuple(self._records.values())
 
-    def candidates(self, names: tuple[str, ...]) -> tuple[BackendRecord, ...]:
-        """Return the records among ``names`` that may get new work."""
-        found = (self._records.get(name) for name in names)
-        return tuple(record for record in found if record is not None and not record.leaving)
+    def of_service(self, service: str) -> tuple[BackendRecord, ...]:
+        """Return the records of a service's back ends."""
+        return tuple(self._by_service.get(service, ()))
 
-    def any_usable(self, names: tuple[str, ...]) -> bool:
-        """Tell whether one of ``names`` may get new work."""
-        return bool(self.candidates(names))
+    def records(self, names: tuple[str, ...]) -> tuple[BackendRecord, ...]:
+        """Return the records of ``names`` that are known, leaving ones included."""
+        found = (self._records.get(name) for name in names)
+        return tuple(record for record in found if record is not None)
--- /dev/null
+++ b/tinrudder/routing/hedging.py
@@ -0,0 +1,100 @@
+"""When a second copy of a call that has not been answered is sent to another replica."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import Protocol
+
+from tinrudder.routing.latency_window import LatencyWindow
+from tinrudder.routing.retry_budget import FractionBudget
+
+HEDGE_FRACTION = 0.026
+HEDGE_INITIAL = 8.0
+HEDGE_CAPACITY = 32.0
+HEDGE_QUANTILE = 0.975
+SECOND_HEDGE_QUANTILE = 0.9
+MINIMUM_OBSERVATIONS = 100
+MINIMUM_DELAY_S = 0.001
+MAX_HEDGES_PER_SHARD = 2
+WIDESPREAD_SHARE = 0.2
+ONE_BACKEND_SHARE = 0.6
+
+
+class HedgePolicy(Protocol):
+    """Decides after what delay a call is hedged, and whether a hedge may be sent."""
+
+    def earn(self, first_calls: int) -> None:
+        """Learn that a query sends this many first calls."""
+
+    def delay_s(self, latency: LatencyWindow, hedges: int) -> float | None:
+        """Return how old a call must be, seconds; ``None`` for no hedge.
+
+        :param hedges: how many its shard has had in this query.
+        """
+
+    def may_hedge(self, *, urgent: bool) -> bool:
+        """Tell whether one more hedge may be sent, and count it."""
+
+
+class NoHedge:
+    """Never hedges: the baseline, and the right choice for batch work without deadlines."""
+
+    def earn(self, first_calls: int) -> None:
+        """Keep no account."""
+
+    def delay_s(self, latency: LatencyWindow, hedges: int) -> float | None:
+        """Return no delay."""
+        return None
+
+    def may_hedge(self, *, urgent: bool) -> bool:
+        """Allow none."""
+        return False
+
+
+class QuantileHedge:
+    """Hedges what is slower than nearly all recent calls of its service, within a budget.
+
+    When to use: for searches with a tail.  Default: the 97.5th percentile, 2.6% of first calls.
+    Cost: at most that share of extra calls.  No hedge is sent where waiting on is expected to
+    take no longer than a fresh call, which is so for services without a heavy tail.
+    """
+
+    def __init__(self) -> None:
+        """Start with a few hedges to spend."""
+        self._budget = FractionBudget(
+            fraction=HEDGE_FRACTION, initial=HEDGE_INITIAL, capacity=HEDGE_CAPACITY
+        )
+
+    def earn(self, first_calls: int) -> None:
+        """Add what a query's first calls earn."""
+        self._budget.earn(first_calls)
+
+    def delay_s(self, latency: LatencyWindow, hedges: int) -> float | None:
+        """Return the quantile of the window."""
+        if len(latency) < MINIMUM_OBSERVATIONS or hedges >= MAX_HEDGES_PER_SHARD:
+            return None
+        quantile = SECOND_HEDGE_QUANTILE if hedges else HEDGE_QUANTILE
+        return max(MINIMUM_DELAY_S, latency.quantile(quantile))
+
+    def may_hedge(self, *, urgent: bool) -> bool:
+        """Draw on the budget."""
+        return self._budget.try_spend(urgent=urgent)
+
+
+def is_widespread(overdue_backends: Sequence[str], shard_count: int) -> bool:
+    """Tell whether so many calls are overdue that the fleet is slow, not one back end.
+
+    Hedging a slow fleet only adds to its load.
+
+    >>> is_widespread(["b1", "b1", "b1"], 6)
+    False
+    >>> is_widespread(["b1", "b2", "b3"], 6)
+    True
+    >>> is_widespread(["b1", "b2"], 130)
+    False
+    """
+    if len(overdue_backends) <= max(1.0, WIDESPREAD_SHARE * shard_count):
+        return False
+    most_common = Counter(overdue_backends).most_common(1)[0][1]
+    return most_common < ONE_BACKEND_SHARE * len(overdue_backends)
--- /dev/null
+++ b/tinrudder/routing/latency_window.py
@@ -0,0 +1,104 @@
+"""Quantiles of a service's recent call latencies, in bounded memory and without sorting.
+
+Two histograms with buckets of equal ratio: the current one fills, the former one still counts
+until the next rotation, so the window spans between one and two periods.
+"""
+
+from __future__ import annotations
+
+import math
+
+SMALLEST_S = 1e-4
+BUCKET_RATIO = 1.07
+BUCKETS = 200
+PERIOD_CALLS = 4000
+REFRESH_CALLS = 64
+_LOG_RATIO = math.log(BUCKET_RATIO)
+_LOG_SMALLEST = math.log(SMALLEST_S)
+
+
+class LatencyWindow:
+    """Counts latencies from 0.1 ms to about 75 s, each within 7%.
+
+    >>> window = LatencyWindow()
+    >>> for latency_ms in range(1, 101):
+    ...     window.observe(latency_ms / 1000)
+    >>> 0.088 < window.quantile(0.9) < 0.097
+    True
+    """
+
+    __slots__ = ("_cached", "_counts", "_former", "_former_total", "_stale_after", "_total")
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._counts = [0] * BUCKETS
+        self._former = [0] * BUCKETS
+        self._total = 0
+        self._former_total = 0
+        self._cached: dict[float, float] = {}
+        self._stale_after = 0
+
+    def __len__(self) -> int:
+        """Return how many calls the window spans."""
+        return self._total + self._former_total
+
+    def observe(self, seconds: float) -> None:
+        """Count one call."""
+        if seconds <= SMALLEST_S:
+            bucket = 0
+        else:
+            bucket = min(BUCKETS - 1, int((math.log(seconds) - _LOG_SMALLEST) / _LOG_RATIO))
+        self._counts[bucket] += 1
+        self._total += 1
+        if self._total >= self._stale_after:
+            self._cached.clear()
+            self._stale_after = self._total + REFRESH_CALLS
+        if self._total >= PERIOD_CALLS:
+            self._rotate()
+
+    def quantile(self, fraction: float) -> float:
+        """Return the latency that ``fraction`` of the calls stay below, seconds; 0 when empty."""
+        cached = self._cached.get(fraction)
+        if cached is None:
+            cached = self._compute_quantile(fraction)
+            self._cached[fraction] = cached
+        return cached
+
+    def remaining_beyond(self, seconds: float) -> float:
+        """Return how much longer calls older than ``seconds`` took on average; 0 if none did."""
+        count = 0
+        total = 0.0
+        for bucket in range(BUCKETS):
+            latency = _latency_of(bucket)
+            if latency <= seconds:
+                continue
+            here = self._counts[bucket] + self._former[bucket]
+            count += here
+            total += here * (latency - seconds)
+        return total / count if count else 0.0
+
+    def _compute_quantile(self, fraction: float) -> float:
+        """Walk the buckets up to the wanted rank."""
+        total = len(self)
+        if not total:
+            return 0.0
+        rank = fraction * total
+        seen = 0
+        for bucket in range(BUCKETS):
+            seen += self._counts[bucket] + self._former[bucket]
+            if seen >= rank:
+                return _latency_of(bucket)
+        return _latency_of(BUCKETS - 1)
+
+    def _rotate(self) -> None:
+        """Forget the oldest period."""
+        self._former = self._counts
+        self._former_total = self._total
+        self._counts = [0] * BUCKETS
+        self._total = 0
+        self._stale_after = REFRESH_CALLS
+
+
+def _latency_of(bucket: int) -> float:
+    """Return the middle of a bucket, in the sense of ratios."""
+    return SMALLEST_S * math.exp((bucket + 0.5) * _LOG_RATIO)
--- a/tinrudder/routing/pending_call.py
+++ b/tinrudder/routing/pending_call.py
@@ -8,6 +8,7 @@
 
 from tinrudder.resources.model import Priority
 from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.replica_choice import ReplicaChoicePolicy
 
 if TYPE_CHECKING:
     from tinrudder.routing.tenant_flow import TenantFlow
@@ -23,6 +24,7 @@
 
     :param cost: estimated work, in shards.
     :param deadline: monotonic time after which it is not worth sending.
+    :param choice: how a replica is chosen among the candidates with room.
     :param on_dispatch: called with the chosen back end once there is room.
     :param on_shed: called instead when the call can no longer be answered in time, or its
         tenant has no queue place left; nothing of it was sent.
@@ -38,5 +40,6 @@
     enqueued_at: float
     on_dispatch: Callable[[BackendRecord], None]
     on_shed: Callable[[], None] = _ignore_shed
+    choice: ReplicaChoicePolicy | None = None
     waiting: bool = False
     places: tuple[TenantFlow, ...] = ()
--- /dev/null
+++ b/tinrudder/routing/registry.py
@@ -0,0 +1,92 @@
+"""Policies by role and name, as query rules name them in ``policies``.
+
+An unknown role or name is a validation error of the rule (see
+``tinrudder.resources.validation``); ``BASELINE`` is what every policy is measured against.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Final, TypeVar
+
+from tinrudder.routing.ejection import EjectionPolicy, NeverEject, OutlierEjection
+from tinrudder.routing.hedging import HedgePolicy, NoHedge, QuantileHedge
+from tinrudder.routing.replica_choice import (
+    LeastLoadedReplica,
+    RandomReplica,
+    ReplicaChoicePolicy,
+)
+from tinrudder.routing.retry_budget import BudgetedRetry, RetryPolicy, UnbudgetedRetry
+
+PolicyType = TypeVar("PolicyType")
+
+
+class Role(enum.StrEnum):
+    """What a policy decides."""
+
+    REPLICA_CHOICE = "replica_choice"
+    HEDGE = "hedge"
+    RETRY = "retry"
+    EJECTION = "ejection"
+
+
+@dataclass(frozen=True, slots=True)
+class PolicyContext:
+    """What factories may use: monotonic time in seconds and randomness."""
+
+    clock: Callable[[], float]
+    random: random.Random
+
+
+Factory = Callable[[PolicyContext], PolicyType]
+
+REPLICA_CHOICE_POLICIES: Final[Mapping[str, Factory[ReplicaChoicePolicy]]] = {
+    "least-loaded": lambda context: LeastLoadedReplica(context.clock),
+    "random": lambda context: RandomReplica(context.random),
+}
+HEDGE_POLICIES: Final[Mapping[str, Factory[HedgePolicy]]] = {
+    "quantile": lambda context: QuantileHedge(),
+    "none": lambda context: NoHedge(),
+}
+RETRY_POLICIES: Final[Mapping[str, Factory[RetryPolicy]]] = {
+    "budgeted": lambda context: BudgetedRetry(),
+    "unbudgeted": lambda context: UnbudgetedRetry(),
+}
+EJECTION_POLICIES: Final[Mapping[str, Factory[EjectionPolicy]]] = {
+    "outlier": lambda context: OutlierEjection(),
+    "never": lambda context: NeverEject(),
+}
+DEFAULTS: Final[Mapping[Role, str]] = {
+    Role.REPLICA_CHOICE: "least-loaded",
+    Role.HEDGE: "quantile",
+    Role.RETRY: "budgeted",
+    Role.EJECTION: "outlier",
+}
+BASELINE: Final[Mapping[Role, str]] = {
+    Role.REPLICA_CHOICE: "random",
+    Role.HEDGE: "none",
+    Role.RETRY: "unbudgeted",
+    Role.EJECTION: "never",
+}
+
+
+def names_by_role() -> dict[str, frozenset[str]]:
+    """Return every role with the names a rule may choose from.
+
+    >>> sorted(names_by_role()["hedge"])
+    ['none', 'quantile']
+    """
+    return {
+        Role.REPLICA_CHOICE.value: frozenset(REPLICA_CHOICE_POLICIES),
+        Role.HEDGE.value: frozenset(HEDGE_POLICIES),
+        Role.RETRY.value: frozenset(RETRY_POLICIES),
+        Role.EJECTION.value: frozenset(EJECTION_POLICIES),
+    }
+
+
+def policy_name(role: Role, policies: Mapping[str, str]) -> str:
+    """Return the name a rule gives for a role, or the role's default."""
+    return policies.get(role.value, DEFAULTS[role])
--- a/tinrudder/routing/replica_choice.py
+++ b/tinrudder/routing/replica_choice.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from tinrudder.routing.backend_record import BackendRecord
 
+REPORT_LIFETIME_S = 0.5
+UNKNOWN_LATENCY_S = 1e-6
+
 
 class ReplicaChoicePolicy(Protocol):
     """Picks one back end among those that may be sent to."""
@@ -32,7 +35,16 @@
 
 
 class LeastLoadedReplica:
-    """The replica whose next answer is expected soonest, by own observations."""
+    """The replica whose next answer is expected soonest, by own observations.
+
+    When to use: always; the default.  Cost: one product a candidate.  Load reports only add to
+    what is in flight from here, lose their weight within half a second, and can at most double
+    a back end's score, so that a lying report neither attracts nor starves.
+    """
+
+    def __init__(self, clock: Callable[[], float] | None = None) -> None:
+        """Age load reports by ``clock``; without one they are not used."""
+        self._clock = clock
 
     def choose(self, candidates: Sequence[BackendRecord]) -> BackendRecord | None:
         """Return the back end with the lowest (in flight + 1) times latency."""
@@ -41,8 +53,21 @@
         for backend in candidates:
             if not backend.may_send():
                 continue
-            score = (backend.in_flight + 1) * (backend.latency_s + 1e-6)
+            score = (backend.in_flight + 1) * (backend.latency_s + UNKNOWN_LATENCY_S)
+            if backend.health.reported_others and self._clock is not None:
+                score *= 1.0 + _report_weight(backend, self._clock())
+            if backend.health.failures_in_row:
+                score *= 1 + backend.health.failures_in_row
             if best is None or score < best_score:
                 best = backend
                 best_score = score
         return best
+
+
+def _report_weight(backend: BackendRecord, now: float) -> float:
+    """Return what others' calls add to a score, 0 to 1; old reports count less."""
+    age = now - backend.health.reported_at
+    if age >= REPORT_LIFETIME_S:
+        return 0.0
+    load = min(1.0, backend.health.reported_others / backend.slots)
+    return load * (1.0 - age / REPORT_LIFETIME_S)
--- /dev/null
+++ b/tinrudder/routing/service_routing.py
@@ -0,0 +1,156 @@
+"""One service's routing: its policies and everything learned of its calls on this node."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Generic
+
+from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.ejection import EjectionPolicy
+from tinrudder.routing.hedging import HedgePolicy
+from tinrudder.routing.latency_window import LatencyWindow
+from tinrudder.routing.registry import (
+    EJECTION_POLICIES,
+    HEDGE_POLICIES,
+    REPLICA_CHOICE_POLICIES,
+    RETRY_POLICIES,
+    Factory,
+    PolicyContext,
+    PolicyType,
+    Role,
+    policy_name,
+)
+from tinrudder.routing.replica_choice import ReplicaChoicePolicy
+from tinrudder.routing.retry_budget import RetryPolicy
+
+
+@dataclass(slots=True, eq=False)
+class ServiceRouting:
+    """The policies a rule names, with the state they share among queries of one service."""
+
+    choice: ReplicaChoicePolicy
+    hedge: HedgePolicy
+    retry: RetryPolicy
+    ejection: EjectionPolicy
+    latency: LatencyWindow = field(default_factory=LatencyWindow)
+
+    def earn(self, first_calls: int) -> None:
+        """Credit the budgets with a query's first calls."""
+        self.hedge.earn(first_calls)
+        self.retry.earn(first_calls)
+
+    def candidates(
+        self,
+        replicas: tuple[BackendRecord, ...],
+        tried: tuple[BackendRecord, ...],
+        now: float,
+    ) -> tuple[BackendRecord, ...]:
+        """Return the replicas that may get a call: healthy ones, else whatever is left."""
+        if not tried:
+            for backend in replicas:
+                if backend.leaving or backend.health.ejected:
+                    break
+            else:
+                return replicas
+        left = tuple(b for b in replicas if not b.leaving and b not in tried)
+        for backend in left:
+            if not backend.health.ejected or not backend.may_send():
+                continue
+            if self.ejection.may_probe(backend, now):
+                return (backend,)
+        return tuple(b for b in left if not b.health.ejected) or left
+
+    def hedge_delay_s(self, hedges: int) -> float | None:
+        """Return how old a shard's latest call must be for its next hedge; ``None`` for none."""
+        return self.hedge.delay_s(self.latency, hedges)
+
+    def choose_hedge(
+        self, replicas: tuple[BackendRecord, ...], tried: tuple[BackendRecord, ...]
+    ) -> BackendRecord | None:
+        """Return where a hedge goes now, ``None`` when no healthy replica has room.
+
+        A replica not tried yet comes first; where there is none, the same one may answer a
+        second copy sooner, because most slow calls are slow by chance.
+        """
+        healthy = [b for b in replicas if not b.leaving and not b.health.ejected]
+        untried = [backend for backend in healthy if backend not in tried]
+        return self.choice.choose(untried or healthy)
+
+    def observe_answer(
+        self, backend: BackendRecord, latency_s: float, reported: int | None, now: float
+    ) -> None:
+        """Learn from an answer.
+
+        :param reported: calls in flight by the back end's own report, if it sent one.
+        """
+        self.latency.observe(latency_s)
+        self.ejection.observe_answer(backend, latency_s, now)
+        if reported is not None:
+            health = backend.health
+            health.reported_others = max(0, reported - backend.in_flight)
+            health.reported_at = now
+
+    def observe_loser(self, backend: BackendRecord, waited_s: float, now: float) -> None:
+        """Learn from a call that was cancelled because its hedge answered first.
+
+        It counts in the window at the age it had, beyond the hedge delay: left out, hedges
+        would hide the tail from the delay they are sent after.
+        """
+        self.latency.observe(waited_s)
+        self.observe_withdrawn(backend, waited_s, now)
+
+    def observe_withdrawn(self, backend: BackendRecord, waited_s: float, now: float) -> None:
+        """Learn from a call that was cancelled before it was answered."""
+        backend.observe_unanswered(waited_s)
+        self.ejection.observe_unanswered(backend, now)
+
+    def observe_failure(self, backend: BackendRecord, now: float) -> None:
+        """Learn from a call that broke or could not be sent."""
+        self.ejection.observe_failure(backend, now)
+
+
+class _SharedPolicies(Generic[PolicyType]):
+    """The policies of one role, one for each service and name, made on first use."""
+
+    def __init__(
+        self, role: Role, factories: Mapping[str, Factory[PolicyType]], context: PolicyContext
+    ) -> None:
+        """Make policies by ``factories``."""
+        self._role = role
+        self._factories = factories
+        self._context = context
+        self._made: dict[tuple[str, str], PolicyType] = {}
+
+    def get(self, service: str, policies: Mapping[str, str]) -> PolicyType:
+        """Return the policy that a rule of ``service`` names, or the default."""
+        name = policy_name(self._role, policies)
+        made = self._made.get((service, name))
+        if made is None:
+            made = self._factories[name](self._context)
+            self._made[(service, name)] = made
+        return made
+
+
+class RoutingTable:
+    """Finds a rule's routing; rules of one service that name a policy share its state."""
+
+    def __init__(self, clock: Callable[[], float], source: random.Random) -> None:
+        """Give policies this clock and randomness."""
+        context = PolicyContext(clock, source)
+        self._choices = _SharedPolicies(Role.REPLICA_CHOICE, REPLICA_CHOICE_POLICIES, context)
+        self._hedges = _SharedPolicies(Role.HEDGE, HEDGE_POLICIES, context)
+        self._retries = _SharedPolicies(Role.RETRY, RETRY_POLICIES, context)
+        self._ejections = _SharedPolicies(Role.EJECTION, EJECTION_POLICIES, context)
+        self._windows: dict[str, LatencyWindow] = {}
+
+    def routing_of(self, service: str, policies: Mapping[str, str]) -> ServiceRouting:
+        """Return the routing of a service under the policies a rule names."""
+        return ServiceRouting(
+            self._choices.get(service, policies),
+            self._hedges.get(service, policies),
+            self._retries.get(service, policies),
+            self._ejections.get(service, policies),
+            self._windows.setdefault(service, LatencyWindow()),
+        )
