Build each call's request once, and name hedges in explanations

Cause: the dispatcher copied every request, twelve fields, only to give it a call id. Change: the fan-out takes the id before it builds the request. Explanations count hedges again.

--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -119,6 +119,11 @@
             self._queue.discard(pending)
             self._return_place(pending)
 
+    def next_call_id(self) -> int:
+        """Return an id that no other call of this node has."""
+        self._last_call_id += 1
+        return self._last_call_id
+
     def send(
         self,
         backend: BackendRecord,
@@ -126,10 +131,11 @@
         deadline: float,
         listener: SentCallListener,
     ) -> SentCall:
-        """Send one call and count it against the back end's limit until it ends."""
-        self._last_call_id += 1
-        call_id = self._last_call_id
-        request = _with_call_id(request, call_id)
+        """Send one call and count it against the back end's limit until it ends.
+
+        :param request: its call id comes from :meth:`next_call_id`.
+        """
+        call_id = request.call_id
         call = BackendCall(
             call_id,
             backend.name,
@@ -239,21 +245,3 @@
         usage = self._usage.of(pending.tenant)
         if usage is not None:
             usage.return_place()
-
-
-def _with_call_id(request: SearchRequest, call_id: int) -> SearchRequest:
-    """Return the request under its own call id."""
-    return SearchRequest(
-        call_id,
-        request.index,
-        request.version,
-        request.shards,
-        request.match,
-        request.order_by,
-        request.descending,
-        request.limit,
-        request.deadline_ms,
-        request.after,
-        request.operation,
-        request.query_id,
-    )
--- a/tinrudder/query/explain.py
+++ b/tinrudder/query/explain.py
@@ -19,6 +19,7 @@
     """One shard of a query.
 
     :param backends: back ends its calls were sent to, in order; several after a retry or hedge.
+    :param hedges: how many of the calls were hedges.
     :param waited_ms: from the start of the query until its first call was sent, if it was.
     :param missing: why the shard is not in the answer, empty if it is.
     """
@@ -27,6 +28,7 @@
     owner: str
     candidates: tuple[str, ...]
     backends: tuple[str, ...] = ()
+    hedges: int = 0
     waited_ms: float | None = None
     missing: str = ""
 
--- a/tinrudder/query/explain_recorder.py
+++ b/tinrudder/query/explain_recorder.py
@@ -34,6 +34,7 @@
     __slots__ = (
         "_coverage",
         "_elapsed_s",
+        "_hedges",
         "_node_name",
         "_outcome_name",
         "_plan",
@@ -60,6 +61,7 @@
         self._node_name = node_name
         self._plan = plan
         self._tried = [shard.tried for shard in shards]
+        self._hedges = [shard.hedges for shard in shards]
         self._sent_at = [shard.first_sent_at for shard in shards]
         self._outcome_name = OUTCOME_NAMES[type(outcome)]
         self._reason = reason_of(outcome)
@@ -93,11 +95,12 @@
                 planned.spec.owner,
                 tuple(backend.name for backend in planned.candidates),
                 tuple(backend.name for backend in tried),
+                hedges,
                 None if sent_at is None else milliseconds(sent_at - self._started),
                 missing.get(planned.spec.shard, ""),
             )
-            for planned, tried, sent_at in zip(
-                self._plan.shards, self._tried, self._sent_at, strict=True
+            for planned, tried, hedges, sent_at in zip(
+                self._plan.shards, self._tried, self._hedges, self._sent_at, strict=True
             )
         )
 
--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -164,7 +164,7 @@
         request = self._plan.request
         remaining_ms = max(1, int((request.deadline - self._timers.time()) * 1000))
         message = SearchRequest(
-            0,
+            self._dispatcher.next_call_id(),
             request.index,
             self._plan.version,
             (progress.planned.spec.shard,),
