Restore the lab and check the eight promises over recorded runs

Change: the lab is back; typed histories, a checker for each of the eight promises, fault primitives, all scenarios but duplicate-purchase, callers that page, retry and go away, a deterministic query id by substitution.

--- a/tinrudder_lab/backend_model.py
+++ b/tinrudder_lab/backend_model.py
@@ -22,8 +22,10 @@
 )
 from tinrudder.timers import TimerHandle, Timers
 from tinrudder_lab.datasets import ShardStore
+from tinrudder_lab.history import CallStage
 
 Respond = Callable[[BackendReply], None]
+CallObserver = Callable[[CallStage, SearchRequest, str], None]
 SHED_RETRY_AFTER_S = 0.05
 
 
@@ -34,6 +36,11 @@
     :param service_median_s: median time in a slot, seconds.
     :param service_sigma: spread of the log-normal service time.
     :param slowdown: factor on every service time.
+    :param tail_share: share of calls that take ``tail_factor`` times longer.
+    :param warm_at: until then a cold start makes calls up to ``cold_factor`` times slower.
+    :param cancel_delay_s: how long a cancelled call goes on holding its slot.
+    :param reported_load: what the load report says whatever the truth, ``None`` for the truth.
+    :param load_lag_s: how old the reported load is.
     """
 
     slots: int = 5
@@ -41,16 +48,30 @@
     service_median_s: float = 0.004
     service_sigma: float = 0.4
     slowdown: float = 1.0
+    tail_share: float = 0.0
+    tail_factor: float = 20.0
+    warm_at: float = 0.0
+    cold_start_s: float = 1.0
+    cold_factor: float = 10.0
+    cancel_delay_s: float = 0.0
+    reported_load: int | None = None
+    load_lag_s: float = 0.0
     draining: bool = False
     versions: frozenset[int] | None = None
 
 
 @dataclass(slots=True, eq=False)
 class ModelCall:
-    """One call inside the back end."""
+    """One call inside the back end.
+
+    :param deadline: monotonic time after which it is not started any more.
+    :param node: who sent it, where that is known.
+    """
 
     request: SearchRequest
     respond: Respond
+    deadline: float
+    node: str = ""
     timer: TimerHandle | None = None
     done: bool = False
 
@@ -77,15 +98,21 @@
     counters: BackendCounters = field(default_factory=BackendCounters)
     running: set[ModelCall] = field(default_factory=set)
     queue: deque[ModelCall] = field(default_factory=deque)
+    observer: CallObserver | None = None
+    _load_seen: deque[tuple[float, int]] = field(default_factory=deque)
+
+    def receive(self, request: SearchRequest, respond: Respond, node: str = "") -> ModelCall:
+        """Take one call; ``respond`` is called once unless it is cancelled.
 
-    def receive(self, request: SearchRequest, respond: Respond) -> ModelCall:
-        """Take one call; ``respond`` is called once unless it is cancelled."""
+        :param node: who sent it, where that is known.
+        """
         self.counters.received += 1
-        call = ModelCall(request, respond)
+        deadline = self.timers.time() + request.deadline_ms / 1000
+        call = ModelCall(request, respond, deadline, node)
+        self._note(CallStage.RECEIVED, call)
         refusal = self._refusal(request)
         if refusal is not None:
-            call.done = True
-            respond(refusal)
+            self._refuse(call, refusal)
         elif len(self.running) < self.behaviour.slots:
             self._run(call)
         else:
@@ -93,17 +120,34 @@
         return call
 
     def cancel(self, call: ModelCall) -> None:
-        """Stop a call, running or waiting."""
+        """Stop a call, running or waiting; a running one may hold its slot a while longer."""
         if call.done:
             return
         call.done = True
+        self._note(CallStage.CANCELLED, call)
+        if call not in self.running:
+            self.queue.remove(call)
+            return
         if call.timer is not None:
             call.timer.cancel()
-        if call in self.running:
-            self.running.discard(call)
-            self._run_next()
+        if self.behaviour.cancel_delay_s:
+            when = self.timers.time() + self.behaviour.cancel_delay_s
+            self.timers.call_at(when, self._free_slot, call)
         else:
-            self.queue.remove(call)
+            self._free_slot(call)
+
+    def cancel_all(self) -> None:
+        """Drop everything, as a crash does."""
+        for call in (*self.running, *self.queue):
+            call.done = True
+            if call.timer is not None:
+                call.timer.cancel()
+        self.running.clear()
+        self.queue.clear()
+
+    def _note(self, stage: CallStage, call: ModelCall) -> None:
+        if self.observer is not None:
+            self.observer(stage, call.request, call.node)
 
     def _refusal(self, request: SearchRequest) -> BackendReply | None:
         if self.behaviour.draining:
@@ -114,12 +158,20 @@
             return VersionGone(tuple(sorted(versions)))
         busy = len(self.running) >= self.behaviour.slots
         if busy and len(self.queue) >= self.behaviour.queue_length:
-            self.counters.shed += 1
             return Shed(SHED_RETRY_AFTER_S)
         return None
 
+    def _refuse(self, call: ModelCall, refusal: BackendReply) -> None:
+        """Answer without starting."""
+        call.done = True
+        if isinstance(refusal, Shed):
+            self.counters.shed += 1
+        self._note(CallStage.REFUSED, call)
+        call.respond(refusal)
+
     def _run(self, call: ModelCall) -> None:
         self.counters.started += 1
+        self._note(CallStage.STARTED, call)
         self.running.add(call)
         when = self.timers.time() + self._service_time()
         call.timer = self.timers.call_at(when, self._complete, call)
@@ -127,18 +179,50 @@
     def _service_time(self) -> float:
         behaviour = self.behaviour
         factor = self.random.lognormvariate(0.0, behaviour.service_sigma)
-        return behaviour.service_median_s * factor * behaviour.slowdown
+        if behaviour.tail_share and self.random.random() < behaviour.tail_share:
+            factor *= behaviour.tail_factor
+        return behaviour.service_median_s * factor * behaviour.slowdown * self._cold_factor()
+
+    def _cold_factor(self) -> float:
+        """Return how much slower calls are while warming up; falls linearly to 1."""
+        behaviour = self.behaviour
+        left = behaviour.warm_at - self.timers.time()
+        if left <= 0:
+            return 1.0
+        return 1.0 + (behaviour.cold_factor - 1.0) * min(1.0, left / behaviour.cold_start_s)
 
     def _complete(self, call: ModelCall) -> None:
         self.running.discard(call)
         call.done = True
         request = call.request
-        load = BackendLoad(len(self.running), self.behaviour.slots)
+        self._note(CallStage.COMPLETED, call)
         rows = self.store.search(request)
+        load = BackendLoad(self._reported_load(), self.behaviour.slots)
         answer = SearchAnswer(request.call_id, request.version, rows, load, self.behaviour.draining)
         call.respond(Answered(answer))
         self._run_next()
 
+    def _reported_load(self) -> int:
+        """Return the load as reported: true, late or invented."""
+        behaviour = self.behaviour
+        if behaviour.reported_load is not None:
+            return behaviour.reported_load
+        if not behaviour.load_lag_s:
+            return len(self.running)
+        now = self.timers.time()
+        self._load_seen.append((now, len(self.running)))
+        while len(self._load_seen) > 1 and self._load_seen[1][0] <= now - behaviour.load_lag_s:
+            self._load_seen.popleft()
+        return self._load_seen[0][1]
+
+    def _free_slot(self, call: ModelCall) -> None:
+        self.running.discard(call)
+        self._run_next()
+
     def _run_next(self) -> None:
         while self.queue and len(self.running) < self.behaviour.slots:
-            self._run(self.queue.popleft())
+            call = self.queue.popleft()
+            if call.deadline < self.timers.time():
+                self._refuse(call, Shed(SHED_RETRY_AFTER_S))
+            else:
+                self._run(call)
--- /dev/null
+++ b/tinrudder_lab/checkers/draining.py
@@ -0,0 +1,51 @@
+"""Promise: a back end that is leaving receives no new work after a few seconds.
+
+A call is excused when its node was paused or cut off within the grace before it: that node
+could not know.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from tinrudder_lab.checkers.excuses import is_excused
+from tinrudder_lab.checkers.violation import Promise, Violation
+from tinrudder_lab.history import CallSeen, CallStage, DrainSigned, History
+
+GRACE_S = 3.0
+
+
+def check(history: History) -> Iterator[Violation]:
+    """Find calls that reached a leaving back end too late."""
+    for drain in history.drains:
+        late = [
+            call
+            for call in calls_after(history, drain)
+            if call.at > drain.at + GRACE_S
+            and not is_excused(history, call.node, call.at - GRACE_S, call.at)
+        ]
+        if late:
+            detail = f"{drain.backend} received {len(late)} calls {GRACE_S} s after its first sign"
+            yield Violation(Promise.NO_WORK_TO_LEAVING, detail, (drain, *late[:3]))
+
+
+def calls_after(history: History, drain: DrainSigned) -> list[CallSeen]:
+    """Return the calls that reached a back end after it began to leave."""
+    return [
+        call
+        for call in history.calls
+        if call.backend == drain.backend
+        and call.stage is CallStage.RECEIVED
+        and call.at >= drain.at
+    ]
+
+
+def drain_seconds(history: History) -> float | None:
+    """Return the longest time from a first sign to the last call, ``None`` without drains."""
+    if not history.drains:
+        return None
+    last = [
+        max((call.at - drain.at for call in calls_after(history, drain)), default=0.0)
+        for drain in history.drains
+    ]
+    return max(last)
--- /dev/null
+++ b/tinrudder_lab/checkers/excuses.py
@@ -0,0 +1,55 @@
+"""When a node could not have known: it was paused, cut off or had just started."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tinrudder_lab.history import History, NodeStage
+
+FOREVER = float("inf")
+_BEGIN = {
+    NodeStage.PAUSED: NodeStage.WOKEN,
+    NodeStage.ISOLATED: NodeStage.REJOINED,
+}
+_GONE = frozenset({NodeStage.CRASHED, NodeStage.STOPPED})
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """A stretch of time, seconds."""
+
+    start: float
+    end: float
+
+    def touches(self, start: float, end: float) -> bool:
+        """Tell whether the two stretches overlap."""
+        return self.start <= end and start <= self.end
+
+
+def excused_spans(history: History, node: str) -> list[Span]:
+    """Return when a node was paused, isolated or not there."""
+    spans: list[Span] = []
+    open_since: dict[NodeStage, float] = {}
+    gone_since: float | None = None
+    for event in history.nodes:
+        if event.node != node:
+            continue
+        if event.stage in _GONE:
+            gone_since = event.at
+        elif event.stage is NodeStage.STARTED and gone_since is not None:
+            spans.append(Span(gone_since, event.at))
+            gone_since = None
+        for begin, end in _BEGIN.items():
+            if event.stage is begin:
+                open_since.setdefault(begin, event.at)
+            elif event.stage is end and begin in open_since:
+                spans.append(Span(open_since.pop(begin), event.at))
+    starts = list(open_since.values())
+    if gone_since is not None:
+        starts.append(gone_since)
+    return spans + [Span(start, FOREVER) for start in starts]
+
+
+def is_excused(history: History, node: str, start: float, end: float) -> bool:
+    """Tell whether a node was away at any time between ``start`` and ``end``."""
+    return any(span.touches(start, end) for span in excused_spans(history, node))
--- /dev/null
+++ b/tinrudder_lab/checkers/index.py
@@ -0,0 +1,29 @@
+"""Look-ups that several checkers share."""
+
+from __future__ import annotations
+
+from tinrudder_lab.history import CallSeen, History
+
+
+class HistoryIndex:
+    """A history by query id and by index version."""
+
+    def __init__(self, history: History) -> None:
+        """Index a finished history."""
+        self._calls: dict[str, list[CallSeen]] = {}
+        for call in history.calls:
+            self._calls.setdefault(call.query_id, []).append(call)
+        self._shards = {(v.index, v.version): v.shards for v in history.versions}
+        self._tenants = {version.index: version.tenants for version in history.versions}
+
+    def calls_of(self, query_id: str) -> list[CallSeen]:
+        """Return what back ends saw of a query, in the order of time."""
+        return self._calls.get(query_id, []) if query_id else []
+
+    def shards_of(self, index: str, version: int | None) -> tuple[str, ...]:
+        """Return the shards of a published version, none for an unknown one."""
+        return self._shards.get((index, version or 0), ())
+
+    def tenants_of(self, index: str) -> tuple[str, ...]:
+        """Return who may query an index."""
+        return self._tenants.get(index, ())
--- /dev/null
+++ b/tinrudder_lab/checkers/planned_stop.py
@@ -0,0 +1,59 @@
+"""Promise: a planned stop cuts off no request in progress, relayed ones included."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from tinrudder_lab.checkers.violation import Promise, Violation
+from tinrudder_lab.history import LOST, History, NodeSeen, NodeStage, QueryEnded
+
+RELAY_LOST = "relay_lost"
+AFTERMATH_S = 1.0
+_DISTURBING = frozenset({NodeStage.CRASHED, NodeStage.PAUSED, NodeStage.ISOLATED})
+
+
+def check(history: History) -> Iterator[Violation]:
+    """Find requests that a planned stop cut off."""
+    for begun in history.nodes:
+        if begun.stage is not NodeStage.STOP_BEGUN:
+            continue
+        stopped = _end_of_stop(history, begun)
+        if stopped is None:
+            continue
+        if stopped.unfinished:
+            detail = f"{begun.node} ended with {stopped.unfinished} requests open"
+            yield Violation(Promise.STOP_CUTS_NOTHING, detail, (begun, stopped))
+        for ended in _cut_off(history, begun, stopped):
+            detail = f"cut off by the stop of {begun.node}: {ended.outcome} {ended.reason}"
+            events = (begun, history.sent[ended.query], stopped, ended)
+            yield Violation(Promise.STOP_CUTS_NOTHING, detail, events)
+
+
+def _end_of_stop(history: History, begun: NodeSeen) -> NodeSeen | None:
+    """Return when a stop was over, ``None`` when the node crashed instead."""
+    for event in history.nodes:
+        if event.node == begun.node and event.at >= begun.at:
+            if event.stage is NodeStage.CRASHED:
+                return None
+            if event.stage is NodeStage.STOPPED:
+                return event
+    return None
+
+
+def _cut_off(history: History, begun: NodeSeen, stopped: NodeSeen) -> Iterator[QueryEnded]:
+    """Return the requests lost to a stop and to nothing else."""
+    for ended in history.ended.values():
+        sent = history.sent[ended.query]
+        here = ended.outcome == LOST and sent.node == begun.node and sent.at <= stopped.at
+        relayed = ended.reason == RELAY_LOST
+        near = sent.at <= stopped.at and begun.at <= ended.at <= stopped.at + AFTERMATH_S
+        if (here or (relayed and near)) and not _disturbed(history, sent.at, ended.at):
+            yield ended
+
+
+def _disturbed(history: History, start: float, end: float) -> bool:
+    """Tell whether some node crashed, slept or was cut off while the request ran."""
+    return any(
+        event.stage in _DISTURBING and event.at <= end and event.at >= start - AFTERMATH_S
+        for event in history.nodes
+    )
--- a/tinrudder_lab/datasets.py
+++ b/tinrudder_lab/datasets.py
@@ -5,7 +5,7 @@
 import hashlib
 import random
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, NamedTuple
 
 import msgspec
 
@@ -73,16 +73,40 @@
     return tuple(rows)
 
 
+class FirstPage(NamedTuple):
+    """Everything a shard's first page depends on."""
+
+    index_name: str
+    version: int
+    shard: str
+    match: tuple[tuple[str, str], ...]
+    descending: bool
+    limit: int
+
+
 class ShardStore:
     """Rows of the shards one back end serves, generated on first use."""
 
     def __init__(self) -> None:
         """Start empty."""
         self._shards: dict[tuple[str, int, str], tuple[StoredRow, ...]] = {}
+        self._first_pages: dict[FirstPage, ShardRows] = {}
 
     def search(self, request: SearchRequest) -> tuple[ShardRows, ...]:
         """Return the matching rows of every asked shard."""
-        return tuple(self._search_shard(request, shard) for shard in request.shards)
+        if request.after is not None:
+            return tuple(self._search_shard(request, shard) for shard in request.shards)
+        return tuple(self._first_page(request, shard) for shard in request.shards)
+
+    def _first_page(self, request: SearchRequest, shard: str) -> ShardRows:
+        """Return a first page, kept because callers ask for few different ones."""
+        match = tuple(sorted(request.match.items()))
+        page = FirstPage(
+            request.index, request.version, shard, match, request.descending, request.limit
+        )
+        if page not in self._first_pages:
+            self._first_pages[page] = self._search_shard(request, shard)
+        return self._first_pages[page]
 
     def _search_shard(self, request: SearchRequest, shard: str) -> ShardRows:
         key = (request.index, request.version, shard)
--- a/tinrudder_lab/deployment.py
+++ b/tinrudder_lab/deployment.py
@@ -89,6 +89,11 @@
         raw = msgspec.Raw(msgspec.json.encode(spec))
         self.resources.append(RawResource(kind.value, name, 1, raw))
 
+    def replace(self, kind: Kind, name: str, spec: AnySpec) -> None:
+        """Set another specification of a resource before anything runs."""
+        self.resources = [raw for raw in self.resources if (raw.kind, raw.name) != (kind, name)]
+        self.add(kind, name, spec)
+
 
 def _rule(
     preference: Preference, priority: Priority, soft_ms: int, hard_ms: int, minimum: float
@@ -141,21 +146,23 @@
     )
     for region, zones, shapes, owners in regions:
         for shape in shapes:
-            _add_tenant(deployment, shape.tenant)
+            add_tenant(deployment, shape.tenant)
             for number in range(min(shape.count, services_per_shape)):
                 name = f"{shape.name}-{number}" if shape.count > 1 else shape.name
-                port = _add_service(deployment, shape, name, region, zones, owners, port)
+                port = add_service(deployment, shape, name, region, zones, owners, port)
     return deployment
 
 
-def _add_tenant(deployment: Deployment, tenant: str) -> None:
+def add_tenant(deployment: Deployment, tenant: str, weight: int = 1) -> None:
+    """Add a tenant with its lab credential."""
     caller = caller_of(tenant)
     digest = hashlib.sha256(caller.secret.encode()).hexdigest()
-    spec = TenantSpec(credentials=(Credential(key_id=caller.key_id, secret_sha256=digest),))
+    credential = Credential(key_id=caller.key_id, secret_sha256=digest)
+    spec = TenantSpec(weight=weight, credentials=(credential,))
     deployment.add(Kind.TENANT, tenant, spec)
 
 
-def _add_service(
+def add_service(
     deployment: Deployment,
     shape: ServiceShape,
     name: str,
--- /dev/null
+++ b/tinrudder_lab/faults.py
@@ -0,0 +1,303 @@
+"""Fault primitives: what scenarios are composed of.
+
+Each returns a function of the world that turns the fault on; those that end by themselves set
+their own end.  Times are virtual seconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from tinrudder.platform.messages import MemberState
+from tinrudder.resources.model import (
+    AnySpec,
+    BackendSpec,
+    BackendState,
+    IndexSpec,
+    IndexVersionSpec,
+    Kind,
+)
+from tinrudder_lab.platform_server import ResourceWrite
+from tinrudder_lab.sim.world import World
+
+SpecType = TypeVar("SpecType")
+Fault = Callable[[World], None]
+KEPT_VERSIONS = 2
+DEFAULT_RESTART_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """A fault and when it strikes."""
+
+    at: float
+    fault: Fault
+
+
+def slow_backend(name: str, factor: float, seconds: float | None = None) -> Fault:
+    """Make every call of one back end ``factor`` times slower."""
+
+    def strike(world: World) -> None:
+        behaviour = world.backends[name].model.behaviour
+        behaviour.slowdown = factor
+        world.note(f"{name} is {factor} times slower")
+        if seconds is not None:
+            world.loop.call_later(seconds, setattr, behaviour, "slowdown", 1.0)
+
+    return strike
+
+
+def slow_everything(factor: float, seconds: float) -> Fault:
+    """Make all back ends slower at the same time."""
+
+    def strike(world: World) -> None:
+        for name in world.backends:
+            slow_backend(name, factor, seconds)(world)
+
+    return strike
+
+
+def straggling_calls(share: float, factor: float) -> Fault:
+    """Make a share of all calls ``factor`` times slower."""
+
+    def strike(world: World) -> None:
+        for backend in world.backends.values():
+            backend.model.behaviour.tail_share = share
+            backend.model.behaviour.tail_factor = factor
+        world.note(f"{share} of all calls take {factor} times longer")
+
+    return strike
+
+
+def kill_backend(name: str, restart_after_s: float | None = None) -> Fault:
+    """End a back end's process; after ``restart_after_s`` it comes back cold."""
+
+    def strike(world: World) -> None:
+        world.backends[name].kill()
+        world.note(f"{name} killed")
+        if restart_after_s is not None:
+            world.loop.call_later(restart_after_s, cold_start(name), world)
+
+    return strike
+
+
+def cold_start(name: str, seconds: float = 2.0, factor: float = 10.0) -> Fault:
+    """Start a back end's process: its first calls are slow."""
+
+    def strike(world: World) -> None:
+        backend = world.backends[name]
+        backend.up = True
+        behaviour = backend.model.behaviour
+        behaviour.cold_start_s = seconds
+        behaviour.cold_factor = factor
+        behaviour.warm_at = world.now() + seconds
+        world.note(f"{name} starts cold")
+
+    return strike
+
+
+def lie_about_load(name: str, reported: int, slowdown: float) -> Fault:
+    """Let a slow back end report an invented load."""
+
+    def strike(world: World) -> None:
+        behaviour = world.backends[name].model.behaviour
+        behaviour.reported_load = reported
+        behaviour.slowdown = slowdown
+        world.note(f"{name} reports {reported} calls in flight and is {slowdown} times slower")
+
+    return strike
+
+
+def lag_load(seconds: float) -> Fault:
+    """Let every back end report the load it had a while ago."""
+
+    def strike(world: World) -> None:
+        for backend in world.backends.values():
+            backend.model.behaviour.load_lag_s = seconds
+        world.note(f"all load reports are {seconds} s old")
+
+    return strike
+
+
+def late_cancellation(seconds: float) -> Fault:
+    """Let every back end honour a cancellation late."""
+
+    def strike(world: World) -> None:
+        for backend in world.backends.values():
+            backend.model.behaviour.cancel_delay_s = seconds
+        world.note(f"cancellations are honoured {seconds} s late")
+
+    return strike
+
+
+def drain_by_answer(name: str) -> Fault:
+    """Let a back end say in its own answers that it leaves."""
+
+    def strike(world: World) -> None:
+        world.backends[name].model.behaviour.draining = True
+        world.sign_drain(name)
+        world.note(f"{name} drains and says so in its answers")
+
+    return strike
+
+
+def drain_by_configuration(name: str) -> Fault:
+    """Let an operator declare a back end draining; the back end itself goes on answering."""
+
+    def strike(world: World) -> None:
+        spec = _current_spec(world, Kind.BACKEND, name, BackendSpec)
+        changed = msgspec.structs.replace(spec, state=BackendState.DRAINING)
+        _write(world, Kind.BACKEND, name, changed)
+        world.sign_drain(name)
+        world.note(f"{name} is declared draining")
+
+    return strike
+
+
+def change_configuration(name: str) -> Fault:
+    """Change a back end's slots, so that a new revision has to get into force."""
+
+    def strike(world: World) -> None:
+        spec = _current_spec(world, Kind.BACKEND, name, BackendSpec)
+        revision = _write(
+            world, Kind.BACKEND, name, msgspec.structs.replace(spec, slots=spec.slots + 1)
+        )
+        world.note(f"revision {revision} changes {name}")
+
+    return strike
+
+
+def new_version(index: str, old_gone_after_s: float, *, move_shards: bool) -> Fault:
+    """Publish the next index version; old versions go away at the back ends a while later.
+
+    :param move_shards: whether the shard map moves too (repartition).
+    """
+
+    def strike(world: World) -> None:
+        spec = _current_spec(world, Kind.INDEX, index, IndexSpec)
+        newest = spec.versions[-1]
+        shards = newest.shards
+        if move_shards:
+            moved = shards[1:] + shards[:1]
+            shards = tuple(
+                msgspec.structs.replace(shard, backends=other.backends)
+                for shard, other in zip(shards, moved, strict=True)
+            )
+        added = IndexVersionSpec(version=newest.version + 1, shards=shards)
+        versions = (*spec.versions, added)[-KEPT_VERSIONS:]
+        _write(world, Kind.INDEX, index, msgspec.structs.replace(spec, versions=versions))
+        served = frozenset((added.version,))
+        world.note(f"{index} version {added.version} published")
+        world.loop.call_later(old_gone_after_s, _serve_only, world, spec.service, served)
+
+    return strike
+
+
+def pause_node(name: str, seconds: float) -> Fault:
+    """Stop a node's process for a while; it wakes believing what it last saw."""
+    return lambda world: world.pause_node(name, seconds)
+
+
+def crash_node(name: str, restart_after_s: float | None = DEFAULT_RESTART_S) -> Fault:
+    """Kill a node; a new process under the same name starts later."""
+
+    def strike(world: World) -> None:
+        if world.hosts[name].machine.gone:
+            return
+        world.crash_node(name)
+        if restart_after_s is not None:
+            world.loop.call_later(restart_after_s, world.start_node, name)
+
+    return strike
+
+
+def stop_node(name: str, restart_after_s: float | None = DEFAULT_RESTART_S) -> Fault:
+    """Stop a node as planned; a new one may take its place."""
+
+    async def stop_and_replace(world: World) -> None:
+        await world.stop_node(name)
+        if restart_after_s is not None:
+            world.set_member_state(name, MemberState.LIVE)
+            await world.sleep(restart_after_s)
+            world.start_node(name)
+
+    def strike(world: World) -> None:
+        if world.hosts[name].accepting:
+            world.set_member_state(name, MemberState.LEAVING)
+            world.spawn(stop_and_replace(world))
+
+    return strike
+
+
+def cut(first: frozenset[str], second: frozenset[str], seconds: float, *, both: bool) -> Fault:
+    """Cut zones or regions off from others, in one or both ways, for a while."""
+
+    def strike(world: World) -> None:
+        world.cut(first, second, seconds)
+        if both:
+            world.cut(second, first, seconds)
+        world.note(f"cut {sorted(first)} {'<->' if both else '->'} {sorted(second)}")
+
+    return strike
+
+
+def lossy_datagrams(loss: float, doubling: float) -> Fault:
+    """Lose and double a share of the datagrams between nodes."""
+
+    def strike(world: World) -> None:
+        world.network.datagram_loss = loss
+        world.network.datagram_doubling = doubling
+        world.note(f"datagrams: {loss} lost, {doubling} doubled")
+
+    return strike
+
+
+def platform_down(zones: frozenset[str] | None, seconds: float) -> Fault:
+    """Let the platform answer nobody, or nobody in some zones, for a while."""
+
+    def strike(world: World) -> None:
+        names = frozenset(world.zone_of) if zones is None else zones
+        world.platform.down |= names
+        world.note(f"platform down in {sorted(names)}")
+        world.loop.call_later(seconds, world.platform.down.difference_update, names)
+        world.loop.call_later(seconds, world.note, "platform up")
+
+    return strike
+
+
+def platform_stale(zones: frozenset[str] | None, revision: int, seconds: float) -> Fault:
+    """Let the platform serve a former revision, as after a restore from an old copy."""
+
+    def strike(world: World) -> None:
+        document = world.platform.documents[revision]
+        names = frozenset(world.zone_of) if zones is None else zones
+        for zone in sorted(names):
+            world.platform.stale[zone] = document
+            world.loop.call_later(seconds, world.platform.stale.pop, zone, None)
+        world.note(f"platform serves revision {revision} in {sorted(names)}")
+
+    return strike
+
+
+def _serve_only(world: World, service: str, versions: frozenset[int]) -> None:
+    for name, spec in world.topology.deployment.backends.items():
+        if spec.service == service:
+            world.backends[name].model.behaviour.versions = versions
+    world.note(f"{service}: only versions {sorted(versions)} are served")
+
+
+def _current_spec(world: World, kind: Kind, name: str, spec_type: type[SpecType]) -> SpecType:
+    """Return a resource's specification as the platform holds it."""
+    document = world.platform.state.document
+    raw = next(raw for raw in document.resources if (raw.kind, raw.name) == (kind.value, name))
+    return msgspec.json.decode(raw.spec, type=spec_type)
+
+
+def _write(world: World, kind: Kind, name: str, spec: AnySpec) -> int:
+    """Write a resource to the platform; return the new revision."""
+    raw = msgspec.Raw(msgspec.json.encode(spec))
+    return world.write_resource(ResourceWrite(kind.value, name, raw))
--- /dev/null
+++ b/tinrudder_lab/report.py
@@ -0,0 +1,57 @@
+"""What a run measured, as the last line that others script against."""
+
+from __future__ import annotations
+
+import msgspec
+
+from tinrudder_lab.checkers.violation import Violation
+
+REFUSED = "not_run"
+ANSWERED = frozenset({"complete", "partial"})
+ROUND_MS = 3
+ROUND_RATIO = 5
+
+
+class TenantFigures(msgspec.Struct, frozen=True):
+    """One tenant's p99 and its share of the completed calls."""
+
+    queries: int
+    refused: int
+    p99_ms: float
+    share: float
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """What one policy measured."""
+
+    queries: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    coverage_mean: float
+    extra_load: float
+    refused: int
+
+
+class RunResult(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The last line of ``tinrudder-lab run``."""
+
+    scenario: str
+    seed: int
+    mode: str
+    policy: str
+    nodes: int
+    backends: int
+    queries: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    coverage_mean: float
+    extra_load: float
+    refused: int
+    violations: tuple[Violation, ...]
+    outcomes: dict[str, int] = {}
+    config_in_force_s: float | None = None
+    drain_s: float | None = None
+    tenants: dict[str, TenantFigures] | None = None
+    baseline: Figures | None = None
--- /dev/null
+++ b/tinrudder_lab/sim/__init__.py
@@ -0,0 +1,1 @@
+"""The virtual-time simulator: the product's node code on simulated machines."""
--- /dev/null
+++ b/tinrudder_lab/sim/loop.py
@@ -0,0 +1,131 @@
+"""A virtual-time event loop in which every callback belongs to a machine.
+
+async-solipsism gives the virtual clock.  On top of it each callback carries the machine that
+scheduled it in its context: a paused machine's callbacks are held until it wakes, a crashed
+machine's are dropped.  That is how unchanged node code gets paused and killed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import async_solipsism
+
+MACHINE: contextvars.ContextVar[Machine | None] = contextvars.ContextVar("machine", default=None)
+
+
+class MachineCallback:
+    """A callback that runs only while its machine does."""
+
+    __slots__ = ("callback", "handle", "machine")
+
+    def __init__(self, machine: Machine, callback: Callable[..., object]) -> None:
+        """Guard ``callback``."""
+        self.machine = machine
+        self.callback = callback
+        self.handle: asyncio.Handle | None = None
+
+    def __call__(self, *arguments: object) -> None:
+        """Run, hold or drop the callback."""
+        if self.machine.gone:
+            return
+        if self.machine.paused:
+            self.machine.held.append((self, arguments, contextvars.copy_context()))
+            return
+        self.callback(*arguments)
+
+
+@dataclass(eq=False)
+class Machine:
+    """One simulated machine, that is one start of one process.
+
+    :param wall_offset_s: how far its calendar clock is from the true one.
+    """
+
+    name: str
+    zone: str
+    region: str
+    wall_offset_s: float = 0.0
+    paused: bool = False
+    gone: bool = False
+    held: list[tuple[MachineCallback, tuple[object, ...], contextvars.Context]] = field(
+        default_factory=list
+    )
+    tasks: set[asyncio.Task[Any]] = field(default_factory=set)
+    context: contextvars.Context = field(default_factory=contextvars.copy_context)
+
+    def __post_init__(self) -> None:
+        """Make everything started in the context belong to this machine."""
+        self.context.run(MACHINE.set, self)
+
+    def pause(self) -> None:
+        """Hold everything, as SIGSTOP does."""
+        self.paused = True
+
+    def resume(self, loop: asyncio.AbstractEventLoop) -> None:
+        """Run what was held, in the order it came."""
+        self.paused = False
+        held, self.held = self.held, []
+        for callback, arguments, context in held:
+            if callback.handle is None or not callback.handle.cancelled():
+                loop.call_soon(callback.callback, *arguments, context=context)
+
+    def crash(self) -> None:
+        """Drop everything; tasks are kept so that none of their clean-up runs."""
+        self.gone = True
+        self.held.clear()
+
+
+class MachineLoop(async_solipsism.EventLoop):  # type: ignore[misc]
+    """Virtual time; callbacks are bound to the machine of their context."""
+
+    def call_soon(
+        self,
+        callback: Callable[..., object],
+        *args: object,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.Handle:
+        """Schedule for the machine of ``context``, or of the caller."""
+        if self.is_closed():
+            # Tasks of ended machines are collected after the run; nothing they do counts.
+            return asyncio.Handle(callback, args, self, context)
+        machine = MACHINE.get() if context is None else context.get(MACHINE)
+        if machine is None:
+            plain: asyncio.Handle = super().call_soon(callback, *args, context=context)
+            return plain
+        guarded = MachineCallback(machine, callback)
+        guarded.handle = super().call_soon(guarded, *args, context=context)
+        return guarded.handle
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable[..., object],
+        *args: object,
+        context: contextvars.Context | None = None,
+    ) -> asyncio.TimerHandle:
+        """Schedule for the machine of ``context``, or of the caller."""
+        if self.is_closed():
+            return asyncio.TimerHandle(when, callback, args, self, context)
+        machine = MACHINE.get() if context is None else context.get(MACHINE)
+        if machine is None:
+            plain: asyncio.TimerHandle = super().call_at(when, callback, *args, context=context)
+            return plain
+        guarded = MachineCallback(machine, callback)
+        handle: asyncio.TimerHandle = super().call_at(when, guarded, *args, context=context)
+        guarded.handle = handle
+        return handle
+
+    def create_task(self, coro: Coroutine[Any, Any, Any], **options: Any) -> asyncio.Task[Any]:
+        """Create a task and let its machine keep it."""
+        context: contextvars.Context | None = options.get("context")
+        machine = MACHINE.get() if context is None else context.get(MACHINE)
+        task: asyncio.Task[Any] = super().create_task(coro, **options)
+        if machine is not None:
+            machine.tasks.add(task)
+            task.add_done_callback(machine.tasks.discard)
+        return task
--- /dev/null
+++ b/tinrudder_lab/sim/network.py
@@ -0,0 +1,104 @@
+"""The simulated network: delay per zone and region pair, cuts, loss, doubling, reordering."""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+SAME_ZONE_S = 0.0003
+ACROSS_ZONES_S = 0.001
+ACROSS_REGIONS_S = 0.006
+JITTER_S = 0.0002
+CONNECT_S = 0.001
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where a machine stands."""
+
+    zone: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """Places that cannot send to other places; one way unless both ways are cut.
+
+    :param sources: zones or regions; :param destinations: zones or regions.
+    """
+
+    sources: frozenset[str]
+    destinations: frozenset[str]
+
+    def blocks(self, source: Place, destination: Place) -> bool:
+        """Tell whether a message is lost."""
+        leaves = source.zone in self.sources or source.region in self.sources
+        enters = destination.zone in self.destinations or destination.region in self.destinations
+        return leaves and enters
+
+
+@dataclass(eq=False)
+class Network:
+    """Delivers callbacks after a delay, or not at all.
+
+    :param datagram_loss: share of datagrams lost; :param datagram_doubling: share doubled.
+    """
+
+    loop: asyncio.AbstractEventLoop
+    random: random.Random
+    datagram_loss: float = 0.0
+    datagram_doubling: float = 0.0
+    cuts: list[Cut] = field(default_factory=list)
+    messages: int = 0
+    outside: contextvars.Context = field(default_factory=contextvars.copy_context)
+
+    def delay(self, source: Place, destination: Place) -> float:
+        """Return one message's one-way delay, seconds."""
+        if source.zone == destination.zone:
+            base = SAME_ZONE_S
+        elif source.region == destination.region:
+            base = ACROSS_ZONES_S
+        else:
+            base = ACROSS_REGIONS_S
+        return base + JITTER_S * self.random.random()
+
+    def blocked(self, source: Place, destination: Place) -> bool:
+        """Tell whether a cut is in the way."""
+        return any(cut.blocks(source, destination) for cut in self.cuts)
+
+    def deliver(
+        self,
+        source: Place,
+        destination: Place,
+        context: contextvars.Context | None,
+        callback: Callable[..., object],
+        *arguments: object,
+    ) -> bool:
+        """Run ``callback`` at the destination after the delay; return False when cut off.
+
+        :param context: the receiving machine's, ``None`` for what is no node.
+        """
+        if self.cuts and self.blocked(source, destination):
+            return False
+        self.messages += 1
+        when = self.loop.time() + self.delay(source, destination)
+        self.loop.call_at(when, callback, *arguments, context=context or self.outside)
+        return True
+
+    def deliver_datagram(
+        self,
+        source: Place,
+        destination: Place,
+        context: contextvars.Context,
+        callback: Callable[..., object],
+        *arguments: object,
+    ) -> None:
+        """Deliver zero, one or two times."""
+        if self.random.random() < self.datagram_loss:
+            return
+        self.deliver(source, destination, context, callback, *arguments)
+        if self.random.random() < self.datagram_doubling:
+            self.deliver(source, destination, context, callback, *arguments)
--- /dev/null
+++ b/tinrudder_lab/sim/platform.py
@@ -0,0 +1,74 @@
+"""The platform as a simulated node sees it: lagging, stale, down or restored."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from tinrudder.platform.messages import MemberList, PlatformUnavailableError, ResourceDocument
+from tinrudder_lab.platform_server import PlatformState
+from tinrudder_lab.sim.loop import Machine
+from tinrudder_lab.sim.network import ACROSS_ZONES_S, Network, Place
+
+DOWN_TIMEOUT_S = 2.0
+
+
+@dataclass(eq=False)
+class SimPlatformService:
+    """The platform's service and its faults.
+
+    :param down: names of zones that get no answer, or all zones when ``down_everywhere``.
+    :param stale: a former document served instead of the true one, by zone.
+    :param member_lag_s: how far the list of machines lags behind the truth.
+    """
+
+    state: PlatformState
+    down_everywhere: bool = False
+    down: set[str] = field(default_factory=set)
+    stale: dict[str, ResourceDocument] = field(default_factory=dict)
+    member_lag_s: float = 2.0
+    member_history: list[tuple[float, MemberList]] = field(default_factory=list)
+    documents: dict[int, ResourceDocument] = field(default_factory=dict)
+
+    def remember(self, now: float) -> None:
+        """Record the present state, so that it can be served late or restored."""
+        self.documents[self.state.document.revision] = self.state.document
+        self.member_history.append((now, self.state.members))
+
+    def members_at(self, now: float) -> MemberList:
+        """Return the list of machines as it was ``member_lag_s`` ago."""
+        seen = [members for when, members in self.member_history if when <= now - self.member_lag_s]
+        return seen[-1] if seen else self.member_history[0][1]
+
+
+class SimPlatform:
+    """One node's :class:`tinrudder.environment.PlatformSource`."""
+
+    def __init__(self, service: SimPlatformService, machine: Machine, network: Network) -> None:
+        """Read ``service`` from ``machine``."""
+        self._service = service
+        self._machine = machine
+        self._network = network
+
+    async def fetch_resources(self, known_revision: int) -> ResourceDocument | None:
+        """Return the document this machine's zone is served."""
+        await self._travel()
+        document = self._service.stale.get(self._machine.zone, self._service.state.document)
+        return None if document.revision == known_revision else document
+
+    async def fetch_members(self) -> MemberList:
+        """Return the lagging list."""
+        await self._travel()
+        return self._service.members_at(asyncio.get_running_loop().time())
+
+    async def _travel(self) -> None:
+        """Take the round trip, or fail as a client's time-out would."""
+        if self._service.down_everywhere or self._machine.zone in self._service.down:
+            await asyncio.sleep(DOWN_TIMEOUT_S)
+            raise PlatformUnavailableError("no answer")
+        await asyncio.sleep(2 * ACROSS_ZONES_S)
+
+
+def place_of(machine: Machine) -> Place:
+    """Return where a machine stands."""
+    return Place(machine.zone, machine.region)
--- /dev/null
+++ b/tinrudder_lab/topology.py
@@ -0,0 +1,241 @@
+"""Small deployments for experiments, and the queries that arrive there."""
+
+from __future__ import annotations
+
+import math
+import random
+from dataclasses import dataclass, field, replace
+
+import msgspec
+
+from tinrudder.resources.model import (
+    Kind,
+    Preference,
+    Priority,
+    QueryRuleSpec,
+    ServiceSpec,
+)
+from tinrudder_lab.datasets import ENTITIES, entity_name
+from tinrudder_lab.deployment import (
+    ARENA_REGION,
+    ARENA_ZONES,
+    PLATA_OWNERS,
+    PLATA_REGION,
+    PLATA_ZONES,
+    Deployment,
+    QueryKind,
+    ServiceShape,
+    add_service,
+    add_tenant,
+    build_deployment,
+    caller_of,
+)
+
+FIRST_PORT = 9000
+PAGE_LIMIT = 20
+WIDE_SHARDS = 130
+PATIENCE_S = 6.0
+IMPATIENT_S = 0.02
+SIGMA_SQUARED_HALF = 0.08
+TRESPASS_RATE = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Zone:
+    """A zone and its region."""
+
+    name: str
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stream:
+    """Open-loop arrivals of one kind of query.
+
+    :param rate: queries a second, Poisson; :param start_s: when it begins.
+    :param end_s: when it ends, ``None`` for the end of the run.
+    :param pages: how many pages of a listing a caller reads, one after the other.
+    :param retries: how often a caller asks again at once when it got no answer.
+    :param impatient: share of callers that go away after ``IMPATIENT_S``.
+    """
+
+    kind: QueryKind
+    rate: float
+    start_s: float = 0.0
+    end_s: float | None = None
+    pages: int = 1
+    retries: int = 0
+    impatient: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One query of the trace, drawn before the run so that policies meet the same one.
+
+    :param node_draw: picks the node among those open then, 0 to 1.
+    """
+
+    at: float
+    kind: QueryKind
+    match: dict[str, str]
+    pages: int
+    retries: int
+    patience_s: float
+    node_draw: float
+
+
+@dataclass(slots=True)
+class Topology:
+    """What a scenario runs on."""
+
+    zones: tuple[Zone, ...]
+    nodes_per_zone: int
+    deployment: Deployment
+    streams: list[Stream] = field(default_factory=list)
+    service_median_s: float = 0.004
+    shards: int = 1
+
+    def kind_of(self, service: str) -> QueryKind:
+        """Return the kind of query of a service."""
+        return next(kind for kind in self.deployment.query_kinds if kind.rule == service)
+
+    def all_streams(self, rate: float, *, pages: int = 1, impatient: float = 0.0) -> None:
+        """Let every kind of query arrive at ``rate`` queries a second."""
+        self.streams = [
+            Stream(kind, rate, pages=pages, impatient=impatient)
+            for kind in self.deployment.query_kinds
+        ]
+
+    def trespass(self) -> None:
+        """Let one tenant also ask for what belongs to another."""
+        kinds = self.deployment.query_kinds
+        kind = replace(kinds[0], caller=kinds[1].caller)
+        self.streams.append(Stream(kind, TRESPASS_RATE))
+
+    def capacity(self, service: str) -> float:
+        """Return how many queries a second a service's back ends can answer."""
+        specs = self.deployment.backends.values()
+        slots = sum(spec.slots for spec in specs if spec.service == service)
+        mean_s = self.service_median_s * math.exp(SIGMA_SQUARED_HALF)
+        return slots / mean_s / self.shards
+
+
+def draw_trace(streams: list[Stream], duration_s: float, source: random.Random) -> list[Arrival]:
+    """Return the arrivals of all streams in the order of time."""
+    trace: list[Arrival] = []
+    for stream in streams:
+        now = stream.start_s
+        end = duration_s if stream.end_s is None else stream.end_s
+        while True:
+            now += source.expovariate(stream.rate)
+            if now >= end:
+                break
+            match = {}
+            if source.random() < 0.5:
+                match = {"entity": entity_name("entity", source.randrange(ENTITIES))}
+            patience_s = IMPATIENT_S if source.random() < stream.impatient else PATIENCE_S
+            draw = source.random()
+            trace.append(
+                Arrival(now, stream.kind, match, stream.pages, stream.retries, patience_s, draw)
+            )
+    trace.sort(key=lambda arrival: arrival.at)
+    return trace
+
+
+def both_deployments(rate: float, *, pages: int = 1, impatient: float = 0.0) -> Topology:
+    """Return both users' deployments with one service of each shape: 7 nodes, 29 back ends."""
+    zones = [Zone(name, PLATA_REGION) for name in PLATA_ZONES]
+    zones += [Zone(name, ARENA_REGION) for name in ARENA_ZONES]
+    deployment = build_deployment(FIRST_PORT, services_per_shape=1)
+    topology = Topology(tuple(zones), 1, deployment)
+    topology.all_streams(rate, pages=pages, impatient=impatient)
+    topology.trespass()
+    return topology
+
+
+def wide_service(rate: float) -> Topology:
+    """Return one service of 130 shards on 130 back ends: 4 nodes, fan-out 130."""
+    rule = QueryRuleSpec(
+        service="placeholder",
+        preference=Preference.COVERAGE,
+        soft_deadline_ms=1000,
+        hard_deadline_ms=1000,
+    )
+    shape = ServiceShape(
+        "route-planning", "stock", "plata-planners", 1, WIDE_SHARDS, 5, 70, WIDE_SHARDS, rule
+    )
+    deployment = Deployment()
+    add_tenant(deployment, shape.tenant)
+    add_service(deployment, shape, shape.name, PLATA_REGION, PLATA_ZONES, PLATA_OWNERS, FIRST_PORT)
+    zones = tuple(Zone(name, PLATA_REGION) for name in PLATA_ZONES)
+    topology = Topology(zones, 1, deployment)
+    topology.all_streams(rate)
+    return topology
+
+
+@dataclass(frozen=True, slots=True)
+class TenantLoad:
+    """A tenant of the shared service.
+
+    :param load: its arrivals over the service's whole capacity.
+    """
+
+    name: str
+    weight: int
+    load: float
+    priority: Priority = Priority.INTERACTIVE
+    retries: int = 0
+
+
+SHARED_BACKENDS = 8
+SHARED_SHARDS = 16
+SHARED_SLOTS = 5
+SHARED_SERVICE_S = 0.01
+
+
+def shared_service(tenants: tuple[TenantLoad, ...], deadline_ms: int) -> Topology:
+    """Return one service that several tenants share: 2 nodes, 8 back ends, fan-out 16."""
+    rule = QueryRuleSpec(
+        service="shared",
+        preference=Preference.COVERAGE,
+        soft_deadline_ms=deadline_ms,
+        hard_deadline_ms=deadline_ms,
+    )
+    shape = ServiceShape(
+        "shared", "stock", "nobody", 1, SHARED_BACKENDS, SHARED_SLOTS, 70, SHARED_SHARDS, rule
+    )
+    zones = tuple(Zone(name, PLATA_REGION) for name in PLATA_ZONES[:2])
+    names = tuple(zone.name for zone in zones)
+    deployment = Deployment()
+    add_service(deployment, shape, "shared", PLATA_REGION, names, PLATA_OWNERS, FIRST_PORT)
+    index = deployment.query_kinds.pop().index
+    _share_service(deployment, tenants)
+    topology = Topology(zones, 1, deployment, [], SHARED_SERVICE_S, SHARED_SHARDS)
+    for priority in Priority:
+        spec = msgspec.structs.replace(rule, priority=priority)
+        deployment.add(Kind.QUERY_RULE, f"shared-{priority.value}", spec)
+    for tenant in tenants:
+        add_tenant(deployment, tenant.name, tenant.weight)
+        rule_name = f"shared-{tenant.priority.value}"
+        kind = QueryKind(caller_of(tenant.name), index, rule_name, PLATA_REGION)
+        deployment.query_kinds.append(kind)
+        rate = tenant.load * topology.capacity("shared")
+        if rate:
+            topology.streams.append(Stream(kind, rate, retries=tenant.retries))
+    return topology
+
+
+def _share_service(deployment: Deployment, tenants: tuple[TenantLoad, ...]) -> None:
+    """Let all tenants use the service."""
+    names = tuple(tenant.name for tenant in tenants)
+    spec = ServiceSpec(region=PLATA_REGION, tenants=names)
+    deployment.replace(Kind.SERVICE, "shared", spec)
+
+
+def set_policies(deployment: Deployment, policies: dict[str, str]) -> None:
+    """Name policies in every query rule."""
+    for raw in tuple(deployment.resources):
+        if raw.kind == Kind.QUERY_RULE.value:
+            spec = msgspec.json.decode(raw.spec, type=QueryRuleSpec)
+            changed = msgspec.structs.replace(spec, policies=policies)
+            deployment.replace(Kind.QUERY_RULE, raw.name, changed)
