--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -111,7 +111,12 @@
             return
         self._queue.push(pending)
         if backend is not None:
-            self.fill(backend)
+            self._fill_candidates(pending)
+
+    def _fill_candidates(self, pending: PendingCall) -> None:
+        """Serve those who already wait where there is room, and then the call itself."""
+        for candidate in pending.candidates:
+            self.fill(candidate)
 
     def withdraw(self, pending: PendingCall) -> None:
         """Take a waiting call back; a no-op if it was dispatched."""
--- a/tinrudder/routing/tenant_flow.py
+++ b/tinrudder/routing/tenant_flow.py
@@ -110,7 +110,8 @@
 
     def _clear(self) -> None:
         """Free everything of a flow in which nothing waits."""
-        self.classes = [None, None, None]
-        self.work = [0.0, 0.0, 0.0]
-        self.passed_over = [0, 0, 0]
+        for rank in (0, 1, 2):
+            self.classes[rank] = None
+            self.work[rank] = 0.0
+            self.passed_over[rank] = 0
         self.entries = 0
