Count out the rows that a replanned query drops

Cause: a query that starts again on another version kept the dropped rows on its tenant's account. Change: replanning returns the bytes. Conclusion: the byte cap counts what is held.

--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -297,6 +297,8 @@
         if not all(progress.untouched for progress in self._progress):
             self._touched_before = True
         self._release_calls()
+        if self._permit is not None:
+            self._permit.drop_bytes()
         self._adopt(plan)
         now = self._timers.time()
         self._submit_all(now)
