Serve the resource API from the daemon and read the platform after a pause

Cause: the resource API was not mounted; a node that had been cut off long enough to hold all others for dead asked nobody; after a pause only peers were asked. Change: the daemon mounts /v1/resources; a node without living members goes on asking the dead ones; after a pause it asks peers and the platform at once. Conclusion: the API can now answer how many nodes enforce a revision, from any node.

--- /dev/null
+++ b/tinrudder/api/resource_routes.py
@@ -0,0 +1,24 @@
+"""The resource API of a running node."""
+
+from __future__ import annotations
+
+from starlette.routing import Route
+
+from tinrudder.api.resource_app import ResourceApiSettings, ResourceApplication
+from tinrudder.node import Node
+from tinrudder.resources.status import StatusReporter
+from tinrudder.settings import parse_operator_credentials
+
+
+def resource_routes(node: Node) -> list[Route]:
+    """Return the routes under ``/v1/resources`` for a node."""
+    settings = ResourceApiSettings(
+        node.settings.name,
+        parse_operator_credentials(node.settings.operator_credentials),
+        node.settings.platform_write_url,
+    )
+    reporter = StatusReporter(node.configuration_store, node.node_revisions)
+    application = ResourceApplication(
+        settings, node.configuration_store, reporter, node.lifecycle.is_stopping
+    )
+    return application.routes()
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -22,6 +22,7 @@
 from tinrudder.api.finished_query import QueryLog
 from tinrudder.api.health import CloseWhenStopping, health_routes
 from tinrudder.api.metrics_app import metrics_route
+from tinrudder.api.resource_routes import resource_routes
 from tinrudder.backends.http_transport import HttpBackendTransport
 from tinrudder.cli.tls_edges import build_edges, follow_files
 from tinrudder.environment import DEVELOPMENT_CLUSTER_KEYS, Environment
@@ -125,6 +126,7 @@
         explain_route(explanations.lookup.find, operators, node.configuration)
     )
     callers.app.router.routes.extend(health_routes(node.lifecycle, node.configuration))
+    callers.app.router.routes.extend(resource_routes(node))
     app = CloseWhenStopping(callers.app, node.lifecycle)
     server = CallerServer(caller_config(settings, app, edges.callers))
     serving = asyncio.create_task(server.serve())
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -112,9 +112,7 @@
         self.configuration_store.subscribe(
             lambda state: membership.set_enforced_revision(state.version.revision)
         )
-        membership.pause_detector.subscribe(
-            lambda _: self.node_configuration.exchange.refresh_now()
-        )
+        membership.pause_detector.subscribe(lambda _: self.node_configuration.refresh_soon())
 
     def node_revisions(self) -> tuple[NodeRevision, ...]:
         """Return which revision every member is known to enforce."""
--- a/tinrudder/node_configuration.py
+++ b/tinrudder/node_configuration.py
@@ -45,6 +45,7 @@
         self._environment = environment
         self._view = view
         self._on_change = on_change
+        self._refreshing: asyncio.Task[None] | None = None
         self._seeds = parse_seed_peers(settings.seed_peers)
         self.store.subscribe(self._on_state)
 
@@ -61,6 +62,8 @@
     def stop(self) -> None:
         """End the exchange."""
         self.exchange.stop()
+        if self._refreshing is not None:
+            self._refreshing.cancel()
 
     def poll_delay_s(self) -> float:
         """Return seconds until the platform is to be read again."""
@@ -82,23 +85,24 @@
         self.store.offer(document)
         self._log_platform()
 
-    async def refresh(self) -> None:
-        """Compare with peers and the platform at once, as after a pause.
+    def refresh_soon(self) -> None:
+        """Compare with peers at once and read the platform, as after a pause.
 
         What is held stays in force meanwhile: it is ordered by revision, so it can only be behind.
         """
         self.exchange.refresh_now()
-        await self.poll()
+        self._refreshing = asyncio.ensure_future(self.poll())
 
     def _peers(self) -> list[PeerAddress]:
-        """Return whom to exchange with: known members, else the seeds."""
+        """Return whom to exchange with.
+
+        A node that holds everybody else for dead has more likely been cut off itself, so it goes
+        on asking them; without any list of members it asks the seeds.
+        """
         own = self._settings.name
-        members = [
-            member.address
-            for member in self._view().members
-            if member.name != own and member.status is not MemberStatus.DEAD
-        ]
-        return members or list(self._seeds)
+        others = [member for member in self._view().members if member.name != own]
+        living = [member for member in others if member.status is not MemberStatus.DEAD]
+        return [member.address for member in living or others] or list(self._seeds)
 
     def _on_state(self, state: AcceptedState) -> None:
         """Put a changed state in force and tell the others."""
