Count retries and hedges for the metrics

Cause: extra load could be seen, not whether failures or slowness made it. Change: the coordinator adds up retries and hedges when a fan-out ends.

--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -16,6 +16,7 @@
 from tinrudder.backends.messages import Broken
 from tinrudder.cluster.view import Member
 from tinrudder.peers import DatagramHandler, PeerAddress, PeerLostError, RequestHandler
+from tinrudder.query.coordinator import CoordinatorCounters
 from tinrudder.query.explain import ExplanationRing, QueryExplanation
 from tinrudder.query.explain_lookup import ExplainLookup
 from tinrudder.query.explain_recorder import FanOutRecorder
@@ -127,3 +128,14 @@
     run_virtual(caller.call(app))
     assert caller.status == status
     assert caller.json.get("node") == ("coordinator" if status == 200 else None)
+
+
+def test_counters_tell_retries_from_first_calls() -> None:
+    harness = Harness(QueryRuleSpec(service="service", minimum_coverage=0.5))
+    harness.transport.reply(harness.transport.calls[0], Broken())
+    harness.transport.answer(harness.transport.calls[1], 1.0)
+    harness.timers.advance(DEADLINE_S)
+    counters = CoordinatorCounters()
+    counters.add(harness.fan_out.shards)
+    sent = len(harness.transport.calls)
+    assert (counters.needed_shards, counters.retries, counters.hedges) == (2, 1, sent - 3)
--- a/tinrudder/node_metrics.py
+++ b/tinrudder/node_metrics.py
@@ -10,13 +10,16 @@
     """Add a node's own figures; docs/OPERATING.md says what to make of each."""
     dispatcher = node.dispatcher
     counters = node.entry.counters
+    calls = node.coordinator.counters
     metrics.add(
         ReadMetric("tinrudder_backend_calls", "Calls sent.", lambda: dispatcher.sent_calls),
         ReadMetric(
             "tinrudder_needed_shards",
             "Calls that one per needed shard would take; extra load is calls sent over these.",
-            lambda: node.coordinator.needed_shards,
+            lambda: calls.needed_shards,
         ),
+        ReadMetric("tinrudder_retries", "Sent again elsewhere.", lambda: calls.retries),
+        ReadMetric("tinrudder_hedges", "Sent beside a slow one.", lambda: calls.hedges),
         ReadMetric("tinrudder_queries_local", "Coordinated here.", lambda: counters.local),
         ReadMetric("tinrudder_queries_relayed", "Relayed.", lambda: counters.relayed),
         ReadMetric("tinrudder_relays_lost", "Relays without reply.", lambda: counters.lost),
--- a/tinrudder/query/coordinator.py
+++ b/tinrudder/query/coordinator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from typing import Protocol
 
 from tinrudder.outcomes import NotRun, NotRunReason, Outcome
@@ -25,6 +26,28 @@
         """Return the outcome; cancelling the task frees the query's work."""
 
 
+@dataclass(slots=True)
+class CoordinatorCounters:
+    """What the fan-outs of this node took, since start.
+
+    :param needed_shards: calls that one per needed shard would have taken.
+    :param retries: calls sent after one for the same shard had failed.
+    :param hedges: calls sent while one for the same shard was in flight.
+    """
+
+    needed_shards: int = 0
+    retries: int = 0
+    hedges: int = 0
+
+    def add(self, shards: Sequence[ShardProgress]) -> None:
+        """Count an ended fan-out, also one whose caller went away."""
+        attempts = sum([shard.attempts for shard in shards])
+        asked = sum([1 for shard in shards if shard.attempts])
+        self.needed_shards += len(shards)
+        self.retries += attempts - asked
+        self.hedges += sum([shard.hedges for shard in shards])
+
+
 class Coordinator:
     """Owns fan-outs on this node and counts those in progress."""
 
@@ -37,7 +60,7 @@
         self._dispatcher = dispatcher
         self._planner = planner
         self.in_progress = 0
-        self.needed_shards = 0
+        self.counters = CoordinatorCounters()
         self.recorder: FanOutObserver | None = None
 
     async def run(self, request: QueryRequest) -> Outcome:
@@ -50,7 +73,6 @@
         permit = self._gate.enter(plan)
         if isinstance(permit, NotRun):
             return permit
-        self.needed_shards += len(plan.shards)
         future: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
         fan_out = FanOut(
             plan, self._dispatcher, self._timers, future.set_result, self._planner, permit
@@ -69,4 +91,5 @@
             raise
         finally:
             self.in_progress -= 1
+            self.counters.add(fan_out.shards)
             permit.close()
