Read the platform sparingly and write to it for operators

Cause: every poll fetched the whole list of machines, bodies were neither compressed nor bounded, and operators had no batch write. Change: members are fetched with the known revision, bodies travel compressed and are bounded; a writer for commands sends batches, which the stand-in applies as one revision and repeats as none. Conclusion: a poll that finds nothing new costs headers only.

--- a/tinrudder/platform/client.py
+++ b/tinrudder/platform/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from typing import TypeVar
 
 import aiosonic
@@ -12,6 +13,8 @@
 from tinrudder.platform.messages import MemberList, PlatformUnavailableError, ResourceDocument
 
 REQUEST_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+READ_HEADERS = {"Accept-Encoding": "gzip"}
 STATUS_OK = 200
 STATUS_NOT_MODIFIED = 304
 
@@ -25,6 +28,7 @@
         """Read from ``base_url``, e.g. ``http://127.0.0.1:7000``."""
         self._base_url = base_url.rstrip("/")
         self._client: aiosonic.HTTPClient | None = None
+        self._members: MemberList | None = None
 
     async def fetch_resources(self, known_revision: int) -> ResourceDocument | None:
         """Return the document, ``None`` when it equals ``known_revision``."""
@@ -32,19 +36,30 @@
         return None if body is None else _decode(body, ResourceDocument)
 
     async def fetch_members(self) -> MemberList:
-        """Return the list of machines."""
-        body = await self._get("/v1/members")
-        return _decode(body or b"", MemberList)
+        """Return the list of machines, the former one if the platform says it is unchanged."""
+        known = self._members.revision if self._members is not None else 0
+        body = await self._get(f"/v1/members?known_revision={known}")
+        if body is not None:
+            self._members = _decode(body, MemberList)
+        if self._members is None:
+            raise PlatformUnavailableError("/v1/members: not modified, but never read")
+        return self._members
 
     async def _get(self, path: str) -> bytes | None:
         """Return a body, ``None`` for not modified."""
         if self._client is None:
             self._client = aiosonic.HTTPClient()
-        timeouts = Timeouts(sock_connect=REQUEST_TIMEOUT_S, sock_read=REQUEST_TIMEOUT_S)
+        timeouts = Timeouts(
+            sock_connect=REQUEST_TIMEOUT_S,
+            sock_read=REQUEST_TIMEOUT_S,
+            request_timeout=2 * REQUEST_TIMEOUT_S,
+        )
         try:
-            response = await self._client.get(self._base_url + path, timeouts=timeouts)
-            body: bytes = await response.content()
-        except (OSError, EOFError, AiosonicError) as error:
+            response = await self._client.get(
+                self._base_url + path, headers=READ_HEADERS, timeouts=timeouts
+            )
+            body = await _read_bounded(response)
+        except (OSError, EOFError, ValueError, AiosonicError, zlib.error) as error:
             raise PlatformUnavailableError(f"{path}: {error!r}") from error
         if response.status_code == STATUS_NOT_MODIFIED:
             return None
@@ -58,6 +73,17 @@
             await self._client.aclose()
 
 
+async def _read_bounded(response: aiosonic.HttpResponse) -> bytes:
+    """Return a body, unpacked if it was compressed.
+
+    :raises PlatformUnavailableError: it is larger than allowed.
+    """
+    body: bytes = await response.content()
+    if len(body) > MAX_ANSWER_BYTES:
+        raise PlatformUnavailableError(f"answer: more than {MAX_ANSWER_BYTES} bytes")
+    return body
+
+
 def _decode(body: bytes, message_type: type[Message]) -> Message:
     """Decode an answer of the platform."""
     try:
--- a/tinrudder_lab/platform_server.py
+++ b/tinrudder_lab/platform_server.py
@@ -8,6 +8,8 @@
 import msgspec
 import uvicorn
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.middleware.gzip import GZipMiddleware
 from starlette.requests import Request
 from starlette.responses import Response
 from starlette.routing import Route
@@ -19,17 +21,13 @@
     RawResource,
     ResourceDocument,
 )
+from tinrudder.platform.writer import ResourceBatch, ResourceWrite
+
+__all__ = ["PlatformState", "ResourceWrite", "build_app"]
 
 JSON = "application/json"
 NOT_MODIFIED = 304
-
-
-class ResourceWrite(msgspec.Struct, frozen=True):
-    """An operator's write of one resource."""
-
-    kind: str
-    name: str
-    spec: msgspec.Raw
+BAD_REQUEST = 400
 
 
 class PlatformState(msgspec.Struct):
@@ -52,6 +50,23 @@
         self.document = ResourceDocument(revision, tuple(kept))
         return revision
 
+    def write_batch(self, batch: ResourceBatch) -> int:
+        """Store and delete several resources in one revision; what changes nothing is no write."""
+        held = {(raw.kind, raw.name): raw for raw in self.document.resources}
+        before = dict(held)
+        for write in batch.resources:
+            key = (write.kind, write.name)
+            former = held.get(key)
+            if former is None or bytes(former.spec) != bytes(write.spec):
+                generation = former.generation + 1 if former else 1
+                held[key] = RawResource(write.kind, write.name, generation, write.spec)
+        for name in batch.delete:
+            held.pop((name.kind, name.name), None)
+        if held != before:
+            revision = self.document.revision + 1
+            self.document = ResourceDocument(revision, tuple(held.values()), len(held))
+        return self.document.revision
+
     def set_member_state(self, name: str, state: MemberState) -> None:
         """Change what the list says of one machine."""
         members = tuple(
@@ -73,7 +88,9 @@
             return Response(status_code=NOT_MODIFIED)
         return Response(msgspec.json.encode(state.document), media_type=JSON)
 
-    async def get_members(_: Request) -> Response:
+    async def get_members(request: Request) -> Response:
+        if request.query_params.get("known_revision") == str(state.members.revision):
+            return Response(status_code=NOT_MODIFIED)
         return Response(msgspec.json.encode(state.members), media_type=JSON)
 
     async def put_resource(request: Request) -> Response:
@@ -81,6 +98,15 @@
         revision = state.write(write)
         return Response(msgspec.json.encode({"revision": revision}), media_type=JSON)
 
+    async def post_resources(request: Request) -> Response:
+        try:
+            batch = msgspec.json.decode(await request.body(), type=ResourceBatch)
+        except msgspec.MsgspecError as error:
+            return Response(str(error), BAD_REQUEST)
+        return Response(
+            msgspec.json.encode({"revision": state.write_batch(batch)}), media_type=JSON
+        )
+
     async def put_members(request: Request) -> Response:
         body = await request.body()
         state.replace_members(msgspec.json.decode(body, type=tuple[PlatformMember, ...]))
@@ -90,9 +116,11 @@
         routes=[
             Route("/v1/resources", get_resources, methods=["GET"]),
             Route("/v1/resources", put_resource, methods=["PUT"]),
+            Route("/v1/resources", post_resources, methods=["POST"]),
             Route("/v1/members", get_members, methods=["GET"]),
             Route("/v1/members", put_members, methods=["PUT"]),
-        ]
+        ],
+        middleware=[Middleware(GZipMiddleware, minimum_size=1024)],
     )
 
 
