--- /dev/null
+++ b/tests/unit/test_at_most_once.py
@@ -0,0 +1,246 @@
+"""Operations over real claims, in virtual time: each key runs at most once, and outcomes hold."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+import pytest
+from starlette.applications import Starlette
+
+from tests.support.operation_cluster import WALL_START, OperationCluster, ledger_document
+from tests.support.virtual_caller import FakeCaller, run_virtual
+from tinrudder.api.operation_app import operation_route
+from tinrudder.backends.messages import Broken, Draining, Shed
+from tinrudder.outcomes import Complete, MayHaveRunReason, NotRun, NotRunReason
+from tinrudder.resources.store import ConfigurationStore
+
+
+def virtual(scenario):
+    """Run a test's coroutine, given a started cluster, in virtual time."""
+
+    async def run():
+        await scenario(await OperationCluster().start())
+
+    def test():
+        run_virtual(run())
+
+    test.__name__ = scenario.__name__
+    return test
+
+
+@virtual
+async def test_duplicates_at_one_moment_and_later_get_the_answer_of_the_one_run(cluster):
+    first, second = await asyncio.gather(cluster.nodes[0].operate(), cluster.nodes[1].operate())
+    later = await cluster.nodes[4].operate()
+    again = await cluster.nodes[0].operate()
+    assert cluster.ledger.ran == {"o-1": 1}
+    assert Complete in (type(first), type(second))
+    assert later == again
+    assert isinstance(later, Complete)
+
+
+@virtual
+async def test_only_the_side_of_a_cut_with_a_majority_runs(cluster):
+    cluster.cut({0, 1})
+    minority = await cluster.nodes[0].operate()
+    majority = await cluster.nodes[2].operate()
+    uncertain = await cluster.nodes[1].operate(resubmission=True)
+    assert isinstance(minority, NotRun) and minority.reason is NotRunReason.NO_QUORUM
+    assert isinstance(majority, Complete)
+    assert uncertain.reason is MayHaveRunReason.EARLIER_SUBMISSION
+    assert cluster.ledger.ran == {"o-1": 1}
+
+
+@virtual
+async def test_a_holder_behind_a_cut_means_that_the_request_may_have_run(cluster):
+    assert isinstance(await cluster.nodes[0].operate(), Complete)
+    cluster.cut({0})
+    outcome = await cluster.nodes[1].operate()
+    assert outcome.reason is MayHaveRunReason.ALREADY_CLAIMED
+    assert cluster.ledger.ran == {"o-1": 1}
+
+
+@virtual
+async def test_a_claim_is_not_honoured_after_a_sleep(cluster):
+    sleeper = cluster.nodes[0]
+    claim = sleeper.claims.claim
+
+    async def claim_then_sleep(*arguments):
+        won = await claim(*arguments)
+        assert won.won
+        sleeper.clock.sleep(30.0)
+        return won
+
+    sleeper.claims.claim = claim_then_sleep
+    outcome = await sleeper.operate()
+    assert isinstance(outcome, NotRun) and outcome.reason is NotRunReason.DEADLINE
+    assert not cluster.ledger.ran
+    await asyncio.sleep(0.1)
+    assert isinstance(await cluster.nodes[1].operate(), Complete)
+    assert cluster.ledger.ran == {"o-1": 1}
+
+
+@virtual
+async def test_a_sleep_while_connecting_keeps_the_bytes_back(cluster):
+    cluster.ledger.connect_s = 0.2
+    running = asyncio.create_task(cluster.nodes[0].operate())
+    await asyncio.sleep(0.1)
+    cluster.nodes[0].clock.sleep(30.0)
+    assert isinstance(await running, NotRun)
+    assert not cluster.ledger.ran
+
+
+@virtual
+async def test_restarted_voters_do_not_vote_again(cluster):
+    assert isinstance(await cluster.nodes[0].operate(), Complete)
+    for node in cluster.nodes[1:]:
+        node.claims.start()
+    cluster.cut({0})
+    outcome = await cluster.nodes[1].operate()
+    assert outcome.reason is NotRunReason.NO_QUORUM
+    assert cluster.ledger.ran == {"o-1": 1}
+    fresh = await cluster.nodes[1].operate("o-2", valid_until=WALL_START + 161.2)
+    assert fresh.reason is NotRunReason.INVALID_REQUEST
+    await asyncio.sleep(2.0)
+    fresh = await cluster.nodes[1].operate("o-2", valid_until=WALL_START + 162.0)
+    assert isinstance(fresh, Complete)
+
+
+@virtual
+async def test_only_refusals_before_the_start_go_to_another_back_end(cluster):
+    cluster.ledger.replies = [Shed(), Draining()]
+    assert (await cluster.nodes[0].operate("o-1")).reason is NotRunReason.NO_BACKEND
+    cluster.ledger.replies = [Shed()]
+    assert isinstance(await cluster.nodes[1].operate("o-1"), Complete)
+    cluster.ledger.replies = [Broken("lost")]
+    for node in cluster.nodes:
+        assert (await node.operate("o-2")).reason is MayHaveRunReason.NO_ANSWER
+    assert cluster.ledger.ran == {"o-1": 1}
+
+
+@virtual
+async def test_an_answer_after_the_deadline_is_kept_for_a_duplicate(cluster):
+    cluster.ledger.service_s = 2.0
+    late = await cluster.nodes[0].operate()
+    assert late.reason is MayHaveRunReason.NO_ANSWER
+    assert (await cluster.nodes[0].operate()).reason is MayHaveRunReason.ALREADY_CLAIMED
+    assert isinstance(await cluster.nodes[2].operate(), Complete)
+    assert cluster.ledger.ran == {"o-1": 1}
+
+
+@virtual
+async def test_a_key_belongs_to_one_request_of_one_tenant(cluster):
+    assert isinstance(await cluster.nodes[0].operate(), Complete)
+    for node in cluster.nodes[:2]:
+        other = await node.operate(amount="8")
+        assert other.reason is MayHaveRunReason.ALREADY_CLAIMED
+        assert "another request" in other.detail
+    assert isinstance(await cluster.nodes[1].operate(tenant="rival"), Complete)
+    assert cluster.ledger.ran == {"o-1": 1, "rival-o-1": 1}
+    unknown = await cluster.nodes[1].operate("o-3", rule="read")
+    assert unknown.reason is NotRunReason.INVALID_REQUEST
+
+
+def test_while_lists_differ_the_old_voters_are_asked_too():
+    async def run():
+        cluster = OperationCluster()
+        await cluster.start(listed=cluster.nodes[:3])
+        cluster.learn(2, cluster.nodes[2:], only=cluster.nodes[2:])
+        cluster.cut({0, 1})
+        ahead = await cluster.nodes[4].operate()
+        assert ahead.reason is NotRunReason.NO_QUORUM
+        assert isinstance(await cluster.nodes[0].operate(), Complete)
+        assert isinstance(await cluster.nodes[4].operate(), NotRun)
+        cluster.network.cut.clear()
+        assert isinstance(await cluster.nodes[4].operate(), Complete)
+        assert isinstance(await cluster.nodes[1].operate("o-2"), Complete)
+        assert cluster.ledger.ran == {"o-1": 1, "o-2": 1}
+
+    run_virtual(run())
+
+
+class Disturbance:
+    """Submissions of few keys through random nodes, while links, voters and clocks fail."""
+
+    def __init__(self, cluster, source):
+        self.cluster = cluster
+        self.source = source
+        self.told = {}
+
+    async def submit(self, order):
+        await asyncio.sleep(self.source.uniform(0.0, 3.0))
+        node = self.source.choice(self.cluster.nodes)
+        outcome = await node.operate(order)
+        self.told.setdefault(order, []).append(outcome)
+
+    async def disturb(self):
+        nodes = self.cluster.nodes
+        for _ in range(25):
+            await asyncio.sleep(self.source.uniform(0.0, 0.25))
+            self.cluster.network.cut.clear()
+            match self.source.randrange(3):
+                case 0:
+                    numbers = range(len(nodes))
+                    self.cluster.cut(set(self.source.sample(numbers, self.source.randint(0, 4))))
+                case 1:
+                    self.source.choice(nodes).claims.start()
+                case 2:
+                    self.source.choice(nodes).clock.sleep(self.source.choice((0.5, 5.0)))
+
+    def check(self):
+        for order, outcomes in self.told.items():
+            runs = self.cluster.ledger.ran[order]
+            assert runs <= 1
+            if all(isinstance(outcome, NotRun) for outcome in outcomes):
+                assert runs == 0
+            if any(isinstance(outcome, Complete) for outcome in outcomes):
+                assert runs == 1
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_cuts_restarts_and_sleeps_never_run_a_key_twice(seed):
+    async def run():
+        cluster = await OperationCluster(nodes=7, seed=seed).start()
+        cluster.ledger.connect_s = 0.02
+        disturbance = Disturbance(cluster, random.Random(seed))
+        submissions = (disturbance.submit(f"o-{number % 8}") for number in range(40))
+        await asyncio.gather(disturbance.disturb(), *submissions)
+        disturbance.check()
+
+    run_virtual(run())
+
+
+def test_callers_post_operations():
+    async def post(app, **changes):
+        body = {
+            "index": "ledger",
+            "rule": "post",
+            "operation": "book",
+            "key": "order-0001",
+            "valid_until": WALL_START + 150.0,
+            "match": {"order": "o-1"},
+        }
+        caller = FakeCaller("/v1/operations", parts=[msgspec.json.encode(body | changes)])
+        return await caller.call(app)
+
+    async def run():
+        cluster = await OperationCluster().start()
+        store = ConfigurationStore()
+        store.offer(ledger_document(credential=True))
+        node = cluster.nodes[0]
+        route = operation_route(node.clock, node.runner, lambda: store.current)
+        app = Starlette(routes=[route])
+        first = await post(app)
+        assert (first.status, first.json["outcome"]) == (200, "complete")
+        assert (await post(app)).json["outcome"] == "complete"
+        other = await post(app, match={"order": "o-2"})
+        assert (other.status, other.json["reason"]) == (409, "already_claimed")
+        assert (await post(app, valid_until=WALL_START, key="order-0002")).status == 400
+        assert (await post(app, index="unheard-of", key="order-0003")).status == 404
+        assert (await post(app, tenant="rival")).json["field"] == "tenant"
+        assert (await post(app, key="short")).json["field"] == "key"
+        assert cluster.ledger.ran == {"o-1": 1}
+
+    run_virtual(run())
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -90,7 +90,7 @@
     old = make_electorate([voter(1), voter(2), voter(3)])
     new = make_electorate([voter(3), voter(4), voter(5)])
     window = DispatchWindow(50.0, 1050.0)
-    proposer = ClaimProposer(proposer_id(1), KEY, window, (old,))
+    proposer = ClaimProposer(proposer_id(1), KEY, 1050.0, window, (old,))
     for one in proposer.voters():
         proposer.request_to(one)
     proposer.on_reply(voter(1), Granted())
@@ -112,14 +112,14 @@
 
 def test_a_proposer_without_a_majority_in_reach_gives_up_for_good():
     three = make_electorate([voter(1), voter(2), voter(3)])
-    proposer = ClaimProposer(proposer_id(1), KEY, DispatchWindow(50.0, 1050.0), (three,))
+    proposer = ClaimProposer(proposer_id(1), KEY, 1050.0, DispatchWindow(50.0, 1050.0), (three,))
     proposer.on_reply(voter(1), Held(proposer_id(2)))
     proposer.on_no_reply(voter(2))
     assert proposer.phase is ClaimPhase.GIVEN_UP
     for one in three.voters:
         proposer.on_reply(one, Granted())
     assert not proposer.begin_dispatch(0.0, 1000.0)
-    nobody = ClaimProposer(proposer_id(1), KEY, DispatchWindow(50.0, 1050.0), ())
+    nobody = ClaimProposer(proposer_id(1), KEY, 1050.0, DispatchWindow(50.0, 1050.0), ())
     assert nobody.phase is ClaimPhase.GIVEN_UP
 
 
@@ -243,7 +243,7 @@
         identity = ProposerId(f"node-{node}", 1, self.attempts, voter(node).address)
         window = DispatchWindow(valid_until, valid_until)
         required = self.required(node, key, valid_until)
-        proposer = ClaimProposer(identity, key, window, required)
+        proposer = ClaimProposer(identity, key, valid_until, window, required)
         self.ask(proposer, reached)
         return node, proposer
 
--- a/tinrudder/api/outcome_mapping.py
+++ b/tinrudder/api/outcome_mapping.py
@@ -12,6 +12,7 @@
     Coverage,
     Failed,
     MayHaveRun,
+    MayHaveRunReason,
     NotRun,
     NotRunReason,
     Outcome,
@@ -21,7 +22,6 @@
 OK = 200
 PARTIAL_CONTENT = 206
 BAD_GATEWAY = 502
-GATEWAY_TIMEOUT = 504
 NOT_RUN_STATUS: dict[NotRunReason, int] = {
     NotRunReason.OVERLOADED: 503,
     NotRunReason.TENANT_LIMIT: 429,
@@ -31,9 +31,15 @@
     NotRunReason.INVALID_REQUEST: 400,
     NotRunReason.STOPPING: 503,
     NotRunReason.NO_QUORUM: 503,
-    NotRunReason.ALREADY_CLAIMED: 409,
     NotRunReason.CANCELLED: 499,
 }
+MAY_HAVE_RUN_STATUS: dict[MayHaveRunReason, int] = {
+    MayHaveRunReason.NO_ANSWER: 504,
+    MayHaveRunReason.RELAY_LOST: 504,
+    MayHaveRunReason.ALREADY_CLAIMED: 409,
+    MayHaveRunReason.EARLIER_SUBMISSION: 409,
+    MayHaveRunReason.CANCELLED: 504,
+}
 
 
 class MissingShardBody(msgspec.Struct, frozen=True):
@@ -94,8 +100,8 @@
             return PARTIAL_CONTENT
         case NotRun(reason):
             return NOT_RUN_STATUS[reason]
-        case MayHaveRun():
-            return GATEWAY_TIMEOUT
+        case MayHaveRun(may_reason):
+            return MAY_HAVE_RUN_STATUS[may_reason]
         case Failed():
             return BAD_GATEWAY
 
--- a/tinrudder/backends/connection_pool.py
+++ b/tinrudder/backends/connection_pool.py
@@ -20,6 +20,7 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 30.0
 CLOSED_DETAIL = "the transport is closed"
+PERMISSION_DETAIL = "the permission to send has ended"
 
 ContextSource = Callable[[], ssl.SSLContext | None]
 
@@ -155,6 +156,9 @@
             if waiting.call.deadline <= now:
                 self._refuse(waiting, "no connection before the deadline")
                 continue
+            if waiting.call.may_leave is not None and not waiting.call.may_leave():
+                self._refuse(waiting, PERMISSION_DETAIL)
+                continue
             return waiting
         return None
 
--- a/tinrudder/backends/messages.py
+++ b/tinrudder/backends/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -76,6 +77,8 @@
     :param max_connections: connections this node may hold to the back end.
     :param may_have_left: bytes of the call may have left this process; only a transport that
         knows better clears it.
+    :param may_leave: asked by the transport immediately before bytes leave; when it says no the
+        reply is :class:`NotSent`.
     :param carrier: what carries the call now, for the transport's own use.
     """
 
@@ -88,6 +91,7 @@
     tls: bool = False
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     may_have_left: bool = True
+    may_leave: Callable[[], bool] | None = None
     carrier: object = None
 
 
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -19,9 +19,10 @@
 from tinrudder.api.caller_protocol import CallerProtocol
 from tinrudder.api.cursor import CursorCodec
 from tinrudder.api.explain_app import explain_route
-from tinrudder.api.finished_query import QueryLog
+from tinrudder.api.finished_query import QueryLog, QueryObserver
 from tinrudder.api.health import CloseWhenStopping, health_routes
 from tinrudder.api.metrics_app import metrics_route
+from tinrudder.api.operation_app import operation_route
 from tinrudder.api.resource_routes import resource_routes
 from tinrudder.backends.http_transport import HttpBackendTransport
 from tinrudder.cli.tls_edges import build_edges, follow_files
@@ -113,14 +114,18 @@
     metrics = NodeMetrics()
     show_node(metrics, node)
     explanations = NodeExplanations(node)
+    observers: list[QueryObserver] = [
+        QueryLog(settings.query_log_share),
+        metrics,
+        explanations.on_finished,
+    ]
     callers = CallerApplication(
-        loop,
-        node.entry,
-        node.configuration,
-        CursorCodec(cluster_keys),
-        [QueryLog(settings.query_log_share), metrics, explanations.on_finished],
+        loop, node.entry, node.configuration, CursorCodec(cluster_keys), observers
     )
     operators = parse_operator_credentials(settings.operator_credentials)
+    callers.app.router.routes.append(
+        operation_route(loop, node.operations, node.configuration, observers)
+    )
     callers.app.router.routes.append(metrics_route(metrics, operators))
     callers.app.router.routes.append(
         explain_route(explanations.lookup.find, operators, node.configuration)
--- a/tinrudder/cluster/claim_proposer.py
+++ b/tinrudder/cluster/claim_proposer.py
@@ -40,15 +40,15 @@
     back; passing either limit ends the permission.
 
     :param monotonic_until: set before the first vote was asked for.
-    :param valid_until: the request's own limit on the wall clock.
+    :param wall_until: no later than the request's ``valid_until``.
     """
 
     monotonic_until: float
-    valid_until: float
+    wall_until: float
 
     def is_open(self, monotonic: float, wall: float) -> bool:
         """Tell whether the request may still be sent."""
-        return monotonic < self.monotonic_until and wall < self.valid_until
+        return monotonic < self.monotonic_until and wall < self.wall_until
 
 
 class ClaimProposer:
@@ -58,15 +58,17 @@
         self,
         proposer: ProposerId,
         key: ClaimKey,
+        valid_until: float,
         window: DispatchWindow,
         electorates: Sequence[Electorate],
     ) -> None:
         """Begin asking; ``electorates`` are those this node knows to be required."""
         self.proposer = proposer
         self.key = key
+        self.valid_until = valid_until
         self.window = window
         self.phase = ClaimPhase.ASKING
-        self.holder: ProposerId | None = None
+        self.holders: dict[ProposerId, None] = {}
         self.electorates: dict[int, Electorate] = {}
         self.granted: set[Voter] = set()
         self.refused: set[Voter] = set()
@@ -79,7 +81,7 @@
         """Return the request to send to a voter, citing all electorates known now."""
         cited = tuple(sorted(self.electorates))
         self.cited_to[voter] = len(cited)
-        return VoteRequest(self.key, self.proposer, self.window.valid_until, cited)
+        return VoteRequest(self.key, self.proposer, self.valid_until, cited)
 
     def voters(self) -> tuple[Voter, ...]:
         """Return the voters of all electorates, sorted."""
@@ -98,7 +100,7 @@
                 self.granted.add(voter)
                 self.refused.discard(voter)
             case Held(holder):
-                self.holder = holder
+                self.holders[holder] = None
                 self.refused.add(voter)
             case Abstained():
                 self.refused.add(voter)
--- a/tinrudder/cluster/claims.py
+++ b/tinrudder/cluster/claims.py
@@ -124,3 +124,32 @@
     clock_skew_s: float = 1.0
     settle_s: float = 60.0
     removed_wait_s: float = 180.0
+
+
+class AnswerStatus(enum.StrEnum):
+    """What the holder of a key says of its request."""
+
+    RAN = "ran"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+    OTHER_REQUEST = "other_request"
+
+
+@dataclass(frozen=True, slots=True)
+class AnswerQuestion:
+    """A duplicate asks the holder of its key for the stored answer.
+
+    :param content: digest of the duplicate's own request; another request's answer is not given.
+    """
+
+    key: ClaimKey
+    proposer: ProposerId
+    content: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StoredAnswer:
+    """The holder's word, and the encoded outcome if it is still held."""
+
+    status: AnswerStatus
+    payload: bytes = b""
--- /dev/null
+++ b/tinrudder/cluster/claims_service.py
@@ -0,0 +1,343 @@
+"""Claims on a running node: asks voters over the peer transport and votes itself.
+
+All decisions are in :mod:`claim_voter`, :mod:`claim_proposer` and :mod:`electorate_history`;
+this module only carries messages and reads the clocks.
+
+A user of this library learns member lists into it, claims a key, and sends only while
+:meth:`Claim.begin_dispatch` allows it::
+
+    service.learn_list(revision, {"region": listed_voters})
+    claim = await service.claim("region", key, valid_until, window, timeout_s)
+    if claim.won and claim.begin_dispatch():
+        ...  # send, once
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Mapping, Sequence
+from dataclasses import dataclass
+
+from tinrudder.cluster.claim_proposer import ClaimPhase, ClaimProposer, DispatchWindow
+from tinrudder.cluster.claim_voter import ClaimVoter
+from tinrudder.cluster.claims import (
+    Abstained,
+    AbstainReason,
+    AnswerQuestion,
+    AnswerStatus,
+    ClaimKey,
+    ClaimLimits,
+    ProposerId,
+    StoredAnswer,
+    VoteRelease,
+    VoteReply,
+    VoteRequest,
+)
+from tinrudder.cluster.electorate import Electorate, Voter
+from tinrudder.cluster.electorate_history import ElectorateHistory, ListedVoter
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError, PeerTransport
+from tinrudder.timers import Timers, WallClock
+from tinrudder.wire.claims_codec import (
+    ClaimReply,
+    MalformedClaimError,
+    SentReply,
+    SentRequest,
+    decode_reply,
+    decode_request,
+    encode_reply,
+    encode_request,
+)
+
+INSTANCE_BITS = 63
+
+AnswerSource = Callable[[AnswerQuestion], Awaitable[StoredAnswer]]
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimNode:
+    """This node as voter and proposer."""
+
+    voter: Voter
+    region: str
+
+
+@dataclass(slots=True)
+class ClaimCounters:
+    """What claims cost this node, since start."""
+
+    claims: int = 0
+    won: int = 0
+    votes_asked: int = 0
+    votes_given: int = 0
+    sent_bytes: int = 0
+
+
+class Claim:
+    """One attempt to claim a key, won or not."""
+
+    def __init__(
+        self,
+        proposer: ClaimProposer,
+        timers: Timers,
+        wall_clock: WallClock,
+        release: Callable[[ClaimProposer], None],
+    ) -> None:
+        """Read both clocks at every question."""
+        self.proposer = proposer
+        self._timers = timers
+        self._wall_clock = wall_clock
+        self._release = release
+
+    @property
+    def won(self) -> bool:
+        """Tell whether the key is ours."""
+        return self.proposer.phase is ClaimPhase.WON
+
+    @property
+    def dispatched(self) -> bool:
+        """Tell whether the request may have left."""
+        return self.proposer.phase is ClaimPhase.DISPATCHED
+
+    @property
+    def holders(self) -> tuple[ProposerId, ...]:
+        """Return the other proposers that voters named as the key's holders."""
+        return tuple(self.proposer.holders)
+
+    def begin_dispatch(self) -> bool:
+        """Use up the permission to send; ``True`` at most once."""
+        return self.proposer.begin_dispatch(self._timers.time(), self._wall_clock())
+
+    def is_open(self) -> bool:
+        """Tell whether the time to send has not run out; ask again as the bytes leave."""
+        return self.proposer.window.is_open(self._timers.time(), self._wall_clock())
+
+    def dispatch_did_not_start(self) -> None:
+        """Restore the permission: the request is known not to have started."""
+        self.proposer.dispatch_did_not_start()
+
+    def give_up(self) -> bool:
+        """Renounce and release the votes; ``False`` if the request may have left."""
+        if not self.proposer.give_up():
+            return False
+        self._release(self.proposer)
+        return True
+
+
+class ClaimsService:
+    """Votes and claims on one node."""
+
+    def __init__(
+        self,
+        timers: Timers,
+        wall_clock: WallClock,
+        source: random.Random,
+        channel: PeerTransport,
+        node: ClaimNode,
+        limits: ClaimLimits,
+        answers: AnswerSource,
+    ) -> None:
+        """Vote on ``channel`` from :meth:`start` on.
+
+        :param answers: tells a duplicate what became of a request that this node holds.
+        """
+        self._timers = timers
+        self._wall_clock = wall_clock
+        self._channel = channel
+        self._node = node
+        self.limits = limits
+        self._answers = answers
+        self._instance = source.getrandbits(INSTANCE_BITS)
+        self._attempts = 0
+        self._histories: dict[str, ElectorateHistory] = {}
+        self._revision = 0
+        self._voter: ClaimVoter | None = None
+        self.counters = ClaimCounters()
+        channel.listen(self._on_datagram, self._on_request)
+
+    @property
+    def held(self) -> int:
+        """Return how many keys this node's vote is given to."""
+        return self._voter.held if self._voter is not None else 0
+
+    def start(self) -> None:
+        """Begin to vote, without memory of what an earlier process here may have granted."""
+        self._voter = ClaimVoter(self.limits, self._wall_clock())
+
+    def learn_list(self, revision: int, regions: Mapping[str, Sequence[ListedVoter]]) -> None:
+        """Take the platform's list, by region; an older or equal one changes nothing."""
+        if revision <= self._revision:
+            return
+        self._revision = revision
+        now = self._wall_clock()
+        for region in sorted(self._histories.keys() | regions.keys()):
+            history = self._histories.setdefault(region, ElectorateHistory(self.limits))
+            history.learn(revision, regions.get(region, ()), now)
+        self._heard(self._node.voter.identity, revision)
+
+    async def claim(
+        self,
+        region: str,
+        key: ClaimKey,
+        valid_until: float,
+        window: DispatchWindow,
+        timeout_s: float,
+        on_proposer: Callable[[ProposerId], None] | None = None,
+    ) -> Claim:
+        """Ask the key's voters until it is won or out of reach, or ``timeout_s`` have passed.
+
+        Cancelling the task gives the claim up.
+
+        :param window: set before the call; until when a won claim may be dispatched.
+        :param on_proposer: told under which name the votes are asked for, before any of them is.
+        """
+        self.counters.claims += 1
+        self._attempts += 1
+        identity = ProposerId(
+            self._node.voter.name, self._instance, self._attempts, self._node.voter.address
+        )
+        if on_proposer is not None:
+            on_proposer(identity)
+        history = self._histories.get(region)
+        required: Sequence[Electorate] = ()
+        if history is not None and history.settled:
+            required = history.required(key, valid_until)
+        proposer = ClaimProposer(identity, key, valid_until, window, required)
+        claim = Claim(proposer, self._timers, self._wall_clock, self._release)
+        try:
+            await self._ask_until_decided(proposer, self._timers.time() + timeout_s)
+        finally:
+            if not claim.won:
+                claim.give_up()
+        self.counters.won += claim.won
+        return claim
+
+    async def ask_holder(
+        self, key: ClaimKey, holder: ProposerId, content: bytes, timeout_s: float
+    ) -> StoredAnswer:
+        """Return what the holder of a key says became of its request."""
+        question = AnswerQuestion(key, holder, content)
+        if holder.address == self._node.voter.address:
+            return await self._answers(question)
+        reply = await self._exchange(holder.address, question, timeout_s)
+        if isinstance(reply, StoredAnswer):
+            return reply
+        return StoredAnswer(AnswerStatus.UNKNOWN)
+
+    async def _ask_until_decided(self, proposer: ClaimProposer, until: float) -> None:
+        """Run the requests for votes side by side; replies are taken in a fixed order."""
+        asking: dict[asyncio.Task[VoteReply | None], Voter] = {}
+        self._ask(proposer, proposer.voters(), until, asking)
+        try:
+            while asking and proposer.phase is ClaimPhase.ASKING:
+                await asyncio.wait(asking, return_when=asyncio.FIRST_COMPLETED)
+                for task in [task for task in asking if task.done()]:
+                    voter = asking.pop(task)
+                    reply = task.result()
+                    if reply is None:
+                        proposer.on_no_reply(voter)
+                    else:
+                        self._ask(proposer, proposer.on_reply(voter, reply), until, asking)
+        finally:
+            for task in asking:
+                task.cancel()
+
+    def _ask(
+        self,
+        proposer: ClaimProposer,
+        voters: Sequence[Voter],
+        until: float,
+        asking: dict[asyncio.Task[VoteReply | None], Voter],
+    ) -> None:
+        """Start a request to each of ``voters``."""
+        for voter in voters:
+            request = proposer.request_to(voter)
+            timeout_s = until - self._timers.time()
+            task = asyncio.create_task(self._ask_voter(voter, request, timeout_s))
+            asking[task] = voter
+            self.counters.votes_asked += 1
+
+    async def _ask_voter(
+        self, voter: Voter, request: VoteRequest, timeout_s: float
+    ) -> VoteReply | None:
+        """Return a voter's reply, ``None`` if none came."""
+        if voter.address == self._node.voter.address:
+            return self._vote(request)
+        if timeout_s <= 0:
+            return None
+        sent = await self._exchange(voter.address, request, timeout_s, voter.identity)
+        return None if isinstance(sent, StoredAnswer) else sent
+
+    async def _exchange(
+        self,
+        destination: PeerAddress,
+        request: VoteRequest | AnswerQuestion,
+        timeout_s: float,
+        identity: str | None = None,
+    ) -> ClaimReply | None:
+        """Send one request; ``None`` if no readable reply came."""
+        payload = encode_request(SentRequest(self._revision, request))
+        self.counters.sent_bytes += len(payload)
+        try:
+            answer = await self._channel.request(destination, payload, timeout_s)
+            sent = decode_reply(answer)
+        except (PeerNotSentError, PeerLostError, MalformedClaimError):
+            return None
+        if identity is not None:
+            self._heard(identity, sent.revision)
+        return sent.reply
+
+    def _release(self, proposer: ClaimProposer) -> None:
+        """Give back every vote the proposer may hold; a lost release only costs the caller time."""
+        release = VoteRelease(proposer.key, proposer.proposer)
+        payload = encode_request(SentRequest(self._revision, release))
+        for voter in proposer.voters():
+            if voter.address != self._node.voter.address:
+                self._channel.send_datagram(voter.address, payload)
+                self.counters.sent_bytes += len(payload)
+            elif self._voter is not None:
+                self._voter.release(release)
+
+    def _on_datagram(self, _source: PeerAddress, payload: bytes) -> None:
+        """Take a release."""
+        try:
+            sent = decode_request(payload)
+        except MalformedClaimError:
+            return
+        if isinstance(sent.request, VoteRelease) and self._voter is not None:
+            self._voter.release(sent.request)
+
+    async def _on_request(self, _source: PeerAddress, payload: bytes) -> bytes:
+        """Vote, or answer a duplicate's question.
+
+        :raises MalformedClaimError: the bytes are no request; the peer sees a lost request.
+        """
+        sent = decode_request(payload)
+        match sent.request:
+            case VoteRequest() as request:
+                proposer = request.proposer
+                self._heard(f"{proposer.node}@{proposer.address}", sent.revision)
+                reply: ClaimReply = self._vote(request)
+            case AnswerQuestion() as question:
+                reply = await self._answers(question)
+            case _:
+                raise MalformedClaimError("claim request: releases come as datagrams")
+        answer = encode_reply(SentReply(self._revision, reply))
+        self.counters.sent_bytes += len(answer)
+        return answer
+
+    def _vote(self, request: VoteRequest) -> VoteReply:
+        """Vote as this node."""
+        history = self._histories.get(self._node.region)
+        if self._voter is None or history is None or not history.settled:
+            return Abstained(AbstainReason.LIST_UNSETTLED)
+        required = history.required(request.key, request.valid_until)
+        reply = self._voter.vote(request, required, self._wall_clock())
+        self.counters.votes_given += 1
+        return reply
+
+    def _heard(self, identity: str, revision: int) -> None:
+        """Note that a node knows a list revision."""
+        now = self._wall_clock()
+        for history in self._histories.values():
+            history.heard(identity, revision, now)
--- a/tinrudder/cluster/electorate_history.py
+++ b/tinrudder/cluster/electorate_history.py
@@ -65,10 +65,13 @@
         """Take a list newer than any known; a lower or equal revision changes nothing."""
         if revision <= self.revision:
             return False
-        if self._lists:
-            self._lists[-1].superseded_at = now
-        voters = [member.voter for member in members if not member.leaving]
-        self._lists.append(LearnedList(VoterList(revision, voters)))
+        newest = VoterList(revision, [member.voter for member in members if not member.leaving])
+        if self._lists and self._lists[-1].voters.voters == newest.voters:
+            self._lists[-1].voters = newest
+        else:
+            if self._lists:
+                self._lists[-1].superseded_at = now
+            self._lists.append(LearnedList(newest))
         self._note_removed({member.voter.identity for member in members}, now)
         self._forget_sealed(now)
         return True
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -9,11 +9,13 @@
 from tinrudder.environment import Environment
 from tinrudder.lifecycle import NodeLifecycle
 from tinrudder.logs import LogValue, log_event, log_problem
+from tinrudder.node_claims import NodeClaims
 from tinrudder.node_configuration import NodeConfiguration
 from tinrudder.node_membership import NodeMembership
 from tinrudder.node_observations import NodeObservations
 from tinrudder.platform.messages import PlatformUnavailableError
 from tinrudder.query.admission_gate import AdmissionGate
+from tinrudder.query.at_most_once import OperationRunner
 from tinrudder.query.coordinator import Coordinator
 from tinrudder.query.coordinator_sets import CoordinatorSets
 from tinrudder.query.dispatcher import Dispatcher
@@ -56,6 +58,7 @@
         self.configuration_store = self.node_configuration.store
         self._build_coordinator()
         self._build_relay()
+        self._build_operations()
         self._connect_membership()
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -70,10 +73,10 @@
         self.backends.on_update = self._fill_backends
         source = self._environment.random
         admission = ExpectedWaitAdmission(queue, source)
-        gate = AdmissionGate(timers, admission, usage, self.configuration, source)
+        self._gate = AdmissionGate(timers, admission, usage, self.configuration, source)
         self.routing = RoutingTable(timers.time, source)
-        planner = Planner(timers, self.configuration, self.backends, self.routing)
-        self.coordinator = Coordinator(timers, self.dispatcher, planner, gate)
+        self._planner = Planner(timers, self.configuration, self.backends, self.routing)
+        self.coordinator = Coordinator(timers, self.dispatcher, self._planner, self._gate)
 
     def _build_relay(self) -> None:
         """Build both ends of the relay and the entry on top of them."""
@@ -118,6 +121,21 @@
         """Return which revision every member is known to enforce."""
         return self.members.node_revisions()
 
+    def _build_operations(self) -> None:
+        """Build claims and the runner of operations that must not be repeated."""
+        self.claims = NodeClaims(self.settings, self._environment, self.channels)
+        self.operations = OperationRunner(
+            self._environment.timers,
+            self._environment.wall_clock,
+            self.claims.service,
+            self.claims.outcomes,
+            self.dispatcher,
+            self._planner,
+            self._gate,
+            self.configuration,
+            self.lifecycle.accepts_work,
+        )
+
     def configuration(self) -> Configuration:
         """Return the configuration in force."""
         return self.configuration_store.current
@@ -128,11 +146,13 @@
 
     @property
     def in_progress(self) -> int:
-        """Return how many queries this node has not finished, relayed ones included."""
-        return max(self.coordinator.in_progress, self.relay_server.in_progress)
+        """Return how many requests this node has not finished, relayed queries included."""
+        queries = max(self.coordinator.in_progress, self.relay_server.in_progress)
+        return queries + self.operations.in_progress
 
     async def start(self) -> None:
         """Learn members and configuration from whoever answers, then keep following them."""
+        self.claims.service.start()
         await self._poll_members()
         await self.members.start()
         await self.node_configuration.start()
@@ -210,6 +230,9 @@
     async def _poll_members(self) -> None:
         """Fetch the list of machines; an unavailable platform changes nothing."""
         try:
-            self.members.offer_list(await self._environment.platform.fetch_members())
+            members = await self._environment.platform.fetch_members()
         except PlatformUnavailableError as error:
             log_problem("platform unavailable", {"error": str(error)})
+            return
+        self.members.offer_list(members)
+        self.claims.offer_list(members)
--- /dev/null
+++ b/tinrudder/node_claims.py
@@ -0,0 +1,57 @@
+"""A node's claims, bound to the node's settings, transport and the platform's member list."""
+
+from __future__ import annotations
+
+from tinrudder.cluster.claims import ClaimLimits
+from tinrudder.cluster.claims_service import ClaimNode, ClaimsService
+from tinrudder.cluster.electorate import Voter
+from tinrudder.cluster.electorate_history import ListedVoter
+from tinrudder.environment import Environment
+from tinrudder.peers import PeerAddress
+from tinrudder.platform.messages import MemberList, MemberState, PlatformMember
+from tinrudder.query.operation_outcomes import OperationOutcomes
+from tinrudder.settings import NodeSettings
+from tinrudder.wire.channels import Channel, ChannelRouter
+
+LONGEST_PAUSE_S = 60.0
+
+
+class NodeClaims:
+    """Votes, claims and the outcomes that duplicates ask for."""
+
+    def __init__(
+        self, settings: NodeSettings, environment: Environment, channels: ChannelRouter
+    ) -> None:
+        """Vote on the claims channel once the service is started."""
+        address = PeerAddress(settings.host, settings.peer_port)
+        voter = Voter(settings.name, settings.zone, address)
+        self.outcomes = OperationOutcomes(environment.wall_clock)
+        self.service = ClaimsService(
+            environment.timers,
+            environment.wall_clock,
+            environment.random,
+            channels.channel(Channel.CLAIMS),
+            ClaimNode(voter, settings.region),
+            limits_of(settings),
+            self.outcomes.answer,
+        )
+
+    def offer_list(self, members: MemberList) -> None:
+        """Take the platform's list."""
+        regions: dict[str, list[ListedVoter]] = {}
+        for member in members.members:
+            regions.setdefault(member.region, []).append(_listed(member))
+        self.service.learn_list(members.revision, regions)
+
+
+def limits_of(settings: NodeSettings) -> ClaimLimits:
+    """Return the claims' times; a machine off the list is waited for past its longest pause."""
+    window_s = settings.claim_window_s
+    removed_wait_s = window_s + LONGEST_PAUSE_S + settings.clock_skew_s
+    return ClaimLimits(window_s, settings.clock_skew_s, window_s, removed_wait_s)
+
+
+def _listed(member: PlatformMember) -> ListedVoter:
+    address = PeerAddress(member.host, member.port)
+    voter = Voter(member.name, member.zone, address)
+    return ListedVoter(voter, member.state is MemberState.LEAVING)
--- a/tinrudder/outcomes.py
+++ b/tinrudder/outcomes.py
@@ -39,7 +39,6 @@
     INVALID_REQUEST = "invalid_request"
     STOPPING = "stopping"
     NO_QUORUM = "no_quorum"
-    ALREADY_CLAIMED = "already_claimed"
     CANCELLED = "cancelled"
 
 
@@ -48,6 +47,8 @@
 
     NO_ANSWER = "no_answer"
     RELAY_LOST = "relay_lost"
+    ALREADY_CLAIMED = "already_claimed"
+    EARLIER_SUBMISSION = "earlier_submission"
     CANCELLED = "cancelled"
 
 
--- /dev/null
+++ b/tinrudder/query/at_most_once.py
@@ -0,0 +1,267 @@
+"""Runs operations that must not be repeated: claim the key, send once, tell the truth.
+
+docs/CLAIMS.md has the argument; docs/API.md tells callers what to do after each outcome.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import xxhash
+
+from tinrudder.cluster.claim_proposer import DispatchWindow
+from tinrudder.cluster.claims import AnswerStatus, ClaimKey, StoredAnswer, make_claim_key
+from tinrudder.cluster.claims_service import Claim, ClaimsService
+from tinrudder.outcomes import Failed, MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome
+from tinrudder.query.admission_gate import AdmissionGate
+from tinrudder.query.dispatcher import Dispatcher
+from tinrudder.query.operation_call import LINGER_S, OperationCall
+from tinrudder.query.operation_outcomes import HeldOperation, OperationOutcomes
+from tinrudder.query.operation_request import OperationRequest
+from tinrudder.query.plan import Planner, QueryPlan
+from tinrudder.query.request import QueryRequest
+from tinrudder.resources.configuration import Configuration
+from tinrudder.timers import Timers, WallClock
+from tinrudder.wire.relay_codec import RelayCodecError, decode_outcome
+
+CLAIM_TIME_SHARE = 0.5
+"""Part of the remaining time that asking for votes may take; the rest is for the back end."""
+
+ORDER_BY = "time"
+RETRY_AFTER_S = 1.0
+LOST = NotRun(
+    NotRunReason.NO_QUORUM,
+    "other submissions of this key were made at the same time, and none got a majority",
+    RETRY_AFTER_S,
+)
+
+
+class OperationRunner:
+    """Runs operations on the node that received them."""
+
+    def __init__(
+        self,
+        timers: Timers,
+        wall_clock: WallClock,
+        claims: ClaimsService,
+        outcomes: OperationOutcomes,
+        dispatcher: Dispatcher,
+        planner: Planner,
+        gate: AdmissionGate,
+        configuration: Callable[[], Configuration],
+        accepts_work: Callable[[], bool],
+    ) -> None:
+        """Read the configuration in force through ``configuration`` at every operation."""
+        self._timers = timers
+        self._wall_clock = wall_clock
+        self._claims = claims
+        self._outcomes = outcomes
+        self._dispatcher = dispatcher
+        self._planner = planner
+        self._gate = gate
+        self._configuration = configuration
+        self._accepts_work = accepts_work
+        self._running: set[asyncio.Task[None]] = set()
+
+    @property
+    def in_progress(self) -> int:
+        """Return how many operations have no final outcome yet."""
+        return len(self._running)
+
+    async def run(self, request: OperationRequest) -> Outcome:
+        """Return the outcome of one submission.
+
+        ``NotRun`` is about this submission.  One that is marked as a resubmission is told
+        ``NotRun`` only where no earlier submission can have run either.
+        """
+        outcome = await self._run(request)
+        if request.resubmission and isinstance(outcome, NotRun):
+            detail = (
+                f"this submission did not run ({outcome.reason.value}); an earlier one may have"
+            )
+            return MayHaveRun(MayHaveRunReason.EARLIER_SUBMISSION, detail)
+        return outcome
+
+    async def _run(self, request: OperationRequest) -> Outcome:
+        """Give a duplicate the outcome of the attempt that this node holds, else begin one."""
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return refusal
+        key = make_claim_key(request.tenant, request.request_key)
+        held = self._outcomes.find(key)
+        if held is not None:
+            return await self._join(held, request)
+        plan = self._plan(request)
+        if isinstance(plan, NotRun):
+            return plan
+        return await self._begin(request, key, plan)
+
+    def _refusal(self, request: OperationRequest) -> NotRun | None:
+        """Check the times; nothing of a refused submission is ever sent."""
+        if not self._accepts_work():
+            return NotRun(NotRunReason.STOPPING, "this node is stopping")
+        if self._timers.time() >= request.deadline:
+            return NotRun(NotRunReason.DEADLINE, "deadline: has passed")
+        left_s = request.valid_until - self._wall_clock()
+        if left_s <= 0:
+            return NotRun(NotRunReason.INVALID_REQUEST, "valid_until: has passed")
+        window_s = self._claims.limits.window_s
+        if left_s > window_s:
+            detail = f"valid_until: at most {window_s:g} s ahead, got {left_s:.3f}"
+            return NotRun(NotRunReason.INVALID_REQUEST, detail)
+        return None
+
+    def _plan(self, request: OperationRequest) -> QueryPlan | NotRun:
+        """Plan one call to one shard of the newest version."""
+        configuration = self._configuration()
+        rule = configuration.rules.get(request.rule)
+        index = configuration.indexes.get(request.index)
+        version = None
+        shards: tuple[str, ...] = ()
+        if index is not None:
+            newest = max(index.versions, key=lambda one: one.version)
+            version = newest.version
+            names = sorted(shard.shard for shard in newest.shards)
+            chosen = xxhash.xxh3_64_intdigest(request.request_key.encode()) % len(names)
+            shards = (names[chosen],)
+        query = QueryRequest(
+            request.query_id,
+            request.tenant,
+            request.index,
+            request.rule,
+            request.match,
+            ORDER_BY,
+            False,
+            rule.max_rows if rule is not None else 1,
+            request.deadline,
+            version=version,
+            operation=request.operation,
+            shards=shards,
+        )
+        plan = self._planner.plan(query)
+        if isinstance(plan, Failed):
+            return NotRun(NotRunReason.NO_BACKEND, plan.detail)
+        if isinstance(plan, QueryPlan) and plan.rule.repeatable:
+            detail = "rule: is for queries that may be repeated"
+            return NotRun(NotRunReason.INVALID_REQUEST, detail)
+        return plan
+
+    async def _begin(self, request: OperationRequest, key: ClaimKey, plan: QueryPlan) -> Outcome:
+        """Run an attempt in a task of its own: its outcome matters to duplicates, too."""
+        forget_at = request.valid_until + self._claims.limits.clock_skew_s + LINGER_S
+        held = self._outcomes.begin(key, request.tenant, request.content(), forget_at)
+        if held is None:
+            detail = "the tenant's cap on operations in one window is reached"
+            return NotRun(NotRunReason.TENANT_LIMIT, detail, self._claims.limits.window_s)
+        told: asyncio.Future[Outcome] = asyncio.get_running_loop().create_future()
+        task = asyncio.create_task(self._attempt(request, plan, held, told))
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return await asyncio.shield(told)
+
+    async def _attempt(
+        self,
+        request: OperationRequest,
+        plan: QueryPlan,
+        held: HeldOperation,
+        told: asyncio.Future[Outcome],
+    ) -> None:
+        """Take one attempt to its final outcome."""
+        outcome: Outcome = MayHaveRun(MayHaveRunReason.NO_ANSWER, "the attempt ended early")
+        permit = self._gate.enter(plan)
+        try:
+            if isinstance(permit, NotRun):
+                outcome = permit
+                return
+            claim = await self._claim(request, plan, held)
+            if claim.won:
+                outcome = await self._send(request, plan, claim, told)
+            else:
+                outcome = await self._lost(request, claim, held)
+        finally:
+            if not isinstance(permit, NotRun):
+                permit.close()
+            self._outcomes.finish(held, outcome)
+            if not told.done():
+                told.set_result(outcome)
+
+    async def _claim(
+        self, request: OperationRequest, plan: QueryPlan, held: HeldOperation
+    ) -> Claim:
+        """Ask for the key; the clocks are read before the first vote is asked for."""
+        now = self._timers.time()
+        remaining_s = request.deadline - now
+        wall_until = min(request.valid_until, self._wall_clock() + remaining_s)
+        window = DispatchWindow(request.deadline, wall_until)
+        region = self._configuration().services[plan.service].region
+        return await self._claims.claim(
+            region,
+            held.key,
+            request.valid_until,
+            window,
+            remaining_s * CLAIM_TIME_SHARE,
+            lambda proposer: self._outcomes.name(held, proposer),
+        )
+
+    async def _send(
+        self,
+        request: OperationRequest,
+        plan: QueryPlan,
+        claim: Claim,
+        told: asyncio.Future[Outcome],
+    ) -> Outcome:
+        """Send once; give the votes back if nothing was started."""
+        call = OperationCall(request, plan, claim, self._dispatcher, self._timers)
+        call.start()
+        early = await call.told
+        if not call.final.done():
+            told.set_result(early)
+        outcome = await call.final
+        if isinstance(outcome, NotRun):
+            claim.give_up()
+        return outcome
+
+    async def _lost(self, request: OperationRequest, claim: Claim, held: HeldOperation) -> Outcome:
+        """Answer a submission that did not get the key.
+
+        Duplicates that took the votes from each other must not wait for each other: this one is
+        known to be over before it asks what became of the others.
+        """
+        self._outcomes.settle(held, LOST)
+        if not claim.holders:
+            detail = "no majority of voters on this key could be reached"
+            return NotRun(NotRunReason.NO_QUORUM, detail, RETRY_AFTER_S)
+        for holder in claim.holders:
+            timeout_s = max(0.0, request.deadline - self._timers.time())
+            answer = await self._claims.ask_holder(held.key, holder, held.content, timeout_s)
+            if answer.status is not AnswerStatus.NOT_RUN:
+                return _outcome_of(answer)
+        return LOST
+
+    async def _join(self, held: HeldOperation, request: OperationRequest) -> Outcome:
+        """Wait for the outcome of an attempt that this node has begun."""
+        if held.content != request.content():
+            return _outcome_of(StoredAnswer(AnswerStatus.OTHER_REQUEST))
+        remaining_s = request.deadline - self._timers.time()
+        try:
+            async with asyncio.timeout(remaining_s):
+                return await asyncio.shield(held.finished)
+        except TimeoutError:
+            detail = "another submission of this key has no outcome yet"
+            return MayHaveRun(MayHaveRunReason.ALREADY_CLAIMED, detail)
+
+
+def _outcome_of(answer: StoredAnswer) -> Outcome:
+    """Turn the word of a key's holder into the duplicate's outcome."""
+    match answer.status:
+        case AnswerStatus.OTHER_REQUEST:
+            detail = "the key belongs to another request"
+            return MayHaveRun(MayHaveRunReason.ALREADY_CLAIMED, detail)
+        case AnswerStatus.RAN if answer.payload:
+            try:
+                return decode_outcome(answer.payload)
+            except RelayCodecError:
+                pass
+    detail = "already claimed by another submission, whose answer is not available"
+    return MayHaveRun(MayHaveRunReason.ALREADY_CLAIMED, detail)
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -135,10 +135,12 @@
         request: SearchRequest,
         deadline: float,
         listener: SentCallListener,
+        may_leave: Callable[[], bool] | None = None,
     ) -> SentCall:
         """Send one call and count it against the back end's limit until it ends.
 
         :param request: its call id comes from :meth:`next_call_id`.
+        :param may_leave: asked again immediately before bytes leave, e.g. after a connect.
         """
         call_id = request.call_id
         call = BackendCall(
@@ -150,6 +152,7 @@
             deadline,
             backend.tls,
             backend.max_connections,
+            may_leave=may_leave,
         )
         sent = SentCall(backend, call, self._timers.time(), listener)
         self._in_flight[call_id] = sent
--- /dev/null
+++ b/tinrudder/query/operation_call.py
@@ -0,0 +1,201 @@
+"""Sends one claimed operation to one back end, and never again once bytes may have left."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tinrudder.backends.messages import (
+    Answered,
+    BackendReply,
+    Broken,
+    Draining,
+    NotSent,
+    SearchAnswer,
+    SearchRequest,
+    Shed,
+    VersionGone,
+)
+from tinrudder.cluster.claims_service import Claim
+from tinrudder.outcomes import (
+    Answer,
+    Complete,
+    Coverage,
+    Failed,
+    FailedReason,
+    MayHaveRun,
+    MayHaveRunReason,
+    NotRun,
+    NotRunReason,
+    Outcome,
+)
+from tinrudder.query.dispatcher import Dispatcher, SentCall
+from tinrudder.query.merge import merge_rows
+from tinrudder.query.operation_request import OperationRequest
+from tinrudder.query.plan import QueryPlan
+from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.pending_call import PendingCall
+from tinrudder.timers import Timers
+
+LINGER_S = 5.0
+"""How long after the caller's deadline a sent call's answer is still waited for: a duplicate can
+then be given it."""
+
+
+class OperationCall:
+    """One dispatch of one claim.
+
+    ``told`` is the caller's outcome, known by the deadline; ``final`` may come later and know
+    more, namely when the answer arrives after a caller was told that the request may have run.
+    """
+
+    def __init__(
+        self,
+        request: OperationRequest,
+        plan: QueryPlan,
+        claim: Claim,
+        dispatcher: Dispatcher,
+        timers: Timers,
+    ) -> None:
+        """Prepare; nothing is sent before :meth:`start`."""
+        loop = asyncio.get_running_loop()
+        self.told: asyncio.Future[Outcome] = loop.create_future()
+        self.final: asyncio.Future[Outcome] = loop.create_future()
+        self._request = request
+        self._plan = plan
+        self._claim = claim
+        self._dispatcher = dispatcher
+        self._timers = timers
+        self._tried: list[BackendRecord] = []
+        self._pending: PendingCall | None = None
+        self._sent: SentCall | None = None
+        self._deadline_timer = timers.call_at(request.deadline, self._on_deadline)
+        self._linger_timer = timers.call_at(request.deadline + LINGER_S, self._on_linger_end)
+
+    def start(self) -> None:
+        """Offer the call to the back ends that have not refused it."""
+        planned = self._plan.shards[0]
+        candidates = tuple(
+            backend
+            for backend in planned.candidates
+            if not backend.leaving and backend not in self._tried
+        )
+        if not candidates:
+            self._end(NotRun(NotRunReason.NO_BACKEND, "no back end took the operation"))
+            return
+        self._pending = PendingCall(
+            self._request.tenant,
+            self._plan.weight,
+            self._plan.rule.priority,
+            1.0,
+            candidates,
+            self._request.deadline,
+            self._timers.time(),
+            self._send,
+            self._on_queue_refusal,
+            choice=self._plan.routing.choice,
+        )
+        self._dispatcher.submit(self._pending)
+
+    def _send(self, backend: BackendRecord) -> None:
+        """Send, if the claim still allows it at this very moment."""
+        self._pending = None
+        if self.final.done():
+            return
+        if not self._claim.begin_dispatch():
+            self._end(NotRun(NotRunReason.DEADLINE, "the time to send has run out"))
+            return
+        self._tried.append(backend)
+        self._sent = self._dispatcher.send(
+            backend,
+            self._message(),
+            self._request.deadline,
+            self._on_reply,
+            self._claim.is_open,
+        )
+
+    def _message(self) -> SearchRequest:
+        request = self._request
+        remaining_s = request.deadline - self._timers.time()
+        return SearchRequest(
+            self._dispatcher.next_call_id(),
+            request.index,
+            self._plan.version,
+            (self._plan.shards[0].spec.shard,),
+            request.match,
+            self._plan.request.order_by,
+            self._plan.request.descending,
+            self._plan.request.limit,
+            max(1, int(remaining_s * 1000)),
+            operation=request.operation,
+            query_id=request.query_id,
+        )
+
+    def _on_reply(self, _sent: SentCall, reply: BackendReply) -> None:
+        """Take the one reply of the call that was sent."""
+        self._sent = None
+        if self.final.done():
+            return
+        match reply:
+            case Answered(answer):
+                self._end(self._judge(answer))
+            case Shed() | Draining() | NotSent() | VersionGone():
+                self._claim.dispatch_did_not_start()
+                self._try_next()
+            case Broken(detail):
+                self._end(MayHaveRun(MayHaveRunReason.NO_ANSWER, detail))
+
+    def _try_next(self) -> None:
+        """Go to another replica; none has started the operation so far."""
+        if self.told.done():
+            self._end(NotRun(NotRunReason.OVERLOADED, "the back end did not start it"))
+            return
+        self.start()
+
+    def _judge(self, answer: SearchAnswer) -> Outcome:
+        """Turn an answer into an outcome; whatever it holds, the operation ran."""
+        shard = self._plan.shards[0].spec.shard
+        rows = next((rows for rows in answer.shards if rows.shard == shard), None)
+        if rows is None or answer.version != self._plan.version:
+            return Failed(FailedReason.BACKEND_ERROR, "it ran; its answer is of another shard")
+        page = merge_rows(
+            [rows.rows],
+            descending=self._plan.request.descending,
+            limit=self._plan.request.limit,
+            more=rows.more,
+        )
+        return Complete(Answer(answer.version, page.rows, Coverage((shard,)), None))
+
+    def _on_queue_refusal(self) -> None:
+        """End a call that left the queue unsent."""
+        self._pending = None
+        self._end(NotRun(NotRunReason.OVERLOADED, "no back end had room in time"))
+
+    def _on_deadline(self) -> None:
+        """Tell the caller what is known; a sent call is neither cancelled nor repeated."""
+        if self._sent is None or not self._sent.call.may_have_left:
+            self._end(NotRun(NotRunReason.DEADLINE, "the deadline passed before it was sent"))
+        elif not self.told.done():
+            detail = "sent, and not answered by the deadline"
+            self.told.set_result(MayHaveRun(MayHaveRunReason.NO_ANSWER, detail))
+
+    def _on_linger_end(self) -> None:
+        """Stop waiting for an answer."""
+        self._end(MayHaveRun(MayHaveRunReason.NO_ANSWER, "sent, and never answered"))
+
+    def _end(self, outcome: Outcome) -> None:
+        """Settle both outcomes once, and free what the call holds."""
+        if self.final.done():
+            return
+        self._deadline_timer.cancel()
+        self._linger_timer.cancel()
+        if self._pending is not None:
+            self._dispatcher.withdraw(self._pending)
+            self._pending = None
+        if self._sent is not None:
+            self._dispatcher.cancel(self._sent)
+            if not self._sent.call.may_have_left:
+                self._claim.dispatch_did_not_start()
+            self._sent = None
+        self.final.set_result(outcome)
+        if not self.told.done():
+            self.told.set_result(outcome)
--- /dev/null
+++ b/tinrudder/query/operation_outcomes.py
@@ -0,0 +1,150 @@
+"""Outcomes of operations that this node ran or is running, kept for duplicates.
+
+Bounded by the claims' window, by a number per tenant, and by bytes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tinrudder.cluster.claims import (
+    AnswerQuestion,
+    AnswerStatus,
+    ClaimKey,
+    ProposerId,
+    StoredAnswer,
+)
+from tinrudder.outcomes import NotRun, Outcome
+from tinrudder.wire.relay_codec import RelayCodecError, encode_outcome
+
+MAX_OPERATIONS_PER_TENANT = 10_000
+MAX_OUTCOME_BYTES = 64 * 1024
+MAX_TOTAL_BYTES = 32 * 1024 * 1024
+
+
+@dataclass(slots=True, eq=False)
+class HeldOperation:
+    """One attempt of this node.
+
+    :param content: digest of what was asked; a different request gets no answer of this one.
+    :param forget_at: wall-clock seconds.
+    :param settled: what became of this very attempt.
+    :param finished: what its submission is told, which may be another attempt's outcome.
+    :param proposer: set once votes were asked for.
+    """
+
+    key: ClaimKey
+    tenant: str
+    content: bytes
+    forget_at: float
+    settled: asyncio.Future[Outcome]
+    finished: asyncio.Future[Outcome]
+    proposer: ProposerId | None = None
+    encoded: bytes = b""
+
+
+class OperationOutcomes:
+    """This node's operations by key and by proposer."""
+
+    def __init__(self, wall_clock: Callable[[], float]) -> None:
+        """Forget by ``wall_clock``."""
+        self._wall_clock = wall_clock
+        self._by_key: dict[ClaimKey, HeldOperation] = {}
+        self._by_proposer: dict[ProposerId, HeldOperation] = {}
+        self._in_order: deque[HeldOperation] = deque()
+        self._with_bytes: deque[HeldOperation] = deque()
+        self._of_tenant: dict[str, int] = {}
+        self._bytes = 0
+
+    def __len__(self) -> int:
+        """Return how many operations are held."""
+        return len(self._in_order)
+
+    def find(self, key: ClaimKey) -> HeldOperation | None:
+        """Return the latest attempt for a key."""
+        self._forget_expired()
+        return self._by_key.get(key)
+
+    def begin(
+        self, key: ClaimKey, tenant: str, content: bytes, forget_at: float
+    ) -> HeldOperation | None:
+        """Hold a new attempt; ``None`` if the tenant holds too many already."""
+        if self._of_tenant.get(tenant, 0) >= MAX_OPERATIONS_PER_TENANT:
+            return None
+        loop = asyncio.get_running_loop()
+        held = HeldOperation(
+            key, tenant, content, forget_at, loop.create_future(), loop.create_future()
+        )
+        self._by_key[key] = held
+        self._in_order.append(held)
+        self._of_tenant[tenant] = self._of_tenant.get(tenant, 0) + 1
+        return held
+
+    def name(self, held: HeldOperation, proposer: ProposerId) -> None:
+        """Let other nodes ask for an attempt by its proposer."""
+        held.proposer = proposer
+        self._by_proposer[proposer] = held
+
+    def settle(self, held: HeldOperation, outcome: Outcome) -> None:
+        """Note what became of an attempt, for duplicates that ask."""
+        if not held.settled.done():
+            held.settled.set_result(outcome)
+            self._encode(held, outcome)
+
+    def finish(self, held: HeldOperation, outcome: Outcome) -> None:
+        """Keep an outcome; one that did not run leaves the key free for another attempt."""
+        if held.finished.done():
+            return
+        self.settle(held, outcome)
+        held.finished.set_result(outcome)
+        if isinstance(outcome, NotRun) and self._by_key.get(held.key) is held:
+            del self._by_key[held.key]
+
+    async def answer(self, question: AnswerQuestion) -> StoredAnswer:
+        """Tell another node what became of an attempt, as soon as it is known."""
+        held = self._by_proposer.get(question.proposer)
+        if held is None or held.key != question.key:
+            return StoredAnswer(AnswerStatus.UNKNOWN)
+        if held.content != question.content:
+            return StoredAnswer(AnswerStatus.OTHER_REQUEST)
+        outcome = await asyncio.shield(held.settled)
+        if isinstance(outcome, NotRun):
+            return StoredAnswer(AnswerStatus.NOT_RUN)
+        return StoredAnswer(AnswerStatus.RAN, held.encoded)
+
+    def _encode(self, held: HeldOperation, outcome: Outcome) -> None:
+        """Keep the encoded outcome; the oldest ones are dropped when there are too many bytes."""
+        try:
+            encoded = encode_outcome(outcome)
+        except RelayCodecError:
+            return
+        if len(encoded) > MAX_OUTCOME_BYTES:
+            return
+        held.encoded = encoded
+        self._with_bytes.append(held)
+        self._bytes += len(encoded)
+        while self._bytes > MAX_TOTAL_BYTES:
+            self._drop_bytes(self._with_bytes.popleft())
+
+    def _drop_bytes(self, held: HeldOperation) -> None:
+        self._bytes -= len(held.encoded)
+        held.encoded = b""
+
+    def _forget_expired(self) -> None:
+        """Forget attempts whose window has passed, oldest first."""
+        now = self._wall_clock()
+        while self._in_order and self._in_order[0].forget_at <= now:
+            held = self._in_order.popleft()
+            self._of_tenant[held.tenant] -= 1
+            if not self._of_tenant[held.tenant]:
+                del self._of_tenant[held.tenant]
+            if self._by_key.get(held.key) is held:
+                del self._by_key[held.key]
+            if held.proposer is not None:
+                self._by_proposer.pop(held.proposer, None)
+            self._drop_bytes(held)
+        while self._with_bytes and not self._with_bytes[0].encoded:
+            self._with_bytes.popleft()
--- a/tinrudder/settings.py
+++ b/tinrudder/settings.py
@@ -50,6 +50,9 @@
     :param caller_tls_certificate: PEM file shown to callers; with its key, or not at all.
     :param backend_tls_authority: PEM file that back ends with ``tls`` are checked against.
     :param tls_check_s: how often the files are looked at for changes, seconds.
+    :param claim_window_s: longest time a request that must not be repeated may be valid; the same
+        on all nodes.
+    :param clock_skew_s: largest difference between any two nodes' clocks; the same on all nodes.
     :param stop_grace_s: how long a node that was told to stop goes on serving what arrives.
     :param stop_timeout_s: how long it then waits for what is in progress.
     """
@@ -67,6 +70,8 @@
     platform_write_url: str = ""
     platform_url: Annotated[str, Meta(pattern="^https?://")]
     platform_poll_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
+    claim_window_s: Annotated[float, Meta(gt=0, le=3600)] = 60.0
+    clock_skew_s: Annotated[float, Meta(ge=0, le=60)] = 1.0
     stop_grace_s: Annotated[float, Meta(ge=0, le=60)] = 2.0
     stop_timeout_s: Annotated[float, Meta(ge=0, le=3600)] = 30.0
     peer_tls_certificate: str = ""
--- a/tinrudder_lab/claim_model_actors.py
+++ b/tinrudder_lab/claim_model_actors.py
@@ -234,12 +234,13 @@
         window_class = DispatchWindow
         if self._plant is Plant.HONOURED_AFTER_PAUSE:
             window_class = _AlwaysOpenWindow
-        window = window_class(self._setup.valid_until, self._setup.valid_until)
+        until = self._setup.valid_until
+        window = window_class(until, until)
         proposer_class = ClaimProposer
         if self._plant is Plant.RELEASE_AFTER_DISPATCH:
             proposer_class = _ProposerThatReleasesAfterDispatch
         electorates = self._electorates_of(memory.cited)
-        proposer = proposer_class(_proposer_id(memory.number), KEY, window, electorates)
+        proposer = proposer_class(_proposer_id(memory.number), KEY, until, window, electorates)
         for voter, (record, cited_to) in zip(self._voters, memory.records, strict=True):
             if record == GRANTED:
                 proposer.granted.add(voter)
