--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -15,21 +15,19 @@
     BackendReply,
     Broken,
     NotSent,
-    SearchRequest,
     ShardRows,
     Shed,
     VersionGone,
 )
 from tinrudder.outcomes import MissingReason, Outcome
+from tinrudder.query.call_sender import CallSender
 from tinrudder.query.dispatcher import Dispatcher, SentCall
+from tinrudder.query.hedger import Hedger, owners_included
 from tinrudder.query.judgement import judge
-from tinrudder.query.overdue import find_overdue, next_look, order_by_need, owners_included
 from tinrudder.query.plan import QueryPlan
 from tinrudder.query.shard_progress import ShardProgress
 from tinrudder.resources.model import Preference
 from tinrudder.routing.backend_record import BackendRecord
-from tinrudder.routing.hedging import is_widespread
-from tinrudder.routing.pending_call import PendingCall
 from tinrudder.routing.tenant_usage import QueryPermit
 from tinrudder.timers import TimerHandle, Timers
 
@@ -82,6 +80,8 @@
         self._plan = plan
         self._routing = plan.routing
         self._progress = [ShardProgress(shard, self) for shard in plan.shards]
+        self._sender = CallSender(plan, self._dispatcher, self._timers)
+        self._hedger = Hedger(plan, self._progress, self._sender.send)
         self._unsettled = len(self._progress)
         self._answered = 0
         self._may_miss = int((1.0 - plan.rule.minimum_coverage) * self._unsettled + 1e-9)
@@ -119,32 +119,19 @@
         self._routing.earn(len(self._progress))
         plan = self._plan
         for progress in self._progress:
-            self._submit(progress, now)
+            candidates = self._candidates(progress, now)
+            if candidates:
+                self._sender.submit(progress, candidates, now)
+            else:
+                self._settle(progress, MissingReason.NO_REPLICA)
             if self._finished or self._hopeless or self._plan is not plan:
                 return
 
-    def _submit(self, progress: ShardProgress, now: float) -> None:
-        """Queue one call for a shard, or settle it when no replica is left."""
-        candidates = self._routing.candidates(progress.planned.candidates, progress.tried, now)
-        if not candidates:
-            self._settle(progress, progress.last_reason or MissingReason.NO_REPLICA)
-            return
-        plan = self._plan
-        request = plan.request
-        pending = PendingCall(
-            request.tenant,
-            plan.weight,
-            plan.rule.priority,
-            1.0,
-            candidates,
-            request.deadline,
-            now,
-            progress.dispatch,
-            progress.shed,
-            choice=self._routing.choice,
+    def _candidates(self, progress: ShardProgress, now: float) -> tuple[BackendRecord, ...]:
+        """Return the back ends that may get a shard's next call."""
+        return self._plan.routing.candidates(
+            progress.planned.candidates, progress.tried, now, may_probe=self._plan.repeatable
         )
-        progress.pending = pending
-        self._dispatcher.submit(pending)
 
     def on_shed(self, progress: ShardProgress) -> None:
         """Give up a shard whose waiting call will not be sent any more."""
@@ -156,31 +143,7 @@
         """Send a shard's waiting call to the chosen back end."""
         progress.pending = None
         progress.attempts += 1
-        self._send(progress, backend)
-
-    def _send(self, progress: ShardProgress, backend: BackendRecord) -> None:
-        """Send one call."""
-        progress.tried += (backend,)
-        request = self._plan.request
-        remaining_ms = max(1, int((request.deadline - self._timers.time()) * 1000))
-        message = SearchRequest(
-            self._dispatcher.next_call_id(),
-            request.index,
-            self._plan.version,
-            (progress.planned.spec.shard,),
-            request.match,
-            request.order_by,
-            request.descending,
-            request.limit,
-            remaining_ms,
-            request.after,
-            request.operation,
-            request.query_id,
-        )
-        sent = self._dispatcher.send(backend, message, request.deadline, progress.take_reply)
-        progress.calls.append(sent)
-        if progress.first_sent_at is None:
-            progress.first_sent_at = sent.sent_at
+        self._sender.send(progress, backend)
 
     def on_reply(self, progress: ShardProgress, sent: SentCall, reply: BackendReply) -> None:
         """Take one reply; a second answer for a settled shard changes nothing."""
@@ -209,6 +172,7 @@
         answer = reply.answer
         if self._permit is not None and not self._permit.hold_bytes(reply.size_bytes):
             progress.touched = True
+            self._sender.cancel_losers(progress, now)
             self._settle(progress, MissingReason.TENANT_LIMIT)
             return
         rows = _rows_of(answer.shards, progress.planned.spec.shard)
@@ -220,20 +184,12 @@
         progress.rows = rows
         self._answered += 1
         if progress.calls:
-            self._cancel_losers(progress, now)
+            self._sender.cancel_losers(progress, now)
         self._unsettled -= 1
         enough = now >= self._soft_deadline and self._suffices()
         if self._unsettled == 0 or self._hopeless or enough:
             self._finish(at_deadline=False)
 
-    def _cancel_losers(self, progress: ShardProgress, now: float) -> None:
-        """Stop the copies that a quicker answer has overtaken."""
-        losers = tuple(progress.calls)
-        progress.calls.clear()
-        for loser in losers:
-            self._dispatcher.cancel(loser)
-            self._routing.observe_loser(loser.backend, now - loser.sent_at, now)
-
     def _retry_or_settle(
         self, progress: ShardProgress, reply: BackendReply | None, now: float
     ) -> None:
@@ -247,11 +203,10 @@
         if may_repeat and progress.attempts < MAX_ATTEMPTS_PER_SHARD:
             if type(reply) is Shed and len(progress.tried) >= len(progress.planned.candidates):
                 progress.tried = ()
-            if self._routing.candidates(progress.planned.candidates, progress.tried, now):
-                free = type(reply) is NotSent
-                if free or self._routing.retry.may_retry(urgent=self._is_urgent(progress)):
-                    self._submit(progress, now)
-                    return
+            candidates = self._candidates(progress, now)
+            if candidates and (type(reply) is NotSent or self._may_spend_retry(progress)):
+                self._sender.submit(progress, candidates, now)
+                return
         self._settle(progress, progress.last_reason or MissingReason.NO_REPLICA)
 
     def _settle(self, progress: ShardProgress, reason: MissingReason) -> None:
@@ -274,7 +229,7 @@
         """
         if not self._hopeless:
             self._hopeless = True
-            self._withdraw_pending()
+            self._sender.withdraw_waiting(self._progress)
             now = self._timers.time()
             patience = self._routing.hedge_delay_s(0) or REFUSAL_PATIENCE_S
             self._hard_deadline = min(self._hard_deadline, now + patience)
@@ -296,7 +251,7 @@
         self._replans += 1
         if not all(progress.untouched for progress in self._progress):
             self._touched_before = True
-        self._release_calls()
+        self._sender.release(self._progress)
         if self._permit is not None:
             self._permit.drop_bytes()
         self._adopt(plan)
@@ -306,19 +261,21 @@
             self._arm(now)
         return True
 
-    def _is_urgent(self, progress: ShardProgress) -> bool:
-        """Tell whether a coverage-first answer has no shard of this one's owner yet."""
-        if self._plan.rule.preference is not Preference.COVERAGE:
-            return False
-        return progress.planned.spec.owner not in owners_included(self._progress)
+    def _may_spend_retry(self, progress: ShardProgress) -> bool:
+        """Draw on the budget; a coverage-first answer without this owner has precedence."""
+        urgent = (
+            self._plan.rule.preference is Preference.COVERAGE
+            and progress.planned.spec.owner not in owners_included(self._progress)
+        )
+        return self._routing.retry.may_retry(urgent=urgent)
 
     def _arm(self, now: float) -> None:
         """Set the one timer to whatever comes first: a deadline or a look for overdue calls."""
         when = self._hard_deadline
         if now < self._soft_deadline < when:
             when = self._soft_deadline
-        if self._plan.repeatable and not self._hopeless:
-            look = next_look(self._progress, self._routing, now)
+        if not self._hopeless:
+            look = self._hedger.next_look(now)
             if look is not None and look < when:
                 when = look
         if self._timer is not None:
@@ -340,31 +297,10 @@
         if now >= self._soft_deadline and self._suffices():
             self._finish(at_deadline=False)
             return
-        if self._plan.repeatable and not self._hopeless:
-            self._hedge_overdue(now)
+        if not self._hopeless:
+            self._hedger.hedge_overdue(now)
         self._arm(now)
 
-    def _hedge_overdue(self, now: float) -> None:
-        """Hedge what is overdue, unless the whole fleet is slow."""
-        overdue = find_overdue(self._progress, self._routing, now)
-        if not overdue:
-            return
-        backends = [progress.calls[-1].backend.name for progress in overdue]
-        if is_widespread(backends, len(self._progress)):
-            return
-        included = owners_included(self._progress)
-        preference = self._plan.rule.preference
-        for progress in order_by_need(overdue, included, preference):
-            owner_is_missing = progress.planned.spec.owner not in included
-            urgent = owner_is_missing and preference is Preference.COVERAGE
-            backend = self._routing.choose_hedge(progress.planned.candidates, progress.tried)
-            if backend is None:
-                continue
-            if not self._routing.hedge.may_hedge(urgent=urgent):
-                return
-            progress.hedges += 1
-            self._send(progress, backend)
-
     def _suffices(self) -> bool:
         """Tell whether the coverage meets the rule."""
         return len(self._progress) - self._answered <= self._may_miss
@@ -395,27 +331,7 @@
         """Stop the timer and free every place."""
         if self._timer is not None:
             self._timer.cancel()
-        self._release_calls()
-
-    def _release_calls(self) -> None:
-        """Withdraw what waits, then cancel what is in flight.
-
-        In this order, because a cancelled call's place goes to whatever waits for it.
-        """
-        self._withdraw_pending()
-        now = self._timers.time()
-        for progress in self._progress:
-            for sent in progress.calls:
-                self._dispatcher.cancel(sent)
-                self._routing.observe_withdrawn(sent.backend, now - sent.sent_at, now)
-            progress.calls.clear()
-
-    def _withdraw_pending(self) -> None:
-        """Take back every call that waits for room."""
-        for progress in self._progress:
-            if progress.pending is not None:
-                self._dispatcher.withdraw(progress.pending)
-                progress.pending = None
+        self._sender.release(self._progress)
 
 
 def _rows_of(shards: Sequence[ShardRows], wanted: str) -> ShardRows | None:
--- a/tinrudder/query/judgement.py
+++ b/tinrudder/query/judgement.py
@@ -23,6 +23,10 @@
 from tinrudder.query.plan import QueryPlan
 from tinrudder.query.shard_progress import ShardProgress
 
+UNREACHABLE_REASONS = frozenset(
+    {MissingReason.NO_REPLICA, MissingReason.BROKEN, MissingReason.VERSION_GONE}
+)
+
 
 def judge(
     plan: QueryPlan, progress: Sequence[ShardProgress], *, touched_before: bool, at_deadline: bool
@@ -80,7 +84,8 @@
 
 def _not_run_reason(reasons: set[MissingReason], at_deadline: bool) -> NotRunReason:
     """Name what kept the query from running."""
-    if reasons <= {MissingReason.NO_REPLICA, MissingReason.BROKEN, MissingReason.VERSION_GONE}:
+    causes = reasons - {MissingReason.NOT_ASKED, MissingReason.GIVEN_UP}
+    if causes and causes <= UNREACHABLE_REASONS:
         return NotRunReason.NO_BACKEND
     if at_deadline and MissingReason.REFUSED not in reasons:
         return NotRunReason.DEADLINE
--- a/tinrudder/routing/service_routing.py
+++ b/tinrudder/routing/service_routing.py
@@ -46,8 +46,13 @@
         replicas: tuple[BackendRecord, ...],
         tried: tuple[BackendRecord, ...],
         now: float,
+        *,
+        may_probe: bool,
     ) -> tuple[BackendRecord, ...]:
-        """Return the replicas that may get a call: healthy ones, else whatever is left."""
+        """Return the replicas that may get a call: healthy ones, else whatever is left.
+
+        :param may_probe: whether the call may serve to try out an ejected back end.
+        """
         if not tried:
             for backend in replicas:
                 if backend.leaving or backend.health.ejected:
@@ -56,7 +61,7 @@
                 return replicas
         left = tuple(b for b in replicas if not b.leaving and b not in tried)
         for backend in left:
-            if not backend.health.ejected or not backend.may_send():
+            if not may_probe or not backend.health.ejected or not backend.may_send():
                 continue
             if self.ejection.may_probe(backend, now):
                 return (backend,)
