--- a/tinrudder/query/judgement.py
+++ b/tinrudder/query/judgement.py
@@ -72,7 +72,7 @@
 ) -> Outcome:
     """Judge a query without a single answered shard."""
     reasons = {shard.reason for shard in coverage.missing}
-    if reasons == {MissingReason.VERSION_GONE} and plan.request.operation is None:
+    if reasons == {MissingReason.VERSION_GONE} and plan.repeatable:
         detail = f"version: {plan.version} is no longer served"
         return Failed(FailedReason.VERSION_GONE, detail, coverage)
     if untouched:
