--- a/tinrudder_lab/experiment.py
+++ b/tinrudder_lab/experiment.py
@@ -3,19 +3,28 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from unittest import mock
 
-from tinrudder.routing.replica_choice import RandomReplica
+from tinrudder.routing.admission import AdmitAll
+from tinrudder.routing.backend_limit import FixedLimit
+from tinrudder.routing.call_queue import FirstInFirstOutQueue
+from tinrudder.routing.registry import BASELINE
 from tinrudder_lab.checkers.all import check_history
 from tinrudder_lab.measures import figures_of, result_of
 from tinrudder_lab.report import Figures, RunResult
 from tinrudder_lab.scenarios import Scenario
 from tinrudder_lab.sim.run import simulate
 from tinrudder_lab.sim.world import World
+from tinrudder_lab.topology import set_policies
 
 DEFAULT_POLICY = "default"
 BASELINE_POLICY = "baseline"
+NODE_BASELINE = {
+    "StartTimeFairQueue": FirstInFirstOutQueue,
+    "AdaptiveLimit": FixedLimit,
+    "ExpectedWaitAdmission": lambda queue, source: AdmitAll(),
+}
 
 
 def run_scenario(scenario: Scenario, seed: int, policy: str, plant: str | None) -> RunResult:
@@ -28,21 +37,33 @@
 
 
 def simulate_with_policy(scenario: Scenario, seed: int, policy: str) -> World:
-    """Run a scenario once under a named policy."""
-    with _policy(policy):
-        world = simulate(scenario, scenario.topology(), seed)
+    """Run a scenario once under a named policy.
+
+    :param policy: ``default``, ``baseline``, or ``ROLE=NAME[,ROLE=NAME...]`` for query rules.
+    """
+    topology = scenario.topology()
+    set_policies(topology.deployment, _rule_policies(policy))
+    with _node_policies(policy):
+        world = simulate(scenario, topology, seed)
     if world.errors:
         raise RuntimeError(f"uncaught errors: {world.errors[:3]}")
     return world
 
 
-@contextmanager
-def _policy(name: str) -> Iterator[None]:
-    """Wire the simplest policies in for the baseline."""
-    if name != BASELINE_POLICY:
-        yield
-        return
-    import random
+def _rule_policies(policy: str) -> dict[str, str]:
+    """Return the policies that query rules name."""
+    if policy == DEFAULT_POLICY:
+        return {}
+    if policy == BASELINE_POLICY:
+        return {role.value: name for role, name in BASELINE.items()}
+    return dict(choice.split("=", 1) for choice in policy.split(","))
 
-    with mock.patch("tinrudder.node.LeastLoadedReplica", lambda: RandomReplica(random.Random(1))):
+
+@contextmanager
+def _node_policies(policy: str) -> Iterator[None]:
+    """Wire the simplest policies of the node itself in for the baseline."""
+    with ExitStack() as stack:
+        if policy == BASELINE_POLICY:
+            for name, substitute in NODE_BASELINE.items():
+                stack.enter_context(mock.patch(f"tinrudder.node.{name}", substitute))
         yield
