Send the request key to back ends, and share the claims' planted defects

Cause: a back end, and a history of its calls, could not tell two requests of one operation apart. Change: SearchRequest carries TENANT/KEY for operations; the lab names operations by it; the planted defects stand in a module of their own for use on whole nodes. Conclusion: the lab can check operations over their submissions.

--- a/tinrudder/backends/messages.py
+++ b/tinrudder/backends/messages.py
@@ -19,6 +19,8 @@
 
     :param after: only rows behind this (order, row id) are wanted.
     :param deadline_ms: how long the answer is useful to us, milliseconds from receipt.
+    :param operation: what to do, for a request that must not be repeated; ``None`` for a search.
+    :param request_key: ``TENANT/KEY`` of such a request, the same for all its submissions.
     """
 
     call_id: int
@@ -33,6 +35,7 @@
     after: tuple[float, str] | None = None
     operation: str | None = None
     query_id: str = ""
+    request_key: str | None = None
 
 
 class RowMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/tinrudder/query/operation_call.py
+++ b/tinrudder/query/operation_call.py
@@ -128,6 +128,7 @@
             max(1, int(remaining_s * 1000)),
             operation=request.operation,
             query_id=request.query_id,
+            request_key=f"{request.tenant}/{request.request_key}",
         )
 
     def _on_reply(self, _sent: SentCall, reply: BackendReply) -> None:
--- a/tinrudder_lab/claim_model_actors.py
+++ b/tinrudder_lab/claim_model_actors.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-from dataclasses import dataclass
 from typing import NamedTuple
 
 from tinrudder.cluster.claim_proposer import ClaimPhase, ClaimProposer, DispatchWindow
@@ -32,6 +31,7 @@
     ModelSetup,
     State,
 )
+from tinrudder_lab.claim_plants import AlwaysOpenWindow, ForgetfulVoter, HastyProposer
 
 KEY = ClaimKey(bytes(16))
 FIRST_LIST, SECOND_LIST = 1, 2
@@ -63,32 +63,6 @@
     LIST_LOST_AT_RESTART = "list-lost-at-restart"
 
 
-class _VoterThatForgetsItsStart(ClaimVoter):
-    """Votes as if it remembered what it granted before it started."""
-
-    def _cannot_know(self, valid_until: float, now: float) -> AbstainReason | None:
-        reason = super()._cannot_know(valid_until, now)
-        return None if reason is AbstainReason.JUST_STARTED else reason
-
-
-@dataclass(frozen=True, slots=True)
-class _AlwaysOpenWindow(DispatchWindow):
-    """Honours a claim however long the proposer has slept."""
-
-    def is_open(self, monotonic: float, wall: float) -> bool:
-        """Return ``True``."""
-        return True
-
-
-class _ProposerThatReleasesAfterDispatch(ClaimProposer):
-    """Gives up although the request may have left."""
-
-    def give_up(self) -> bool:
-        """Give up in any phase."""
-        self.phase = ClaimPhase.GIVEN_UP
-        return True
-
-
 class Actors:
     """Every step of the model that runs product code."""
 
@@ -102,7 +76,7 @@
         self._bits = {one.fingerprint: bit for bit, one in self._electorates.items()}
         self._voter_class = ClaimVoter
         if plant is Plant.VOTER_FORGETS_START:
-            self._voter_class = _VoterThatForgetsItsStart
+            self._voter_class = ForgetfulVoter
         self._required_cache: dict[object, int] = {}
         self._vote_cache: dict[object, tuple[int, str]] = {}
         self._give_up_cache: dict[ProposerMemory, ProposerMemory | None] = {}
@@ -233,12 +207,12 @@
         """Return a proposer of the product that remembers just this."""
         window_class = DispatchWindow
         if self._plant is Plant.HONOURED_AFTER_PAUSE:
-            window_class = _AlwaysOpenWindow
+            window_class = AlwaysOpenWindow
         until = self._setup.valid_until
         window = window_class(until, until)
         proposer_class = ClaimProposer
         if self._plant is Plant.RELEASE_AFTER_DISPATCH:
-            proposer_class = _ProposerThatReleasesAfterDispatch
+            proposer_class = HastyProposer
         electorates = self._electorates_of(memory.cited)
         proposer = proposer_class(_proposer_id(memory.number), KEY, until, window, electorates)
         for voter, (record, cited_to) in zip(self._voters, memory.records, strict=True):
--- /dev/null
+++ b/tinrudder_lab/claim_plants.py
@@ -0,0 +1,40 @@
+"""Planted defects in claims, for the model and for whole nodes.
+
+A whole node gets one by patching the name where the product looks it up:
+``tinrudder.cluster.claims_service.ClaimVoter`` and ``.ClaimProposer``, and
+``tinrudder.query.at_most_once.DispatchWindow``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tinrudder.cluster.claim_proposer import ClaimPhase, ClaimProposer, DispatchWindow
+from tinrudder.cluster.claim_voter import ClaimVoter
+from tinrudder.cluster.claims import AbstainReason
+
+
+class ForgetfulVoter(ClaimVoter):
+    """Votes as if it remembered what it granted before it started."""
+
+    def _cannot_know(self, valid_until: float, now: float) -> AbstainReason | None:
+        reason = super()._cannot_know(valid_until, now)
+        return None if reason is AbstainReason.JUST_STARTED else reason
+
+
+@dataclass(frozen=True, slots=True)
+class AlwaysOpenWindow(DispatchWindow):
+    """Honours a claim however long the proposer has slept."""
+
+    def is_open(self, monotonic: float, wall: float) -> bool:
+        """Return ``True``."""
+        return True
+
+
+class HastyProposer(ClaimProposer):
+    """Gives up although the request may have left."""
+
+    def give_up(self) -> bool:
+        """Give up in any phase."""
+        self.phase = ClaimPhase.GIVEN_UP
+        return True
--- a/tinrudder_lab/sim/world.py
+++ b/tinrudder_lab/sim/world.py
@@ -152,7 +152,7 @@
                     request.index,
                     request.version,
                     shard,
-                    request.operation,
+                    _operation_name(request),
                 )
             )
 
@@ -418,3 +418,10 @@
 
 
 _STORE = ShardStore()
+
+
+def _operation_name(request: SearchRequest) -> str | None:
+    """Return what identifies an operation over all its submissions, ``None`` for a search."""
+    if request.operation is None:
+        return None
+    return f"{request.operation}/{request.request_key}"
