Expect a tenant's wait from the pace at which its calls were taken

Cause: admission divided a tenant's backlog by its share among the tenants that wait at that moment; those served ahead of it mostly do not wait, so it was let in for twice what it got. Change: every tenant's flow observes its own pace while calls wait; admission uses that.

--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -88,7 +88,7 @@
     def __init__(self, backends: int, tenants: int) -> None:
         """Build everything that is not measured."""
         self.transport = InstantTransport()
-        self.queue = StartTimeFairQueue()
+        self.queue = StartTimeFairQueue(lambda: 0.0)
         self.dispatcher = Dispatcher(
             StoppedTimers(),
             self.transport,
--- a/bench/fair_queue.py
+++ b/bench/fair_queue.py
@@ -59,13 +59,13 @@
         self.now = end
 
 
-QUEUES: dict[str, Callable[[], CallQueue]] = {
-    "fifo": FirstInFirstOutQueue,
-    "burst-0": lambda: StartTimeFairQueue(0.0),
-    "burst-16": lambda: StartTimeFairQueue(16.0),
-    "burst-32": lambda: StartTimeFairQueue(32.0),
-    "burst-64": lambda: StartTimeFairQueue(64.0),
-    "burst-128": lambda: StartTimeFairQueue(128.0),
+QUEUES: dict[str, Callable[[Callable[[], float]], CallQueue]] = {
+    "fifo": lambda clock: FirstInFirstOutQueue(),
+    "burst-0": lambda clock: StartTimeFairQueue(clock, 0.0),
+    "burst-16": lambda clock: StartTimeFairQueue(clock, 16.0),
+    "burst-32": lambda clock: StartTimeFairQueue(clock, 32.0),
+    "burst-64": lambda clock: StartTimeFairQueue(clock, 64.0),
+    "burst-128": lambda clock: StartTimeFairQueue(clock, 128.0),
 }
 
 
@@ -131,7 +131,7 @@
 def measure_shares(name: str, seed: int) -> float:
     """Return the largest relative error of the shares 1:2:4:8, all tenants backlogged 60 s."""
     clock = VirtualTime()
-    service = Service(clock, QUEUES[name](), random.Random(seed))
+    service = Service(clock, QUEUES[name](clock.time), random.Random(seed))
 
     def keep_going(tenant: str, weight: int) -> None:
         service.submit(tenant, weight, 0, lambda: keep_going(tenant, weight))
@@ -191,7 +191,7 @@
 def measure_isolation(name: str, seed: int, *, noisy: bool) -> list[float]:
     """Return the latencies of light tenants' queries over 60 s."""
     clock = VirtualTime()
-    service = Service(clock, QUEUES[name](), random.Random(seed + 2000))
+    service = Service(clock, QUEUES[name](clock.time), random.Random(seed + 2000))
     isolation = Isolation(service, random.Random(seed), random.Random(seed + 1000))
     for number in range(3):
         tenant = f"light{number}"
@@ -205,7 +205,7 @@
 def measure_stall(name: str, seed: int) -> float:
     """Return the longest time without a call of a tenant, long alone, when an equal arrives."""
     clock = VirtualTime()
-    service = Service(clock, QUEUES[name](), random.Random(seed))
+    service = Service(clock, QUEUES[name](clock.time), random.Random(seed))
     done_at: list[float] = []
 
     def keep_going(tenant: str) -> None:
@@ -225,7 +225,7 @@
 
 def measure_cost(name: str, tenants: int, backends: int) -> float:
     """Return microseconds of one push and one pop, with eight calls waiting per tenant."""
-    queue = QUEUES[name]()
+    queue = QUEUES[name](lambda: 0.0)
     records = [BackendRecord(f"b{n}", "127.0.0.1", 1, "z", 3, 3) for n in range(backends)]
 
     def call_of(number: int) -> PendingCall:
--- a/tests/unit/test_admission.py
+++ b/tests/unit/test_admission.py
@@ -17,7 +17,7 @@
     """Two back ends of two slots each, 10 ms a call."""
 
     def __init__(self) -> None:
-        self.queue = StartTimeFairQueue()
+        self.queue = StartTimeFairQueue(lambda: 0.0)
         self.backends = tuple(
             BackendRecord(name, "127.0.0.1", 1, "zone", 2, 2, latency_s=LATENCY_S) for name in "xy"
         )
--- a/tests/unit/test_fair_queue.py
+++ b/tests/unit/test_fair_queue.py
@@ -11,6 +11,7 @@
 
 from tinrudder.resources.model import Priority
 from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.call_queue import Newcomer
 from tinrudder.routing.fair_queue import SWEEP_SLACK, StartTimeFairQueue
 from tinrudder.routing.pending_call import PendingCall
 from tinrudder.routing.tenant_flow import COMPACTION_SLACK, MAX_PASSED_OVER
@@ -38,7 +39,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.backends = [backend_of(name) for name in "xyz"]
-        self.queue = StartTimeFairQueue(burst=4.0)
+        self.queue = StartTimeFairQueue(lambda: 0.0, burst=4.0)
         self.waiting: list[PendingCall] = []
 
     @rule(
@@ -86,8 +87,9 @@
             here = [call for call in self.waiting if backend in call.candidates]
             assert backend.waiting == len(here)
             work = sum(call.cost / len(call.candidates) for call in here)
-            expected = self.queue.expected_work(backend, "nobody", 1, Priority.BATCH, 10_000.0)
-            assert expected == pytest.approx(work + 10_000.0)
+            nobody = Newcomer("nobody", 1, Priority.BATCH, 10_000.0, 2.0)
+            expected = self.queue.expected_wait_s(backend, nobody)
+            assert expected == pytest.approx(2.0 * (work + 10_000.0))
 
 
 QueueAgainstOracle.TestCase.settings = settings(max_examples=60, stateful_step_count=60)
@@ -97,7 +99,7 @@
 @settings(max_examples=40)
 @given(weights=st.lists(st.integers(1, 16), min_size=2, max_size=6), rounds=st.integers(1, 400))
 def test_backlogged_tenants_share_by_weight(weights: list[int], rounds: int) -> None:
-    queue = StartTimeFairQueue()
+    queue = StartTimeFairQueue(lambda: 0.0)
     backend = backend_of("x")
     for number, weight in enumerate(weights):
         for _ in range(rounds):
@@ -108,7 +110,7 @@
 
 
 def test_returning_tenant_goes_first_for_one_burst_only() -> None:
-    queue = StartTimeFairQueue(burst=5.0)
+    queue = StartTimeFairQueue(lambda: 0.0, burst=5.0)
     backend = backend_of("x")
     for _ in range(100):
         queue.push(call_of("noisy", backend))
@@ -123,7 +125,7 @@
 
 
 def test_batch_is_passed_over_a_bounded_number_of_times() -> None:
-    queue = StartTimeFairQueue()
+    queue = StartTimeFairQueue(lambda: 0.0)
     backend = backend_of("x")
     queue.push(call_of("a", backend, priority=Priority.BATCH))
     queue.push(call_of("a", backend, priority=Priority.PLANNING))
@@ -136,7 +138,7 @@
 
 
 def test_calls_taken_elsewhere_do_not_pile_up() -> None:
-    queue = StartTimeFairQueue()
+    queue = StartTimeFairQueue(lambda: 0.0)
     stuck, lively = backend_of("stuck"), backend_of("lively")
     queue.push(call_of("a", stuck))
     for _ in range(1000):
@@ -147,7 +149,7 @@
 
 
 def test_idle_tenants_are_forgotten() -> None:
-    queue = StartTimeFairQueue(burst=1.0)
+    queue = StartTimeFairQueue(lambda: 0.0, burst=1.0)
     backend = backend_of("x")
     for number in range(2000):
         queue.push(call_of(f"t{number}", backend))
@@ -155,3 +157,17 @@
         queue.pop(backend)
         queue.pop(backend)
     assert len(queue._lanes[backend].flows) <= 4 * SWEEP_SLACK
+
+
+def test_a_tenants_wait_follows_the_pace_at_which_it_was_served() -> None:
+    now = 0.0
+    queue = StartTimeFairQueue(lambda: now)
+    backend = backend_of("x")
+    for _ in range(200):
+        queue.push(call_of("slow", backend))
+    for _ in range(100):
+        now += 0.1
+        queue.pop(backend)
+        queue.record_direct(call_of("favoured", backend), backend)
+    newcomer = Newcomer("slow", 1, Priority.INTERACTIVE, 1.0, 0.001)
+    assert queue.expected_wait_s(backend, newcomer) == pytest.approx(101 * 0.1)
--- a/tests/unit/test_overload.py
+++ b/tests/unit/test_overload.py
@@ -42,7 +42,7 @@
     def __init__(self, **tenant: int) -> None:
         self.timers = ManualTimers()
         self.transport = RecordingTransport()
-        self.queue = StartTimeFairQueue()
+        self.queue = StartTimeFairQueue(self.timers.time)
         self.usage = TenantUsageTable()
         self.backends = BackendTable()
         self.dispatcher = Dispatcher(
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -65,7 +65,7 @@
     def _build_coordinator(self) -> None:
         """Build queue, limits, admission and the coordinator on top of them."""
         timers = self._environment.timers
-        queue = StartTimeFairQueue()
+        queue = StartTimeFairQueue(timers.time)
         usage = TenantUsageTable()
         self.dispatcher = Dispatcher(
             timers, self._environment.backends, queue, LeastLoadedReplica(), AdaptiveLimit(), usage
--- a/tinrudder/routing/admission.py
+++ b/tinrudder/routing/admission.py
@@ -9,7 +9,7 @@
 
 from tinrudder.resources.model import Priority
 from tinrudder.routing.backend_record import BackendRecord
-from tinrudder.routing.call_queue import CallQueue
+from tinrudder.routing.call_queue import CallQueue, Newcomer
 
 TAIL_LATENCIES = 2.0
 SAFETY_FACTOR = 1.2
@@ -60,9 +60,9 @@
 class ExpectedWaitAdmission:
     """Refuses a query whose last needed shard is expected after its deadline.
 
-    A back end answers, by Little's law, limit / latency calls a second; what the fair queue
-    lets go first is the work ahead.  Nothing is refused where nothing waits, so a wrong estimate
-    can't shut a service for good.
+    The wait is the tenant's backlog over the pace at which its calls are taken, and after it
+    comes the answer itself, for which a tail is allowed.  Nothing is refused where nothing
+    waits, so a wrong estimate can't shut a service for good.
 
     When to use: always; the default.  Cost: a fraction of a microsecond per shard, and only
     where calls wait.
@@ -97,10 +97,10 @@
 
     def _backend_s(self, demand: QueryDemand, backend: BackendRecord, added: float) -> float:
         """Return in how many seconds a back end is done with a query's part."""
-        work = self._queue.expected_work(
-            backend, demand.tenant, demand.weight, demand.priority, added
-        )
-        return backend.latency_s * (work / backend.limit + TAIL_LATENCIES)
+        seconds_per_work = backend.latency_s / backend.limit
+        newcomer = Newcomer(demand.tenant, demand.weight, demand.priority, added, seconds_per_work)
+        wait_s = self._queue.expected_wait_s(backend, newcomer)
+        return wait_s + TAIL_LATENCIES * backend.latency_s
 
     def _retry_after_s(self, excess_s: float) -> float:
         """Return when to ask again, spread so that refused callers don't return together."""
--- a/tinrudder/routing/call_queue.py
+++ b/tinrudder/routing/call_queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from dataclasses import dataclass
 from typing import Protocol
 
 from tinrudder.resources.model import Priority
@@ -10,6 +11,21 @@
 from tinrudder.routing.pending_call import PendingCall
 
 
+@dataclass(frozen=True, slots=True)
+class Newcomer:
+    """Calls of one query that may be queued at one back end.
+
+    :param work: their cost.
+    :param seconds_per_work: the back end's pace by Little's law, latency / limit.
+    """
+
+    tenant: str
+    weight: int
+    priority: Priority
+    work: float
+    seconds_per_work: float
+
+
 class CallQueue(Protocol):
     """Decides which waiting call a back end with room takes next.
 
@@ -28,10 +44,8 @@
     def record_direct(self, call: PendingCall, backend: BackendRecord) -> None:
         """Charge a call that went to ``backend`` without waiting."""
 
-    def expected_work(
-        self, backend: BackendRecord, tenant: str, weight: int, priority: Priority, added: float
-    ) -> float:
-        """Return the work ``backend`` does until ``added`` work of a tenant is done too.
+    def expected_wait_s(self, backend: BackendRecord, newcomer: Newcomer) -> float:
+        """Return in how many seconds ``backend`` has taken all of a newcomer's calls.
 
         Calls with several candidates count in equal parts at each.
         """
@@ -80,11 +94,9 @@
     def record_direct(self, call: PendingCall, backend: BackendRecord) -> None:
         """Keep no accounts."""
 
-    def expected_work(
-        self, backend: BackendRecord, tenant: str, weight: int, priority: Priority, added: float
-    ) -> float:
-        """Return everything that waits, whoever it belongs to, and ``added``."""
-        return backend.waiting + added
+    def expected_wait_s(self, backend: BackendRecord, newcomer: Newcomer) -> float:
+        """Count everything that waits, whoever it belongs to."""
+        return (backend.waiting + newcomer.work) * newcomer.seconds_per_work
 
     def __len__(self) -> int:
         """Return the number of waiting calls."""
--- a/tinrudder/routing/fair_queue.py
+++ b/tinrudder/routing/fair_queue.py
@@ -9,10 +9,11 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tinrudder.resources.model import Priority
 from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.call_queue import Newcomer
 from tinrudder.routing.pending_call import PendingCall
 from tinrudder.routing.tenant_flow import TenantFlow
 
@@ -49,11 +50,13 @@
     Cost: a few microseconds per call, growing with the logarithm of the tenants that wait.
     """
 
-    def __init__(self, burst: float = DEFAULT_BURST) -> None:
+    def __init__(self, clock: Callable[[], float], burst: float = DEFAULT_BURST) -> None:
         """Start empty.
 
+        :param clock: monotonic seconds.
         :param burst: work that a tenant may be served ahead of its share after idleness.
         """
+        self._clock = clock
         self._burst = burst
         self._lanes: dict[BackendRecord, BackendLane] = {}
         self._sweep_lanes_at = SWEEP_SLACK
@@ -97,6 +100,7 @@
                 continue
             lane.virtual_time = max(lane.virtual_time, account)
             flow.account += call.cost / flow.weight
+            flow.pace.observe(self._clock(), call.cost, more=flow.waiting > 1)
             self._replace_first(heap, flow)
             self.discard(call)
             return call
@@ -127,24 +131,26 @@
         lane.virtual_time = max(lane.virtual_time, flow.account)
         flow.account += call.cost / flow.weight
 
-    def expected_work(
-        self, backend: BackendRecord, tenant: str, weight: int, priority: Priority, added: float
-    ) -> float:
-        """Return the work ``backend`` does until ``added`` work of a tenant is done too.
+    def expected_wait_s(self, backend: BackendRecord, newcomer: Newcomer) -> float:
+        """Return in how many seconds ``backend`` has taken all of a newcomer's calls.
 
-        The lower of two bounds: everything that waits there, and the tenant's own part of it
-        served at the tenant's share.
+        A tenant that waited lately is expected to be served at the pace it was served then;
+        what waits of others tells little, since those served ahead of it may not wait at all.
+        Otherwise it is expected to get its share among those that wait now.
         """
         lane = self._lanes.get(backend)
         if lane is None or not backend.waiting:
-            return added
-        own = added
+            return newcomer.work * newcomer.seconds_per_work
+        own = newcomer.work
         others = lane.active_weight
-        flow = lane.flows.get(tenant)
+        flow = lane.flows.get(newcomer.tenant)
         if flow is not None and flow.waiting:
-            own += flow.work_ahead(priority)
+            own += flow.work_ahead(newcomer.priority)
             others -= flow.weight
-        return min(lane.work + added, own * (others + weight) / weight)
+        if flow is not None and flow.pace.is_known:
+            return own * flow.pace.seconds_per_work
+        share = newcomer.weight / (others + newcomer.weight)
+        return min(lane.work + newcomer.work, own / share) * newcomer.seconds_per_work
 
     def __len__(self) -> int:
         """Return the number of waiting calls."""
--- a/tinrudder/routing/tenant_flow.py
+++ b/tinrudder/routing/tenant_flow.py
@@ -19,6 +19,41 @@
 COMPACTION_SLACK = 64
 
 
+PACE_SMOOTHING = 0.05
+PACE_MINIMUM_SAMPLES = 8
+NEVER = -1.0
+
+
+@dataclass(slots=True, eq=False)
+class ServicePace:
+    """How fast a tenant's waiting calls are taken, by observation.
+
+    :param seconds_per_work: smoothed; times in which nothing waited do not count.
+    :param last_at: when a call was last taken while more waited, else ``NEVER``.
+    """
+
+    seconds_per_work: float = 0.0
+    samples: int = 0
+    last_at: float = NEVER
+
+    @property
+    def is_known(self) -> bool:
+        """Tell whether enough was observed."""
+        return self.samples >= PACE_MINIMUM_SAMPLES
+
+    def observe(self, now: float, work: float, *, more: bool) -> None:
+        """Learn that a call was taken.
+
+        :param more: whether the tenant has more calls waiting.
+        """
+        if self.last_at != NEVER:
+            sample = (now - self.last_at) / work
+            self.samples += 1
+            weight = max(PACE_SMOOTHING, 1.0 / self.samples)
+            self.seconds_per_work += weight * (sample - self.seconds_per_work)
+        self.last_at = now if more else NEVER
+
+
 @dataclass(slots=True, eq=False)
 class TenantFlow:
     """One tenant's calls at one back end.
@@ -30,6 +65,7 @@
     :param waiting: calls that really wait.
     :param work: their cost, each divided by its number of candidates, by class.
     :param entries: calls in ``classes``, those that no longer wait included.
+    :param pace: how fast the tenant's calls are taken here.
     :param passed_over: how often each class was passed over since it was last served.
     """
 
@@ -43,6 +79,7 @@
     entries: int = 0
     passed_over: list[int] = field(default_factory=lambda: [0, 0, 0])
     queued: bool = False
+    pace: ServicePace = field(default_factory=ServicePace)
 
     def add(self, call: PendingCall) -> None:
         """Append a call to its class."""
@@ -115,3 +152,4 @@
             self.work[rank] = 0.0
             self.passed_over[rank] = 0
         self.entries = 0
+        self.pace.last_at = NEVER
