Give the fair queue its clock in the newer tests

Cause: the queue takes a clock since it observes paces; two tests written meanwhile gave none. Change: they pass their own clock; what they check is unchanged.

--- a/tests/support/operation_cluster.py
+++ b/tests/support/operation_cluster.py
@@ -136,7 +136,8 @@
         store.offer(ledger_document())
         table = BackendTable()
         table.update(store.current.backends)
-        queue, usage, source = StartTimeFairQueue(), TenantUsageTable(), random.Random(number)
+        queue = StartTimeFairQueue(self.clock.time)
+        usage, source = TenantUsageTable(), random.Random(number)
         self.outcomes = OperationOutcomes(self.clock.wall)
         self.claims = ClaimsService(
             self.clock,
--- a/tests/unit/test_fan_out_machine.py
+++ b/tests/unit/test_fan_out_machine.py
@@ -94,7 +94,7 @@
             self.routing.latency.observe(LATENCY_S)
         self.names = [f"s{number}" for number in range(shards)]
         dispatcher = Dispatcher(
-            self.timers, self.transport, StartTimeFairQueue(), LeastLoadedReplica()
+            self.timers, self.transport, StartTimeFairQueue(self.timers.time), LeastLoadedReplica()
         )
         self.fan_out = FanOut(
             self.plan(OLD_VERSION), dispatcher, self.timers, self.outcomes.append, self
