--- a/tinrudder/api/resource_app.py
+++ b/tinrudder/api/resource_app.py
@@ -16,9 +16,7 @@
     NodeBody,
     NodesBody,
     ProblemBody,
-    ProposedResource,
     ResourceListBody,
-    ValidateBody,
     ValidationBody,
     condition_bodies,
     enforcement_body,
@@ -27,10 +25,11 @@
 from tinrudder.api.resource_visibility import Snapshot, may_see, visible_keys
 from tinrudder.api.resource_watch import ResourceWatch, WatchRequest
 from tinrudder.platform.messages import RawResource, ResourceDocument
+from tinrudder.platform.writer import ResourceBatch
 from tinrudder.resources.accepted import ResourceKey
 from tinrudder.resources.status import StatusReporter
 from tinrudder.resources.store import ConfigurationStore
-from tinrudder.resources.validation import DocumentRefusedError, problems_of
+from tinrudder.resources.validation import DocumentRefusedError, Problem, problems_of
 
 JSON = "application/json"
 NEWLINE_DELIMITED_JSON = "application/x-ndjson"
@@ -44,7 +43,7 @@
 MAX_VALIDATE_BYTES = 4 * 1024 * 1024
 ALL_METHODS = ["GET", "PUT", "POST", "PATCH", "DELETE"]
 
-_validate_decoder = msgspec.json.Decoder(ValidateBody)
+_batch_decoder = msgspec.json.Decoder(ResourceBatch)
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +86,7 @@
         ]
 
     async def validate(self, request: Request) -> Response:
-        """Judge proposed resources together with what is in force; operators only."""
+        """Judge proposed writes together with what is in force; operators only."""
         viewer = self._viewer(request)
         if viewer is None:
             return _unauthorized()
@@ -97,8 +96,7 @@
         if body is None:
             return _error(CONTENT_TOO_LARGE, "too_large", f"body: over {MAX_VALIDATE_BYTES} bytes")
         try:
-            proposed = _validate_decoder.decode(body)
-            problems = problems_of(self._proposed_document(proposed.resources))
+            problems = self._new_problems(_batch_decoder.decode(body))
         except (msgspec.MsgspecError, DocumentRefusedError) as error:
             return _error(BAD_REQUEST, "invalid", str(error))
         bodies = tuple(ProblemBody(one.key.kind, one.key.name, one.text) for one in problems)
@@ -177,15 +175,26 @@
         )
         return _json(body)
 
-    def _proposed_document(self, proposed: tuple[ProposedResource, ...]) -> ResourceDocument:
-        """Return what is in force with the proposed resources in place of their namesakes."""
-        replaced = {(one.kind, one.name) for one in proposed}
+    def _new_problems(self, batch: ResourceBatch) -> list[Problem]:
+        """Return problems of what a batch writes, and those it causes elsewhere."""
+        written = {(one.kind, one.name) for one in batch.resources}
+        before = problems_of(self._document_with(ResourceBatch()))
+        return [
+            problem
+            for problem in problems_of(self._document_with(batch))
+            if problem.key in written or problem not in before
+        ]
+
+    def _document_with(self, batch: ResourceBatch) -> ResourceDocument:
+        """Return what is in force, after a batch."""
+        replaced = {(one.kind, one.name) for one in batch.resources}
+        replaced |= {(one.kind, one.name) for one in batch.delete}
         kept = tuple(
             RawResource(key.kind, key.name, held.accepted_generation, msgspec.Raw(held.raw_spec))
             for key, held in self._store.state.resources.items()
             if held.raw_spec and key not in replaced
         )
-        new = tuple(RawResource(one.kind, one.name, 1, one.spec) for one in proposed)
+        new = tuple(RawResource(one.kind, one.name, 1, one.spec) for one in batch.resources)
         return ResourceDocument(self._store.current.revision + 1, kept + new)
 
     def _changed_at(self, key: ResourceKey) -> int:
--- a/tinrudder/api/resource_bodies.py
+++ b/tinrudder/api/resource_bodies.py
@@ -75,20 +75,6 @@
     platform: tuple[ConditionBody, ...]
 
 
-class ProposedResource(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A resource somebody may write."""
-
-    kind: str
-    name: str
-    spec: msgspec.Raw
-
-
-class ValidateBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What to validate together with what is in force."""
-
-    resources: tuple[ProposedResource, ...]
-
-
 class ProblemBody(msgspec.Struct, frozen=True):
     """One broken rule."""
 
--- /dev/null
+++ b/tinrudder/cli/check_settings.py
@@ -0,0 +1,36 @@
+"""``tinrudder check-settings``: check a node's settings without starting it."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from tinrudder.cli.exit_codes import ExitCode
+from tinrudder.settings import (
+    SettingsError,
+    add_settings_flags,
+    flags_given,
+    load_settings,
+    read_cluster_keys,
+)
+
+
+def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser("check-settings", help="check a node's settings")
+    parser.add_argument("--settings", type=Path, help="TOML settings file")
+    add_settings_flags(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Check file and flags as ``serve`` would."""
+    try:
+        settings = load_settings(arguments.settings, flags_given(arguments))
+        read_cluster_keys(settings.cluster_key_file)
+    except SettingsError as error:
+        print(f"tinrudder check-settings: {error}", file=sys.stderr)
+        return ExitCode.USAGE
+    print(f"{settings.name}: settings are valid")
+    return ExitCode.OK
--- /dev/null
+++ b/tinrudder/cli/connection.py
@@ -0,0 +1,200 @@
+"""How commands talk to a node: flags, credential, typed errors."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import ssl
+import sys
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass
+from typing import Protocol, TypeVar
+
+import aiosonic
+import msgspec
+from aiosonic.exceptions import AiosonicError
+from aiosonic.timeout import Timeouts
+
+from tinrudder.api.resource_bodies import ErrorBody
+from tinrudder.cli.exit_codes import CommandError, ExitCode
+
+NODE_URL_VARIABLE = "TINRUDDER_NODE_URL"
+CREDENTIAL_VARIABLE = "TINRUDDER_CREDENTIAL"
+REQUEST_TIMEOUT_S = 10.0
+WATCH_SILENCE_S = 60.0
+DENIED_STATUSES = (401, 403)
+NOT_FOUND = 404
+OK = 200
+
+Message = TypeVar("Message")
+
+
+@dataclass(frozen=True, slots=True)
+class NodeAnswer:
+    """Status and body of a node's answer."""
+
+    status: int
+    body: bytes
+
+    def decode(self, message_type: type[Message]) -> Message:
+        """Return the body of a successful answer.
+
+        :raises CommandError: the node answered an error, or something unreadable.
+        """
+        if self.status != OK:
+            raise self.error()
+        return self.decode_any(message_type)
+
+    def decode_any(self, message_type: type[Message]) -> Message:
+        """Return the body whatever the status."""
+        try:
+            return msgspec.json.decode(self.body, type=message_type)
+        except msgspec.MsgspecError as error:
+            raise CommandError(ExitCode.UNREACHABLE, f"unreadable answer: {error}") from error
+
+    def error(self) -> CommandError:
+        """Return the error that this answer states."""
+        try:
+            stated = msgspec.json.decode(self.body, type=ErrorBody)
+            text = f"{stated.error}: {stated.detail}"
+        except msgspec.MsgspecError:
+            text = self.body.decode(errors="replace")[:300] or "no further word"
+        codes = {NOT_FOUND: ExitCode.NOT_FOUND}
+        codes.update(dict.fromkeys(DENIED_STATUSES, ExitCode.DENIED))
+        return CommandError(codes.get(self.status, ExitCode.USAGE), f"status {self.status}: {text}")
+
+
+class NodeClient(Protocol):
+    """What commands ask a node through."""
+
+    async def request(self, method: str, path: str, body: bytes = b"") -> NodeAnswer:
+        """Return the answer to one request.
+
+        :raises CommandError: the node can't be reached.
+        """
+
+    def lines(self, path: str) -> AsyncIterator[bytes]:
+        """Yield the lines of a stream."""
+
+    async def close(self) -> None:
+        """Close connections."""
+
+
+class HttpNodeClient:
+    """The real :class:`NodeClient`."""
+
+    def __init__(self, url: str, credential: str, authority: str) -> None:
+        """Talk to ``url``; ``authority`` is a PEM file to check its certificate against."""
+        self._url = url.rstrip("/")
+        self._headers = {"Content-Type": "application/json"}
+        if credential:
+            self._headers["Authorization"] = f"Bearer {credential}"
+        self._tls = ssl.create_default_context(cafile=authority) if authority else None
+        self._client = aiosonic.HTTPClient()
+
+    async def request(self, method: str, path: str, body: bytes = b"") -> NodeAnswer:
+        """Return the answer to one request."""
+        try:
+            response = await self._send(method, path, body, REQUEST_TIMEOUT_S)
+            return NodeAnswer(response.status_code, await response.content())
+        except (OSError, EOFError, AiosonicError) as error:
+            raise self._unreachable(error) from error
+
+    async def lines(self, path: str) -> AsyncIterator[bytes]:
+        """Yield the lines of a stream until it ends."""
+        try:
+            response = await self._send("GET", path, b"", WATCH_SILENCE_S)
+            if response.status_code != OK:
+                raise NodeAnswer(response.status_code, await response.content()).error()
+            rest = b""
+            async for chunk in response.read_chunks():
+                *whole, rest = (rest + chunk).split(b"\n")
+                for line in whole:
+                    yield line
+        except (OSError, EOFError, AiosonicError) as error:
+            raise self._unreachable(error) from error
+
+    async def close(self) -> None:
+        """Close connections."""
+        await self._client.aclose()
+
+    async def _send(
+        self, method: str, path: str, body: bytes, silence_s: float
+    ) -> aiosonic.HttpResponse:
+        timeouts = Timeouts(sock_read=silence_s, request_timeout=None)
+        return await self._client.request(
+            self._url + path,
+            method,
+            headers=self._headers,
+            data=body or None,
+            ssl=self._tls,
+            timeouts=timeouts,
+        )
+
+    def _unreachable(self, error: Exception) -> CommandError:
+        return CommandError(ExitCode.UNREACHABLE, f"{self._url}: {error!r}")
+
+
+NodeCommand = Callable[[argparse.Namespace, NodeClient], Awaitable[ExitCode]]
+
+
+def add_node_flags(parser: argparse.ArgumentParser) -> None:
+    """Add how to reach a node."""
+    parser.add_argument(
+        "--node-url",
+        default=os.environ.get(NODE_URL_VARIABLE, ""),
+        help=f"a node's address for callers, e.g. http://127.0.0.1:8080; else ${NODE_URL_VARIABLE}",
+    )
+    parser.add_argument(
+        "--credential",
+        default=os.environ.get(CREDENTIAL_VARIABLE, ""),
+        help=f"KEY_ID.SECRET of an operator or a tenant; better in ${CREDENTIAL_VARIABLE}",
+    )
+    parser.add_argument("--authority", default="", help="PEM file to check the node against")
+
+
+def open_node_client(arguments: argparse.Namespace) -> NodeClient:
+    """Return a client for the node that the flags name.
+
+    :raises CommandError: they name none, or the authority can't be read.
+    """
+    if not arguments.node_url:
+        text = f"--node-url: needed, as flag or as ${NODE_URL_VARIABLE}"
+        raise CommandError(ExitCode.USAGE, text)
+    try:
+        return HttpNodeClient(arguments.node_url, arguments.credential, arguments.authority)
+    except (OSError, ssl.SSLError) as error:
+        raise CommandError(ExitCode.USAGE, f"--authority: {error}") from error
+
+
+def run_with_node(arguments: argparse.Namespace, command: NodeCommand) -> int:
+    """Run a command against a node; print its error and return its exit code."""
+
+    async def whole() -> ExitCode:
+        client = open_node_client(arguments)
+        try:
+            return await command(arguments, client)
+        finally:
+            await client.close()
+
+    return run_reporting(arguments, whole)
+
+
+def run_reporting(arguments: argparse.Namespace, command: Callable[[], Awaitable[ExitCode]]) -> int:
+    """Run a command; print its error and return its exit code."""
+
+    async def awaited() -> ExitCode:
+        return await command()
+
+    try:
+        return int(asyncio.run(awaited()))
+    except CommandError as error:
+        print(f"tinrudder {arguments.command}: {error}", file=sys.stderr)
+        return int(error.code)
+    except KeyboardInterrupt:
+        return int(ExitCode.OK)
+    except BrokenPipeError:
+        # Whoever read our output has seen enough; keep Python from flushing to it at exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return int(ExitCode.OK)
--- /dev/null
+++ b/tinrudder/cli/exit_codes.py
@@ -0,0 +1,34 @@
+"""Exit codes of every subcommand; docs/COMMANDS.md quotes this table."""
+
+from __future__ import annotations
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """What a command found.
+
+    ``NEGATIVE`` is an answer, not an error: the file is not valid, the specs differ, the resource
+    was refused.
+    """
+
+    OK = 0
+    NEGATIVE = 1
+    USAGE = 2
+    UNREACHABLE = 3
+    DENIED = 4
+    NOT_FOUND = 5
+    LAGGING = 6
+    QUERY_PARTIAL = 10
+    QUERY_NOT_RUN = 11
+    QUERY_MAY_HAVE_RUN = 12
+    QUERY_FAILED = 13
+
+
+class CommandError(Exception):
+    """A command can't go on; the text says why, the code tells scripts."""
+
+    def __init__(self, code: ExitCode, text: str) -> None:
+        """Exit with ``code`` after printing ``text``."""
+        super().__init__(text)
+        self.code = code
--- /dev/null
+++ b/tinrudder/cli/get.py
@@ -0,0 +1,60 @@
+"""``tinrudder get [KIND [NAME]]``: resources with their status."""
+
+from __future__ import annotations
+
+import argparse
+from urllib.parse import quote
+
+from tinrudder.api.resource_bodies import ResourceBody, ResourceListBody
+from tinrudder.cli.connection import NodeClient, add_node_flags, run_with_node
+from tinrudder.cli.exit_codes import ExitCode
+from tinrudder.cli.output import add_output_flag, print_json, print_table, wants_json
+from tinrudder.resources.model import Kind
+
+HEADINGS = ("kind", "name", "generation", "accepted", "enforced", "message")
+
+
+def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser("get", help="show resources with their status")
+    parser.add_argument("kind", nargs="?", choices=[kind.value for kind in Kind])
+    parser.add_argument("name", nargs="?")
+    add_node_flags(parser)
+    add_output_flag(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Show one resource, one kind, or all."""
+    return run_with_node(arguments, _get)
+
+
+def row_of(resource: ResourceBody) -> tuple[str, ...]:
+    """Return a resource as a line of a table."""
+    conditions = {condition.type: condition for condition in resource.conditions}
+    accepted, enforced = conditions.get("Accepted"), conditions.get("Enforced")
+    messages = [one.message for one in resource.conditions if not one.status and one.message]
+    generation = f"{resource.accepted_generation}/{resource.observed_generation}"
+    return (
+        resource.kind,
+        resource.name,
+        generation,
+        accepted.reason if accepted else "",
+        enforced.message.partition(";")[0] if enforced else "",
+        "; ".join(messages),
+    )
+
+
+async def _get(arguments: argparse.Namespace, client: NodeClient) -> ExitCode:
+    if arguments.name is not None:
+        path = f"/v1/resources/{arguments.kind}/{quote(arguments.name, safe='')}"
+        resource = (await client.request("GET", path)).decode(ResourceBody)
+        resources: tuple[ResourceBody, ...] = (resource,)
+    else:
+        path = "/v1/resources" + (f"?kind={arguments.kind}" if arguments.kind else "")
+        resources = (await client.request("GET", path)).decode(ResourceListBody).resources
+    if wants_json(arguments):
+        print_json(resources[0] if arguments.name is not None else resources)
+    else:
+        print_table(HEADINGS, [row_of(resource) for resource in resources])
+    return ExitCode.OK
--- a/tinrudder/cli/main.py
+++ b/tinrudder/cli/main.py
@@ -6,14 +6,30 @@
 import sys
 from collections.abc import Sequence
 
-from tinrudder.cli import serve
+from tinrudder.cli import (
+    apply,
+    check_settings,
+    completion,
+    diff,
+    explain,
+    get,
+    nodes,
+    query,
+    serve,
+    validate,
+    watch,
+)
+
+SUBCOMMANDS = (serve, check_settings, validate, diff, apply, get, watch, nodes, query, explain)
 
 
 def build_parser() -> argparse.ArgumentParser:
     """Return the parser with every subcommand."""
     parser = argparse.ArgumentParser(prog="tinrudder", description=__doc__)
     subparsers = parser.add_subparsers(dest="command", required=True)
-    serve.add_parser(subparsers)
+    for subcommand in SUBCOMMANDS:
+        subcommand.add_parser(subparsers)
+    completion.add_parser(subparsers, build_parser)
     return parser
 
 
--- /dev/null
+++ b/tinrudder/cli/nodes.py
@@ -0,0 +1,39 @@
+"""``tinrudder nodes``: which node enforces which revision, and what is wrong with the platform."""
+
+from __future__ import annotations
+
+import argparse
+
+from tinrudder.api.resource_bodies import NodesBody
+from tinrudder.cli.connection import NodeClient, add_node_flags, run_with_node
+from tinrudder.cli.exit_codes import ExitCode
+from tinrudder.cli.output import add_output_flag, print_json, print_table, wants_json
+
+
+def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser("nodes", help="show nodes and the revisions they enforce")
+    add_node_flags(parser)
+    add_output_flag(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Show nodes."""
+    return run_with_node(arguments, _nodes)
+
+
+async def _nodes(arguments: argparse.Namespace, client: NodeClient) -> ExitCode:
+    body = (await client.request("GET", "/v1/resources/nodes")).decode(NodesBody)
+    if wants_json(arguments):
+        print_json(body)
+        return ExitCode.OK
+    rows = [(one.name, one.zone, one.status, str(one.revision)) for one in body.nodes]
+    print_table(("node", "zone", "status", "revision"), rows)
+    enforcement = body.enforcement
+    counts = f"{enforcement.enforcing} of {enforcement.nodes}"
+    print(f"revision {enforcement.revision} is enforced by {counts} nodes, says {body.answered_by}")
+    for condition in body.platform:
+        if not condition.status:
+            print(f"{condition.type} does not hold: {condition.reason}: {condition.message}")
+    return ExitCode.OK
--- /dev/null
+++ b/tinrudder/cli/resource_file.py
@@ -0,0 +1,58 @@
+"""Files of resources, as operators keep them: TOML with comments, or JSON."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from tinrudder.cli.exit_codes import CommandError, ExitCode
+from tinrudder.platform.messages import RawResource, ResourceDocument
+from tinrudder.platform.writer import ResourceBatch, ResourceName, ResourceWrite
+
+
+class FileResource(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One resource of a file."""
+
+    kind: str
+    name: str
+    spec: dict[str, object] = {}
+
+
+class ResourceFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A file of resources to have, and of those to delete."""
+
+    resources: tuple[FileResource, ...] = ()
+    delete: tuple[ResourceName, ...] = ()
+
+    def batch(self) -> ResourceBatch:
+        """Return the file as writes."""
+        writes = (
+            ResourceWrite(one.kind, one.name, msgspec.Raw(msgspec.json.encode(one.spec)))
+            for one in self.resources
+        )
+        return ResourceBatch(tuple(writes), self.delete)
+
+    def document(self) -> ResourceDocument:
+        """Return the file as if it were everything the platform holds."""
+        resources = (
+            RawResource(write.kind, write.name, 1, write.spec) for write in self.batch().resources
+        )
+        return ResourceDocument(1, tuple(resources))
+
+
+def load_resource_file(path: Path) -> ResourceFile:
+    """Read a file.
+
+    :raises CommandError: naming the field and the rule it breaks.
+    """
+    try:
+        content = path.read_bytes()
+        if path.suffix == ".json":
+            return msgspec.json.decode(content, type=ResourceFile)
+        return msgspec.convert(tomllib.loads(content.decode()), ResourceFile)
+    except OSError as error:
+        raise CommandError(ExitCode.USAGE, f"{path}: {error.strerror}") from error
+    except (msgspec.MsgspecError, tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise CommandError(ExitCode.USAGE, f"{path}: {error}") from error
--- /dev/null
+++ b/tinrudder/cli/validate.py
@@ -0,0 +1,70 @@
+"""``tinrudder validate FILE``: judge resources, alone or together with what is in force."""
+
+from __future__ import annotations
+
+import argparse
+from pathlib import Path
+
+import msgspec
+
+from tinrudder.api.resource_bodies import ProblemBody, ValidationBody
+from tinrudder.cli import connection
+from tinrudder.cli.connection import NodeClient, add_node_flags, run_reporting
+from tinrudder.cli.exit_codes import CommandError, ExitCode
+from tinrudder.cli.output import add_output_flag, print_json, print_table, wants_json
+from tinrudder.cli.resource_file import ResourceFile, load_resource_file
+from tinrudder.platform.writer import ResourceBatch
+from tinrudder.resources.validation import DocumentRefusedError, problems_of
+
+
+def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser(
+        "validate", help="judge a file of resources; with a node, together with what is in force"
+    )
+    parser.add_argument("file", type=Path, help="TOML or JSON file of resources")
+    add_node_flags(parser)
+    add_output_flag(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Validate at a node if one is named, else the file alone."""
+
+    async def whole() -> ExitCode:
+        file = load_resource_file(arguments.file)
+        if not arguments.node_url:
+            return _report(arguments, _validate_alone(file))
+        client = connection.open_node_client(arguments)
+        try:
+            return _report(arguments, await validate_at_node(client, file.batch()))
+        finally:
+            await client.close()
+
+    return run_reporting(arguments, whole)
+
+
+async def validate_at_node(client: NodeClient, batch: ResourceBatch) -> ValidationBody:
+    """Return a node's judgement of writes together with what is in force there."""
+    answer = await client.request("POST", "/v1/resources/validate", msgspec.json.encode(batch))
+    return answer.decode(ValidationBody)
+
+
+def _validate_alone(file: ResourceFile) -> ValidationBody:
+    try:
+        problems = problems_of(file.document())
+    except DocumentRefusedError as error:
+        raise CommandError(ExitCode.NEGATIVE, str(error)) from error
+    bodies = tuple(ProblemBody(one.key.kind, one.key.name, one.text) for one in problems)
+    return ValidationBody(not bodies, bodies)
+
+
+def _report(arguments: argparse.Namespace, result: ValidationBody) -> ExitCode:
+    if wants_json(arguments):
+        print_json(result)
+    elif result.valid:
+        print(f"{arguments.file}: valid")
+    else:
+        rows = [(one.kind, one.name, one.problem) for one in result.problems]
+        print_table(("kind", "name", "problem"), rows)
+    return ExitCode.OK if result.valid else ExitCode.NEGATIVE
--- /dev/null
+++ b/tinrudder/cli/watch.py
@@ -0,0 +1,58 @@
+"""``tinrudder watch``: follow resources until the node ends the stream."""
+
+from __future__ import annotations
+
+import argparse
+
+import msgspec
+
+from tinrudder.api.resource_watch import WatchEvent
+from tinrudder.cli.connection import NodeClient, add_node_flags, run_with_node
+from tinrudder.cli.exit_codes import CommandError, ExitCode
+from tinrudder.cli.get import row_of
+from tinrudder.cli.output import add_output_flag, wants_json
+from tinrudder.resources.model import Kind
+
+
+def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser("watch", help="follow resources as they change")
+    parser.add_argument("kind", nargs="?", choices=[kind.value for kind in Kind])
+    parser.add_argument("--from-revision", type=int, default=0, help="resume after a revision")
+    add_node_flags(parser)
+    add_output_flag(parser)
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Print events until the node ends the stream."""
+    return run_with_node(arguments, _watch)
+
+
+def line_of(event: WatchEvent) -> str:
+    """Return an event as a line for people."""
+    if event.resource is not None:
+        return f"{event.revision}  changed  " + "  ".join(row_of(event.resource))
+    if event.enforcement is not None:
+        lagging = ", ".join(event.enforcement.lagging)
+        counts = f"{event.enforcement.enforcing} of {event.enforcement.nodes} nodes"
+        return f"{event.revision}  enforced by {counts}" + (
+            f"; lagging: {lagging}" if lagging else ""
+        )
+    return f"{event.revision}  {event.type}  {event.kind}  {event.name}".rstrip()
+
+
+async def _watch(arguments: argparse.Namespace, client: NodeClient) -> ExitCode:
+    path = f"/v1/resources/watch?from_revision={arguments.from_revision}"
+    if arguments.kind:
+        path += f"&kind={arguments.kind}"
+    revision = arguments.from_revision
+    async for line in client.lines(path):
+        event = msgspec.json.decode(line, type=WatchEvent)
+        revision = event.revision
+        if wants_json(arguments):
+            print(line.decode(), flush=True)
+        elif event.type != "bookmark":
+            print(line_of(event), flush=True)
+    text = f"the node ended the watch; resume with --from-revision {revision} at another one"
+    raise CommandError(ExitCode.UNREACHABLE, text)
