Send operations twice through two processes, in the demo and in a test

Cause: claims had run between processes in no check. Change: rules SERVICE-post for ledgers and seat sales; the demo sends each operation at once through two nodes and compares with what back ends started; a functional test over TLS does the same. A proposer's instance now contains its start time, so that two starts with one random source can't pass for one proposer.

--- a/tests/functional/test_serve.py
+++ b/tests/functional/test_serve.py
@@ -8,6 +8,7 @@
 import socket
 import ssl
 import sys
+import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -22,7 +23,13 @@
 from tinrudder_lab.backend_model import BackendBehaviour, BackendModel
 from tinrudder_lab.backend_server import serve_model
 from tinrudder_lab.datasets import ShardStore
-from tinrudder_lab.deployment import LOOPBACK, PLATA_REGION, Deployment, build_deployment
+from tinrudder_lab.deployment import (
+    LOOPBACK,
+    OPERATION_RULE_SUFFIX,
+    PLATA_REGION,
+    Deployment,
+    build_deployment,
+)
 from tinrudder_lab.platform_server import PlatformState, build_app
 
 SERVICE = "finance"
@@ -54,6 +61,8 @@
     authority: trustme.CA
     ports: dict[str, int] = field(default_factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
+    models: list[BackendModel] = field(default_factory=list)
+    valid_until: float = 0.0
 
     def write_identity(self) -> None:
         certificate = self.authority.issue_cert(LOOPBACK)
@@ -104,6 +113,19 @@
         head = f"Authorization: {kind.caller.authorization}\r\n"
         return await self.request(node, "POST", "/v1/query", body, head)
 
+    async def operate(self, node: str, operation: str = "book") -> Reply:
+        kind = next(kind for kind in self.deployment.query_kinds if kind.rule == SERVICE)
+        content = {
+            "index": kind.index,
+            "rule": kind.rule + OPERATION_RULE_SUFFIX,
+            "operation": operation,
+            "key": "entry-0001",
+            "valid_until": self.valid_until,
+        }
+        head = f"Authorization: {kind.caller.authorization}\r\n"
+        body = msgspec.json.encode(content)
+        return await self.request(node, "POST", "/v1/operations", body, head)
+
     async def wait_for_status(self, node: str, path: str, status: int) -> Reply:
         async with asyncio.timeout(TIMEOUT_S):
             while True:
@@ -130,6 +152,7 @@
         if spec is not None and spec.service == SERVICE:
             behaviour = BackendBehaviour(slots=spec.slots, service_median_s=SERVICE_S)
             model = BackendModel(raw.name, loop, random.Random(1), ShardStore(), behaviour)
+            cluster.models.append(model)
             servers.append(await serve_model(model, LOOPBACK, 0))
             port = servers[-1].sockets[0].getsockname()[1]
             moved: BackendSpec = msgspec.structs.replace(spec, port=port)
@@ -192,6 +215,26 @@
     asyncio.run(scenario())
 
 
+def test_an_operation_sent_through_both_nodes_runs_once(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with running_cluster(tmp_path) as cluster:
+            async with asyncio.timeout(TIMEOUT_S):
+                status = 503
+                while status == 503:
+                    cluster.valid_until = time.time() + 59.5
+                    first = await cluster.operate("a")
+                    status = first.status
+                    await asyncio.sleep(0.05)
+            assert (status, first.body["outcome"]) == (200, "complete"), first.body
+            second = await cluster.operate("b")
+            assert (second.status, second.body["outcome"]) == (200, "complete"), second.body
+            other = await cluster.operate("b", "cancel")
+            assert (other.status, other.body["reason"]) == (409, "already_claimed")
+            assert sum(model.counters.operations for model in cluster.models) == 1
+
+    asyncio.run(scenario())
+
+
 def test_keys_of_callers_and_nodes_rotate_without_restart(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with running_cluster(tmp_path) as cluster:
--- a/tinrudder/cluster/claims.py
+++ b/tinrudder/cluster/claims.py
@@ -40,7 +40,7 @@
 class ProposerId:
     """One attempt to claim a key, unique over nodes, their restarts and their attempts.
 
-    :param instance: drawn at random when the process starts.
+    :param instance: which start of the process this is.
     """
 
     node: str
--- a/tinrudder/cluster/claims_service.py
+++ b/tinrudder/cluster/claims_service.py
@@ -49,7 +49,8 @@
     encode_request,
 )
 
-INSTANCE_BITS = 63
+INSTANCE_RANDOM_BITS = 12
+MICROSECONDS = 1_000_000
 
 AnswerSource = Callable[[AnswerQuestion], Awaitable[StoredAnswer]]
 
@@ -124,6 +125,16 @@
         return True
 
 
+def _new_instance(now: float, source: random.Random) -> int:
+    """Return a number that no earlier start of this node had, whatever the random source.
+
+    Two starts with one number could pass for one proposer, and a voter grants a proposer twice.
+    """
+    return (int(now * MICROSECONDS) << INSTANCE_RANDOM_BITS) | source.getrandbits(
+        INSTANCE_RANDOM_BITS
+    )
+
+
 class ClaimsService:
     """Votes and claims on one node."""
 
@@ -147,7 +158,7 @@
         self._node = node
         self.limits = limits
         self._answers = answers
-        self._instance = source.getrandbits(INSTANCE_BITS)
+        self._instance = _new_instance(wall_clock(), source)
         self._attempts = 0
         self._histories: dict[str, ElectorateHistory] = {}
         self._revision = 0
--- a/tinrudder_lab/backend_model.py
+++ b/tinrudder_lab/backend_model.py
@@ -82,6 +82,7 @@
 
     received: int = 0
     started: int = 0
+    operations: int = 0
     shed: int = 0
     after_drain: int = 0
 
@@ -171,6 +172,7 @@
 
     def _run(self, call: ModelCall) -> None:
         self.counters.started += 1
+        self.counters.operations += call.request.operation is not None
         self._note(CallStage.STARTED, call)
         self.running.add(call)
         when = self.timers.time() + self._service_time()
--- a/tinrudder_lab/demo.py
+++ b/tinrudder_lab/demo.py
@@ -20,6 +20,7 @@
 from tinrudder_lab.backend_server import ControlMessage
 from tinrudder_lab.demo_callers import DemoCallers, Tally
 from tinrudder_lab.demo_cluster import DemoCluster, DemoNode
+from tinrudder_lab.demo_operations import DemoOperations
 from tinrudder_lab.deployment import LOOPBACK
 from tinrudder_lab.platform_server import ResourceWrite
 
@@ -58,6 +59,7 @@
     coverage_mean: float
     extra_load: float
     relayed: int
+    operations: int
     drain_s: float
     config_in_force_s: float
     node_stop_s: float
@@ -70,7 +72,11 @@
     def __init__(self, cluster: DemoCluster) -> None:
         """Run against a cluster that has been started."""
         self.cluster = cluster
-        self.callers = DemoCallers(cluster.nodes, cluster.deployment.query_kinds)
+        kinds = cluster.deployment.query_kinds
+        self.callers = DemoCallers(cluster.nodes, kinds)
+        self.operations = DemoOperations(
+            self.callers.client, kinds, lambda: self.callers.ready_nodes
+        )
         self.timings = Timings()
         self.events: list[str] = []
         self._dead_backends: set[str] = set()
@@ -86,8 +92,14 @@
         await self.callers.wait_until_ready(START_TIMEOUT_S)
         following = asyncio.create_task(self.callers.follow_readiness())
         before = await self._received_calls()
-        await asyncio.gather(self._break_things(), self.callers.run(RUN_SECONDS))
-        received = await self._received_calls() + self._received_by_dead - before
+        await asyncio.gather(
+            self._break_things(),
+            self.callers.run(RUN_SECONDS),
+            self.operations.run(RUN_SECONDS),
+        )
+        started = await self._started_operations()
+        self.tally.violations.extend(self.operations.tally.violations(started))
+        received = await self._received_calls() + self._received_by_dead - before - started
         following.cancel()
         await self.callers.client.aclose()
         return received / max(1, self.tally.needed_shards) - 1
@@ -167,6 +179,14 @@
                 received += (await self._counters(spec)).received
         return received
 
+    async def _started_operations(self) -> int:
+        """Return how many operations the back ends that still run have started."""
+        started = 0
+        for name, spec in self.cluster.deployment.backends.items():
+            if name not in self._dead_backends:
+                started += (await self._counters(spec)).operations
+        return started
+
     async def _counters(self, spec: BackendSpec) -> BackendCounters:
         url = f"http://{LOOPBACK}:{spec.port}/counters"
         response = await self.callers.client.post(url, data=b"{}")
@@ -200,6 +220,7 @@
         coverage_mean=round(sum(tally.coverage) / max(1, len(tally.coverage)), 5),
         extra_load=round(extra_load, 5),
         relayed=sum(fields.relayed for fields in stopped),
+        operations=demo.operations.tally.sent,
         drain_s=demo.timings.drain_s,
         config_in_force_s=demo.timings.config_in_force_s,
         node_stop_s=demo.timings.node_stop_s,
@@ -215,6 +236,9 @@
     for kind, values in sorted(demo.tally.by_kind.items()):
         line = f"{kind:<20}{len(values):>9}"
         print(f"{line}{percentile(values, 0.5):>10.1f}{percentile(values, 0.99):>10.1f}")
+    operations = demo.operations.tally
+    told = ", ".join(f"{name}: {count}" for name, count in sorted(operations.outcomes.items()))
+    print(f"{operations.sent} operations, each sent twice at once through two nodes: {told}")
     for violation in demo.tally.violations[:MAX_VIOLATIONS_SHOWN]:
         print(f"VIOLATION {violation}")
 
--- a/tinrudder_lab/demo_callers.py
+++ b/tinrudder_lab/demo_callers.py
@@ -67,6 +67,11 @@
         self._kinds = kinds
         self._ready: list[DemoNode] = []
 
+    @property
+    def ready_nodes(self) -> list[DemoNode]:
+        """Return the nodes that were ready when last asked."""
+        return self._ready
+
     async def wait_until_ready(self, seconds: float) -> None:
         """Wait until every node is ready.
 
--- a/tinrudder_lab/deployment.py
+++ b/tinrudder_lab/deployment.py
@@ -29,6 +29,10 @@
 ARENA_REGION = "swiss-middle"
 ARENA_ZONES = ("chm-a", "chm-b", "chm-c")
 PLATA_OWNERS = ("centro", "pocitos", "cordon", "prado")
+OPERATION_DATASETS = ("ledger", "seats")
+OPERATION_RULE_SUFFIX = "-post"
+"""Ledgers and seat sales also take operations, by the rule ``SERVICE-post``."""
+
 ARENA_OWNERS = ("alpen-tickets", "limmat-seats", "aare-events", "rhein-pass")
 
 
@@ -112,6 +116,9 @@
 _INTERACTIVE = _rule(Preference.LATENCY, Priority.INTERACTIVE, 60, 200, 0.9)
 _BATCH = _rule(Preference.COVERAGE, Priority.BATCH, 2000, 5000, 1.0)
 _LISTING = _rule(Preference.COVERAGE, Priority.INTERACTIVE, 150, 300, 0.5)
+_OPERATION = msgspec.structs.replace(
+    _rule(Preference.COVERAGE, Priority.INTERACTIVE, 2000, 2000, 1.0), repeatable=False
+)
 _GATE = _rule(Preference.COVERAGE, Priority.INTERACTIVE, 150, 300, 1.0)
 
 PLATA_SHAPES = (
@@ -192,6 +199,9 @@
     deployment.add(Kind.INDEX, index, _index_spec(name, names, owners, shape.shards))
     rule = msgspec.structs.replace(shape.rule, service=name)
     deployment.add(Kind.QUERY_RULE, name, rule)
+    if shape.dataset in OPERATION_DATASETS:
+        operations = msgspec.structs.replace(_OPERATION, service=name)
+        deployment.add(Kind.QUERY_RULE, name + OPERATION_RULE_SUFFIX, operations)
     deployment.query_kinds.append(QueryKind(caller_of(shape.tenant), index, name, region))
     return port
 
