Plant fourteen defects, run purchases in the lab and name policies

Cause: a checker that nothing ever fails proves nothing, and no run sent a request that must not be repeated.

--- a/tinrudder_lab/checkers/index.py
+++ b/tinrudder_lab/checkers/index.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from tinrudder_lab.history import CallSeen, History
+from tinrudder_lab.history import CallSeen, History, QueryEnded, QuerySent
 
 
 class HistoryIndex:
@@ -11,8 +11,12 @@
     def __init__(self, history: History) -> None:
         """Index a finished history."""
         self._calls: dict[str, list[CallSeen]] = {}
+        self._operations: dict[str, list[CallSeen]] = {}
         for call in history.calls:
             self._calls.setdefault(call.query_id, []).append(call)
+            if call.operation is not None:
+                key = call.operation.rpartition("/")[2]
+                self._operations.setdefault(key, []).append(call)
         self._shards = {(v.index, v.version): v.shards for v in history.versions}
         self._tenants = {version.index: version.tenants for version in history.versions}
 
@@ -20,6 +24,12 @@
         """Return what back ends saw of a query, in the order of time."""
         return self._calls.get(query_id, []) if query_id else []
 
+    def calls_for(self, sent: QuerySent, ended: QueryEnded) -> list[CallSeen]:
+        """Return the calls an answer may rest on: for an operation, those of any submission."""
+        if sent.request_key is not None:
+            return self._operations.get(sent.request_key, [])
+        return self.calls_of(ended.query_id)
+
     def shards_of(self, index: str, version: int | None) -> tuple[str, ...]:
         """Return the shards of a published version, none for an unknown one."""
         return self._shards.get((index, version or 0), ())
--- a/tinrudder_lab/everything.py
+++ b/tinrudder_lab/everything.py
@@ -63,6 +63,7 @@
         faults.cut(alone, ZONES - alone, seconds, both=both),
         faults.cut(*regions, seconds, both=both),
         faults.lossy_datagrams(0.1, 0.05),
+        faults.slow_network(0.03, seconds),
         faults.platform_down(None, seconds),
         faults.platform_down(alone, seconds),
         faults.platform_stale(None, 1, seconds),
--- a/tinrudder_lab/history.py
+++ b/tinrudder_lab/history.py
@@ -43,6 +43,8 @@
     """A caller sent a query.
 
     :param query: the lab's own number of it; :param session: queries that page one listing.
+    :param request_key: set for a request that must run at most once.
+    :param valid_until: nothing of it may be sent from then on, seconds.
     """
 
     at: float
@@ -54,6 +56,8 @@
     limit: int
     match: dict[str, str] = {}
     request_key: str | None = None
+    valid_until: float | None = None
+    resubmission: bool = False
     session: int | None = None
     after: tuple[float, str] | None = None
 
--- a/tinrudder_lab/measures.py
+++ b/tinrudder_lab/measures.py
@@ -4,14 +4,24 @@
 
 from collections import Counter
 from collections.abc import Sequence
+from dataclasses import dataclass
 
 from tinrudder_lab.checkers.configuration import seconds_in_force
 from tinrudder_lab.checkers.draining import drain_seconds
 from tinrudder_lab.checkers.violation import Violation
 from tinrudder_lab.history import History, QueryEnded
-from tinrudder_lab.report import ANSWERED, REFUSED, ROUND_MS, ROUND_RATIO, Figures, RunResult
+from tinrudder_lab.report import (
+    ANSWERED,
+    REFUSED,
+    ROUND_MS,
+    ROUND_RATIO,
+    Figures,
+    RunResult,
+    TenantFigures,
+)
 from tinrudder_lab.scenarios import Scenario
 from tinrudder_lab.sim.world import World
+from tinrudder_lab.topology import SHARED_SERVICE
 
 MS = 1000.0
 
@@ -66,16 +76,73 @@
     )
 
 
+def tenant_figures(world: World, alone: World | None) -> dict[str, TenantFigures]:
+    """Return each tenant's figures, beside those it has without the noise."""
+    history = world.history
+    tenants = sorted({sent.tenant for sent in history.sent.values()})
+    answered = {tenant: len(latencies_ms(history, tenant)) for tenant in tenants}
+    total = max(1, sum(answered.values()))
+    figures = {}
+    for tenant in tenants:
+        queries = sum(1 for sent in history.sent.values() if sent.tenant == tenant)
+        refused = sum(
+            1
+            for ended in history.ended.values()
+            if ended.outcome == REFUSED and history.sent[ended.query].tenant == tenant
+        )
+        figures[tenant] = TenantFigures(
+            queries=queries,
+            refused=refused,
+            p99_ms=_p99(history, tenant),
+            served=round(answered[tenant] / max(1, queries), ROUND_RATIO),
+            share=round(answered[tenant] / total, ROUND_RATIO),
+            alone_p99_ms=_p99(alone.history, tenant) if alone else None,
+            alone_served=_served(alone.history, tenant) if alone else None,
+        )
+    return figures
+
+
+def _p99(history: History, tenant: str) -> float:
+    return round(percentile(latencies_ms(history, tenant), 0.99), ROUND_MS)
+
+
+def _served(history: History, tenant: str) -> float:
+    queries = sum(1 for sent in history.sent.values() if sent.tenant == tenant)
+    return round(len(latencies_ms(history, tenant)) / max(1, queries), ROUND_RATIO)
+
+
+def goodput(scenario: Scenario, world: World) -> float:
+    """Return answered queries over what the shared service could answer in the time."""
+    capacity = world.topology.capacity(SHARED_SERVICE) * scenario.duration_s
+    return round(len(latencies_ms(world.history)) / capacity, ROUND_RATIO)
+
+
+def calls_per_accepted(world: World) -> float:
+    """Return calls sent over calls needed by the queries that were answered."""
+    answered = (e for e in world.history.ended.values() if e.outcome in ANSWERED)
+    needed = sum(len(ended.included) + len(ended.missing) for ended in answered)
+    return round(world.sent_calls / max(1, needed), ROUND_RATIO)
+
+
+@dataclass(frozen=True, slots=True)
+class CompanionRuns:
+    """Runs on the same seed that a result is set beside."""
+
+    baseline: Figures | None = None
+    alone: World | None = None
+
+
 def result_of(
     scenario: Scenario,
     seed: int,
     policy: str,
     world: World,
     violations: tuple[Violation, ...],
-    baseline: Figures | None,
+    companions: CompanionRuns,
 ) -> RunResult:
     """Return the last line of a run."""
     figures = figures_of(world)
+    shared = world.topology.shards > 1
     outcomes = Counter(ended.outcome for ended in world.history.ended.values())
     return RunResult(
         scenario=scenario.name,
@@ -95,7 +162,10 @@
         outcomes=dict(sorted(outcomes.items())),
         config_in_force_s=_rounded(seconds_in_force(world.history)),
         drain_s=_rounded(drain_seconds(world.history)),
-        baseline=baseline,
+        tenants=tenant_figures(world, companions.alone) if shared else None,
+        goodput=goodput(scenario, world) if shared else None,
+        calls_per_accepted=calls_per_accepted(world) if shared else None,
+        baseline=companions.baseline,
     )
 
 
--- /dev/null
+++ b/tinrudder_lab/plants.py
@@ -0,0 +1,322 @@
+"""Planted defects: each switched on by substitution from the lab, never by a flag in the product.
+
+A plant names the promise it breaks and a scenario in which the checker must report it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass, replace
+from typing import Any
+from unittest import mock
+
+from tinrudder import node
+from tinrudder.api import caller_app, query_body
+from tinrudder.backends.messages import BackendCall, BackendReply
+from tinrudder.cluster import claims_service
+from tinrudder.cluster.state_exchange import StateExchange
+from tinrudder.environment import ReplyListener
+from tinrudder.node import Node
+from tinrudder.outcomes import Coverage, MayHaveRun, NotRun, NotRunReason, Outcome
+from tinrudder.query import at_most_once, judgement, merge
+from tinrudder.query.entry import Entry
+from tinrudder.query.fan_out import FanOut
+from tinrudder.query.plan import QueryPlan
+from tinrudder.query.request import QueryRequest
+from tinrudder.resources import store
+from tinrudder.routing.backend_record import BackendRecord
+from tinrudder_lab.checkers.violation import Promise
+from tinrudder_lab.claim_plants import AlwaysOpenWindow, ForgetfulVoter, HastyProposer
+from tinrudder_lab.sim import world as sim_world
+from tinrudder_lab.sim.backends import Exchange, SimBackendTransport
+
+
+@dataclass(frozen=True, slots=True)
+class Substitution:
+    """One attribute of an object and what takes its place."""
+
+    owner: object
+    name: str
+    value: object
+
+
+@dataclass(frozen=True, slots=True)
+class Plant:
+    """A planted defect.
+
+    :param make: returns its substitutions; called anew for every run.
+    """
+
+    name: str
+    what: str
+    promise: Promise
+    scenario: str
+    make: Callable[[], list[Substitution]]
+
+    @contextmanager
+    def switch_on(self) -> Iterator[None]:
+        """Put the defect in place for a while."""
+        with ExitStack() as stack:
+            for one in self.make():
+                stack.enter_context(mock.patch.object(one.owner, one.name, one.value))
+            yield
+
+
+def _mixed_snapshots() -> list[Substitution]:
+    original = FanOut._adopt
+
+    def adopt(self: FanOut, plan: QueryPlan) -> None:
+        earlier = {p.planned.spec.shard: p.rows for p in getattr(self, "_progress", ())}
+        original(self, plan)
+        for progress in self._progress:
+            progress.rows = earlier.get(progress.planned.spec.shard)
+            if progress.rows is not None:
+                self._unsettled -= 1
+                self._answered += 1
+
+    return [Substitution(FanOut, "_adopt", adopt)]
+
+
+def _page_on_newest() -> list[Substitution]:
+    original = query_body.make_request
+
+    def make_request(*arguments: Any) -> Any:
+        return replace(original(*arguments), version=None)
+
+    return [Substitution(caller_app, "make_request", make_request)]
+
+
+class _ReusingTransport(SimBackendTransport):
+    """Leaves a cancelled call's connection in use: the next call there reads its answer."""
+
+    def __init__(self, *arguments: Any) -> None:
+        """Start without stale exchanges."""
+        super().__init__(*arguments)
+        self._stale: dict[str, list[Exchange]] = {}
+
+    def cancel(self, call: BackendCall) -> None:
+        """Forget the call, but not its connection."""
+        exchange = self._open.pop(call.call_id, None)
+        if exchange is not None:
+            exchange.listener = None
+            self._stale.setdefault(call.backend, []).append(exchange)
+
+    def start(self, call: BackendCall, listener: ReplyListener) -> None:
+        """Let a stale exchange's answer go to the new call."""
+        stale = self._stale.get(call.backend)
+        super().start(call, listener)
+        if stale:
+            old = stale.pop()
+            taken = self._open[call.call_id]
+            old.listener = lambda _, reply: self._steal(taken, reply)
+
+    def _steal(self, taken: Exchange, reply: BackendReply) -> None:
+        listener, taken.listener = taken.listener, None
+        if listener is not None:
+            self._open.pop(taken.call.call_id, None)
+            listener(taken.call, reply)
+
+
+def _reused_connection() -> list[Substitution]:
+    return [Substitution(sim_world, "SimBackendTransport", _ReusingTransport)]
+
+
+def _doubled_rows() -> list[Substitution]:
+    original = merge.merge_rows
+
+    def merge_rows(shards: Any, **options: Any) -> Any:
+        rows = list(shards)
+        return original(rows + rows[:1], **options)
+
+    return [Substitution(judgement, "merge_rows", merge_rows)]
+
+
+def _coverage_at_send() -> list[Substitution]:
+    original = judgement.coverage_of
+
+    def coverage_of(progress: Any) -> Coverage:
+        true = original(progress)
+        sent = {shard.planned.spec.shard for shard in progress if shard.tried}
+        included = tuple(p.planned.spec.shard for p in progress if p.planned.spec.shard in sent)
+        return Coverage(included, tuple(m for m in true.missing if m.shard not in sent))
+
+    return [Substitution(judgement, "coverage_of", coverage_of)]
+
+
+def _not_run_after_send() -> list[Substitution]:
+    original = Entry.run
+
+    async def run(self: Entry, request: QueryRequest) -> Outcome:
+        outcome = await original(self, request)
+        if isinstance(outcome, MayHaveRun):
+            return NotRun(NotRunReason.NO_BACKEND, outcome.detail)
+        return outcome
+
+    return [Substitution(Entry, "run", run)]
+
+
+def _lowered_revision() -> list[Substitution]:
+    return [Substitution(store, "join_states", lambda mine, other: other)]
+
+
+async def _nothing(*_: object) -> None:
+    """Do nothing."""
+
+
+def _no_dissemination() -> list[Substitution]:
+    return [
+        Substitution(StateExchange, "announce", lambda self: None),
+        Substitution(StateExchange, "on_newer_revision", lambda self, address, revision: None),
+        Substitution(StateExchange, "refresh_now", lambda self: None),
+        Substitution(StateExchange, "start", lambda self: None),
+        Substitution(StateExchange, "learn_from_peers", _nothing),
+    ]
+
+
+def _work_to_draining() -> list[Substitution]:
+    never = property(lambda self: False, lambda self, value: None)
+    return [Substitution(BackendRecord, "leaving", never)]
+
+
+def _stop_drops_relayed() -> list[Substitution]:
+    return [
+        Substitution(Node, "in_progress", property(lambda self: 0)),
+        Substitution(Node, "leave", _nothing),
+        Substitution(node, "REFUSAL_LINGER_S", 0.0),
+    ]
+
+
+def _tenant_from_index() -> list[Substitution]:
+    find_rule = query_body.find_rule
+    make_request = query_body.make_request
+    tenants: dict[str, str] = {}
+
+    def wrong_rule(body: Any, tenant: str, configuration: Any) -> Any:
+        index = configuration.indexes[body.index]
+        tenants[body.index] = configuration.services[index.service].tenants[0]
+        return find_rule(body, tenants[body.index], configuration)
+
+    def wrong_request(query_id: str, tenant: str, body: Any, *arguments: Any) -> Any:
+        return make_request(query_id, tenants[body.index], body, *arguments)
+
+    return [
+        Substitution(caller_app, "find_rule", wrong_rule),
+        Substitution(caller_app, "make_request", wrong_request),
+    ]
+
+
+def _claim_after_pause() -> list[Substitution]:
+    return [Substitution(at_most_once, "DispatchWindow", AlwaysOpenWindow)]
+
+
+def _forgetful_voter() -> list[Substitution]:
+    return [Substitution(claims_service, "ClaimVoter", ForgetfulVoter)]
+
+
+def _hasty_proposer() -> list[Substitution]:
+    return [Substitution(claims_service, "ClaimProposer", HastyProposer)]
+
+
+PLANTS = (
+    Plant(
+        "mixed-snapshots",
+        "a replan keeps the rows of the former version",
+        Promise.SINGLE_SNAPSHOT,
+        "version-change",
+        _mixed_snapshots,
+    ),
+    Plant(
+        "page-on-newest",
+        "a later page forgets the version its listing is pinned to",
+        Promise.SINGLE_SNAPSHOT,
+        "version-change",
+        _page_on_newest,
+    ),
+    Plant(
+        "reused-connection",
+        "a cancelled call's connection is used again and its answer given to the next call",
+        Promise.OWN_ANSWER,
+        "rolling-stop",
+        _reused_connection,
+    ),
+    Plant(
+        "doubled-rows",
+        "an answer that came twice is merged twice",
+        Promise.OWN_ANSWER,
+        "replica-loss",
+        _doubled_rows,
+    ),
+    Plant(
+        "tenant-from-index",
+        "the tenant is taken from the index asked for, not from the credential",
+        Promise.OWN_ANSWER,
+        "drain",
+        _tenant_from_index,
+    ),
+    Plant(
+        "coverage-at-send",
+        "a shard counts as included once its call was sent",
+        Promise.TRUE_COVERAGE,
+        "zone-cut",
+        _coverage_at_send,
+    ),
+    Plant(
+        "not-run-after-send",
+        "a query whose relay was lost is told not run",
+        Promise.TRUE_NOT_RUN,
+        "zone-cut",
+        _not_run_after_send,
+    ),
+    Plant(
+        "lowered-revision",
+        "a stale platform lowers the revision in force",
+        Promise.CONFIGURATION_HOLDS,
+        "config-stale",
+        _lowered_revision,
+    ),
+    Plant(
+        "no-dissemination",
+        "nodes do not tell each other of a new revision",
+        Promise.CONFIGURATION_HOLDS,
+        "config-down",
+        _no_dissemination,
+    ),
+    Plant(
+        "work-to-draining",
+        "a leaving back end stays a candidate",
+        Promise.NO_WORK_TO_LEAVING,
+        "drain",
+        _work_to_draining,
+    ),
+    Plant(
+        "stop-drops-relayed",
+        "a planned stop waits neither for relayed queries nor for the others to notice",
+        Promise.STOP_CUTS_NOTHING,
+        "rolling-stop",
+        _stop_drops_relayed,
+    ),
+    Plant(
+        "claim-after-pause",
+        "a claim is honoured by a process that slept past its validity",
+        Promise.AT_MOST_ONCE,
+        "duplicate-purchase",
+        _claim_after_pause,
+    ),
+    Plant(
+        "forgetful-voter",
+        "a voter votes right after its start as if it remembered",
+        Promise.AT_MOST_ONCE,
+        "duplicate-purchase",
+        _forgetful_voter,
+    ),
+    Plant(
+        "hasty-proposer",
+        "votes are given back although the request may have left",
+        Promise.AT_MOST_ONCE,
+        "duplicate-purchase",
+        _hasty_proposer,
+    ),
+)
+
+PLANTS_BY_NAME = {plant.name: plant for plant in PLANTS}
--- a/tinrudder_lab/report.py
+++ b/tinrudder_lab/report.py
@@ -13,12 +13,20 @@
 
 
 class TenantFigures(msgspec.Struct, frozen=True):
-    """One tenant's p99 and its share of the completed calls."""
+    """One tenant's figures.
+
+    :param served: its answered queries over those it sent.
+    :param share: its answered queries over everybody's.
+    :param alone_p99_ms: its p99 on the same seed when the noisy tenant keeps to its share.
+    """
 
     queries: int
     refused: int
     p99_ms: float
+    served: float
     share: float
+    alone_p99_ms: float | None = None
+    alone_served: float | None = None
 
 
 class Figures(msgspec.Struct, frozen=True):
@@ -34,7 +42,11 @@
 
 
 class RunResult(msgspec.Struct, frozen=True, omit_defaults=True):
-    """The last line of ``tinrudder-lab run``."""
+    """The last line of ``tinrudder-lab run``.
+
+    :param goodput: answered queries a second over the capacity, where one service is shared.
+    :param calls_per_accepted: calls sent over calls needed by the answered queries.
+    """
 
     scenario: str
     seed: int
@@ -54,4 +66,6 @@
     config_in_force_s: float | None = None
     drain_s: float | None = None
     tenants: dict[str, TenantFigures] | None = None
+    goodput: float | None = None
+    calls_per_accepted: float | None = None
     baseline: Figures | None = None
--- a/tinrudder_lab/sim/callers.py
+++ b/tinrudder_lab/sim/callers.py
@@ -22,6 +22,7 @@
 class HttpExchange:
     """One request to an ASGI application and what came back."""
 
+    path: str
     body: bytes
     authorization: str
     gone: asyncio.Event = field(default_factory=asyncio.Event)
@@ -36,8 +37,8 @@
             "asgi": {"version": "3.0"},
             "http_version": "1.1",
             "method": "POST",
-            "path": "/v1/query",
-            "raw_path": b"/v1/query",
+            "path": self.path,
+            "raw_path": self.path.encode(),
             "query_string": b"",
             "root_path": "",
             "scheme": "http",
--- a/tinrudder_lab/sim/network.py
+++ b/tinrudder_lab/sim/network.py
@@ -45,6 +45,7 @@
     """Delivers callbacks after a delay, or not at all.
 
     :param datagram_loss: share of datagrams lost; :param datagram_doubling: share doubled.
+    :param extra_delay_s: added to every message, seconds.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -53,6 +54,7 @@
     datagram_doubling: float = 0.0
     cuts: list[Cut] = field(default_factory=list)
     messages: int = 0
+    extra_delay_s: float = 0.0
     outside: contextvars.Context = field(default_factory=contextvars.copy_context)
 
     def delay(self, source: Place, destination: Place) -> float:
@@ -63,7 +65,7 @@
             base = ACROSS_ZONES_S
         else:
             base = ACROSS_REGIONS_S
-        return base + JITTER_S * self.random.random()
+        return base + self.extra_delay_s + JITTER_S * self.random.random()
 
     def blocked(self, source: Place, destination: Place) -> bool:
         """Tell whether a cut is in the way."""
--- a/tinrudder_lab/topology.py
+++ b/tinrudder_lab/topology.py
@@ -38,6 +38,8 @@
 IMPATIENT_S = 0.02
 SIGMA_SQUARED_HALF = 0.08
 TRESPASS_RATE = 0.5
+PURCHASE_DEADLINE_MS = 600
+LONGEST_COPY_DELAY_S = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,6 +59,7 @@
     :param pages: how many pages of a listing a caller reads, one after the other.
     :param retries: how often a caller asks again at once when it got no answer.
     :param impatient: share of callers that go away after ``IMPATIENT_S``.
+    :param duplicated: for purchases, the share submitted twice; else ``None``.
     """
 
     kind: QueryKind
@@ -66,6 +69,7 @@
     pages: int = 1
     retries: int = 0
     impatient: float = 0.0
+    duplicated: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +77,8 @@
     """One query of the trace, drawn before the run so that policies meet the same one.
 
     :param node_draw: picks the node among those open then, 0 to 1.
+    :param copies: submissions of a request that must run at most once, 0 for a query.
+    :param copy_delay_s: how long after the first the second copy comes.
     """
 
     at: float
@@ -82,6 +88,8 @@
     retries: int
     patience_s: float
     node_draw: float
+    copies: int = 0
+    copy_delay_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -130,18 +138,25 @@
             now += source.expovariate(stream.rate)
             if now >= end:
                 break
-            match = {}
-            if source.random() < 0.5:
-                match = {"entity": entity_name("entity", source.randrange(ENTITIES))}
-            patience_s = IMPATIENT_S if source.random() < stream.impatient else PATIENCE_S
-            draw = source.random()
-            trace.append(
-                Arrival(now, stream.kind, match, stream.pages, stream.retries, patience_s, draw)
-            )
+            trace.append(_draw_arrival(stream, now, source))
     trace.sort(key=lambda arrival: arrival.at)
     return trace
 
 
+def _draw_arrival(stream: Stream, at: float, source: random.Random) -> Arrival:
+    """Return one arrival of a stream."""
+    patience_s = IMPATIENT_S if source.random() < stream.impatient else PATIENCE_S
+    draw = source.random()
+    if stream.duplicated is not None:
+        copies = 2 if source.random() < stream.duplicated else 1
+        delay_s = max(0.0, source.uniform(-LONGEST_COPY_DELAY_S, LONGEST_COPY_DELAY_S))
+        return Arrival(at, stream.kind, {}, 1, 0, patience_s, draw, copies, delay_s)
+    match = {}
+    if source.random() < 0.5:
+        match = {"entity": entity_name("entity", source.randrange(ENTITIES))}
+    return Arrival(at, stream.kind, match, stream.pages, stream.retries, patience_s, draw)
+
+
 def both_deployments(rate: float, *, pages: int = 1, impatient: float = 0.0) -> Topology:
     """Return both users' deployments with one service of each shape: 7 nodes, 29 back ends."""
     zones = [Zone(name, PLATA_REGION) for name in PLATA_ZONES]
@@ -153,6 +168,22 @@
     return topology
 
 
+def with_purchases(rate: float, purchases: float) -> Topology:
+    """Return both deployments with fans who buy, some of them twice at once.
+
+    :param purchases: requests a second that must run at most once.
+    """
+    topology = both_deployments(rate, pages=2, impatient=0.05)
+    gate = topology.kind_of("gate")
+    rule = QueryRuleSpec(
+        service="gate", hard_deadline_ms=PURCHASE_DEADLINE_MS, repeatable=False, max_rows=1
+    )
+    topology.deployment.add(Kind.QUERY_RULE, "gate-purchase", rule)
+    buying = replace(gate, rule="gate-purchase")
+    topology.streams.append(Stream(buying, purchases, duplicated=0.3, impatient=0.05))
+    return topology
+
+
 def wide_service(rate: float) -> Topology:
     """Return one service of 130 shards on 130 back ends: 4 nodes, fan-out 130."""
     rule = QueryRuleSpec(
@@ -187,6 +218,7 @@
     retries: int = 0
 
 
+SHARED_SERVICE = "shared"
 SHARED_BACKENDS = 8
 SHARED_SHARDS = 16
 SHARED_SLOTS = 5
@@ -196,18 +228,18 @@
 def shared_service(tenants: tuple[TenantLoad, ...], deadline_ms: int) -> Topology:
     """Return one service that several tenants share: 2 nodes, 8 back ends, fan-out 16."""
     rule = QueryRuleSpec(
-        service="shared",
+        service=SHARED_SERVICE,
         preference=Preference.COVERAGE,
         soft_deadline_ms=deadline_ms,
         hard_deadline_ms=deadline_ms,
     )
     shape = ServiceShape(
-        "shared", "stock", "nobody", 1, SHARED_BACKENDS, SHARED_SLOTS, 70, SHARED_SHARDS, rule
+        SHARED_SERVICE, "stock", "nobody", 1, SHARED_BACKENDS, SHARED_SLOTS, 70, SHARED_SHARDS, rule
     )
     zones = tuple(Zone(name, PLATA_REGION) for name in PLATA_ZONES[:2])
     names = tuple(zone.name for zone in zones)
     deployment = Deployment()
-    add_service(deployment, shape, "shared", PLATA_REGION, names, PLATA_OWNERS, FIRST_PORT)
+    add_service(deployment, shape, SHARED_SERVICE, PLATA_REGION, names, PLATA_OWNERS, FIRST_PORT)
     index = deployment.query_kinds.pop().index
     _share_service(deployment, tenants)
     topology = Topology(zones, 1, deployment, [], SHARED_SERVICE_S, SHARED_SHARDS)
@@ -219,7 +251,7 @@
         rule_name = f"shared-{tenant.priority.value}"
         kind = QueryKind(caller_of(tenant.name), index, rule_name, PLATA_REGION)
         deployment.query_kinds.append(kind)
-        rate = tenant.load * topology.capacity("shared")
+        rate = tenant.load * topology.capacity(SHARED_SERVICE)
         if rate:
             topology.streams.append(Stream(kind, rate, retries=tenant.retries))
     return topology
@@ -229,7 +261,7 @@
     """Let all tenants use the service."""
     names = tuple(tenant.name for tenant in tenants)
     spec = ServiceSpec(region=PLATA_REGION, tenants=names)
-    deployment.replace(Kind.SERVICE, "shared", spec)
+    deployment.replace(Kind.SERVICE, SHARED_SERVICE, spec)
 
 
 def set_policies(deployment: Deployment, policies: dict[str, str]) -> None:
