--- a/tests/functional/test_node_configuration.py
+++ b/tests/functional/test_node_configuration.py
@@ -157,6 +157,18 @@
     run(scenario)
 
 
+def test_a_reused_revision_is_noticed_settled_alike_and_shown() -> None:
+    async def scenario(tier: Tier) -> None:
+        await asyncio.gather(*(tier.start(name) for name in tier.ports))
+        tier.platform.current = document(4, tenant("a", 1, weight=9))
+        await asyncio.sleep(2000)
+        digests = {node.configuration_store.state.digest for node in tier.nodes.values()}
+        assert len(digests) == 1
+        assert any(node.configuration_store.platform.reused for node in tier.nodes.values())
+
+    run(scenario)
+
+
 def test_a_paused_node_catches_up_at_once() -> None:
     async def scenario(tier: Tier) -> None:
         await asyncio.gather(*(tier.start(name) for name in tier.ports))
--- a/tinrudder/api/resource_app.py
+++ b/tinrudder/api/resource_app.py
@@ -178,10 +178,11 @@
     def _new_problems(self, batch: ResourceBatch) -> list[Problem]:
         """Return problems of what a batch writes, and those it causes elsewhere."""
         written = {(one.kind, one.name) for one in batch.resources}
-        before = problems_of(self._document_with(ResourceBatch()))
+        policies = self._store.policies
+        before = problems_of(self._document_with(ResourceBatch()), policies)
         return [
             problem
-            for problem in problems_of(self._document_with(batch))
+            for problem in problems_of(self._document_with(batch), policies)
             if problem.key in written or problem not in before
         ]
 
--- a/tinrudder/cli/validate.py
+++ b/tinrudder/cli/validate.py
@@ -14,7 +14,9 @@
 from tinrudder.cli.output import add_output_flag, print_json, print_table, wants_json
 from tinrudder.cli.resource_file import ResourceFile, load_resource_file
 from tinrudder.platform.writer import ResourceBatch
+from tinrudder.resources.rules import PolicyNames
 from tinrudder.resources.validation import DocumentRefusedError, problems_of
+from tinrudder.routing.registry import names_by_role
 
 
 def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
@@ -52,7 +54,7 @@
 
 def _validate_alone(file: ResourceFile) -> ValidationBody:
     try:
-        problems = problems_of(file.document())
+        problems = problems_of(file.document(), PolicyNames(names_by_role()))
     except DocumentRefusedError as error:
         raise CommandError(ExitCode.NEGATIVE, str(error)) from error
     bodies = tuple(ProblemBody(one.key.kind, one.key.name, one.text) for one in problems)
--- a/tinrudder/node_configuration.py
+++ b/tinrudder/node_configuration.py
@@ -14,11 +14,18 @@
 from tinrudder.platform.poll_pace import poll_delay_s
 from tinrudder.resources.accepted import AcceptedState
 from tinrudder.resources.exchange import ReplicatedConfiguration
+from tinrudder.resources.rules import PolicyNames
 from tinrudder.resources.store import ConfigurationStore
+from tinrudder.routing.registry import names_by_role
 from tinrudder.settings import NodeSettings, parse_seed_peers
 from tinrudder.wire.channels import Channel, ChannelRouter
 
 LEARN_TIMEOUT_S = 3.0
+WHOLE_READ_S = 900.0
+"""Mean time between reads that do not say which revision is known.
+
+Only these show that a restored platform has used a revision again for other content.
+"""
 
 
 class NodeConfiguration:
@@ -33,7 +40,7 @@
         on_change: Callable[[], None],
     ) -> None:
         """Call ``on_change`` after every change; nothing runs before :meth:`start`."""
-        self.store = ConfigurationStore()
+        self.store = ConfigurationStore(PolicyNames(names_by_role()))
         self.exchange = StateExchange(
             ReplicatedConfiguration(self.store),
             channels.channel(Channel.CONFIGURATION),
@@ -47,6 +54,7 @@
         self._on_change = on_change
         self._refreshing: asyncio.Task[None] | None = None
         self._seeds = parse_seed_peers(settings.seed_peers)
+        self._next_whole_read = 0.0
         self.store.subscribe(self._on_state)
 
     async def start(self) -> None:
@@ -72,7 +80,7 @@
 
     async def poll(self) -> None:
         """Read the platform once; an unavailable one changes nothing."""
-        known = self.store.current.revision
+        known = self._known_revision()
         try:
             document = await self._environment.platform.fetch_resources(known)
         except PlatformUnavailableError as error:
@@ -85,6 +93,14 @@
         self.store.offer(document)
         self._log_platform()
 
+    def _known_revision(self) -> int:
+        """Return the revision in force, or now and then none, so as to read the whole document."""
+        now = self._environment.timers.time()
+        if now < self._next_whole_read:
+            return self.store.current.revision
+        self._next_whole_read = now + WHOLE_READ_S * self._environment.random.uniform(0.5, 1.5)
+        return 0
+
     def refresh_soon(self) -> None:
         """Compare with peers at once and read the platform, as after a pause.
 
--- a/tinrudder/resources/status.py
+++ b/tinrudder/resources/status.py
@@ -119,6 +119,9 @@
 
 
 def _accepted(resource: AcceptedResource) -> Condition:
+    if not resource.problem and resource.spec is None:
+        text = "accepted by another release of the tier, but this node can't read it"
+        return Condition(ConditionType.ACCEPTED, False, "Unreadable", text)
     if not resource.problem:
         return Condition(ConditionType.ACCEPTED, True, "Valid")
     if not resource.raw_spec:
--- a/tinrudder/resources/store.py
+++ b/tinrudder/resources/store.py
@@ -45,7 +45,7 @@
         self.current = Configuration()
         self.state = EMPTY_STATE
         self.platform = PlatformObservation()
-        self._policies = policies or PolicyNames()
+        self.policies = policies or PolicyNames()
         self._listeners: list[StateListener] = []
         self.changes = ChangeLog()
 
@@ -62,7 +62,7 @@
         :returns: whether the accepted state changed.
         """
         try:
-            offered = state_of_document(document, self._policies, self.state)
+            offered = state_of_document(document, self.policies, self.state)
         except DocumentRefusedError as error:
             self.platform = PlatformObservation(document.revision, refused=str(error))
             return False
