--- a/tinrudder/routing/coordinator_set.py
+++ b/tinrudder/routing/coordinator_set.py
@@ -15,9 +15,9 @@
 
 from tinrudder.cluster.view import Member, MemberStatus
 
-MAX_SLOTS_HELD = 40
-"""Slots of all back ends together that one coordinator holds: at 5 ms a call they keep one
-processor core about three quarters busy (docs/COORDINATORS.md)."""
+MAX_SLOTS_HELD = 32
+"""Slots of all back ends together that one coordinator holds, so that one process can carry
+their calls (docs/COORDINATORS.md)."""
 
 SLOT_HEADROOM = 2
 """Calls in flight for one slot: while an answer travels, the next call is already waiting."""
@@ -68,7 +68,7 @@
 
     >>> coordinator_count([5, 5])
     1
-    >>> coordinator_count([5] * 26)
+    >>> coordinator_count([5] * 20)
     4
     >>> coordinator_count([2] * 130)
     2
