Let one of several duplicates try again when they split the votes

Cause: with one of five voters out of reach, two submissions at once could take two votes each, and both were told not run. Change: the one with the lowest name asks the others, which have given up by then, and claims once more; the others wait for its outcome and are told the same. Names are ordered, addresses included, so that nobody waits in a circle and one name at two addresses is two voters.

--- a/tests/support/peer_network.py
+++ b/tests/support/peer_network.py
@@ -19,6 +19,7 @@
     random: random.Random = field(default_factory=lambda: random.Random(7))
     transports: dict[PeerAddress, MemoryPeerTransport] = field(default_factory=dict)
     cut: set[frozenset[int]] = field(default_factory=set)
+    extra_delay_s: dict[frozenset[int], float] = field(default_factory=dict)
 
     def transport(self, port: int) -> MemoryPeerTransport:
         address = PeerAddress("10.0.0.1", port)
@@ -54,7 +55,8 @@
 
     async def request(self, destination: PeerAddress, payload: bytes, timeout_s: float) -> bytes:
         self.sent_bytes += len(payload)
-        await asyncio.sleep(ONE_WAY_S)
+        pair = frozenset((self.address.port, destination.port))
+        await asyncio.sleep(ONE_WAY_S + self.network.extra_delay_s.get(pair, 0.0))
         if not self.network.reaches(self.address, destination):
             await asyncio.sleep(timeout_s)
             raise PeerLostError(str(destination))
--- a/tests/unit/test_at_most_once.py
+++ b/tests/unit/test_at_most_once.py
@@ -41,6 +41,16 @@
     assert isinstance(later, Complete)
 
 
+@virtual
+async def test_duplicates_that_split_the_votes_still_get_one_run(cluster):
+    cluster.cut({4})
+    cluster.network.extra_delay_s = {frozenset((1, 4)): 0.01, frozenset((2, 3)): 0.01}
+    first, second = await asyncio.gather(cluster.nodes[0].operate(), cluster.nodes[1].operate())
+    assert first == second
+    assert isinstance(first, Complete)
+    assert cluster.ledger.ran == {"o-1": 1}
+
+
 @virtual
 async def test_only_the_side_of_a_cut_with_a_majority_runs(cluster):
     cluster.cut({0, 1})
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -123,6 +123,13 @@
     assert nobody.phase is ClaimPhase.GIVEN_UP
 
 
+def test_one_name_at_two_addresses_is_two_voters():
+    moved = Voter(voter(1).name, voter(1).zone, PeerAddress("127.0.0.2", 2))
+    both = make_electorate([moved, voter(1), voter(2)])
+    assert len(both.voters) == 3
+    assert both.fingerprint != make_electorate([voter(1), voter(2), voter(3)]).fingerprint
+
+
 @pytest.mark.parametrize(("nodes", "zones", "most"), [(12, 3, 2), (12, 4, 2), (4, 3, 1)])
 def test_no_zone_has_a_majority_of_an_electorate(nodes, zones, most):
     voters = VoterList(1, [voter(number, number % zones) for number in range(nodes)])
--- a/tinrudder/peers.py
+++ b/tinrudder/peers.py
@@ -9,7 +9,7 @@
 MAX_DATAGRAM_BYTES = 1400
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, order=True)
 class PeerAddress:
     """IP address and port where a node listens for other nodes (TCP and UDP alike)."""
 
--- a/tinrudder/query/at_most_once.py
+++ b/tinrudder/query/at_most_once.py
@@ -11,7 +11,13 @@
 import xxhash
 
 from tinrudder.cluster.claim_proposer import DispatchWindow
-from tinrudder.cluster.claims import AnswerStatus, ClaimKey, StoredAnswer, make_claim_key
+from tinrudder.cluster.claims import (
+    AnswerStatus,
+    ClaimKey,
+    ProposerId,
+    StoredAnswer,
+    make_claim_key,
+)
 from tinrudder.cluster.claims_service import Claim, ClaimsService
 from tinrudder.outcomes import Failed, MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome
 from tinrudder.query.admission_gate import AdmissionGate
@@ -175,6 +181,8 @@
                 outcome = permit
                 return
             claim = await self._claim(request, plan, held)
+            if not claim.won and await self._may_try_again(request, claim, held):
+                claim = await self._claim(request, plan, held)
             if claim.won:
                 outcome = await self._send(request, plan, claim, told)
             else:
@@ -222,6 +230,28 @@
             claim.give_up()
         return outcome
 
+    async def _may_try_again(
+        self, request: OperationRequest, claim: Claim, held: HeldOperation
+    ) -> bool:
+        """Tell whether duplicates took the votes from each other and it is ours to try again.
+
+        Of those that met, the one with the lowest name waits for the others to give up; they
+        give up before they wait for it, so nobody waits in a circle.
+        """
+        if not claim.holders or min(claim.holders) < claim.proposer.proposer:
+            return False
+        for holder in claim.holders:
+            answer = await self._ask_holder(request, holder, held)
+            if answer.status is not AnswerStatus.NOT_RUN:
+                return False
+        return True
+
+    async def _ask_holder(
+        self, request: OperationRequest, holder: ProposerId, held: HeldOperation
+    ) -> StoredAnswer:
+        timeout_s = max(0.0, request.deadline - self._timers.time())
+        return await self._claims.ask_holder(held.key, holder, held.content, timeout_s)
+
     async def _lost(self, request: OperationRequest, claim: Claim, held: HeldOperation) -> Outcome:
         """Answer a submission that did not get the key.
 
@@ -233,8 +263,7 @@
             detail = "no majority of voters on this key could be reached"
             return NotRun(NotRunReason.NO_QUORUM, detail, RETRY_AFTER_S)
         for holder in claim.holders:
-            timeout_s = max(0.0, request.deadline - self._timers.time())
-            answer = await self._claims.ask_holder(held.key, holder, held.content, timeout_s)
+            answer = await self._ask_holder(request, holder, held)
             if answer.status is not AnswerStatus.NOT_RUN:
                 return _outcome_of(answer)
         return LOST
--- a/tinrudder/query/operation_outcomes.py
+++ b/tinrudder/query/operation_outcomes.py
@@ -8,7 +8,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tinrudder.cluster.claims import (
     AnswerQuestion,
@@ -34,7 +34,7 @@
     :param forget_at: wall-clock seconds.
     :param settled: what became of this very attempt.
     :param finished: what its submission is told, which may be another attempt's outcome.
-    :param proposer: set once votes were asked for.
+    :param proposers: under which names votes were asked for.
     """
 
     key: ClaimKey
@@ -43,7 +43,7 @@
     forget_at: float
     settled: asyncio.Future[Outcome]
     finished: asyncio.Future[Outcome]
-    proposer: ProposerId | None = None
+    proposers: list[ProposerId] = field(default_factory=list)
     encoded: bytes = b""
 
 
@@ -88,7 +88,7 @@
 
     def name(self, held: HeldOperation, proposer: ProposerId) -> None:
         """Let other nodes ask for an attempt by its proposer."""
-        held.proposer = proposer
+        held.proposers.append(proposer)
         self._by_proposer[proposer] = held
 
     def settle(self, held: HeldOperation, outcome: Outcome) -> None:
@@ -146,8 +146,8 @@
                 del self._of_tenant[held.tenant]
             if self._by_key.get(held.key) is held:
                 del self._by_key[held.key]
-            if held.proposer is not None:
-                self._by_proposer.pop(held.proposer, None)
+            for proposer in held.proposers:
+                del self._by_proposer[proposer]
             self._drop_bytes(held)
         while self._with_bytes and not self._with_bytes[0].encoded:
             self._with_bytes.popleft()
