--- a/tinrudder/routing/service_routing.py
+++ b/tinrudder/routing/service_routing.py
@@ -12,6 +12,7 @@
 from tinrudder.routing.hedging import HedgePolicy
 from tinrudder.routing.latency_window import LatencyWindow
 from tinrudder.routing.registry import (
+    DEFAULTS,
     EJECTION_POLICIES,
     HEDGE_POLICIES,
     REPLICA_CHOICE_POLICIES,
@@ -131,6 +132,9 @@
     def get(self, service: str, policies: Mapping[str, str]) -> PolicyType:
         """Return the policy that a rule of ``service`` names, or the default."""
         name = policy_name(self._role, policies)
+        if name not in self._factories:
+            # A newer release, running beside this one, has accepted a policy of its own.
+            name = DEFAULTS[self._role]
         made = self._made.get((service, name))
         if made is None:
             made = self._factories[name](self._context)
