Probe a silent coordinator instead of waiting out the deadline

Cause: behind a silent cut every query in flight waited for its deadline and ended as may have run, and each retry of the coordinator cost one more query. Change: an entry that has heard nothing for 0.1 s probes the coordinator, one probe for all its queries there; a repeatable query is given up and asked once more if there is no answer. A failed coordinator is probed before it gets queries again; the test that let a query probe is replaced by one that allows none before a probe has succeeded.

--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -18,6 +18,7 @@
 from tinrudder.query.at_most_once import OperationRunner
 from tinrudder.query.coordinator import Coordinator
 from tinrudder.query.coordinator_sets import CoordinatorSets
+from tinrudder.query.coordinator_watch import CoordinatorWatch
 from tinrudder.query.dispatcher import Dispatcher
 from tinrudder.query.entry import Entry
 from tinrudder.query.plan import Planner
@@ -90,12 +91,14 @@
             self.coordinator,
             self.lifecycle.accepts_work,
         )
+        client = RelayClient(channel, timers, self._environment.wall_clock)
         self.entry = Entry(
             self.settings.name,
             timers,
             self.coordinator,
-            RelayClient(channel, timers, self._environment.wall_clock),
+            client,
             self._ranking,
+            CoordinatorWatch(client, self._ranking),
             self.coordinator_sets.of,
             self.configuration,
         )
--- /dev/null
+++ b/tinrudder/query/coordinator_watch.py
@@ -0,0 +1,61 @@
+"""Asks coordinators whether they are still there: a cut or a dead machine answers nothing.
+
+Waiting out a deadline is the only other way to notice, and it costs every query in flight.
+One question at a time goes to each coordinator, whoever wants to know.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Protocol
+
+from tinrudder.cluster.view import Member
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
+from tinrudder.routing.coordinator_ranking import CoordinatorRanking
+
+LONGEST_PROBE_S = 0.25
+
+
+class CoordinatorProbe(Protocol):
+    """Asks one coordinator; see :class:`tinrudder.query.relay.RelayClient`."""
+
+    async def probe(self, coordinator: PeerAddress, timeout_s: float) -> None:
+        """Return when the coordinator has answered.
+
+        :raises PeerNotSentError: it cannot be reached.
+        :raises PeerLostError: it did not answer in time.
+        """
+
+
+class CoordinatorWatch:
+    """Probes coordinators and tells the ranking what came of it."""
+
+    def __init__(self, probe: CoordinatorProbe, ranking: CoordinatorRanking) -> None:
+        """Ask nothing yet."""
+        self._probe = probe
+        self._ranking = ranking
+        self._running: dict[str, asyncio.Task[bool]] = {}
+
+    def probe_due(self, members: Sequence[Member]) -> None:
+        """Probe, in the background, those that failed and were left alone long enough."""
+        for member in self._ranking.due_for_probe(members):
+            self.ask(member, LONGEST_PROBE_S)
+
+    def ask(self, member: Member, timeout_s: float) -> asyncio.Task[bool]:
+        """Return the task that tells whether ``member`` answers; it may already run."""
+        running = self._running.get(member.name)
+        if running is None:
+            running = asyncio.create_task(self._ask(member, min(timeout_s, LONGEST_PROBE_S)))
+            self._running[member.name] = running
+            running.add_done_callback(lambda _: self._running.pop(member.name, None))
+        return running
+
+    async def _ask(self, member: Member, timeout_s: float) -> bool:
+        try:
+            await self._probe.probe(member.address, timeout_s)
+        except (PeerNotSentError, PeerLostError):
+            self._ranking.fail(member)
+            return False
+        self._ranking.succeed(member)
+        return True
--- a/tinrudder/query/entry.py
+++ b/tinrudder/query/entry.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -14,6 +15,7 @@
 from tinrudder.outcomes import MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome
 from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
 from tinrudder.query.coordinator import QueryRunner
+from tinrudder.query.coordinator_watch import CoordinatorWatch
 from tinrudder.query.request import QueryRequest
 from tinrudder.resources.configuration import Configuration
 from tinrudder.routing.coordinator_ranking import CoordinatorRanking
@@ -21,6 +23,10 @@
 from tinrudder.timers import Timers
 
 MAX_SENT_ATTEMPTS = 2
+SHORTEST_WATCHED_S = 0.2
+LONGEST_SILENCE_S = 0.1
+SILENCE_SHARE = 0.4
+PROBE_SHARE = 0.2
 
 
 class QueryRelay(Protocol):
@@ -62,6 +68,7 @@
         coordinator: QueryRunner,
         relay: QueryRelay,
         ranking: CoordinatorRanking,
+        watch: CoordinatorWatch,
         coordinators: Callable[[str], CoordinatorSet],
         configuration: Callable[[], Configuration],
     ) -> None:
@@ -71,6 +78,7 @@
         self._coordinator = coordinator
         self._relay = relay
         self._ranking = ranking
+        self._watch = watch
         self._coordinators = coordinators
         self._configuration = configuration
         self.counters = EntryCounters()
@@ -92,8 +100,8 @@
     async def _relay_to_one_of(self, members: Sequence[Member], request: QueryRequest) -> Outcome:
         """Ask one coordinator after the other until one answers, then help ourselves."""
         attempts = _Attempts()
-        may_probe = self._is_repeatable(request)
-        for member in self._ranking.order(members, may_probe=may_probe):
+        self._watch.probe_due(members)
+        for member in self._ranking.order(members):
             if attempts.lost and not self._may_ask_again(request, attempts):
                 return _lost(attempts)
             if self._timers.time() >= request.deadline:
@@ -113,7 +121,7 @@
         self.counters.relayed += 1
         self._ranking.begin(member)
         try:
-            outcome = await self._relay.run(member.address, request)
+            outcome = await self._run_watched(member, request)
         except PeerNotSentError as error:
             self.counters.not_sent += 1
             self._ranking.fail(member)
@@ -133,6 +141,28 @@
         self._ranking.succeed(member)
         return outcome
 
+    async def _run_watched(self, member: Member, request: QueryRequest) -> Outcome:
+        """Relay a query, and give it up early if its coordinator is no longer there.
+
+        Only where that leaves time to ask another, and the query may run twice.
+        """
+        allowed_s = request.deadline - self._timers.time()
+        if allowed_s < SHORTEST_WATCHED_S or not self._is_repeatable(request):
+            return await self._relay.run(member.address, request)
+        patience_s = min(LONGEST_SILENCE_S, allowed_s * SILENCE_SHARE)
+        relayed = asyncio.ensure_future(self._relay.run(member.address, request))
+        try:
+            while True:
+                await asyncio.wait((relayed,), timeout=patience_s)
+                if relayed.done():
+                    return relayed.result()
+                probed = self._watch.ask(member, allowed_s * PROBE_SHARE)
+                await asyncio.wait((relayed, probed), return_when=asyncio.FIRST_COMPLETED)
+                if not relayed.done() and probed.done() and not probed.result():
+                    raise PeerLostError(f"{member.address}: does not answer a probe")
+        finally:
+            relayed.cancel()
+
     def _is_repeatable(self, request: QueryRequest) -> bool:
         """Tell whether running the query twice does no harm."""
         rule = self._configuration().rules.get(request.rule)
--- a/tinrudder/query/relay.py
+++ b/tinrudder/query/relay.py
@@ -27,6 +27,9 @@
 RETURN_ALLOWANCE_SHARE = 0.1
 MAX_CLOCK_SKEW_S = 1.0
 
+PROBE = b""
+"""Asks only for an answer, which is as empty; no query is that short."""
+
 
 class RelayClient:
     """Sends queries to coordinators."""
@@ -59,6 +62,10 @@
         except RelayCodecError as error:
             raise PeerLostError(f"{coordinator}: {error}") from error
 
+    async def probe(self, coordinator: PeerAddress, timeout_s: float) -> None:
+        """Return when the coordinator has answered; raises as :meth:`run` does."""
+        await self._channel.request(coordinator, PROBE, timeout_s)
+
 
 class RelayServer:
     """Runs queries that other nodes relay to this one."""
@@ -81,6 +88,8 @@
 
     async def _on_request(self, _source: PeerAddress, payload: bytes) -> bytes:
         """Run one relayed query and return its encoded outcome."""
+        if payload == PROBE:
+            return PROBE
         self.in_progress += 1
         try:
             outcome = await self._run(payload)
--- a/tinrudder/routing/coordinator_ranking.py
+++ b/tinrudder/routing/coordinator_ranking.py
@@ -37,8 +37,8 @@
     One query in another zone counts as ``CROSS_ZONE_COST`` in our own: a coordinator next door
     keeps its advantage of one round trip until it has clearly more of our work than others.
 
-    A coordinator that failed is left alone for a while, then probed by one repeatable query at
-    a time: behind a silent cut each probe costs its query the whole deadline.
+    A coordinator that failed gets nothing before a probe has succeeded: behind a silent cut a
+    query sent to try it would wait out its whole deadline.
     """
 
     def __init__(self, node_name: str, zone: str, timers: Timers) -> None:
@@ -48,14 +48,15 @@
         self._timers = timers
         self._observed: dict[str, _Observed] = {}
 
-    def order(self, members: Sequence[Member], *, may_probe: bool) -> list[Member]:
-        """Return the members to ask, best first, without those to be left alone.
+    def order(self, members: Sequence[Member]) -> list[Member]:
+        """Return the members to ask, best first, without those to be left alone."""
+        return sorted((m for m in members if self._of(m).failures == 0), key=self._cost)
 
-        :param may_probe: whether the query may be lost to a coordinator that failed before.
-        """
+    def due_for_probe(self, members: Sequence[Member]) -> list[Member]:
+        """Return the members that failed and have been left alone long enough."""
         now = self._timers.time()
-        open_members = [member for member in members if self._is_open(member, now, may_probe)]
-        return sorted(open_members, key=self._cost)
+        failed = (member for member in members if self._of(member).failures)
+        return [member for member in failed if now >= self._of(member).avoid_until]
 
     def begin(self, member: Member) -> None:
         """Count a query sent to ``member``."""
@@ -96,13 +97,6 @@
             self._observed[member.name] = observed
         return observed
 
-    def _is_open(self, member: Member, now: float, may_probe: bool) -> bool:
-        """Tell whether a query may go there now."""
-        observed = self._of(member)
-        if observed.failures == 0:
-            return True
-        return may_probe and now >= observed.avoid_until and observed.in_flight == 0
-
     def _cost(self, member: Member) -> tuple[bool, int, int]:
         """Return the sort key."""
         observed = self._of(member)
