List and watch resources without holding up queries

Validation at a node judged everything in force twice, from scratch. Change: one count of nodes serves an answer; lists and watches are sent in parts with room for queries in between; validation starts from what is accepted, and judges the base only if a problem lies outside the batch. False updates of a peer are now fuzzed as well: refused as a whole, the state stays.

--- a/tests/functional/test_configuration_exchange.py
+++ b/tests/functional/test_configuration_exchange.py
@@ -14,13 +14,19 @@
 from tests.support.documents import document, tenant
 from tests.support.peer_network import MemoryPeerTransport, PeerNetwork
 from tinrudder.cluster import state_pull
-from tinrudder.cluster.replicated_state import MalformedUpdateError, StateHeader
+from tinrudder.cluster.replicated_state import MalformedUpdateError, StateHeader, StateUpdate
 from tinrudder.cluster.state_exchange import StateExchange
 from tinrudder.platform.messages import ResourceDocument
 from tinrudder.resources.exchange import ReplicatedConfiguration
 from tinrudder.resources.store import ConfigurationStore
+from tinrudder.wire import configuration_pb2
 from tinrudder.wire.configuration_codec import decode_answer, decode_notice, decode_request
 
+ENTRIES = tuple(
+    configuration_pb2.ResourceEntry(kind=kind, name=name, raw_spec=spec).SerializeToString()
+    for kind, name, spec in (("Tenant", "a", b"{}"), ("x" * 300, "b", b""), ("", "", b"\xff"))
+)
+
 
 class ExchangingNode:
     """A store, its exchange and its end of the network."""
@@ -172,3 +178,20 @@
             decode(payload)
         except MalformedUpdateError:
             continue
+
+
+@given(
+    st.lists(st.binary(max_size=60) | st.sampled_from(ENTRIES), max_size=4),
+    st.frozensets(st.integers(0, 300), max_size=4),
+    st.integers(0, 2**64 - 1),
+)
+def test_a_false_update_is_refused_as_a_whole(
+    entries: list[bytes], buckets: frozenset[int], revision: int
+) -> None:
+    store = ConfigurationStore()
+    store.offer(document(1, tenant("a")))
+    before = store.state
+    update = StateUpdate(StateHeader(revision, b"d", b"false"), buckets, tuple(entries))
+    with pytest.raises(MalformedUpdateError):
+        ReplicatedConfiguration(store).merge(update)
+    assert store.state is before
--- a/tests/unit/test_unknown_policy.py
+++ b/tests/unit/test_unknown_policy.py
@@ -24,4 +24,4 @@
     store.merge(make_state(DocumentVersion(1, b"d"), [newer]))
     assert store.current.tenants == {}
     reporter = StatusReporter(store, lambda: [NodeRevision("n", "z", "alive", 1)])
-    assert reporter.conditions_of(newer)[0].reason == "Unreadable"
+    assert reporter.conditions_of(newer, reporter.count())[0].reason == "Unreadable"
--- a/tinrudder/api/resource_app.py
+++ b/tinrudder/api/resource_app.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping
 from dataclasses import dataclass
 
 import msgspec
@@ -16,11 +17,10 @@
     NodeBody,
     NodesBody,
     ProblemBody,
-    ResourceListBody,
+    ResourceRenderer,
     ValidationBody,
     condition_bodies,
     enforcement_body,
-    resource_body,
 )
 from tinrudder.api.resource_visibility import Snapshot, may_see, visible_keys
 from tinrudder.api.resource_watch import ResourceWatch, WatchRequest
@@ -41,6 +41,7 @@
 CONTENT_TOO_LARGE = 413
 TOO_MANY_REQUESTS = 429
 MAX_VALIDATE_BYTES = 4 * 1024 * 1024
+RESOURCES_PER_PART = 100
 ALL_METHODS = ["GET", "PUT", "POST", "PATCH", "DELETE"]
 
 _batch_decoder = msgspec.json.Decoder(ResourceBatch)
@@ -129,23 +130,27 @@
 
     def _list(self, request: Request, viewer: Viewer) -> Response:
         kind = request.query_params.get("kind", "")
+        return StreamingResponse(self._list_parts(viewer, kind), media_type=JSON)
+
+    async def _list_parts(self, viewer: Viewer, kind: str) -> AsyncIterator[bytes]:
+        """Yield a ``ResourceListBody`` in parts; queries run in between."""
         snapshot = self._snapshot()
-        keys = visible_keys(viewer, snapshot)
-        resources = tuple(
-            resource_body(
-                viewer, snapshot.state.resources[key], self._reporter, self._changed_at(key)
-            )
-            for key in keys
-            if not kind or key.kind == kind
-        )
-        return _json(ResourceListBody(snapshot.configuration.revision, resources))
+        keys = [key for key in visible_keys(viewer, snapshot) if not kind or key.kind == kind]
+        renderer = ResourceRenderer(viewer, self._store, self._reporter)
+        yield b'{"revision":%d,"resources":[' % snapshot.configuration.revision
+        for start in range(0, len(keys), RESOURCES_PER_PART):
+            part = keys[start : start + RESOURCES_PER_PART]
+            bodies = (renderer.body(snapshot.state.resources[key]) for key in part)
+            yield (b"," if start else b"") + b",".join(map(msgspec.json.encode, bodies))
+            await asyncio.sleep(0)
+        yield b"]}"
 
     def _get(self, request: Request, viewer: Viewer) -> Response:
         key = ResourceKey(request.path_params["kind"], request.path_params["name"])
         resource = self._store.state.resources.get(key)
         if resource is None or not may_see(viewer, key, self._store.current):
             return _error(NOT_FOUND, "not_found", f"no {key.kind} {key.name}")
-        return _json(resource_body(viewer, resource, self._reporter, self._changed_at(key)))
+        return _json(ResourceRenderer(viewer, self._store, self._reporter).body(resource))
 
     def _watch_lines(self, request: Request, viewer: Viewer) -> Response:
         text = request.query_params.get("from_revision", "0")
@@ -162,14 +167,13 @@
         text = request.query_params.get("revision", str(self._store.current.revision))
         if not text.isdecimal():
             return _error(BAD_REQUEST, "invalid", "revision: must be a whole number")
-        nodes = tuple(
-            NodeBody(one.name, one.zone, one.status, one.revision) for one in self._reporter.nodes()
-        )
+        count = self._reporter.count()
+        nodes = tuple(NodeBody(one.name, one.zone, one.status, one.revision) for one in count.nodes)
         body = NodesBody(
             self._settings.node,
             self._store.current.revision,
             self._store.state.digest.hex(),
-            enforcement_body(self._reporter.enforcement(int(text))),
+            enforcement_body(count.of(int(text))),
             nodes,
             condition_bodies(self._reporter.platform_conditions()),
         )
@@ -178,13 +182,15 @@
     def _new_problems(self, batch: ResourceBatch) -> list[Problem]:
         """Return problems of what a batch writes, and those it causes elsewhere."""
         written = {(one.kind, one.name) for one in batch.resources}
-        policies = self._store.policies
-        before = problems_of(self._document_with(ResourceBatch()), policies)
-        return [
-            problem
-            for problem in problems_of(self._document_with(batch), policies)
-            if problem.key in written or problem not in before
-        ]
+        problems = self._problems_with(batch)
+        if all(problem.key in written for problem in problems):
+            return problems
+        before = self._problems_with(ResourceBatch())
+        return [one for one in problems if one.key in written or one not in before]
+
+    def _problems_with(self, batch: ResourceBatch) -> list[Problem]:
+        document = self._document_with(batch)
+        return problems_of(document, self._store.policies, self._store.state)
 
     def _document_with(self, batch: ResourceBatch) -> ResourceDocument:
         """Return what is in force, after a batch."""
@@ -198,9 +204,6 @@
         new = tuple(RawResource(one.kind, one.name, 1, one.spec) for one in batch.resources)
         return ResourceDocument(self._store.current.revision + 1, kept + new)
 
-    def _changed_at(self, key: ResourceKey) -> int:
-        return self._store.changes.since.get(key, self._store.current.revision)
-
     def _snapshot(self) -> Snapshot:
         return Snapshot(self._store.state, self._store.current)
 
--- a/tinrudder/api/resource_bodies.py
+++ b/tinrudder/api/resource_bodies.py
@@ -10,6 +10,7 @@
 from tinrudder.resources.accepted import AcceptedResource
 from tinrudder.resources.model import Kind, TenantSpec
 from tinrudder.resources.status import Condition, ConditionType, Enforcement, StatusReporter
+from tinrudder.resources.store import ConfigurationStore
 
 ASK_AN_OPERATOR = "the newest generation was refused; operators see why"
 NO_SPEC = msgspec.Raw(b"null")
@@ -115,24 +116,33 @@
     )
 
 
-def resource_body(
-    viewer: Viewer, resource: AcceptedResource, reporter: StatusReporter, changed_at: int
-) -> ResourceBody:
-    """Return what a viewer, who may see the resource, sees of it."""
-    conditions = condition_bodies(reporter.conditions_of(resource))
-    spec = msgspec.Raw(resource.raw_spec) if resource.raw_spec else NO_SPEC
-    if viewer.tenant is not None:
-        conditions = tuple(map(_without_names, conditions))
-        spec = _spec_for_tenant(viewer.tenant, resource)
-    return ResourceBody(
-        resource.key.kind,
-        resource.key.name,
-        resource.observed_generation,
-        resource.accepted_generation,
-        changed_at,
-        spec,
-        conditions,
-    )
+class ResourceRenderer:
+    """Renders resources for one viewer, counting nodes once for all of them."""
+
+    def __init__(self, viewer: Viewer, store: ConfigurationStore, reporter: StatusReporter) -> None:
+        """Render as things are now."""
+        self._viewer = viewer
+        self._store = store
+        self._reporter = reporter
+        self._count = reporter.count()
+
+    def body(self, resource: AcceptedResource) -> ResourceBody:
+        """Return what the viewer, who may see the resource, sees of it."""
+        conditions = condition_bodies(self._reporter.conditions_of(resource, self._count))
+        spec = msgspec.Raw(resource.raw_spec) if resource.raw_spec else NO_SPEC
+        if self._viewer.tenant is not None:
+            conditions = tuple(map(_without_names, conditions))
+            spec = _spec_for_tenant(self._viewer.tenant, resource)
+        since = self._store.changes.since.get(resource.key, self._store.current.revision)
+        return ResourceBody(
+            resource.key.kind,
+            resource.key.name,
+            resource.observed_generation,
+            resource.accepted_generation,
+            since,
+            spec,
+            conditions,
+        )
 
 
 def _without_names(condition: ConditionBody) -> ConditionBody:
--- a/tinrudder/api/resource_watch.py
+++ b/tinrudder/api/resource_watch.py
@@ -16,8 +16,8 @@
 from tinrudder.api.resource_bodies import (
     EnforcementBody,
     ResourceBody,
+    ResourceRenderer,
     enforcement_body,
-    resource_body,
 )
 from tinrudder.api.resource_visibility import Snapshot, visible_changes, visible_keys
 from tinrudder.resources.accepted import ResourceKey
@@ -81,6 +81,8 @@
         try:
             async for event in self._events(request):
                 yield msgspec.json.encode(event) + b"\n"
+                # A reset is thousands of events: queries run in between.
+                await asyncio.sleep(0)
         finally:
             self._watchers.remove(request.viewer)
 
@@ -95,10 +97,11 @@
             for event in self._events_between(request, told, now):
                 yield event
             told = now
-            newest = enforcement_body(self._reporter.enforcement(now.configuration.revision))
-            if request.viewer.is_operator and newest != enforcement:
-                enforcement = newest
-                yield WatchEvent("enforcement", newest.revision, enforcement=newest)
+            if request.viewer.is_operator:
+                newest = enforcement_body(self._reporter.count().of(now.configuration.revision))
+                if newest != enforcement:
+                    enforcement = newest
+                    yield WatchEvent("enforcement", newest.revision, enforcement=newest)
             if checks % CHECKS_PER_BOOKMARK == 0:
                 # Never lower than where the watcher came from: its former node was ahead.
                 reached = max(now.configuration.revision, request.from_revision)
@@ -141,12 +144,10 @@
         self, request: WatchRequest, keys: Iterable[ResourceKey], now: Snapshot
     ) -> Iterator[WatchEvent]:
         revision = now.configuration.revision
+        renderer = ResourceRenderer(request.viewer, self._store, self._reporter)
         for key in keys:
             if not request.kind or key.kind == request.kind:
-                changed_at = self._store.changes.since.get(key, revision)
-                resource = now.state.resources[key]
-                body = resource_body(request.viewer, resource, self._reporter, changed_at)
-                yield WatchEvent("changed", revision, body)
+                yield WatchEvent("changed", revision, renderer.body(now.state.resources[key]))
 
     def _snapshot(self) -> Snapshot:
         return Snapshot(self._store.state, self._store.current)
--- a/tinrudder/resources/status.py
+++ b/tinrudder/resources/status.py
@@ -64,6 +64,26 @@
         return self.enforcing == self.nodes
 
 
+class EnforcementCount:
+    """Counts nodes by the revision they enforce, at one moment; each revision is counted once."""
+
+    def __init__(self, nodes: Sequence[NodeRevision]) -> None:
+        """Count ``nodes``."""
+        self.nodes = tuple(sorted(nodes, key=lambda node: node.name))
+        self._counted: dict[int, Enforcement] = {}
+
+    def of(self, revision: int) -> Enforcement:
+        """Return how many nodes enforce a revision."""
+        known = self._counted.get(revision)
+        if known is None:
+            lagging = tuple(node.name for node in self.nodes if node.revision < revision)
+            enforcing = len(self.nodes) - len(lagging)
+            named = lagging[:MAX_LAGGING_NAMED]
+            known = Enforcement(revision, enforcing, len(self.nodes), named)
+            self._counted[revision] = known
+        return known
+
+
 class StatusReporter:
     """Derives conditions from the store and from what members say they enforce."""
 
@@ -72,22 +92,16 @@
         self._store = store
         self._nodes = nodes
 
-    def nodes(self) -> tuple[NodeRevision, ...]:
-        """Return every member, sorted by name."""
-        return tuple(sorted(self._nodes(), key=lambda node: node.name))
-
-    def enforcement(self, revision: int) -> Enforcement:
-        """Return how many nodes enforce a revision."""
-        nodes = self.nodes()
-        lagging = tuple(node.name for node in nodes if node.revision < revision)
-        enforcing = len(nodes) - len(lagging)
-        return Enforcement(revision, enforcing, len(nodes), lagging[:MAX_LAGGING_NAMED])
+    def count(self) -> EnforcementCount:
+        """Return who enforces what now; one count serves a whole answer."""
+        return EnforcementCount(self._nodes())
 
-    def conditions_of(self, resource: AcceptedResource) -> tuple[Condition, ...]:
+    def conditions_of(
+        self, resource: AcceptedResource, count: EnforcementCount
+    ) -> tuple[Condition, ...]:
         """Return a resource's conditions."""
         since = self._store.changes.since.get(resource.key, self._store.current.revision)
-        enforcement = self.enforcement(since)
-        return (_accepted(resource), enforced_condition(enforcement))
+        return (_accepted(resource), enforced_condition(count.of(since)))
 
     def platform_conditions(self) -> tuple[Condition, ...]:
         """Return what this node, by itself, last saw of the platform."""
--- a/tinrudder/resources/validation.py
+++ b/tinrudder/resources/validation.py
@@ -121,12 +121,17 @@
     return make_state(version_of(document), resources)
 
 
-def problems_of(document: ResourceDocument, policies: PolicyNames | None = None) -> list[Problem]:
+def problems_of(
+    document: ResourceDocument,
+    policies: PolicyNames | None = None,
+    known: AcceptedState | None = None,
+) -> list[Problem]:
     """Return what is wrong with each resource of a document, sorted by kind and name.
 
+    :param known: see :func:`state_of_document`.
     :raises DocumentRefusedError: the document as a whole breaks a rule.
     """
-    state = state_of_document(document, policies)
+    state = state_of_document(document, policies, known)
     return [
         Problem(key, state.resources[key].observed_generation, state.resources[key].problem)
         for key in sorted(state.resources)
