Probe relays under cuts, crashes, pauses and stops, and mend two faults found

Cause: a restarted node took the platform's lagging LEAVING for its new start and gave up its coordinator sets for seconds; a node refused relayed queries between joining and being ready, so entries left it alone and worked with one call a back end. Both showed as NotRun(overloaded) when all nodes are replaced quickly. Change: the first list after a start names nobody as leaving; relayed queries are served as soon as there is a configuration.

--- /dev/null
+++ b/tests/support/relay_world.py
@@ -0,0 +1,121 @@
+"""One service on eight simulated nodes, its coordinator in a zone of the test's choice."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from functools import cache
+
+import msgspec
+
+from tinrudder.cluster.view import Member
+from tinrudder.peers import PeerAddress
+from tinrudder.resources.model import Preference, QueryRuleSpec
+from tinrudder.routing.coordinator_set import choose_coordinators
+from tinrudder_lab.deployment import (
+    PLATA_OWNERS,
+    PLATA_REGION,
+    PLATA_ZONES,
+    Deployment,
+    ServiceShape,
+    add_service,
+    add_tenant,
+)
+from tinrudder_lab.faults import Step
+from tinrudder_lab.history import CallStage, QueryEnded
+from tinrudder_lab.scenarios import Scenario
+from tinrudder_lab.sim.run import simulate
+from tinrudder_lab.sim.world import World
+from tinrudder_lab.topology import FIRST_PORT, Stream, Topology, Zone
+
+COORDINATOR_ZONE, CUT_ZONE, *BACKEND_ZONES = PLATA_ZONES
+NODES_PER_ZONE = 2
+SLOTS = 5
+DEADLINE_S = 0.3
+RATE = 60.0
+DURATION_S = 6.0
+RULE = QueryRuleSpec(
+    service="placeholder",
+    preference=Preference.COVERAGE,
+    soft_deadline_ms=300,
+    hard_deadline_ms=300,
+)
+
+
+@cache
+def service_name() -> str:
+    """Return a service whose coordinator stands in ``COORDINATOR_ZONE``."""
+    return next(
+        name
+        for name in (f"service-{number}" for number in range(1000))
+        if coordinator_of(name).startswith(COORDINATOR_ZONE)
+    )
+
+
+def coordinator_of(service: str) -> str:
+    address = PeerAddress("10.0.0.1", 1)
+    members = [
+        Member(f"{zone}-n{copy}", 1, zone, PLATA_REGION, address)
+        for zone in PLATA_ZONES
+        for copy in range(NODES_PER_ZONE)
+    ]
+    return choose_coordinators(service, members, 1).members[0].name
+
+
+def run(
+    make_steps: Callable[[str], list[Step]], rule: QueryRuleSpec = RULE, seed: int = 1
+) -> World:
+    """Run with faults; ``make_steps`` gets the coordinator's name."""
+    deployment = Deployment()
+    name = service_name()
+    shape = ServiceShape(name, "stock", "tenant", 1, 2, SLOTS, 70, 16, rule)
+    add_tenant(deployment, shape.tenant)
+    zones = tuple(BACKEND_ZONES)
+    add_service(deployment, shape, name, PLATA_REGION, zones, PLATA_OWNERS, FIRST_PORT)
+    topology = Topology(
+        tuple(Zone(zone, PLATA_REGION) for zone in PLATA_ZONES), NODES_PER_ZONE, deployment
+    )
+    topology.streams = [Stream(deployment.query_kinds[0], RATE)]
+
+    def steps(_: random.Random) -> list[Step]:
+        return make_steps(coordinator_of(name))
+
+    world = simulate(Scenario("relay", "", lambda: topology, DURATION_S, steps), topology, seed)
+    assert world.errors == []
+    assert world.history.sent
+    return world
+
+
+def slowest_s(world: World) -> float:
+    """Return the longest time a caller waited."""
+    return max(ended.at - world.history.sent[ended.query].at for ended in endings(world))
+
+
+def endings(world: World, after: float = 0.0) -> list[QueryEnded]:
+    """Return how queries ended that were sent after a moment."""
+    history = world.history
+    assert len(history.ended) == len(history.sent), "every caller has its outcome"
+    return [ended for ended in history.ended.values() if history.sent[ended.query].at >= after]
+
+
+def peak_calls(world: World) -> int:
+    """Return the most calls that were in one back end at once."""
+    inside: dict[str, int] = {}
+    peak = 0
+    for call in world.history.calls:
+        if call.stage is CallStage.RECEIVED:
+            inside[call.backend] = inside.get(call.backend, 0) + 1
+            peak = max(peak, inside[call.backend])
+        elif call.stage is not CallStage.STARTED:
+            inside[call.backend] -= 1
+    return peak
+
+
+def relays(world: World) -> int:
+    """Return how many queries the nodes that still run have relayed."""
+    return sum(host.node.entry.counters.relayed for host in world.hosts.values())
+
+
+def not_repeatable() -> QueryRuleSpec:
+    """Return the rule for requests that must not run twice."""
+    return msgspec.structs.replace(RULE, repeatable=False)
--- a/tinrudder/cluster/membership_list.py
+++ b/tinrudder/cluster/membership_list.py
@@ -38,13 +38,18 @@
         self._unanswered_key = (-1, -1)
 
     def offer(self, revision: int, listed: tuple[ListedMember, ...]) -> None:
-        """Take a new list; ``leaving`` counts only for the start that runs when it appears."""
+        """Take a new list; ``leaving`` counts only for the start that runs when it appears.
+
+        The first list after our own start names nobody as leaving: it lags, and what it says of
+        us is most likely about the start before.
+        """
+        is_first = not self._listed
         before = {entry.name for entry in self._listed if entry.leaving}
         for entry in listed:
             member = self._table.get(entry.name)
             if not entry.leaving:
                 self._leaving.pop(entry.name, None)
-            elif entry.name not in before and member is not None:
+            elif not is_first and entry.name not in before and member is not None:
                 self._leaving[entry.name] = member.incarnation
         self._listed = listed
         self.revision = revision
--- a/tinrudder/lifecycle.py
+++ b/tinrudder/lifecycle.py
@@ -44,6 +44,10 @@
             ],
         )
 
+    def is_starting(self) -> bool:
+        """Tell whether the node is not ready yet."""
+        return self.state == NodeState.STARTING
+
     def is_ready(self) -> bool:
         """Tell whether callers and load balancers should choose this node."""
         return self.state == NodeState.SERVING
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -89,7 +89,7 @@
             timers,
             self._environment.wall_clock,
             self.coordinator,
-            self.lifecycle.accepts_work,
+            self._accepts_relays,
         )
         client = RelayClient(channel, timers, self._environment.wall_clock)
         self.entry = Entry(
@@ -103,6 +103,14 @@
             self.configuration,
         )
 
+    def _accepts_relays(self) -> bool:
+        """Tell whether relayed queries are served.
+
+        The others see a node as soon as it joins, a moment before it is ready for callers.
+        """
+        has_configuration = self.configuration().revision > 0
+        return has_configuration and (self.lifecycle.is_starting() or self.lifecycle.accepts_work())
+
     def _connect_membership(self) -> None:
         """Let configuration and back-end observations use what members tell each other."""
         membership = self.members.membership
