Measure what relaying a query costs both nodes

Cause: docs/CAPACITY.md needs the cost of the hop between entry and coordinator, which the call bench does not see. Change: bench.relay_cost runs the product's relay client and server over real TCP on loopback.

--- /dev/null
+++ b/bench/relay_cost.py
@@ -0,0 +1,151 @@
+"""What relaying one query costs both nodes, and what one answer in memory takes.
+
+``python -m bench.relay_cost`` runs the product's relay client and server over the real TCP peer
+transport on loopback, both ends in this process, with a runner that answers at once.  The
+figures are therefore those of codec, transport and event loop of both ends together, by the
+number of rows in the answer.  Last line: one JSON object; times are processor microseconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import statistics
+import sys
+import time
+import tracemalloc
+
+import msgspec
+
+from bench.slopes import Slope, fit
+from tinrudder.outcomes import Answer, Complete, Coverage, Outcome, Row
+from tinrudder.peers import PeerAddress
+from tinrudder.query.relay import RelayClient, RelayServer
+from tinrudder.query.request import QueryRequest
+from tinrudder.wire.channels import Channel, ChannelRouter
+from tinrudder.wire.peer_transport import TcpPeerTransport
+from tinrudder.wire.relay_codec import RelayedQuery, encode_outcome, encode_query
+
+HOST = "127.0.0.1"
+SHARDS = 130
+ROW_COUNTS = (1, 20, 100, 400)
+PAYLOAD = b'{"row_id":"s000-0001","time":123456.0,"entity":"entity-7","amount":17}'
+TURNS = 7
+RELAYS_PER_TURN = 150
+AT_ONCE = 10
+MICROSECONDS = 1e6
+
+
+class RelayCost(msgspec.Struct, frozen=True):
+    """Figures at ``ROW_COUNTS`` rows an answer and the line through the times.
+
+    :param request_bytes: one relayed query; :param answer_bytes: one outcome, by rows.
+    :param relay_us: both ends together, by rows.
+    :param answer_memory_bytes: one decoded answer kept in memory, by rows.
+    """
+
+    request_bytes: int
+    rows: tuple[int, ...]
+    answer_bytes: tuple[int, ...]
+    relay_us: tuple[float, ...]
+    relay_us_by_rows: Slope
+    answer_memory_bytes: tuple[int, ...]
+
+
+class FixedRunner:
+    """Answers every query with the same outcome."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        """Answer ``outcome``."""
+        self._outcome = outcome
+
+    async def run(self, request: QueryRequest) -> Outcome:
+        """Return the outcome at once."""
+        del request
+        return self._outcome
+
+
+def make_outcome(rows: int) -> Outcome:
+    """Return a complete answer of ``rows`` rows from all shards."""
+    made = tuple(
+        Row(float(number), f"s{number:04d}", bytes(bytearray(PAYLOAD))) for number in range(rows)
+    )
+    shards = tuple(f"s{number:04d}" for number in range(SHARDS))
+    return Complete(Answer(7, made, Coverage(shards)))
+
+
+def make_request(deadline: float) -> QueryRequest:
+    """Return a query as an entry relays it."""
+    return QueryRequest(
+        query_id="0123456789abcdef0123456789abcdef",
+        tenant="tenant",
+        index="service.index",
+        rule="rule",
+        match={"entity": "entity-7"},
+        order_by="time",
+        descending=False,
+        limit=100,
+        deadline=deadline,
+    )
+
+
+async def measure_relays(rows: int) -> float:
+    """Return processor microseconds of one relay with ``rows`` rows, median over the turns."""
+    loop = asyncio.get_running_loop()
+    client_transport = TcpPeerTransport(HOST, 0)
+    server_transport = TcpPeerTransport(HOST, 0)
+    await client_transport.open()
+    address = await server_transport.open()
+    channel = ChannelRouter(server_transport).channel(Channel.RELAY)
+    RelayServer(channel, loop, time.time, FixedRunner(make_outcome(rows)), lambda: True)
+    client_channel = ChannelRouter(client_transport).channel(Channel.RELAY)
+    client = RelayClient(client_channel, loop, time.time)
+    await _turn(client, address)
+    turns = []
+    for _ in range(TURNS):
+        started = time.process_time()
+        await _turn(client, address)
+        turns.append((time.process_time() - started) / RELAYS_PER_TURN * MICROSECONDS)
+    await client_transport.close()
+    await server_transport.close()
+    return statistics.median(turns)
+
+
+async def _turn(client: RelayClient, address: PeerAddress) -> None:
+    """Relay ``RELAYS_PER_TURN`` queries, ``AT_ONCE`` at a time."""
+
+    async def worker(count: int) -> None:
+        for _ in range(count):
+            await client.run(address, make_request(asyncio.get_running_loop().time() + 10))
+
+    await asyncio.gather(*(worker(RELAYS_PER_TURN // AT_ONCE) for _ in range(AT_ONCE)))
+
+
+def answer_memory(rows: int) -> int:
+    """Return the bytes one answer keeps allocated."""
+    gc.collect()
+    tracemalloc.start()
+    outcome = make_outcome(rows)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del outcome
+    return size
+
+
+def main() -> int:
+    """Measure every size and print the result."""
+    relay_us = tuple(round(asyncio.run(measure_relays(rows)), 1) for rows in ROW_COUNTS)
+    cost = RelayCost(
+        len(encode_query(RelayedQuery(make_request(1.0), 0.1, time.time()))),
+        ROW_COUNTS,
+        tuple(len(encode_outcome(make_outcome(rows))) for rows in ROW_COUNTS),
+        relay_us,
+        fit(ROW_COUNTS, relay_us),
+        tuple(answer_memory(rows) for rows in ROW_COUNTS),
+    )
+    print(msgspec.json.encode(cost).decode())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
