Stretch the hedge delay as the budget runs low

Cause: with a fixed 97.5th percentile more calls were overdue than the budget of 2.6% allows; the slowest calls then found it empty and waited for tokens, up to 90 ms. Change: the delay moves from the 97th to the 99th percentile as the budget empties; a call that could not be hedged is looked at again after a quarter of the delay.

--- a/tinrudder/query/hedger.py
+++ b/tinrudder/query/hedger.py
@@ -10,6 +10,8 @@
 from tinrudder.routing.backend_record import BackendRecord
 from tinrudder.routing.hedging import MAX_HEDGES_PER_SHARD, is_widespread
 
+LOOK_WITHOUT_DELAY_S = 0.02
+LOOK_AGAIN_SHARE = 0.25
 SendHedge = Callable[[ShardProgress, BackendRecord], None]
 
 
@@ -30,20 +32,25 @@
         """Return when to look next; ``None`` while nothing is hedged.
 
         That is when the next call becomes overdue, at the latest one hedge delay from now: calls
-        may be sent in between.
+        may be sent in between.  A call that is overdue already, for want of room or budget, is
+        looked at again sooner; while the delay is unknown, for want of observations, too.
         """
         if not self._plan.repeatable:
             return None
         delays = self._delays()
         if delays[0] is None:
-            return None
+            return now + LOOK_WITHOUT_DELAY_S
         soonest = now + delays[0]
         for shard in self._progress:
             if not shard.calls or shard.hedges >= MAX_HEDGES_PER_SHARD:
                 continue
             delay = delays[shard.hedges]
-            if delay is not None and now < shard.calls[-1].sent_at + delay < soonest:
-                soonest = shard.calls[-1].sent_at + delay
+            if delay is None:
+                continue
+            due = shard.calls[-1].sent_at + delay
+            if due <= now:
+                due = now + delay * LOOK_AGAIN_SHARE
+            soonest = min(soonest, due)
         return soonest
 
     def hedge_overdue(self, now: float) -> None:
--- a/tinrudder/routing/hedging.py
+++ b/tinrudder/routing/hedging.py
@@ -12,7 +12,9 @@
 HEDGE_FRACTION = 0.026
 HEDGE_INITIAL = 8.0
 HEDGE_CAPACITY = 32.0
-HEDGE_QUANTILE = 0.975
+HEDGE_QUANTILE = 0.97
+HEDGE_QUANTILE_IN_NEED = 0.99
+QUANTILE_STEPS = 4
 SECOND_HEDGE_QUANTILE = 0.9
 MINIMUM_OBSERVATIONS = 100
 MINIMUM_DELAY_S = 0.001
@@ -55,9 +57,8 @@
 class QuantileHedge:
     """Hedges what is slower than nearly all recent calls of its service, within a budget.
 
-    When to use: for searches with a tail.  Default: the 97.5th percentile, 2.6% of first calls.
-    Cost: at most that share of extra calls.  No hedge is sent where waiting on is expected to
-    take no longer than a fresh call, which is so for services without a heavy tail.
+    When to use: for searches with a tail.  Default: the 97th percentile, the 99th when the budget
+    runs low; 2.6% of first calls.  Cost: at most that share of extra calls.
     """
 
     def __init__(self) -> None:
@@ -74,9 +75,17 @@
         """Return the quantile of the window."""
         if len(latency) < MINIMUM_OBSERVATIONS or hedges >= MAX_HEDGES_PER_SHARD:
             return None
-        quantile = SECOND_HEDGE_QUANTILE if hedges else HEDGE_QUANTILE
+        quantile = SECOND_HEDGE_QUANTILE if hedges else self._first_quantile()
         return max(MINIMUM_DELAY_S, latency.quantile(quantile))
 
+    def _first_quantile(self) -> float:
+        """Return a later quantile the less is left to spend, in a few steps.
+
+        An empty budget would otherwise leave no hedge for the calls that are slowest of all.
+        """
+        empty = 1.0 - round(self._budget.fill * QUANTILE_STEPS) / QUANTILE_STEPS
+        return HEDGE_QUANTILE + empty * (HEDGE_QUANTILE_IN_NEED - HEDGE_QUANTILE)
+
     def may_hedge(self, *, urgent: bool) -> bool:
         """Draw on the budget."""
         return self._budget.try_spend(urgent=urgent)
--- a/tinrudder/routing/retry_budget.py
+++ b/tinrudder/routing/retry_budget.py
@@ -31,6 +31,12 @@
         self._kept_for_urgent = capacity * URGENT_SHARE
         self.tokens = initial
 
+    @property
+    def fill(self) -> float:
+        """Return how much of what may be spent is there, 0 to 1."""
+        spendable = self._capacity - self._kept_for_urgent
+        return max(0.0, (self.tokens - self._kept_for_urgent) / spendable)
+
     def earn(self, first_calls: int) -> None:
         """Add what a query's first calls earn."""
         self.tokens = min(self._capacity, self.tokens + first_calls * self._fraction)
