Send no hedge to a back end that calls wait for

Cause: a hedge took the place of a first call on a busy back end. Change: such back ends are left out when a hedge is placed.

--- a/tinrudder/routing/service_routing.py
+++ b/tinrudder/routing/service_routing.py
@@ -78,9 +78,10 @@
         """Return where a hedge goes now, ``None`` when no healthy replica has room.
 
         A replica not tried yet comes first; where there is none, the same one may answer a
-        second copy sooner, because most slow calls are slow by chance.
+        second copy sooner, because most slow calls are slow by chance.  A back end that calls
+        wait for gets none: a hedge would take the place of a first call.
         """
-        healthy = [b for b in replicas if not b.leaving and not b.health.ejected]
+        healthy = [b for b in replicas if not b.leaving and not b.health.ejected and not b.waiting]
         untried = [backend for backend in healthy if backend not in tried]
         return self.choice.choose(untried or healthy)
 
