--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 JOBS ?= 6
 
-.PHONY: setup protobuf test demo bench format lint types imports unit clean
+.PHONY: setup protobuf test demo bench format lint types imports unit proof clean
 
 setup: $(VENV)/.ready
 
@@ -44,5 +44,9 @@
 bench: setup
 	$(BIN)/python -m bench.call_cost
 
+# All scenarios over seeds in virtual time, and every planted defect; under 10 minutes.
+proof: setup
+	$(BIN)/python -m tinrudder_lab.proof
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/tinrudder_lab/jobs.py
@@ -0,0 +1,89 @@
+"""Many runs side by side in a few worker processes, with progress and saved results."""
+
+from __future__ import annotations
+
+import sys
+import time
+from collections.abc import Iterator, Sequence
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from tinrudder_lab.experiment import LabError, run_scenario
+from tinrudder_lab.plants import PLANTS_BY_NAME
+from tinrudder_lab.policies import DEFAULT_POLICY
+from tinrudder_lab.report import RunResult
+from tinrudder_lab.scenarios import BY_NAME
+
+MAX_WORKERS = 4
+RESULTS = Path("results")
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """One run to do.
+
+    :param alone: without its companion runs.
+    :param parameter: an attribute of the topology set to ``value`` first, empty for none.
+    """
+
+    scenario: str
+    seed: int
+    policy: str = DEFAULT_POLICY
+    plant: str = ""
+    alone: bool = True
+    parameter: str = ""
+    value: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """What became of a job.
+
+    :param seconds: wall time; :param error: why there is no result, else empty.
+    """
+
+    job: Job
+    result: RunResult | None
+    seconds: float
+    error: str = ""
+
+
+def run_job(job: Job) -> Done:
+    """Run one job in this process."""
+    started = time.perf_counter()
+    scenario = BY_NAME[job.scenario]
+    if job.parameter:
+        scenario = scenario.with_parameter(job.parameter, job.value)
+    plant = PLANTS_BY_NAME[job.plant] if job.plant else None
+    try:
+        result = run_scenario(scenario, job.seed, job.policy, plant, alone=job.alone)
+    except LabError as error:
+        return Done(job, None, time.perf_counter() - started, str(error))
+    return Done(job, result, time.perf_counter() - started)
+
+
+def run_jobs(jobs: Sequence[Job], workers: int = MAX_WORKERS) -> Iterator[Done]:
+    """Yield finished jobs as they end; progress goes to standard error."""
+    with ProcessPoolExecutor(max_workers=workers) as pool:
+        futures = [pool.submit(run_job, job) for job in jobs]
+        for number, future in enumerate(as_completed(futures), start=1):
+            done = future.result()
+            print(f"\r{number}/{len(jobs)} {done.job.scenario}   ", end="", file=sys.stderr)
+            yield done
+    print(file=sys.stderr)
+
+
+def save_results(name: str, results: Sequence[RunResult]) -> Path:
+    """Write results under ``results/``, which git ignores."""
+    RESULTS.mkdir(exist_ok=True)
+    path = RESULTS / f"{name}.json"
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1))
+    return path
+
+
+def load_results(path: Path) -> list[RunResult]:
+    """Read results written by :func:`save_results`."""
+    return msgspec.json.decode(path.read_bytes(), type=list[RunResult])
--- a/tinrudder_lab/policies.py
+++ b/tinrudder_lab/policies.py
@@ -20,9 +20,9 @@
 DEFAULT_POLICY = "default"
 BASELINE_POLICY = "baseline"
 NODE_WIDE: Mapping[str, tuple[str, Callable[..., object]]] = {
-    "fifo": ("StartTimeFairQueue", FirstInFirstOutQueue),
+    "fifo": ("StartTimeFairQueue", lambda *_: FirstInFirstOutQueue()),
     "fixed-limit": ("AdaptiveLimit", FixedLimit),
-    "admit-all": ("ExpectedWaitAdmission", lambda queue, source: AdmitAll()),
+    "admit-all": ("ExpectedWaitAdmission", lambda *_: AdmitAll()),
 }
 
 
--- a/tinrudder_lab/scenarios.py
+++ b/tinrudder_lab/scenarios.py
@@ -8,7 +8,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from tinrudder.resources.model import Priority
 from tinrudder_lab import faults
@@ -19,6 +19,7 @@
     TenantLoad,
     Topology,
     both_deployments,
+    set_parameter,
     shared_service,
     wide_service,
     with_purchases,
@@ -54,6 +55,16 @@
     with_baseline: bool = False
     without_noise: Callable[[], Topology] | None = None
 
+    def with_parameter(self, name: str, value: float) -> Scenario:
+        """Return the scenario on a topology with one parameter set; see ``PARAMETERS``."""
+
+        def make() -> Topology:
+            topology = self.topology()
+            set_parameter(topology, name, value)
+            return topology
+
+        return replace(self, topology=make)
+
 
 def _tenants(total: float, noisy_factor: float) -> tuple[TenantLoad, ...]:
     """Return tenants at their shares of ``total`` load, one of them at a multiple of it."""
--- a/tinrudder_lab/sim/world.py
+++ b/tinrudder_lab/sim/world.py
@@ -139,6 +139,16 @@
                     )
                     self.history.versions.append(event)
 
+    def shard_owners(self) -> dict[tuple[str, str], str]:
+        """Return the owner of every shard, by index and shard."""
+        owners = {}
+        for raw in self.platform.state.document.resources:
+            if raw.kind == Kind.INDEX.value:
+                index = msgspec.json.decode(raw.spec, type=IndexSpec)
+                for shard in index.versions[-1].shards:
+                    owners[raw.name, shard.shard] = shard.owner
+        return owners
+
     def note(self, text: str) -> None:
         """Record that a fault was turned on or off."""
         self.history.faults.append(FaultSet(round(self.now(), 6), text))
