--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -11,6 +11,7 @@
 
 from tinrudder.outcomes import Answer, Complete, Coverage, NotRun, NotRunReason, Outcome, Row
 from tinrudder.query.request import QueryRequest
+from tinrudder.wire import relay_pb2
 from tinrudder.wire.relay_codec import (
     MAX_OUTCOME_BYTES,
     MAX_REQUEST_BYTES,
@@ -64,6 +65,13 @@
         decode_outcome(encoded.replace(encoded[4:], b"?" * len(encoded[4:])))
 
 
+def test_rows_of_uneven_columns_are_refused() -> None:
+    message = relay_pb2.RelayOutcome()
+    message.complete.orders.append(1.0)
+    with pytest.raises(RelayCodecError):
+        decode_outcome(message.SerializeToString())
+
+
 @given(REQUESTS)
 def test_oversized_query_is_refused(request: QueryRequest) -> None:
     long = replace(request, match={"field": "x" * MAX_REQUEST_BYTES})
--- a/tinrudder/wire/relay_codec.py
+++ b/tinrudder/wire/relay_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import starmap
 from typing import TypeVar
 
 from google.protobuf.message import DecodeError, EncodeError, Message
@@ -117,9 +118,9 @@
     message = relay_pb2.RelayOutcome()
     match outcome:
         case Complete(answer):
-            message.complete.CopyFrom(_answer_message(answer))
+            _fill_answer(message.complete, answer)
         case Partial(answer):
-            message.partial.CopyFrom(_answer_message(answer))
+            _fill_answer(message.partial, answer)
         case NotRun(not_run_reason, detail, retry_after_s):
             message.not_run.CopyFrom(
                 relay_pb2.NotRunMessage(
@@ -131,11 +132,9 @@
                 relay_pb2.MayHaveRunMessage(reason=may_reason, detail=detail)
             )
         case Failed(failed_reason, detail, coverage):
-            message.failed.CopyFrom(
-                relay_pb2.FailedMessage(
-                    reason=failed_reason, detail=detail, coverage=_coverage_message(coverage)
-                )
-            )
+            message.failed.reason = failed_reason
+            message.failed.detail = detail
+            _fill_coverage(message.failed.coverage, coverage)
     return _serialize(message, MAX_OUTCOME_BYTES)
 
 
@@ -171,35 +170,31 @@
     raise ValueError("no outcome is set")
 
 
-def _answer_message(answer: Answer) -> relay_pb2.AnswerMessage:
-    return relay_pb2.AnswerMessage(
-        version=answer.version,
-        rows=[
-            relay_pb2.RowEntry(order=row.order, row_id=row.row_id, payload=row.payload)
-            for row in answer.rows
-        ],
-        coverage=_coverage_message(answer.coverage),
-        next_after=_position_message(answer.next_after),
-    )
+def _fill_answer(message: relay_pb2.AnswerMessage, answer: Answer) -> None:
+    message.version = answer.version
+    message.orders.extend([row.order for row in answer.rows])
+    message.row_ids.extend([row.row_id for row in answer.rows])
+    message.payloads.extend([row.payload for row in answer.rows])
+    _fill_coverage(message.coverage, answer.coverage)
+    if answer.next_after is not None:
+        message.next_after.order, message.next_after.row_id = answer.next_after
 
 
 def _answer(message: relay_pb2.AnswerMessage) -> Answer:
+    columns = zip(message.orders, message.row_ids, message.payloads, strict=True)
     return Answer(
         message.version,
-        tuple(Row(row.order, row.row_id, row.payload) for row in message.rows),
+        tuple(starmap(Row, columns)),
         _coverage(message.coverage),
         _position(message.next_after) if message.HasField("next_after") else None,
     )
 
 
-def _coverage_message(coverage: Coverage) -> relay_pb2.CoverageMessage:
-    return relay_pb2.CoverageMessage(
-        included=coverage.included,
-        missing=[
-            relay_pb2.MissingShardEntry(shard=gap.shard, owner=gap.owner, reason=gap.reason)
-            for gap in coverage.missing
-        ],
-    )
+def _fill_coverage(message: relay_pb2.CoverageMessage, coverage: Coverage) -> None:
+    message.included.extend(coverage.included)
+    message.SetInParent()
+    for gap in coverage.missing:
+        message.missing.add(shard=gap.shard, owner=gap.owner, reason=gap.reason)
 
 
 def _coverage(message: relay_pb2.CoverageMessage) -> Coverage:
