--- a/tinrudder/lifecycle.py
+++ b/tinrudder/lifecycle.py
@@ -44,7 +44,7 @@
             ],
         )
 
-    def is_starting(self) -> bool:
+    def is_before_ready(self) -> bool:
         """Tell whether the node is not ready yet."""
         return self.state == NodeState.STARTING
 
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -109,7 +109,9 @@
         The others see a node as soon as it joins, a moment before it is ready for callers.
         """
         has_configuration = self.configuration().revision > 0
-        return has_configuration and (self.lifecycle.is_starting() or self.lifecycle.accepts_work())
+        return has_configuration and (
+            self.lifecycle.is_before_ready() or self.lifecycle.accepts_work()
+        )
 
     def _connect_membership(self) -> None:
         """Let configuration and back-end observations use what members tell each other."""
