Tell two member lists of one revision apart

Cause: a platform restored from an old copy may give a revision number twice; a voter that skips the choice of electorates for a proposer of its own revision would have trusted a different list. Change: requests carry a digest of the sender's list, and only equal lists spare the choice.

--- a/tests/unit/test_at_most_once.py
+++ b/tests/unit/test_at_most_once.py
@@ -171,6 +171,19 @@
     run_virtual(run())
 
 
+def test_two_lists_of_one_revision_are_not_taken_for_one():
+    async def run():
+        cluster = OperationCluster()
+        cluster.learn(1, cluster.nodes[2:], only=cluster.nodes[4:])
+        await cluster.start(listed=cluster.nodes[:3])
+        cluster.cut({0, 1})
+        assert isinstance(await cluster.nodes[4].operate(), NotRun)
+        assert isinstance(await cluster.nodes[0].operate(), Complete)
+        assert cluster.ledger.ran == {"o-1": 1}
+
+    run_virtual(run())
+
+
 class Disturbance:
     """Submissions of few keys through random nodes, while links, voters and clocks fail."""
 
--- a/tests/unit/test_claims.py
+++ b/tests/unit/test_claims.py
@@ -162,10 +162,10 @@
 def test_a_proposer_that_knows_the_one_list_left_nothing_out():
     history = ElectorateHistory(LIMITS)
     history.learn(1, [ListedVoter(voter(number)) for number in (1, 2, 3)], 0.0)
-    assert history.left_out(KEY, 50.0, 1) == ()
-    assert history.left_out(KEY, 50.0, 0) == history.required(KEY, 50.0) != ()
+    assert history.left_out(KEY, 50.0, same_list=True) == ()
+    assert history.left_out(KEY, 50.0, same_list=False) == history.required(KEY, 50.0) != ()
     history.learn(2, [ListedVoter(voter(number)) for number in (4, 5, 6)], 10.0)
-    assert len(history.left_out(KEY, 50.0, 2)) == 2
+    assert len(history.left_out(KEY, 50.0, same_list=True)) == 2
 
 
 def test_machines_off_the_list_for_long_no_longer_count():
--- a/tinrudder/cluster/claims_service.py
+++ b/tinrudder/cluster/claims_service.py
@@ -19,6 +19,8 @@
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
 
+import xxhash
+
 from tinrudder.cluster.claim_proposer import ClaimPhase, ClaimProposer, DispatchWindow
 from tinrudder.cluster.claim_voter import ClaimVoter
 from tinrudder.cluster.claims import (
@@ -135,6 +137,17 @@
     )
 
 
+def _digest(revision: int, regions: Mapping[str, Sequence[ListedVoter]]) -> int:
+    """Return a digest of a list; two lists of one revision differ after a platform's restore."""
+    lines = [
+        f"{region}\t{listed.voter.identity}\t{listed.voter.zone}\t{listed.leaving}"
+        for region in sorted(regions)
+        for listed in regions[region]
+    ]
+    text = "\n".join((str(revision), *sorted(lines)))
+    return xxhash.xxh3_64_intdigest(text.encode())
+
+
 class ClaimsService:
     """Votes and claims on one node."""
 
@@ -162,6 +175,7 @@
         self._attempts = 0
         self._histories: dict[str, ElectorateHistory] = {}
         self._revision = 0
+        self._list_digest = 0
         self._voter: ClaimVoter | None = None
         self.counters = ClaimCounters()
         channel.listen(self._on_datagram, self._on_request)
@@ -180,6 +194,7 @@
         if revision <= self._revision:
             return
         self._revision = revision
+        self._list_digest = _digest(revision, regions)
         now = self._wall_clock()
         for region in sorted(self._histories.keys() | regions.keys()):
             history = self._histories.setdefault(region, ElectorateHistory(self.limits))
@@ -273,7 +288,7 @@
     ) -> VoteReply | None:
         """Return a voter's reply, ``None`` if none came."""
         if voter.address == self._node.voter.address:
-            return self._vote(request, self._revision)
+            return self._vote(request, self._list_digest)
         if timeout_s <= 0:
             return None
         sent = await self._exchange(voter.address, request, timeout_s, voter.identity)
@@ -287,7 +302,7 @@
         identity: str | None = None,
     ) -> ClaimReply | None:
         """Send one request; ``None`` if no readable reply came."""
-        payload = encode_request(SentRequest(self._revision, request))
+        payload = encode_request(SentRequest(self._revision, request, self._list_digest))
         self.counters.sent_bytes += len(payload)
         try:
             answer = await self._channel.request(destination, payload, timeout_s)
@@ -328,7 +343,7 @@
             case VoteRequest() as request:
                 proposer = request.proposer
                 self._heard(f"{proposer.node}@{proposer.address}", sent.revision)
-                reply: ClaimReply = self._vote(request, sent.revision)
+                reply: ClaimReply = self._vote(request, sent.list_digest)
             case AnswerQuestion() as question:
                 reply = await self._answers(question)
             case _:
@@ -337,12 +352,13 @@
         self.counters.sent_bytes += len(answer)
         return answer
 
-    def _vote(self, request: VoteRequest, proposer_revision: int) -> VoteReply:
+    def _vote(self, request: VoteRequest, list_digest: int) -> VoteReply:
         """Vote as this node."""
         history = self._histories.get(self._node.region)
         if self._voter is None or history is None or not history.settled:
             return Abstained(AbstainReason.LIST_UNSETTLED)
-        required = history.left_out(request.key, request.valid_until, proposer_revision)
+        same_list = list_digest == self._list_digest
+        required = history.left_out(request.key, request.valid_until, same_list=same_list)
         reply = self._voter.vote(request, required, self._wall_clock())
         self.counters.votes_given += 1
         return reply
--- a/tinrudder/cluster/electorate_history.py
+++ b/tinrudder/cluster/electorate_history.py
@@ -93,14 +93,15 @@
         return tuple(electorates.values())
 
     def left_out(
-        self, key: ClaimKey, valid_until: float, proposer_revision: int
+        self, key: ClaimKey, valid_until: float, *, same_list: bool
     ) -> tuple[Electorate, ...]:
-        """Return the electorates that a proposer of a known list revision may not have cited.
+        """Return the electorates that a proposer may not have cited.
 
-        It cites its newest list's electorate; when that is all we require, too, there is no need
-        to work it out, which with many members is most of a vote's cost.
+        :param same_list: the proposer's newest list is ours.  It cites that one's electorate;
+            when we require no other, there is no need to work it out, which with many members
+            is most of a vote's cost.
         """
-        if len(self._lists) == 1 and proposer_revision == self.revision:
+        if same_list and len(self._lists) == 1:
             return ()
         return self.required(key, valid_until)
 
--- a/tinrudder/wire/claims_codec.py
+++ b/tinrudder/wire/claims_codec.py
@@ -39,10 +39,11 @@
 
 @dataclass(frozen=True, slots=True)
 class SentRequest:
-    """A request and the newest member list its sender knows."""
+    """A request and the newest member list its sender knows, by revision and digest."""
 
     revision: int
     request: ClaimRequest
+    list_digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +56,7 @@
 
 def encode_request(sent: SentRequest) -> bytes:
     """Return the bytes of a request."""
-    message = claims_pb2.ClaimRequest(revision=sent.revision)
+    message = claims_pb2.ClaimRequest(revision=sent.revision, list_digest=sent.list_digest)
     match sent.request:
         case VoteRequest(key, proposer, valid_until, cited):
             message.vote.CopyFrom(
@@ -102,7 +103,7 @@
             )
         case _:
             raise MalformedClaimError("claim request: of no known kind")
-    return SentRequest(message.revision, request)
+    return SentRequest(message.revision, request, message.list_digest)
 
 
 def encode_reply(sent: SentReply) -> bytes:
