Let tenants below their share exceed a limit of the configured slots; weigh latency for limits

Cause: two calls a slot kept every back end's own queue full of a noisy tenant's calls, where the fair queue has no say; and limits followed refusals only. Change: the limit is the slots of this node's share again, and the headroom above it is for tenants well below their share, or long alone. A limit that follows latency too stands beside the one for refusals, with a bench (python -m bench.limits).

--- /dev/null
+++ b/bench/limits.py
@@ -0,0 +1,240 @@
+"""Limits of back ends whose configured slots are right, wrong, or that get slow, in virtual time.
+
+    python -m bench.limits [--seeds 5]
+
+One node, eight back ends, a noisy tenant that always has calls waiting, and light tenants whose
+latency shows what queues at the back ends cost.  Prints a table, then one JSON object.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import statistics
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bench.fair_queue import VirtualTime, quantile
+from tinrudder.resources.model import Priority
+from tinrudder.routing.backend_limit import (
+    AdaptiveLimit,
+    BackendLimitPolicy,
+    FixedLimit,
+    RefusalLimit,
+)
+from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.fair_queue import StartTimeFairQueue
+from tinrudder.routing.pending_call import PendingCall
+
+BACKENDS = 8
+SERVICE_S = 0.01
+SIGMA = 0.4
+ONE_WAY_S = 0.001
+FAN_OUT = 16
+DURATION_S = 20.0
+LIGHT_SHARE = 0.5
+HEADROOM = 2.0
+POLICIES: dict[str, Callable[[], BackendLimitPolicy]] = {
+    "fixed": FixedLimit,
+    "refusals": RefusalLimit,
+    "adaptive": AdaptiveLimit,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """What back ends really are.
+
+    :param share: the configured slots, of which the node may use all and, for tenants well
+        below their share, twice as many; :param slots: what really runs at once.
+    :param room: calls that wait at the back end before it sheds.
+    :param slow_from_s: from then on every call takes ``slow_factor`` times longer.
+    """
+
+    name: str
+    share: int
+    slots: int
+    room: int = 40
+    slow_from_s: float = DURATION_S
+    slow_factor: float = 1.0
+
+
+CASES = (
+    Case("five as configured", 5, 5),
+    Case("two as configured", 2, 2),
+    Case("two instead of six", 6, 2),
+    Case("same, sheds early", 6, 2, room=2),
+    Case("5 times slower", 5, 5, slow_from_s=10.0, slow_factor=5.0),
+)
+
+
+@dataclass(eq=False)
+class ModelBackend:
+    """A back end with slots and a short queue."""
+
+    record: BackendRecord
+    case: Case
+    busy: int = 0
+    queue: deque[Callable[[], None]] = field(default_factory=deque)
+
+
+@dataclass
+class Bench:
+    """One run."""
+
+    case: Case
+    policy: BackendLimitPolicy
+    source: random.Random
+    clock: VirtualTime = field(default_factory=VirtualTime)
+    latencies: list[float] = field(default_factory=list)
+    answered: int = 0
+    shed: int = 0
+
+    def __post_init__(self) -> None:
+        """Make the back ends."""
+        self.queue = StartTimeFairQueue(self.clock.time)
+        share = self.case.share
+        self.backends = {}
+        for number in range(BACKENDS):
+            record = BackendRecord(f"b{number}", "127.0.0.1", 1, "z", share, share)
+            record.headroom = HEADROOM
+            self.backends[record] = ModelBackend(record, self.case)
+        self.records = list(self.backends)
+
+    def run(self) -> None:
+        """Play the whole run."""
+        for _ in range(40 * BACKENDS):
+            self._noise()
+        for tenant in ("light-0", "light-1", "light-2"):
+            self._light_query(tenant)
+        self.clock.run_until(DURATION_S)
+
+    def _noise(self) -> None:
+        self._submit("noisy", self.source.randrange(BACKENDS), self._noise)
+
+    def _light_query(self, tenant: str) -> None:
+        started = self.clock.now
+        left = FAN_OUT
+
+        def done() -> None:
+            nonlocal left
+            left -= 1
+            if left == 0:
+                self.latencies.append(self.clock.now - started)
+
+        for shard in range(FAN_OUT):
+            self._submit(tenant, shard, done)
+        capacity = BACKENDS * self.case.slots / SERVICE_S / FAN_OUT
+        gap = self.source.expovariate(capacity * LIGHT_SHARE / 3)
+        self.clock.call_at(self.clock.now + gap, lambda: self._light_query(tenant))
+
+    def _submit(self, tenant: str, shard: int, done: Callable[[], None]) -> None:
+        candidates = (
+            self.records[shard % BACKENDS],
+            self.records[(shard + 1) % BACKENDS],
+        )
+        call = PendingCall(
+            tenant,
+            1,
+            Priority.INTERACTIVE,
+            1.0,
+            candidates,
+            0.0,
+            0.0,
+            lambda backend: self._send(backend, tenant, shard, done),
+        )
+        self.queue.push(call)
+        for backend in candidates:
+            self._fill(backend)
+
+    def _fill(self, backend: BackendRecord) -> None:
+        while backend.waiting:
+            call = None
+            if backend.may_send():
+                call = self.queue.pop(backend)
+            elif backend.may_exceed():
+                call = self.queue.pop_lagging(backend)
+            if call is None:
+                return
+            call.on_dispatch(backend)
+
+    def _send(
+        self, record: BackendRecord, tenant: str, shard: int, done: Callable[[], None]
+    ) -> None:
+        sent_at, others = self.clock.now, record.in_flight
+        record.in_flight += 1
+        backend = self.backends[record]
+
+        def arrive() -> None:
+            if backend.busy < self.case.slots:
+                serve()
+            elif len(backend.queue) < self.case.room:
+                backend.queue.append(serve)
+            else:
+                self.clock.call_at(self.clock.now + ONE_WAY_S, refused)
+
+        def serve() -> None:
+            backend.busy += 1
+            self.clock.call_at(self.clock.now + self._service_s(), completed)
+
+        def completed() -> None:
+            backend.busy -= 1
+            self.clock.call_at(self.clock.now + ONE_WAY_S, answered)
+            if backend.queue:
+                backend.queue.popleft()()
+
+        def answered() -> None:
+            self.answered += 1
+            now = self.clock.now
+            self.policy.on_answer(record, others, now - sent_at, now)
+            record.in_flight -= 1
+            done()
+            self._fill(record)
+
+        def refused() -> None:
+            self.shed += 1
+            self.policy.on_shed(record, sent_at, self.clock.now)
+            record.in_flight -= 1
+            self._submit(tenant, shard, done)
+
+        self.clock.call_at(self.clock.now + ONE_WAY_S, arrive)
+
+    def _service_s(self) -> float:
+        factor = self.case.slow_factor if self.clock.now >= self.case.slow_from_s else 1.0
+        return SERVICE_S * factor * self.source.lognormvariate(0.0, SIGMA)
+
+
+def measure(case: Case, policy: str, seeds: range) -> dict[str, float]:
+    """Return medians over the seeds."""
+    runs = [Bench(case, POLICIES[policy](), random.Random(seed)) for seed in seeds]
+    for run in runs:
+        run.run()
+    limits = [statistics.mean(record.limit for record in run.records) for run in runs]
+    return {
+        "answers_per_s": statistics.median(run.answered / DURATION_S for run in runs),
+        "light_p99_ms": statistics.median(quantile(run.latencies, 0.99) * 1e3 for run in runs),
+        "shed_share": statistics.median(run.shed / (run.answered + run.shed) for run in runs),
+        "last_limit": statistics.median(limits),
+    }
+
+
+def main() -> None:
+    """Measure every policy in every case."""
+    parser = argparse.ArgumentParser(description="Limits of back ends, in virtual time.")
+    parser.add_argument("--seeds", type=int, default=5)
+    seeds = range(parser.parse_args().seeds)
+    results: dict[str, dict[str, dict[str, float]]] = {}
+    for case in CASES:
+        results[case.name] = {}
+        for policy in POLICIES:
+            figures = measure(case, policy, seeds)
+            results[case.name][policy] = figures
+            row = "  ".join(f"{name} {value:9.3f}" for name, value in figures.items())
+            print(f"{case.name:18} {policy:9} {row}", flush=True)
+    print(json.dumps(results))
+
+
+if __name__ == "__main__":
+    main()
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -29,6 +29,7 @@
 from tinrudder.routing.backend_limit import AdaptiveLimit
 from tinrudder.routing.backend_table import BackendTable
 from tinrudder.routing.coordinator_ranking import CoordinatorRanking
+from tinrudder.routing.coordinator_set import SLOT_HEADROOM
 from tinrudder.routing.fair_queue import StartTimeFairQueue
 from tinrudder.routing.replica_choice import LeastLoadedReplica
 from tinrudder.routing.service_routing import RoutingTable
@@ -230,7 +231,7 @@
         """Bring coordinator sets and limits in step with members and configuration."""
         configuration = self.configuration()
         self.coordinator_sets.update(self._view, configuration)
-        self.backends.update(configuration.backends, self.coordinator_sets.share)
+        self.backends.update(configuration.backends, self.coordinator_sets.share, SLOT_HEADROOM)
         self.backends.share_connections(configuration.backends, self.coordinator_sets.connections)
 
     async def _follow_platform(self) -> None:
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -34,12 +34,16 @@
 
 @dataclass(slots=True, eq=False)
 class SentCall:
-    """A call in flight: the back end it went to and when."""
+    """A call in flight: the back end it went to and when.
+
+    :param others_in_flight: this node's other calls there when it was sent.
+    """
 
     backend: BackendRecord
     call: BackendCall
     sent_at: float
     listener: SentCallListener
+    others_in_flight: int = 0
 
 
 class DrainListener(Protocol):
@@ -110,8 +114,7 @@
             pending.on_shed()
             return
         self._queue.push(pending)
-        if backend is not None:
-            self._fill_candidates(pending)
+        self._fill_candidates(pending)
 
     def _fill_candidates(self, pending: PendingCall) -> None:
         """Serve those who already wait where there is room, and then the call itself."""
@@ -154,7 +157,7 @@
             backend.max_connections,
             may_leave=may_leave,
         )
-        sent = SentCall(backend, call, self._timers.time(), listener)
+        sent = SentCall(backend, call, self._timers.time(), listener, backend.in_flight)
         self._in_flight[call_id] = sent
         backend.in_flight += 1
         self.sent_calls += 1
@@ -183,7 +186,7 @@
         backend = sent.backend
         if isinstance(reply, Answered):
             backend.observe_latency(now - sent.sent_at)
-            self._limit.on_answer(backend, now)
+            self._limit.on_answer(backend, sent.others_in_flight, now - sent.sent_at, now)
             if reply.answer.draining:
                 self.drain_listener.on_draining(backend)
             else:
@@ -233,8 +236,13 @@
 
     def _fill_one(self, backend: BackendRecord) -> None:
         """Dispatch to one back end until it has no room or nothing waits for it."""
-        while backend.waiting and backend.may_send():
-            pending = self._queue.pop(backend)
+        while backend.waiting:
+            if backend.may_send():
+                pending = self._queue.pop(backend)
+            elif backend.may_exceed():
+                pending = self._queue.pop_lagging(backend)
+            else:
+                return
             if pending is None:
                 return
             self._return_place(pending)
--- a/tinrudder/routing/backend_record.py
+++ b/tinrudder/routing/backend_record.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from tinrudder.routing.backend_health import BackendHealth
+from tinrudder.routing.limit_state import LimitState
 
 LATENCY_SMOOTHING = 0.1
 DEFAULT_MAX_CONNECTIONS = 70
@@ -18,8 +19,9 @@
 
     :param slots: calls the back end runs at once, as configured: a hint.
     :param limit: calls this node may have in flight there now; its whole part counts.
-    :param ceiling: this node's share of the slots; ``limit`` never exceeds it.  0 takes ``limit``.
-    :param lowered_at: when ``limit`` was last lowered, monotonic seconds.
+    :param usual: this node's share of the slots; ``limit`` never exceeds it.  0 takes ``limit``.
+    :param headroom: how many times ``limit`` a tenant well below its share may fill.
+    :param limiting: what the limit is judged by.
     :param waiting: calls that wait in this node's queue and may go there.
     :param latency_s: smoothed time of answered calls, seconds; 0 before the first.
     :param leaving: no new work goes there.
@@ -45,30 +47,38 @@
     drain_signed: bool = False
     ordinary_sent_at: float = -math.inf
     max_connections: int = DEFAULT_MAX_CONNECTIONS
-    ceiling: float = 0.0
-    lowered_at: float = 0.0
+    usual: float = 0.0
+    headroom: float = 1.0
     waiting: int = 0
     paused: bool = False
     health: BackendHealth = field(default_factory=BackendHealth)
+    limiting: LimitState = field(default_factory=LimitState)
 
     def __post_init__(self) -> None:
         """Begin at the limit given."""
-        self.ceiling = self.ceiling or self.limit
+        self.usual = self.usual or self.limit
 
     def may_send(self) -> bool:
         """Tell whether one more call fits under the limit, and under the ramp of a cold start."""
-        return (
-            self.in_flight + 1 <= self.limit
-            and not self.leaving
-            and not self.paused
-            and self.in_flight < self.health.ramp_limit
-        )
-
-    def set_ceiling(self, ceiling: float) -> None:
-        """Follow a changed share; a limit that stood at the old ceiling moves along."""
-        if self.limit >= self.ceiling or self.limit > ceiling:
-            self.limit = ceiling
-        self.ceiling = ceiling
+        return self.in_flight + 1 <= self.limit and self._takes_calls()
+
+    def may_exceed(self) -> bool:
+        """Tell whether one more call of a tenant well below its share fits."""
+        return self.in_flight + 1 <= self.limit * self.headroom and self._takes_calls()
+
+    def _takes_calls(self) -> bool:
+        """Tell whether calls go there at all now."""
+        if self.leaving or self.paused:
+            return False
+        return self.in_flight < self.health.ramp_limit
+
+    def set_share(self, usual: float, headroom: float) -> None:
+        """Follow a changed share; a limit that stood at the old one moves along."""
+        if self.limit >= self.usual or self.limit > usual:
+            self.limit = usual
+        self.usual = usual
+        self.headroom = headroom
+        self.limiting.limit_before = min(self.limiting.limit_before, usual)
 
     def observe_latency(self, seconds: float) -> None:
         """Fold one answered call into the smoothed latency.
--- a/tinrudder/routing/backend_table.py
+++ b/tinrudder/routing/backend_table.py
@@ -29,27 +29,34 @@
         self._by_service: dict[str, list[BackendRecord]] = {}
         self.generation = 0
 
-    def update(self, specs: Mapping[str, BackendSpec], share: SlotShare = all_slots) -> None:
+    def update(
+        self,
+        specs: Mapping[str, BackendSpec],
+        share: SlotShare = all_slots,
+        headroom: float = 1.0,
+    ) -> None:
         """Follow the configuration and the coordinator sets.
 
-        :param share: how many calls this node may have in flight at a back end.
+        :param share: how many calls this node may ever have in flight at a back end.
+        :param headroom: that number over the slots it stands for.
         """
         self.generation += 1
         self._by_service = {}
         for name in self._records.keys() - specs.keys():
             self._records.pop(name).leaving = True
         for name, spec in specs.items():
-            limit = max(1.0, share(name, spec))
+            most = max(1.0, share(name, spec))
+            usual = float(max(1, int(most / headroom)))
             record = self._records.get(name)
             if record is None or (record.host, record.port) != (spec.host, spec.port):
                 if record is not None:
                     record.leaving = True
                 record = BackendRecord(
-                    name, spec.host, spec.port, spec.zone, spec.slots, limit, spec.tls
+                    name, spec.host, spec.port, spec.zone, spec.slots, usual, spec.tls
                 )
                 self._records[name] = record
             record.slots = spec.slots
-            record.set_ceiling(limit)
+            record.set_share(usual, most / usual)
             record.configured_leaving = spec.state is BackendState.DRAINING
             record.leaving = record.configured_leaving or record.drain_signed
             self._by_service.setdefault(spec.service, []).append(record)
--- a/tinrudder/routing/call_queue.py
+++ b/tinrudder/routing/call_queue.py
@@ -38,6 +38,9 @@
     def pop(self, backend: BackendRecord) -> PendingCall | None:
         """Take the next call that ``backend`` may serve."""
 
+    def pop_lagging(self, backend: BackendRecord) -> PendingCall | None:
+        """Take the next call that may exceed the limit of ``backend``, if there is one."""
+
     def discard(self, call: PendingCall) -> None:
         """Drop a call that no longer waits; a no-op if it is not here."""
 
@@ -83,6 +86,10 @@
                 return call
         return None
 
+    def pop_lagging(self, backend: BackendRecord) -> PendingCall | None:
+        """Take the oldest call: no tenant has a share here."""
+        return self.pop(backend)
+
     def discard(self, call: PendingCall) -> None:
         """Drop a call; its places in other queues are skipped when reached."""
         if call.waiting:
--- a/tinrudder/routing/fair_queue.py
+++ b/tinrudder/routing/fair_queue.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,6 +19,8 @@
 from tinrudder.routing.tenant_flow import TenantFlow
 
 DEFAULT_BURST = 64.0
+DEFAULT_LAG = 4.0
+ALONE_AFTER_S = 1.0
 SWEEP_SLACK = 64
 HeapEntry = tuple[float, int, TenantFlow]
 
@@ -31,6 +34,8 @@
     :param total_weight: the weights of all flows.
     :param work: the cost of the waiting calls, each divided by its number of candidates.
     :param virtual_time: the account at which the last call was taken.
+    :param last_served: whose call was taken last.
+    :param shared_at: when calls of different tenants last followed one another, seconds.
     :param sweep_at: number of flows at which idle ones are dropped.
     """
 
@@ -40,8 +45,24 @@
     total_weight: int = 0
     work: float = 0.0
     virtual_time: float = 0.0
+    last_served: TenantFlow | None = None
+    shared_at: float = -math.inf
     sweep_at: int = SWEEP_SLACK
 
+    @property
+    def mean_weight(self) -> float:
+        """Return the mean weight of the tenants known here, of which there is at least one."""
+        return self.total_weight / len(self.flows)
+
+    def charge(self, flow: TenantFlow, cost: float, now: float) -> None:
+        """Book a call that goes out now."""
+        if flow is not self.last_served:
+            if self.last_served is not None:
+                self.shared_at = now
+            self.last_served = flow
+        self.virtual_time = max(self.virtual_time, flow.account)
+        flow.account += cost / flow.weight
+
 
 class StartTimeFairQueue:
     """Start-time fair queueing over tenants, then priority classes.
@@ -58,6 +79,7 @@
         """
         self._clock = clock
         self._burst = burst
+        self._lag = min(DEFAULT_LAG, burst / 2)
         self._lanes: dict[BackendRecord, BackendLane] = {}
         self._sweep_lanes_at = SWEEP_SLACK
         self._size = 0
@@ -98,14 +120,39 @@
                 heapq.heappop(heap)
                 flow.queued = False
                 continue
-            lane.virtual_time = max(lane.virtual_time, account)
-            flow.account += call.cost / flow.weight
-            flow.pace.observe(self._clock(), call.cost, more=flow.waiting > 1)
+            now = self._clock()
+            lane.charge(flow, call.cost, now)
+            flow.pace.observe(now, call.cost, more=flow.waiting > 1)
             self._replace_first(heap, flow)
             self.discard(call)
             return call
         return None
 
+    def pop_lagging(self, backend: BackendRecord) -> PendingCall | None:
+        """Take the next call, but only of a tenant well below its share or long alone."""
+        lane = self._lanes.get(backend)
+        if lane is None or not lane.heap:
+            return None
+        if self._clock() - lane.shared_at <= ALONE_AFTER_S:
+            bound = lane.virtual_time - self._lag / lane.mean_weight
+            if self._lowest_waiting(lane) >= bound:
+                return None
+        return self.pop(backend)
+
+    def _lowest_waiting(self, lane: BackendLane) -> float:
+        """Return the lowest account of a tenant that has calls waiting."""
+        heap = lane.heap
+        while heap:
+            account, _, flow = heap[0]
+            if flow.waiting == 0:
+                heapq.heappop(heap)
+                flow.queued = False
+            elif account != flow.account:
+                self._replace_first(heap, flow)
+            else:
+                return account
+        return math.inf
+
     def discard(self, call: PendingCall) -> None:
         """Drop a call; its entries are skipped when they are reached."""
         if not call.waiting:
@@ -128,8 +175,7 @@
         lane = self._lane(backend)
         flow = self._flow(lane, backend, call)
         flow.account = max(flow.account, self._lowest_account(lane))
-        lane.virtual_time = max(lane.virtual_time, flow.account)
-        flow.account += call.cost / flow.weight
+        lane.charge(flow, call.cost, self._clock())
 
     def expected_wait_s(self, backend: BackendRecord, newcomer: Newcomer) -> float:
         """Return in how many seconds ``backend`` has taken all of a newcomer's calls.
@@ -188,8 +234,7 @@
         and tenants that come back together share as their weights say.  The account starts at 0:
         nobody has anything to catch up with at a new lane.
         """
-        mean_weight = lane.total_weight / len(lane.flows)
-        return max(0.0, lane.virtual_time - self._burst / mean_weight)
+        return max(0.0, lane.virtual_time - self._burst / lane.mean_weight)
 
     def _enter_heap(self, lane: BackendLane, flow: TenantFlow) -> None:
         """Let a flow take part again."""
