--- a/bench/limits.py
+++ b/bench/limits.py
@@ -22,7 +22,6 @@
     AdaptiveLimit,
     BackendLimitPolicy,
     FixedLimit,
-    RefusalLimit,
 )
 from tinrudder.routing.backend_record import BackendRecord
 from tinrudder.routing.fair_queue import StartTimeFairQueue
@@ -38,7 +37,6 @@
 HEADROOM = 2.0
 POLICIES: dict[str, Callable[[], BackendLimitPolicy]] = {
     "fixed": FixedLimit,
-    "refusals": RefusalLimit,
     "adaptive": AdaptiveLimit,
 }
 
@@ -163,7 +161,7 @@
     def _send(
         self, record: BackendRecord, tenant: str, shard: int, done: Callable[[], None]
     ) -> None:
-        sent_at, others = self.clock.now, record.in_flight
+        sent_at = self.clock.now
         record.in_flight += 1
         backend = self.backends[record]
 
@@ -187,8 +185,7 @@
 
         def answered() -> None:
             self.answered += 1
-            now = self.clock.now
-            self.policy.on_answer(record, others, now - sent_at, now)
+            self.policy.on_answer(record)
             record.in_flight -= 1
             done()
             self._fill(record)
--- a/tests/unit/test_backend_limit.py
+++ b/tests/unit/test_backend_limit.py
@@ -41,7 +41,7 @@
         if shed:
             self.policy.on_shed(self.backend, sent_at, self.now)
         else:
-            self.policy.on_answer(self.backend, place, 0.01, self.now)
+            self.policy.on_answer(self.backend)
         self.backend.in_flight -= 1
 
     @rule(share=st.integers(1, 12), headroom=st.sampled_from([1.0, 2.0]))
@@ -79,7 +79,7 @@
                 self.backend.in_flight += 1
             for place in range(self.backend.in_flight):
                 if place < slots:
-                    self.policy.on_answer(self.backend, place, 0.01, self.now)
+                    self.policy.on_answer(self.backend)
                 else:
                     shed += 1
                     self.policy.on_shed(self.backend, sent_at, self.now)
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -34,16 +34,12 @@
 
 @dataclass(slots=True, eq=False)
 class SentCall:
-    """A call in flight: the back end it went to and when.
-
-    :param others_in_flight: this node's other calls there when it was sent.
-    """
+    """A call in flight: the back end it went to and when."""
 
     backend: BackendRecord
     call: BackendCall
     sent_at: float
     listener: SentCallListener
-    others_in_flight: int = 0
 
 
 class DrainListener(Protocol):
@@ -157,7 +153,7 @@
             backend.max_connections,
             may_leave=may_leave,
         )
-        sent = SentCall(backend, call, self._timers.time(), listener, backend.in_flight)
+        sent = SentCall(backend, call, self._timers.time(), listener)
         self._in_flight[call_id] = sent
         backend.in_flight += 1
         self.sent_calls += 1
@@ -186,7 +182,7 @@
         backend = sent.backend
         if isinstance(reply, Answered):
             backend.observe_latency(now - sent.sent_at)
-            self._limit.on_answer(backend, sent.others_in_flight, now - sent.sent_at, now)
+            self._limit.on_answer(backend)
             if reply.answer.draining:
                 self.drain_listener.on_draining(backend)
             else:
--- a/tinrudder/routing/backend_record.py
+++ b/tinrudder/routing/backend_record.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass, field
 
 from tinrudder.routing.backend_health import BackendHealth
-from tinrudder.routing.limit_state import LimitState
 
 LATENCY_SMOOTHING = 0.1
 DEFAULT_MAX_CONNECTIONS = 70
@@ -19,9 +18,10 @@
 
     :param slots: calls the back end runs at once, as configured: a hint.
     :param limit: calls this node may have in flight there now; its whole part counts.
-    :param usual: this node's share of the slots; ``limit`` never exceeds it.  0 takes ``limit``.
+    :param usual: calls that keep this node's share of the slots busy; ``limit`` never exceeds it.
+        0 takes ``limit``.
     :param headroom: how many times ``limit`` a tenant well below its share may fill.
-    :param limiting: what the limit is judged by.
+    :param lowered_at: when ``limit`` was last lowered, monotonic seconds.
     :param waiting: calls that wait in this node's queue and may go there.
     :param latency_s: smoothed time of answered calls, seconds; 0 before the first.
     :param leaving: no new work goes there.
@@ -49,10 +49,10 @@
     max_connections: int = DEFAULT_MAX_CONNECTIONS
     usual: float = 0.0
     headroom: float = 1.0
+    lowered_at: float = -math.inf
     waiting: int = 0
     paused: bool = False
     health: BackendHealth = field(default_factory=BackendHealth)
-    limiting: LimitState = field(default_factory=LimitState)
 
     def __post_init__(self) -> None:
         """Begin at the limit given."""
@@ -78,7 +78,6 @@
             self.limit = usual
         self.usual = usual
         self.headroom = headroom
-        self.limiting.limit_before = min(self.limiting.limit_before, usual)
 
     def observe_latency(self, seconds: float) -> None:
         """Fold one answered call into the smoothed latency.
--- a/tinrudder/routing/backend_table.py
+++ b/tinrudder/routing/backend_table.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Mapping
 
 from tinrudder.resources.model import BackendSpec, BackendState
 from tinrudder.routing.backend_record import BackendRecord
 
+CALLS_PER_SLOT = 1.2
+"""Calls in flight for one slot that keep it busy while answers travel, see docs/LIMITS.md."""
+
 SlotShare = Callable[[str, BackendSpec], float]
 ConnectionShare = Callable[[str, BackendSpec], int]
 
@@ -46,7 +50,7 @@
             self._records.pop(name).leaving = True
         for name, spec in specs.items():
             most = max(1.0, share(name, spec))
-            usual = float(max(1, int(most / headroom)))
+            usual = float(min(most, math.ceil(most / headroom * CALLS_PER_SLOT)))
             record = self._records.get(name)
             if record is None or (record.host, record.port) != (spec.host, spec.port):
                 if record is not None:
