--- a/tests/unit/test_overload.py
+++ b/tests/unit/test_overload.py
@@ -13,7 +13,7 @@
 from tinrudder.outcomes import Complete, MissingReason, NotRun, NotRunReason, Partial
 from tinrudder.query.admission_gate import AdmissionGate
 from tinrudder.query.coordinator import Coordinator
-from tinrudder.query.dispatcher import Dispatcher
+from tinrudder.query.dispatcher import MAXIMUM_HANDOVER_S, Dispatcher
 from tinrudder.query.plan import Planner
 from tinrudder.resources.configuration import Configuration
 from tinrudder.resources.model import (
@@ -231,3 +231,21 @@
         harness.assert_nothing_held()
 
     asyncio.run(scenario())
+
+
+def test_a_share_that_shrinks_is_kept_while_calls_wait_and_not_for_long() -> None:
+    async def scenario() -> None:
+        harness = Harness()
+        harness.backends.on_update = lambda: harness.dispatcher.follow_share(harness.record)
+        harness.backends.update(harness.configuration.backends, lambda name, spec: 3)
+        tasks = [await harness.ask() for _ in range(3)]
+        assert len(harness.transport.calls) == 3
+        harness.backends.update(harness.configuration.backends, lambda name, spec: 1)
+        harness.transport.answer(harness.transport.calls[0], 1.0)
+        assert harness.record.in_flight == 3
+        harness.timers.advance(MAXIMUM_HANDOVER_S)
+        assert harness.record.limit == 1
+        await asyncio.gather(*tasks)
+        harness.assert_nothing_held()
+
+    asyncio.run(scenario())
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -72,7 +72,7 @@
         self.dispatcher = Dispatcher(
             timers, self._environment.backends, queue, LeastLoadedReplica(), AdaptiveLimit(), usage
         )
-        self.backends.on_update = self._fill_backends
+        self.backends.on_update = self._follow_shares
         source = self._environment.random
         admission = ExpectedWaitAdmission(queue, source)
         self._gate = AdmissionGate(timers, admission, usage, self.configuration, source)
@@ -222,10 +222,10 @@
         )
         return build_view(members, view.list_revision)
 
-    def _fill_backends(self) -> None:
-        """Let waiting calls use room that a new configuration or share has made."""
+    def _follow_shares(self) -> None:
+        """Let limits and waiting calls follow a new configuration or share."""
         for backend in self.backends.all_records():
-            self.dispatcher.fill(backend)
+            self.dispatcher.follow_share(backend)
 
     def _update_shares(self) -> None:
         """Bring coordinator sets and limits in step with members and configuration."""
--- a/tinrudder/query/dispatcher.py
+++ b/tinrudder/query/dispatcher.py
@@ -27,6 +27,7 @@
 from tinrudder.timers import Timers
 
 MAXIMUM_PAUSE_S = 1.0
+MAXIMUM_HANDOVER_S = 1.0
 QUICK_ANSWER_SHARE = 0.5
 
 SentCallListener = Callable[["SentCall", BackendReply], None]
@@ -212,6 +213,15 @@
         backend.in_flight -= 1
         if backend.waiting:
             self.fill(backend)
+        elif backend.limit > backend.usual:
+            backend.end_handover()
+
+    def follow_share(self, backend: BackendRecord) -> None:
+        """Use a share that grew; give one that shrank up when nothing waits, soon at the latest."""
+        if backend.limit > backend.usual:
+            when = self._timers.time() + MAXIMUM_HANDOVER_S
+            self._timers.call_at(when, backend.end_handover)
+        self.fill(backend)
 
     def fill(self, backend: BackendRecord) -> None:
         """Let waiting calls take the room there is, e.g. after a limit was raised.
--- a/tinrudder/routing/backend_record.py
+++ b/tinrudder/routing/backend_record.py
@@ -73,11 +73,23 @@
         return self.in_flight < self.health.ramp_limit
 
     def set_share(self, usual: float, headroom: float) -> None:
-        """Follow a changed share; a limit that stood at the old one moves along."""
-        if self.limit >= self.usual or self.limit > usual:
-            self.limit = usual
+        """Follow a changed share; a limit that stood at the old one moves along.
+
+        While calls wait a limit is not lowered here: those of a node that hands its slots over
+        would come too late under what is left to it (see :meth:`end_handover`).
+        """
+        follows = self.limit >= self.usual
         self.usual = usual
         self.headroom = headroom
+        if self.limit > usual:
+            if not self.waiting:
+                self.end_handover()
+        elif follows:
+            self.limit = usual
+
+    def end_handover(self) -> None:
+        """Lower the limit to the present share."""
+        self.limit = min(self.limit, self.usual)
 
     def observe_latency(self, seconds: float) -> None:
         """Fold one answered call into the smoothed latency.
