--- a/tinrudder/cluster/claim_voter.py
+++ b/tinrudder/cluster/claim_voter.py
@@ -38,7 +38,21 @@
 
 
 class ClaimVoter:
-    """One process's votes.  All times are wall-clock seconds of this node."""
+    """One process's votes.  All times are wall-clock seconds of this node.
+
+    >>> from tinrudder.cluster.claims import make_claim_key
+    >>> from tinrudder.peers import PeerAddress
+    >>> one, two = (ProposerId(name, 1, 1, PeerAddress("10.0.0.1", 8081)) for name in ("a", "b"))
+    >>> key = make_claim_key("tenant", "order-1")
+    >>> voter = ClaimVoter(ClaimLimits(window_s=60), started_at=0)
+    >>> voter.vote(VoteRequest(key, one, 150.0, ()), (), 100.0)
+    Granted()
+    >>> voter.vote(VoteRequest(key, two, 150.0, ()), (), 100.0).holder.node
+    'a'
+    >>> restarted = ClaimVoter(ClaimLimits(window_s=60), started_at=101)
+    >>> restarted.vote(VoteRequest(key, two, 150.0, ()), (), 102.0).reason.value
+    'just_started'
+    """
 
     def __init__(self, limits: ClaimLimits, started_at: float) -> None:
         """Begin without memory.
--- a/tinrudder/cluster/electorate.py
+++ b/tinrudder/cluster/electorate.py
@@ -57,7 +57,7 @@
     >>> make_electorate([a, b]) == make_electorate([b, a])
     True
     """
-    ordered = tuple(sorted(voters))
+    ordered = tuple(sorted(set(voters)))
     text = "\n".join(voter.identity for voter in ordered)
     return Electorate(ordered, xxhash.xxh3_64_intdigest(text.encode()))
 
--- a/tinrudder/wire/claims_codec.py
+++ b/tinrudder/wire/claims_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from google.protobuf.message import DecodeError
@@ -90,6 +91,8 @@
     match message.WhichOneof("request"):
         case "vote":
             vote = message.vote
+            if not math.isfinite(vote.valid_until):
+                raise MalformedClaimError("claim request: valid_until is not a time")
             cited = tuple(vote.cited)
             proposer = _proposer(vote.proposer)
             request: ClaimRequest = VoteRequest(_key(vote.key), proposer, vote.valid_until, cited)
