Take a slow coordinator's answer when the second attempt is refused

Cause: a query whose coordinator missed a probe was cancelled there; when the second attempt was refused it ended as may have run, although the first would have answered in time. Change: the first relay goes on until the deadline or another outcome; if all attempts say that nothing ran, so does the entry. The demo prints every outcome that is no answer, with its reason.

--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -53,9 +53,12 @@
     repeatable: bool = True
     local: Outcome = LOCAL
     step_s: float = 0.0
+    delay_s: float = 0.0
+    deaf: bool = False
     timers: ManualTimers = field(default_factory=ManualTimers)
     asked: list[str] = field(default_factory=list)
     probed: list[str] = field(default_factory=list)
+    cancelled: list[str] = field(default_factory=list)
     local_runs: int = 0
 
     def __post_init__(self) -> None:
@@ -114,8 +117,11 @@
         self.harness.asked.append(coordinator.host)
         self.harness.timers.advance(self.harness.step_s)
         reaction = self.harness.reactions[coordinator.host]
-        if reaction is SILENT:
-            await asyncio.sleep(DEADLINE_S)
+        try:
+            await asyncio.sleep(DEADLINE_S if reaction is SILENT else self.harness.delay_s)
+        except asyncio.CancelledError:
+            self.harness.cancelled.append(coordinator.host)
+            raise
         if isinstance(reaction, Exception):
             raise reaction
         return reaction
@@ -125,6 +131,8 @@
         reaction = self.harness.reactions[coordinator.host]
         if isinstance(reaction, Exception):
             raise reaction
+        if self.harness.deaf:
+            raise SILENT
 
 
 def test_coordinator_runs_its_own_queries() -> None:
@@ -214,3 +222,15 @@
     harness = Harness({"a": SILENT}, repeatable=False)
     assert isinstance(harness.run(), MayHaveRun)
     assert harness.probed == []
+
+
+@pytest.mark.parametrize(("late", "expected"), [(REMOTE, REMOTE), (REFUSED, REFUSED)])
+def test_slow_coordinator_is_waited_for_before_not_run_is_said(
+    late: Outcome, expected: Outcome
+) -> None:
+    harness = Harness({"a": late}, local=REFUSED, delay_s=0.9, deaf=True)
+    assert harness.run() == expected
+    assert harness.local_runs == 1
+    harness = Harness({"a": late}, delay_s=0.9, deaf=True)
+    assert harness.run() == LOCAL
+    assert harness.cancelled == ["a"]
--- a/tinrudder/query/entry.py
+++ b/tinrudder/query/entry.py
@@ -8,14 +8,15 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Protocol
 
 from tinrudder.cluster.view import Member
-from tinrudder.outcomes import MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome
+from tinrudder.outcomes import NotRun, NotRunReason, Outcome
 from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
 from tinrudder.query.coordinator import QueryRunner
 from tinrudder.query.coordinator_watch import CoordinatorWatch
+from tinrudder.query.relay_attempts import RelayAttempts
 from tinrudder.query.request import QueryRequest
 from tinrudder.resources.configuration import Configuration
 from tinrudder.routing.coordinator_ranking import CoordinatorRanking
@@ -47,17 +48,6 @@
     fallback: int = 0
 
 
-@dataclass(slots=True)
-class _Attempts:
-    """What became of one query's relays so far.
-
-    :param lost: coordinators that may have run it without telling.
-    """
-
-    lost: int = 0
-    details: list[str] = field(default_factory=list)
-
-
 class Entry:
     """Runs a query here if this node coordinates its service, else relays it."""
 
@@ -99,29 +89,38 @@
 
     async def _relay_to_one_of(self, members: Sequence[Member], request: QueryRequest) -> Outcome:
         """Ask one coordinator after the other until one answers, then help ourselves."""
-        attempts = _Attempts()
+        attempts = RelayAttempts()
+        try:
+            return await attempts.conclude(await self._attempt(members, request, attempts))
+        finally:
+            attempts.cancel_silent()
+
+    async def _attempt(
+        self, members: Sequence[Member], request: QueryRequest, attempts: RelayAttempts
+    ) -> Outcome | None:
+        """Return the first outcome that anybody has, ``None`` when nobody more may be asked."""
         self._watch.probe_due(members)
         for member in self._ranking.order(members):
             if attempts.lost and not self._may_ask_again(request, attempts):
-                return _lost(attempts)
+                return None
             if self._timers.time() >= request.deadline:
                 break
             outcome = await self._ask(member, request, attempts)
             if outcome is not None:
-                return _truthful(outcome, attempts)
+                return outcome
         if attempts.lost and not self._may_ask_again(request, attempts):
-            return _lost(attempts)
+            return None
         self.counters.fallback += 1
-        return _truthful(await self._coordinator.run(request), attempts)
+        return await self._coordinator.run(request)
 
     async def _ask(
-        self, member: Member, request: QueryRequest, attempts: _Attempts
+        self, member: Member, request: QueryRequest, attempts: RelayAttempts
     ) -> Outcome | None:
         """Relay once; ``None`` means that another coordinator may be asked."""
         self.counters.relayed += 1
         self._ranking.begin(member)
         try:
-            outcome = await self._run_watched(member, request)
+            outcome = await self._run_watched(member, request, attempts)
         except PeerNotSentError as error:
             self.counters.not_sent += 1
             self._ranking.fail(member)
@@ -141,10 +140,14 @@
         self._ranking.succeed(member)
         return outcome
 
-    async def _run_watched(self, member: Member, request: QueryRequest) -> Outcome:
-        """Relay a query, and give it up early if its coordinator is no longer there.
+    async def _run_watched(
+        self, member: Member, request: QueryRequest, attempts: RelayAttempts
+    ) -> Outcome:
+        """Relay a query, and stop relying on its coordinator if that is no longer there.
 
         Only where that leaves time to ask another, and the query may run twice.
+
+        :raises PeerLostError: also when it does not answer a probe; the relay then goes on.
         """
         allowed_s = request.deadline - self._timers.time()
         if allowed_s < SHORTEST_WATCHED_S or not self._is_repeatable(request):
@@ -159,30 +162,20 @@
                 probed = self._watch.ask(member, allowed_s * PROBE_SHARE)
                 await asyncio.wait((relayed, probed), return_when=asyncio.FIRST_COMPLETED)
                 if not relayed.done() and probed.done() and not probed.result():
+                    attempts.silent.append(relayed)
                     raise PeerLostError(f"{member.address}: does not answer a probe")
         finally:
-            relayed.cancel()
+            if relayed not in attempts.silent:
+                relayed.cancel()
 
     def _is_repeatable(self, request: QueryRequest) -> bool:
         """Tell whether running the query twice does no harm."""
         rule = self._configuration().rules.get(request.rule)
         return rule is not None and rule.repeatable
 
-    def _may_ask_again(self, request: QueryRequest, attempts: _Attempts) -> bool:
+    def _may_ask_again(self, request: QueryRequest, attempts: RelayAttempts) -> bool:
         """Tell whether a query whose relay was lost may be sent once more."""
         if not self._is_repeatable(request):
             return False
         has_time = self._timers.time() < request.deadline
         return has_time and attempts.lost < MAX_SENT_ATTEMPTS
-
-
-def _lost(attempts: _Attempts) -> MayHaveRun:
-    """Return the outcome of a query whose relay was lost for good."""
-    return MayHaveRun(MayHaveRunReason.RELAY_LOST, "; ".join(attempts.details))
-
-
-def _truthful(outcome: Outcome, attempts: _Attempts) -> Outcome:
-    """Return a later attempt's outcome; "not run" is false if an earlier one may have run."""
-    if isinstance(outcome, NotRun) and attempts.lost:
-        return _lost(attempts)
-    return outcome
--- a/tinrudder_lab/demo.py
+++ b/tinrudder_lab/demo.py
@@ -239,6 +239,8 @@
     operations = demo.operations.tally
     told = ", ".join(f"{name}: {count}" for name, count in sorted(operations.outcomes.items()))
     print(f"{operations.sent} operations, each sent twice at once through two nodes: {told}")
+    for reason, count in sorted(demo.tally.unanswered.items()):
+        print(f"{count} x {reason}")
     for violation in demo.tally.violations[:MAX_VIOLATIONS_SHOWN]:
         print(f"VIOLATION {violation}")
 
--- a/tinrudder_lab/demo_callers.py
+++ b/tinrudder_lab/demo_callers.py
@@ -20,6 +20,7 @@
 PAUSE_S = 0.08
 READINESS_CHECK_S = 0.1
 ROWS_WANTED = 20
+ANSWERED = ("complete", "partial")
 OK = 200
 CONNECTION_ERRORS = (OSError, EOFError, AiosonicError)
 
@@ -35,11 +36,15 @@
     coverage: list[float] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
     by_kind: dict[str, list[float]] = field(default_factory=dict)
+    unanswered: dict[str, int] = field(default_factory=dict)
 
     def record(self, kind: QueryKind, body: OutcomeBody, elapsed_ms: float) -> None:
         """Count one answer and check what it promises."""
         self.queries += 1
         self.outcomes[body.outcome] = self.outcomes.get(body.outcome, 0) + 1
+        if body.outcome not in ANSWERED:
+            reason = f"{kind.rule}: {body.outcome}, {body.reason}: {body.detail}"
+            self.unanswered[reason] = self.unanswered.get(reason, 0) + 1
         self.latencies_ms.append(elapsed_ms)
         self.by_kind.setdefault(kind.rule.rstrip("-0123456789"), []).append(elapsed_ms)
         if body.coverage is None:
