Hedge only into slots that are free at the back end

Cause: a hedge could take the last place under the limit, or queue at a back end whose slots were all taken, and so delay first calls. Change: a hedge needs a slot free besides its own, by this node's count, and nobody waiting.

--- a/tinrudder/routing/backend_record.py
+++ b/tinrudder/routing/backend_record.py
@@ -62,6 +62,11 @@
         """Tell whether one more call fits under the limit, and under the ramp of a cold start."""
         return self.in_flight + 1 <= self.limit and self._takes_calls()
 
+    def has_spare_place(self) -> bool:
+        """Tell whether a call more would run at once and still leave room for another."""
+        places = min(self.limit, self.slots)
+        return self.in_flight + 2 <= places and not self.waiting and self.may_send()
+
     def may_exceed(self) -> bool:
         """Tell whether one more call of a tenant well below its share fits."""
         return self.in_flight + 1 <= self.limit * self.headroom and self._takes_calls()
