Show claims and held votes in the metrics

Cause: operators could not see how many operations got their key, and calls of operations counted as extra load. Conclusion: a gap between claims and claims won is what to watch.

--- a/tinrudder/node_metrics.py
+++ b/tinrudder/node_metrics.py
@@ -11,12 +11,13 @@
     dispatcher = node.dispatcher
     counters = node.entry.counters
     calls = node.coordinator.counters
+    claims = node.claims.service
     metrics.add(
         ReadMetric("tinrudder_backend_calls", "Calls sent.", lambda: dispatcher.sent_calls),
         ReadMetric(
             "tinrudder_needed_shards",
             "Calls that one per needed shard would take; extra load is calls sent over these.",
-            lambda: calls.needed_shards,
+            lambda: calls.needed_shards + node.operations.needed_calls,
         ),
         ReadMetric("tinrudder_retries", "Sent again elsewhere.", lambda: calls.retries),
         ReadMetric("tinrudder_hedges", "Sent beside a slow one.", lambda: calls.hedges),
@@ -24,6 +25,9 @@
         ReadMetric("tinrudder_queries_relayed", "Relayed.", lambda: counters.relayed),
         ReadMetric("tinrudder_relays_lost", "Relays without reply.", lambda: counters.lost),
         ReadMetric("tinrudder_queries_fallback", "Without coordinator.", lambda: counters.fallback),
+        ReadMetric("tinrudder_claims", "Keys asked for.", lambda: claims.counters.claims),
+        ReadMetric("tinrudder_claims_won", "Keys claimed.", lambda: claims.counters.won),
+        _gauge("tinrudder_held_votes", "Votes given and remembered.", lambda: claims.held),
         _gauge("tinrudder_queued_calls", "Waiting for room.", lambda: dispatcher.queue_length),
         _gauge("tinrudder_queries_in_progress", "Not finished.", lambda: node.in_progress),
         _gauge(
--- a/tinrudder/query/at_most_once.py
+++ b/tinrudder/query/at_most_once.py
@@ -69,6 +69,7 @@
         self._configuration = configuration
         self._accepts_work = accepts_work
         self._running: set[asyncio.Task[None]] = set()
+        self.needed_calls = 0
 
     @property
     def in_progress(self) -> int:
@@ -220,6 +221,7 @@
         told: asyncio.Future[Outcome],
     ) -> Outcome:
         """Send once; give the votes back if nothing was started."""
+        self.needed_calls += 1
         call = OperationCall(request, plan, claim, self._dispatcher, self._timers)
         call.start()
         early = await call.told
