--- a/tinrudder_lab/backend_server.py
+++ b/tinrudder_lab/backend_server.py
@@ -10,6 +10,8 @@
 import asyncio
 import random
 import signal
+import time
+from pathlib import Path
 
 import httptools
 import msgspec
@@ -22,8 +24,9 @@
     Shed,
     VersionGone,
 )
-from tinrudder_lab.backend_model import BackendBehaviour, BackendModel, ModelCall
+from tinrudder_lab.backend_model import BackendBehaviour, BackendModel, CallObserver, ModelCall
 from tinrudder_lab.datasets import ShardStore
+from tinrudder_lab.history import CallSeen, CallStage, operation_name
 
 CONTROL_PATH = b"/control"
 COUNTERS_PATH = b"/counters"
@@ -142,6 +145,28 @@
     return await loop.create_server(lambda: BackendProtocol(model), host, port)
 
 
+def _recorder(backend: str, path: Path) -> CallObserver:
+    """Return an observer that appends every call to a file, unbuffered: a kill loses nothing."""
+    file = path.open("ab", buffering=0)
+
+    def record(stage: CallStage, request: SearchRequest, node: str) -> None:
+        for shard in request.shards:
+            event = CallSeen(
+                time.time(),
+                backend,
+                node,
+                stage,
+                request.query_id,
+                request.index,
+                request.version,
+                shard,
+                operation_name(request),
+            )
+            file.write(_encoder.encode(event) + b"\n")
+
+    return record
+
+
 async def _main(arguments: argparse.Namespace) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
@@ -152,6 +177,8 @@
         name, port, slots = text.split(":")
         behaviour = BackendBehaviour(slots=int(slots), service_median_s=arguments.service_ms / 1000)
         model = BackendModel(name, loop, random.Random(name), ShardStore(), behaviour)
+        if arguments.history is not None:
+            model.observer = _recorder(name, arguments.history)
         servers.append(await serve_model(model, arguments.host, int(port)))
     await stop.wait()
     for server in servers:
@@ -163,6 +190,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--service-ms", type=float, default=4.0)
+    parser.add_argument("--history", type=Path, help="append what happens to calls to this file")
     parser.add_argument("--backend", action="append", required=True, metavar="NAME:PORT:SLOTS")
     asyncio.run(_main(parser.parse_args()))
 
--- a/tinrudder_lab/experiment.py
+++ b/tinrudder_lab/experiment.py
@@ -39,7 +39,7 @@
     quiet = None
     if scenario.with_baseline:
         simplest = simulate_with_policy(scenario, scenario.topology, seed, BASELINE_POLICY)
-        baseline = figures_of(simplest)
+        baseline = figures_of(simplest.history, simplest.sent_calls)
     if scenario.without_noise is not None:
         quiet = simulate_with_policy(scenario, scenario.without_noise, seed, policy)
     return CompanionRuns(baseline, quiet)
--- a/tinrudder_lab/history.py
+++ b/tinrudder_lab/history.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from tinrudder.backends.messages import SearchRequest
 from tinrudder_lab.datasets import DataRow
 
 LOST = "lost"
@@ -95,6 +96,13 @@
     operation: str | None = None
 
 
+def operation_name(request: SearchRequest) -> str | None:
+    """Return what identifies an operation over all its submissions, ``None`` for a search."""
+    if request.operation is None:
+        return None
+    return f"{request.operation}/{request.request_key}"
+
+
 class DrainSigned(msgspec.Struct, frozen=True, tag=True):
     """The first sign that a back end leaves, from whatever source."""
 
--- a/tinrudder_lab/topology.py
+++ b/tinrudder_lab/topology.py
@@ -168,18 +168,30 @@
     return topology
 
 
+def add_purchases(deployment: Deployment) -> QueryKind:
+    """Add a rule for requests that must run at most once; return their kind."""
+    rule = QueryRuleSpec(
+        service="gate", hard_deadline_ms=PURCHASE_DEADLINE_MS, repeatable=False, max_rows=1
+    )
+    deployment.add(Kind.QUERY_RULE, "gate-purchase", rule)
+    gate = next(kind for kind in deployment.query_kinds if kind.rule == "gate")
+    return replace(gate, rule="gate-purchase")
+
+
+def both_deployments_resources(first_port: int) -> Deployment:
+    """Return what :func:`with_purchases` deploys, its back ends from ``first_port`` on."""
+    deployment = build_deployment(first_port, services_per_shape=1)
+    add_purchases(deployment)
+    return deployment
+
+
 def with_purchases(rate: float, purchases: float) -> Topology:
-    """Return both deployments with fans who buy, some of them twice at once.
+    """Return both deployments with fans who buy, some of them twice.
 
     :param purchases: requests a second that must run at most once.
     """
     topology = both_deployments(rate, pages=2, impatient=0.05)
-    gate = topology.kind_of("gate")
-    rule = QueryRuleSpec(
-        service="gate", hard_deadline_ms=PURCHASE_DEADLINE_MS, repeatable=False, max_rows=1
-    )
-    topology.deployment.add(Kind.QUERY_RULE, "gate-purchase", rule)
-    buying = replace(gate, rule="gate-purchase")
+    buying = add_purchases(topology.deployment)
     topology.streams.append(Stream(buying, purchases, duplicated=0.3, impatient=0.05))
     return topology
 
