Ask further peers soon when the first ones can't be reached

Cause: a starting node asked peers one after the other, 2 s each, within 3 s: behind a cut that hides the first two, it began with nothing in force. Change: two peers are asked at once, each further one 0.1 s after the one before; two answers are enough. Figures (tests/functional/test_configuration_exchange.py, virtual time): with 3 of 5 peers out of reach the configuration is in force within 1 s of the start. Conclusion: what a start waits for is the nearest answer, not the sum of the silences.

--- a/tests/functional/test_configuration_exchange.py
+++ b/tests/functional/test_configuration_exchange.py
@@ -139,6 +139,24 @@
     run(scenario)
 
 
+def test_a_starting_node_gets_past_peers_that_it_cannot_reach(
+    run: Callable[[Scenario], None],
+) -> None:
+    async def scenario() -> None:
+        tier = Tier(size=5)
+        tier.offer_to_all(document(1, tenant("a")))
+        tier.network.cut = {frozenset((99, port)) for port in (1, 2, 3)}
+        newcomer = ExchangingNode(tier.network, 99)
+        started = asyncio.get_running_loop().time()
+        assert await newcomer.exchange.learn_from_peers()
+        assert asyncio.get_running_loop().time() - started < 1.0
+        assert newcomer.store.current.revision == 1
+        newcomer.stop()
+        tier.stop()
+
+    run(scenario)
+
+
 def test_one_change_travels_as_a_delta(run: Callable[[Scenario], None]) -> None:
     async def scenario() -> None:
         tier = Tier(size=2)
--- a/tinrudder/cluster/state_exchange.py
+++ b/tinrudder/cluster/state_exchange.py
@@ -23,6 +23,10 @@
 PeerSource = Callable[[], Sequence[PeerAddress]]
 PULL_ERRORS = (MalformedUpdateError, StateChangedError, PeerNotSentError, PeerLostError)
 
+ASK_NEXT_S = 0.1
+ENOUGH_ANSWERS = 2
+"""A second opinion: the first peer that answers may itself have been cut off."""
+
 
 @dataclass(frozen=True, slots=True)
 class ExchangeSettings:
@@ -31,7 +35,7 @@
     :param fanout: peers told in each round; :param rounds: rounds after a change.
     :param round_s: seconds between rounds.
     :param anti_entropy_s: mean seconds between notices to one random peer at other times.
-    :param first_peers: peers asked, one after the other, by a node that has just started.
+    :param first_peers: peers asked at most by a node that has just started.
     """
 
     fanout: int = 3
@@ -90,19 +94,35 @@
     async def learn_from_peers(self) -> bool:
         """Ask a few random peers for their state, as a node does that has just started.
 
+        As many as are enough are asked at once and each further one a little later, so that peers
+        that can't be reached cost little.
+
         :returns: whether any answered.
         """
-        answered = False
-        for peer in self._sample(self._settings.first_peers):
-            try:
-                await pull_state(self._state, self._transport, peer)
-            except PULL_ERRORS:
-                continue
-            if answered:
-                break
-            # A second opinion: the first one asked may itself have been cut off.
-            answered = True
-        return answered
+        peers = self._sample(self._settings.first_peers)
+        asking = [
+            asyncio.create_task(self._ask(peer, max(0, number + 1 - ENOUGH_ANSWERS) * ASK_NEXT_S))
+            for number, peer in enumerate(peers)
+        ]
+        answers = 0
+        try:
+            for finished in asyncio.as_completed(asking):
+                answers += await finished
+                if answers >= ENOUGH_ANSWERS:
+                    break
+        finally:
+            for task in asking:
+                task.cancel()
+        return answers > 0
+
+    async def _ask(self, peer: PeerAddress, delay_s: float) -> bool:
+        """Pull from a peer after a while; return whether it answered."""
+        await asyncio.sleep(delay_s)
+        try:
+            await pull_state(self._state, self._transport, peer)
+        except PULL_ERRORS:
+            return False
+        return True
 
     def refresh_now(self) -> None:
         """Compare with a few peers at once: after a pause our state may be far behind."""
