--- a/tinrudder/routing/admission.py
+++ b/tinrudder/routing/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -75,9 +76,9 @@
 
     def check(self, demand: QueryDemand, now: float) -> Overload | None:
         """Compare the expected time with what the deadline leaves."""
-        added = _added_work(demand.replicas)
-        if not any(backend.waiting for backend in added):
+        if not _anything_waits(demand.replicas):
             return None
+        added = _added_work(demand.replicas)
         expected_s = self._expected_s(demand, added) * SAFETY_FACTOR
         left_s = demand.deadline - now
         if expected_s <= left_s:
@@ -89,10 +90,10 @@
         expected = {
             backend: self._backend_s(demand, backend, work) for backend, work in added.items()
         }
-        by_shard = sorted(
-            min((expected[backend] for backend in replicas if backend in expected), default=0.0)
-            for replicas in demand.replicas
-        )
+        by_shard = [_soonest(replicas, expected) for replicas in demand.replicas]
+        if demand.needed == len(by_shard):
+            return max(by_shard)
+        by_shard.sort()
         return by_shard[demand.needed - 1]
 
     def _backend_s(self, demand: QueryDemand, backend: BackendRecord, added: float) -> float:
@@ -108,11 +109,38 @@
         return bounded * (1.0 + RETRY_JITTER * self._random.random())
 
 
+def _anything_waits(replicas: Sequence[tuple[BackendRecord, ...]]) -> bool:
+    """Tell whether calls wait for any of a query's back ends."""
+    for backends in replicas:
+        for backend in backends:
+            if backend.waiting:
+                return True
+    return False
+
+
+def _soonest(backends: tuple[BackendRecord, ...], expected: dict[BackendRecord, float]) -> float:
+    """Return when the first of a shard's back ends is expected to answer; 0 if none is usable."""
+    soonest = math.inf
+    for backend in backends:
+        seconds = expected.get(backend, math.inf)
+        if seconds < soonest:
+            soonest = seconds
+    return soonest if soonest != math.inf else 0.0
+
+
 def _added_work(replicas: Sequence[tuple[BackendRecord, ...]]) -> dict[BackendRecord, float]:
-    """Return a query's work by back end, each shard in equal parts on its replicas."""
+    """Return a query's work by back end, each shard in equal parts on its usable replicas."""
     added: dict[BackendRecord, float] = {}
     for backends in replicas:
-        usable = [backend for backend in backends if not backend.leaving]
+        usable = _usable(backends)
         for backend in usable:
             added[backend] = added.get(backend, 0.0) + 1.0 / len(usable)
     return added
+
+
+def _usable(backends: tuple[BackendRecord, ...]) -> tuple[BackendRecord, ...]:
+    """Return the back ends that get calls; nearly always all, so nothing is built then."""
+    for backend in backends:
+        if backend.leaving:
+            return tuple(other for other in backends if not other.leaving)
+    return backends
--- a/tinrudder/routing/backend_record.py
+++ b/tinrudder/routing/backend_record.py
@@ -60,22 +60,21 @@
 
     def may_send(self) -> bool:
         """Tell whether one more call fits under the limit, and under the ramp of a cold start."""
-        return self.in_flight + 1 <= self.limit and self._takes_calls()
-
-    def has_spare_place(self) -> bool:
-        """Tell whether a call more would run at once and still leave room for another."""
-        places = min(self.limit, self.slots)
-        return self.in_flight + 2 <= places and not self.waiting and self.may_send()
+        return (
+            self.in_flight + 1 <= self.limit
+            and not self.leaving
+            and not self.paused
+            and self.in_flight < self.health.ramp_limit
+        )
 
     def may_exceed(self) -> bool:
         """Tell whether one more call of a tenant well below its share fits."""
-        return self.in_flight + 1 <= self.limit * self.headroom and self._takes_calls()
-
-    def _takes_calls(self) -> bool:
-        """Tell whether calls go there at all now."""
-        if self.leaving or self.paused:
-            return False
-        return self.in_flight < self.health.ramp_limit
+        return (
+            self.in_flight + 1 <= self.limit * self.headroom
+            and not self.leaving
+            and not self.paused
+            and self.in_flight < self.health.ramp_limit
+        )
 
     def set_share(self, usual: float, headroom: float) -> None:
         """Follow a changed share; a limit that stood at the old one moves along.
