--- a/tinrudder/cluster/membership.py
+++ b/tinrudder/cluster/membership.py
@@ -128,6 +128,10 @@
         """Return what this node believes now; replaced as a whole with every change."""
         return self._protocol.view()
 
+    def live_count(self) -> int:
+        """Return how many members are not dead, ourselves included."""
+        return len(self._protocol.table.roster)
+
     def own(self) -> Member:
         """Return ourselves, with the current incarnation and status."""
         return self._protocol.own
@@ -144,6 +148,10 @@
         """Return the revision that every member is known to enforce, by name."""
         return self._protocol.revisions.by_member()
 
+    def all_enforce(self, revision: int) -> bool:
+        """Tell whether every member is known to enforce at least a revision."""
+        return self._protocol.revisions.lowest() >= revision
+
     def publish_observation(self, backend: str, kind: ObservationKind) -> None:
         """Tell the others what we observed of a back end."""
         self._perform(self._protocol.publish(backend, kind, self._timers.time()))
--- a/tinrudder/cluster/membership_revisions.py
+++ b/tinrudder/cluster/membership_revisions.py
@@ -57,10 +57,9 @@
         """Return the revision of every member of the roster."""
         return tuple(EnforcedRevision(name, self.get(name)) for name in self._table.roster)
 
-    def converged(self) -> bool:
-        """Tell whether all members enforce the newest revision known."""
-        self._refresh()
-        return self._bits == (1 << len(self._table.roster)) - 1
+    def lowest(self) -> int:
+        """Return the newest revision that every member enforces."""
+        return min((self.get(name) for name in self._table.roster), default=0)
 
     def encode(self) -> Enforcement:
         """Return what this node knows."""
