Probe twice a second, overlapping, and calm down when there is much news

Cause: detection waited for one probe at a time, and 400 hollow nodes that started within 2 s on a busy machine did not settle in four minutes (run ended by hand): starved processes noticed pauses of a second, each raised its incarnation, and the announcements kept the processes busy.

An incarnation is raised after a pause only where others had time to bury the node.

--- a/tinrudder/cluster/failure_detector.py
+++ b/tinrudder/cluster/failure_detector.py
@@ -66,7 +66,7 @@
 
 @dataclass(slots=True)
 class Probe:
-    """The probe in progress.
+    """One unanswered probe.
 
     :param indirect_at: when relays are asked, monotonic seconds.
     :param ends_at: when the target counts as not answering.
@@ -79,11 +79,14 @@
     relays: int = 0
     negative: int = 0
     indirect_sent: bool = False
-    answered: bool = False
 
     def wants_relays(self, now: float) -> bool:
         """Tell whether it is time to probe through others."""
-        return not self.answered and not self.indirect_sent and now >= self.indirect_at
+        return not self.indirect_sent and now >= self.indirect_at
+
+    def next_deadline(self) -> float:
+        """Return when there is something to do."""
+        return self.ends_at if self.indirect_sent else min(self.indirect_at, self.ends_at)
 
 
 @dataclass(slots=True)
--- a/tinrudder/cluster/membership.py
+++ b/tinrudder/cluster/membership.py
@@ -201,9 +201,9 @@
         now = max(self._timers.time(), self._timer_at)
         self._perform(self._protocol.on_time(now))
 
-    def _on_pause(self, _: float) -> None:
+    def _on_pause(self, gap_s: float) -> None:
         if self._running:
-            self._perform(self._protocol.on_pause(self._timers.time()))
+            self._perform(self._protocol.on_pause(gap_s, self._timers.time()))
 
     def _perform(self, actions: list[Action]) -> None:
         """Send datagrams, call listeners, set the timer."""
--- a/tinrudder/cluster/membership_outbox.py
+++ b/tinrudder/cluster/membership_outbox.py
@@ -93,7 +93,7 @@
             observations = self._observations.take(room, limit, self.now)
         room -= sum(observation_size(item.backend, item.origin) for item in observations)
         if not isinstance(body, SyncAnswer):
-            updates += self._news.take(room, limit)
+            updates += self._news.take(room, self._news_limit())
         envelope = Envelope(
             self.own.name,
             self.own.incarnation,
@@ -128,6 +128,9 @@
     def _limit(self) -> int:
         return self._settings.retransmit_limit(len(self._table.roster))
 
+    def _news_limit(self) -> int:
+        return self._settings.transmissions(len(self._table.roster), len(self._news))
+
     def _enforcement(self, body: Body) -> Enforcement | None:
         """Attach the revisions while they change, and wherever digests are compared."""
         if self._revision_transmissions > 0:
--- a/tinrudder/cluster/membership_probes.py
+++ b/tinrudder/cluster/membership_probes.py
@@ -1,4 +1,4 @@
-"""Probes one member at a time: directly, then through relays; and relays for others."""
+"""Probes members in turn: directly, then through relays; and relays for others."""
 
 from __future__ import annotations
 
@@ -38,7 +38,7 @@
 
 
 class Prober:
-    """The probe in progress and the probes relayed for others."""
+    """The probes in progress and the probes relayed for others."""
 
     def __init__(
         self,
@@ -56,7 +56,7 @@
         self._table = table
         self._outbox = outbox
         self._health = health
-        self._probe: Probe | None = None
+        self._probes: list[Probe] = []
         self._next_probe_at = now + settings.probe_interval_s * source.random()
         self._sequence = 0
         self._relayed: deque[_Relayed] = deque()
@@ -64,38 +64,39 @@
     def next_deadline(self) -> float:
         """Return when :meth:`on_time` has something to do."""
         deadline = self._next_probe_at
-        probe = self._probe
-        if probe is not None and probe.wants_relays(probe.indirect_at):
-            deadline = min(deadline, probe.indirect_at)
+        for probe in self._probes:
+            deadline = min(deadline, probe.next_deadline())
         relayed = self._relayed[0].negative_at if self._relayed else math.inf
         return min(deadline, relayed)
 
-    def on_time(self, now: float) -> str | None:
-        """Go on with the probe; return the name of a member that did not answer."""
+    def on_time(self, now: float) -> list[str]:
+        """Go on with the probes; return the names of members that did not answer."""
         self._answer_negatively(now)
-        probe = self._probe
+        for probe in self._probes:
+            if probe.wants_relays(now):
+                self._ask_relays(probe)
+        failed = [probe for probe in self._probes if now >= probe.ends_at]
+        for probe in failed:
+            self._probes.remove(probe)
+            # Relays that say nothing at all hint at our own trouble.
+            self._health.note_trouble(probe.relays - min(probe.relays, probe.negative))
         if now >= self._next_probe_at:
-            failed = self._finish_probe()
             self._start_probe(now)
-            return failed
-        if probe is not None and probe.wants_relays(now):
-            self._ask_relays(probe)
-        return None
+        return [probe.target for probe in failed]
 
     def restart(self, now: float) -> None:
-        """Drop the probe in progress, whose time ran while this process did not."""
-        self._probe = None
+        """Drop the probes in progress, whose time ran while this process did not."""
+        self._probes.clear()
         self._relayed.clear()
         self._next_probe_at = now
 
     def on_acknowledgement(self, sequence: int) -> None:
         """Take an answer to our probe, or pass on one that we relay."""
-        probe = self._probe
-        if probe is not None and probe.sequence == sequence:
-            if not probe.answered:
+        for probe in self._probes:
+            if probe.sequence == sequence:
                 self._health.note_success()
-            probe.answered = True
-            return
+                self._probes.remove(probe)
+                return
         for relayed in self._relayed:
             if relayed.sequence == sequence:
                 self._outbox.send(relayed.origin, Acknowledgement(relayed.origin_sequence))
@@ -104,8 +105,9 @@
 
     def on_negative(self, sequence: int) -> None:
         """A relay is well but got no answer."""
-        if self._probe is not None and self._probe.sequence == sequence:
-            self._probe.negative += 1
+        for probe in self._probes:
+            if probe.sequence == sequence:
+                probe.negative += 1
 
     def on_ping_request(self, origin: PeerAddress, request: PingRequest, now: float) -> None:
         """Probe in another node's place."""
@@ -126,15 +128,14 @@
         return sequence
 
     def _start_probe(self, now: float) -> None:
-        ends_at = now + self._health.stretch(self._settings.probe_interval_s)
-        self._next_probe_at = ends_at
-        self._probe = None
+        self._next_probe_at = now + self._health.stretch(self._settings.probe_interval_s)
         target = self._next_target()
         if target is None:
             return
         sequence = self.ping(target)
         indirect_at = now + self._health.stretch(self._settings.acknowledge_timeout_s)
-        self._probe = Probe(target.name, sequence, indirect_at, ends_at)
+        ends_at = now + self._health.stretch(self._settings.probe_timeout_s)
+        self._probes.append(Probe(target.name, sequence, indirect_at, ends_at))
 
     def _next_target(self) -> Member | None:
         """Return the next other member that is still on the roster."""
@@ -161,14 +162,6 @@
                 probe.relays += 1
                 self._outbox.send(relay.address, request)
 
-    def _finish_probe(self) -> str | None:
-        """Judge the probe that ends: relays that say nothing at all hint at our own trouble."""
-        probe = self._probe
-        if probe is None or probe.answered:
-            return None
-        self._health.note_trouble(probe.relays - min(probe.relays, probe.negative))
-        return probe.target
-
     def _answer_negatively(self, now: float) -> None:
         while self._relayed and self._relayed[0].negative_at <= now:
             relayed = self._relayed.popleft()
--- a/tinrudder/cluster/membership_protocol.py
+++ b/tinrudder/cluster/membership_protocol.py
@@ -131,9 +131,9 @@
     def on_time(self, now: float) -> list[Action]:
         """Do whatever is due."""
         self._outbox.now = now
-        failed = self._prober.on_time(now) if now >= self._prober.next_deadline() else None
-        if failed is not None:
-            self._on_probe_failed(failed, now)
+        if now >= self._prober.next_deadline():
+            for name in self._prober.on_time(now):
+                self._on_probe_failed(name, now)
         for name, incarnation in self._suspicions.expired(now):
             self._adopt(MemberUpdate(name, incarnation, MemberStatus.DEAD), now)
         if now >= self._next_sync_at:
@@ -162,13 +162,18 @@
         self._on_body(source, envelope, now)
         return self._take_actions()
 
-    def on_pause(self, now: float) -> list[Action]:
-        """We slept: others may have buried us, and what we suspect ran on without us."""
+    def on_pause(self, gap_s: float, now: float) -> list[Action]:
+        """We slept: others may have buried us, and what we suspect ran on without us.
+
+        The incarnation is raised only where the others may have buried us: when a whole site
+        stalls for a second, as many announcements as nodes would follow for nothing.
+        """
         self._outbox.now = now
         self.health.note_trouble(PAUSE_TROUBLE)
         self._suspicions.restart_all(now)
         self._prober.restart(now)
-        self._raise_incarnation(self.own.incarnation, now)
+        if gap_s >= self._settings.suspicion_min_s:
+            self._raise_incarnation(self.own.incarnation, now)
         for member in self._outbox.sample(self._random, SYNCS_AFTER_PAUSE):
             self._sync.ask(member.address)
         return self._take_actions()
--- a/tinrudder/settings.py
+++ b/tinrudder/settings.py
@@ -63,7 +63,7 @@
     host: str = "127.0.0.1"
     caller_port: Port = 8080
     peer_port: Port = 8081
-    probe_interval_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
+    probe_interval_s: Annotated[float, Meta(gt=0, le=60)] = 0.5
     cluster_key_file: str = ""
     seed_peers: str = ""
     operator_credentials: str = ""
