Decode each update once and let membership draw from its own random stream

Cause: 200 nodes joining spent a fifth of their processor time on decoding, each update about ten times; and every change of membership changed what unrelated parts drew at random.

Change: updates travel as encoded bytes and are decoded once, the same object heard again is skipped, revisions cost nothing before there is one; membership's random stream is its own.

--- a/tinrudder/cluster/membership_protocol.py
+++ b/tinrudder/cluster/membership_protocol.py
@@ -104,6 +104,7 @@
         self._view = MemberView()
         self._view_key = (-1, -1)
         self._stopped = False
+        self._last_gossip: dict[str, MemberUpdate] = {}
         self.table.apply(full_update(own, 0), now)
 
     @property
@@ -231,6 +232,9 @@
         self, source: PeerAddress, sender: str, update: MemberUpdate, is_sync: bool, now: float
     ) -> None:
         """Merge one statement about a member."""
+        # Gossip brings the same object about ten times, since decoded updates are kept.
+        if not is_sync and self._last_gossip.get(update.name) is update:
+            return
         if update.name == self.own.name:
             self._on_claim_about_us(source, update, now)
             return
@@ -239,6 +243,8 @@
             return
         held = self.table.get(update.name)
         merged = self.table.apply(update, now)
+        if merged is not Merged.UNKNOWN_START:
+            self._last_gossip[update.name] = update
         if merged is Merged.CHANGED:
             self._after_change(update, held, now)
             if not is_sync:
@@ -380,6 +386,7 @@
         for name in self.table.forgettable(now - self._settings.dead_retention_s):
             self.table.forget(name)
             self.revisions.forget(name)
+            self._last_gossip.pop(name, None)
 
     def _contact_unanswered(self, now: float) -> None:
         """Try a listed or dead member: it may be up, or on the far side of a cut that healed."""
--- a/tinrudder/cluster/membership_revisions.py
+++ b/tinrudder/cluster/membership_revisions.py
@@ -37,7 +37,9 @@
 
     def reset(self, name: str, revision: int) -> None:
         """A member has started anew and enforces only what it says now."""
-        self._revisions[name] = revision
+        self._revisions.pop(name, None)
+        if revision:
+            self._revisions[name] = revision
         self._bits_revision = -1
 
     def forget(self, name: str) -> None:
@@ -91,8 +93,10 @@
         if unchanged and self._bits_revision >= 0:
             return
         roster = self._table.roster
-        newest = max((self.get(name) for name in roster), default=0)
-        text = "".join("1" if self.get(name) == newest else "0" for name in reversed(roster))
-        self._bits = int(text or "0", 2)
+        newest = max((self.get(name) for name in roster), default=0) if self._revisions else 0
+        self._bits = (1 << len(roster)) - 1
+        if newest:
+            text = "".join("1" if self.get(name) == newest else "0" for name in reversed(roster))
+            self._bits = int(text, 2)
         self._bits_revision = newest
         self._roster_version = self._table.roster_version
--- a/tinrudder/node_membership.py
+++ b/tinrudder/node_membership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from tinrudder.cluster.membership import Membership
@@ -54,7 +55,8 @@
         self.membership = Membership(
             environment.timers,
             environment.wall_clock,
-            environment.random,
+            # A stream of its own: what membership draws must not change what others draw.
+            random.Random(environment.random.getrandbits(64)),
             channels.channel(Channel.MEMBERSHIP),
             own,
             environment.cluster_keys,
--- a/tinrudder/wire/membership_codec.py
+++ b/tinrudder/wire/membership_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import struct
 
 from google.protobuf.message import DecodeError
@@ -32,6 +33,7 @@
 MAX_PORT = 65535
 MAX_UPDATES = 128
 MAX_OBSERVATIONS = 32
+CACHED_UPDATES = 2048
 _DIGESTS = struct.Struct(f"!{BUCKETS}I")
 
 _STATUS_TO_WIRE = {
@@ -55,8 +57,7 @@
         enforced_revision=envelope.enforced_revision,
     )
     _encode_body(message, envelope.body)
-    for update in envelope.updates:
-        _encode_update(message.updates.add(), update)
+    message.updates.extend(_encode_update(update) for update in envelope.updates)
     if envelope.enforcement is not None:
         message.enforcement.revision = envelope.enforcement.revision
         message.enforcement.roster_digest = envelope.enforcement.roster_digest
@@ -146,20 +147,31 @@
             raise MalformedDatagramError("no body")
 
 
-def _encode_update(message: pb.MemberUpdate, update: MemberUpdate) -> None:
-    message.name = update.name
-    message.incarnation = update.incarnation
-    message.status = _STATUS_TO_WIRE[update.status]
-    message.enforced_revision = update.enforced_revision
-    message.reporter = update.reporter
+@functools.lru_cache(CACHED_UPDATES)
+def _encode_update(update: MemberUpdate) -> bytes:
+    message = pb.MemberUpdate(
+        name=update.name,
+        incarnation=update.incarnation,
+        status=_STATUS_TO_WIRE[update.status],
+        enforced_revision=update.enforced_revision,
+        reporter=update.reporter,
+    )
     if update.place is not None:
         message.zone = update.place.zone
         message.region = update.place.region
         message.host = update.place.address.host
         message.port = update.place.address.port
+    return message.SerializeToString()
 
 
-def _decode_update(message: pb.MemberUpdate) -> MemberUpdate:
+@functools.lru_cache(CACHED_UPDATES)
+def _decode_update(payload: bytes) -> MemberUpdate:
+    """Decode one update; gossip brings each of them about ten times, so results are kept."""
+    message = pb.MemberUpdate()
+    try:
+        message.ParseFromString(payload)
+    except (DecodeError, ValueError) as error:
+        raise MalformedDatagramError("update") from error
     status = _STATUS_FROM_WIRE.get(message.status)
     if status is None:
         raise MalformedDatagramError("status")
