Tell everyone at once who is leaving, by its own word or the platform's list

Cause: nodes read the platform's list at different times, and a planned stop reached the others by rounds of gossip; meanwhile entries relayed to a coordinator that had given its slots up.

Change: whoever reads that a member turned to leaving spreads it, the member takes it as its own state and comes back when the list says so; who leaves tells up to 200 members directly.

Conclusion: agreement on who coordinates is worth a burst of datagrams at a planned stop.

--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -210,17 +210,39 @@
     advance_until(cluster, lambda: known(set()), 3)
 
 
-def test_a_platform_that_says_leaving_counts_for_the_running_start_only():
-    cluster = Cluster().start(4)
-    listed = (ListedMember("n001", cluster.address("n001"), leaving=True),)
-    cluster.nodes["n000"].offer_list(2, listed)
-    assert cluster.nodes["n000"].view().by_name["n001"].status is LEAVING
+def offer_leaving(cluster: Cluster, to: str, leaving: str | None) -> None:
+    names = sorted(cluster.nodes)
+    listed = [ListedMember(name, cluster.address(name), name == leaving) for name in names]
+    cluster.nodes[to].offer_list(2, tuple(listed))
+
+
+def test_who_is_leaving_by_one_node_s_list_is_leaving_everywhere_at_once():
+    cluster = Cluster(loss=0.05).start(20)
+    offer_leaving(cluster, "n000", "n001")
+    advance_until(cluster, lambda: cluster.statuses("n001") == {LEAVING}, 1.5)
+    assert cluster.nodes["n001"].own().status is LEAVING
     cluster.kill("n001")
     cluster.timers.advance(1)
     cluster.add("n001").start([cluster.address("n002")])
     advance_until(cluster, cluster.agreed, 5)
 
 
+def test_a_platform_that_changes_its_mind_has_the_node_back():
+    cluster = Cluster(loss=0.05).start(20)
+    offer_leaving(cluster, "n000", "n001")
+    cluster.timers.advance(2)
+    offer_leaving(cluster, "n001", None)
+    advance_until(cluster, cluster.agreed, 2)
+
+
+def test_a_planned_stop_is_not_taken_back_by_the_list():
+    cluster = Cluster().start(5)
+    cluster.nodes["n001"].announce_leaving()
+    offer_leaving(cluster, "n001", None)
+    cluster.timers.advance(2)
+    assert cluster.statuses("n001") == {LEAVING}
+
+
 def test_runs_with_one_seed_are_equal():
     def run() -> list[tuple[int, int]]:
         cluster = Cluster(seed=5, loss=0.1).start(12)
--- a/tinrudder/cluster/membership.py
+++ b/tinrudder/cluster/membership.py
@@ -138,7 +138,7 @@
 
     def offer_list(self, revision: int, listed: tuple[ListedMember, ...]) -> None:
         """Take the platform's list of machines."""
-        self._protocol.offer_list(revision, listed)
+        self._perform(self._protocol.offer_list(revision, listed, self._timers.time()))
 
     def set_enforced_revision(self, revision: int) -> None:
         """Tell the others which revision of the configuration we enforce."""
--- a/tinrudder/cluster/membership_list.py
+++ b/tinrudder/cluster/membership_list.py
@@ -8,9 +8,8 @@
 
 from dataclasses import dataclass
 
-from tinrudder.cluster.membership_messages import same_start
 from tinrudder.cluster.membership_table import MembershipTable
-from tinrudder.cluster.view import Member, MemberStatus
+from tinrudder.cluster.view import MemberStatus
 from tinrudder.peers import PeerAddress
 
 
@@ -33,38 +32,32 @@
         self._table = table
         self._listed: tuple[ListedMember, ...] = ()
         self._seeds: tuple[PeerAddress, ...] = ()
-        self._leaving: dict[str, int] = {}
         self._unanswered: tuple[PeerAddress, ...] = ()
         self._unanswered_key = (-1, -1)
 
-    def offer(self, revision: int, listed: tuple[ListedMember, ...]) -> None:
-        """Take a new list; ``leaving`` counts only for the start that runs when it appears.
+    def offer(self, revision: int, listed: tuple[ListedMember, ...]) -> tuple[str, ...]:
+        """Take a new list; return the names that have turned to leaving since the last one.
 
         The first list after our own start names nobody as leaving: it lags, and what it says of
         us is most likely about the start before.
         """
-        is_first = not self._listed
         before = {entry.name for entry in self._listed if entry.leaving}
-        for entry in listed:
-            member = self._table.get(entry.name)
-            if not entry.leaving:
-                self._leaving.pop(entry.name, None)
-            elif not is_first and entry.name not in before and member is not None:
-                self._leaving[entry.name] = member.incarnation
+        turned = tuple(entry.name for entry in listed if entry.leaving and entry.name not in before)
+        is_first = not self._listed
         self._listed = listed
         self.revision = revision
         self.version += 1
+        return () if is_first else turned
+
+    def says_live(self, name: str) -> bool:
+        """Tell whether the list names a member, and not as leaving."""
+        return any(entry.name == name and not entry.leaving for entry in self._listed)
 
     def add_seeds(self, seeds: tuple[PeerAddress, ...]) -> None:
         """Try these addresses too, whatever the list says."""
         self._seeds += seeds
         self.version += 1
 
-    def says_leaving(self, member: Member) -> bool:
-        """Tell whether the list names this start of a member as leaving."""
-        incarnation = self._leaving.get(member.name)
-        return incarnation is not None and same_start(incarnation, member.incarnation)
-
     def unanswered(self, own: PeerAddress) -> tuple[PeerAddress, ...]:
         """Return the addresses of listed and of dead members that are not live members."""
         key = (self._table.version, self.version)
--- a/tinrudder/cluster/membership_outbox.py
+++ b/tinrudder/cluster/membership_outbox.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from tinrudder.cluster.gossip import BroadcastQueue
@@ -10,6 +11,7 @@
     Body,
     Enforcement,
     Envelope,
+    Gossip,
     MemberUpdate,
     Ping,
     PingRequest,
@@ -105,6 +107,12 @@
         )
         self._sends.append(Send(destination, envelope))
 
+    def tell_many(self, members: Sequence[Member], update: MemberUpdate) -> None:
+        """Queue one update alone for many members: urgent news, rare enough to cost little."""
+        revision = self._revisions.get(self.own.name)
+        envelope = Envelope(self.own.name, self.own.incarnation, revision, Gossip(), (update,))
+        self._sends.extend(Send(member.address, envelope) for member in members)
+
     def room_for_updates(self, body: Body) -> int:
         """Return the bytes a datagram without other news leaves for updates."""
         size = ENVELOPE_BYTES + len(self.own.name.encode()) + body_size(body)
--- a/tinrudder/cluster/membership_protocol.py
+++ b/tinrudder/cluster/membership_protocol.py
@@ -42,6 +42,7 @@
 CONTACTS_WHEN_ALONE = 3
 SYNCS_AFTER_PAUSE = 3
 PAUSE_TROUBLE = 2
+LEAVING_TOLD_DIRECTLY = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +105,7 @@
         self._view = MemberView()
         self._view_key = (-1, -1)
         self._stopped = False
+        self._left_by_list = False
         self._last_gossip: dict[str, MemberUpdate] = {}
         self.table.apply(full_update(own, 0), now)
 
@@ -116,8 +118,7 @@
         """Return what we believe now; the same object until something changes."""
         key = (self.table.version, self.listing.version)
         if key != self._view_key:
-            members = tuple(self._as_listed(member) for member in self.table.members())
-            self._view = build_view(members, self.listing.revision)
+            self._view = build_view(self.table.members(), self.listing.revision)
             self._view_key = key
         return self._view
 
@@ -179,9 +180,25 @@
             self._sync.ask(member.address)
         return self._take_actions()
 
-    def offer_list(self, revision: int, listed: tuple[ListedMember, ...]) -> None:
-        """Take the platform's list."""
-        self.listing.offer(revision, listed)
+    def offer_list(
+        self, revision: int, listed: tuple[ListedMember, ...], now: float
+    ) -> list[Action]:
+        """Take the platform's list.
+
+        Who turned to leaving on it is told to everyone at once: lists are read at different
+        times, and nodes that disagree on who coordinates get in each other's way.
+        """
+        self._outbox.now = now
+        for name in self.listing.offer(revision, listed):
+            member = self.table.get(name)
+            if name == self.own.name:
+                self._leave_by_list(now)
+            elif member is not None and member.status in (MemberStatus.ALIVE, MemberStatus.SUSPECT):
+                self._adopt(claim(member, MemberStatus.LEAVING), now)
+        if self._left_by_list and self.listing.says_live(self.own.name):
+            self._left_by_list = False
+            self._change_own(MemberStatus.ALIVE, self.own.incarnation + 1, now)
+        return self._take_actions()
 
     def set_revision(self, revision: int, now: float) -> list[Action]:
         """We enforce a revision of the configuration now."""
@@ -199,8 +216,9 @@
     def announce_leaving(self, now: float) -> list[Action]:
         """Tell the others that we finish what we have and take nothing new."""
         self._outbox.now = now
+        self._left_by_list = False
         self._set_own(replace(self.own, status=MemberStatus.LEAVING), now)
-        self._gossip(now)
+        self._tell_leaving()
         return self._take_actions()
 
     def stop(self, now: float) -> list[Action]:
@@ -262,6 +280,9 @@
         same = update.incarnation == self.own.incarnation
         if same and update.status in (self.own.status, MemberStatus.ALIVE):
             return
+        if same and update.status is MemberStatus.LEAVING:
+            self._leave_by_list(now)
+            return
         if update.status in (MemberStatus.SUSPECT, MemberStatus.DEAD):
             self.health.note_trouble()
         self._raise_incarnation(update.incarnation, now)
@@ -359,6 +380,27 @@
             update = full_update(held, self.revisions.get(held.name))
         self._outbox.send(source, SyncAnswer(), (update,))
 
+    def _leave_by_list(self, now: float) -> None:
+        """The platform wants us to leave; it may change its mind, unlike a planned stop."""
+        if self.own.status is MemberStatus.ALIVE:
+            self._left_by_list = True
+            self._change_own(MemberStatus.LEAVING, self.own.incarnation, now)
+            self._tell_leaving()
+
+    def _tell_leaving(self) -> None:
+        """Tell most members at once; gossip brings it to those missed.
+
+        Nodes that disagree on who coordinates keep slots from each other; by gossip alone that
+        lasted some rounds.
+        """
+        members = self._outbox.sample(self._random, LEAVING_TOLD_DIRECTLY)
+        self._outbox.tell_many(members, claim(self.own, MemberStatus.LEAVING))
+
+    def _change_own(self, status: MemberStatus, incarnation: int, now: float) -> None:
+        before = self.own
+        self._set_own(replace(before, status=status, incarnation=incarnation), now)
+        self._events.append(MemberChanged(self.own, before))
+
     def _raise_incarnation(self, above: int, now: float) -> None:
         self._set_own(replace(self.own, incarnation=above + 1), now)
 
@@ -405,12 +447,6 @@
             if self._outbox.has_news:
                 self._outbox.send(member.address, Gossip())
 
-    def _as_listed(self, member: Member) -> Member:
-        """Return a member as leaving when the platform says so of this start."""
-        if member.status is MemberStatus.ALIVE and self.listing.says_leaving(member):
-            return replace(member, status=MemberStatus.LEAVING)
-        return member
-
     def _take_actions(self) -> list[Action]:
         actions: list[Action] = [*self._events, *self._outbox.drain()]
         self._events = []
