--- a/tinrudder/cluster/membership.py
+++ b/tinrudder/cluster/membership.py
@@ -120,6 +120,10 @@
         if self._timer is not None:
             self._timer.cancel()
 
+    def announce_joined(self) -> None:
+        """Tell the others that we are there; worth it once most of them are known."""
+        self._perform(self._protocol.announce_joined(self._timers.time()))
+
     def announce_leaving(self) -> None:
         """Tell the others to give us no new work."""
         self._perform(self._protocol.announce_leaving(self._timers.time()))
--- a/tinrudder/cluster/membership_protocol.py
+++ b/tinrudder/cluster/membership_protocol.py
@@ -42,7 +42,7 @@
 CONTACTS_WHEN_ALONE = 3
 SYNCS_AFTER_PAUSE = 3
 PAUSE_TROUBLE = 2
-LEAVING_TOLD_DIRECTLY = 200
+TOLD_DIRECTLY = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,12 +213,18 @@
         self.observations.publish(backend, kind, now)
         return self._take_actions()
 
+    def announce_joined(self, now: float) -> list[Action]:
+        """Tell the others that we are there, once we know most of them."""
+        self._outbox.now = now
+        self._tell_directly(full_update(self.own, self.revisions.get(self.own.name)))
+        return self._take_actions()
+
     def announce_leaving(self, now: float) -> list[Action]:
         """Tell the others that we finish what we have and take nothing new."""
         self._outbox.now = now
         self._left_by_list = False
         self._set_own(replace(self.own, status=MemberStatus.LEAVING), now)
-        self._tell_leaving()
+        self._tell_directly(claim(self.own, MemberStatus.LEAVING))
         return self._take_actions()
 
     def stop(self, now: float) -> list[Action]:
@@ -385,16 +391,16 @@
         if self.own.status is MemberStatus.ALIVE:
             self._left_by_list = True
             self._change_own(MemberStatus.LEAVING, self.own.incarnation, now)
-            self._tell_leaving()
+            self._tell_directly(claim(self.own, MemberStatus.LEAVING))
 
-    def _tell_leaving(self) -> None:
+    def _tell_directly(self, update: MemberUpdate) -> None:
         """Tell most members at once; gossip brings it to those missed.
 
         Nodes that disagree on who coordinates keep slots from each other; by gossip alone that
         lasted some rounds.
         """
-        members = self._outbox.sample(self._random, LEAVING_TOLD_DIRECTLY)
-        self._outbox.tell_many(members, claim(self.own, MemberStatus.LEAVING))
+        members = self._outbox.sample(self._random, TOLD_DIRECTLY)
+        self._outbox.tell_many(members, update)
 
     def _change_own(self, status: MemberStatus, incarnation: int, now: float) -> None:
         before = self.own
--- a/tinrudder/node_membership.py
+++ b/tinrudder/node_membership.py
@@ -70,6 +70,7 @@
         deadline = self._timers.time() + JOIN_PATIENCE_S
         while not self._has_joined() and self._timers.time() < deadline:
             await asyncio.sleep(JOIN_CHECK_S)
+        self.membership.announce_joined()
         self._tell()
 
     def offer_list(self, members: MemberList) -> None:
