--- a/tinrudder/node_membership.py
+++ b/tinrudder/node_membership.py
@@ -101,8 +101,8 @@
         self.membership.stop()
 
     def _has_joined(self) -> bool:
-        """Tell whether most of the listed machines have been heard of."""
-        return len(self.membership.view().usable()) > self._listed // 2
+        """Tell whether most of the listed machines have been heard of, leaving ones included."""
+        return self.membership.live_count() > self._listed // 2
 
     def _on_member_changed(self, change: MemberChanged) -> None:
         member = change.member
