Run nine scenarios on real processes, every node stopped in turn

Cause: two process modes were built side by side.

Change: process_mode replaces it. Callers follow readiness as behind a load balancer, one connection a request; every node is stopped and replaced; the platform is killed, or restored from an old copy; a stopped node's last log line tells what it left unfinished; times are the machine's monotonic clock. Scenarios that need cuts are refused with exit code 2; list says which modes each scenario has. Both modes share sightings.py and plain_result.

--- a/tinrudder_lab/backend_server.py
+++ b/tinrudder_lab/backend_server.py
@@ -10,7 +10,6 @@
 import asyncio
 import random
 import signal
-import time
 from pathlib import Path
 
 import httptools
@@ -24,9 +23,9 @@
     Shed,
     VersionGone,
 )
-from tinrudder_lab.backend_model import BackendBehaviour, BackendModel, CallObserver, ModelCall
+from tinrudder_lab.backend_model import BackendBehaviour, BackendModel, ModelCall
 from tinrudder_lab.datasets import ShardStore
-from tinrudder_lab.history import CallSeen, CallStage, operation_name
+from tinrudder_lab.process_mode.call_log import CallLog
 
 CONTROL_PATH = b"/control"
 COUNTERS_PATH = b"/counters"
@@ -145,40 +144,19 @@
     return await loop.create_server(lambda: BackendProtocol(model), host, port)
 
 
-def _recorder(backend: str, path: Path) -> CallObserver:
-    """Return an observer that appends every call to a file, unbuffered: a kill loses nothing."""
-    file = path.open("ab", buffering=0)
-
-    def record(stage: CallStage, request: SearchRequest, node: str) -> None:
-        for shard in request.shards:
-            event = CallSeen(
-                time.time(),
-                backend,
-                node,
-                stage,
-                request.query_id,
-                request.index,
-                request.version,
-                shard,
-                operation_name(request),
-            )
-            file.write(_encoder.encode(event) + b"\n")
-
-    return record
-
-
 async def _main(arguments: argparse.Namespace) -> None:
     loop = asyncio.get_running_loop()
     stop = asyncio.Event()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop.set)
     servers = []
+    log = CallLog(arguments.history) if arguments.history is not None else None
     for text in arguments.backend:
         name, port, slots = text.split(":")
         behaviour = BackendBehaviour(slots=int(slots), service_median_s=arguments.service_ms / 1000)
         model = BackendModel(name, loop, random.Random(name), ShardStore(), behaviour)
-        if arguments.history is not None:
-            model.observer = _recorder(name, arguments.history)
+        if log is not None:
+            model.observer = log.observer_of(name)
         servers.append(await serve_model(model, arguments.host, int(port)))
     await stop.wait()
     for server in servers:
--- a/tinrudder_lab/main.py
+++ b/tinrudder_lab/main.py
@@ -16,14 +16,27 @@
 from tinrudder_lab.plants import PLANTS, PLANTS_BY_NAME
 from tinrudder_lab.plot import plot_worlds
 from tinrudder_lab.policies import BASELINE_POLICY, DEFAULT_POLICY, UnknownPolicyError
-from tinrudder_lab.process_run import SimulationOnlyError, run_in_processes
+from tinrudder_lab.process_mode.experiment import (
+    PROCESS,
+    ProcessModeError,
+    run_process_scenario,
+)
+from tinrudder_lab.process_mode.scenarios import PROCESS_BY_NAME
 from tinrudder_lab.report import RunResult
-from tinrudder_lab.scenarios import BY_NAME, SCENARIOS
+from tinrudder_lab.scenarios import BY_NAME, SCENARIOS, Scenario
 from tinrudder_lab.topology import PARAMETERS
 
 EXIT_VIOLATIONS = 1
 EXIT_USAGE = 2
 DEFAULT_SEEDS = 5
+SIM = "sim"
+
+
+class ScenarioRow(msgspec.Struct, frozen=True):
+    """One scenario as listed, and the modes it has."""
+
+    what: str
+    modes: tuple[str, ...]
 
 
 class PlantRow(msgspec.Struct, frozen=True):
@@ -54,7 +67,7 @@
     parsed = parser.parse_args(arguments)
     try:
         code: int = parsed.run(parsed)
-    except (SimulationOnlyError, UnknownPolicyError) as error:
+    except (UnknownPolicyError, ProcessModeError) as error:
         print(f"tinrudder-lab: {error}", file=sys.stderr)
         return EXIT_USAGE
     return code
@@ -76,7 +89,7 @@
     running = commands.add_parser("run", help="run one scenario")
     running.add_argument("scenario", choices=sorted(BY_NAME))
     running.add_argument("--seed", type=int, default=1)
-    running.add_argument("--mode", choices=("sim", "process"), default="sim")
+    running.add_argument("--mode", choices=(SIM, PROCESS), default=SIM)
     running.add_argument("--policy", default=DEFAULT_POLICY)
     running.add_argument("--plant", choices=sorted(PLANTS_BY_NAME))
     running.add_argument("--alone", action="store_true", help="without baseline")
@@ -114,13 +127,19 @@
 
 def _list(arguments: argparse.Namespace) -> int:
     if arguments.json:
-        print(msgspec.json.encode({s.name: s.what for s in SCENARIOS}).decode())
+        print(msgspec.json.encode({s.name: _row(s) for s in SCENARIOS}).decode())
         return 0
     for scenario in SCENARIOS:
-        print(f"{scenario.name:<20} {scenario.what}")
+        modes = ",".join(_row(scenario).modes)
+        print(f"{scenario.name:<20} {modes:<12} {scenario.what}")
     return 0
 
 
+def _row(scenario: Scenario) -> ScenarioRow:
+    modes = (SIM, PROCESS) if scenario.name in PROCESS_BY_NAME else (SIM,)
+    return ScenarioRow(scenario.what, modes)
+
+
 def _faults(arguments: argparse.Namespace) -> int:
     rows = [PlantRow(plant.name, plant.promise, plant.scenario, plant.what) for plant in PLANTS]
     if arguments.json:
@@ -132,10 +151,12 @@
 
 
 def _run(arguments: argparse.Namespace) -> int:
-    scenario = BY_NAME[arguments.scenario]
-    if arguments.mode == "process":
-        result = run_in_processes(scenario.name, arguments.seed)
+    if arguments.mode == PROCESS:
+        result = run_process_scenario(
+            arguments.scenario, arguments.seed, arguments.policy, arguments.plant
+        )
     else:
+        scenario = BY_NAME[arguments.scenario]
         plant = PLANTS_BY_NAME[arguments.plant] if arguments.plant else None
         result = run_scenario(
             scenario, arguments.seed, arguments.policy, plant, alone=arguments.alone
--- a/tinrudder_lab/sim/world.py
+++ b/tinrudder_lab/sim/world.py
@@ -12,11 +12,10 @@
 from tinrudder.backends.messages import SearchRequest
 from tinrudder.peers import PeerAddress
 from tinrudder.platform.messages import MemberList, MemberState, PlatformMember, ResourceDocument
-from tinrudder.resources.model import IndexSpec, Kind, ServiceSpec
+from tinrudder.resources.model import IndexSpec, Kind
 from tinrudder_lab.backend_model import BackendBehaviour, BackendModel
 from tinrudder_lab.datasets import ShardStore
 from tinrudder_lab.history import (
-    CallSeen,
     CallStage,
     DrainSigned,
     FaultSet,
@@ -24,10 +23,9 @@
     NodeSeen,
     NodeStage,
     RevisionSeen,
-    VersionPublished,
-    operation_name,
 )
 from tinrudder_lab.platform_server import PlatformState, ResourceWrite
+from tinrudder_lab.sightings import calls_seen, versions_seen
 from tinrudder_lab.sim.backends import SimBackend, SimBackendTransport
 from tinrudder_lab.sim.loop import Machine, MachineLoop
 from tinrudder_lab.sim.network import Cut, Network, Place
@@ -107,38 +105,15 @@
         return tuple(members)
 
     def _see_call(self, backend: str, stage: CallStage, request: SearchRequest, node: str) -> None:
-        for shard in request.shards:
-            self.history.calls.append(
-                CallSeen(
-                    round(self.now(), 6),
-                    backend,
-                    node,
-                    stage,
-                    request.query_id,
-                    request.index,
-                    request.version,
-                    shard,
-                    operation_name(request),
-                )
-            )
+        at = round(self.now(), 6)
+        self.history.calls.extend(calls_seen(at, backend, stage, request, node))
 
     def _see_versions(self, document: ResourceDocument) -> None:
         """Record index versions that were not there before."""
         known = {(event.index, event.version) for event in self.history.versions}
-        specs = {(raw.kind, raw.name): raw.spec for raw in document.resources}
-        for (kind, name), raw in specs.items():
-            if kind != Kind.INDEX.value:
-                continue
-            index = msgspec.json.decode(raw, type=IndexSpec)
-            service_spec = specs[Kind.SERVICE.value, index.service]
-            service = msgspec.json.decode(service_spec, type=ServiceSpec)
-            for version in index.versions:
-                if (name, version.version) not in known:
-                    shards = tuple(shard.shard for shard in version.shards)
-                    event = VersionPublished(
-                        round(self.now(), 6), name, version.version, shards, service.tenants
-                    )
-                    self.history.versions.append(event)
+        for event in versions_seen(round(self.now(), 6), document):
+            if (event.index, event.version) not in known:
+                self.history.versions.append(event)
 
     def shard_owners(self) -> dict[tuple[str, str], str]:
         """Return the owner of every shard, by index and shard."""
