--- a/tests/unit/test_lab_checkers.py
+++ b/tests/unit/test_lab_checkers.py
@@ -157,6 +157,17 @@
     assert _promises(history) == {Promise.STOP_CUTS_NOTHING}
 
 
+def test_a_relay_lost_at_the_stopping_node_is_found_and_one_elsewhere_is_not() -> None:
+    history = _answered()
+    lost = {"outcome": "may_have_run", "reason": "relay_lost", "version": None}
+    _change_end(history, detail="10.0.0.2:8081: no answer in 0.2 s", rows=(), included=(), **lost)
+    history.nodes.append(NodeSeen(1.05, "n9", NodeStage.STOP_BEGUN, address="10.0.0.9:8081"))
+    history.nodes.append(NodeSeen(1.15, "n9", NodeStage.STOPPED, address="10.0.0.9:8081"))
+    assert _promises(history) == set()
+    _change_end(history, detail="10.0.0.9:8081: no answer in 0.2 s")
+    assert _promises(history) == {Promise.STOP_CUTS_NOTHING}
+
+
 def _revisions(*seen: tuple[float, str, int]) -> History:
     history = History(finished_at=20.0)
     for node in ("n0", "n1"):
--- a/tinrudder_lab/checkers/planned_stop.py
+++ b/tinrudder_lab/checkers/planned_stop.py
@@ -6,9 +6,10 @@
 
 from tinrudder_lab.checkers.excuses import is_disturbed
 from tinrudder_lab.checkers.violation import Promise, Violation
-from tinrudder_lab.history import LOST, History, NodeSeen, NodeStage, QueryEnded
+from tinrudder_lab.history import LOST, History, NodeSeen, NodeStage, QueryEnded, QuerySent
 
 RELAY_LOST = "relay_lost"
+TIMED_OUT = "no answer in"
 AFTERMATH_S = 1.0
 
 
@@ -44,10 +45,21 @@
     """Return the requests lost to a stop and to nothing else."""
     for ended in history.ended.values():
         sent = history.sent[ended.query]
-        here = ended.outcome == LOST and sent.node == begun.node and sent.at <= stopped.at
-        relayed = ended.reason == RELAY_LOST
-        near = sent.at <= stopped.at and begun.at <= ended.at <= stopped.at + AFTERMATH_S
-        if (here or (relayed and near)) and not is_disturbed(
-            history, sent.at - AFTERMATH_S, ended.at
-        ):
+        if sent.at > stopped.at or ended.at > stopped.at + AFTERMATH_S or ended.at < begun.at:
+            continue
+        if not _is_lost_to(begun, sent, ended):
+            continue
+        if not is_disturbed(history, sent.at - AFTERMATH_S, ended.at):
             yield ended
+
+
+def _is_lost_to(begun: NodeSeen, sent: QuerySent, ended: QueryEnded) -> bool:
+    """Tell whether the stopping node lost a request, its caller's or one relayed to it.
+
+    A relay from it to another node that merely took too long is not its loss.  Where its
+    address is not known, every lost relay counts.
+    """
+    if ended.reason == RELAY_LOST:
+        entered_here = sent.node == begun.node and TIMED_OUT not in ended.detail
+        return entered_here or begun.address in ended.detail
+    return ended.outcome == LOST and sent.node == begun.node
--- a/tinrudder_lab/history.py
+++ b/tinrudder_lab/history.py
@@ -123,12 +123,15 @@
     """Something happened to a node.
 
     :param unfinished: requests that were still open when its process ended.
+    :param address: where it listens for other nodes, as their errors name it; empty where it is
+        not known.
     """
 
     at: float
     node: str
     stage: NodeStage
     unfinished: int = 0
+    address: str = ""
 
 
 class VersionPublished(msgspec.Struct, frozen=True, tag=True):
--- a/tinrudder_lab/sim/node_host.py
+++ b/tinrudder_lab/sim/node_host.py
@@ -39,6 +39,7 @@
     peers: SimPeerTransport
     start_number: int
     accepting: bool = False
+    stopping: bool = False
     in_flight: int = 0
     ended: asyncio.Event = field(default_factory=asyncio.Event)
     revision: int = -1
--- a/tinrudder_lab/sim/world.py
+++ b/tinrudder_lab/sim/world.py
@@ -131,7 +131,9 @@
 
     def see_node(self, name: str, stage: NodeStage, unfinished: int = 0) -> None:
         """Record something that happened to a node."""
-        self.history.nodes.append(NodeSeen(round(self.now(), 6), name, stage, unfinished))
+        member = next(member for member in self.members if member.name == name)
+        address = f"{member.host}:{member.port}"
+        self.history.nodes.append(NodeSeen(round(self.now(), 6), name, stage, unfinished, address))
 
     # Nodes ---------------------------------------------------------------------------------
 
@@ -187,6 +189,10 @@
     async def stop_node(self, name: str) -> None:
         """Stop a node as planned: it accepts no more, finishes, then its process ends."""
         host = self.hosts[name]
+        if host.stopping:
+            await host.ended.wait()
+            return
+        host.stopping = True
         self.see_node(name, NodeStage.STOP_BEGUN)
         self.loop.call_later(LOAD_BALANCER_LAG_S, setattr, host, "accepting", False)
         self.loop.create_task(host.stop(), context=host.machine.context)
