Let the next in rank stand in for a coordinator that cannot be reached

Cause: when a service's one coordinator was lost, every entry worked alone with one call a back end until membership dropped it; a leaving node fell to the same limit while it still had work. Change: an entry passes over coordinators that failed it; the next in rank probes, and either forwards the query once or takes the place and its limits; a leaving node keeps its limits.

--- a/bench/relay_cost.py
+++ b/bench/relay_cost.py
@@ -59,9 +59,9 @@
         """Answer ``outcome``."""
         self._outcome = outcome
 
-    async def run(self, request: QueryRequest) -> Outcome:
+    async def run(self, request: QueryRequest, forwarded: bool) -> Outcome:
         """Return the outcome at once."""
-        del request
+        del request, forwarded
         return self._outcome
 
 
@@ -97,7 +97,7 @@
     await client_transport.open()
     address = await server_transport.open()
     channel = ChannelRouter(server_transport).channel(Channel.RELAY)
-    RelayServer(channel, loop, time.time, FixedRunner(make_outcome(rows)), lambda: True)
+    RelayServer(channel, loop, time.time, FixedRunner(make_outcome(rows)).run, lambda: True)
     client_channel = ChannelRouter(client_transport).channel(Channel.RELAY)
     client = RelayClient(client_channel, loop, time.time)
     await _turn(client, address)
--- a/bench/relay_tls_cost.py
+++ b/bench/relay_tls_cost.py
@@ -46,7 +46,7 @@
         shards = tuple(f"s{number:03d}" for number in range(SHARDS))
         self._outcome: Outcome = Complete(Answer(1, rows, Coverage(shards)))
 
-    async def run(self, request: QueryRequest) -> Outcome:
+    async def run(self, request: QueryRequest, forwarded: bool) -> Outcome:
         """Return the answer."""
         return self._outcome
 
@@ -56,7 +56,7 @@
     loop = asyncio.get_running_loop()
     serving = TcpPeerTransport(HOST, 0, identity)
     channel = ChannelRouter(serving).channel(Channel.RELAY)
-    RelayServer(channel, loop, time.time, CannedRunner(), lambda: True)
+    RelayServer(channel, loop, time.time, CannedRunner().run, lambda: True)
     address = await serving.open()
     asking = TcpPeerTransport(HOST, 0, identity)
     client = RelayClient(ChannelRouter(asking).channel(Channel.RELAY), loop, time.time)
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -60,6 +60,7 @@
     probed: list[str] = field(default_factory=list)
     cancelled: list[str] = field(default_factory=list)
     local_runs: int = 0
+    forwarded: int = 0
 
     def __post_init__(self) -> None:
         shard = ShardSpec(shard="s", owner="o", backends=("b",))
@@ -75,7 +76,7 @@
             _Runner(self),
             _Relay(self),
             self.ranking,
-            CoordinatorWatch(_Relay(self), self.ranking),
+            CoordinatorWatch(_Relay(self), self.ranking, self.timers),
             self._set,
             lambda: self.configuration,
         )
@@ -84,12 +85,15 @@
         names = frozenset(entry.name for entry in self.members)
         return CoordinatorSet(service, self.members, names)
 
-    def run(self) -> Outcome:
+    def run(self, relayed: bool = False, forwarded: bool = False) -> Outcome:
         deadline = self.timers.time() + DEADLINE_S
         request = QueryRequest("q", "t", "index", "rule", {}, "time", False, 1, deadline)
 
         async def run_and_settle() -> Outcome:
-            outcome = await self.entry.run(request)
+            if relayed:
+                outcome = await self.entry.run_relayed(request, forwarded)
+            else:
+                outcome = await self.entry.run(request)
             await asyncio.sleep(0)
             return outcome
 
@@ -113,7 +117,10 @@
 class _Relay:
     harness: Harness
 
-    async def run(self, coordinator: PeerAddress, request: QueryRequest) -> Outcome:
+    async def run(
+        self, coordinator: PeerAddress, request: QueryRequest, *, forwarded: bool = False
+    ) -> Outcome:
+        self.harness.forwarded += forwarded
         self.harness.asked.append(coordinator.host)
         self.harness.timers.advance(self.harness.step_s)
         reaction = self.harness.reactions[coordinator.host]
@@ -234,3 +241,17 @@
     harness = Harness({"a": late}, delay_s=0.9, deaf=True)
     assert harness.run() == LOCAL
     assert harness.cancelled == ["a"]
+
+
+def test_relayed_query_of_a_coordinator_that_answers_is_forwarded_once() -> None:
+    harness = Harness({"a": REMOTE})
+    assert harness.run(relayed=True) == REMOTE
+    assert (harness.asked, harness.forwarded) == (["a"], 1)
+    assert harness.run(relayed=True, forwarded=True) == LOCAL
+    assert harness.asked == ["a"]
+
+
+def test_relayed_query_of_a_coordinator_that_does_not_answer_is_run() -> None:
+    harness = Harness({"a": NOT_SENT})
+    assert harness.run(relayed=True) == LOCAL
+    assert (harness.probed, harness.asked) == (["a"], [])
--- a/tests/unit/test_relay_codec.py
+++ b/tests/unit/test_relay_codec.py
@@ -37,9 +37,8 @@
 st.register_type_strategy(Answer, ANSWERS)
 
 
-@given(REQUESTS, FLOAT, FLOAT)
-def test_query_survives(request: QueryRequest, remaining_s: float, sent_at: float) -> None:
-    query = RelayedQuery(request, remaining_s, sent_at)
+@given(st.builds(RelayedQuery, REQUESTS, FLOAT, FLOAT, st.booleans()))
+def test_query_survives(query: RelayedQuery) -> None:
     assert decode_query(encode_query(query)) == query
 
 
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -13,6 +13,7 @@
 from tinrudder.node_configuration import NodeConfiguration
 from tinrudder.node_membership import NodeMembership
 from tinrudder.node_observations import NodeObservations
+from tinrudder.outcomes import Outcome
 from tinrudder.platform.messages import PlatformUnavailableError
 from tinrudder.query.admission_gate import AdmissionGate
 from tinrudder.query.at_most_once import OperationRunner
@@ -23,6 +24,7 @@
 from tinrudder.query.entry import Entry
 from tinrudder.query.plan import Planner
 from tinrudder.query.relay import RelayClient, RelayServer
+from tinrudder.query.request import QueryRequest
 from tinrudder.resources.configuration import Configuration
 from tinrudder.resources.status import NodeRevision
 from tinrudder.routing.admission import ExpectedWaitAdmission
@@ -51,11 +53,12 @@
         self.backends = BackendTable()
         self.channels = ChannelRouter(environment.peers)
         self.coordinator_sets = CoordinatorSets(settings.name)
+        self._held_sets = CoordinatorSets(settings.name)
         self._environment = environment
         self.members = NodeMembership(settings, environment, self.channels, self.on_view_changed)
         self._view = self.members.membership.view()
         self.node_configuration = NodeConfiguration(
-            settings, environment, self.channels, self.view, self._update_shares
+            settings, environment, self.channels, self.view, self._follow_members
         )
         self.configuration_store = self.node_configuration.store
         self._build_coordinator()
@@ -85,13 +88,7 @@
         timers = self._environment.timers
         channel = self.channels.channel(Channel.RELAY)
         self._ranking = CoordinatorRanking(self.settings.name, self.settings.zone, timers)
-        self.relay_server = RelayServer(
-            channel,
-            timers,
-            self._environment.wall_clock,
-            self.coordinator,
-            self._accepts_relays,
-        )
+        self._ranking.on_failed_changed = self._update_shares
         client = RelayClient(channel, timers, self._environment.wall_clock)
         self.entry = Entry(
             self.settings.name,
@@ -99,10 +96,21 @@
             self.coordinator,
             client,
             self._ranking,
-            CoordinatorWatch(client, self._ranking),
+            CoordinatorWatch(client, self._ranking, timers),
             self.coordinator_sets.of,
             self.configuration,
         )
+        self.relay_server = RelayServer(
+            channel,
+            timers,
+            self._environment.wall_clock,
+            self._run_relayed,
+            self._accepts_relays,
+        )
+
+    async def _run_relayed(self, request: QueryRequest, forwarded: bool) -> Outcome:
+        """Run a relayed query; a node that leaves finishes here what still comes to it."""
+        return await self.entry.run_relayed(request, forwarded or self.lifecycle.is_stopping())
 
     def _accepts_relays(self) -> bool:
         """Tell whether relayed queries are served.
@@ -208,16 +216,15 @@
 
     def on_view_changed(self, view: MemberView) -> None:
         """Take a new view of the members; coordinator sets and slot shares follow it."""
-        self._view = self._without_ourselves(view) if self.lifecycle.is_stopping() else view
-        self._ranking.keep_only(frozenset(self._view.by_name))
-        self._update_shares()
+        is_stopping = self.lifecycle.is_stopping()
+        self._view = self._with_ourselves(view, MemberStatus.LEAVING) if is_stopping else view
+        self._ranking.keep_only(self._view.by_name)
+        self._follow_members()
 
-    def _without_ourselves(self, view: MemberView) -> MemberView:
-        """Return the view with this node leaving, so that it coordinates nothing any more."""
+    def _with_ourselves(self, view: MemberView, status: MemberStatus) -> MemberView:
+        """Return the view with a status of our own choice for this node."""
         members = tuple(
-            replace(member, status=MemberStatus.LEAVING)
-            if member.name == self.settings.name
-            else member
+            replace(member, status=status) if member.name == self.settings.name else member
             for member in view.members
         )
         return build_view(members, view.list_revision)
@@ -227,12 +234,25 @@
         for backend in self.backends.all_records():
             self.dispatcher.follow_share(backend)
 
-    def _update_shares(self) -> None:
+    def _follow_members(self) -> None:
         """Bring coordinator sets and limits in step with members and configuration."""
         configuration = self.configuration()
         self.coordinator_sets.update(self._view, configuration)
-        self.backends.update(configuration.backends, self.coordinator_sets.share, SLOT_HEADROOM)
-        self.backends.share_connections(configuration.backends, self.coordinator_sets.connections)
+        still_here = self._with_ourselves(self._view, MemberStatus.ALIVE)
+        self._held_sets.update(still_here, configuration)
+        self._update_shares()
+
+    def _update_shares(self) -> None:
+        """Bring limits in step with the coordinators that this node can reach.
+
+        A node that leaves keeps its shares for what it has and what still comes.
+        """
+        backends = self.configuration().backends
+        for sets in (self.coordinator_sets, self._held_sets):
+            sets.pass_over(self._ranking.failed_names())
+        held = self._held_sets if self.lifecycle.is_stopping() else self.coordinator_sets
+        self.backends.update(backends, held.share, SLOT_HEADROOM)
+        self.backends.share_connections(backends, held.connections)
 
     async def _follow_platform(self) -> None:
         """Poll the platform until the node ends."""
--- a/tinrudder/query/coordinator_sets.py
+++ b/tinrudder/query/coordinator_sets.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-from tinrudder.cluster.view import MemberView
+from tinrudder.cluster.view import Member, MemberView
 from tinrudder.resources.configuration import Configuration
 from tinrudder.resources.model import BackendSpec, ServiceSpec
 from tinrudder.routing.coordinator_set import (
     FALLBACK_LIMIT,
     CoordinatorSet,
     calls_allowed,
-    choose_coordinators,
     coordinator_count,
     members_of_region,
+    rank_members,
+    take_coordinators,
 )
 
 
@@ -24,6 +25,8 @@
         self._view = MemberView()
         self._configuration = Configuration()
         self._slots: dict[str, list[int]] = {}
+        self._ranked: dict[str, tuple[Member, ...]] = {}
+        self._unreachable: frozenset[str] = frozenset()
         self._sets: dict[str, CoordinatorSet] = {}
 
     def update(self, view: MemberView, configuration: Configuration) -> None:
@@ -32,6 +35,12 @@
             self._slots = _slots_by_service(configuration)
         self._view = view
         self._configuration = configuration
+        self._ranked = {}
+        self._sets = {}
+
+    def pass_over(self, unreachable: frozenset[str]) -> None:
+        """Let the next in rank take the places of members this node cannot reach."""
+        self._unreachable = unreachable
         self._sets = {}
 
     def of(self, service: str) -> CoordinatorSet:
@@ -63,8 +72,11 @@
         spec = self._configuration.services.get(service)
         if spec is None:
             return CoordinatorSet(service)
-        members = members_of_region(self._view.members, spec.region)
-        return choose_coordinators(service, members, self._count(service, spec))
+        ranked = self._ranked.get(service)
+        if ranked is None:
+            ranked = rank_members(service, members_of_region(self._view.members, spec.region))
+            self._ranked[service] = ranked
+        return take_coordinators(service, ranked, self._count(service, spec), self._unreachable)
 
     def _count(self, service: str, spec: ServiceSpec) -> int:
         """Return how many coordinators the service has."""
--- a/tinrudder/query/coordinator_watch.py
+++ b/tinrudder/query/coordinator_watch.py
@@ -7,14 +7,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
 from typing import Protocol
 
 from tinrudder.cluster.view import Member
 from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
 from tinrudder.routing.coordinator_ranking import CoordinatorRanking
+from tinrudder.timers import Timers
 
 LONGEST_PROBE_S = 0.25
+SHORT_PROBE_S = 0.05
+ANSWER_VALID_S = 0.5
 
 
 class CoordinatorProbe(Protocol):
@@ -31,17 +33,28 @@
 class CoordinatorWatch:
     """Probes coordinators and tells the ranking what came of it."""
 
-    def __init__(self, probe: CoordinatorProbe, ranking: CoordinatorRanking) -> None:
+    def __init__(
+        self, probe: CoordinatorProbe, ranking: CoordinatorRanking, timers: Timers
+    ) -> None:
         """Ask nothing yet."""
+        self._timers = timers
+        self._answered_at: dict[str, float] = {}
         self._probe = probe
         self._ranking = ranking
         self._running: dict[str, asyncio.Task[bool]] = {}
 
-    def probe_due(self, members: Sequence[Member]) -> None:
+    def probe_due(self) -> None:
         """Probe, in the background, those that failed and were left alone long enough."""
-        for member in self._ranking.due_for_probe(members):
+        for member in self._ranking.due_for_probe():
             self.ask(member, LONGEST_PROBE_S)
 
+    async def answers(self, member: Member) -> bool:
+        """Tell whether a member that another node cannot reach answers us."""
+        answered_at = self._answered_at.get(member.name)
+        if answered_at is not None and self._timers.time() - answered_at < ANSWER_VALID_S:
+            return True
+        return await asyncio.shield(self.ask(member, SHORT_PROBE_S))
+
     def ask(self, member: Member, timeout_s: float) -> asyncio.Task[bool]:
         """Return the task that tells whether ``member`` answers; it may already run."""
         running = self._running.get(member.name)
@@ -57,5 +70,6 @@
         except (PeerNotSentError, PeerLostError):
             self._ranking.fail(member)
             return False
+        self._answered_at[member.name] = self._timers.time()
         self._ranking.succeed(member)
         return True
--- a/tinrudder/query/entry.py
+++ b/tinrudder/query/entry.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -24,6 +24,7 @@
 from tinrudder.timers import Timers
 
 MAX_SENT_ATTEMPTS = 2
+MAX_ASKED = 4
 SHORTEST_WATCHED_S = 0.2
 LONGEST_SILENCE_S = 0.1
 SILENCE_SHARE = 0.4
@@ -33,7 +34,9 @@
 class QueryRelay(Protocol):
     """Takes a query to another node; see :class:`tinrudder.query.relay.RelayClient`."""
 
-    async def run(self, coordinator: PeerAddress, request: QueryRequest) -> Outcome:
+    async def run(
+        self, coordinator: PeerAddress, request: QueryRequest, *, forwarded: bool = False
+    ) -> Outcome:
         """Return the outcome that the coordinator reports."""
 
 
@@ -76,51 +79,99 @@
     async def run(self, request: QueryRequest) -> Outcome:
         """Return the query's outcome; cancelling the task frees its work everywhere."""
         service = self._service_of(request)
-        chosen = self._coordinators(service) if service is not None else None
-        if chosen is None or not chosen.members or self._node_name in chosen.names:
+        if service is None or self._is_ours(self._coordinators(service)):
             self.counters.local += 1
             return await self._coordinator.run(request)
-        return await self._relay_to_one_of(chosen.members, request)
+        return await self._relay_to_one_of(service, request)
+
+    async def run_relayed(self, request: QueryRequest, forwarded: bool) -> Outcome:
+        """Run a query that another node relayed to this one.
+
+        One that another node coordinates came here because its sender cannot reach that node.
+        If we can, it is forwarded, once; if not, that node's place in the set becomes ours.
+        """
+        service = self._service_of(request)
+        if service is None or forwarded:
+            return await self._coordinator.run(request)
+        member = await self._reachable_coordinator(service)
+        if member is None:
+            return await self._coordinator.run(request)
+        attempts = RelayAttempts()
+        try:
+            outcome = await self._ask(member, request, attempts, forwarded=True)
+            if outcome is None and self._may_ask_again(request, attempts):
+                outcome = await self._coordinator.run(request)
+            return await attempts.conclude(outcome)
+        finally:
+            attempts.cancel_silent()
+
+    async def _reachable_coordinator(self, service: str) -> Member | None:
+        """Return a coordinator other than us that answers, ``None`` if the service is ours."""
+        for _ in range(MAX_ASKED):
+            member = self._next(service, set())
+            if member is None or await self._watch.answers(member):
+                return member
+        return None
+
+    def _is_ours(self, chosen: CoordinatorSet) -> bool:
+        """Tell whether this node coordinates, or there is nobody who does."""
+        return not chosen.members or self._node_name in chosen.names
 
     def _service_of(self, request: QueryRequest) -> str | None:
         """Return the service a query is for, ``None`` if its index is unknown."""
         index = self._configuration().indexes.get(request.index)
         return index.service if index is not None else None
 
-    async def _relay_to_one_of(self, members: Sequence[Member], request: QueryRequest) -> Outcome:
+    async def _relay_to_one_of(self, service: str, request: QueryRequest) -> Outcome:
         """Ask one coordinator after the other until one answers, then help ourselves."""
         attempts = RelayAttempts()
         try:
-            return await attempts.conclude(await self._attempt(members, request, attempts))
+            return await attempts.conclude(await self._attempt(service, request, attempts))
         finally:
             attempts.cancel_silent()
 
     async def _attempt(
-        self, members: Sequence[Member], request: QueryRequest, attempts: RelayAttempts
+        self, service: str, request: QueryRequest, attempts: RelayAttempts
     ) -> Outcome | None:
         """Return the first outcome that anybody has, ``None`` when nobody more may be asked."""
-        self._watch.probe_due(members)
-        for member in self._ranking.order(members):
-            if attempts.lost and not self._may_ask_again(request, attempts):
+        self._watch.probe_due()
+        asked: set[str] = set()
+        while len(asked) < MAX_ASKED and self._timers.time() < request.deadline:
+            if not self._may_ask_again(request, attempts):
                 return None
-            if self._timers.time() >= request.deadline:
+            member = self._next(service, asked)
+            if member is None:
                 break
+            asked.add(member.name)
             outcome = await self._ask(member, request, attempts)
             if outcome is not None:
                 return outcome
-        if attempts.lost and not self._may_ask_again(request, attempts):
+        if not self._may_ask_again(request, attempts):
             return None
         self.counters.fallback += 1
         return await self._coordinator.run(request)
 
+    def _next(self, service: str, asked: set[str]) -> Member | None:
+        """Return the coordinator to ask, by the set as it is now: failures change it."""
+        chosen = self._coordinators(service)
+        if self._is_ours(chosen):
+            return None
+        ordered = self._ranking.order(chosen.members)
+        return next((member for member in ordered if member.name not in asked), None)
+
     async def _ask(
-        self, member: Member, request: QueryRequest, attempts: RelayAttempts
+        self,
+        member: Member,
+        request: QueryRequest,
+        attempts: RelayAttempts,
+        *,
+        forwarded: bool = False,
     ) -> Outcome | None:
         """Relay once; ``None`` means that another coordinator may be asked."""
         self.counters.relayed += 1
         self._ranking.begin(member)
         try:
-            outcome = await self._run_watched(member, request, attempts)
+            outcome = await self._run_watched(member, request, attempts, forwarded)
         except PeerNotSentError as error:
             self.counters.not_sent += 1
             self._ranking.fail(member)
@@ -141,7 +192,7 @@
         return outcome
 
     async def _run_watched(
-        self, member: Member, request: QueryRequest, attempts: RelayAttempts
+        self, member: Member, request: QueryRequest, attempts: RelayAttempts, forwarded: bool
     ) -> Outcome:
         """Relay a query, and stop relying on its coordinator if that is no longer there.
 
@@ -151,9 +202,11 @@
         """
         allowed_s = request.deadline - self._timers.time()
         if allowed_s < SHORTEST_WATCHED_S or not self._is_repeatable(request):
-            return await self._relay.run(member.address, request)
+            return await self._relay.run(member.address, request, forwarded=forwarded)
         patience_s = min(LONGEST_SILENCE_S, allowed_s * SILENCE_SHARE)
-        relayed = asyncio.ensure_future(self._relay.run(member.address, request))
+        relayed = asyncio.ensure_future(
+            self._relay.run(member.address, request, forwarded=forwarded)
+        )
         try:
             while True:
                 await asyncio.wait((relayed,), timeout=patience_s)
@@ -174,7 +227,9 @@
         return rule is not None and rule.repeatable
 
     def _may_ask_again(self, request: QueryRequest, attempts: RelayAttempts) -> bool:
-        """Tell whether a query whose relay was lost may be sent once more."""
+        """Tell whether a query may be sent once more, should a relay have been lost."""
+        if not attempts.lost:
+            return True
         if not self._is_repeatable(request):
             return False
         has_time = self._timers.time() < request.deadline
--- a/tinrudder/query/relay.py
+++ b/tinrudder/query/relay.py
@@ -1,17 +1,16 @@
 """One relayed query between two nodes: the sending and the receiving end.
 
-A relayed query is run where it arrives and never relayed again, so there are no loops.
+A relayed query goes on to another node at most once, marked as forwarded, so there are no loops.
 Cancelling the sender's task cancels the receiver's, through the peer transport.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import replace
 
 from tinrudder.outcomes import Failed, FailedReason, NotRun, NotRunReason, Outcome
 from tinrudder.peers import PeerAddress, PeerLostError, PeerTransport
-from tinrudder.query.coordinator import QueryRunner
 from tinrudder.query.request import QueryRequest
 from tinrudder.timers import Timers, WallClock
 from tinrudder.wire.relay_codec import (
@@ -27,6 +26,9 @@
 RETURN_ALLOWANCE_SHARE = 0.1
 MAX_CLOCK_SKEW_S = 1.0
 
+RelayedRunner = Callable[[QueryRequest, bool], Awaitable[Outcome]]
+"""Runs a relayed query; the flag tells that it was forwarded and must not go further."""
+
 PROBE = b""
 """Asks only for an answer, which is as empty; no query is that short."""
 
@@ -40,7 +42,9 @@
         self._timers = timers
         self._wall_clock = wall_clock
 
-    async def run(self, coordinator: PeerAddress, request: QueryRequest) -> Outcome:
+    async def run(
+        self, coordinator: PeerAddress, request: QueryRequest, *, forwarded: bool = False
+    ) -> Outcome:
         """Return the outcome that the coordinator reports.
 
         The coordinator gets a little less time than is left, so that what it has at its
@@ -51,7 +55,7 @@
         """
         remaining_s = request.deadline - self._timers.time()
         allowance_s = min(RETURN_ALLOWANCE_S, remaining_s * RETURN_ALLOWANCE_SHARE)
-        query = RelayedQuery(request, remaining_s - allowance_s, self._wall_clock())
+        query = RelayedQuery(request, remaining_s - allowance_s, self._wall_clock(), forwarded)
         try:
             payload = encode_query(query)
         except RelayCodecError as error:
@@ -75,13 +79,13 @@
         channel: PeerTransport,
         timers: Timers,
         wall_clock: WallClock,
-        runner: QueryRunner,
+        run: RelayedRunner,
         accepts_work: Callable[[], bool],
     ) -> None:
         """Listen on ``channel``; refuse new work once ``accepts_work`` returns ``False``."""
         self._timers = timers
         self._wall_clock = wall_clock
-        self._runner = runner
+        self._run_query = run
         self._accepts_work = accepts_work
         self.in_progress = 0
         channel.listen(_ignore_datagram, self._on_request)
@@ -111,7 +115,7 @@
         if self._arrived_too_late(query):
             return NotRun(NotRunReason.DEADLINE, "deadline: had passed when the query was read")
         deadline = self._timers.time() + query.remaining_s
-        return await self._runner.run(replace(query.request, deadline=deadline))
+        return await self._run_query(replace(query.request, deadline=deadline), query.forwarded)
 
     def _arrived_too_late(self, query: RelayedQuery) -> bool:
         """Tell whether the query waited, unread, past its deadline.
--- a/tinrudder/routing/coordinator_ranking.py
+++ b/tinrudder/routing/coordinator_ranking.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 from tinrudder.cluster.view import Member, MemberStatus
@@ -47,15 +47,23 @@
         self._zone = zone
         self._timers = timers
         self._observed: dict[str, _Observed] = {}
+        self._failed: dict[str, Member] = {}
+        self.on_failed_changed: Callable[[], None] | None = None
+
+    def failed_names(self) -> frozenset[str]:
+        """Return the members that failed and have not answered since."""
+        return frozenset(self._failed)
 
     def order(self, members: Sequence[Member]) -> list[Member]:
         """Return the members to ask, best first, without those to be left alone."""
-        return sorted((m for m in members if self._of(m).failures == 0), key=self._cost)
+        return sorted((m for m in members if m.name not in self._failed), key=self._cost)
 
-    def due_for_probe(self, members: Sequence[Member]) -> list[Member]:
+    def due_for_probe(self) -> list[Member]:
         """Return the members that failed and have been left alone long enough."""
+        if not self._failed:
+            return []
         now = self._timers.time()
-        failed = (member for member in members if self._of(member).failures)
+        failed = self._failed.values()
         return [member for member in failed if now >= self._of(member).avoid_until]
 
     def begin(self, member: Member) -> None:
@@ -72,6 +80,8 @@
         observed = self._of(member)
         observed.failures = 0
         observed.avoid_until = 0.0
+        if self._failed.pop(member.name, None) is not None:
+            self._tell()
 
     def fail(self, member: Member) -> None:
         """Leave a member alone for a while, longer after every failure in a row."""
@@ -82,11 +92,22 @@
         avoidance_s = min(LONGEST_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2**observed.failures)
         observed.failures = min(observed.failures + 1, MAX_COUNTED_FAILURES)
         observed.avoid_until = now + avoidance_s
-
-    def keep_only(self, names: frozenset[str]) -> None:
-        """Forget members that are gone."""
-        for name in [name for name in self._observed if name not in names]:
-            del self._observed[name]
+        known = self._failed.get(member.name)
+        self._failed[member.name] = member
+        if known is None:
+            self._tell()
+
+    def keep_only(self, members: Mapping[str, Member]) -> None:
+        """Forget members that are gone or have started anew."""
+        for name, observed in tuple(self._observed.items()):
+            member = members.get(name)
+            if member is None or member.incarnation != observed.incarnation:
+                del self._observed[name]
+                self._failed.pop(name, None)
+
+    def _tell(self) -> None:
+        if self.on_failed_changed is not None:
+            self.on_failed_changed()
 
     def _of(self, member: Member) -> _Observed:
         """Return what is known; a restarted process starts afresh."""
--- a/tinrudder/routing/coordinator_set.py
+++ b/tinrudder/routing/coordinator_set.py
@@ -88,8 +88,8 @@
     return min(slots * SLOT_HEADROOM, max_connections)
 
 
-def choose_coordinators(service: str, members: Iterable[Member], count: int) -> CoordinatorSet:
-    """Choose ``count`` coordinators among the members of the service's region.
+def rank_members(service: str, members: Iterable[Member]) -> tuple[Member, ...]:
+    """Return the members that may coordinate a service, best first.
 
     The best of every zone come first, then the second of every zone, and so on.  A suspected
     member keeps its place: taking its slots away before it is known to be dead would hand them
@@ -108,10 +108,23 @@
         taken_in_zone[member.zone] = rank + 1
         ranked.append((rank, position, member))
     ranked.sort(key=lambda entry: entry[:2])
-    chosen = tuple(member for _, _, member in ranked[:count])
+    return tuple(member for _, _, member in ranked)
+
+
+def take_coordinators(
+    service: str, ranked: Sequence[Member], count: int, unreachable: frozenset[str] = frozenset()
+) -> CoordinatorSet:
+    """Return the first ``count`` members, passing over those this node cannot reach."""
+    reachable = [member for member in ranked if member.name not in unreachable]
+    chosen = tuple((reachable or ranked)[:count])
     return CoordinatorSet(service, chosen, frozenset(member.name for member in chosen))
 
 
+def choose_coordinators(service: str, members: Iterable[Member], count: int) -> CoordinatorSet:
+    """Choose ``count`` coordinators among the members of the service's region."""
+    return take_coordinators(service, rank_members(service, members), count)
+
+
 def even_share(backend: str, calls: int, position: int, count: int) -> int:
     """Return the calls to one back end that belong to the coordinator at ``position``.
 
--- a/tinrudder/wire/relay_codec.py
+++ b/tinrudder/wire/relay_codec.py
@@ -44,11 +44,13 @@
     :param request: the query; its ``deadline`` has no meaning outside the sender.
     :param remaining_s: time left when it was sent, seconds.
     :param sent_at: the sender's calendar time when it was sent, seconds.
+    :param forwarded: it is run where it arrives, whatever the coordinator sets say.
     """
 
     request: QueryRequest
     remaining_s: float
     sent_at: float
+    forwarded: bool = False
 
 
 def encode_query(query: RelayedQuery) -> bytes:
@@ -78,6 +80,7 @@
             request_key=request.request_key,
             valid_until=request.valid_until,
             shards=request.shards,
+            forwarded=query.forwarded,
         )
     except (ValueError, TypeError) as error:
         raise RelayCodecError(f"query: {error}") from error
@@ -107,7 +110,7 @@
         valid_until=message.valid_until if message.HasField("valid_until") else None,
         shards=tuple(message.shards),
     )
-    return RelayedQuery(request, message.remaining_s, message.sent_at)
+    return RelayedQuery(request, message.remaining_s, message.sent_at, message.forwarded)
 
 
 def encode_outcome(outcome: Outcome) -> bytes:
