--- a/tinrudder/cluster/membership_protocol.py
+++ b/tinrudder/cluster/membership_protocol.py
@@ -167,8 +167,9 @@
     def on_pause(self, gap_s: float, now: float) -> list[Action]:
         """We slept: others may have buried us, and what we suspect ran on without us.
 
-        The incarnation is raised only where the others may have buried us: when a whole site
-        stalls for a second, as many announcements as nodes would follow for nothing.
+        The incarnation is raised and tables are compared only where the others may have buried
+        us: when a whole site stalls for a second, every node would announce itself and ask for
+        tables for nothing, and the work of that could stall it again.
         """
         self._outbox.now = now
         self.health.note_trouble(PAUSE_TROUBLE)
@@ -176,8 +177,8 @@
         self._prober.restart(now)
         if gap_s >= self._settings.suspicion_min_s:
             self._raise_incarnation(self.own.incarnation, now)
-        for member in self._outbox.sample(self._random, SYNCS_AFTER_PAUSE):
-            self._sync.ask(member.address)
+            for member in self._outbox.sample(self._random, SYNCS_AFTER_PAUSE):
+                self._sync.ask(member.address)
         return self._take_actions()
 
     def offer_list(
