--- a/tinrudder_lab/process_mode/recorder.py
+++ b/tinrudder_lab/process_mode/recorder.py
@@ -29,9 +29,9 @@
         """Return seconds since the start of the run."""
         return round(time.monotonic() - self.started_at, ROUND_S)
 
-    def see_node(self, name: str, stage: NodeStage, unfinished: int = 0) -> None:
+    def see_node(self, name: str, stage: NodeStage, unfinished: int = 0, address: str = "") -> None:
         """Record something that happened to a node."""
-        self.history.nodes.append(NodeSeen(self.now(), name, stage, unfinished))
+        self.history.nodes.append(NodeSeen(self.now(), name, stage, unfinished, address))
 
     def sign_drain(self, backend: str) -> None:
         """Record the first sign that a back end leaves."""
--- a/tinrudder_lab/process_mode/run.py
+++ b/tinrudder_lab/process_mode/run.py
@@ -11,6 +11,7 @@
 from tinrudder.platform.messages import MemberState
 from tinrudder.resources.model import AnySpec, Kind
 from tinrudder_lab.backend_server import ControlMessage
+from tinrudder_lab.deployment import LOOPBACK
 from tinrudder_lab.history import CallStage, NodeStage
 from tinrudder_lab.platform_server import PlatformState, ResourceWrite
 from tinrudder_lab.process_mode.callers import ProcessCallers
@@ -104,7 +105,8 @@
             return
         await self._list_node(name, MemberState.LEAVING)
         self._stopping.add(name)
-        self.recorder.see_node(name, NodeStage.STOP_BEGUN)
+        address = f"{LOOPBACK}:{self.cluster.nodes[name].peer_port}"
+        self.recorder.see_node(name, NodeStage.STOP_BEGUN, address=address)
         self.cluster.processes.begin_stop(name)
         exit_code = await asyncio.to_thread(self.cluster.processes.wait, name)
         unfinished = self.cluster.unfinished_at_end(name, exit_code)
