Put the strict form of the cut probe back and keep its history check

Cause: the probe had been loosened to 97% complete when one of 380 queries was truthfully refused. Ruled out: that it still is; later changes let the next in rank stand in for a lost coordinator. Change: only complete and partial pass, and the history checkers must find nothing.

--- a/tests/probe/test_relay_faults.py
+++ b/tests/probe/test_relay_faults.py
@@ -28,7 +28,6 @@
 from tinrudder_lab.sim.world import World
 
 FAULT_AT_S = 2.0
-MOST = 0.97
 NODES = 8
 TRAVEL_S = 0.02
 """Between a caller and its node, there and back, and some scheduling."""
@@ -43,9 +42,8 @@
     sides = frozenset({CUT_ZONE}), frozenset({COORDINATOR_ZONE})
     world = run(lambda _: [Step(FAULT_AT_S, faults.cut(*sides, seconds=60.0, both=both))])
     assert slowest_s(world) <= DEADLINE_S + TRAVEL_S
-    counted = outcomes(world)
-    assert counted["complete"] >= MOST * counted.total()
-    assert check_history(world.history) == (), "refused under the small limit, and truthfully so"
+    assert set(outcomes(world)) <= {"complete", "partial"}
+    assert check_history(world.history) == ()
     assert peak_calls(world) <= SLOTS * SLOT_HEADROOM + NODES
 
 
