--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Pinned commands; docs/README tells what each prints.
+# Pinned commands; README.md tells what they are for.
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
