--- a/tests/unit/test_explain.py
+++ b/tests/unit/test_explain.py
@@ -102,6 +102,7 @@
     assert sorted(retried.backends) == ["a", "b"]
     assert (retried.missing, answered.missing) == ("timed_out", "")
     assert retried.waited_ms == 0.0
+    assert found.choice == "least-loaded", "the default is named, too"
 
 
 @pytest.mark.parametrize(
--- a/tinrudder/query/explain_recorder.py
+++ b/tinrudder/query/explain_recorder.py
@@ -17,6 +17,7 @@
 from tinrudder.query.explain import CallExplanation, ExplanationRing, QueryExplanation
 from tinrudder.query.plan import QueryPlan
 from tinrudder.query.shard_progress import ShardProgress
+from tinrudder.routing.registry import DEFAULTS, Role
 
 MILLISECONDS = 1000.0
 OUTCOME_NAMES: dict[type[Outcome], str] = {
@@ -83,7 +84,7 @@
             self._outcome_name,
             self._reason,
             milliseconds(self._elapsed_s),
-            self._plan.rule.policies.get("replica_choice", ""),
+            self._plan.rule.policies.get(Role.REPLICA_CHOICE, DEFAULTS[Role.REPLICA_CHOICE]),
             self._explain_shards(),
         )
 
