--- a/tests/support/relay_world.py
+++ b/tests/support/relay_world.py
@@ -12,6 +12,7 @@
 from tinrudder.peers import PeerAddress
 from tinrudder.resources.model import Preference, QueryRuleSpec
 from tinrudder.routing.coordinator_set import choose_coordinators
+from tinrudder_lab import measures
 from tinrudder_lab.deployment import (
     PLATA_OWNERS,
     PLATA_REGION,
@@ -22,7 +23,7 @@
     add_tenant,
 )
 from tinrudder_lab.faults import Step
-from tinrudder_lab.history import CallStage, QueryEnded
+from tinrudder_lab.history import QueryEnded
 from tinrudder_lab.scenarios import Scenario
 from tinrudder_lab.sim.run import simulate
 from tinrudder_lab.sim.world import World
@@ -100,15 +101,7 @@
 
 def peak_calls(world: World) -> int:
     """Return the most calls that were in one back end at once."""
-    inside: dict[str, int] = {}
-    peak = 0
-    for call in world.history.calls:
-        if call.stage is CallStage.RECEIVED:
-            inside[call.backend] = inside.get(call.backend, 0) + 1
-            peak = max(peak, inside[call.backend])
-        elif call.stage is not CallStage.STARTED:
-            inside[call.backend] -= 1
-    return peak
+    return measures.peak_calls(world.history)
 
 
 def relays(world: World) -> int:
--- a/tinrudder_lab/coordinator_experiment.py
+++ b/tinrudder_lab/coordinator_experiment.py
@@ -32,8 +32,7 @@
     add_service,
     add_tenant,
 )
-from tinrudder_lab.history import CallStage
-from tinrudder_lab.measures import coverage_of, latencies_ms, percentile
+from tinrudder_lab.measures import coverage_of, latencies_ms, peak_calls, percentile
 from tinrudder_lab.scenarios import Scenario
 from tinrudder_lab.sim.run import simulate
 from tinrudder_lab.sim.world import World
@@ -191,25 +190,12 @@
         refused_share=round(1 - len(latencies) / max(1, len(world.history.sent)), 5),
         coverage_mean=round(sum(covered) / max(1, len(covered)), 5),
         shed_share=round(shed / max(1, received), 5),
-        peak_calls=round(_peak_calls(world) / size.slots, 3),
+        peak_calls=round(peak_calls(world.history) / size.slots, 3),
         relays_per_query=round(relayed / max(1, len(world.history.sent)), 4),
         connections=_peak_connections(world),
     )
 
 
-def _peak_calls(world: World) -> int:
-    """Return the most calls that were in one back end at once."""
-    inside: dict[str, int] = {}
-    peak = 0
-    for call in world.history.calls:
-        if call.stage is CallStage.RECEIVED:
-            inside[call.backend] = inside.get(call.backend, 0) + 1
-            peak = max(peak, inside[call.backend])
-        elif call.stage is not CallStage.STARTED:
-            inside[call.backend] -= 1
-    return peak
-
-
 def _peak_connections(world: World) -> int:
     """Return the most connections that all nodes together hold to one back end."""
     held: dict[str, int] = {}
--- a/tinrudder_lab/measures.py
+++ b/tinrudder_lab/measures.py
@@ -11,7 +11,7 @@
 from tinrudder_lab.checkers.configuration import seconds_in_force
 from tinrudder_lab.checkers.draining import drain_seconds
 from tinrudder_lab.checkers.violation import Violation
-from tinrudder_lab.history import History, QueryEnded
+from tinrudder_lab.history import CallStage, History, QueryEnded
 from tinrudder_lab.report import (
     ANSWERED,
     REFUSED,
@@ -215,3 +215,16 @@
 
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, ROUND_MS)
+
+
+def peak_calls(history: History) -> int:
+    """Return the most calls that were in one back end at once."""
+    inside: dict[str, int] = {}
+    peak = 0
+    for call in history.calls:
+        if call.stage is CallStage.RECEIVED:
+            inside[call.backend] = inside.get(call.backend, 0) + 1
+            peak = max(peak, inside[call.backend])
+        elif call.stage is not CallStage.STARTED:
+            inside[call.backend] -= 1
+    return peak
