--- a/bench/configuration_spread.py
+++ b/bench/configuration_spread.py
@@ -19,9 +19,9 @@
 
 from bench.state_slopes import build_document
 from tinrudder.cluster.state_exchange import ExchangeSettings, StateExchange
+from tinrudder.configuration_service.messages import ResourceDocument
+from tinrudder.configuration_service.poll_pace import poll_delay_s
 from tinrudder.peers import DatagramHandler, PeerAddress, RequestHandler
-from tinrudder.platform.messages import ResourceDocument
-from tinrudder.platform.poll_pace import poll_delay_s
 from tinrudder.resources.exchange import ReplicatedConfiguration
 from tinrudder.resources.store import ConfigurationStore
 
--- a/bench/node_under_test.py
+++ b/bench/node_under_test.py
@@ -10,11 +10,11 @@
 import msgspec
 
 from tinrudder.backends.messages import Answered, BackendCall, RowMessage, SearchAnswer, ShardRows
+from tinrudder.configuration_service.messages import MemberList, RawResource, ResourceDocument
 from tinrudder.environment import BackendTransport, Environment, ReplyListener
 from tinrudder.node import Node
 from tinrudder.node_explain import NodeExplanations
 from tinrudder.peers import DatagramHandler, PeerAddress, PeerNotSentError, RequestHandler
-from tinrudder.platform.messages import MemberList, RawResource, ResourceDocument
 from tinrudder.query.request import QueryRequest
 from tinrudder.resources.model import (
     AnySpec,
--- a/bench/state_slopes.py
+++ b/bench/state_slopes.py
@@ -20,7 +20,7 @@
 import msgspec
 
 from bench.slopes import Slope, fit
-from tinrudder.platform.messages import RawResource, ResourceDocument
+from tinrudder.configuration_service.messages import RawResource, ResourceDocument
 from tinrudder.resources.model import (
     BackendSpec,
     IndexSpec,
--- a/tests/functional/test_commands.py
+++ b/tests/functional/test_commands.py
@@ -21,8 +21,8 @@
 from tinrudder.cli.connection import NodeAnswer
 from tinrudder.cli.exit_codes import CommandError, ExitCode
 from tinrudder.cli.main import main
-from tinrudder.platform.messages import RawResource
-from tinrudder.platform.writer import PlatformWriteError, ResourceBatch
+from tinrudder.configuration_service.messages import RawResource
+from tinrudder.configuration_service.writer import PlatformWriteError, ResourceBatch
 from tinrudder.resources.model import Kind
 from tinrudder.resources.status import NodeRevision, StatusReporter
 from tinrudder.resources.store import ConfigurationStore
--- a/tests/functional/test_configuration_exchange.py
+++ b/tests/functional/test_configuration_exchange.py
@@ -16,7 +16,7 @@
 from tinrudder.cluster import state_pull
 from tinrudder.cluster.replicated_state import MalformedUpdateError, StateHeader, StateUpdate
 from tinrudder.cluster.state_exchange import StateExchange
-from tinrudder.platform.messages import ResourceDocument
+from tinrudder.configuration_service.messages import ResourceDocument
 from tinrudder.resources.exchange import ReplicatedConfiguration
 from tinrudder.resources.store import ConfigurationStore
 from tinrudder.wire import configuration_pb2
--- a/tests/functional/test_node_configuration.py
+++ b/tests/functional/test_node_configuration.py
@@ -12,14 +12,14 @@
 from tests.support.documents import document, tenant
 from tests.support.fakes import RecordingTransport
 from tests.support.peer_network import PeerNetwork
-from tinrudder.environment import Environment
-from tinrudder.node import Node
-from tinrudder.platform.messages import (
+from tinrudder.configuration_service.messages import (
     MemberList,
     PlatformMember,
     PlatformUnavailableError,
     ResourceDocument,
 )
+from tinrudder.environment import Environment
+from tinrudder.node import Node
 from tinrudder.settings import NodeSettings
 
 
--- a/tests/functional/test_platform_client.py
+++ b/tests/functional/test_platform_client.py
@@ -10,10 +10,14 @@
 import uvicorn
 
 from tests.support.documents import document, tenant
-from tinrudder.platform import client as client_module
-from tinrudder.platform.client import PlatformClient
-from tinrudder.platform.messages import MemberList, PlatformMember, PlatformUnavailableError
-from tinrudder.platform.writer import (
+from tinrudder.configuration_service import client as client_module
+from tinrudder.configuration_service.client import PlatformClient
+from tinrudder.configuration_service.messages import (
+    MemberList,
+    PlatformMember,
+    PlatformUnavailableError,
+)
+from tinrudder.configuration_service.writer import (
     PlatformWriteError,
     PlatformWriter,
     ResourceBatch,
--- a/tests/functional/test_serve.py
+++ b/tests/functional/test_serve.py
@@ -18,7 +18,12 @@
 import trustme
 import uvicorn
 
-from tinrudder.platform.messages import MemberList, PlatformMember, RawResource, ResourceDocument
+from tinrudder.configuration_service.messages import (
+    MemberList,
+    PlatformMember,
+    RawResource,
+    ResourceDocument,
+)
 from tinrudder.resources.model import BackendSpec, Kind
 from tinrudder_lab.backend_model import BackendBehaviour, BackendModel
 from tinrudder_lab.backend_server import serve_model
--- a/tests/probe/test_relay_faults.py
+++ b/tests/probe/test_relay_faults.py
@@ -19,7 +19,7 @@
     run,
     slowest_s,
 )
-from tinrudder.platform.messages import MemberState
+from tinrudder.configuration_service.messages import MemberState
 from tinrudder.routing.coordinator_set import SLOT_HEADROOM
 from tinrudder_lab import faults
 from tinrudder_lab.checkers.all import check_history
--- a/tests/support/documents.py
+++ b/tests/support/documents.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from tinrudder.platform.messages import RawResource, ResourceDocument
+from tinrudder.configuration_service.messages import RawResource, ResourceDocument
 from tinrudder.resources.model import Kind
 
 
--- a/tests/unit/test_acceptance.py
+++ b/tests/unit/test_acceptance.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from tests.support.documents import document, tenant
-from tinrudder.platform.messages import ResourceDocument
+from tinrudder.configuration_service.messages import ResourceDocument
 from tinrudder.resources.accepted import join_states
 from tinrudder.resources.store import ConfigurationStore
 from tinrudder.resources.validation import state_of_document, version_of
--- a/tests/unit/test_validation.py
+++ b/tests/unit/test_validation.py
@@ -10,7 +10,7 @@
 from hypothesis import given
 
 from tests.support.documents import document, resource, small_deployment, tenant
-from tinrudder.platform.messages import RawResource, ResourceDocument
+from tinrudder.configuration_service.messages import RawResource, ResourceDocument
 from tinrudder.resources import validation
 from tinrudder.resources.model import Kind
 from tinrudder.resources.rules import PolicyNames
--- a/tinrudder/api/resource_app.py
+++ b/tinrudder/api/resource_app.py
@@ -24,8 +24,8 @@
 )
 from tinrudder.api.resource_visibility import Snapshot, may_see, visible_keys
 from tinrudder.api.resource_watch import ResourceWatch, WatchRequest
-from tinrudder.platform.messages import RawResource, ResourceDocument
-from tinrudder.platform.writer import ResourceBatch
+from tinrudder.configuration_service.messages import RawResource, ResourceDocument
+from tinrudder.configuration_service.writer import ResourceBatch
 from tinrudder.resources.accepted import ResourceKey
 from tinrudder.resources.status import StatusReporter
 from tinrudder.resources.store import ConfigurationStore
--- a/tinrudder/cli/apply.py
+++ b/tinrudder/cli/apply.py
@@ -18,7 +18,11 @@
 from tinrudder.cli.output import add_output_flag, print_json, print_table, wants_json
 from tinrudder.cli.resource_file import ResourceFile, load_resource_file
 from tinrudder.cli.validate import validate_at_node
-from tinrudder.platform.writer import PlatformWriteError, PlatformWriter, ResourceWriter
+from tinrudder.configuration_service.writer import (
+    PlatformWriteError,
+    PlatformWriter,
+    ResourceWriter,
+)
 from tinrudder.resources.status import ConditionType
 
 POLL_INTERVAL_S = 0.25
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -26,6 +26,7 @@
 from tinrudder.api.resource_routes import resource_routes
 from tinrudder.backends.http_transport import HttpBackendTransport
 from tinrudder.cli.tls_edges import build_edges, follow_files
+from tinrudder.configuration_service.client import PlatformClient
 from tinrudder.environment import DEVELOPMENT_CLUSTER_KEYS, Environment
 from tinrudder.garbage_collection import tune_garbage_collection
 from tinrudder.logs import configure_logs, log_problem
@@ -33,7 +34,6 @@
 from tinrudder.node import Node
 from tinrudder.node_explain import NodeExplanations
 from tinrudder.node_metrics import show_node
-from tinrudder.platform.client import PlatformClient
 from tinrudder.settings import (
     NodeSettings,
     SettingsError,
--- a/tinrudder/cli/validate.py
+++ b/tinrudder/cli/validate.py
@@ -13,7 +13,7 @@
 from tinrudder.cli.exit_codes import CommandError, ExitCode
 from tinrudder.cli.output import add_output_flag, print_json, print_table, wants_json
 from tinrudder.cli.resource_file import ResourceFile, load_resource_file
-from tinrudder.platform.writer import ResourceBatch
+from tinrudder.configuration_service.writer import ResourceBatch
 from tinrudder.resources.rules import PolicyNames
 from tinrudder.resources.validation import DocumentRefusedError, problems_of
 from tinrudder.routing.registry import names_by_role
--- a/tinrudder/platform/client.py
+++ b/tinrudder/configuration_service/client.py
@@ -10,7 +10,11 @@
 from aiosonic.exceptions import AiosonicError
 from aiosonic.timeout import Timeouts
 
-from tinrudder.platform.messages import MemberList, PlatformUnavailableError, ResourceDocument
+from tinrudder.configuration_service.messages import (
+    MemberList,
+    PlatformUnavailableError,
+    ResourceDocument,
+)
 
 REQUEST_TIMEOUT_S = 2.0
 MAX_ANSWER_BYTES = 64 * 1024 * 1024
--- a/tinrudder/platform/member_view.py
+++ b/tinrudder/configuration_service/member_view.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from tinrudder.cluster.membership_list import ListedMember
+from tinrudder.configuration_service.messages import MemberList, MemberState, PlatformMember
 from tinrudder.peers import PeerAddress
-from tinrudder.platform.messages import MemberList, MemberState, PlatformMember
 
 
 def listed_members(members: MemberList) -> tuple[ListedMember, ...]:
--- a/tinrudder/environment.py
+++ b/tinrudder/environment.py
@@ -12,8 +12,8 @@
 from typing import Protocol
 
 from tinrudder.backends.messages import BackendCall, BackendReply
+from tinrudder.configuration_service.messages import MemberList, ResourceDocument
 from tinrudder.peers import PeerTransport
-from tinrudder.platform.messages import MemberList, ResourceDocument
 from tinrudder.timers import Timers, WallClock
 
 DEVELOPMENT_CLUSTER_KEYS = (b"development",)
--- a/tinrudder/node.py
+++ b/tinrudder/node.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from tinrudder.cluster.view import MemberStatus, MemberView, build_view
+from tinrudder.configuration_service.messages import PlatformUnavailableError
 from tinrudder.environment import Environment
 from tinrudder.lifecycle import NodeLifecycle
 from tinrudder.logs import LogValue, log_event, log_problem
@@ -14,7 +15,6 @@
 from tinrudder.node_membership import NodeMembership
 from tinrudder.node_observations import NodeObservations
 from tinrudder.outcomes import Outcome
-from tinrudder.platform.messages import PlatformUnavailableError
 from tinrudder.query.admission_gate import AdmissionGate
 from tinrudder.query.at_most_once import OperationRunner
 from tinrudder.query.coordinator import Coordinator
--- a/tinrudder/node_claims.py
+++ b/tinrudder/node_claims.py
@@ -6,9 +6,9 @@
 from tinrudder.cluster.claims_service import ClaimNode, ClaimsService
 from tinrudder.cluster.electorate import Voter
 from tinrudder.cluster.electorate_history import ListedVoter
+from tinrudder.configuration_service.messages import MemberList, MemberState, PlatformMember
 from tinrudder.environment import Environment
 from tinrudder.peers import PeerAddress
-from tinrudder.platform.messages import MemberList, MemberState, PlatformMember
 from tinrudder.query.operation_outcomes import OperationOutcomes
 from tinrudder.settings import NodeSettings
 from tinrudder.wire.channels import Channel, ChannelRouter
--- a/tinrudder/resources/store.py
+++ b/tinrudder/resources/store.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tinrudder.platform.messages import ResourceDocument
+from tinrudder.configuration_service.messages import ResourceDocument
 from tinrudder.resources.accepted import EMPTY_STATE, AcceptedState, join_states
 from tinrudder.resources.change_log import ChangeLog
 from tinrudder.resources.configuration import Configuration, build_configuration
--- a/tinrudder/resources/validation.py
+++ b/tinrudder/resources/validation.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from tinrudder.platform.messages import RawResource, ResourceDocument
+from tinrudder.configuration_service.messages import RawResource, ResourceDocument
 from tinrudder.resources.accepted import (
     AcceptedResource,
     AcceptedState,
--- a/tinrudder_lab/deployment.py
+++ b/tinrudder_lab/deployment.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from tinrudder.platform.messages import PlatformMember, RawResource
+from tinrudder.configuration_service.messages import PlatformMember, RawResource
 from tinrudder.resources.model import (
     AnySpec,
     BackendSpec,
--- a/tinrudder_lab/faults.py
+++ b/tinrudder_lab/faults.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from tinrudder.platform.messages import MemberState
+from tinrudder.configuration_service.messages import MemberState
 from tinrudder.resources.model import (
     AnySpec,
     BackendSpec,
--- a/tinrudder_lab/hollow_node.py
+++ b/tinrudder_lab/hollow_node.py
@@ -13,8 +13,8 @@
 from tinrudder.cluster.membership_protocol import MemberChanged
 from tinrudder.cluster.state_exchange import StateExchange
 from tinrudder.cluster.view import Member, MemberStatus
+from tinrudder.configuration_service.messages import ResourceDocument
 from tinrudder.peers import DatagramHandler, PeerAddress, RequestHandler
-from tinrudder.platform.messages import ResourceDocument
 from tinrudder.resources.exchange import ReplicatedConfiguration
 from tinrudder.resources.store import ConfigurationStore
 from tinrudder.wire.channels import Channel, ChannelRouter
--- a/tinrudder_lab/hollow_worker.py
+++ b/tinrudder_lab/hollow_worker.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from tinrudder.cluster.membership_list import ListedMember
+from tinrudder.configuration_service.messages import RawResource, ResourceDocument
 from tinrudder.peers import PeerAddress
-from tinrudder.platform.messages import RawResource, ResourceDocument
 from tinrudder.resources.model import Kind, TenantSpec
 from tinrudder_lab.hollow_messages import (
     Ask,
--- a/tinrudder_lab/process_mode/run.py
+++ b/tinrudder_lab/process_mode/run.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from tinrudder.platform.messages import MemberState
+from tinrudder.configuration_service.messages import MemberState
 from tinrudder.resources.model import AnySpec, Kind
 from tinrudder_lab.backend_server import ControlMessage
 from tinrudder_lab.deployment import LOOPBACK
--- a/tinrudder_lab/sightings.py
+++ b/tinrudder_lab/sightings.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from tinrudder.backends.messages import SearchRequest
-from tinrudder.platform.messages import ResourceDocument
+from tinrudder.configuration_service.messages import ResourceDocument
 from tinrudder.resources.model import IndexSpec, Kind, ServiceSpec
 from tinrudder_lab.history import CallSeen, CallStage, VersionPublished, operation_name
 
--- a/tinrudder_lab/sim/platform.py
+++ b/tinrudder_lab/sim/platform.py
@@ -5,7 +5,11 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from tinrudder.platform.messages import MemberList, PlatformUnavailableError, ResourceDocument
+from tinrudder.configuration_service.messages import (
+    MemberList,
+    PlatformUnavailableError,
+    ResourceDocument,
+)
 from tinrudder_lab.platform_server import PlatformState
 from tinrudder_lab.sim.loop import Machine
 from tinrudder_lab.sim.network import ACROSS_ZONES_S, Network, Place
--- a/tinrudder_lab/sim/world.py
+++ b/tinrudder_lab/sim/world.py
@@ -10,8 +10,13 @@
 import msgspec
 
 from tinrudder.backends.messages import SearchRequest
+from tinrudder.configuration_service.messages import (
+    MemberList,
+    MemberState,
+    PlatformMember,
+    ResourceDocument,
+)
 from tinrudder.peers import PeerAddress
-from tinrudder.platform.messages import MemberList, MemberState, PlatformMember, ResourceDocument
 from tinrudder.resources.model import IndexSpec, Kind
 from tinrudder_lab.backend_model import BackendBehaviour, BackendModel
 from tinrudder_lab.datasets import ShardStore
