--- /dev/null
+++ b/tinrudder/cli/gateway.py
@@ -0,0 +1,117 @@
+"""``tinrudder gateway``: run one gateway on the users' platform.
+
+Also runs as ``python3 -m tinrudder.cli.gateway``, which imports nothing of the other commands.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+from tinrudder.cli.exit_codes import ExitCode
+from tinrudder.garbage_collection import tune_garbage_collection
+from tinrudder.gateway.model import Address, GatewaySettings, SettingsFileError
+from tinrudder.gateway.node import GatewayNode
+from tinrudder.gateway.stored_values import ValueDecoders
+from tinrudder.log_stream import BoundedLineStream
+from tinrudder.logs import configure_logs, log_problem
+from tinrudder.platform.documents import decode_backend, decode_configuration
+from tinrudder.platform.headers import HEADERS
+from tinrudder.platform.settings_file import SETTINGS_VARIABLE, load_gateway_settings
+from tinrudder.platform.store_client import StoreClient
+
+STANDARD_OUTPUT = 1
+SETTINGS_LOOK_S = 1.0
+DECODERS = ValueDecoders(decode_configuration, decode_backend)
+
+
+def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser("gateway", help="run a gateway on the users' platform")
+    add_flags(parser)
+    parser.set_defaults(run=run)
+
+
+def add_flags(parser: argparse.ArgumentParser) -> None:
+    """Add the command's flags."""
+    parser.add_argument(
+        "--settings",
+        type=Path,
+        help=f"the platform's settings file; default: the variable {SETTINGS_VARIABLE}",
+    )
+    parser.add_argument("--metrics-port", type=int, default=0, help="serve /metrics there")
+    parser.add_argument("--check", action="store_true", help="check the settings and end")
+    parser.add_argument("--log-level", default="INFO", help="INFO, or WARNING for problems only")
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Run until told to stop."""
+    path = arguments.settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = load_gateway_settings(path)
+    except SettingsFileError as error:
+        print(f"tinrudder gateway: {error}", file=sys.stderr)
+        return ExitCode.USAGE
+    if arguments.check:
+        print(f"{settings.name}: settings are valid")
+        return ExitCode.OK
+    stream = BoundedLineStream(STANDARD_OUTPUT)
+    configure_logs(settings.name, arguments.log_level, stream)
+    asyncio.run(_serve(settings, path, arguments.metrics_port))
+    return ExitCode.OK
+
+
+async def _serve(settings: GatewaySettings, path: Path, metrics_port: int) -> None:
+    """Run the node; signals stop it or have the settings read again."""
+    metrics = Address(settings.clients.host, metrics_port) if metrics_port else None
+    node = GatewayNode(settings, HEADERS, DECODERS, StoreClient, metrics)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, node.request_stop)
+    loop.add_signal_handler(signal.SIGINT, node.request_stop)
+    loop.add_signal_handler(signal.SIGHUP, _reload, node, path)
+    looking = loop.create_task(_look_for_changes(node, path))
+    tune_garbage_collection()
+    await node.run()
+    looking.cancel()
+
+
+def _reload(node: GatewayNode, path: Path) -> None:
+    """Read the settings again; broken ones change nothing."""
+    try:
+        node.reload(load_gateway_settings(path))
+    except SettingsFileError as error:
+        log_problem("settings_refused", {"detail": str(error)})
+
+
+async def _look_for_changes(node: GatewayNode, path: Path) -> None:
+    """Read the settings again when the file changes without a signal."""
+    seen = _modified_ns(path)
+    while True:
+        await asyncio.sleep(SETTINGS_LOOK_S)
+        modified = _modified_ns(path)
+        if modified != seen:
+            seen = modified
+            _reload(node, path)
+
+
+def _modified_ns(path: Path) -> int:
+    """Return when a file was last changed; 0 if that cannot be told."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
+def main() -> int:
+    """Run this one command."""
+    parser = argparse.ArgumentParser(prog="tinrudder gateway", description=__doc__)
+    add_flags(parser)
+    return run(parser.parse_args())
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tinrudder/cli/main.py
+++ b/tinrudder/cli/main.py
@@ -12,6 +12,7 @@
     completion,
     diff,
     explain,
+    gateway,
     get,
     nodes,
     query,
@@ -20,7 +21,19 @@
     watch,
 )
 
-SUBCOMMANDS = (serve, check_settings, validate, diff, apply, get, watch, nodes, query, explain)
+SUBCOMMANDS = (
+    serve,
+    gateway,
+    check_settings,
+    validate,
+    diff,
+    apply,
+    get,
+    watch,
+    nodes,
+    query,
+    explain,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- /dev/null
+++ b/tinrudder/gateway/answer_reader.py
@@ -0,0 +1,166 @@
+"""Reads one HTTP/1.1 answer at a time and says whether its connection may be used again.
+
+httptools splits the bytes; what it leaves open stands here: answers that end with their
+connection, answers to HEAD, interim answers, and bytes behind a whole answer.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import httptools
+
+from tinrudder.gateway.messages import Header, HttpAnswer
+
+MAX_HEAD_BYTES = 64 * 1024
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+STATUSES_WITHOUT_BODY = (204, 304)
+HTTP_VERSION_WITH_KEEP_ALIVE = "1.1"
+
+
+class ReadState(enum.Enum):
+    """How far an answer has come."""
+
+    READING = "reading"
+    COMPLETE = "complete"
+    UNREADABLE = "unreadable"
+
+
+class AnswerReader:
+    """Takes the bytes of one answer.
+
+    Use a new one for each answer; its cost is one parser object.
+
+    >>> reader = AnswerReader(body_expected=True)
+    >>> reader.feed(b"HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nok")
+    <ReadState.COMPLETE: 'complete'>
+    >>> reader.answer.body, reader.reusable
+    (b'ok', True)
+    """
+
+    def __init__(self, *, body_expected: bool) -> None:
+        """Begin; ``body_expected`` is false for an answer to HEAD."""
+        self.state = ReadState.READING
+        self.reusable = False
+        self.detail = ""
+        self._body_expected = body_expected
+        self._parser = httptools.HttpResponseParser(self)
+        self._reason = b""
+        self._headers: list[Header] = []
+        self._body: list[bytes] = []
+        self._status = 0
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._head_complete = False
+        self._message_complete = False
+        self._framed = False
+        self._excess = False
+
+    @property
+    def started(self) -> bool:
+        """Tell whether any byte of the answer was read."""
+        return self._head_bytes > 0
+
+    @property
+    def answer(self) -> HttpAnswer:
+        """Return the answer, once it is complete."""
+        return HttpAnswer(self._status, self._reason, tuple(self._headers), b"".join(self._body))
+
+    def feed(self, data: bytes) -> ReadState:
+        """Take bytes as they arrive."""
+        if not self._head_complete:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self._excess = True
+            if not self._message_complete:
+                return self._fail(f"unreadable answer: {error!r}")
+        if self._message_complete:
+            return self._complete()
+        if not self._head_complete and self._head_bytes > MAX_HEAD_BYTES:
+            return self._fail("head of the answer larger than MAX_HEAD_BYTES")
+        if self._body_bytes > MAX_ANSWER_BYTES:
+            return self._fail("answer larger than MAX_ANSWER_BYTES")
+        return self.state
+
+    def end_of_stream(self) -> ReadState:
+        """Take the orderly end of the connection: it completes an answer without a length."""
+        if self.state is not ReadState.READING:
+            return self.state
+        if self._head_complete and not self._framed:
+            self.state = ReadState.COMPLETE
+            return self.state
+        return self._fail("the connection ended inside the answer")
+
+    def on_message_begin(self) -> None:
+        """Notice bytes behind a whole answer (called by the parser)."""
+        if self._message_complete:
+            self._excess = True
+
+    def on_status(self, status: bytes) -> None:
+        """Collect the reason phrase (called by the parser)."""
+        if not self._message_complete:
+            self._reason += status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header (called by the parser)."""
+        if not self._message_complete:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        """Learn how the answer is framed (called by the parser)."""
+        if self._message_complete:
+            return
+        self._status = self._parser.get_status_code()
+        self._head_complete = True
+        names = {name for name, _ in self._headers}
+        self._framed = (
+            b"content-length" in names
+            or b"transfer-encoding" in names
+            or self._status in STATUSES_WITHOUT_BODY
+        )
+        if not self._body_expected:
+            self._message_complete = True
+            self._excess = True
+
+    def on_body(self, body: bytes) -> None:
+        """Collect the body (called by the parser)."""
+        if self._message_complete:
+            return
+        self._body.append(body)
+        self._body_bytes += len(body)
+
+    def on_message_complete(self) -> None:
+        """Note the end of the answer; interim answers are passed over (called by the parser)."""
+        if self._message_complete:
+            return
+        if self._status < 200:
+            self._forget_interim()
+            return
+        self._message_complete = True
+        self.reusable = (
+            self._parser.should_keep_alive()
+            and self._parser.get_http_version() == HTTP_VERSION_WITH_KEEP_ALIVE
+            and self._framed
+        )
+
+    def _forget_interim(self) -> None:
+        """Make room for the answer behind an interim one."""
+        self._headers.clear()
+        self._reason = b""
+        self._head_complete = False
+
+    def _complete(self) -> ReadState:
+        """End with a whole answer."""
+        if self._excess:
+            self.reusable = False
+        self.state = ReadState.COMPLETE
+        return self.state
+
+    def _fail(self, detail: str) -> ReadState:
+        """End without one."""
+        self.reusable = False
+        self.detail = detail
+        self.state = ReadState.UNREADABLE
+        return self.state
--- /dev/null
+++ b/tinrudder/gateway/backend_directory.py
@@ -0,0 +1,160 @@
+"""The back ends of each service with their connections and observations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tinrudder.gateway.messages import (
+    Answered,
+    Broken,
+    CallOutcome,
+    HttpAnswer,
+    Rejected,
+    UpstreamCall,
+    header_value,
+)
+from tinrudder.gateway.model import Address, BackendEntry, HeaderNames
+from tinrudder.gateway.shared_state import SharedState
+from tinrudder.gateway.upstream_pool import UpstreamPool
+from tinrudder.routing.backend_observations import BackendObservations
+
+WRONG_BACKEND_STATUS = 421
+CONNECTION_SAFETY = 0.9
+LAST_RESORT_SHARE = 0.5
+
+
+@dataclass(slots=True, eq=False)
+class Backend:
+    """One start of one back end, as this process sees it.
+
+    :param leaving_since: when this process learned that it takes no new work; ``None`` before.
+    """
+
+    entry: BackendEntry
+    pool: UpstreamPool
+    observations: BackendObservations = field(default_factory=BackendObservations)
+    leaving_since: float | None = None
+    readdressed: bool = False
+
+    @property
+    def backend_id(self) -> str:
+        """Return the id."""
+        return self.entry.backend_id
+
+
+class BackendDirectory:
+    """Follows the shared state; a back end's connections close when it is gone."""
+
+    def __init__(
+        self,
+        state: SharedState,
+        headers: HeaderNames,
+        clock: Callable[[], float],
+        drain_s: float,
+        count_connection: Callable[[], None],
+        nodes: Callable[[], int],
+    ) -> None:
+        """Follow ``state``; ``nodes`` tells how many gateways share each back end."""
+        self._state = state
+        self._headers = headers
+        self._clock = clock
+        self._last_resort_s = drain_s * LAST_RESORT_SHARE
+        self._count_connection = count_connection
+        self._nodes = nodes
+        self._backends: dict[str, Backend] = {}
+        self._services: dict[str, list[Backend]] = {}
+        state.subscribe(self.refresh)
+
+    def __len__(self) -> int:
+        """Return how many back ends are known and not gone."""
+        return len(self._backends)
+
+    def refresh(self) -> None:
+        """Take over what the shared state says now."""
+        gone = set(self._backends)
+        for key, known in self._state.backends.items():
+            gone.discard(key)
+            backend = self._backends.get(key)
+            if backend is None:
+                if known.removed:
+                    continue
+                backend = self._add(key, known.entry, known.since)
+            backend.entry = known.entry
+            backend.leaving_since = known.since if known.leaving else None
+        for key in gone:
+            self._drop(key)
+        self._set_connection_limits()
+
+    def usable(self, service: str) -> list[Backend]:
+        """Return the back ends that may get new work.
+
+        Those that are leaving are a last resort, for a part of the time that they still serve:
+        entries can lapse while the store is down although every back end lives.
+        """
+        backends = self._services.get(service, [])
+        staying = [backend for backend in backends if backend.leaving_since is None]
+        if staying:
+            return staying
+        horizon = self._clock() - self._last_resort_s
+        return [
+            backend
+            for backend in backends
+            if backend.leaving_since is not None and backend.leaving_since >= horizon
+        ]
+
+    def may_receive(self, backend: Backend) -> bool:
+        """Tell whether a call may still leave for a back end that was chosen earlier."""
+        if backend.leaving_since is None:
+            return not backend.readdressed
+        return backend.leaving_since >= self._clock() - self._last_resort_s
+
+    def trim(self) -> None:
+        """Close connections that back ends are about to close, and adapt their numbers."""
+        self._set_connection_limits()
+        for backend in self._backends.values():
+            backend.pool.trim()
+
+    def check_answer(self, call: UpstreamCall, answer: HttpAnswer) -> CallOutcome:
+        """Tell a back end's answer to this call from a rejection and from foreign bytes."""
+        names = self._headers
+        if header_value(answer.headers, names.request_id) != call.request_id:
+            return Broken("the answer names another request")
+        if answer.status == WRONG_BACKEND_STATUS:
+            return Rejected(answer.status, wrong_backend=True)
+        if header_value(answer.headers, names.not_run) is not None:
+            return Rejected(answer.status)
+        if answer.successful:
+            if header_value(answer.headers, names.stamp) is None:
+                return Broken("a success without a signature")
+            if header_value(answer.headers, b"content-encoding") is not None:
+                return Broken("an encoded body was not asked for")
+        return Answered(answer)
+
+    def _add(self, key: str, entry: BackendEntry, since: float) -> Backend:
+        """Begin with a back end that was not known."""
+        address = Address(entry.host, entry.port)
+        pool = UpstreamPool(address, self.check_answer, self._count_connection)
+        observations = BackendObservations(slots=entry.slots, cold_until=since + entry.cold_left_s)
+        backend = Backend(entry, pool, observations)
+        self._backends[key] = backend
+        self._services.setdefault(entry.service, []).append(backend)
+        return backend
+
+    def _drop(self, key: str) -> None:
+        """Forget a back end; calls in progress end by themselves."""
+        backend = self._backends.pop(key)
+        self._services[backend.entry.service].remove(backend)
+        backend.pool.close()
+
+    def _set_connection_limits(self) -> None:
+        """Divide what each back end accepts among the gateways."""
+        accepted = self._state.accepted
+        if accepted is None:
+            return
+        nodes = max(1, self._nodes())
+        for backend in self._backends.values():
+            spec = accepted.configuration.services.get(backend.entry.service)
+            accepted_connections = spec.max_connections if spec is not None else 1
+            share = int(accepted_connections * CONNECTION_SAFETY / nodes)
+            backend.pool.max_connections = max(1, share)
--- /dev/null
+++ b/tinrudder/gateway/fetch.py
@@ -0,0 +1,39 @@
+"""A plain request with one answer, for servers that are no back ends."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tinrudder.gateway.messages import Answered, CallOutcome, HttpAnswer, UpstreamCall
+from tinrudder.gateway.upstream_pool import UpstreamPool
+
+
+class FetchError(Exception):
+    """No whole answer came."""
+
+
+async def fetch(pool: UpstreamPool, request: bytes, timeout_s: float) -> HttpAnswer:
+    """Send a request and wait for its whole answer.
+
+    :raises FetchError: none came in time; the connection is given up.
+    """
+    loop = asyncio.get_running_loop()
+    future: asyncio.Future[CallOutcome] = loop.create_future()
+
+    def on_outcome(outcome: CallOutcome) -> None:
+        if not future.done():
+            future.set_result(outcome)
+
+    call = UpstreamCall(lambda: request, b"", on_outcome, loop.time() + timeout_s)
+    pool.start(call)
+    try:
+        async with asyncio.timeout(timeout_s):
+            outcome = await future
+    except TimeoutError as error:
+        raise FetchError(f"no answer in {timeout_s} s") from error
+    finally:
+        if not call.finished:
+            pool.cancel(call)
+    if isinstance(outcome, Answered):
+        return outcome.answer
+    raise FetchError(str(outcome))
--- /dev/null
+++ b/tinrudder/gateway/forwarding.py
@@ -0,0 +1,80 @@
+"""What all requests of a gateway share: back ends, budgets, latencies, names, clock."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tinrudder.gateway.backend_directory import Backend, BackendDirectory
+from tinrudder.gateway.model import HeaderNames, RepeatBounds, Route
+from tinrudder.routing.latency_window import LatencyWindow
+from tinrudder.routing.repeat_budget import RepeatBudget
+
+
+@dataclass(slots=True)
+class ForwardingCounters:
+    """Counts since the start of the process."""
+
+    requests: int = 0
+    calls: int = 0
+    hedges: int = 0
+    retries: int = 0
+    repeats_denied: int = 0
+    rejections: int = 0
+    broken: int = 0
+    connections_opened: int = 0
+    clients_left: int = 0
+
+
+@dataclass(slots=True)
+class Forwarding:
+    """Everything a request needs besides its own state.
+
+    :param nodes: tells how many gateways share budgets and back ends.
+    """
+
+    loop: asyncio.AbstractEventLoop
+    names: HeaderNames
+    zone: str
+    directory: BackendDirectory
+    bounds: RepeatBounds
+    nodes: Callable[[], int]
+    started_at: float
+    counters: ForwardingCounters = field(default_factory=ForwardingCounters)
+    _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
+    _latencies: dict[str, LatencyWindow] = field(default_factory=dict)
+
+    def budget(self, service: str) -> RepeatBudget:
+        """Return a service's repeat budget."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self.bounds
+            budget = RepeatBudget(bounds.ratio, bounds.extra, bounds.window_s, self.started_at)
+            self._budgets[service] = budget
+        return budget
+
+    def latency(self, route: Route) -> LatencyWindow:
+        """Return the latencies of a route's calls."""
+        window = self._latencies.get(route.name)
+        if window is None:
+            window = LatencyWindow()
+            self._latencies[route.name] = window
+        return window
+
+    def forget_unused(self, services: frozenset[str], routes: frozenset[str]) -> None:
+        """Drop what belongs to services and routes that no configuration names any more."""
+        for service in self._budgets.keys() - services:
+            del self._budgets[service]
+        for route in self._latencies.keys() - routes:
+            del self._latencies[route]
+
+    def choose(self, candidates: list[Backend], now: float) -> Backend:
+        """Return the most promising back end."""
+        zone = self.zone
+        return min(
+            candidates,
+            key=lambda backend: backend.observations.cost(
+                now, same_zone=backend.entry.zone == zone
+            ),
+        )
--- /dev/null
+++ b/tinrudder/gateway/model.py
@@ -0,0 +1,191 @@
+"""What a gateway is configured with, in the product's own terms.
+
+An adapter (``tinrudder.platform``) makes these values from whatever an operator's platform stores.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class WeightedService:
+    """A service and its part of a route's requests."""
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Which requests go where, and how they are treated.
+
+    :param path_prefix: begins and ends with a slash.
+    :param repeatable: whether a request may run more than once.
+    :param timeout_s: the longest time a request is held.
+    :param objective_s: the time within which an answer is worth most.
+    :param attempts: the most back ends that one request may be sent to, for each shard.
+    :param priority: 0 is the most urgent.
+    :param services: where requests go, by weight; empty for a scatter.
+    :param shards: the services that a scatter asks, each one a shard; empty otherwise.
+    :param top_records: how many of the greatest records a scatter returns.
+    :param minimum_share: the least share of the shards that makes an answer.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    repeatable: bool
+    timeout_s: float
+    objective_s: float
+    attempts: int
+    priority: int
+    services: tuple[WeightedService, ...] = ()
+    shards: tuple[str, ...] = ()
+    top_records: int = 0
+    minimum_share: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceSpec:
+    """A service.
+
+    :param max_connections: what one of its back ends accepts from all gateways together.
+    """
+
+    name: str
+    max_connections: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What a client may send, bytes, and how long it may take or rest, seconds."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayConfiguration:
+    """One complete configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, ServiceSpec]
+    limits: ClientLimits = field(default_factory=ClientLimits)
+
+
+@dataclass(frozen=True, slots=True)
+class BackendEntry:
+    """A back end as it describes itself.
+
+    :param backend_id: new at every start of the back end.
+    :param slots: requests that it works on at the same time.
+    :param leaving: it has announced its end and takes no new work.
+    :param cold_left_s: how much longer it stays slow.
+    """
+
+    backend_id: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    slots: int
+    leaving: bool
+    cold_left_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """Names of the headers that gateways, clients and back ends agree on, in lower case.
+
+    :param request_id: given by the client, echoed by the back end.
+    :param deadline_ms: how long the sender will wait, milliseconds.
+    :param stamp: a back end's signature of its answer.
+    :param expected_backend: the id of the only back end that may run the request.
+    :param load: running, waiting and slots of a back end.
+    :param not_run: a back end's word that it did not run the request.
+    :param parts: signatures of the parts of a merged answer.
+    :param missing_parts: how many shards a merged answer lacks.
+    """
+
+    request_id: bytes
+    deadline_ms: bytes
+    stamp: bytes
+    expected_backend: bytes
+    load: bytes
+    not_run: bytes
+    parts: bytes
+    missing_parts: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """An IP address and a port.
+
+    >>> str(Address.parse("10.0.0.1:80"))
+    '10.0.0.1:80'
+    """
+
+    host: str
+    port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read ``HOST:PORT``.
+
+        :raises ValueError: the text has no such form.
+        """
+        host, separator, port = text.rpartition(":")
+        if not separator or not host:
+            raise ValueError(f"{text!r} is not HOST:PORT")
+        return cls(host, int(port))
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class RepeatBounds:
+    """How many calls beyond the first of each request a service may get from all gateways.
+
+    :param ratio: part of the requests for the service.
+    :param extra: calls on top, in every window.
+    :param window_s: length of the sliding window, seconds.
+    """
+
+    ratio: float = 0.1
+    extra: float = 10.0
+    window_s: float = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Settings of one gateway process.
+
+    :param name: of the machine.
+    :param clients: where clients connect; ``health``: where readiness is asked.
+    :param peers: where other gateways reach this one, TCP and UDP; ``None``: it has no peers.
+    :param seeds: peer addresses of some gateways, perhaps stale.
+    :param store: the platform's metadata store.
+    :param drain_s: how long a leaving back end still serves.
+    :param stop_grace_s: time between the request to stop and the forced end.
+    """
+
+    name: str
+    zone: str
+    clients: Address
+    health: Address
+    peers: Address | None
+    seeds: tuple[Address, ...]
+    store: Address
+    drain_s: float = 3.0
+    stop_grace_s: float = 6.0
+    repeats: RepeatBounds = field(default_factory=RepeatBounds)
+
+
+class SettingsFileError(Exception):
+    """The settings break a rule; the text names the field and the rule."""
--- /dev/null
+++ b/tinrudder/gateway/node.py
@@ -0,0 +1,226 @@
+"""One gateway process: its parts, and its life from start to planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from tinrudder.gateway.backend_directory import BackendDirectory
+from tinrudder.gateway.client_connection import ClientConnection, RequestHandler
+from tinrudder.gateway.forwarding import Forwarding, ForwardingCounters
+from tinrudder.gateway.gateway_metrics import GatewayMetrics
+from tinrudder.gateway.model import Address, GatewaySettings, HeaderNames
+from tinrudder.gateway.peer_exchange import PeerExchange
+from tinrudder.gateway.peer_list import PeerList
+from tinrudder.gateway.plain_answers import PlainHandler, readiness_answer, text_answer
+from tinrudder.gateway.request_handler import RequestHandler as ForwardingHandler
+from tinrudder.gateway.request_log import FinishedRequest, log_request
+from tinrudder.gateway.shared_state import SharedState
+from tinrudder.gateway.store_follower import StoreFollower
+from tinrudder.gateway.stored_values import MetadataStore, Topic, ValueDecoders
+from tinrudder.lifecycle import NodeLifecycle
+from tinrudder.logs import LogValue, log_event, log_problem
+
+HOUSEKEEPING_S = 1.0
+LEAVE_S = 2.6
+EXIT_MARGIN_S = 0.4
+LAST_LOOK_S = 0.05
+LISTEN_BACKLOG = 1024
+
+StoreFactory = Callable[[Address, Callable[[], None]], MetadataStore]
+
+
+class GatewayNode:
+    """Serves clients until it is told to stop."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        names: HeaderNames,
+        decoders: ValueDecoders,
+        make_store: StoreFactory,
+        metrics_address: Address | None = None,
+    ) -> None:
+        """Wire everything together; nothing runs before :meth:`run`."""
+        self.settings = settings
+        self.lifecycle = NodeLifecycle()
+        loop = asyncio.get_running_loop()
+        self._loop = loop
+        self._random = random.Random(settings.name)
+        self._stop_requested = asyncio.Event()
+        self._connections: set[ClientConnection] = set()
+        self._servers: list[asyncio.Server] = []
+        self._metrics_address = metrics_address
+        own = settings.peers or settings.clients
+        self.peers = PeerList(own, self._random)
+        self.peers.set_seeds(settings.seeds)
+        self.state = SharedState(decoders, loop.time, self._on_unreadable)
+        self.counters = ForwardingCounters()
+        self.directory = BackendDirectory(
+            self.state, names, loop.time, settings.drain_s, self._count_connection, self.nodes
+        )
+        self.forwarding = Forwarding(
+            loop=loop,
+            names=names,
+            zone=settings.zone,
+            directory=self.directory,
+            bounds=settings.repeats,
+            nodes=self.nodes,
+            started_at=loop.time(),
+            counters=self.counters,
+        )
+        self.metrics = GatewayMetrics(self)
+        self.handler = ForwardingHandler(
+            self.forwarding, self.state, self._on_finished, self._random
+        )
+        self.store_calls = 0
+        store = make_store(settings.store, self._count_store_call)
+        self._followers = [
+            StoreFollower(topic, store, self.state, self._on_reachability) for topic in Topic
+        ]
+        self._exchange: PeerExchange | None = None
+        if settings.peers is not None:
+            self._exchange = PeerExchange(settings.peers, self.state, self.peers, self._on_pull)
+        self._logged_version = 0
+        self.state.subscribe(self._on_state_change)
+
+    def nodes(self) -> int:
+        """Return how many gateways there seem to be."""
+        return self.peers.nodes(self._loop.time())
+
+    def request_stop(self) -> None:
+        """Begin a planned stop; :meth:`run` returns when it is over."""
+        self._stop_requested.set()
+
+    def reload(self, settings: GatewaySettings) -> None:
+        """Take over what may change while the process runs: the seeds."""
+        self.peers.set_seeds(settings.seeds)
+        log_event("reloaded", {"seeds": len(settings.seeds)})
+
+    async def run(self) -> None:
+        """Serve until a stop is requested, then finish what is in progress.
+
+        :raises OSError: an address of the settings is taken.
+        """
+        await self._start()
+        await self._stop_requested.wait()
+        await self._stop()
+
+    async def _start(self) -> None:
+        """Listen on every address and begin to learn."""
+        settings = self.settings
+        ready = PlainHandler(lambda: readiness_answer(self.lifecycle.is_ready()))
+        await self._listen(settings.health, ready, set())
+        await self._listen(settings.clients, self.handler, self._connections)
+        if self._metrics_address is not None:
+            figures = PlainHandler(lambda: text_answer(self.metrics.render()))
+            await self._listen(self._metrics_address, figures, set())
+        if self._exchange is not None:
+            await self._exchange.start()
+        self._tasks = [self._loop.create_task(follower.run()) for follower in self._followers]
+        self._tasks.append(self._loop.create_task(self._keep_house()))
+        log_event("started", {"clients": str(settings.clients), "zone": settings.zone})
+
+    async def _listen(
+        self, address: Address, handler: RequestHandler, connections: set[ClientConnection]
+    ) -> None:
+        """Accept connections for a handler."""
+        server = await self._loop.create_server(
+            lambda: ClientConnection(handler, connections),
+            address.host,
+            address.port,
+            backlog=LISTEN_BACKLOG,
+            reuse_address=True,
+        )
+        self._servers.append(server)
+
+    async def _stop(self) -> None:
+        """Say that this gateway leaves, serve what still arrives, finish, and close."""
+        stopped_at = self._loop.time()
+        self.lifecycle.trigger("leave")
+        self.handler.closing = True
+        log_event("stopping", {"in_progress": self.handler.in_progress})
+        if self._exchange is not None:
+            self._exchange.leaving = True
+        await asyncio.sleep(min(LEAVE_S, self.settings.stop_grace_s / 2))
+        self.lifecycle.trigger("drain")
+        last_moment = stopped_at + self.settings.stop_grace_s - EXIT_MARGIN_S
+        self._close_idle()
+        while self._busy() and self._loop.time() < last_moment:
+            await asyncio.sleep(LAST_LOOK_S)
+            self._close_idle()
+        for server in self._servers:
+            server.close()
+        await asyncio.sleep(LAST_LOOK_S)
+        for task in self._tasks:
+            task.cancel()
+        if self._exchange is not None:
+            self._exchange.stop()
+        self.lifecycle.trigger("finish")
+        log_event("stopped", {"cut_off": self.handler.in_progress})
+
+    def _close_idle(self) -> None:
+        """Close connections on which nothing is in progress."""
+        for connection in tuple(self._connections):
+            connection.close_if_idle()
+
+    def _busy(self) -> bool:
+        """Tell whether a request is being read or served."""
+        return any(connection.busy for connection in self._connections)
+
+    async def _keep_house(self) -> None:
+        """Drop what has become useless."""
+        while True:
+            await asyncio.sleep(HOUSEKEEPING_S)
+            self.state.forget_old_removals()
+            self.directory.trim()
+
+    def _on_state_change(self) -> None:
+        """Become ready as soon as enough is known; log a new configuration."""
+        accepted = self.state.accepted
+        if accepted is not None and accepted.configuration.version != self._logged_version:
+            self._logged_version = accepted.configuration.version
+            fields: dict[str, LogValue] = {
+                "version": accepted.configuration.version,
+                "revision": accepted.value.revision,
+                "routes": len(accepted.configuration.routes),
+            }
+            log_event("configuration_in_force", fields)
+        if self.state.complete and self.lifecycle.is_before_ready():
+            self.lifecycle.trigger("serve")
+            log_event("ready", {"backends": len(self.directory)})
+
+    def _on_finished(self, request: FinishedRequest) -> None:
+        """Count and log one request."""
+        self.metrics.observe(request)
+        log_request(request)
+
+    def _on_reachability(self, topic: Topic, reachable: bool, detail: str) -> None:
+        """Log that the store was lost or regained."""
+        fields: dict[str, LogValue] = {"topic": topic.value, "detail": detail}
+        if reachable:
+            log_event("store_regained", fields)
+        else:
+            log_problem("store_lost", fields)
+
+    def _on_pull(self, peer: str, result: str) -> None:
+        """Log what a peer taught."""
+        fields: dict[str, LogValue] = {
+            "peer": peer,
+            "result": result,
+            "revision": self.state.configuration_revision,
+        }
+        log_event("pulled_from_peer", fields)
+
+    def _on_unreadable(self, detail: str) -> None:
+        """Log a stored value that breaks the form agreed on; the last good one stays."""
+        log_problem("unreadable_value", {"detail": detail})
+
+    def _count_connection(self) -> None:
+        """Count a connection opened to a back end."""
+        self.counters.connections_opened += 1
+
+    def _count_store_call(self) -> None:
+        """Count a call to the store."""
+        self.store_calls += 1
--- /dev/null
+++ b/tinrudder/gateway/outcomes.py
@@ -0,0 +1,121 @@
+"""Tagged outcomes of a whole request, and the one table from them to statuses.
+
+A status 408, 421, 429 or 503 promises that the request has not run and never will; 502 and 504
+promise nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tinrudder.gateway.messages import Headers, HttpAnswer
+
+STATUS_BAD_REQUEST = 400
+STATUS_NOT_FOUND = 404
+STATUS_TIMEOUT = 408
+STATUS_BODY_TOO_LARGE = 413
+STATUS_HEADER_TOO_LARGE = 431
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Relayed:
+    """A back end's own answer, unaltered."""
+
+    answer: HttpAnswer
+
+
+@dataclass(frozen=True, slots=True)
+class Merged:
+    """Parts of one configuration's shards, merged."""
+
+    body: bytes
+    stamps: tuple[bytes, ...]
+    missing: int
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """No back end ran any part of the request, and none will.
+
+    :param retry_after_s: when asking again is worth it.
+    """
+
+    detail: str
+    retry_after_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownRoute:
+    """No route of the configuration in force leads anywhere."""
+
+
+@dataclass(frozen=True, slots=True)
+class Invalid:
+    """The request breaks a rule of the protocol."""
+
+    status: int
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """A back end may have run the request, and no usable answer came."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class TimedOut:
+    """A back end may have run the request, and no answer came in time."""
+
+    detail: str
+
+
+RequestOutcome = Relayed | Merged | NotRun | UnknownRoute | Invalid | NoAnswer | TimedOut
+
+
+@dataclass(frozen=True, slots=True)
+class FinalAnswer:
+    """What a client is sent."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+    body: bytes
+
+
+def status_of(outcome: RequestOutcome) -> int:
+    """Return the status that states an outcome truthfully.
+
+    >>> status_of(NotRun("", 0.1)), status_of(NoAnswer("")), status_of(TimedOut(""))
+    (503, 502, 504)
+    """
+    match outcome:
+        case Relayed(answer=answer):
+            return answer.status
+        case Merged():
+            return 200
+        case NotRun():
+            return STATUS_UNAVAILABLE
+        case UnknownRoute():
+            return STATUS_NOT_FOUND
+        case Invalid(status=status):
+            return status
+        case NoAnswer():
+            return STATUS_BAD_GATEWAY
+        case TimedOut():
+            return STATUS_GATEWAY_TIMEOUT
--- /dev/null
+++ b/tinrudder/gateway/plain_answers.py
@@ -0,0 +1,42 @@
+"""Answers for the platform's own questions: readiness, and this process's figures."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from tinrudder.gateway.client_connection import ClientConnection
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.model import ClientLimits
+from tinrudder.gateway.outcomes import REASONS, STATUS_UNAVAILABLE, FinalAnswer
+
+OK = 200
+
+
+class PlainHandler:
+    """Answers every request at once with what a function returns."""
+
+    closing = False
+
+    def __init__(self, answer: Callable[[], FinalAnswer]) -> None:
+        """Ask ``answer`` at every request."""
+        self.limits = ClientLimits()
+        self._answer = answer
+
+    def handle(self, request: HttpRequest, connection: ClientConnection) -> PlainHandler:
+        """Answer one request."""
+        connection.answer(self._answer())
+        return self
+
+    def abandon(self) -> None:
+        """Do nothing: every request was answered at once."""
+
+
+def readiness_answer(ready: bool) -> FinalAnswer:
+    """Return 200 or 503."""
+    status = OK if ready else STATUS_UNAVAILABLE
+    return FinalAnswer(status, REASONS[status], (), b"")
+
+
+def text_answer(body: bytes) -> FinalAnswer:
+    """Return a text."""
+    return FinalAnswer(OK, REASONS[OK], ((b"content-type", b"text/plain; version=0.0.4"),), body)
--- /dev/null
+++ b/tinrudder/gateway/record_merge.py
@@ -0,0 +1,28 @@
+"""Merges parts of an answer: fixed-size records, compared byte by byte, the greatest first."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+
+RECORD_BYTES = 16
+
+
+def records_of(body: bytes) -> list[bytes]:
+    """Split a body into its records; a rest shorter than a record is none.
+
+    >>> len(records_of(b"x" * 40))
+    2
+    """
+    whole = len(body) - len(body) % RECORD_BYTES
+    return [body[start : start + RECORD_BYTES] for start in range(0, whole, RECORD_BYTES)]
+
+
+def greatest_records(bodies: Iterable[bytes], count: int) -> bytes:
+    """Return the greatest records of all bodies, joined, falling; equal records all count.
+
+    >>> greatest_records([b"a" * 16 + b"c" * 16, b"b" * 16 + b"c" * 16], 3)[::16]
+    b'ccb'
+    """
+    records = (record for body in bodies for record in records_of(body))
+    return b"".join(heapq.nlargest(count, records))
--- /dev/null
+++ b/tinrudder/gateway/request_bytes.py
@@ -0,0 +1,46 @@
+"""A client's request as it is sent to back ends: unaltered but for what the gateway sets."""
+
+from __future__ import annotations
+
+from tinrudder.gateway.messages import HttpRequest, end_to_end_headers
+from tinrudder.gateway.model import HeaderNames
+
+MILLISECONDS = 1000.0
+METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
+
+
+class RequestBytes:
+    """Encodes one request for one back end after another.
+
+    :ivar deadline_at: monotonic time until which an answer is wanted.
+    """
+
+    def __init__(
+        self, request: HttpRequest, request_id: bytes, deadline_at: float, names: HeaderNames
+    ) -> None:
+        """Keep what is the same for all back ends."""
+        self.request_id = request_id
+        self.deadline_at = deadline_at
+        self.body_expected = request.method != b"HEAD"
+        self._names = names
+        left_out = frozenset((names.deadline_ms, names.expected_backend))
+        lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
+        headers = end_to_end_headers(request.headers, left_out)
+        lines.extend(b"%b: %b" % header for header in headers)
+        if request.body or request.method in METHODS_WITH_BODY:
+            lines.append(b"Content-Length: %d" % len(request.body))
+        self._head = b"\r\n".join(lines)
+        self._body = request.body
+
+    def encode(self, backend_id: str, now: float) -> bytes:
+        """Return the bytes for one back end, with the time that is left."""
+        left_ms = max(1, int((self.deadline_at - now) * MILLISECONDS))
+        names = self._names
+        return b"%b\r\n%b: %d\r\n%b: %b\r\n\r\n%b" % (
+            self._head,
+            names.deadline_ms,
+            left_ms,
+            names.expected_backend,
+            backend_id.encode(),
+            self._body,
+        )
--- /dev/null
+++ b/tinrudder/gateway/request_log.py
@@ -0,0 +1,86 @@
+"""One structured line for each finished request, with what decided it."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from tinrudder.gateway.model import Route
+from tinrudder.gateway.outcomes import (
+    Invalid,
+    Merged,
+    NoAnswer,
+    NotRun,
+    RequestOutcome,
+    TimedOut,
+    status_of,
+)
+from tinrudder.gateway.shard_calls import ShardCalls
+from tinrudder.logs import LogValue, log_event
+
+CLIENT_LEFT = "client_left"
+MILLISECONDS = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class FinishedRequest:
+    """How a request ended; ``outcome`` is ``None`` when its client left."""
+
+    request_id: bytes
+    route: Route | None
+    target: bytes
+    version: int
+    outcome: RequestOutcome | None
+    elapsed_s: float
+    shards: Sequence[ShardCalls] = field(default=())
+    repeats: int = 0
+
+    @property
+    def outcome_name(self) -> str:
+        """Return the outcome's tag."""
+        return CLIENT_LEFT if self.outcome is None else type(self.outcome).__name__
+
+    @property
+    def detail(self) -> str:
+        """Return why there is no answer."""
+        if isinstance(self.outcome, NotRun | NoAnswer | TimedOut | Invalid):
+            return self.outcome.detail
+        return ""
+
+
+RequestObserver = Callable[[FinishedRequest], None]
+
+
+def log_request(request: FinishedRequest) -> None:
+    """Write the line of one request."""
+    fields: dict[str, LogValue] = {
+        "request": request.request_id.decode("latin-1"),
+        "route": request.route.name if request.route is not None else "",
+        "version": request.version,
+        "outcome": request.outcome_name,
+        "status": status_of(request.outcome) if request.outcome is not None else 0,
+        "elapsed_ms": round(request.elapsed_s * MILLISECONDS, 1),
+        "repeats": request.repeats,
+    }
+    if request.route is None:
+        fields["target"] = request.target.decode("latin-1")[:100]
+    if request.detail:
+        fields["detail"] = request.detail
+    if isinstance(request.outcome, Merged):
+        fields["included"] = len(request.outcome.stamps)
+        fields["missing"] = request.outcome.missing
+    fields.update(_missing_shards(request))
+    log_event("request", fields)
+
+
+def _missing_shards(request: FinishedRequest) -> dict[str, LogValue]:
+    """Name the shards without an answer and count the reasons."""
+    missing = [shard for shard in request.shards if shard.part is None]
+    if not missing:
+        return {}
+    reasons = Counter(shard.last_problem or "no answer yet" for shard in missing)
+    return {
+        "missing_shards": " ".join(shard.service for shard in missing[:10]),
+        "reasons": "; ".join(f"{count} x {reason}" for reason, count in reasons.items()),
+    }
--- /dev/null
+++ b/tinrudder/gateway/request_run.py
@@ -0,0 +1,200 @@
+"""Runs one request to its outcome: a scatter over shards, or a single back end as one shard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.messages import header_value
+from tinrudder.gateway.model import Route
+from tinrudder.gateway.outcomes import (
+    Merged,
+    NoAnswer,
+    NotRun,
+    Relayed,
+    RequestOutcome,
+    TimedOut,
+)
+from tinrudder.gateway.record_merge import greatest_records
+from tinrudder.gateway.request_bytes import RequestBytes
+from tinrudder.gateway.shard_calls import NEVER, ShardCalls
+from tinrudder.routing.answer_moment import ScatterState, Verdict, decide
+from tinrudder.timers import TimerHandle
+
+ABSORB_S = 0.3
+RETRY_AFTER_S = 0.1
+WHOLE = 1.0
+
+OutcomeListener = Callable[[RequestOutcome], None]
+
+
+@dataclass(frozen=True, slots=True)
+class Moments:
+    """Monotonic times of one request.
+
+    :param objective_at: when an answer must leave to be worth most.
+    :param deadline_at: when a final answer must leave.
+    """
+
+    received_at: float
+    objective_at: float
+    deadline_at: float
+
+
+class RequestRun:
+    """One request; its outcome is reported exactly once, unless the client leaves before."""
+
+    def __init__(
+        self,
+        route: Route,
+        services: tuple[str, ...],
+        request: RequestBytes,
+        moments: Moments,
+        forwarding: Forwarding,
+        on_outcome: OutcomeListener,
+    ) -> None:
+        """Prepare calls to ``services``: the route's shards, or the one service chosen."""
+        self._route = route
+        self._moments = moments
+        self._forwarding = forwarding
+        self._on_outcome = on_outcome
+        self._scatter = bool(route.shards)
+        self._finished = False
+        self._starting = True
+        self._timer: TimerHandle | None = None
+        self._timer_at = NEVER
+        self.shards = [
+            ShardCalls(
+                service, route, request, forwarding, self._review, relay_failures=not self._scatter
+            )
+            for service in services
+        ]
+
+    @property
+    def included(self) -> int:
+        """Return how many shards have answered."""
+        return sum(1 for shard in self.shards if shard.part is not None)
+
+    @property
+    def repeats(self) -> int:
+        """Return how many calls were sent beyond the first of each shard."""
+        return sum(max(0, shard.sends - 1) for shard in self.shards)
+
+    def start(self) -> None:
+        """Send the first calls."""
+        now = self._forwarding.loop.time()
+        for shard in self.shards:
+            shard.start(now)
+        self._starting = False
+        self._review()
+
+    def abandon(self) -> None:
+        """End for a client that has left; nobody is told an outcome."""
+        if self._finished:
+            return
+        self._forwarding.counters.clients_left += 1
+        self._stop()
+
+    def _review(self) -> None:
+        """Decide anew after a change."""
+        if self._finished or self._starting:
+            return
+        now = self._forwarding.loop.time()
+        decision = decide(self._state(), now)
+        if decision.verdict is Verdict.WAIT:
+            self._arm(decision.until)
+        elif decision.verdict is Verdict.ANSWER:
+            self._finish(self._answer())
+        else:
+            self._finish(self._failure(now))
+
+    def _state(self) -> ScatterState:
+        """Return the inputs of the decision."""
+        route = self._route
+        return ScatterState(
+            shards=len(self.shards),
+            included=self.included,
+            hopeful=sum(1 for shard in self.shards if shard.hopeful),
+            minimum_share=route.minimum_share if self._scatter else WHOLE,
+            objective_at=self._moments.objective_at,
+            deadline_at=self._moments.deadline_at,
+        )
+
+    def _arm(self, until: float) -> None:
+        """Set the one timer to whatever comes first."""
+        next_at = min((shard.next_at for shard in self.shards), default=NEVER)
+        when = min(until, next_at)
+        if self._timer is not None:
+            if self._timer_at == when:
+                return
+            self._timer.cancel()
+        self._timer_at = when
+        self._timer = self._forwarding.loop.call_at(when, self._on_timer)
+
+    def _on_timer(self) -> None:
+        """Hedge and retry what is due, then decide."""
+        self._timer = None
+        if self._finished:
+            return
+        # The loop may call a little early, by its clock's resolution.
+        now = max(self._timer_at, self._forwarding.loop.time())
+        for shard in self.shards:
+            shard.on_time(now)
+            if self._finished:
+                return
+        decision = decide(self._state(), now)
+        if decision.verdict is Verdict.WAIT:
+            self._arm(decision.until)
+        elif decision.verdict is Verdict.ANSWER:
+            self._finish(self._answer())
+        else:
+            self._finish(self._failure(now))
+
+    def _answer(self) -> RequestOutcome:
+        """Return what is in."""
+        parts = [shard.part for shard in self.shards if shard.part is not None]
+        if not self._scatter:
+            return Relayed(parts[0])
+        stamp = self._forwarding.names.stamp
+        return Merged(
+            body=greatest_records((part.body for part in parts), self._route.top_records),
+            stamps=tuple(header_value(part.headers, stamp) or b"" for part in parts),
+            missing=len(self.shards) - len(parts),
+        )
+
+    def _failure(self, now: float) -> RequestOutcome:
+        """Say truthfully why there is no answer."""
+        detail = "; ".join(
+            sorted({shard.last_problem for shard in self.shards if shard.last_problem})
+        )
+        if not any(shard.may_have_run for shard in self.shards):
+            return NotRun(detail or "no back end is left", RETRY_AFTER_S)
+        failure = self.shards[0].failure
+        if not self._scatter and failure is not None:
+            return Relayed(failure)
+        if now >= self._moments.deadline_at:
+            return TimedOut(detail or "no answer in time")
+        return NoAnswer(detail)
+
+    def _finish(self, outcome: RequestOutcome) -> None:
+        """Report once."""
+        self._stop()
+        self._on_outcome(outcome)
+
+    def _stop(self) -> None:
+        """Stop sending; what still runs is awaited a little, since closing costs a connection."""
+        self._finished = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for shard in self.shards:
+            shard.withdraw_unsent()
+        if any(shard.running for shard in self.shards):
+            self._forwarding.loop.call_later(ABSORB_S, self._cancel_running)
+
+    def _cancel_running(self) -> None:
+        """Close the connections of calls that took too long."""
+        now = self._forwarding.loop.time()
+        for shard in self.shards:
+            shard.cancel_running(now)
--- /dev/null
+++ b/tinrudder/gateway/shard_calls.py
@@ -0,0 +1,299 @@
+"""One shard of a request: its calls to back ends, hedges and retries."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tinrudder.gateway.backend_directory import Backend
+from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.messages import (
+    Answered,
+    Broken,
+    CallOutcome,
+    HttpAnswer,
+    NotSent,
+    Rejected,
+    UpstreamCall,
+    Withdrawn,
+    header_value,
+)
+from tinrudder.gateway.model import Route
+from tinrudder.gateway.request_bytes import RequestBytes
+from tinrudder.routing.backend_observations import RunningCall
+from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
+
+MAX_SENDS = 4
+MAX_TRIES = 8
+RETRY_PAUSE_S = 0.03
+DENIED_PAUSE_S = 0.02
+SERVER_ERROR = 500
+NEVER = float("inf")
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One call of a shard that has not ended.
+
+    :param paid: the budget has counted it; the call that leaves first needs no budget.
+    """
+
+    backend: Backend
+    call: UpstreamCall
+    paid: bool = False
+    running: RunningCall | None = None
+
+
+class ShardCalls:
+    """Runs one shard's calls until one is answered or nothing more can be tried.
+
+    :ivar part: the answer, once there is one.
+    :ivar failure: the last failure that a back end answered with.
+    :ivar may_have_run: a call was sent and was not rejected.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        route: Route,
+        request: RequestBytes,
+        forwarding: Forwarding,
+        on_change: Callable[[], None],
+        *,
+        relay_failures: bool,
+    ) -> None:
+        """Prepare; ``relay_failures`` makes a back end's own refusal an answer."""
+        self.service = service
+        self.part: HttpAnswer | None = None
+        self.part_backend: Backend | None = None
+        self.failure: HttpAnswer | None = None
+        self.may_have_run = False
+        self.last_problem = ""
+        self.next_at = NEVER
+        self.sends = 0
+        self._route = route
+        self._request = request
+        self._forwarding = forwarding
+        self._on_change = on_change
+        self._relay_failures = relay_failures
+        self._attempts: list[Attempt] = []
+        self._tries = 0
+        self._exhausted = False
+        self._offered: set[str] = set()
+        self._avoided: set[str] = set()
+        self._budget = forwarding.budget(service)
+        self._latency = forwarding.latency(route)
+
+    @property
+    def running(self) -> bool:
+        """Tell whether a call is in progress."""
+        return bool(self._attempts)
+
+    @property
+    def hopeful(self) -> bool:
+        """Tell whether an answer may still come."""
+        if self.part is not None:
+            return False
+        return bool(self._attempts) or self.next_at != NEVER
+
+    def start(self, now: float) -> None:
+        """Send the first call."""
+        self._budget.note_request(now)
+        self._try_next(now)
+
+    def on_time(self, now: float) -> None:
+        """Hedge or retry when it is due."""
+        if self.part is not None or now < self.next_at:
+            return
+        self.next_at = NEVER
+        if self._attempts:
+            self._hedge(now)
+        else:
+            self._try_next(now)
+
+    def withdraw_unsent(self) -> None:
+        """Take back what waits for a connection."""
+        self.next_at = NEVER
+        for attempt in tuple(self._attempts):
+            if attempt.running is None:
+                self._attempts.remove(attempt)
+                attempt.backend.pool.cancel(attempt.call)
+
+    def cancel_running(self, now: float) -> None:
+        """Close the connections of calls that nobody waits for any more."""
+        for attempt in self._attempts:
+            if attempt.running is not None:
+                attempt.backend.observations.failed(attempt.running, now)
+            attempt.backend.pool.cancel(attempt.call)
+        self._attempts.clear()
+
+    def _try_next(self, now: float) -> None:
+        """Send a call, or note when to look again, or that there is nothing to try."""
+        self._tries += 1
+        candidates = self._candidates()
+        if not candidates or self._tries > MAX_TRIES or self.sends >= MAX_SENDS:
+            self._exhausted = True
+            return
+        paid = self.sends > 0
+        if paid and not self._may_repeat(now, hedge=False):
+            self.next_at = now + DENIED_PAUSE_S
+            return
+        self._send(self._forwarding.choose(candidates, now), now, paid=paid)
+
+    def _hedge(self, now: float) -> None:
+        """Send a second call beside one that is overdue."""
+        if not self._route.repeatable or self.sends >= MAX_SENDS:
+            return
+        busy = {attempt.backend.backend_id for attempt in self._attempts}
+        candidates = [backend for backend in self._candidates() if backend.backend_id not in busy]
+        if not candidates:
+            return
+        paid = self.sends > 0
+        if paid and not self._may_repeat(now, hedge=True):
+            self.next_at = now + DENIED_PAUSE_S
+            return
+        self._forwarding.counters.hedges += 1
+        self._send(self._forwarding.choose(candidates, now), now, paid=paid)
+
+    def _candidates(self) -> list[Backend]:
+        """Return the back ends that may get the next call.
+
+        No more than the route's number of back ends may run one request; those that it was
+        offered to already may be asked again.
+        """
+        usable = self._forwarding.directory.usable(self.service)
+        if len(self._offered) >= self._route.attempts:
+            usable = [backend for backend in usable if backend.backend_id in self._offered]
+        fresh = [backend for backend in usable if backend.backend_id not in self._avoided]
+        return fresh or usable
+
+    def _may_repeat(self, now: float, *, hedge: bool) -> bool:
+        """Draw on the service's budget."""
+        forwarding = self._forwarding
+        if self._budget.may_repeat(now, forwarding.nodes(), hedge=hedge):
+            return True
+        forwarding.counters.repeats_denied += 1
+        return False
+
+    def _send(self, backend: Backend, now: float, *, paid: bool) -> None:
+        """Start one call."""
+        self._avoided.add(backend.backend_id)
+        attempt = Attempt(backend, self._new_call(), paid)
+        attempt.call.listener = lambda outcome: self._on_outcome(attempt, outcome)
+        attempt.call.make_bytes = lambda: self._leave(attempt)
+        self._attempts.append(attempt)
+        fill = self._budget.fill(now, self._forwarding.nodes())
+        self.next_at = now + hedge_delay_s(self._latency, self._route.objective_s, fill)
+        backend.pool.start(attempt.call)
+
+    def _new_call(self) -> UpstreamCall:
+        """Make a call whose parts are filled in by :meth:`_send`."""
+        return UpstreamCall(
+            make_bytes=lambda: None,
+            request_id=self._request.request_id,
+            listener=lambda outcome: None,
+            deadline=self._request.deadline_at,
+            body_expected=self._request.body_expected,
+        )
+
+    def _leave(self, attempt: Attempt) -> bytes | None:
+        """Return the bytes that leave now; ``None`` if the back end may not get them any more."""
+        forwarding = self._forwarding
+        if not forwarding.directory.may_receive(attempt.backend):
+            return None
+        now = forwarding.loop.time()
+        if self.sends > 0 and not attempt.paid and not self._may_repeat(now, hedge=True):
+            return None
+        self.sends += 1
+        self.may_have_run = True
+        self._offered.add(attempt.backend.backend_id)
+        forwarding.counters.calls += 1
+        usual = usual_latency_s(self._latency, self._route.objective_s)
+        attempt.running = attempt.backend.observations.begin(now, usual)
+        return self._request.encode(attempt.backend.backend_id, now)
+
+    def _on_outcome(self, attempt: Attempt, outcome: CallOutcome) -> None:
+        """Take the end of one call."""
+        if attempt not in self._attempts:
+            return
+        self._attempts.remove(attempt)
+        now = self._forwarding.loop.time()
+        self._observe(attempt, outcome, now)
+        if self.part is not None:
+            return
+        match outcome:
+            case Answered(answer=answer):
+                self._on_answer(attempt, answer, now)
+            case Rejected(status=status):
+                self._offered.discard(attempt.backend.backend_id)
+                self.may_have_run = bool(self._offered)
+                self._on_failure(f"rejected with {status}", now, at_once=len(self._avoided) < 2)
+            case NotSent(detail=detail):
+                self._on_failure(detail, now, at_once=True)
+            case Withdrawn():
+                self._on_failure("withdrawn", now, at_once=True)
+            case Broken(detail=detail):
+                self._on_failure(detail, now, at_once=True)
+        self._on_change()
+
+    def _observe(self, attempt: Attempt, outcome: CallOutcome, now: float) -> None:
+        """Learn from the end of one call, also when nobody waits for it any more."""
+        observations = attempt.backend.observations
+        counters = self._forwarding.counters
+        match outcome:
+            case Answered(answer=answer):
+                self._observe_load(attempt.backend, answer, now)
+                if attempt.running is not None:
+                    self._latency.observe(now - attempt.running.sent_at)
+                    if answer.status < SERVER_ERROR:
+                        observations.answered(attempt.running, now)
+                    else:
+                        observations.failed(attempt.running, now)
+            case Rejected(wrong_backend=wrong_backend):
+                counters.rejections += 1
+                attempt.backend.readdressed |= wrong_backend
+                observations.failed(attempt.running, now)
+            case NotSent():
+                observations.failed(attempt.running, now)
+            case Broken():
+                counters.broken += 1
+                observations.failed(attempt.running, now)
+
+    def _observe_load(self, backend: Backend, answer: HttpAnswer, now: float) -> None:
+        """Learn what the back end says of its load."""
+        value = header_value(answer.headers, self._forwarding.names.load)
+        if value is None:
+            return
+        try:
+            _, waiting, slots = (int(number) for number in value.split(b","))
+        except ValueError:
+            return
+        backend.observations.reported(waiting, slots, now)
+
+    def _on_answer(self, attempt: Attempt, answer: HttpAnswer, now: float) -> None:
+        """Take a whole answer; a failure of the back end's own may be tried elsewhere."""
+        final = answer.successful
+        if self._relay_failures:
+            final |= answer.status < SERVER_ERROR or not self._route.repeatable
+        if final:
+            self.part = answer
+            self.part_backend = attempt.backend
+            self.next_at = NEVER
+            return
+        self.failure = answer
+        self._on_failure(f"answered with {answer.status}", now, at_once=True)
+
+    def _on_failure(self, problem: str, now: float, *, at_once: bool) -> None:
+        """Try again where that is allowed and nothing else is running."""
+        self.last_problem = problem
+        if self._attempts:
+            return
+        self.next_at = NEVER
+        if self.may_have_run and not self._route.repeatable:
+            self._exhausted = True
+            return
+        if at_once and self._tries < 2:
+            self._forwarding.counters.retries += 1
+            self._try_next(now)
+        elif self._tries < MAX_TRIES and self.sends < MAX_SENDS:
+            self.next_at = now + RETRY_PAUSE_S * self._tries
--- /dev/null
+++ b/tinrudder/gateway/shared_state.py
@@ -0,0 +1,188 @@
+"""What gateways know of the store: for each key the highest revision, whoever told it.
+
+The store gives one revision to every change, so values from the store itself and from other
+gateways merge by one rule: the highest revision of a key wins.  Removals are kept for a while, or
+an older value from a peer would bring a back end back.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from tinrudder.gateway.model import BackendEntry, GatewayConfiguration
+from tinrudder.gateway.stored_values import (
+    Reading,
+    StoredValue,
+    Topic,
+    UnreadableValueError,
+    ValueDecoders,
+)
+
+REMOVAL_MEMORY_S = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class KnownBackend:
+    """A back end's entry with the time this process learned of its present state.
+
+    :param removed: its entry is gone from the store; ``entry`` is the last one seen.
+    """
+
+    entry: BackendEntry
+    value: StoredValue
+    since: float
+    removed: bool = False
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether it takes no new work."""
+        return self.removed or self.entry.leaving
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedConfiguration:
+    """The configuration in force."""
+
+    configuration: GatewayConfiguration
+    value: StoredValue
+
+
+class SharedState:
+    """The configuration and the back ends as this process knows them; nothing goes back."""
+
+    def __init__(
+        self,
+        decoders: ValueDecoders,
+        clock: Callable[[], float],
+        on_unreadable: Callable[[str], None],
+    ) -> None:
+        """Start knowing nothing."""
+        self.accepted: AcceptedConfiguration | None = None
+        self.backends: dict[str, KnownBackend] = {}
+        self.backends_read = False
+        self.generation = 0
+        self._decoders = decoders
+        self._clock = clock
+        self._on_unreadable = on_unreadable
+        self._removals: dict[str, tuple[int, float]] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def configuration_revision(self) -> int:
+        """Return the revision of the configuration in force; 0 for none."""
+        return self.accepted.value.revision if self.accepted is not None else 0
+
+    @property
+    def backends_revision(self) -> int:
+        """Return the highest revision of any back end's entry or removal; 0 for none."""
+        known = max((backend.value.revision for backend in self.backends.values()), default=0)
+        removed = max((revision for revision, _ in self._removals.values()), default=0)
+        return max(known, removed)
+
+    @property
+    def complete(self) -> bool:
+        """Tell whether enough is known to serve."""
+        return self.accepted is not None and self.backends_read
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after every change."""
+        self._listeners.append(listener)
+
+    def apply(self, topic: Topic, values: Iterable[StoredValue]) -> bool:
+        """Take changed values; tell whether anything was new."""
+        changed = False
+        for value in values:
+            if topic is Topic.CONFIGURATION:
+                changed |= self._apply_configuration(value)
+            else:
+                changed |= self._apply_backend(value)
+        if changed:
+            self._announce()
+        return changed
+
+    def apply_complete(self, topic: Topic, reading: Reading) -> bool:
+        """Take a complete reading: back ends that it lacks are gone as of its revision."""
+        changed = self.apply(topic, reading.values)
+        if topic is Topic.CONFIGURATION:
+            return changed
+        present = {value.key for value in reading.values}
+        missing = [key for key in self.backends if key not in present]
+        removals = (StoredValue(key, reading.revision, None) for key in missing)
+        changed |= self.apply(topic, removals)
+        self.note_backends_read()
+        return changed
+
+    def note_backends_read(self) -> None:
+        """Note that the list of back ends has been complete once."""
+        if not self.backends_read:
+            self.backends_read = True
+            self._announce()
+
+    def snapshot(self) -> tuple[StoredValue, ...]:
+        """Return every back end's value, removals included, for a peer."""
+        present = tuple(known.value for known in self.backends.values() if not known.removed)
+        removed = tuple(
+            StoredValue(key, revision, None) for key, (revision, _) in self._removals.items()
+        )
+        return present + removed
+
+    def forget_old_removals(self) -> None:
+        """Drop removals that no peer can contradict any more."""
+        horizon = self._clock() - REMOVAL_MEMORY_S
+        for key, (_, since) in tuple(self._removals.items()):
+            if since < horizon:
+                del self._removals[key]
+                self.backends.pop(key, None)
+
+    def _apply_configuration(self, value: StoredValue) -> bool:
+        """Put a newer configuration in force."""
+        if value.value is None or value.revision <= self.configuration_revision:
+            return False
+        try:
+            configuration = self._decoders.configuration(value.value)
+        except UnreadableValueError as error:
+            self._on_unreadable(str(error))
+            return False
+        accepted = self.accepted
+        if accepted is not None and configuration.version < accepted.configuration.version:
+            return False
+        self.accepted = AcceptedConfiguration(configuration, value)
+        return True
+
+    def _apply_backend(self, value: StoredValue) -> bool:
+        """Take a newer entry, or its removal."""
+        known = self.backends.get(value.key)
+        removed_revision, _ = self._removals.get(value.key, (0, 0.0))
+        newest = max(removed_revision, known.value.revision if known is not None else 0)
+        if value.revision <= newest:
+            return False
+        if value.value is None:
+            self._remove(value, known)
+            return known is not None
+        try:
+            entry = self._decoders.backend(value.key, value.value)
+        except UnreadableValueError as error:
+            self._on_unreadable(str(error))
+            return False
+        self._removals.pop(value.key, None)
+        since = self._clock()
+        same = known is not None and not known.removed and known.entry.leaving == entry.leaving
+        if same and known is not None:
+            since = known.since
+        self.backends[value.key] = KnownBackend(entry, value, since)
+        return True
+
+    def _remove(self, value: StoredValue, known: KnownBackend | None) -> None:
+        """Remember a removal, and what the entry said last."""
+        now = self._clock()
+        self._removals[value.key] = (value.revision, now)
+        if known is not None:
+            since = known.since if known.leaving else now
+            self.backends[value.key] = KnownBackend(known.entry, value, since, removed=True)
+
+    def _announce(self) -> None:
+        """Tell everybody who asked."""
+        self.generation += 1
+        for listener in self._listeners:
+            listener()
--- /dev/null
+++ b/tinrudder/gateway/store_follower.py
@@ -0,0 +1,86 @@
+"""Keeps the shared state up with the metadata store, whatever the store does.
+
+One follower for each topic: read everything, then watch.  A watch waits only a few seconds, so that
+one that was silently cut is noticed; forgotten history leads back to a full read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tinrudder.gateway.shared_state import SharedState
+from tinrudder.gateway.stored_values import (
+    HistoryForgottenError,
+    MetadataStore,
+    StoreUnavailableError,
+    Topic,
+)
+
+WATCH_WAIT_S = 3.0
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 0.8
+PACE_S = {Topic.CONFIGURATION: 0.05, Topic.BACKENDS: 0.25}
+
+ReachabilityListener = Callable[[Topic, bool, str], None]
+
+
+class StoreFollower:
+    """Follows one topic until it is cancelled."""
+
+    def __init__(
+        self,
+        topic: Topic,
+        store: MetadataStore,
+        state: SharedState,
+        on_reachability: ReachabilityListener,
+    ) -> None:
+        """Tell ``on_reachability`` when the store is lost or regained, and why."""
+        self._topic = topic
+        self._store = store
+        self._state = state
+        self._on_reachability = on_reachability
+        self._revision: int | None = None
+        self._reachable = False
+        self._retry_s = FIRST_RETRY_S
+
+    @property
+    def reachable(self) -> bool:
+        """Tell whether the last call was answered."""
+        return self._reachable
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        while True:
+            try:
+                await self._step()
+            except StoreUnavailableError as error:
+                self._note(reachable=False, detail=str(error))
+                await asyncio.sleep(self._retry_s)
+                self._retry_s = min(LONGEST_RETRY_S, self._retry_s * 2)
+            else:
+                self._note(reachable=True)
+                self._retry_s = FIRST_RETRY_S
+
+    async def _step(self) -> None:
+        """Read everything, or what has changed."""
+        if self._revision is None:
+            reading = await self._store.read(self._topic)
+            self._state.apply_complete(self._topic, reading)
+            self._revision = reading.revision
+            return
+        try:
+            reading = await self._store.watch(self._topic, self._revision, WATCH_WAIT_S)
+        except HistoryForgottenError:
+            self._revision = None
+            return
+        self._revision = max(self._revision, reading.revision)
+        self._state.apply(self._topic, reading.values)
+        if reading.values:
+            await asyncio.sleep(PACE_S[self._topic])
+
+    def _note(self, *, reachable: bool, detail: str = "") -> None:
+        """Report a change."""
+        if reachable != self._reachable:
+            self._reachable = reachable
+            self._on_reachability(self._topic, reachable, detail)
--- /dev/null
+++ b/tinrudder/gateway/stored_values.py
@@ -0,0 +1,71 @@
+"""What a gateway reads from a metadata store, whichever store it is."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from tinrudder.gateway.model import BackendEntry, GatewayConfiguration
+
+
+class Topic(enum.Enum):
+    """What is read: the operator's configuration or the list of back ends."""
+
+    CONFIGURATION = "configuration"
+    BACKENDS = "backends"
+
+
+@dataclass(frozen=True, slots=True)
+class StoredValue:
+    """One key at one revision; ``value`` is ``None`` once it is removed."""
+
+    key: str
+    revision: int
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """Values of a topic, complete or changed, as of a revision of the store."""
+
+    values: tuple[StoredValue, ...]
+    revision: int
+
+
+class StoreUnavailableError(Exception):
+    """The store did not answer, or refused; nothing is known to be wrong with what we hold."""
+
+
+class HistoryForgottenError(Exception):
+    """The store no longer knows what changed since a revision: everything must be read again."""
+
+
+class UnreadableValueError(Exception):
+    """A stored value does not have the form agreed on; the text names key and field."""
+
+
+class MetadataStore(Protocol):
+    """The read-only store, as the product sees it."""
+
+    async def read(self, topic: Topic) -> Reading:
+        """Read every value of a topic.
+
+        :raises StoreUnavailableError: there was no usable answer.
+        """
+
+    async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
+        """Wait for changes behind a revision; no values when there were none in time.
+
+        :raises StoreUnavailableError: there was no usable answer.
+        :raises HistoryForgottenError: :meth:`read` is needed.
+        """
+
+
+@dataclass(frozen=True, slots=True)
+class ValueDecoders:
+    """Turn stored bytes into the product's values; each raises :class:`UnreadableValueError`."""
+
+    configuration: Callable[[bytes], GatewayConfiguration]
+    backend: Callable[[str, bytes], BackendEntry]
--- /dev/null
+++ b/tinrudder/gateway/upstream_connection.py
@@ -0,0 +1,155 @@
+"""One HTTP/1.1 connection to a server, with at most one call at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+from collections.abc import Callable
+
+from tinrudder.gateway.answer_reader import AnswerReader, ReadState
+from tinrudder.gateway.messages import (
+    Answered,
+    Broken,
+    CallOutcome,
+    HttpAnswer,
+    UpstreamCall,
+    header_value,
+)
+
+USER_TIMEOUT_MS = 4000
+KEEP_ALIVE_MARGIN_S = 0.5
+NEVER = float("inf")
+_KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
+
+AnswerCheck = Callable[[UpstreamCall, HttpAnswer], CallOutcome]
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """Sends a call, reads its answer, and tells whether the connection may be used again.
+
+    Whatever arrives while no call is waiting closes the connection: those bytes belong to no
+    request.
+    """
+
+    def __init__(
+        self,
+        check: AnswerCheck,
+        on_free: Callable[[UpstreamConnection], None],
+        on_closed: Callable[[UpstreamConnection], None],
+    ) -> None:
+        """Judge whole answers with ``check``; report to the pool."""
+        self.usable_until = NEVER
+        self._check = check
+        self._on_free = on_free
+        self._on_closed = on_closed
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._call: UpstreamCall | None = None
+        self._reader: AnswerReader | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport, and let the kernel give up on a silent machine."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        tcp_socket = transport.get_extra_info("socket")
+        if tcp_socket is not None:
+            tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+    def is_usable(self) -> bool:
+        """Tell whether another call may be sent."""
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and self._call is None
+            and self._loop.time() < self.usable_until
+        )
+
+    def send(self, call: UpstreamCall) -> bool:
+        """Write one call; false when it was withdrawn and nothing was written."""
+        assert self._transport is not None
+        data = call.make_bytes()
+        if data is None:
+            return False
+        self._call = call
+        self._reader = AnswerReader(body_expected=call.body_expected)
+        call.carrier = self
+        call.sent_at = self._loop.time()
+        self._transport.write(data)
+        return True
+
+    def abort(self) -> None:
+        """Drop the connection and whatever still arrives on it."""
+        self._call = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        """Read the answer of the call in progress."""
+        reader = self._reader
+        if self._call is None or reader is None:
+            self.abort()
+            return
+        state = reader.feed(data)
+        if state is ReadState.COMPLETE:
+            self._end_with_answer(reader)
+        elif state is ReadState.UNREADABLE:
+            self._end(Broken(reader.detail), reusable=False)
+
+    def eof_received(self) -> bool:
+        """Take the orderly end; the transport closes by itself."""
+        reader = self._reader
+        if self._call is not None and reader is not None:
+            if reader.end_of_stream() is ReadState.COMPLETE:
+                self._end_with_answer(reader)
+            else:
+                self._end(Broken(reader.detail), reusable=False)
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Without its whole answer, a call that was sent may have run."""
+        self._transport = None
+        if self._call is not None:
+            self._end(Broken(f"connection lost: {exc}"), reusable=False)
+        self._on_closed(self)
+
+    def _end_with_answer(self, reader: AnswerReader) -> None:
+        """End the call with a whole answer."""
+        call = self._call
+        assert call is not None and self._transport is not None
+        answer = reader.answer
+        outcome = self._check(call, answer)
+        reusable = (
+            reader.reusable
+            and not isinstance(outcome, Broken)
+            and self._transport.get_write_buffer_size() == 0
+        )
+        if reusable:
+            self._note_keep_alive(answer)
+        self._end(outcome, reusable=reusable)
+
+    def _note_keep_alive(self, answer: HttpAnswer) -> None:
+        """Learn how long the server keeps an idle connection."""
+        value = header_value(answer.headers, b"keep-alive")
+        match = _KEEP_ALIVE_TIMEOUT.search(value) if value else None
+        if match is None:
+            self.usable_until = NEVER
+        else:
+            self.usable_until = self._loop.time() + int(match[1]) - KEEP_ALIVE_MARGIN_S
+
+    def _end(self, outcome: CallOutcome, *, reusable: bool) -> None:
+        """Free or close the connection, then report."""
+        call = self._call
+        assert call is not None
+        self._call = None
+        self._reader = None
+        if not reusable:
+            self.abort()
+        call.finish(outcome)
+        if reusable:
+            self._on_free(self)
+
+
+def accept_any_answer(call: UpstreamCall, answer: HttpAnswer) -> CallOutcome:
+    """Take every whole answer: for servers that echo no request id."""
+    return Answered(answer)
--- /dev/null
+++ b/tinrudder/gateway/upstream_pool.py
@@ -0,0 +1,165 @@
+"""Connections to one server, never more than this gateway's part of what the server accepts.
+
+A call takes an idle connection, or waits until one is free while another is opened.  Waiting calls
+have not been sent: no byte of theirs has left.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from tinrudder.gateway.messages import NotSent, UpstreamCall, Withdrawn
+from tinrudder.gateway.model import Address
+from tinrudder.gateway.upstream_connection import AnswerCheck, UpstreamConnection
+
+CONNECT_TIMEOUT_S = 0.4
+
+
+class UpstreamPool:
+    """All connections to one address."""
+
+    def __init__(self, address: Address, check: AnswerCheck, on_opened: Callable[[], None]) -> None:
+        """Open connections as calls need them; ``on_opened`` counts them."""
+        self.max_connections = 1
+        self._address = address
+        self._check = check
+        self._on_opened = on_opened
+        self._loop = asyncio.get_running_loop()
+        self._idle: list[UpstreamConnection] = []
+        self._open: set[UpstreamConnection] = set()
+        self._connecting: set[asyncio.Task[None]] = set()
+        self._waiting: deque[UpstreamCall] = deque()
+        self._closed = False
+
+    @property
+    def connections(self) -> int:
+        """Return the number of connections, those being opened included."""
+        return len(self._open) + len(self._connecting)
+
+    def start(self, call: UpstreamCall) -> None:
+        """Send a call over an idle connection, or let it wait for one."""
+        connection = self._take_idle()
+        if connection is not None:
+            self._send(connection, call)
+            return
+        call.carrier = self
+        self._waiting.append(call)
+        self._open_as_allowed()
+
+    def cancel(self, call: UpstreamCall) -> None:
+        """Take back a waiting call; close the connection of one that was sent."""
+        call.finished = True
+        if isinstance(call.carrier, UpstreamConnection):
+            call.carrier.abort()
+
+    def close(self) -> None:
+        """Close what is idle now and the rest when its call has ended."""
+        self._closed = True
+        for connection in self._idle:
+            connection.abort()
+        self._idle.clear()
+
+    def trim(self) -> None:
+        """Close idle connections that the server is about to close."""
+        for connection in tuple(self._idle):
+            if not connection.is_usable():
+                self._idle.remove(connection)
+                connection.abort()
+
+    def _take_idle(self) -> UpstreamConnection | None:
+        """Return a usable idle connection, the most recently used first."""
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.is_usable():
+                return connection
+            connection.abort()
+        return None
+
+    def _send(self, connection: UpstreamConnection, call: UpstreamCall) -> None:
+        """Send on a free connection, which stays free if the call was withdrawn."""
+        if not connection.send(call):
+            call.finish(Withdrawn())
+            self._on_free(connection)
+
+    def _on_free(self, connection: UpstreamConnection) -> None:
+        """Give a free connection to the oldest waiting call, else keep it."""
+        if not connection.is_usable():
+            connection.abort()
+            return
+        call = self._next_waiting()
+        if call is not None:
+            self._send(connection, call)
+        elif self._closed:
+            connection.abort()
+        else:
+            self._idle.append(connection)
+
+    def _on_closed(self, connection: UpstreamConnection) -> None:
+        """Forget a connection; waiting calls may open another in its place."""
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        self._open_as_allowed()
+
+    def _open_as_allowed(self) -> None:
+        """Open connections for waiting calls, as many as are missing and allowed."""
+        wanted = sum(1 for call in self._waiting if not call.finished)
+        missing = wanted - len(self._connecting)
+        allowed = self.max_connections - self.connections
+        for _ in range(min(missing, allowed)):
+            task = self._loop.create_task(self._connect())
+            self._connecting.add(task)
+
+    async def _connect(self) -> None:
+        """Open one connection; when that fails, the oldest waiting call was not sent."""
+        try:
+            connection = await self._open_connection()
+        except (OSError, TimeoutError) as error:
+            self._forget_connecting()
+            self._on_connect_failed(f"connect: {error or 'timed out'}")
+            return
+        self._forget_connecting()
+        self._on_opened()
+        if connection.is_usable():
+            self._open.add(connection)
+            self._on_free(connection)
+        else:
+            self._on_connect_failed("connect: closed at once")
+
+    async def _open_connection(self) -> UpstreamConnection:
+        """Connect within the time allowed."""
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            _, connection = await self._loop.create_connection(
+                self._new_connection, self._address.host, self._address.port
+            )
+        return connection
+
+    def _new_connection(self) -> UpstreamConnection:
+        """Make the protocol of a connection that reports here."""
+        return UpstreamConnection(self._check, self._on_free, self._on_closed)
+
+    def _forget_connecting(self) -> None:
+        """Take the current task off the list of those that connect."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._connecting.discard(task)
+
+    def _on_connect_failed(self, detail: str) -> None:
+        """Fail the oldest waiting call, or all of them when no connection is left to wait for."""
+        failed = 1 if self._open else len(self._waiting)
+        for _ in range(min(failed, len(self._waiting))):
+            self._waiting.popleft().finish(NotSent(detail))
+
+    def _next_waiting(self) -> UpstreamCall | None:
+        """Take the oldest waiting call that is still wanted."""
+        while self._waiting:
+            call = self._waiting.popleft()
+            if call.finished:
+                continue
+            if call.deadline <= self._loop.time():
+                call.finish(NotSent("no connection before the deadline"))
+                continue
+            return call
+        return None
--- a/tinrudder/lifecycle.py
+++ b/tinrudder/lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Callable
 
 from transitions import Machine
 
@@ -28,6 +29,7 @@
     """Walks through :class:`NodeState`, never backwards."""
 
     state: str
+    trigger: Callable[[str], bool]
 
     def __init__(self) -> None:
         """Begin in ``starting``."""
--- a/tinrudder/logs.py
+++ b/tinrudder/logs.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import io
 import json
 import logging
 import sys
 from collections.abc import Mapping
+from typing import TextIO
 
+from absl import flags
 from absl import logging as absl_logging
 
 LogValue = str | int | float | bool | None
@@ -34,10 +37,13 @@
         return json.dumps(line)
 
 
-def configure_logs(node: str, level: str = "INFO") -> None:
-    """Send all logs of the process to standard error as JSON lines."""
+def configure_logs(
+    node: str, level: str = "INFO", stream: TextIO | io.TextIOBase | None = None
+) -> None:
+    """Send all logs of the process as JSON lines to ``stream``, standard error by default."""
     handler = absl_logging.get_absl_handler()
-    handler.python_handler.stream = sys.stderr
+    handler.python_handler.stream = stream if stream is not None else sys.stderr
+    flags.FLAGS.mark_as_parsed()
     handler.setFormatter(JsonLineFormatter(node))
     absl_logging.use_absl_handler()
     absl_logging.get_absl_logger().setLevel(level)
--- a/tinrudder/metrics.py
+++ b/tinrudder/metrics.py
@@ -36,13 +36,14 @@
     is_counter: bool = True
 
 
-class _ReadCollector(Collector):
+class ReadCollector(Collector):
     """Reads the figures at every scrape."""
 
     def __init__(self) -> None:
         self.metrics: list[ReadMetric] = []
 
     def collect(self) -> Iterable[Metric]:
+        """Return every figure as it is now."""
         for metric in self.metrics:
             family = CounterMetricFamily if metric.is_counter else GaugeMetricFamily
             yield family(metric.name, metric.help, value=metric.read())
@@ -54,7 +55,7 @@
     def __init__(self) -> None:
         """Start with an empty registry of its own."""
         self.registry = CollectorRegistry()
-        self._read = _ReadCollector()
+        self._read = ReadCollector()
         self.registry.register(self._read)
         self._latency = Histogram(
             "tinrudder_query_seconds",
--- /dev/null
+++ b/tinrudder/platform/documents.py
@@ -0,0 +1,143 @@
+"""The platform's configuration and back-end entries, decoded into the product's values."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from tinrudder.gateway.model import (
+    Address,
+    BackendEntry,
+    ClientLimits,
+    GatewayConfiguration,
+    Route,
+    ServiceSpec,
+    WeightedService,
+)
+from tinrudder.gateway.stored_values import UnreadableValueError
+
+BACKENDS_PREFIX = "servers/"
+CONFIGURATION_KEY = "op/config"
+REPEATABLE_KIND = "safe"
+LEAVING_STATE = "draining"
+MILLISECONDS = 1000.0
+
+Milliseconds = Annotated[float, Meta(ge=0)]
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: Milliseconds
+    goal_ms: Milliseconds
+    attempts: int = 1
+    priority: int = 0
+    service: str = ""
+    split: list[_Split] = []
+    gather: list[str] = []
+    top_k: int = 0
+    oldest_version: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_conns: int = 1
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: Milliseconds = 3000
+    idle_timeout_ms: Milliseconds = 15_000
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Backend(msgspec.Struct):
+    service: str
+    addr: str
+    zone: str = ""
+    slots: int = 1
+    state: str = "ready"
+    cold_left_ms: Milliseconds = 0
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_backend_decoder = msgspec.json.Decoder(_Backend)
+
+
+def decode_configuration(value: bytes) -> GatewayConfiguration:
+    """Decode a configuration.
+
+    :raises UnreadableValueError: it breaks the platform's form; the text names the field.
+    """
+    try:
+        document = _configuration_decoder.decode(value)
+    except msgspec.MsgspecError as error:
+        raise UnreadableValueError(f"{CONFIGURATION_KEY}: {error}") from error
+    services = {spec.name: ServiceSpec(spec.name, spec.max_conns) for spec in document.services}
+    limits = ClientLimits(
+        max_header_bytes=document.limits.max_header_bytes,
+        max_body_bytes=document.limits.max_body_bytes,
+        header_timeout_s=document.limits.header_timeout_ms / MILLISECONDS,
+        idle_timeout_s=document.limits.idle_timeout_ms / MILLISECONDS,
+    )
+    routes = tuple(_route(route) for route in document.routes)
+    return GatewayConfiguration(document.version, routes, services, limits)
+
+
+def _route(document: _Route) -> Route:
+    """Turn one route into the product's form."""
+    services = tuple(WeightedService(part.service, part.weight) for part in document.split)
+    if document.service:
+        services = (WeightedService(document.service),)
+    return Route(
+        name=document.name,
+        host=document.host.lower(),
+        path_prefix=document.path_prefix,
+        repeatable=document.kind == REPEATABLE_KIND,
+        timeout_s=document.timeout_ms / MILLISECONDS,
+        objective_s=document.goal_ms / MILLISECONDS,
+        attempts=document.attempts,
+        priority=document.priority,
+        services=services,
+        shards=tuple(document.gather),
+        top_records=document.top_k,
+        minimum_share=document.oldest_version,
+    )
+
+
+def decode_backend(key: str, value: bytes) -> BackendEntry:
+    """Decode a back end's entry.
+
+    :raises UnreadableValueError: it breaks the platform's form; the text names the field.
+    """
+    try:
+        document = _backend_decoder.decode(value)
+        address = Address.parse(document.addr)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise UnreadableValueError(f"{key}: {error}") from error
+    return BackendEntry(
+        backend_id=key.removeprefix(BACKENDS_PREFIX),
+        service=document.service,
+        host=address.host,
+        port=address.port,
+        zone=document.zone,
+        slots=document.slots,
+        leaving=document.state == LEAVING_STATE,
+        cold_left_s=document.cold_left_ms / MILLISECONDS,
+    )
--- /dev/null
+++ b/tinrudder/platform/settings_file.py
@@ -0,0 +1,87 @@
+"""The platform's settings file, decoded into a gateway's settings.
+
+Unknown fields are skipped: the platform may add some at any time.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from tinrudder.gateway.model import Address, GatewaySettings, RepeatBounds, SettingsFileError
+
+SETTINGS_VARIABLE = "TINRUDDER_CONFIG"
+MILLISECONDS = 1000.0
+
+Positive = Annotated[float, Meta(gt=0)]
+NotNegative = Annotated[float, Meta(ge=0)]
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+    control: str = ""
+
+
+class _Bounds(msgspec.Struct):
+    drain_ms: Positive = 3000
+    grace_s: Positive = 6
+    budget_ratio: NotNegative = 0.1
+    budget_window_s: Positive = 10
+    budget_extra: NotNegative = 10
+
+
+class _Store(msgspec.Struct):
+    addr: str
+
+
+class _Settings(msgspec.Struct):
+    node: Annotated[str, Meta(min_length=1)]
+    listen: _Listen
+    platform: _Store
+    zone: str = ""
+    seeds: list[str] = []
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def load_gateway_settings(path: Path) -> GatewaySettings:
+    """Read and check a settings file.
+
+    :raises SettingsFileError: it cannot be read or breaks a rule; the text names the field.
+    """
+    try:
+        document = msgspec.convert(tomllib.loads(path.read_text()), _Settings, strict=False)
+    except OSError as error:
+        raise SettingsFileError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.MsgspecError) as error:
+        raise SettingsFileError(f"{path}: {error}") from error
+    bounds = document.bounds
+    return GatewaySettings(
+        name=document.node,
+        zone=document.zone,
+        clients=_address("listen.front", document.listen.front),
+        health=_address("listen.ready", document.listen.ready),
+        peers=_optional_address("listen.control", document.listen.control),
+        seeds=tuple(_address("seeds", text) for text in document.seeds),
+        store=_address("platform.addr", document.platform.addr),
+        drain_s=bounds.drain_ms / MILLISECONDS,
+        stop_grace_s=bounds.grace_s,
+        repeats=RepeatBounds(bounds.budget_ratio, bounds.budget_extra, bounds.budget_window_s),
+    )
+
+
+def _address(field: str, text: str) -> Address:
+    """Read an address, naming its field in the error."""
+    try:
+        return Address.parse(text)
+    except ValueError as error:
+        raise SettingsFileError(f"{field}: {error}") from error
+
+
+def _optional_address(field: str, text: str) -> Address | None:
+    """Read an address that may be absent."""
+    return _address(field, text) if text else None
--- /dev/null
+++ b/tinrudder/routing/backend_observations.py
@@ -0,0 +1,119 @@
+"""What one node has seen of one back end, and how promising that makes it for the next call.
+
+Own observations come first: running calls, how long answers took relative to their route, and
+signs that the back end stands still or is gone.  Nothing here reads a clock.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+LATENCY_GAIN = 0.25
+LATENCY_MEMORY_S = 4.0
+MAX_RELATIVE_LATENCY = 12.0
+STALLED_AFTER = 2.5
+STALLED_PENALTY = 6.0
+SUSPECT_FIRST_S = 0.3
+SUSPECT_MAX_S = 2.0
+SUSPECT_PENALTY = 20.0
+COLD_FACTOR = 1.6
+OTHER_ZONE_PENALTY = 0.15
+REPORT_LIFETIME_S = 0.15
+USUAL_LATENCY_S = 0.02
+
+
+@dataclass(slots=True, eq=False)
+class RunningCall:
+    """A call that was sent and has not ended.
+
+    :param usual_s: how long calls of its route usually take.
+    """
+
+    sent_at: float
+    usual_s: float
+
+
+@dataclass(slots=True, eq=False)
+class BackendObservations:
+    """One back end as seen by this node.
+
+    :param relative_latency: recent latencies over what is usual for their routes, 1 is usual.
+    :param suspect_until: monotonic time until which other back ends go first.
+    """
+
+    slots: int = 1
+    cold_until: float = 0.0
+    relative_latency: float = 1.0
+    latency_at: float = 0.0
+    failures: int = 0
+    suspect_until: float = 0.0
+    reported_waiting: int = 0
+    reported_at: float = -1.0
+    running: set[RunningCall] = field(default_factory=set)
+
+    def begin(self, now: float, usual_s: float) -> RunningCall:
+        """Note a call that is sent now."""
+        call = RunningCall(now, usual_s)
+        self.running.add(call)
+        return call
+
+    def forget(self, call: RunningCall) -> None:
+        """Note that a call was withdrawn and tells nothing."""
+        self.running.discard(call)
+
+    def answered(self, call: RunningCall, now: float) -> None:
+        """Note an answer."""
+        self.running.discard(call)
+        self.failures = 0
+        self.suspect_until = 0.0
+        if call.usual_s > 0:
+            relative = min(MAX_RELATIVE_LATENCY, (now - call.sent_at) / call.usual_s)
+            faded = self.expected_relative_latency(now)
+            self.relative_latency = faded + LATENCY_GAIN * (relative - faded)
+            self.latency_at = now
+
+    def failed(self, call: RunningCall | None, now: float) -> None:
+        """Note a call that was not answered, or a connection that could not be opened."""
+        if call is not None:
+            self.running.discard(call)
+        self.failures += 1
+        pause = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2 ** (self.failures - 1))
+        self.suspect_until = now + pause
+
+    def reported(self, waiting: int, slots: int, now: float) -> None:
+        """Note what the back end says of its own load."""
+        self.reported_waiting = waiting
+        self.reported_at = now
+        if slots > 0:
+            self.slots = slots
+
+    def expected_relative_latency(self, now: float) -> float:
+        """Return the relative latency, fading back to the usual when nothing new is seen."""
+        age = max(0.0, now - self.latency_at)
+        weight = max(0.0, 1.0 - age / LATENCY_MEMORY_S)
+        return 1.0 + weight * (self.relative_latency - 1.0)
+
+    def is_stalled(self, now: float) -> bool:
+        """Tell whether a call has been running for so long that the back end may stand still."""
+        return any(now - call.sent_at > STALLED_AFTER * call.usual_s for call in self.running)
+
+    def is_suspect(self, now: float) -> bool:
+        """Tell whether calls failed lately."""
+        return now < self.suspect_until
+
+    def cost(self, now: float, *, same_zone: bool) -> float:
+        """Return how long a call is expected to take, relative to its route; lower is better."""
+        queued = max(0, len(self.running) + 1 - self.slots)
+        if now - self.reported_at <= REPORT_LIFETIME_S:
+            queued = max(queued, self.reported_waiting)
+        busy = len(self.running) / (2.0 * max(1, self.slots))
+        cost = self.expected_relative_latency(now) * (1.0 + busy + queued / max(1, self.slots))
+        if now < self.cold_until:
+            cost *= COLD_FACTOR
+        if not same_zone:
+            cost += OTHER_ZONE_PENALTY
+        if self.is_stalled(now):
+            cost += STALLED_PENALTY
+        if self.is_suspect(now):
+            cost += SUSPECT_PENALTY
+        return cost
--- /dev/null
+++ b/tinrudder/routing/repeat_budget.py
@@ -0,0 +1,99 @@
+"""A budget for repeated calls that holds over all nodes although they share no counter.
+
+In every sliding window a service may get ``ratio`` calls beyond the first for each request, and
+``extra`` on top, from all nodes together.  Each node spends the ratio of its own requests, and an
+equal part of the extra.  Sums of the first hold by themselves.  The parts of the second hold when
+no node counts fewer nodes than there are, and when a node that starts, which has forgotten what
+its earlier life spent, leaves its part untouched for one window.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from dataclasses import dataclass
+
+BUCKETS_PER_WINDOW = 20
+SAFETY = 0.9
+KEPT_FOR_RETRIES = 0.25
+
+
+@dataclass(slots=True)
+class _Bucket:
+    """What happened in one slice of time."""
+
+    index: int
+    requests: int = 0
+    repeats: int = 0
+
+
+class RepeatBudget:
+    """One service's part of the budget on this node.
+
+    :meth:`may_repeat` is asked before every call beyond the first of a request.  Hedges leave a
+    part of the allowance to retries, which are needed more.
+    """
+
+    def __init__(self, ratio: float, extra: float, window_s: float, started_at: float) -> None:
+        """Take the bounds of the whole fleet; ``started_at`` is when this process began."""
+        self._ratio = ratio * SAFETY
+        self._extra = extra * SAFETY
+        self._window_s = window_s
+        self._slice_s = window_s / BUCKETS_PER_WINDOW
+        self._extra_from = started_at + window_s
+        self._buckets: deque[_Bucket] = deque()
+
+    def note_request(self, now: float) -> None:
+        """Count one request for the service."""
+        self._bucket(now).requests += 1
+
+    def may_repeat(self, now: float, nodes: int, *, hedge: bool) -> bool:
+        """Count one more call if the budget has room for it.
+
+        :param nodes: how many nodes share the extra, this one included.
+        """
+        if self.remaining(now, nodes, hedge=hedge) < 1.0:
+            return False
+        self._bucket(now).repeats += 1
+        return True
+
+    def remaining(self, now: float, nodes: int, *, hedge: bool = False) -> float:
+        """Return how many calls the budget has room for."""
+        self._forget(now)
+        spent = sum(bucket.repeats for bucket in self._buckets)
+        allowed = self._allowed(now, nodes)
+        if hedge:
+            allowed *= 1.0 - KEPT_FOR_RETRIES
+        return allowed - spent
+
+    def fill(self, now: float, nodes: int) -> float:
+        """Return how much of the allowance for hedges is left, 0 to 1."""
+        allowed = self._allowed(now, nodes) * (1.0 - KEPT_FOR_RETRIES)
+        if allowed < 1.0:
+            return 0.0
+        return min(1.0, max(0.0, self.remaining(now, nodes, hedge=True) / allowed))
+
+    def _allowed(self, now: float, nodes: int) -> float:
+        """Return what may be spent in the window that ends now."""
+        oldest = self._index(now - self._window_s)
+        requests = sum(bucket.requests for bucket in self._buckets if bucket.index > oldest)
+        extra = self._extra / max(1, nodes) if now >= self._extra_from else 0.0
+        return self._ratio * requests + extra
+
+    def _index(self, now: float) -> int:
+        """Return the slice that a moment belongs to."""
+        return math.floor(now / self._slice_s)
+
+    def _bucket(self, now: float) -> _Bucket:
+        """Return the current slice's counts."""
+        index = self._index(now)
+        if not self._buckets or self._buckets[-1].index != index:
+            self._buckets.append(_Bucket(index))
+            self._forget(now)
+        return self._buckets[-1]
+
+    def _forget(self, now: float) -> None:
+        """Drop slices that lie wholly before the window."""
+        oldest = self._index(now - self._window_s)
+        while self._buckets and self._buckets[0].index < oldest:
+            self._buckets.popleft()
