--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -25,6 +25,7 @@
     broken: int = 0
     connections_opened: int = 0
     clients_left: int = 0
+    refused: int = 0
 
 
 @dataclass(slots=True)
@@ -44,6 +45,7 @@
     counters: ForwardingCounters = field(default_factory=ForwardingCounters)
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     _latencies: dict[str, LatencyWindow] = field(default_factory=dict)
+    _unloaded: dict[str, LatencyWindow] = field(default_factory=dict)
 
     def budget(self, service: str) -> RepeatBudget:
         """Return a service's repeat budget."""
@@ -62,12 +64,28 @@
             self._latencies[route.name] = window
         return window
 
+    def unloaded_latency(self, route: Route) -> LatencyWindow:
+        """Return the latencies of a route's calls that left no queue behind."""
+        window = self._unloaded.get(route.name)
+        if window is None:
+            window = LatencyWindow()
+            self._unloaded[route.name] = window
+        return window
+
     def forget_unused(self, services: frozenset[str], routes: frozenset[str]) -> None:
         """Drop what belongs to services and routes that no configuration names any more."""
         for service in self._budgets.keys() - services:
             del self._budgets[service]
         for route in self._latencies.keys() - routes:
             del self._latencies[route]
+        for route in self._unloaded.keys() - routes:
+            del self._unloaded[route]
+
+    def wait_s(self, service: str, service_s: float, now: float) -> float:
+        """Return how long a call would wait at the least loaded back end of a service."""
+        backends = self.directory.usable(service)
+        waits = (backend.observations.wait_s(now, service_s) for backend in backends)
+        return min(waits, default=0.0)
 
     def choose(self, candidates: list[Backend], now: float) -> Backend:
         """Return the most promising back end."""
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -74,6 +74,7 @@
     "rejections": "Calls that back ends rejected.",
     "broken": "Calls without a usable answer.",
     "connections_opened": "Connections opened to back ends.",
+    "refused": "Requests refused because queues at the back ends were too long.",
     "clients_left": "Requests whose client left before the answer.",
 }
 
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -21,6 +21,8 @@
 from tinrudder.gateway.request_log import FinishedRequest, RequestObserver
 from tinrudder.gateway.request_run import Moments, RequestRun
 from tinrudder.gateway.shared_state import SharedState
+from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
+from tinrudder.routing.load_forecast import admission_share, wait_of_shards
 from tinrudder.routing.route_table import RouteTable
 from tinrudder.routing.weighted_rotation import WeightedRotation
 
@@ -29,19 +31,25 @@
 DEADLINE_MARGIN_S = 0.02
 RETRY_AFTER_START_S = 0.3
 ROTATION_SPREAD = 8
+RETRY_AFTER_SHARE = 0.3
+RETURNING_AFTER_S = 0.01
 
 
 @dataclass(slots=True)
 class RoutesInForce:
     """One configuration, indexed.
 
-    :param longest_deadline_s: for each route the longest time that a client was willing to wait:
-        a client that asks again names what is left of it.
+    :param priorities: those that any route has, the most urgent first.
     """
 
     configuration: GatewayConfiguration
     table: RouteTable[Route]
     rotations: dict[str, WeightedRotation] = field(default_factory=dict)
+    priorities: tuple[int, ...] = ()
+
+    def steps_below_urgent(self, route: Route) -> int:
+        """Return how many priorities in use are more urgent than a route's."""
+        return sum(1 for priority in self.priorities if priority < route.priority)
 
 
 class InvalidRequestError(Exception):
@@ -96,7 +104,14 @@
             serving.end(UnknownRoute())
             return serving
         serving.route = route
-        run = self._new_run(routes, route, request, serving)
+        moments = self._moments(route, request, serving.received_at)
+        services = route.shards or (self._choose_service(routes, route),)
+        refusal = self._refusal(routes, route, services, moments)
+        if refusal is not None:
+            self._forwarding.counters.refused += 1
+            serving.end(refusal)
+            return serving
+        run = self._new_run(route, services, request, moments, serving)
         self.in_progress += 1
         serving.run = run
         run.start()
@@ -130,15 +145,48 @@
             name = name.partition(":")[0]
         return routes.table.find(name, request.path.decode("latin-1"))
 
+    def _refusal(
+        self, routes: RoutesInForce, route: Route, services: tuple[str, ...], moments: Moments
+    ) -> NotRun | None:
+        """Refuse a request that can probably not be answered in time; ``None`` admits it."""
+        forwarding = self._forwarding
+        now = moments.received_at
+        unloaded = forwarding.unloaded_latency(route)
+        if len(unloaded) < MINIMUM_OBSERVATIONS:
+            return None
+        usual_s = unloaded.quantile(0.5)
+        waits = [forwarding.wait_s(service, usual_s, now) for service in services]
+        wait_s = wait_of_shards(waits)
+        left_s = moments.objective_at - now
+        share = admission_share(
+            wait_s,
+            usual_s,
+            left_s,
+            priority_steps=routes.steps_below_urgent(route),
+            returning=moments.returning,
+        )
+        if share >= 1.0 or self._random.random() < share:
+            return None
+        detail = f"overload: wait {wait_s:.3f} s, usual {usual_s:.3f} s, left {left_s:.3f} s"
+        return NotRun(detail, self._retry_after_s(moments))
+
+    def _retry_after_s(self, moments: Moments) -> float:
+        """Return when a refused client should come back: spread, and early enough to be served."""
+        left_s = moments.deadline_at - moments.received_at
+        return left_s * RETRY_AFTER_SHARE * self._random.uniform(0.5, 1.0)
+
     def _new_run(
-        self, routes: RoutesInForce, route: Route, request: HttpRequest, serving: _Serving
+        self,
+        route: Route,
+        services: tuple[str, ...],
+        request: HttpRequest,
+        moments: Moments,
+        serving: _Serving,
     ) -> RequestRun:
-        """Plan one request: its services, its moments and its bytes."""
-        moments = self._moments(route, request, serving.received_at)
+        """Plan one request."""
         encoded = RequestBytes(
             request, serving.request_id, moments.deadline_at, self._forwarding.names
         )
-        services = route.shards or (self._choose_service(routes, route),)
         return RequestRun(route, services, encoded, moments, self._forwarding, serving.end)
 
     def _choose_service(self, routes: RoutesInForce, route: Route) -> str:
@@ -165,6 +213,7 @@
             received_at=received_at,
             objective_at=received_at - already_s + route.objective_s - ANSWER_MARGIN_S,
             deadline_at=received_at + limit_s - min(DEADLINE_MARGIN_S, limit_s / 4),
+            returning=already_s > RETURNING_AFTER_S,
         )
 
     def _client_wait_s(self, request: HttpRequest) -> float | None:
@@ -183,7 +232,10 @@
         configuration = accepted.configuration
         if self._routes is not None and self._routes.configuration is configuration:
             return
-        self._routes = RoutesInForce(configuration, RouteTable(configuration.routes))
+        priorities = tuple(sorted({route.priority for route in configuration.routes}))
+        self._routes = RoutesInForce(
+            configuration, RouteTable(configuration.routes), priorities=priorities
+        )
         names = frozenset(route.name for route in configuration.routes)
         self._forwarding.forget_unused(frozenset(configuration.services), names)
         for name in self._longest_deadlines.keys() - names:
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -35,11 +35,13 @@
 
     :param objective_at: when an answer must leave to be worth most.
     :param deadline_at: when a final answer must leave.
+    :param returning: the client has been waiting since an earlier attempt.
     """
 
     received_at: float
     objective_at: float
     deadline_at: float
+    returning: bool = False
 
 
 class RequestRun:
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -27,6 +27,7 @@
 MAX_TRIES = 8
 RETRY_PAUSE_S = 0.03
 DENIED_PAUSE_S = 0.02
+MAX_HEDGE_WAIT = 1.0
 SERVER_ERROR = 500
 NEVER = float("inf")
 
@@ -146,7 +147,14 @@
             return
         busy = {attempt.backend.backend_id for attempt in self._attempts}
         candidates = [backend for backend in self._candidates() if backend.backend_id not in busy]
+        usual_s = usual_latency_s(self._latency, self._route.objective_s)
+        candidates = [
+            backend
+            for backend in candidates
+            if backend.observations.wait_s(now, usual_s) <= MAX_HEDGE_WAIT * usual_s
+        ]
         if not candidates:
+            self.next_at = now + DENIED_PAUSE_S
             return
         paid = self.sends > 0
         if paid and not self._may_repeat(now, hedge=True):
@@ -242,7 +250,8 @@
         counters = self._forwarding.counters
         match outcome:
             case Answered(answer=answer):
-                self._observe_load(attempt.backend, answer, now)
+                latency_s = now - attempt.running.sent_at if attempt.running else None
+                self._observe_load(attempt.backend, answer, latency_s, now)
                 if attempt.running is not None:
                     self._latency.observe(now - attempt.running.sent_at)
                     if answer.status < SERVER_ERROR:
@@ -259,16 +268,20 @@
                 counters.broken += 1
                 observations.failed(attempt.running, now)
 
-    def _observe_load(self, backend: Backend, answer: HttpAnswer, now: float) -> None:
-        """Learn what the back end says of its load."""
+    def _observe_load(
+        self, backend: Backend, answer: HttpAnswer, latency_s: float | None, now: float
+    ) -> None:
+        """Learn what the back end says of its load, and how long calls take without waiting."""
         value = header_value(answer.headers, self._forwarding.names.load)
         if value is None:
             return
         try:
-            _, waiting, slots = (int(number) for number in value.split(b","))
+            running, waiting, slots = (int(number) for number in value.split(b","))
         except ValueError:
             return
-        backend.observations.reported(waiting, slots, now)
+        backend.observations.reported(running, waiting, slots, now)
+        if waiting == 0 and latency_s is not None:
+            self._forwarding.unloaded_latency(self._route).observe(latency_s)
 
     def _on_answer(self, attempt: Attempt, answer: HttpAnswer, now: float) -> None:
         """Take a whole answer; a failure of the back end's own may be tried elsewhere."""
--- a/tinrudder/logs.py
+++ b/tinrudder/logs.py
@@ -48,6 +48,7 @@
     absl_logging.use_absl_handler()
     absl_logging.get_absl_logger().setLevel(level)
     logging.getLogger().setLevel(level)
+    logging.getLogger("transitions").setLevel(logging.WARNING)
 
 
 def log_event(event: str, fields: Mapping[str, LogValue] | None = None) -> None:
--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -18,7 +18,7 @@
 SUSPECT_PENALTY = 20.0
 COLD_FACTOR = 1.6
 OTHER_ZONE_PENALTY = 0.15
-REPORT_LIFETIME_S = 0.15
+BACKLOG_LIFETIME_S = 0.8
 USUAL_LATENCY_S = 0.02
 
 
@@ -47,14 +47,16 @@
     latency_at: float = 0.0
     failures: int = 0
     suspect_until: float = 0.0
-    reported_waiting: int = 0
-    reported_at: float = -1.0
+    reported_backlog: int = 0
+    reported_at: float = -BACKLOG_LIFETIME_S
+    sent_since_report: int = 0
     running: set[RunningCall] = field(default_factory=set)
 
     def begin(self, now: float, usual_s: float) -> RunningCall:
         """Note a call that is sent now."""
         call = RunningCall(now, usual_s)
         self.running.add(call)
+        self.sent_since_report += 1
         return call
 
     def forget(self, call: RunningCall) -> None:
@@ -80,10 +82,11 @@
         pause = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2 ** (self.failures - 1))
         self.suspect_until = now + pause
 
-    def reported(self, waiting: int, slots: int, now: float) -> None:
+    def reported(self, running: int, waiting: int, slots: int, now: float) -> None:
         """Note what the back end says of its own load."""
-        self.reported_waiting = waiting
+        self.reported_backlog = running + waiting
         self.reported_at = now
+        self.sent_since_report = 0
         if slots > 0:
             self.slots = slots
 
@@ -101,13 +104,29 @@
         """Tell whether calls failed lately."""
         return now < self.suspect_until
 
+    def wait_s(self, now: float, service_s: float) -> float:
+        """Return how long a call would wait for a slot, seconds, by the back end's own report.
+
+        :param service_s: how long a call holds a slot.
+        """
+        return self._services_ahead(now) * service_s
+
+    def _services_ahead(self, now: float) -> float:
+        """Return the wait for a slot as a multiple of the time that a call holds one."""
+        age = now - self.reported_at
+        if age >= BACKLOG_LIFETIME_S:
+            return 0.0
+        ahead = self.reported_backlog + self.sent_since_report - self.slots + 1
+        faded = max(0, ahead) * (1.0 - age / BACKLOG_LIFETIME_S)
+        return faded / max(1, self.slots)
+
     def cost(self, now: float, *, same_zone: bool) -> float:
         """Return how long a call is expected to take, relative to its route; lower is better."""
-        queued = max(0, len(self.running) + 1 - self.slots)
-        if now - self.reported_at <= REPORT_LIFETIME_S:
-            queued = max(queued, self.reported_waiting)
-        busy = len(self.running) / (2.0 * max(1, self.slots))
-        cost = self.expected_relative_latency(now) * (1.0 + busy + queued / max(1, self.slots))
+        slots = max(1, self.slots)
+        queued = max(0, len(self.running) + 1 - slots) / slots
+        queued = max(queued, self._services_ahead(now))
+        busy = len(self.running) / (2.0 * slots)
+        cost = self.expected_relative_latency(now) * (1.0 + busy) + queued
         if now < self.cold_until:
             cost *= COLD_FACTOR
         if not same_zone:
