--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -209,9 +209,12 @@
         self._longest_deadlines[route.name] = longest
         already_s = longest - wait_s
         limit_s = min(wait_s, route.timeout_s)
+        # Whoever comes back when the objective has passed is served by it anew: the answer is
+        # late in any case, or its first attempt was refused and does not count.
+        started_at = received_at - already_s if already_s < route.objective_s else received_at
         return Moments(
             received_at=received_at,
-            objective_at=received_at - already_s + route.objective_s - ANSWER_MARGIN_S,
+            objective_at=started_at + route.objective_s - ANSWER_MARGIN_S,
             deadline_at=received_at + limit_s - min(DEADLINE_MARGIN_S, limit_s / 4),
             returning=already_s > RETURNING_AFTER_S,
         )
