--- a/tinrudder/routing/load_forecast.py
+++ b/tinrudder/routing/load_forecast.py
@@ -10,8 +10,8 @@
 import math
 from collections.abc import Sequence
 
-SURE_BELOW = 0.8
-HOPELESS_ABOVE = 1.3
+SURE_BELOW = 0.7
+HOPELESS_ABOVE = 1.1
 LATER_PRIORITY_FACTOR = 1.1
 RETURNING_FACTOR = 0.85
 USUAL_FACTOR = 1.8
