--- /dev/null
+++ b/tests/unit/test_gateway_decisions.py
@@ -0,0 +1,182 @@
+"""The gateway's pure decisions: routes, weights, the answer's moment, load, replica choice."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tinrudder.routing.answer_moment import ScatterState, Verdict, decide, suffices
+from tinrudder.routing.backend_observations import BackendObservations
+from tinrudder.routing.hedge_delay import hedge_delay_s
+from tinrudder.routing.latency_window import LatencyWindow
+from tinrudder.routing.load_forecast import admission_share, wait_of_shards
+from tinrudder.routing.route_table import RouteTable
+from tinrudder.routing.weighted_rotation import WeightedRotation
+
+
+@dataclass(frozen=True)
+class Path:
+    host: str
+    path_prefix: str
+
+
+SEGMENTS = st.lists(st.sampled_from(["a", "b", "c"]), max_size=3)
+
+
+def prefix_of(segments: list[str]) -> str:
+    return "/" + "".join(f"{segment}/" for segment in segments)
+
+
+@given(
+    prefixes=st.lists(SEGMENTS, max_size=8),
+    path=SEGMENTS,
+    rest=st.sampled_from(["", "x", "a"]),
+)
+def test_the_longest_prefix_that_begins_the_path_wins(
+    prefixes: list[list[str]], path: list[str], rest: str
+) -> None:
+    routes = [Path("h", prefix_of(segments)) for segments in prefixes]
+    target = prefix_of(path) + rest
+    matching = [route for route in routes if target.startswith(route.path_prefix)]
+    expected = max(matching, key=lambda route: len(route.path_prefix), default=None)
+    assert RouteTable(routes).find("h", target) == expected
+    assert RouteTable(routes).find("other", target) is None
+
+
+@given(st.dictionaries(st.sampled_from("abcd"), st.integers(1, 9), min_size=1))
+def test_shares_stay_near_their_weights_at_every_moment(weights: dict[str, int]) -> None:
+    rotation = WeightedRotation(weights)
+    seen: Counter[str] = Counter()
+    total = sum(weights.values())
+    for turn in range(1, 101):
+        seen[rotation.next()] += 1
+        for name, weight in weights.items():
+            assert abs(seen[name] - turn * weight / total) < len(weights)
+
+
+def test_a_choice_without_weight_gets_nothing() -> None:
+    rotation = WeightedRotation({"a": 1, "b": 0})
+    assert {rotation.next() for _ in range(10)} == {"a"}
+    with pytest.raises(ValueError, match="weights"):
+        WeightedRotation({"b": 0})
+
+
+STATES = st.integers(1, 30).flatmap(
+    lambda shards: st.tuples(st.integers(0, shards), st.integers(0, shards)).map(
+        lambda pair: (shards, min(pair), max(pair) - min(pair))
+    )
+)
+
+
+@given(
+    state=STATES,
+    minimum_share=st.floats(0.0, 1.0),
+    now=st.floats(0.0, 3.0),
+)
+def test_the_answer_moment(state: tuple[int, int, int], minimum_share: float, now: float) -> None:
+    shards, included, hopeful = state
+    scatter = ScatterState(shards, included, hopeful, minimum_share, 1.0, 2.0)
+    decision = decide(scatter, now)
+    enough = suffices(included, shards, minimum_share)
+    if decision.verdict is Verdict.ANSWER:
+        assert included == shards or enough
+        assert included == shards or hopeful == 0 or now >= 1.0
+    elif decision.verdict is Verdict.FAIL:
+        assert not enough
+        assert now >= 2.0 or not suffices(included + hopeful, shards, minimum_share)
+    else:
+        assert now < decision.until <= 2.0
+        assert hopeful > 0
+        assert not (enough and now >= 1.0)
+
+
+@given(
+    arrivals=st.lists(st.floats(0.0, 3.0), min_size=1, max_size=12),
+    minimum_share=st.floats(0.0, 1.0),
+)
+def test_no_other_moment_is_worth_more(arrivals: list[float], minimum_share: float) -> None:
+    """Against an oracle that knows when each part arrives."""
+    objective, deadline, late_worth = 1.0, 2.0, 0.1
+    shards = len(arrivals)
+
+    def worth(moment: float) -> float:
+        included = sum(1 for arrival in arrivals if arrival <= moment)
+        if not suffices(included, shards, minimum_share) or moment > deadline:
+            return 0.0
+        share = (included / shards) ** 2
+        return share if moment <= objective else late_worth * share
+
+    moments = sorted({*(arrival for arrival in arrivals if arrival <= deadline), objective})
+    best_in_time = max((worth(moment) for moment in moments if moment <= objective), default=0.0)
+    reached = 0.0
+    for moment in moments:
+        included = sum(1 for arrival in arrivals if arrival <= moment)
+        state = ScatterState(
+            shards, included, shards - included, minimum_share, objective, deadline
+        )
+        if decide(state, moment).verdict is Verdict.ANSWER:
+            reached = worth(moment)
+            break
+    assert reached >= best_in_time
+    if any(worth(moment) > 0 for moment in moments):
+        assert reached > 0
+
+
+def test_what_cannot_suffice_any_more_fails_at_once() -> None:
+    state = ScatterState(20, 10, 5, 0.89, 1.0, 2.0)
+    assert decide(state, 0.0).verdict is Verdict.FAIL
+
+
+def test_admission_falls_with_the_queue_and_with_priority() -> None:
+    def share(wait: float, **changes: object) -> float:
+        options = {"priority_steps": 0, "returning": False} | changes
+        return admission_share(wait, 0.04, 0.24, **options)  # type: ignore[arg-type]
+
+    waits = [0.0, 0.05, 0.1, 0.12, 0.15, 0.3]
+    shares = [share(wait) for wait in waits]
+    assert shares == sorted(shares, reverse=True)
+    assert shares[0] == 1.0 and shares[-1] == 0.0
+    assert share(0.12, priority_steps=1) <= share(0.12) <= share(0.12, returning=True)
+
+
+def test_without_a_queue_nothing_is_refused_even_late() -> None:
+    assert admission_share(0.0, 1.0, -1.0, priority_steps=3, returning=False) == 1.0
+
+
+def test_one_slow_shard_does_not_refuse_a_query() -> None:
+    assert wait_of_shards([0.0] * 15 + [9.0]) == 0.0
+
+
+def test_a_stalled_back_end_goes_behind_a_busy_one() -> None:
+    stalled, busy = BackendObservations(slots=2), BackendObservations(slots=2)
+    stalled.begin(0.0, 0.02)
+    for _ in range(2):
+        busy.begin(0.09, 0.02)
+    assert stalled.cost(0.1, same_zone=True) > busy.cost(0.1, same_zone=False)
+
+
+def test_a_failure_weighs_more_than_slowness_and_fades() -> None:
+    failed, slow = BackendObservations(), BackendObservations()
+    failed.failed(failed.begin(0.0, 0.02), 0.0)
+    slow.answered(slow.begin(0.0, 0.02), 0.2)
+    assert failed.cost(0.2, same_zone=True) > slow.cost(0.2, same_zone=True)
+    assert failed.cost(5.0, same_zone=True) == slow.cost(5.0, same_zone=True)
+
+
+def test_reported_queues_count_until_they_are_old() -> None:
+    backend = BackendObservations(slots=2)
+    backend.reported(2, 4, 2, 1.0)
+    assert backend.wait_s(1.0, 0.1) == pytest.approx(0.25)
+    assert backend.wait_s(1.4, 0.1) == pytest.approx(0.125)
+    assert backend.wait_s(2.0, 0.1) == 0.0
+
+
+def test_a_hedge_is_never_so_late_that_it_cannot_win() -> None:
+    window = LatencyWindow()
+    for _ in range(100):
+        window.observe(0.5)
+    assert hedge_delay_s(window, 0.2, 0.0) <= 0.2 * 0.6
--- /dev/null
+++ b/tests/unit/test_shared_state.py
@@ -0,0 +1,110 @@
+"""What gateways know of the store: newest wins, in any order, whoever tells it."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tinrudder.gateway.shared_state import SharedState
+from tinrudder.gateway.stored_values import Reading, StoredValue, Topic, ValueDecoders
+from tinrudder.platform.documents import decode_backend, decode_configuration
+
+DECODERS = ValueDecoders(decode_configuration, decode_backend)
+
+
+def new_state(problems: list[str] | None = None) -> SharedState:
+    now = [0.0]
+    log = problems if problems is not None else []
+    return SharedState(DECODERS, lambda: now[0], log.append)
+
+
+def backend(key: str, revision: int, state: str = "ready") -> StoredValue:
+    document = {"service": "s", "addr": "10.0.0.1:80", "state": state}
+    return StoredValue(f"servers/{key}", revision, msgspec.json.encode(document))
+
+
+def removed(key: str, revision: int) -> StoredValue:
+    return StoredValue(f"servers/{key}", revision, None)
+
+
+def configuration(version: int, revision: int) -> StoredValue:
+    document = {"version": version, "routes": []}
+    return StoredValue("op/config", revision, msgspec.json.encode(document))
+
+
+def seen(state: SharedState) -> dict[str, tuple[int, bool, bool]]:
+    return {
+        key: (known.value.revision, known.leaving, known.removed)
+        for key, known in state.backends.items()
+        if not known.removed
+    }
+
+
+@given(
+    changes=st.lists(
+        st.tuples(st.sampled_from("abc"), st.sampled_from(["ready", "draining", "gone"])),
+        max_size=12,
+    ),
+    seed=st.integers(0, 1000),
+)
+def test_any_order_and_any_doubling_lead_to_the_same_state(
+    changes: list[tuple[str, str]], seed: int
+) -> None:
+    values = [
+        removed(key, revision) if what == "gone" else backend(key, revision, what)
+        for revision, (key, what) in enumerate(changes, start=1)
+    ]
+    in_order, shuffled = new_state(), new_state()
+    in_order.apply(Topic.BACKENDS, values)
+    mixed = values * 2
+    random.Random(seed).shuffle(mixed)
+    for value in mixed:
+        shuffled.apply(Topic.BACKENDS, (value,))
+    assert seen(in_order) == seen(shuffled)
+    assert in_order.backends_revision == shuffled.backends_revision
+
+
+def test_a_configuration_never_goes_back() -> None:
+    state = new_state()
+    assert state.apply(Topic.CONFIGURATION, (configuration(4, 40),))
+    assert not state.apply(Topic.CONFIGURATION, (configuration(2, 30),))
+    assert not state.apply(Topic.CONFIGURATION, (configuration(2, 50),))
+    assert state.accepted is not None
+    assert state.accepted.configuration.version == 4
+
+
+def test_an_unreadable_value_keeps_the_last_good_one_and_names_the_field() -> None:
+    problems: list[str] = []
+    state = new_state(problems)
+    state.apply(Topic.CONFIGURATION, (configuration(4, 40),))
+    broken = StoredValue("op/config", 41, b'{"version": "x", "routes": []}')
+    assert not state.apply(Topic.CONFIGURATION, (broken,))
+    assert state.configuration_revision == 40
+    assert "version" in problems[0]
+
+
+def test_a_complete_reading_removes_what_it_lacks_but_not_what_is_newer() -> None:
+    state = new_state()
+    state.apply(Topic.BACKENDS, (backend("old", 5), backend("newer", 50)))
+    state.apply_complete(Topic.BACKENDS, Reading((backend("kept", 7),), 20))
+    assert set(seen(state)) == {"servers/kept", "servers/newer"}
+
+
+def test_an_old_value_from_a_peer_does_not_bring_a_back_end_back() -> None:
+    state = new_state()
+    state.apply(Topic.BACKENDS, (backend("a", 5), removed("a", 9)))
+    state.apply(Topic.BACKENDS, (backend("a", 6),))
+    assert seen(state) == {}
+    state.apply(Topic.BACKENDS, (backend("a", 10),))
+    assert set(seen(state)) == {"servers/a"}
+
+
+def test_a_snapshot_teaches_a_peer_everything() -> None:
+    teacher, pupil = new_state(), new_state()
+    teacher.apply(Topic.BACKENDS, (backend("a", 5), backend("b", 6), removed("b", 8)))
+    pupil.apply(Topic.BACKENDS, (backend("b", 6),))
+    pupil.apply(Topic.BACKENDS, teacher.snapshot())
+    assert seen(pupil) == seen(teacher)
--- /dev/null
+++ b/tests/unit/test_upstream_connection.py
@@ -0,0 +1,139 @@
+"""One connection to a back end: resets, foreign bytes, withdrawn calls, long requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from tinrudder.gateway.messages import Answered, Broken, CallOutcome, UpstreamCall
+from tinrudder.gateway.upstream_connection import UpstreamConnection, accept_any_answer
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class FakeTransport(asyncio.Transport):
+    """Remembers what was written and whether it was dropped."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.dropped = False
+        self.unsent = 0
+
+    def write(self, data: bytes) -> None:  # type: ignore[override]
+        self.written += data
+
+    def abort(self) -> None:
+        self.dropped = True
+
+    def is_closing(self) -> bool:
+        return self.dropped
+
+    def get_write_buffer_size(self) -> int:
+        return self.unsent
+
+
+class Bench:
+    """A connection, its transport and the outcomes of its calls."""
+
+    def __init__(self) -> None:
+        self.freed: list[UpstreamConnection] = []
+        self.closed: list[UpstreamConnection] = []
+        self.outcomes: list[CallOutcome] = []
+        self.connection = UpstreamConnection(
+            accept_any_answer, self.freed.append, self.closed.append
+        )
+        self.transport = FakeTransport()
+        self.connection.connection_made(self.transport)
+
+    def send(self, data: bytes | None = b"GET / HTTP/1.1\r\n\r\n") -> bool:
+        return self.connection.send(UpstreamCall(lambda: data, b"r1", self.outcomes.append, 1e9))
+
+
+def in_loop(check: Callable[[Bench], None]) -> None:
+    async def run() -> None:
+        check(Bench())
+
+    asyncio.run(run())
+
+
+def test_a_whole_answer_frees_the_connection() -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        bench.connection.data_received(ANSWER)
+        assert isinstance(bench.outcomes[0], Answered)
+        assert bench.freed == [bench.connection]
+
+    in_loop(check)
+
+
+@pytest.mark.parametrize("part", [b"", b"HTTP/1.1 200 OK\r\n\r\nab", ANSWER[:-1]])
+def test_a_reset_answer_is_broken_even_without_a_length(part: bytes) -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        if part:
+            bench.connection.data_received(part)
+        bench.connection.connection_lost(ConnectionResetError())
+        assert isinstance(bench.outcomes[0], Broken)
+        assert bench.freed == []
+
+    in_loop(check)
+
+
+def test_an_orderly_end_completes_an_answer_without_a_length() -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        bench.connection.data_received(b"HTTP/1.1 200 OK\r\n\r\nab")
+        bench.connection.eof_received()
+        outcome = bench.outcomes[0]
+        assert isinstance(outcome, Answered)
+        assert outcome.answer.body == b"ab"
+        assert bench.transport.dropped
+
+    in_loop(check)
+
+
+def test_bytes_without_a_call_close_the_connection() -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        bench.connection.data_received(ANSWER)
+        bench.connection.data_received(ANSWER)
+        assert bench.transport.dropped
+        assert not bench.connection.is_usable()
+        assert len(bench.outcomes) == 1
+
+    in_loop(check)
+
+
+def test_an_answer_before_the_whole_request_left_closes_the_connection() -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        bench.transport.unsent = 10
+        bench.connection.data_received(ANSWER)
+        assert isinstance(bench.outcomes[0], Answered)
+        assert bench.transport.dropped
+        assert bench.freed == []
+
+    in_loop(check)
+
+
+def test_a_withdrawn_call_writes_nothing() -> None:
+    def check(bench: Bench) -> None:
+        assert not bench.send(None)
+        assert bench.transport.written == b""
+        assert bench.connection.is_usable()
+
+    in_loop(check)
+
+
+def test_a_connection_is_left_before_the_server_closes_it() -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        bench.connection.data_received(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=0\r\n\r\n"
+        )
+        assert not bench.connection.is_usable()
+
+    in_loop(check)
--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -29,6 +29,7 @@
     """One start of one back end, as this process sees it.
 
     :param leaving_since: when this process learned that it takes no new work; ``None`` before.
+    :param readdressed: something else answered at its address.
     """
 
     entry: BackendEntry
@@ -93,7 +94,11 @@
         entries can lapse while the store is down although every back end lives.
         """
         backends = self._services.get(service, [])
-        staying = [backend for backend in backends if backend.leaving_since is None]
+        staying = [
+            backend
+            for backend in backends
+            if backend.leaving_since is None and not backend.readdressed
+        ]
         if staying:
             return staying
         horizon = self._clock() - self._last_resort_s
--- a/tinrudder/gateway/client_connection.py
+++ b/tinrudder/gateway/client_connection.py
@@ -73,6 +73,7 @@
         self._target = b""
         self._headers: list[Header] = []
         self._header_bytes = 0
+        self._head_complete = False
         self._body: list[bytes] = []
         self._body_bytes = 0
 
@@ -110,7 +111,7 @@
         if self._reading_since is None:
             self._reading_since = self._loop.time()
             self._arm()
-        if not self._body:
+        if not self._head_complete:
             self._header_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -121,7 +122,7 @@
                 self.refuse(STATUS_BAD_REQUEST)
         if self._refused:
             return
-        if self._reading_head() and self._header_bytes > self._handler.limits.max_header_bytes:
+        if not self._head_complete and self._header_bytes > self._handler.limits.max_header_bytes:
             self.refuse(STATUS_HEADER_TOO_LARGE)
 
     def answer(self, answer: FinalAnswer) -> None:
@@ -177,7 +178,13 @@
 
     def on_headers_complete(self) -> None:
         """Check what the head alone tells (called by the parser)."""
-        self._header_bytes = 0
+        head_bytes = len(self._target) + sum(
+            len(name) + len(value) for name, value in self._headers
+        )
+        self._head_complete = True
+        if head_bytes > self._handler.limits.max_header_bytes:
+            self.refuse(STATUS_HEADER_TOO_LARGE)
+            return
         names = [name for name, _ in self._headers]
         if b"expect" in names and self._transport is not None:
             self._transport.write(CONTINUE)
@@ -198,6 +205,8 @@
         if self._refused:
             return
         self._reading_since = None
+        self._header_bytes = 0
+        self._head_complete = False
         keep_alive = self._parser.should_keep_alive()
         keep_alive = keep_alive and self._parser.get_http_version() == HTTP_1_1
         request = HttpRequest(
@@ -226,10 +235,6 @@
         if not self._answered_early:
             self._in_progress = in_progress
 
-    def _reading_head(self) -> bool:
-        """Tell whether a request's head has begun and not ended."""
-        return self._reading_since is not None and not self._body
-
     def _arm(self) -> None:
         """Set the one timer, unless it is set to something earlier anyway."""
         if self._timer is None:
--- a/tinrudder/routing/load_forecast.py
+++ b/tinrudder/routing/load_forecast.py
@@ -22,7 +22,7 @@
     """Return the wait that most shards stay below, seconds; 0 when there is none.
 
     >>> wait_of_shards([0.0, 0.1, 0.2, 0.3])
-    0.3
+    0.2
     """
     if not waits_s:
         return 0.0
--- /dev/null
+++ b/tinrudder_lab/emulator/backend.py
@@ -0,0 +1,225 @@
+"""A back end with slots, a queue, pauses, and faults of its own choosing."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tinrudder_lab.emulator.http_server import ServedRequest, ServerConnection, encode_response
+from tinrudder_lab.emulator.ledger import Arrival, Ledger
+
+RECORD_BYTES = 16
+QUEUE_PLACES = 12
+CLOCK_STEP_S = 0.001
+
+
+class Fault(enum.Enum):
+    """What a back end may do wrong with an answer.
+
+    Connections in memory end in order or not at all; answers that are reset on the way are
+    tested on the connection itself (tests/unit/test_upstream_connection.py).
+    """
+
+    NONE = "none"
+    LOST = "lost"
+    CLOSED = "closed"
+    CUT_SHORT = "cut_short"
+    SPOILED = "spoiled"
+    SURPLUS = "surplus"
+    SURPLUS_LATE = "surplus_late"
+    UNFRAMED = "unframed"
+    FOREIGN = "foreign"
+    ENCODED = "encoded"
+    UNSIGNED = "unsigned"
+    ERROR = "error"
+    SHED = "shed"
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    """One accepted request."""
+
+    request: ServedRequest
+    connection: ServerConnection
+    dropped: bool = False
+
+
+class EmulatedBackend:
+    """Serves one service at one address."""
+
+    def __init__(
+        self,
+        backend_id: str,
+        service: str,
+        ledger: Ledger,
+        random_source: random.Random,
+        work_s: Callable[[], float],
+        slots: int = 2,
+    ) -> None:
+        """Sign answers into ``ledger``; each takes ``work_s()`` of a slot."""
+        self.backend_id = backend_id
+        self.service = service
+        self.choose_fault: Callable[[], Fault] = lambda: Fault.NONE
+        self.slots = slots
+        self.open_connections: set[ServerConnection] = set()
+        self.peak_connections = 0
+        self._ledger = ledger
+        self._random = random_source
+        self._work_s = work_s
+        self._loop = asyncio.get_running_loop()
+        self._running: set[_Job] = set()
+        self._queue: deque[_Job] = deque()
+        self._paused_until = 0.0
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen."""
+        self._server = await self._loop.create_server(self._accept, host, port)
+
+    def stop(self) -> None:
+        """Crash: every connection ends."""
+        if self._server is not None:
+            self._server.close()
+        for connection in tuple(self.open_connections):
+            connection.abort()
+
+    def pause(self, seconds: float) -> None:
+        """Stand still for a while."""
+        self._paused_until = self._loop.time() + seconds
+
+    def _accept(self) -> ServerConnection:
+        """Take a connection."""
+        connection = ServerConnection(self._on_request)
+        self.open_connections.add(connection)
+        connection.on_close.append(lambda: self.open_connections.discard(connection))
+        self.peak_connections = max(self.peak_connections, len(self.open_connections))
+        return connection
+
+    def _on_request(self, request: ServedRequest, connection: ServerConnection) -> None:
+        """Reject, queue or run a request."""
+        expected = request.headers.get("tinrudder-expect-instance", self.backend_id)
+        shed = self.choose_fault() is Fault.SHED
+        full = len(self._queue) >= QUEUE_PLACES
+        accepted = expected == self.backend_id and not full and not shed
+        self._note(request, ran=accepted)
+        if expected != self.backend_id:
+            headers = {"Tinrudder-Instance": self.backend_id}
+            self._write(request, connection, 421, headers)
+        elif not accepted:
+            self._write(request, connection, 503, {"Tinrudder-Not-Run": "1"})
+        else:
+            self._enqueue(_Job(request, connection))
+
+    def _enqueue(self, job: _Job) -> None:
+        """Run a job when a slot is free."""
+        job.connection.on_close.append(lambda: self._drop(job))
+        self._queue.append(job)
+        self._run_queue()
+
+    def _run_queue(self) -> None:
+        """Give free slots to the oldest jobs."""
+        while self._queue and len(self._running) < self.slots:
+            job = self._queue.popleft()
+            if job.dropped:
+                continue
+            self._running.add(job)
+            begin = max(self._loop.time(), self._paused_until)
+            self._loop.call_at(begin + self._work_s(), self._finish, job)
+
+    def _drop(self, job: _Job) -> None:
+        """Stop working for a caller that closed its connection."""
+        job.dropped = True
+        if job in self._running:
+            self._running.discard(job)
+            self._run_queue()
+
+    def _finish(self, job: _Job) -> None:
+        """Answer, or do what the fault says."""
+        if job.dropped:
+            return
+        if self._loop.time() < self._paused_until:
+            self._loop.call_at(self._paused_until + CLOCK_STEP_S, self._finish, job)
+            return
+        self._running.discard(job)
+        self._answer(job)
+        self._run_queue()
+
+    def _answer(self, job: _Job) -> None:
+        """Write an answer with one fault or none."""
+        request, connection = job.request, job.connection
+        fault = self.choose_fault()
+        request_id = request.headers["tinrudder-request-id"]
+        body = self._random.randbytes(RECORD_BYTES * 6)
+        headers = {
+            "Tinrudder-Request-Id": request_id,
+            "Tinrudder-Backend-Load": f"{len(self._running)},{len(self._queue)},{self.slots}",
+        }
+        if fault is Fault.LOST:
+            return
+        if fault is Fault.CLOSED:
+            connection.abort()
+            return
+        if fault is Fault.ERROR:
+            self._write(request, connection, 500, headers)
+            return
+        whole = fault not in (Fault.CUT_SHORT, Fault.SPOILED, Fault.FOREIGN)
+        if whole and fault not in (Fault.ENCODED, Fault.UNSIGNED):
+            headers["Tinrudder-Server-Stamp"] = self._ledger.issue(request_id, self.service, body)
+        elif fault is not Fault.UNSIGNED:
+            headers["Tinrudder-Server-Stamp"] = "bad.signature"
+        if fault is Fault.FOREIGN:
+            headers["Tinrudder-Request-Id"] = "somebody-elses"
+        if fault is Fault.ENCODED:
+            headers["Content-Encoding"] = "gzip"
+        data = encode_response(200, headers, body, framed=fault.value.find("unframed") < 0)
+        self._send(connection, data, fault)
+
+    def _send(self, connection: ServerConnection, data: bytes, fault: Fault) -> None:
+        """Send the bytes of an answer as the fault has it."""
+        if fault is Fault.CUT_SHORT:
+            connection.write(data[:-10])
+            connection.close()
+        elif fault is Fault.SPOILED:
+            connection.write(b"\x00\x01 no answer" + data)
+        elif fault is Fault.SURPLUS:
+            connection.write(data + data)
+        elif fault is Fault.SURPLUS_LATE:
+            connection.write(data)
+            self._loop.call_later(0.05, connection.write, data)
+        elif fault is Fault.UNFRAMED:
+            connection.write(data)
+            connection.close()
+        else:
+            connection.write(data)
+
+    def _write(
+        self,
+        request: ServedRequest,
+        connection: ServerConnection,
+        status: int,
+        headers: dict[str, str],
+    ) -> None:
+        """Write an answer without a body."""
+        request_id = request.headers.get("tinrudder-request-id", "")
+        connection.write(
+            encode_response(status, {"Tinrudder-Request-Id": request_id} | headers, b"")
+        )
+
+    def _note(self, request: ServedRequest, *, ran: bool) -> None:
+        """Note an arrival."""
+        deadline = request.headers.get("tinrudder-deadline-ms")
+        self._ledger.arrivals.append(
+            Arrival(
+                at=self._loop.time(),
+                request_id=request.headers.get("tinrudder-request-id", ""),
+                service=self.service,
+                backend_id=self.backend_id,
+                target=request.target,
+                deadline_ms=int(deadline) if deadline is not None else None,
+                ran=ran,
+            )
+        )
--- /dev/null
+++ b/tinrudder_lab/emulator/ledger.py
@@ -0,0 +1,195 @@
+"""What back ends and clients saw, and the checks of a gateway's promises against it."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+from tinrudder.gateway.record_merge import RECORD_BYTES
+
+
+@dataclass(frozen=True, slots=True)
+class IssuedAnswer:
+    """A whole, good answer that a back end signed."""
+
+    request_id: str
+    service: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that reached a back end.
+
+    :param ran: the back end began to work on it.
+    """
+
+    at: float
+    request_id: str
+    service: str
+    backend_id: str
+    target: str
+    deadline_ms: int | None
+    ran: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ClientResult:
+    """What a client got; status 0 for none."""
+
+    request_id: str
+    target: str
+    sent_at: float
+    ended_at: float
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    repeatable: bool = True
+    services: tuple[str, ...] = ()
+    top_records: int = 0
+    minimum_share: float = 0.0
+    gone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class BrokenPromise:
+    """A promise that a run broke, with what shows it."""
+
+    promise: str
+    what: str
+
+
+@dataclass
+class Ledger:
+    """Everything that was seen."""
+
+    issued: dict[str, IssuedAnswer] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
+    results: list[ClientResult] = field(default_factory=list)
+    leaving_at: dict[str, float] = field(default_factory=dict)
+    _serial: itertools.count[int] = field(default_factory=itertools.count)
+
+    def issue(self, request_id: str, service: str, body: bytes) -> str:
+        """Sign an answer."""
+        stamp = f"{next(self._serial):x}.signed"
+        self.issued[stamp] = IssuedAnswer(request_id, service, body)
+        return stamp
+
+    def broken_promises(
+        self, ratio: float, extra: float, window_s: float, drain_s: float
+    ) -> list[BrokenPromise]:
+        """Return everything that must not have happened."""
+        return [
+            *self._mixed(),
+            *self._ran_twice(),
+            *self._refused_but_ran(),
+            *self._over_budget(ratio, extra, window_s),
+            *self._after_leaving(drain_s),
+        ]
+
+    def _mixed(self) -> list[BrokenPromise]:
+        """Check every success against what back ends signed."""
+        broken = []
+        for result in self.results:
+            if 200 <= result.status < 300:
+                problem = self._success_problem(result)
+                if problem:
+                    broken.append(
+                        BrokenPromise("own answer only", f"{result.request_id}: {problem}")
+                    )
+        return broken
+
+    def _success_problem(self, result: ClientResult) -> str:
+        """Return what is wrong with one success."""
+        if result.top_records:
+            return self._merged_problem(result)
+        answer = self.issued.get(result.headers.get("tinrudder-server-stamp", ""))
+        if answer is None or answer.request_id != result.request_id:
+            return "no signature for this request"
+        return "" if answer.body == result.body else "another body than the back end's"
+
+    def _merged_problem(self, result: ClientResult) -> str:
+        """Check parts, coverage and merge of one scatter."""
+        named = result.headers.get("tinrudder-parts", "")
+        stamps = [stamp.strip() for stamp in named.split(",") if stamp.strip()]
+        missing = int(result.headers.get("tinrudder-missing-parts", "0"))
+        answers = [self.issued.get(stamp) for stamp in stamps]
+        if any(answer is None or answer.request_id != result.request_id for answer in answers):
+            return "a part that is no answer to this request"
+        parts = [answer for answer in answers if answer is not None]
+        services = {part.service for part in parts}
+        if len(services) != len(parts) or not services <= set(result.services):
+            return "two parts of one shard, or one of no shard"
+        if len(parts) + missing != len(result.services):
+            return "parts and missing do not make up the shards"
+        if not parts or len(parts) < result.minimum_share * len(result.services) - 1e-9:
+            return "too few parts"
+        return "" if result.body == _greatest(parts, result.top_records) else "not the greatest"
+
+    def _ran_twice(self) -> list[BrokenPromise]:
+        """Check that what must not be repeated ran at most once."""
+        unrepeatable = {result.request_id for result in self.results if not result.repeatable}
+        runs = Counter(arrival.request_id for arrival in self.arrivals if arrival.ran)
+        return [
+            BrokenPromise("at most once", f"{request_id} ran {runs[request_id]} times")
+            for request_id in unrepeatable
+            if runs[request_id] > 1
+        ]
+
+    def _refused_but_ran(self) -> list[BrokenPromise]:
+        """Check that what was refused as not run did not run."""
+        ran = {arrival.request_id for arrival in self.arrivals if arrival.ran}
+        return [
+            BrokenPromise("not run", f"{result.request_id} got {result.status} and ran")
+            for result in self.results
+            if not result.repeatable and result.status in (408, 421, 429, 503)
+            if result.request_id in ran
+        ]
+
+    def _over_budget(self, ratio: float, extra: float, window_s: float) -> list[BrokenPromise]:
+        """Check repeats of each service in every sliding window, over all gateways."""
+        broken = []
+        for service, repeats in self._repeats().items():
+            requests = sorted(self._request_times(service))
+            for index, end in enumerate(repeats):
+                spent = sum(1 for at in repeats[: index + 1] if at > end - window_s)
+                counted = sum(1 for at in requests if end - 2 * window_s < at <= end)
+                if spent > ratio * counted + extra:
+                    what = f"{service}: {spent} repeats in the {window_s} s before {end:.2f}"
+                    broken.append(BrokenPromise("repeat budget", what))
+                    break
+        return broken
+
+    def _repeats(self) -> dict[str, list[float]]:
+        """Return for each service when arrivals beyond the first of each request came."""
+        seen: set[tuple[str, str]] = set()
+        repeats: dict[str, list[float]] = defaultdict(list)
+        for arrival in sorted(self.arrivals, key=lambda arrival: arrival.at):
+            key = (arrival.service, arrival.request_id)
+            if key in seen:
+                repeats[arrival.service].append(arrival.at)
+            seen.add(key)
+        return repeats
+
+    def _request_times(self, service: str) -> list[float]:
+        """Return when clients sent requests for a service."""
+        return [result.sent_at for result in self.results if service in result.services]
+
+    def _after_leaving(self, drain_s: float) -> list[BrokenPromise]:
+        """Check that nothing reaches a back end long after it said that it leaves."""
+        return [
+            BrokenPromise("leaving", f"{arrival.request_id} reached {arrival.backend_id}")
+            for arrival in self.arrivals
+            if arrival.ran
+            and arrival.at > self.leaving_at.get(arrival.backend_id, float("inf")) + drain_s
+        ]
+
+
+def _greatest(parts: list[IssuedAnswer], count: int) -> bytes:
+    """Merge the plain way: sort everything."""
+    records = []
+    for part in parts:
+        for start in range(0, len(part.body) - RECORD_BYTES + 1, RECORD_BYTES):
+            records.append(part.body[start : start + RECORD_BYTES])
+    return b"".join(sorted(records, reverse=True)[:count])
--- /dev/null
+++ b/tinrudder_lab/emulator/loop.py
@@ -0,0 +1,114 @@
+"""The simulator's event loop with datagrams, and machines whose connections end with them."""
+
+from __future__ import annotations
+
+import asyncio
+import warnings
+from collections.abc import Callable
+from typing import Any
+
+from async_solipsism import SolipsismWarning
+
+from tinrudder_lab.sim.loop import MACHINE, Machine, MachineLoop
+
+DATAGRAM_DELAY_S = 0.001
+
+AddressPair = tuple[str, int]
+
+# The in-memory sockets know no options; the product may set them all the same.
+warnings.filterwarnings("ignore", category=SolipsismWarning)
+
+
+class EmulatedDatagrams(asyncio.DatagramTransport):
+    """A socket for datagrams in memory."""
+
+    def __init__(self, loop: EmulatorLoop, address: AddressPair, machine: Machine | None) -> None:
+        """Stand at ``address`` until closed."""
+        super().__init__()
+        self.machine = machine
+        self._loop = loop
+        self._address = address
+
+    def sendto(self, data: Any, addr: Any = None) -> None:
+        """Send one datagram."""
+        self._loop.deliver_datagram(self._address, addr, bytes(data))
+
+    def close(self) -> None:
+        """Leave the address."""
+        self._loop.datagram_receivers.pop(self._address, None)
+
+
+class EmulatorLoop(MachineLoop):
+    """Virtual time, streams and datagrams.
+
+    :ivar datagram_lost: tells from source and destination whether a datagram is lost.
+    """
+
+    def __init__(self) -> None:
+        """Start with nobody listening."""
+        super().__init__()
+        self.datagram_receivers: dict[
+            AddressPair, tuple[EmulatedDatagrams, asyncio.DatagramProtocol]
+        ] = {}
+        self.datagram_lost: Callable[[AddressPair, AddressPair], bool] = lambda *_: False
+        self._machine_transports: list[tuple[Machine | None, Any]] = []
+        self._machine_servers: list[tuple[Machine | None, asyncio.Server]] = []
+
+    async def create_datagram_endpoint(
+        self,
+        protocol_factory: Callable[[], asyncio.DatagramProtocol],
+        local_addr: AddressPair,
+        **options: Any,
+    ) -> tuple[EmulatedDatagrams, asyncio.DatagramProtocol]:
+        """Open a socket for datagrams."""
+        protocol = protocol_factory()
+        transport = EmulatedDatagrams(self, local_addr, MACHINE.get())
+        self.datagram_receivers[local_addr] = (transport, protocol)
+        protocol.connection_made(transport)
+        return transport, protocol
+
+    def deliver_datagram(self, source: AddressPair, target: AddressPair, data: bytes) -> None:
+        """Deliver a datagram after a delay, unless it is lost or nobody is there."""
+        receiver = self.datagram_receivers.get(target)
+        if receiver is None or self.datagram_lost(source, target):
+            return
+        transport, protocol = receiver
+        context = transport.machine.context if transport.machine is not None else None
+        if context is not None:
+            self.deliver(DATAGRAM_DELAY_S, context, protocol.datagram_received, data, source)
+
+    async def create_server(self, *arguments: Any, **options: Any) -> asyncio.Server:
+        """Listen, and remember for which machine."""
+        server: asyncio.Server = await super().create_server(*arguments, **options)
+        self._machine_servers.append((MACHINE.get(), server))
+        return server
+
+    def _make_socket_transport(self, *arguments: Any, **options: Any) -> Any:
+        """Remember which machine a connection belongs to."""
+        transport = super()._make_socket_transport(*arguments, **options)
+        self._machine_transports.append((MACHINE.get(), transport))
+        return transport
+
+    def end_machine(self, machine: Machine) -> None:
+        """Kill a machine's process: nothing of it runs on, its connections end."""
+        machine.crash()
+        for owner, server in tuple(self._machine_servers):
+            if owner is machine:
+                server.close()
+                self._machine_servers.remove((owner, server))
+        for owner, transport in tuple(self._machine_transports):
+            if owner is machine:
+                self._machine_transports.remove((owner, transport))
+                self._close_socket(transport)
+        for address, (datagrams, _) in tuple(self.datagram_receivers.items()):
+            if datagrams.machine is machine:
+                del self.datagram_receivers[address]
+
+    def _close_socket(self, transport: Any) -> None:
+        """Close a connection without telling the dead end of it."""
+        tcp_socket = transport._sock
+        if tcp_socket is None:
+            return
+        self._remove_reader(tcp_socket.fileno())
+        self._remove_writer(tcp_socket.fileno())
+        tcp_socket.close()
--- /dev/null
+++ b/tinrudder_lab/emulator/site.py
@@ -0,0 +1,283 @@
+"""A whole emulated site: gateways, back ends, store and clients in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from tinrudder.cli.gateway import DECODERS
+from tinrudder.gateway.model import Address, GatewaySettings, RepeatBounds
+from tinrudder.gateway.node import GatewayNode
+from tinrudder.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY
+from tinrudder.platform.headers import HEADERS
+from tinrudder.platform.store_client import StoreClient
+from tinrudder_lab.emulator.backend import EmulatedBackend
+from tinrudder_lab.emulator.client import PlannedRequest, send_request
+from tinrudder_lab.emulator.ledger import ClientResult, Ledger
+from tinrudder_lab.emulator.loop import EmulatorLoop
+from tinrudder_lab.emulator.store import EmulatedStore
+from tinrudder_lab.sim.loop import Machine
+
+STORE_HOST = "10.200.0.1"
+STORE_FIRST_PORT = 9000
+CLIENT_PORT = 8100
+HEALTH_PORT = 8101
+PEER_PORT = 8102
+BACKEND_PORT = 8080
+SITE_HOST = "search.example"
+REPEATS = RepeatBounds(ratio=0.2, extra=56.0, window_s=10.0)
+DRAIN_S = 3.0
+GRACE_S = 6.0
+ZONES = ("zone-a", "zone-b")
+
+Result = TypeVar("Result")
+
+
+@dataclass
+class EmulatedNode:
+    """One machine with its gateway process."""
+
+    name: str
+    index: int
+    machine: Machine
+    gateway: GatewayNode | None = None
+
+    @property
+    def host(self) -> str:
+        """Return the machine's address."""
+        return f"10.1.0.{self.index + 1}"
+
+    @property
+    def store_port(self) -> int:
+        """Return where this machine reaches the store."""
+        return STORE_FIRST_PORT + self.index
+
+
+@dataclass
+class EmulatedSite:
+    """Everything; use :meth:`start` before anything else.
+
+    :param shards: how many shards the scatter route has, two back ends each.
+    :param work_s: time that a back end's slot is held by one request.
+    """
+
+    loop: EmulatorLoop
+    seed: int = 1
+    node_count: int = 3
+    shards: int = 8
+    singles: int = 3
+    work_s: float = 0.02
+    ledger: Ledger = field(default_factory=Ledger)
+    nodes: list[EmulatedNode] = field(default_factory=list)
+    backends: dict[str, EmulatedBackend] = field(default_factory=dict)
+    version: int = 0
+    _serial: int = 0
+
+    async def start(self) -> None:
+        """Start the store, the back ends and the gateways, and wait until they serve."""
+        self.random = random.Random(self.seed)
+        self.store = EmulatedStore(STORE_HOST)
+        for index in range(self.node_count):
+            name = f"gateway-{index}"
+            machine = Machine(name, ZONES[index % 2], "region")
+            self.nodes.append(EmulatedNode(name, index, machine))
+        for node in self.nodes:
+            await self.store.listen(node.store_port)
+        for shard in self.shard_services:
+            for copy in range(2):
+                await self.add_backend(f"{shard}-{copy}", shard, ZONES[copy])
+        for copy in range(self.singles):
+            await self.add_backend(f"single-{copy}", "single", ZONES[copy % 2])
+        self.configure()
+        for node in self.nodes:
+            self.start_node(node)
+        await asyncio.sleep(2.0)
+
+    @property
+    def shard_services(self) -> tuple[str, ...]:
+        """Return the services that are the scatter's shards."""
+        return tuple(f"shard-{index}" for index in range(self.shards))
+
+    async def add_backend(self, backend_id: str, service: str, zone: str) -> EmulatedBackend:
+        """Start a back end and let it record itself."""
+        host = f"10.128.{len(self.backends) // 250}.{len(self.backends) % 250 + 1}"
+        backend = EmulatedBackend(backend_id, service, self.ledger, self.random, self._work_time)
+        await backend.start(host, BACKEND_PORT)
+        self.backends[backend_id] = backend
+        self.write_entry(backend_id, service, f"{host}:{BACKEND_PORT}", zone)
+        return backend
+
+    def _work_time(self) -> float:
+        """Draw how long one request holds a slot."""
+        return self.work_s * self.random.lognormvariate(0.0, 0.35)
+
+    def write_entry(
+        self, backend_id: str, service: str, address: str, zone: str, state: str = "ready"
+    ) -> None:
+        """Write a back end's entry."""
+        self._entries = getattr(self, "_entries", {})
+        self._entries[backend_id] = (service, address, zone)
+        document = {
+            "service": service,
+            "addr": address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 2,
+            "state": state,
+            "cold_left_ms": 0,
+            "seq": 1,
+        }
+        self.store.put(BACKENDS_PREFIX + backend_id, document)
+
+    def drain(self, backend_id: str) -> None:
+        """Let a back end say that it leaves."""
+        service, address, zone = self._entries[backend_id]
+        self.write_entry(backend_id, service, address, zone, state="draining")
+        self.ledger.leaving_at[backend_id] = self.loop.time()
+
+    def configure(self, **changes: Any) -> None:
+        """Write the next configuration; ``changes`` replace fields of the scatter's route."""
+        self.version += 2
+        scatter: dict[str, Any] = {
+            "name": "scatter",
+            "host": SITE_HOST,
+            "path_prefix": "/all/",
+            "kind": "safe",
+            "timeout_ms": 2000,
+            "goal_ms": 200,
+            "attempts": 2,
+            "priority": 1,
+            "gather": list(self.shard_services),
+            "top_k": 10,
+            "oldest_version": 0.75,
+        } | changes
+        routes = [scatter, _single("single", "safe"), _single("once", "unsafe")]
+        names = {*self.shard_services, "single", *scatter["gather"]}
+        services = [{"name": name, "max_conns": 26} for name in sorted(names)]
+        limits = {"max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+        document = {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": limits,
+        }
+        self.store.put(CONFIGURATION_KEY, document)
+
+    def start_node(self, node: EmulatedNode) -> None:
+        """Start, or start again, a gateway's process."""
+        node.machine = Machine(node.name, node.machine.zone, "region")
+        node.machine.context.run(self._start_in_machine, node)
+
+    def _start_in_machine(self, node: EmulatedNode) -> None:
+        settings = GatewaySettings(
+            name=node.name,
+            zone=node.machine.zone,
+            clients=Address(node.host, CLIENT_PORT),
+            health=Address(node.host, HEALTH_PORT),
+            peers=Address(node.host, PEER_PORT),
+            seeds=(Address("10.1.0.1", PEER_PORT), Address("10.1.0.2", PEER_PORT)),
+            store=Address(STORE_HOST, node.store_port),
+            drain_s=DRAIN_S,
+            stop_grace_s=GRACE_S,
+            repeats=REPEATS,
+        )
+
+        async def run() -> None:
+            node.gateway = GatewayNode(settings, HEADERS, DECODERS, StoreClient)
+            await node.gateway.run()
+
+        self.loop.create_task(run())
+
+    def kill_node(self, node: EmulatedNode) -> None:
+        """Kill a gateway's process."""
+        self.loop.end_machine(node.machine)
+
+    def request(self, route: str, **changes: Any) -> PlannedRequest:
+        """Plan a request on one of the routes: ``scatter``, ``single`` or ``once``."""
+        self._serial += 1
+        request_id = f"request-{self._serial}"
+        fields: dict[str, Any] = {
+            "request_id": request_id,
+            "host": SITE_HOST,
+            "deadline_ms": 2000,
+            "target": f"/{route}/{self._serial}",
+            "services": ("single",),
+            "repeatable": route != "once",
+        }
+        if route == "scatter":
+            fields |= {
+                "target": f"/all/{self._serial}",
+                "services": self.shard_services,
+                "top_records": 10,
+                "minimum_share": 0.75,
+            }
+        return PlannedRequest(**(fields | changes))
+
+    async def send(self, route: str, node: int = 0, **changes: Any) -> ClientResult:
+        """Send one request to a node."""
+        address = (self.nodes[node].host, CLIENT_PORT)
+        return await send_request(self.request(route, **changes), address, self.ledger)
+
+    async def traffic(self, seconds: float, per_second: float, routes: tuple[str, ...]) -> None:
+        """Send requests at random moments to random nodes, and wait for their ends."""
+        tasks = []
+        end = self.loop.time() + seconds
+        while self.loop.time() < end:
+            await asyncio.sleep(self.random.expovariate(per_second))
+            route = self.random.choice(routes)
+            node = self.random.randrange(len(self.nodes))
+            tasks.append(self.loop.create_task(self.send(route, node)))
+        await asyncio.gather(*tasks)
+
+    def served_share(self) -> float:
+        """Return the share of requests that were served, of clients that stayed."""
+        stayed = [result for result in self.ledger.results if not result.gone]
+        return sum(1 for result in stayed if result.status == 200) / max(1, len(stayed))
+
+    def broken_promises(self) -> list[str]:
+        """Return what must not have happened."""
+        broken = self.ledger.broken_promises(
+            REPEATS.ratio, REPEATS.extra, REPEATS.window_s, DRAIN_S
+        )
+        return [f"{promise.promise}: {promise.what}" for promise in broken]
+
+
+def _single(name: str, kind: str) -> dict[str, Any]:
+    """Return a route to one back end."""
+    return {
+        "name": name,
+        "host": SITE_HOST,
+        "path_prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 2000,
+        "goal_ms": 400,
+        "attempts": 2,
+        "priority": 2,
+        "service": "single",
+    }
+
+
+def run_site(
+    scenario: Callable[[EmulatedSite], Coroutine[Any, Any, Result]], **options: Any
+) -> Result:
+    """Run a scenario on a fresh site in virtual time."""
+    loop = EmulatorLoop()
+    asyncio.set_event_loop(loop)
+    site = EmulatedSite(loop, **options)
+
+    async def main() -> Result:
+        await site.start()
+        return await scenario(site)
+
+    try:
+        result: Result = loop.run_until_complete(main())
+        return result
+    finally:
+        for task in asyncio.all_tasks(loop):
+            # Gateways run until they are told to stop; that they are still there is no mistake.
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+        asyncio.set_event_loop(None)
+        loop.close()
--- /dev/null
+++ b/tinrudder_lab/emulator/store.py
@@ -0,0 +1,195 @@
+"""The platform's metadata store: keys with revisions, ranges in pages, watches, and outages."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import enum
+from dataclasses import dataclass
+from urllib.parse import parse_qs, urlsplit
+
+import msgspec
+
+from tinrudder.platform.store_client import KEY_PATH, RANGE_PATH, WATCH_PATH
+from tinrudder_lab.emulator.http_server import ServedRequest, ServerConnection, encode_response
+
+PAGE_ITEMS = 50
+ANSWER_S = 0.004
+
+
+class StoreMode(enum.Enum):
+    """How the store treats one machine."""
+
+    SERVING = "serving"
+    REFUSING = "refusing"
+    THROTTLING = "throttling"
+    SILENT = "silent"
+    RESETTING = "resetting"
+    DEAF = "deaf"
+    SLOW = "slow"
+
+
+SLOW_FACTOR = 60
+
+
+@dataclass(slots=True)
+class _Item:
+    value: bytes | None
+    rev: int
+
+
+@dataclass(slots=True, eq=False)
+class _Watch:
+    prefix: str
+    after: int
+    connection: ServerConnection
+    port: int
+    done: bool = False
+
+
+class EmulatedStore:
+    """One store that each machine reaches at a port of its own, so that it can be treated apart."""
+
+    def __init__(self, host: str) -> None:
+        """Start empty at ``host``."""
+        self.host = host
+        self.modes: dict[int, StoreMode] = {}
+        self.calls = 0
+        self.revision = 0
+        self._forgotten = 0
+        self._items: dict[str, _Item] = {}
+        self._watches: list[_Watch] = []
+        self._connections: dict[int, set[ServerConnection]] = {}
+        self._loop = asyncio.get_running_loop()
+
+    async def listen(self, port: int) -> None:
+        """Serve one machine."""
+        self.modes[port] = StoreMode.SERVING
+        self._connections[port] = set()
+
+        def accept() -> ServerConnection:
+            connection = ServerConnection(lambda request, conn: self._serve(request, conn, port))
+            self._connections[port].add(connection)
+            if self.modes[port] is StoreMode.RESETTING:
+                self._loop.call_soon(connection.abort)
+            return connection
+
+        await self._loop.create_server(accept, self.host, port)
+
+    def set_mode(self, mode: StoreMode, *ports: int) -> None:
+        """Treat the machines at ``ports`` (all of them if none is given) another way."""
+        for port in ports or tuple(self.modes):
+            self.modes[port] = mode
+            if mode is StoreMode.RESETTING:
+                for connection in tuple(self._connections[port]):
+                    connection.abort()
+
+    def put(self, key: str, document: object) -> int:
+        """Write a document; return its revision."""
+        self.revision += 1
+        self._items[key] = _Item(msgspec.json.encode(document), self.revision)
+        self._wake()
+        return self.revision
+
+    def remove(self, key: str) -> None:
+        """Remove a key."""
+        self.revision += 1
+        self._items[key] = _Item(None, self.revision)
+        self._wake()
+
+    def forget_history(self) -> None:
+        """Drop history and cut every watch."""
+        self._forgotten = self.revision
+        for watch in tuple(self._watches):
+            self._answer(watch, 410, {"error": "compacted"})
+
+    def _serve(self, request: ServedRequest, connection: ServerConnection, port: int) -> None:
+        """Answer one call by the machine's mode."""
+        self.calls += 1
+        mode = self.modes[port]
+        if mode is StoreMode.SILENT:
+            return
+        if mode is StoreMode.RESETTING:
+            connection.abort()
+            return
+        if mode in (StoreMode.REFUSING, StoreMode.THROTTLING):
+            status = 503 if mode is StoreMode.REFUSING else 429
+            connection.write(encode_response(status, {}, b"{}"))
+            return
+        delay = ANSWER_S * (SLOW_FACTOR if mode is StoreMode.SLOW else 1)
+        self._loop.call_later(delay, self._answer_call, request, connection, port)
+
+    def _answer_call(self, request: ServedRequest, connection: ServerConnection, port: int) -> None:
+        """Answer one call."""
+        parts = urlsplit(request.target)
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == KEY_PATH:
+            self._answer_key(query["key"], connection)
+        elif parts.path == RANGE_PATH:
+            self._answer_range(query, connection)
+        elif parts.path == WATCH_PATH:
+            self._watch(query, connection, port)
+        else:
+            connection.write(encode_response(404, {}, b"{}"))
+
+    def _answer_key(self, key: str, connection: ServerConnection) -> None:
+        item = self._items.get(key)
+        if item is None or item.value is None:
+            connection.write(encode_response(404, {}, b"{}"))
+            return
+        document = _document(key, item) | {"at": self.revision}
+        connection.write(encode_response(200, {}, msgspec.json.encode(document)))
+
+    def _answer_range(self, query: dict[str, str], connection: ServerConnection) -> None:
+        prefix, after = query["path_prefix"], query.get("after", "")
+        keys = sorted(
+            key
+            for key, item in self._items.items()
+            if key.startswith(prefix) and key > after and item.value is not None
+        )
+        items = [_document(key, self._items[key]) for key in keys[:PAGE_ITEMS]]
+        answer = {"items": items, "more": len(keys) > PAGE_ITEMS, "at": self.revision}
+        connection.write(encode_response(200, {}, msgspec.json.encode(answer)))
+
+    def _watch(self, query: dict[str, str], connection: ServerConnection, port: int) -> None:
+        watch = _Watch(query["path_prefix"], int(query["after"]), connection, port)
+        if watch.after < self._forgotten:
+            self._answer(watch, 410, {"error": "compacted"})
+            return
+        self._watches.append(watch)
+        self._loop.call_later(int(query["wait_ms"]) / 1000, self._answer_watch, watch, True)
+        self._answer_watch(watch, False)
+
+    def _wake(self) -> None:
+        for watch in tuple(self._watches):
+            if self.modes[watch.port] is StoreMode.SERVING:
+                self._loop.call_later(ANSWER_S, self._answer_watch, watch, False)
+
+    def _answer_watch(self, watch: _Watch, at_end: bool) -> None:
+        if watch.done or self.modes[watch.port] is StoreMode.SILENT:
+            return
+        events = [
+            _document(key, item)
+            for key, item in self._items.items()
+            if key.startswith(watch.prefix) and item.rev > watch.after
+        ]
+        if self.modes[watch.port] is StoreMode.DEAF:
+            events = []
+        if events or at_end:
+            events.sort(key=lambda event: int(str(event["rev"])))
+            at = self.revision if self.modes[watch.port] is not StoreMode.DEAF else watch.after
+            self._answer(watch, 200, {"events": events, "at": at})
+
+    def _answer(self, watch: _Watch, status: int, document: object) -> None:
+        watch.done = True
+        if watch in self._watches:
+            self._watches.remove(watch)
+        watch.connection.write(encode_response(status, {}, msgspec.json.encode(document)))
+
+
+def _document(key: str, item: _Item) -> dict[str, object]:
+    """Return an item or a removal as the store writes it."""
+    if item.value is None:
+        return {"key": key, "rev": item.rev, "gone": True}
+    value = base64.b64encode(item.value).decode()
+    return {"key": key, "value": value, "rev": item.rev, "made": item.rev, "lease": 0}
