Let a watch wait longer the more gateways there are

Ruled out: fixed long waits (one gateway alone would notice a silent cut late); digests cover the rest.

--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -77,7 +77,8 @@
         self.store_calls = 0
         store = make_store(settings.store, self._count_store_call)
         self._followers = [
-            StoreFollower(topic, store, self.state, self._on_reachability) for topic in Topic
+            StoreFollower(topic, store, self.state, self._on_reachability, self.nodes, self._random)
+            for topic in Topic
         ]
         self._exchange: PeerExchange | None = None
         if settings.peers is not None:
--- a/tinrudder/gateway/store_follower.py
+++ b/tinrudder/gateway/store_follower.py
@@ -1,12 +1,14 @@
 """Keeps the shared state up with the metadata store, whatever the store does.
 
-One follower for each topic: read everything, then watch.  A watch waits only a few seconds, so that
-one that was silently cut is noticed; forgotten history leads back to a full read.
+One follower for each topic: read everything, then watch; forgotten history leads back to a full
+read.  A watch that was silently cut is noticed when its wait ends.  Calls are priced, so the more
+gateways there are the longer each waits: one of them notices soon, and digests tell the others.
 """
 
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
 from tinrudder.gateway.shared_state import SharedState
@@ -17,7 +19,10 @@
     Topic,
 )
 
-WATCH_WAIT_S = 3.0
+SHORTEST_WAIT_S = 3.0
+LONGEST_WAIT_S = 9.0
+WAIT_PER_NODE_S = 1.0
+WAIT_SPREAD = 0.3
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
 PACE_S = {Topic.CONFIGURATION: 0.05, Topic.BACKENDS: 0.25}
@@ -34,8 +39,15 @@
         store: MetadataStore,
         state: SharedState,
         on_reachability: ReachabilityListener,
+        nodes: Callable[[], int],
+        random_source: random.Random,
     ) -> None:
-        """Tell ``on_reachability`` when the store is lost or regained, and why."""
+        """Tell ``on_reachability`` when the store is lost or regained, and why.
+
+        :param nodes: tells how many gateways teach each other.
+        """
+        self._nodes = nodes
+        self._random = random_source
         self._topic = topic
         self._store = store
         self._state = state
@@ -70,7 +82,7 @@
             self._revision = reading.revision
             return
         try:
-            reading = await self._store.watch(self._topic, self._revision, WATCH_WAIT_S)
+            reading = await self._store.watch(self._topic, self._revision, self._wait_s())
         except HistoryForgottenError:
             self._revision = None
             return
@@ -79,6 +91,11 @@
         if reading.values:
             await asyncio.sleep(PACE_S[self._topic])
 
+    def _wait_s(self) -> float:
+        """Return how long the next watch waits; not the same on all gateways."""
+        wait_s = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, self._nodes() * WAIT_PER_NODE_S))
+        return wait_s * self._random.uniform(1.0 - WAIT_SPREAD, 1.0 + WAIT_SPREAD)
+
     def _note(self, *, reachable: bool, detail: str = "") -> None:
         """Report a change."""
         if reachable != self._reachable:
