--- /dev/null
+++ b/tests/unit/test_gateway_commands.py
@@ -0,0 +1,78 @@
+"""The gateway's command line: checked settings, and the story of a request from a log."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+
+from tests.unit.test_platform_adapter import SETTINGS
+from tinrudder.cli.exit_codes import ExitCode
+from tinrudder.cli.main import main
+
+
+def line(event: str, at: float, **fields: object) -> str:
+    return json.dumps({"time": at, "level": "INFO", "node": "front-1", "event": event} | fields)
+
+
+LOG = "\n".join(
+    [
+        line("store_lost", 95.0, topic="configuration", detail="no answer in 2.5 s"),
+        line("request", 96.0, request="other", outcome="Merged", status=200),
+        "not a line of ours",
+        "  12.5 front-1 "
+        + line(
+            "request",
+            100.0,
+            request="r1",
+            route="seats",
+            version=7,
+            outcome="Merged",
+            status=200,
+            elapsed_ms=235.1,
+            repeats=3,
+            included=18,
+            missing=2,
+            missing_shards="s1 s2",
+            reasons="2 x no answer yet",
+        ),
+    ]
+)
+
+
+def test_settings_are_checked_without_starting(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    assert main(["gateway", "--settings", str(path), "--check"]) == ExitCode.OK
+    assert "front-1: settings are valid" in capsys.readouterr().out
+    path.write_text(SETTINGS.replace("drain_ms = 2000", "drain_ms = 0"))
+    assert main(["gateway", "--settings", str(path), "--check"]) == ExitCode.USAGE
+    assert "drain_ms" in capsys.readouterr().err
+
+
+def test_a_story_names_outcome_coverage_reasons_and_what_came_before(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "log"
+    path.write_text(LOG)
+    assert main(["story", str(path), "r1"]) == ExitCode.OK
+    told = capsys.readouterr().out
+    assert "Merged, status 200, after 235.1 ms" in told
+    assert "18 shards in, 2 missing" in told
+    assert "without an answer: s1 s2" in told
+    assert "reasons: 2 x no answer yet" in told
+    assert "5.0 s before: store_lost configuration no answer in 2.5 s" in told
+    assert "other" not in told
+
+
+def test_an_unknown_request_and_a_missing_log_are_told(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "log"
+    path.write_text(LOG)
+    assert main(["story", str(path), "r9"]) == ExitCode.NOT_FOUND
+    assert main(["story", str(tmp_path / "absent"), "r1"]) == ExitCode.USAGE
+    assert "absent" in capsys.readouterr().err
--- a/tinrudder/cli/main.py
+++ b/tinrudder/cli/main.py
@@ -17,12 +17,14 @@
     nodes,
     query,
     serve,
+    story,
     validate,
     watch,
 )
 
 SUBCOMMANDS = (
     serve,
+    story,
     gateway,
     check_settings,
     validate,
--- /dev/null
+++ b/tinrudder/cli/story.py
@@ -0,0 +1,141 @@
+"""``tinrudder story``: what a gateway's log tells of one request."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+
+import msgspec
+
+from tinrudder.cli.exit_codes import ExitCode
+
+CONTEXT_S = 10.0
+STANDARD_INPUT = "-"
+REQUEST_EVENT = "request"
+MEANINGS = {
+    "Merged": "answered from the shards that were in",
+    "Relayed": "a back end's own answer was passed on",
+    "NotRun": "refused: no back end ran it, and none will",
+    "UnknownRoute": "no route of the configuration in force matched host and path",
+    "Invalid": "the request breaks a rule of the protocol",
+    "NoAnswer": "a back end may have run it, and every call failed",
+    "TimedOut": "a back end may have run it, and no usable answer came in time",
+    "client_left": "the client closed its connection before the answer",
+}
+
+
+class LogLine(msgspec.Struct):
+    """The fields of a log line that a story needs."""
+
+    time: float
+    node: str = ""
+    event: str = ""
+    request: str = ""
+    route: str = ""
+    version: int = 0
+    outcome: str = ""
+    status: int = 0
+    elapsed_ms: float = 0.0
+    repeats: int = 0
+    included: int | None = None
+    missing: int | None = None
+    missing_shards: str = ""
+    reasons: str = ""
+    detail: str = ""
+    target: str = ""
+    topic: str = ""
+    peer: str = ""
+    result: str = ""
+    count: int = 0
+
+
+_decoder = msgspec.json.Decoder(LogLine)
+
+
+def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Add the subcommand."""
+    parser = subparsers.add_parser("story", help="tell from a log what became of a request")
+    parser.add_argument("log", help=f"a gateway's log; {STANDARD_INPUT} for standard input")
+    parser.add_argument("request", help="the request's id")
+    parser.set_defaults(run=run)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Print the story of one request."""
+    try:
+        text = _read(arguments.log)
+    except OSError as error:
+        print(f"tinrudder story: {arguments.log}: {error.strerror}", file=sys.stderr)
+        return ExitCode.USAGE
+    lines = list(read_log(text.splitlines()))
+    story = tell_story(lines, arguments.request)
+    if not story:
+        print(f"tinrudder story: no line about request {arguments.request}", file=sys.stderr)
+        return ExitCode.NOT_FOUND
+    print("\n".join(story))
+    return ExitCode.OK
+
+
+def read_log(lines: Iterable[str]) -> Iterator[LogLine]:
+    """Yield the lines that are a gateway's; a prefix before the JSON object is skipped."""
+    for line in lines:
+        start = line.find("{")
+        if start < 0:
+            continue
+        try:
+            yield _decoder.decode(line[start:])
+        except msgspec.MsgspecError:
+            continue
+
+
+def tell_story(lines: list[LogLine], request: str) -> list[str]:
+    """Return the story of one request, and what its node learned shortly before; may be empty."""
+    story = []
+    for line in lines:
+        if line.event == REQUEST_EVENT and line.request == request:
+            story.extend(_request_lines(line))
+            story.extend(_context_lines(lines, line))
+    return story
+
+
+def _request_lines(line: LogLine) -> list[str]:
+    """Tell the end of one request."""
+    meaning = MEANINGS.get(line.outcome, line.outcome)
+    told = [
+        f"request {line.request} at {line.node}, {line.time:.3f}: {line.outcome}, "
+        f"status {line.status}, after {line.elapsed_ms} ms",
+        f"  meaning: {meaning}",
+        f"  route: {line.route or 'none'}, configuration version {line.version}",
+    ]
+    if line.target:
+        told.append(f"  target: {line.target}")
+    if line.included is not None:
+        told.append(f"  coverage: {line.included} shards in, {line.missing or 0} missing")
+    if line.missing_shards:
+        told.append(f"  without an answer: {line.missing_shards}")
+    if line.reasons:
+        told.append(f"  reasons: {line.reasons}")
+    if line.detail:
+        told.append(f"  decided by: {line.detail}")
+    told.append(f"  calls beyond the first of each shard: {line.repeats}")
+    return told
+
+
+def _context_lines(lines: list[LogLine], request: LogLine) -> list[str]:
+    """Tell what the node learned in the seconds before the request ended."""
+    told = []
+    for line in lines:
+        age = request.time - line.time
+        if line.node == request.node and line.event != REQUEST_EVENT and 0 <= age <= CONTEXT_S:
+            facts = [line.topic, line.peer, line.result, line.detail]
+            words = " ".join(fact for fact in facts if fact)
+            version = f"version {line.version}" if line.version else ""
+            told.append(f"  {age:.1f} s before: {line.event} {words} {version}".rstrip())
+    return told
+
+
+def _read(log: str) -> str:
+    """Return a log's text."""
+    return sys.stdin.read() if log == STANDARD_INPUT else Path(log).read_text(errors="replace")
