--- a/tests/functional/test_gateway_site.py
+++ b/tests/functional/test_gateway_site.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tinrudder_lab.emulator.backend import Fault
+from tinrudder_lab.emulator.loop import EmulatorLoop
 from tinrudder_lab.emulator.site import CLIENT_PORT, HEALTH_PORT, EmulatedSite, run_site
 from tinrudder_lab.emulator.store import StoreMode
 
@@ -453,9 +454,26 @@
             sizes.append(1)
             return False
 
+        assert isinstance(site.loop, EmulatorLoop)
         site.loop.datagram_lost = count
         await asyncio.sleep(10.0)
         per_node = len(sizes) / 10.0 / len(site.nodes)
         assert per_node <= math.ceil((len(site.nodes) - 1) / 0.4)
 
     run_site(scenario, node_count=6)
+
+
+def test_gateways_that_start_together_respect_a_back_ends_connections() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        assert isinstance(site.loop, EmulatorLoop)
+        site.loop.datagram_lost = lambda *_: True
+        for node in site.nodes:
+            site.kill_node(node)
+            site.start_node(node)
+        await asyncio.sleep(0.05)
+        for backend in site.backends.values():
+            backend.peak_connections = 0
+        await site.traffic(0.4, 400.0, ("scatter",))
+        assert max(backend.peak_connections for backend in site.backends.values()) <= 26
+
+    run_site(scenario, node_count=8, shards=2, work_s=0.1)
--- a/tests/unit/test_shared_state.py
+++ b/tests/unit/test_shared_state.py
@@ -8,6 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tinrudder.gateway.model import Address
+from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.shared_state import SharedState
 from tinrudder.gateway.stored_values import Reading, StoredValue, Topic, ValueDecoders
 from tinrudder.platform.documents import decode_backend, decode_configuration
@@ -108,3 +110,24 @@
     pupil.apply(Topic.BACKENDS, (backend("b", 6),))
     pupil.apply(Topic.BACKENDS, teacher.snapshot())
     assert seen(pupil) == seen(teacher)
+
+
+def test_a_gateway_that_has_just_started_assumes_peers_it_has_not_heard() -> None:
+    """Otherwise all that start together would each take every connection of a back end."""
+    peers = PeerList(Address("10.0.0.1", 1), random.Random(1), started_at=100.0)
+    assert peers.nodes(100.5) >= 8
+    peers.heard_from(Address("10.0.0.2", 1), 100.5)
+    peers.heard_of([Address("10.0.0.3", 1)], 100.5)
+    assert peers.nodes(104.0) == 2
+    assert peers.nodes(104.0 + 30.0) == 1
+    assert Address("10.0.0.3", 1) in peers.receivers(104.0)
+
+
+def test_digests_go_to_a_few_where_peers_are_many() -> None:
+    peers = PeerList(Address("10.0.0.1", 1), random.Random(1), started_at=0.0)
+    peers.set_seeds([Address("10.0.1.1", 1)])
+    for index in range(300):
+        peers.heard_from(Address(f"10.1.{index}.1", 1), 10.0)
+    assert peers.nodes(11.0) == 301
+    assert len(peers.receivers(11.0)) == 6
+    assert len(peers.to_tell()) == 8
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -53,7 +53,7 @@
         self._servers: list[asyncio.Server] = []
         self._metrics_address = metrics_address
         own = settings.peers or settings.clients
-        self.peers = PeerList(own, self._random)
+        self.peers = PeerList(own, self._random, loop.time())
         self.peers.set_seeds(settings.seeds)
         self.state = SharedState(decoders, loop.time, self._on_unreadable)
         self.counters = ForwardingCounters()
@@ -142,8 +142,6 @@
         self.lifecycle.trigger("leave")
         self.handler.closing = True
         log_event("stopping", {"in_progress": self.handler.in_progress})
-        if self._exchange is not None:
-            self._exchange.leaving = True
         await asyncio.sleep(min(LEAVE_S, self.settings.stop_grace_s / 2))
         self.lifecycle.trigger("drain")
         last_moment = stopped_at + self.settings.stop_grace_s - EXIT_MARGIN_S
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -44,7 +44,6 @@
         self, own: Address, state: SharedState, peers: PeerList, on_pull: Callable[[str, str], None]
     ) -> None:
         """Exchange ``state`` with ``peers``; ``on_pull`` learns of every pull and its result."""
-        self.leaving = False
         self._own = own
         self._state = state
         self._peers = peers
@@ -115,7 +114,6 @@
             backends_revision=state.backends_revision,
             known_peers=self._peers.to_tell(),
             starting=not state.complete,
-            leaving=self.leaving,
         )
 
     def _compare(self, digest: Digest, now: float) -> None:
--- a/tinrudder/gateway/peer_list.py
+++ b/tinrudder/gateway/peer_list.py
@@ -12,6 +12,8 @@
 COUNTED_FOR_S = 30.0
 FORGOTTEN_AFTER_S = 90.0
 TOLD_PEERS = 8
+SETTLE_S = 3.0
+ASSUMED_AT_START = 10
 
 
 class PeerList:
@@ -20,9 +22,10 @@
     Seeds are kept although they may be stale: after a cut they are the way back.
     """
 
-    def __init__(self, own: Address, random_source: random.Random) -> None:
-        """Start with nobody but ``own``."""
+    def __init__(self, own: Address, random_source: random.Random, started_at: float) -> None:
+        """Start with nobody but ``own``; ``started_at`` is when this process began."""
         self._own = own
+        self._settled_at = started_at + SETTLE_S
         self._random = random_source
         self._seeds: set[Address] = set()
         self._heard: dict[Address, float] = {}
@@ -48,10 +51,12 @@
         """Return how many gateways there seem to be, this one included.
 
         A peer counts for long after it falls silent: too low a number would make every gateway
-        take too large a part of what they share.
+        take too large a part of what they share.  For the same reason a process that has just
+        started, perhaps together with all others, assumes some that it has not heard yet.
         """
         horizon = now - COUNTED_FOR_S
-        return 1 + sum(1 for heard_at in self._heard.values() if heard_at >= horizon)
+        heard = 1 + sum(1 for heard_at in self._heard.values() if heard_at >= horizon)
+        return heard if now >= self._settled_at else max(heard, ASSUMED_AT_START)
 
     def receivers(self, now: float) -> list[Address]:
         """Return the peers that the next digest goes to."""
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -14,7 +14,6 @@
 
     :param known_peers: some addresses of other gateways.
     :param starting: the sender knows nothing yet and would like to hear soon.
-    :param leaving: the sender is about to stop.
     """
 
     sender: Address
@@ -22,7 +21,6 @@
     backends_revision: int
     known_peers: tuple[Address, ...] = ()
     starting: bool = False
-    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -69,7 +69,7 @@
         """Report every finished request to ``observer``."""
         self.closing = False
         self.in_progress = 0
-        self._forwarding = forwarding
+        self.forwarding = forwarding
         self._state = state
         self._observer = observer
         self._random = random_source
@@ -86,8 +86,8 @@
 
     def handle(self, request: HttpRequest, connection: ClientConnection) -> RequestInProgress:
         """Serve one request."""
-        serving = _Serving(self, request, connection, self._forwarding.loop.time())
-        self._forwarding.counters.requests += 1
+        serving = _Serving(self, request, connection, self.forwarding.loop.time())
+        self.forwarding.counters.requests += 1
         try:
             request_id = self._check(request)
         except InvalidRequestError as error:
@@ -108,7 +108,7 @@
         services = route.shards or (self._choose_service(routes, route),)
         refusal = self._refusal(routes, route, services, moments)
         if refusal is not None:
-            self._forwarding.counters.refused += 1
+            self.forwarding.counters.refused += 1
             serving.end(refusal)
             return serving
         run = self._new_run(route, services, request, moments, serving)
@@ -131,7 +131,7 @@
         names = [name for name, _ in request.headers]
         if names.count(b"host") != 1:
             raise InvalidRequestError("host: must stand exactly once")
-        id_name = self._forwarding.names.request_id
+        id_name = self.forwarding.names.request_id
         ids = [value for name, value in request.headers if name == id_name]
         if len(ids) != 1 or not ids[0]:
             raise InvalidRequestError("request id: must stand exactly once")
@@ -149,7 +149,7 @@
         self, routes: RoutesInForce, route: Route, services: tuple[str, ...], moments: Moments
     ) -> NotRun | None:
         """Refuse a request that can probably not be answered in time; ``None`` admits it."""
-        forwarding = self._forwarding
+        forwarding = self.forwarding
         now = moments.received_at
         unloaded = forwarding.unloaded_latency(route)
         if len(unloaded) < MINIMUM_OBSERVATIONS:
@@ -185,9 +185,9 @@
     ) -> RequestRun:
         """Plan one request."""
         encoded = RequestBytes(
-            request, serving.request_id, moments.deadline_at, self._forwarding.names
+            request, serving.request_id, moments.deadline_at, self.forwarding.names
         )
-        return RequestRun(route, services, encoded, moments, self._forwarding, serving.end)
+        return RequestRun(route, services, encoded, moments, self.forwarding, serving.end)
 
     def _choose_service(self, routes: RoutesInForce, route: Route) -> str:
         """Return the service whose turn it is."""
@@ -221,7 +221,7 @@
 
     def _client_wait_s(self, request: HttpRequest) -> float | None:
         """Return how long the client will wait, ``None`` if it does not say."""
-        name = self._forwarding.names.deadline_ms
+        name = self.forwarding.names.deadline_ms
         for header, value in request.headers:
             if header == name and value.strip().isdigit():
                 return int(value) / MILLISECONDS
@@ -240,7 +240,7 @@
             configuration, RouteTable(configuration.routes), priorities=priorities
         )
         names = frozenset(route.name for route in configuration.routes)
-        self._forwarding.forget_unused(frozenset(configuration.services), names)
+        self.forwarding.forget_unused(frozenset(configuration.services), names)
         for name in self._longest_deadlines.keys() - names:
             del self._longest_deadlines[name]
 
@@ -267,7 +267,7 @@
     def end(self, outcome: RequestOutcome) -> None:
         """Answer the client."""
         handler = self._handler
-        forwarding = handler._forwarding
+        forwarding = handler.forwarding
         if self.run is not None:
             handler.in_progress -= 1
         answer = build_answer(outcome, forwarding.names, self.request_id or None)
@@ -290,7 +290,7 @@
             target=self._request.target,
             version=self.version,
             outcome=outcome,
-            elapsed_s=self._handler._forwarding.loop.time() - self.received_at,
+            elapsed_s=self._handler.forwarding.loop.time() - self.received_at,
             shards=run.shards if run is not None else [],
             repeats=run.repeats if run is not None else 0,
         )
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -102,7 +102,10 @@
         """Decide anew after a change."""
         if self._finished or self._starting:
             return
-        now = self._forwarding.loop.time()
+        self._act(self._forwarding.loop.time())
+
+    def _act(self, now: float) -> None:
+        """Wait, answer or fail, as decided now."""
         decision = decide(self._state(), now)
         if decision.verdict is Verdict.WAIT:
             self._arm(decision.until)
@@ -145,13 +148,7 @@
             shard.on_time(now)
             if self._finished:
                 return
-        decision = decide(self._state(), now)
-        if decision.verdict is Verdict.WAIT:
-            self._arm(decision.until)
-        elif decision.verdict is Verdict.ANSWER:
-            self._finish(self._answer())
-        else:
-            self._finish(self._failure(now))
+        self._act(now)
 
     def _answer(self) -> RequestOutcome:
         """Return what is in."""
--- a/tinrudder/wire/snapshot_codec.py
+++ b/tinrudder/wire/snapshot_codec.py
@@ -22,7 +22,6 @@
         backends_revision=digest.backends_revision,
         known_peers=[str(address) for address in digest.known_peers],
         starting=digest.starting,
-        leaving=digest.leaving,
     )
     return message.SerializeToString()
 
@@ -40,7 +39,6 @@
             backends_revision=message.backends_revision,
             known_peers=tuple(Address.parse(text) for text in message.known_peers),
             starting=message.starting,
-            leaving=message.leaving,
         )
     except (DecodeError, ValueError) as error:
         raise MalformedPeerMessageError(str(error)) from error
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -21,7 +21,6 @@
 from tinrudder_lab.emulator.store import EmulatedStore
 from tinrudder_lab.sim.loop import Machine
 
-STORE_HOST = "10.200.0.1"
 STORE_FIRST_PORT = 9000
 CLIENT_PORT = 8100
 HEALTH_PORT = 8101
@@ -43,12 +42,13 @@
     name: str
     index: int
     machine: Machine
+    network: int
     gateway: GatewayNode | None = None
 
     @property
     def host(self) -> str:
         """Return the machine's address."""
-        return f"10.1.0.{self.index + 1}"
+        return f"{self.network}.1.0.{self.index + 1}"
 
     @property
     def store_port(self) -> int:
@@ -61,11 +61,13 @@
     """Everything; use :meth:`start` before anything else.
 
     :param shards: how many shards the scatter route has, two back ends each.
+    :param network: first number of every address.
     :param work_s: time that a back end's slot is held by one request.
     """
 
-    loop: EmulatorLoop
+    loop: asyncio.AbstractEventLoop
     seed: int = 1
+    network: int = 10
     node_count: int = 3
     shards: int = 8
     singles: int = 3
@@ -79,11 +81,11 @@
     async def start(self) -> None:
         """Start the store, the back ends and the gateways, and wait until they serve."""
         self.random = random.Random(self.seed)
-        self.store = EmulatedStore(STORE_HOST)
+        self.store = EmulatedStore(f"{self.network}.200.0.1")
         for index in range(self.node_count):
             name = f"gateway-{index}"
             machine = Machine(name, ZONES[index % 2], "region")
-            self.nodes.append(EmulatedNode(name, index, machine))
+            self.nodes.append(EmulatedNode(name, index, machine, self.network))
         for node in self.nodes:
             await self.store.listen(node.store_port)
         for shard in self.shard_services:
@@ -103,13 +105,23 @@
 
     async def add_backend(self, backend_id: str, service: str, zone: str) -> EmulatedBackend:
         """Start a back end and let it record itself."""
-        host = f"10.128.{len(self.backends) // 250}.{len(self.backends) % 250 + 1}"
+        host = f"{self.network}.128.{len(self.backends) // 250}.{len(self.backends) % 250 + 1}"
         backend = EmulatedBackend(backend_id, service, self.ledger, self.random, self._work_time)
         await backend.start(host, BACKEND_PORT)
         self.backends[backend_id] = backend
-        self.write_entry(backend_id, service, f"{host}:{BACKEND_PORT}", zone)
+        address = await self.reachable_at(backend_id, Address(host, BACKEND_PORT))
+        self.write_entry(backend_id, service, str(address), zone)
         return backend
 
+    async def reachable_at(self, backend_id: str, address: Address) -> Address:
+        """Return where gateways reach a back end: its own address."""
+        return address
+
+    @property
+    def seeds(self) -> tuple[Address, ...]:
+        """Return the peers that a gateway is told of."""
+        return tuple(Address(node.host, PEER_PORT) for node in self.nodes[:2])
+
     def _work_time(self) -> float:
         """Draw how long one request holds a slot."""
         return self.work_s * self.random.lognormvariate(0.0, 0.35)
@@ -178,8 +190,8 @@
             clients=Address(node.host, CLIENT_PORT),
             health=Address(node.host, HEALTH_PORT),
             peers=Address(node.host, PEER_PORT),
-            seeds=(Address("10.1.0.1", PEER_PORT), Address("10.1.0.2", PEER_PORT)),
-            store=Address(STORE_HOST, node.store_port),
+            seeds=self.seeds,
+            store=Address(self.store.host, node.store_port),
             drain_s=DRAIN_S,
             stop_grace_s=GRACE_S,
             repeats=REPEATS,
@@ -193,6 +205,7 @@
 
     def kill_node(self, node: EmulatedNode) -> None:
         """Kill a gateway's process."""
+        assert isinstance(self.loop, EmulatorLoop)
         self.loop.end_machine(node.machine)
 
     def request(self, route: str, **changes: Any) -> PlannedRequest:
--- a/tinrudder_lab/main.py
+++ b/tinrudder_lab/main.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import argparse
+import asyncio
 import sys
+import tempfile
 from pathlib import Path
 from typing import TypeAlias
 
@@ -24,6 +26,7 @@
 from tinrudder_lab.process_mode.scenarios import PROCESS_BY_NAME
 from tinrudder_lab.report import RunResult
 from tinrudder_lab.scenarios import BY_NAME, SCENARIOS, Scenario
+from tinrudder_lab.soak.run import soak
 from tinrudder_lab.topology import PARAMETERS
 
 EXIT_VIOLATIONS = 1
@@ -64,6 +67,7 @@
     _add_compare(commands)
     _add_sweep(commands)
     _add_plot(commands)
+    _add_soak(commands)
     parsed = parser.parse_args(arguments)
     try:
         code: int = parsed.run(parsed)
@@ -221,5 +225,22 @@
     return 0
 
 
+def _add_soak(commands: Commands) -> None:
+    soak_parser = commands.add_parser("soak", help="real gateways on loopback, faults at random")
+    soak_parser.add_argument("--seed", type=int, default=1)
+    soak_parser.add_argument("--seconds", type=float, default=30.0)
+    soak_parser.add_argument("--folder", type=Path, help="for settings and logs")
+    soak_parser.set_defaults(run=_soak)
+
+
+def _soak(parsed: argparse.Namespace) -> int:
+    folder = parsed.folder or Path(tempfile.mkdtemp(prefix="tinrudder-soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    print(f"logs: {folder}", file=sys.stderr)
+    result = asyncio.run(soak(parsed.seed, parsed.seconds, folder))
+    print(msgspec.json.encode(result).decode())
+    return EXIT_VIOLATIONS if result.broken else 0
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/tinrudder_lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real gateway processes on loopback, with faults from outside them."""
--- /dev/null
+++ b/tinrudder_lab/soak/faults.py
@@ -0,0 +1,147 @@
+"""The faults of a soak, drawn from its seed; each heals by itself."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+
+from tinrudder_lab.emulator.backend import EmulatedBackend, Fault
+from tinrudder_lab.emulator.store import StoreMode
+from tinrudder_lab.soak.process_site import ProcessSite
+from tinrudder_lab.soak.proxy import LinkMode
+
+SoakFault = Callable[[ProcessSite], Awaitable[str]]
+BAD_LINK_MODES = tuple(mode for mode in LinkMode if mode is not LinkMode.PASSING)
+BAD_STORE_MODES = (
+    StoreMode.REFUSING,
+    StoreMode.THROTTLING,
+    StoreMode.SILENT,
+    StoreMode.RESETTING,
+    StoreMode.SLOW,
+)
+BAD_ANSWERS = tuple(fault for fault in Fault if fault is not Fault.NONE)
+BAD_ANSWER_SHARE = 0.1
+MAX_STORE_OUTAGE_S = 4.0
+
+
+async def kill(site: ProcessSite) -> str:
+    """Kill a gateway and start it again."""
+    async with site.one_node() as node:
+        site.kill_node(node)
+        await site.wait_for_end(node)
+        await asyncio.sleep(site.random.uniform(0.1, 1.0))
+        await site.launch(node)
+    return f"killed {node.name}"
+
+
+async def stop(site: ProcessSite) -> str:
+    """Stop a gateway as planned and start it again."""
+    async with site.one_node() as node:
+        site.signal_node(node, signal.SIGTERM)
+        code = await site.wait_for_end(node)
+        if code != 0:
+            site.problems.append(f"planned stop: {node.name} ended with {code}")
+            site.kill_node(node)
+            await site.wait_for_end(node)
+        await site.launch(node)
+    return f"stopped {node.name}, code {code}"
+
+
+async def pause(site: ProcessSite) -> str:
+    """Pause a gateway's process."""
+    async with site.one_node() as node:
+        site.signal_node(node, signal.SIGSTOP)
+        await asyncio.sleep(site.random.uniform(0.2, 4.0))
+        site.signal_node(node, signal.SIGCONT)
+    return f"paused {node.name}"
+
+
+async def reload(site: ProcessSite) -> str:
+    """Have a gateway read its settings again."""
+    async with site.one_node() as node:
+        site.signal_node(node, signal.SIGHUP)
+    return f"reloaded {node.name}"
+
+
+async def harm_link(site: ProcessSite) -> str:
+    """Harm the link to a back end, or from a gateway to the store."""
+    name = site.random.choice(sorted(site.links))
+    mode = site.random.choice(BAD_LINK_MODES)
+    site.links[name].set_mode(mode)
+    await asyncio.sleep(site.random.uniform(0.5, 4.0))
+    site.links[name].set_mode(LinkMode.PASSING)
+    return f"link {name} {mode.value}"
+
+
+async def harm_store(site: ProcessSite) -> str:
+    """Let the store treat some machines, or all, badly."""
+    ports = [node.store_port for node in site.nodes]
+    chosen = site.random.sample(ports, site.random.randint(1, len(ports)))
+    mode = site.random.choice(BAD_STORE_MODES)
+    site.store.set_mode(mode, *chosen)
+    await asyncio.sleep(site.random.uniform(0.5, MAX_STORE_OUTAGE_S))
+    site.store.set_mode(StoreMode.SERVING, *chosen)
+    return f"store {mode.value} to {len(chosen)}"
+
+
+async def forget_history(site: ProcessSite) -> str:
+    """Let the store forget its history."""
+    site.store.forget_history()
+    return "store forgot"
+
+
+async def configure(site: ProcessSite) -> str:
+    """Change the configuration."""
+    site.configure(timeout_ms=site.random.choice([1500, 2000, 2500]))
+    return f"configured {site.version}"
+
+
+async def spoil_answers(site: ProcessSite) -> str:
+    """Let some back ends spoil some answers."""
+    fault = site.random.choice(BAD_ANSWERS)
+    backends = site.random.sample(sorted(site.backends), 4)
+
+    def spoil() -> Fault:
+        return fault if site.random.random() < BAD_ANSWER_SHARE else Fault.NONE
+
+    for name in backends:
+        site.backends[name].choose_fault = spoil
+    await asyncio.sleep(site.random.uniform(1.0, 4.0))
+    for name in backends:
+        site.backends[name].choose_fault = lambda: Fault.NONE
+    return f"answers {fault.value}"
+
+
+async def stand_still(site: ProcessSite) -> str:
+    """Let a back end stand still for a moment."""
+    backend: EmulatedBackend = site.random.choice([*site.backends.values()])
+    backend.pause(site.random.uniform(0.1, 1.0))
+    return f"{backend.backend_id} stood still"
+
+
+async def replace_backend(site: ProcessSite) -> str:
+    """Let a back end of the single service leave, after another one came."""
+    old = site.random.choice([name for name in site.backends if name.startswith("single")])
+    if old in site.ledger.leaving_at:
+        return "nothing replaced"
+    await site.add_backend(f"single-{len(site.backends)}", "single", "zone-a")
+    await asyncio.sleep(0.5)
+    site.drain(old)
+    return f"{old} leaves"
+
+
+FAULTS: tuple[SoakFault, ...] = (
+    kill,
+    stop,
+    pause,
+    reload,
+    harm_link,
+    harm_link,
+    harm_store,
+    forget_history,
+    configure,
+    spoil_answers,
+    stand_still,
+    replace_backend,
+)
--- /dev/null
+++ b/tinrudder_lab/soak/process_site.py
@@ -0,0 +1,145 @@
+"""The emulated site with gateways as separate processes, each link through a proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import sys
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from tinrudder.gateway.model import Address
+from tinrudder_lab.emulator.site import (
+    BACKEND_PORT,
+    CLIENT_PORT,
+    DRAIN_S,
+    GRACE_S,
+    HEALTH_PORT,
+    PEER_PORT,
+    REPEATS,
+    EmulatedNode,
+    EmulatedSite,
+)
+from tinrudder_lab.soak.proxy import LinkProxy
+
+LOOPBACK = 127
+STORE_PROXY_HOST = "127.201.0.1"
+MILLISECONDS = 1000
+STOP_TIMEOUT_S = GRACE_S + 4.0
+
+
+@dataclass
+class ProcessSite(EmulatedSite):
+    """Gateways run as processes; store and back ends stay in this one, behind proxies.
+
+    :param folder: for settings files and logs.
+    :param problems: what faults found that no client or back end can see.
+    """
+
+    folder: Path = field(default_factory=Path)
+    network: int = LOOPBACK
+    links: dict[str, LinkProxy] = field(default_factory=dict)
+    processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
+    problems: list[str] = field(default_factory=list)
+    _locks: dict[str, asyncio.Lock] = field(default_factory=dict)
+
+    async def reachable_at(self, backend_id: str, address: Address) -> Address:
+        """Put a proxy before a back end."""
+        proxied = Address(address.host.replace("127.128.", "127.129."), BACKEND_PORT)
+        await self._add_link(backend_id, address, proxied)
+        return proxied
+
+    def start_node(self, node: EmulatedNode) -> None:
+        """Start, or start again, a gateway's process."""
+        self.loop.create_task(self.launch(node))
+
+    async def launch(self, node: EmulatedNode) -> None:
+        """Start a gateway's process."""
+        await self._link_to_store(node)
+        settings = self.folder / f"{node.name}.toml"
+        settings.write_text(self._settings_text(node))
+        with (self.folder / f"{node.name}.log").open("ab") as log:
+            self.processes[node.name] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "tinrudder.cli.gateway",
+                "--settings",
+                str(settings),
+                stdout=log,
+                stderr=log,
+            )
+
+    @contextlib.asynccontextmanager
+    async def one_node(self) -> AsyncIterator[EmulatedNode]:
+        """Draw a gateway and keep other faults of processes away from it."""
+        node = self.random.choice(self.nodes)
+        async with self._locks.setdefault(node.name, asyncio.Lock()):
+            yield node
+
+    def signal_node(self, node: EmulatedNode, number: signal.Signals) -> None:
+        """Send a signal to a gateway that this soak started."""
+        process = self.processes.get(node.name)
+        if process is not None and process.returncode is None:
+            process.send_signal(number)
+
+    def kill_node(self, node: EmulatedNode) -> None:
+        """Kill a gateway's process."""
+        self.signal_node(node, signal.SIGKILL)
+
+    async def wait_for_end(self, node: EmulatedNode) -> int | None:
+        """Wait until a gateway's process has ended; return its code, ``None`` if it has not."""
+        try:
+            async with asyncio.timeout(STOP_TIMEOUT_S):
+                return await self.processes[node.name].wait()
+        except TimeoutError:
+            return None
+
+    def ended_by_themselves(self) -> list[str]:
+        """Name the gateways that are not running although nothing ended them."""
+        return [
+            f"own exit: {name} ended with {process.returncode}"
+            for name, process in self.processes.items()
+            if process.returncode is not None
+        ]
+
+    async def close(self) -> None:
+        """End every process that this soak started."""
+        for node in self.nodes:
+            self.kill_node(node)
+        for process in self.processes.values():
+            await process.wait()
+        for link in self.links.values():
+            link.close()
+
+    async def _link_to_store(self, node: EmulatedNode) -> None:
+        """Put a proxy between a gateway and the store, once."""
+        if node.name not in self.links:
+            target = Address(self.store.host, node.store_port)
+            await self._add_link(node.name, target, Address(STORE_PROXY_HOST, node.store_port))
+
+    async def _add_link(self, name: str, target: Address, address: Address) -> None:
+        link = LinkProxy(target)
+        self.links[name] = link
+        await link.listen(address)
+
+    def _settings_text(self, node: EmulatedNode) -> str:
+        """Return a gateway's settings file."""
+        seeds = ", ".join(f'"{seed}"' for seed in self.seeds)
+        return f"""node = "{node.name}"
+zone = "{node.machine.zone}"
+seeds = [{seeds}]
+[listen]
+front = "{node.host}:{CLIENT_PORT}"
+ready = "{node.host}:{HEALTH_PORT}"
+control = "{node.host}:{PEER_PORT}"
+[platform]
+addr = "{STORE_PROXY_HOST}:{node.store_port}"
+[bounds]
+drain_ms = {DRAIN_S * MILLISECONDS}
+grace_s = {GRACE_S}
+budget_ratio = {REPEATS.ratio}
+budget_extra = {REPEATS.extra}
+budget_window_s = {REPEATS.window_s}
+"""
--- /dev/null
+++ b/tinrudder_lab/soak/proxy.py
@@ -0,0 +1,102 @@
+"""A loopback proxy that delays, resets, silences or cuts one way the connections through it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import enum
+import socket
+import struct
+
+from tinrudder.gateway.model import Address
+
+CHUNK_BYTES = 65536
+SLOW_S = 0.15
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+class LinkMode(enum.Enum):
+    """What happens to bytes on the way.
+
+    ``ONE_WAY``: requests arrive, answers do not.
+    """
+
+    PASSING = "passing"
+    SLOW = "slow"
+    SILENT = "silent"
+    ONE_WAY = "one_way"
+    RESETTING = "resetting"
+
+
+class LinkProxy:
+    """Passes connections at one address on to another."""
+
+    def __init__(self, target: Address) -> None:
+        """Pass on to ``target``."""
+        self.mode = LinkMode.PASSING
+        self._target = target
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def listen(self, address: Address) -> None:
+        """Accept connections."""
+        self._server = await asyncio.start_server(self._serve, address.host, address.port)
+
+    def set_mode(self, mode: LinkMode) -> None:
+        """Treat bytes another way; what is open is reset if the mode says so."""
+        self.mode = mode
+        if mode is LinkMode.RESETTING:
+            for writer in tuple(self._writers):
+                _reset(writer)
+
+    def close(self) -> None:
+        """End everything."""
+        if self._server is not None:
+            self._server.close()
+        for writer in tuple(self._writers):
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Pass one connection on."""
+        if self.mode is LinkMode.RESETTING:
+            _reset(writer)
+            return
+        self._writers.add(writer)
+        try:
+            target_reader, target_writer = await asyncio.open_connection(
+                self._target.host, self._target.port
+            )
+        except OSError:
+            _reset(writer)
+            self._writers.discard(writer)
+            return
+        self._writers.add(target_writer)
+        await asyncio.gather(
+            self._pass(reader, target_writer, answers=False),
+            self._pass(target_reader, writer, answers=True),
+        )
+        self._writers -= {writer, target_writer}
+
+    async def _pass(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, answers: bool
+    ) -> None:
+        """Pass bytes on in one direction until either end closes."""
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                mode = self.mode
+                if mode is LinkMode.SLOW:
+                    await asyncio.sleep(SLOW_S)
+                if mode is LinkMode.SILENT or (mode is LinkMode.ONE_WAY and answers):
+                    continue
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Close a connection so that the other end sees a reset."""
+    tcp_socket = writer.get_extra_info("socket")
+    if tcp_socket is not None:
+        with contextlib.suppress(OSError):
+            tcp_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    writer.transport.abort()
