Answer 503, not 404, where a newer configuration would not be known; split the handler

Change: peers heard within 2 s (or, alone, a reachable store) are needed for a 404; client_moments.py and admission.py stand apart.

--- a/tests/functional/test_gateway_site.py
+++ b/tests/functional/test_gateway_site.py
@@ -477,3 +477,21 @@
         assert max(backend.peak_connections for backend in site.backends.values()) <= 26
 
     run_site(scenario, node_count=8, shards=2, work_s=0.1)
+
+
+def test_a_gateway_that_hears_nobody_does_not_deny_a_new_route() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        assert isinstance(site.loop, EmulatorLoop)
+        cut_off = site.nodes[0]
+        site.store.set_mode(StoreMode.SILENT, cut_off.store_port)
+        site.loop.datagram_lost = lambda source, target: cut_off.host in (source[0], target[0])
+        await asyncio.sleep(2.5)
+        site.configure(path_prefix="/new/")
+        await asyncio.sleep(0.5)
+        result = await site.send("scatter", 0, target="/new/1")
+        assert result.status == 503
+        assert float(result.headers["retry-after"]) > 0
+        assert (await site.send("scatter", 1, target="/new/2")).status == 200
+        assert (await site.send("scatter", 1, target="/never/3")).status == 404
+
+    run_site(scenario)
--- /dev/null
+++ b/tinrudder/gateway/admission.py
@@ -0,0 +1,56 @@
+"""Refuses at once what can probably not be answered in time."""
+
+from __future__ import annotations
+
+import random
+
+from tinrudder.gateway.client_moments import Moments
+from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.model import Route
+from tinrudder.gateway.outcomes import NotRun
+from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
+from tinrudder.routing.load_forecast import admission_share, wait_of_shards
+
+RETRY_AFTER_SHARE = 0.3
+
+
+class Admission:
+    """Judges requests by the queues that back ends report."""
+
+    def __init__(self, forwarding: Forwarding, random_source: random.Random) -> None:
+        """Read the queues through ``forwarding``."""
+        self._forwarding = forwarding
+        self._random = random_source
+
+    def refusal(
+        self, route: Route, services: tuple[str, ...], moments: Moments, priority_steps: int
+    ) -> NotRun | None:
+        """Refuse a request, with what decided it; ``None`` admits it.
+
+        :param priority_steps: how many priorities in use are more urgent than the route's.
+        """
+        forwarding = self._forwarding
+        now = moments.received_at
+        unloaded = forwarding.unloaded_latency(route)
+        if len(unloaded) < MINIMUM_OBSERVATIONS:
+            return None
+        usual_s = unloaded.quantile(0.5)
+        waits = [forwarding.wait_s(service, usual_s, now) for service in services]
+        wait_s = wait_of_shards(waits)
+        left_s = moments.objective_at - now
+        share = admission_share(
+            wait_s,
+            usual_s,
+            left_s,
+            priority_steps=priority_steps,
+            returning=moments.returning,
+        )
+        if share >= 1.0 or self._random.random() < share:
+            return None
+        detail = f"overload: wait {wait_s:.3f} s, usual {usual_s:.3f} s, left {left_s:.3f} s"
+        return NotRun(detail, self._retry_after_s(moments))
+
+    def _retry_after_s(self, moments: Moments) -> float:
+        """Return when a refused client should come back: spread, and early enough to be served."""
+        left_s = moments.deadline_at - moments.received_at
+        return left_s * RETRY_AFTER_SHARE * self._random.uniform(0.5, 1.0)
--- a/tinrudder/gateway/answer_reader.py
+++ b/tinrudder/gateway/answer_reader.py
@@ -56,11 +56,6 @@
         self._framed = False
         self._excess = False
 
-    @property
-    def started(self) -> bool:
-        """Tell whether any byte of the answer was read."""
-        return self._head_bytes > 0
-
     @property
     def answer(self) -> HttpAnswer:
         """Return the answer, once it is complete."""
--- /dev/null
+++ b/tinrudder/gateway/client_moments.py
@@ -0,0 +1,73 @@
+"""When an answer to a client is worth most, and when the last moment for it has come."""
+
+from __future__ import annotations
+
+from collections.abc import Set
+from dataclasses import dataclass
+
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.model import HeaderNames, Route
+
+MILLISECONDS = 1000.0
+ANSWER_MARGIN_S = 0.012
+DEADLINE_MARGIN_S = 0.02
+RETURNING_AFTER_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Moments:
+    """Monotonic times of one request.
+
+    :param objective_at: when an answer must leave to be worth most.
+    :param deadline_at: when a final answer must leave.
+    :param returning: the client has been waiting since an earlier attempt.
+    """
+
+    received_at: float
+    objective_at: float
+    deadline_at: float
+    returning: bool = False
+
+
+class ClientMoments:
+    """Works out moments from what clients say of their patience.
+
+    A client that asks again names what is left of its time, so the longest time that was named on
+    a route tells how long a request has been under way already.
+    """
+
+    def __init__(self, names: HeaderNames) -> None:
+        """Know no route yet."""
+        self._names = names
+        self._longest_s: dict[str, float] = {}
+
+    def of(self, route: Route, request: HttpRequest, received_at: float) -> Moments:
+        """Return the moments of one request."""
+        wait_s = self._wait_s(request)
+        if wait_s is None:
+            wait_s = route.timeout_s
+        longest_s = max(wait_s, self._longest_s.get(route.name, 0.0))
+        self._longest_s[route.name] = longest_s
+        already_s = longest_s - wait_s
+        limit_s = min(wait_s, route.timeout_s)
+        # Whoever comes back when the objective has passed is served by it anew: the answer is
+        # late in any case, or its first attempt was refused and does not count.
+        started_at = received_at - already_s if already_s < route.objective_s else received_at
+        return Moments(
+            received_at=received_at,
+            objective_at=started_at + route.objective_s - ANSWER_MARGIN_S,
+            deadline_at=received_at + limit_s - min(DEADLINE_MARGIN_S, limit_s / 4),
+            returning=already_s > RETURNING_AFTER_S,
+        )
+
+    def forget_unused(self, routes: Set[str]) -> None:
+        """Drop what belongs to routes that are not named any more."""
+        for name in self._longest_s.keys() - routes:
+            del self._longest_s[name]
+
+    def _wait_s(self, request: HttpRequest) -> float | None:
+        """Return how long the client will wait, ``None`` if it does not say."""
+        for header, value in request.headers:
+            if header == self._names.deadline_ms and value.strip().isdigit():
+                return int(value) / MILLISECONDS
+        return None
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -27,6 +27,7 @@
 EXIT_MARGIN_S = 0.4
 LAST_LOOK_S = 0.05
 LISTEN_BACKLOG = 1024
+NEWS_S = 2.0
 
 StoreFactory = Callable[[Address, Callable[[], None]], MetadataStore]
 
@@ -72,7 +73,7 @@
         )
         self.metrics = GatewayMetrics(self)
         self.handler = ForwardingHandler(
-            self.forwarding, self.state, self._on_finished, self._random
+            self.forwarding, self.state, self._on_finished, self._random, self._knows_news
         )
         self.store_calls = 0
         store = make_store(settings.store, self._count_store_call)
@@ -90,6 +91,13 @@
         """Return how many gateways there seem to be."""
         return self.peers.nodes(self._loop.time())
 
+    def _knows_news(self) -> bool:
+        """Tell whether a newer configuration would be known here: by peers, else by the store."""
+        now = self._loop.time()
+        if self.peers.has_peers:
+            return self.peers.silent_s(now) <= NEWS_S
+        return all(follower.reachable for follower in self._followers)
+
     def request_stop(self) -> None:
         """Begin a planned stop; :meth:`run` returns when it is over."""
         self._stop_requested.set()
--- a/tinrudder/gateway/peer_list.py
+++ b/tinrudder/gateway/peer_list.py
@@ -58,6 +58,15 @@
         heard = 1 + sum(1 for heard_at in self._heard.values() if heard_at >= horizon)
         return heard if now >= self._settled_at else max(heard, ASSUMED_AT_START)
 
+    @property
+    def has_peers(self) -> bool:
+        """Tell whether any peer was heard from lately."""
+        return bool(self._heard)
+
+    def silent_s(self, now: float) -> float:
+        """Return how long no peer was heard from."""
+        return now - max(self._heard.values(), default=float("-inf"))
+
     def receivers(self, now: float) -> list[Address]:
         """Return the peers that the next digest goes to."""
         self._forget(now)
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from tinrudder.gateway.admission import Admission
 from tinrudder.gateway.answers import build_answer
 from tinrudder.gateway.client_connection import ClientConnection, RequestInProgress
+from tinrudder.gateway.client_moments import ClientMoments, Moments
 from tinrudder.gateway.forwarding import Forwarding
 from tinrudder.gateway.messages import HttpRequest
 from tinrudder.gateway.model import ClientLimits, GatewayConfiguration, Route
@@ -19,20 +22,13 @@
 )
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_log import FinishedRequest, RequestObserver
-from tinrudder.gateway.request_run import Moments, RequestRun
+from tinrudder.gateway.request_run import RequestRun
 from tinrudder.gateway.shared_state import SharedState
-from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
-from tinrudder.routing.load_forecast import admission_share, wait_of_shards
 from tinrudder.routing.route_table import RouteTable
 from tinrudder.routing.weighted_rotation import WeightedRotation
 
-MILLISECONDS = 1000.0
-ANSWER_MARGIN_S = 0.012
-DEADLINE_MARGIN_S = 0.02
 RETRY_AFTER_START_S = 0.3
 ROTATION_SPREAD = 8
-RETRY_AFTER_SHARE = 0.3
-RETURNING_AFTER_S = 0.01
 
 
 @dataclass(slots=True)
@@ -65,8 +61,13 @@
         state: SharedState,
         observer: RequestObserver,
         random_source: random.Random,
+        knows_news: Callable[[], bool],
     ) -> None:
-        """Report every finished request to ``observer``."""
+        """Report every finished request to ``observer``.
+
+        :param knows_news: tells whether this gateway would know of a newer configuration.
+        """
+        self._knows_news = knows_news
         self.closing = False
         self.in_progress = 0
         self.forwarding = forwarding
@@ -74,7 +75,8 @@
         self._observer = observer
         self._random = random_source
         self._routes: RoutesInForce | None = None
-        self._longest_deadlines: dict[str, float] = {}
+        self._moments = ClientMoments(forwarding.names)
+        self._admission = Admission(forwarding, random_source)
         state.subscribe(self._refresh)
 
     @property
@@ -101,12 +103,13 @@
         serving.version = routes.configuration.version
         route = self._find(routes, request)
         if route is None:
-            serving.end(UnknownRoute())
+            serving.end(self._without_route())
             return serving
         serving.route = route
-        moments = self._moments(route, request, serving.received_at)
+        moments = self._moments.of(route, request, serving.received_at)
         services = route.shards or (self._choose_service(routes, route),)
-        refusal = self._refusal(routes, route, services, moments)
+        steps = routes.steps_below_urgent(route)
+        refusal = self._admission.refusal(route, services, moments, steps)
         if refusal is not None:
             self.forwarding.counters.refused += 1
             serving.end(refusal)
@@ -145,35 +148,11 @@
             name = name.partition(":")[0]
         return routes.table.find(name, request.path.decode("latin-1"))
 
-    def _refusal(
-        self, routes: RoutesInForce, route: Route, services: tuple[str, ...], moments: Moments
-    ) -> NotRun | None:
-        """Refuse a request that can probably not be answered in time; ``None`` admits it."""
-        forwarding = self.forwarding
-        now = moments.received_at
-        unloaded = forwarding.unloaded_latency(route)
-        if len(unloaded) < MINIMUM_OBSERVATIONS:
-            return None
-        usual_s = unloaded.quantile(0.5)
-        waits = [forwarding.wait_s(service, usual_s, now) for service in services]
-        wait_s = wait_of_shards(waits)
-        left_s = moments.objective_at - now
-        share = admission_share(
-            wait_s,
-            usual_s,
-            left_s,
-            priority_steps=routes.steps_below_urgent(route),
-            returning=moments.returning,
-        )
-        if share >= 1.0 or self._random.random() < share:
-            return None
-        detail = f"overload: wait {wait_s:.3f} s, usual {usual_s:.3f} s, left {left_s:.3f} s"
-        return NotRun(detail, self._retry_after_s(moments))
-
-    def _retry_after_s(self, moments: Moments) -> float:
-        """Return when a refused client should come back: spread, and early enough to be served."""
-        left_s = moments.deadline_at - moments.received_at
-        return left_s * RETRY_AFTER_SHARE * self._random.uniform(0.5, 1.0)
+    def _without_route(self) -> RequestOutcome:
+        """Say that there is no route, but only if a newer configuration would be known here."""
+        if self._knows_news():
+            return UnknownRoute()
+        return NotRun("no route, and no word from store or peers lately", RETRY_AFTER_START_S)
 
     def _new_run(
         self,
@@ -200,33 +179,6 @@
             routes.rotations[route.name] = rotation
         return rotation.next()
 
-    def _moments(self, route: Route, request: HttpRequest, received_at: float) -> Moments:
-        """Return when the answer is worth most and when it must leave."""
-        wait_s = self._client_wait_s(request)
-        if wait_s is None:
-            wait_s = route.timeout_s
-        longest = max(wait_s, self._longest_deadlines.get(route.name, 0.0))
-        self._longest_deadlines[route.name] = longest
-        already_s = longest - wait_s
-        limit_s = min(wait_s, route.timeout_s)
-        # Whoever comes back when the objective has passed is served by it anew: the answer is
-        # late in any case, or its first attempt was refused and does not count.
-        started_at = received_at - already_s if already_s < route.objective_s else received_at
-        return Moments(
-            received_at=received_at,
-            objective_at=started_at + route.objective_s - ANSWER_MARGIN_S,
-            deadline_at=received_at + limit_s - min(DEADLINE_MARGIN_S, limit_s / 4),
-            returning=already_s > RETURNING_AFTER_S,
-        )
-
-    def _client_wait_s(self, request: HttpRequest) -> float | None:
-        """Return how long the client will wait, ``None`` if it does not say."""
-        name = self.forwarding.names.deadline_ms
-        for header, value in request.headers:
-            if header == name and value.strip().isdigit():
-                return int(value) / MILLISECONDS
-        return None
-
     def _refresh(self) -> None:
         """Index a configuration that has just come into force."""
         accepted = self._state.accepted
@@ -241,8 +193,7 @@
         )
         names = frozenset(route.name for route in configuration.routes)
         self.forwarding.forget_unused(frozenset(configuration.services), names)
-        for name in self._longest_deadlines.keys() - names:
-            del self._longest_deadlines[name]
+        self._moments.forget_unused(names)
 
 
 class _Serving:
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from tinrudder.gateway.client_moments import Moments
 from tinrudder.gateway.forwarding import Forwarding
 from tinrudder.gateway.messages import header_value
 from tinrudder.gateway.model import Route
@@ -29,21 +29,6 @@
 OutcomeListener = Callable[[RequestOutcome], None]
 
 
-@dataclass(frozen=True, slots=True)
-class Moments:
-    """Monotonic times of one request.
-
-    :param objective_at: when an answer must leave to be worth most.
-    :param deadline_at: when a final answer must leave.
-    :param returning: the client has been waiting since an earlier attempt.
-    """
-
-    received_at: float
-    objective_at: float
-    deadline_at: float
-    returning: bool = False
-
-
 class RequestRun:
     """One request; its outcome is reported exactly once, unless the client leaves before."""
 
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -66,7 +66,6 @@
         """Prepare; ``relay_failures`` makes a back end's own refusal an answer."""
         self.service = service
         self.part: HttpAnswer | None = None
-        self.part_backend: Backend | None = None
         self.failure: HttpAnswer | None = None
         self.may_have_run = False
         self.last_problem = ""
@@ -79,7 +78,6 @@
         self._relay_failures = relay_failures
         self._attempts: list[Attempt] = []
         self._tries = 0
-        self._exhausted = False
         self._offered: set[str] = set()
         self._avoided: set[str] = set()
         self._budget = forwarding.budget(service)
@@ -133,7 +131,6 @@
         self._tries += 1
         candidates = self._candidates()
         if not candidates or self._tries > MAX_TRIES or self.sends >= MAX_SENDS:
-            self._exhausted = True
             return
         paid = self.sends > 0
         if paid and not self._may_repeat(now, hedge=False):
@@ -290,7 +287,6 @@
             final |= answer.status < SERVER_ERROR or not self._route.repeatable
         if final:
             self.part = answer
-            self.part_backend = attempt.backend
             self.next_at = NEVER
             return
         self.failure = answer
@@ -303,7 +299,6 @@
             return
         self.next_at = NEVER
         if self.may_have_run and not self._route.repeatable:
-            self._exhausted = True
             return
         if at_once and self._tries < 2:
             self._forwarding.counters.retries += 1
