--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -15,7 +15,6 @@
     BackendReply,
     Broken,
     NotSent,
-    ShardRows,
     Shed,
     VersionGone,
 )
@@ -25,6 +24,7 @@
 from tinrudder.query.hedger import Hedger, owners_included
 from tinrudder.query.judgement import judge
 from tinrudder.query.plan import QueryPlan
+from tinrudder.query.reply_reading import reason_of, rows_of
 from tinrudder.query.shard_progress import ShardProgress
 from tinrudder.resources.model import Preference
 from tinrudder.routing.backend_record import BackendRecord
@@ -164,7 +164,7 @@
             progress.touched = True
         elif type(reply) is VersionGone:
             self._replanner.note_version_gone(self._plan, sent.backend)
-        progress.last_reason = _reason_of(reply)
+        progress.last_reason = reason_of(reply)
         self._retry_or_settle(progress, reply, now)
 
     def _on_answer(self, progress: ShardProgress, reply: Answered, now: float) -> None:
@@ -175,7 +175,7 @@
             self._sender.cancel_losers(progress, now)
             self._settle(progress, MissingReason.TENANT_LIMIT)
             return
-        rows = _rows_of(answer.shards, progress.planned.spec.shard)
+        rows = rows_of(answer.shards, progress.planned.spec.shard)
         if answer.version != self._plan.version or rows is None:
             progress.touched = True
             progress.last_reason = MissingReason.VERSION_GONE
@@ -332,20 +332,3 @@
         if self._timer is not None:
             self._timer.cancel()
         self._sender.release(self._progress)
-
-
-def _rows_of(shards: Sequence[ShardRows], wanted: str) -> ShardRows | None:
-    """Return the rows of the shard that was asked."""
-    for rows in shards:
-        if rows.shard == wanted:
-            return rows
-    return None
-
-
-def _reason_of(reply: BackendReply) -> MissingReason:
-    """Turn a failed call into the reason stated in the coverage."""
-    if isinstance(reply, VersionGone):
-        return MissingReason.VERSION_GONE
-    if isinstance(reply, NotSent | Broken):
-        return MissingReason.BROKEN
-    return MissingReason.REFUSED
