Declare the emulator's entries as a field

Cause: a read-over of the whole change: the entries were made on first use by getattr. Change: the lab only; no product source. Conclusion: behaviour as it was.

--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -78,6 +78,7 @@
     backends: dict[str, EmulatedBackend] = field(default_factory=dict)
     version: int = 0
     _serial: int = 0
+    _entries: dict[str, tuple[str, str, str]] = field(default_factory=dict)
 
     async def start(self) -> None:
         """Start the store, the back ends and the gateways, and wait until they serve."""
@@ -131,7 +132,6 @@
         self, backend_id: str, service: str, address: str, zone: str, state: str = "ready"
     ) -> None:
         """Write a back end's entry."""
-        self._entries = getattr(self, "_entries", {})
         self._entries[backend_id] = (service, address, zone)
         document = {
             "service": service,
