--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,9 +19,11 @@
 from tinrudder.gateway.shared_state import SharedState
 from tinrudder.gateway.upstream_pool import UpstreamPool
 from tinrudder.routing.backend_observations import BackendObservations
+from tinrudder.routing.coordinator_choice import CONNECTION_SAFETY
+from tinrudder.routing.rendezvous import rendezvous_score
 
 WRONG_BACKEND_STATUS = 421
-CONNECTION_SAFETY = 0.9
+FEWEST_REPLICAS = 2
 LAST_RESORT_SHARE = 0.5
 
 
@@ -54,15 +57,21 @@
         clock: Callable[[], float],
         drain_s: float,
         count_connection: Callable[[], None],
-        nodes: Callable[[], int],
+        callers: Callable[[str], int],
+        own_name: str,
     ) -> None:
-        """Follow ``state``; ``nodes`` tells how many gateways share each back end."""
+        """Follow ``state``.
+
+        :param callers: tells how many gateways call the back ends of a service.
+        :param own_name: differs between gateways, so that they do not all pick the same replicas.
+        """
         self._state = state
         self._headers = headers
         self._clock = clock
         self._last_resort_s = drain_s * LAST_RESORT_SHARE
         self._count_connection = count_connection
-        self._nodes = nodes
+        self._callers = callers
+        self._own_name = own_name
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, list[Backend]] = {}
         state.subscribe(self.refresh)
@@ -100,7 +109,7 @@
             if backend.leaving_since is None and not backend.readdressed
         ]
         if staying:
-            return staying
+            return self._own_replicas(service, staying)
         horizon = self._clock() - self._last_resort_s
         return [
             backend
@@ -108,6 +117,31 @@
             if backend.leaving_since is not None and backend.leaving_since >= horizon
         ]
 
+    def replicas(self, service: str) -> int:
+        """Return how many back ends a service has that are not leaving."""
+        backends = self._services.get(service, [])
+        return sum(1 for backend in backends if backend.leaving_since is None)
+
+    def _own_replicas(self, service: str, staying: list[Backend]) -> list[Backend]:
+        """Leave out replicas where each of them would get more connections than it takes."""
+        share = self._connection_share(service)
+        wanted = max(FEWEST_REPLICAS, math.ceil(share * len(staying)))
+        if wanted >= len(staying):
+            return staying
+        return sorted(staying, key=self._rank)[-wanted:]
+
+    def _rank(self, backend: Backend) -> int:
+        """Return how much this gateway prefers a replica to others, by chance."""
+        return rendezvous_score(self._own_name, backend.backend_id)
+
+    def _connection_share(self, service: str) -> float:
+        """Return how many connections to one back end are this gateway's part."""
+        accepted = self._state.accepted
+        spec = accepted.configuration.services.get(service) if accepted is not None else None
+        if spec is None:
+            return 1.0
+        return spec.max_connections * CONNECTION_SAFETY / max(1, self._callers(service))
+
     def may_receive(self, backend: Backend) -> bool:
         """Tell whether a call may still leave for a back end that was chosen earlier."""
         if backend.leaving_since is None:
@@ -153,13 +187,8 @@
         backend.pool.close()
 
     def _set_connection_limits(self) -> None:
-        """Divide what each back end accepts among the gateways."""
-        accepted = self._state.accepted
-        if accepted is None:
-            return
-        nodes = max(1, self._nodes())
-        for backend in self._backends.values():
-            spec = accepted.configuration.services.get(backend.entry.service)
-            accepted_connections = spec.max_connections if spec is not None else 1
-            share = int(accepted_connections * CONNECTION_SAFETY / nodes)
-            backend.pool.max_connections = max(1, share)
+        """Divide what each back end accepts among the gateways that call it."""
+        for service, backends in self._services.items():
+            limit = max(1, int(self._connection_share(service)))
+            for backend in backends:
+                backend.pool.max_connections = limit
--- /dev/null
+++ b/tinrudder/gateway/coordinators.py
@@ -0,0 +1,154 @@
+"""Who calls the back ends of an index: every gateway, or a few coordinators for all."""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tinrudder.gateway.model import Address, Route
+from tinrudder.gateway.peer_list import PeerList
+from tinrudder.gateway.peer_messages import Member
+from tinrudder.gateway.shared_state import SharedState
+from tinrudder.routing.coordinator_choice import (
+    Candidate,
+    IndexDemand,
+    choose_coordinators,
+    coordinators_needed,
+    preference,
+)
+
+KEPT_FOR_S = 0.5
+ASKED_AT_MOST = 3
+FIRST_AVOIDANCE_S = 0.5
+LONGEST_AVOIDANCE_S = 4.0
+COORDINATORS_PART = 0.75
+"""Part of the fleet's repeats that coordinators may spend; the rest is for gateways that must
+run a scatter themselves."""
+
+
+@dataclass(frozen=True, slots=True)
+class Coordination:
+    """How one index is served, as this gateway sees it now.
+
+    :param own: whether this gateway calls the back ends itself.
+    :param asked: the coordinators to ask, best first; empty where ``own``.
+    :param callers: how many gateways call the back ends, this one included where ``own``.
+    :param sharers: in how many parts the fleet's repeats are divided, as seen from here.
+    """
+
+    own: bool
+    asked: tuple[Address, ...]
+    callers: int
+    sharers: float
+    decided_at: float
+
+
+@dataclass(slots=True)
+class _Avoided:
+    """A coordinator that failed."""
+
+    failures: int
+    until: float
+
+
+@dataclass(slots=True)
+class Coordinators:
+    """Chooses coordinators by the view of this gateway, and remembers which of them failed.
+
+    Views of two gateways may differ for seconds.  All that follows is that more gateways than
+    planned open connections, since a coordinator serves whoever asks.
+
+    :param describe_own: returns this gateway as it would describe itself now.
+    :param replicas: returns how many back ends a service has.
+    """
+
+    peers: PeerList
+    state: SharedState
+    clock: Callable[[], float]
+    describe_own: Callable[[], Member]
+    replicas: Callable[[str], int]
+    _by_index: dict[tuple[str, ...], Coordination] = field(default_factory=dict)
+    _index_of: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    _avoided: dict[Address, _Avoided] = field(default_factory=dict)
+
+    def refresh(self) -> None:
+        """Learn which services are shards of which index."""
+        accepted = self.state.accepted
+        if accepted is None:
+            return
+        indexes = [route.shards for route in accepted.configuration.routes if route.shards]
+        self._index_of = {service: index for index in indexes for service in index}
+        self._by_index.clear()
+
+    def of_route(self, route: Route) -> Coordination:
+        """Return how a scatter's index is served."""
+        return self._of_index(route.shards)
+
+    def of_service(self, service: str) -> Coordination:
+        """Return how a service is served: as its index, or by every gateway."""
+        index = self._index_of.get(service)
+        return self._of_index(index) if index is not None else self._by_all(self.clock())
+
+    def failed(self, coordinator: Address) -> None:
+        """Leave a coordinator alone for a while, longer after every failure in a row."""
+        now = self.clock()
+        avoided = self._avoided.setdefault(coordinator, _Avoided(0, 0.0))
+        if avoided.until > now:
+            return
+        avoided.until = now + min(LONGEST_AVOIDANCE_S, FIRST_AVOIDANCE_S * 2**avoided.failures)
+        avoided.failures += 1
+        self._by_index.clear()
+
+    def succeeded(self, coordinator: Address) -> None:
+        """Forget earlier failures."""
+        self._avoided.pop(coordinator, None)
+
+    def _of_index(self, index: tuple[str, ...]) -> Coordination:
+        """Return what was decided lately, or decide anew."""
+        now = self.clock()
+        known = self._by_index.get(index)
+        if known is None or now - known.decided_at >= KEPT_FOR_S:
+            known = self._decide(index, now)
+            self._by_index[index] = known
+        return known
+
+    def _decide(self, index: tuple[str, ...], now: float) -> Coordination:
+        """Choose the coordinators of one index."""
+        count = coordinators_needed(self._demand(index), self.peers.nodes(now))
+        if count is None:
+            return self._by_all(now)
+        own = self.describe_own()
+        members = [own, *self.peers.candidates(now)]
+        by_name = {str(member.address): member for member in members}
+        candidates = [_candidate(member) for member in members if member.serves_others]
+        chosen = choose_coordinators("\n".join(index), candidates, count)
+        callers = max(count, len(chosen))
+        if any(one.name == str(own.address) for one in chosen):
+            return Coordination(True, (), callers, callers / COORDINATORS_PART, now)
+        order = preference(str(own.address), own.zone, chosen)
+        addresses = [by_name[one.name].address for one in order]
+        asked = tuple(one for one in addresses if not self._is_avoided(one, now))
+        sharers = self.peers.nodes(now) / (1.0 - COORDINATORS_PART)
+        return Coordination(False, asked[:ASKED_AT_MOST], callers, sharers, now)
+
+    def _by_all(self, now: float) -> Coordination:
+        """Return what holds where every gateway calls the back ends itself."""
+        nodes = self.peers.nodes(now)
+        return Coordination(True, (), nodes, nodes, now)
+
+    def _demand(self, index: tuple[str, ...]) -> IndexDemand:
+        """Return what an index's back ends take, a typical shard for all of them."""
+        accepted = self.state.accepted
+        services = accepted.configuration.services if accepted is not None else {}
+        limits = [services[name].max_connections for name in index if name in services]
+        replicas = statistics.median_low([self.replicas(name) for name in index])
+        return IndexDemand(max(1, replicas), min(limits, default=1))
+
+    def _is_avoided(self, coordinator: Address, now: float) -> bool:
+        avoided = self._avoided.get(coordinator)
+        return avoided is not None and now < avoided.until
+
+
+def _candidate(member: Member) -> Candidate:
+    return Candidate(str(member.address), member.zone, member.capacity)
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -26,13 +26,17 @@
     connections_opened: int = 0
     clients_left: int = 0
     refused: int = 0
+    relayed: int = 0
+    relays_failed: int = 0
+    relays_run_here: int = 0
+    coordinated: int = 0
 
 
 @dataclass(slots=True)
 class Forwarding:
     """Everything a request needs besides its own state.
 
-    :param nodes: tells how many gateways share budgets and back ends.
+    :param sharers: tells in how many equal parts the fleet's repeats of a service are divided.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -40,7 +44,7 @@
     zone: str
     directory: BackendDirectory
     bounds: RepeatBounds
-    nodes: Callable[[], int]
+    sharers: Callable[[str], float]
     started_at: float
     counters: ForwardingCounters = field(default_factory=ForwardingCounters)
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -56,7 +56,7 @@
         """Count one finished request."""
         priority = str(request.route.priority) if request.route is not None else "none"
         self._latency.labels(priority, request.outcome_name).observe(request.elapsed_s)
-        missing = sum(1 for shard in request.shards if shard.part is None)
+        missing = len(request.missing_shards)
         if missing:
             self._missing.inc(missing)
 
@@ -75,6 +75,10 @@
     "broken": "Calls without a usable answer.",
     "connections_opened": "Connections opened to back ends.",
     "refused": "Requests refused because queues at the back ends were too long.",
+    "relayed": "Scatters handed to coordinators.",
+    "relays_failed": "Coordinators that did not serve a scatter.",
+    "relays_run_here": "Scatters run here because no coordinator served them.",
+    "coordinated": "Scatters run for other gateways.",
     "clients_left": "Requests whose client left before the answer.",
 }
 
--- a/tinrudder/gateway/model.py
+++ b/tinrudder/gateway/model.py
@@ -171,6 +171,7 @@
     :param peers: where other gateways reach this one, TCP and UDP; ``None``: it has no peers.
     :param seeds: peer addresses of some gateways, perhaps stale.
     :param store: the platform's metadata store.
+    :param capacity: processor cores that this machine gives to the process.
     :param drain_s: how long a leaving back end still serves.
     :param stop_grace_s: time between the request to stop and the forced end.
     """
@@ -182,6 +183,7 @@
     peers: Address | None
     seeds: tuple[Address, ...]
     store: Address
+    capacity: float = 1.0
     drain_s: float = 3.0
     stop_grace_s: float = 6.0
     repeats: RepeatBounds = field(default_factory=RepeatBounds)
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -8,19 +8,24 @@
 
 from tinrudder.gateway.backend_directory import BackendDirectory
 from tinrudder.gateway.client_connection import ClientConnection, RequestHandler
+from tinrudder.gateway.coordinators import Coordinators
 from tinrudder.gateway.forwarding import Forwarding, ForwardingCounters
 from tinrudder.gateway.gateway_metrics import GatewayMetrics
 from tinrudder.gateway.model import Address, GatewaySettings, HeaderNames
 from tinrudder.gateway.peer_exchange import PeerExchange
 from tinrudder.gateway.peer_list import PeerList
+from tinrudder.gateway.peer_messages import Member
 from tinrudder.gateway.plain_answers import PlainHandler, readiness_answer, text_answer
+from tinrudder.gateway.relayed_run import Relaying
 from tinrudder.gateway.request_handler import RequestHandler as ForwardingHandler
 from tinrudder.gateway.request_log import FinishedRequest, log_request
+from tinrudder.gateway.scatter_service import ScatterService
 from tinrudder.gateway.shared_state import SharedState
 from tinrudder.gateway.store_follower import StoreFollower
 from tinrudder.gateway.stored_values import MetadataStore, Topic, ValueDecoders
 from tinrudder.lifecycle import NodeLifecycle
 from tinrudder.logs import LogValue, log_event, log_problem
+from tinrudder.wire.peer_client import PeerClient
 
 HOUSEKEEPING_S = 1.0
 LEAVE_S = 2.6
@@ -29,6 +34,7 @@
 QUIET_LOOKS = 2
 LISTEN_BACKLOG = 1024
 NEWS_S = 2.0
+UNACKNOWLEDGED_S = 1.0
 
 StoreFactory = Callable[[Address, Callable[[], None]], MetadataStore]
 
@@ -54,13 +60,23 @@
         self._connections: set[ClientConnection] = set()
         self._servers: list[asyncio.Server] = []
         self._metrics_address = metrics_address
-        own = settings.peers or settings.clients
-        self.peers = PeerList(own, self._random, loop.time())
+        self._own = settings.peers or settings.clients
+        self.peers = PeerList(self._own, self._random, loop.time())
         self.peers.set_seeds(settings.seeds)
         self.state = SharedState(decoders, loop.time, self._on_unreadable)
         self.counters = ForwardingCounters()
+        self.coordinators = Coordinators(
+            self.peers, self.state, loop.time, self.describe, self._replicas
+        )
+        self.state.subscribe(self.coordinators.refresh)
         self.directory = BackendDirectory(
-            self.state, names, loop.time, settings.drain_s, self._count_connection, self.nodes
+            self.state,
+            names,
+            loop.time,
+            settings.drain_s,
+            self._count_connection,
+            lambda service: self.coordinators.of_service(service).callers,
+            str(self._own),
         )
         self.forwarding = Forwarding(
             loop=loop,
@@ -68,13 +84,22 @@
             zone=settings.zone,
             directory=self.directory,
             bounds=settings.repeats,
-            nodes=self.nodes,
+            sharers=lambda service: self.coordinators.of_service(service).sharers,
             started_at=loop.time(),
             counters=self.counters,
         )
         self.metrics = GatewayMetrics(self)
+        relaying = Relaying(
+            client=PeerClient(lambda: None, UNACKNOWLEDGED_S),
+            coordinators=self.coordinators,
+            forwarding=self.forwarding,
+            configuration_revision=lambda: self.state.configuration_revision,
+        )
         self.handler = ForwardingHandler(
-            self.forwarding, self.state, self._on_finished, self._random, self._knows_news
+            self.forwarding, self.state, self._on_finished, self._random, self._knows_news, relaying
+        )
+        self.scatters = ScatterService(
+            self.forwarding, self.state, self.handler.admission, lambda: self.handler.routes
         )
         self.store_calls = 0
         store = make_store(settings.store, self._count_store_call)
@@ -84,7 +109,14 @@
         ]
         self._exchange: PeerExchange | None = None
         if settings.peers is not None:
-            self._exchange = PeerExchange(settings.peers, self.state, self.peers, self._on_pull)
+            self._exchange = PeerExchange(
+                self.describe,
+                self.state,
+                self.peers,
+                relaying.client,
+                self.scatters.serve,
+                self._on_pull,
+            )
         self._logged_version = 0
         self.state.subscribe(self._on_state_change)
 
@@ -92,6 +124,20 @@
         """Return how many gateways there seem to be."""
         return self.peers.nodes(self._loop.time())
 
+    def describe(self) -> Member:
+        """Return this gateway as others should see it now."""
+        return Member(
+            address=self._own,
+            zone=self.settings.zone,
+            capacity=self.settings.capacity,
+            leaving=self.lifecycle.is_stopping(),
+            starting=not self.state.complete,
+        )
+
+    def _replicas(self, service: str) -> int:
+        """Return how many back ends a service has that are not leaving."""
+        return self.directory.replicas(service)
+
     def _knows_news(self) -> bool:
         """Tell whether a newer configuration would be known here: by peers, else by the store."""
         now = self._loop.time()
@@ -150,6 +196,9 @@
         stopped_at = self._loop.time()
         self.lifecycle.trigger("leave")
         self.handler.closing = True
+        self.scatters.closing = True
+        if self._exchange is not None:
+            self._exchange.send_digests()
         log_event("stopping", {"in_progress": self.handler.in_progress})
         await asyncio.sleep(min(LEAVE_S, self.settings.stop_grace_s / 2))
         self.lifecycle.trigger("drain")
@@ -161,11 +210,12 @@
         while quiet_looks < QUIET_LOOKS and self._loop.time() < last_moment:
             self._close_idle()
             await asyncio.sleep(LAST_LOOK_S)
-            quiet_looks = 0 if self._connections else quiet_looks + 1
+            busy = bool(self._connections) or self.scatters.in_progress > 0
+            quiet_looks = 0 if busy else quiet_looks + 1
         for task in self._tasks:
             task.cancel()
         if self._exchange is not None:
-            self._exchange.stop()
+            await self._exchange.stop()
         self.lifecycle.trigger("finish")
         log_event("stopped", {"cut_off": self.handler.in_progress})
 
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -4,47 +4,59 @@
 
 import asyncio
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import cast
 
 from tinrudder.gateway.model import Address
 from tinrudder.gateway.peer_list import PeerList
-from tinrudder.gateway.peer_messages import Digest, Snapshot, SnapshotRequest
+from tinrudder.gateway.peer_messages import (
+    Digest,
+    Member,
+    ScatterAnswer,
+    ScatterRequest,
+    Snapshot,
+    SnapshotRequest,
+)
 from tinrudder.gateway.shared_state import SharedState
 from tinrudder.gateway.stored_values import Topic
-from tinrudder.wire.frames import (
-    Frame,
-    FrameError,
-    FrameType,
-    encode_frame,
-    read_header,
-    read_payload,
-)
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
+from tinrudder.wire.gateway_relay_codec import decode_request, encode_answer, encode_request
+from tinrudder.wire.peer_client import PeerClient
+from tinrudder.wire.peer_server import PeerServer
 from tinrudder.wire.snapshot_codec import (
     MalformedPeerMessageError,
     decode_digest,
-    decode_request,
     decode_snapshot,
     encode_digest,
-    encode_request,
     encode_snapshot,
 )
 
 DIGEST_INTERVAL_S = 0.5
+FIRST_DIGEST_INTERVAL_S = 0.2
+FIRST_DIGESTS = 15
 PULL_PATIENCE_S = 0.25
 PULL_TIMEOUT_S = 1.0
-SERVE_TIMEOUT_S = 2.0
-EXCHANGE_ID = 1
+ScatterServer = Callable[[ScatterRequest], Awaitable[ScatterAnswer]]
 
 
 class PeerExchange(asyncio.DatagramProtocol):
-    """Sends digests, answers requests for snapshots, and pulls one when a peer knows more."""
+    """Sends digests, answers peers' requests, and pulls a snapshot when a peer knows more."""
 
     def __init__(
-        self, own: Address, state: SharedState, peers: PeerList, on_pull: Callable[[str, str], None]
+        self,
+        describe_own: Callable[[], Member],
+        state: SharedState,
+        peers: PeerList,
+        client: PeerClient,
+        serve_scatter: ScatterServer,
+        on_pull: Callable[[str, str], None],
     ) -> None:
         """Exchange ``state`` with ``peers``; ``on_pull`` learns of every pull and its result."""
-        self._own = own
+        self._client = client
+        self._describe_own = describe_own
+        self._own = describe_own().address
+        self._serve_scatter = serve_scatter
+        self._peer_server = PeerServer(lambda: self._serve)
         self._state = state
         self._peers = peers
         self._on_pull = on_pull
@@ -65,17 +77,21 @@
         await self._loop.create_datagram_endpoint(
             lambda: self, local_addr=(self._own.host, self._own.port)
         )
-        self._server = await asyncio.start_server(self._serve, self._own.host, self._own.port)
+        self._server = await asyncio.start_server(
+            self._peer_server.serve, self._own.host, self._own.port
+        )
         self._ticking = self._loop.create_task(self._tick())
 
-    def stop(self) -> None:
-        """Stop listening."""
+    async def stop(self) -> None:
+        """Stop listening and close every connection once its answers have left."""
         if self._ticking is not None:
             self._ticking.cancel()
         if self._transport is not None:
             self._transport.close()
         if self._server is not None:
             self._server.close()
+        await self._peer_server.close()
+        await self._client.close()
 
     def send_digests(self) -> None:
         """Tell peers how far this gateway's knowledge goes."""
@@ -99,56 +115,53 @@
             return
         now = self._loop.time()
         self._peers.heard_from(digest.sender, now)
-        self._peers.heard_of(digest.known_peers, now)
-        if digest.starting and self._transport is not None and self._state.complete:
+        self._peers.heard_of(digest.members, now)
+        if digest.sender.starting and self._transport is not None and self._state.complete:
             answer = encode_digest(self._digest())
-            self._transport.sendto(answer, (digest.sender.host, digest.sender.port))
+            sender = digest.sender.address
+            self._transport.sendto(answer, (sender.host, sender.port))
         self._compare(digest, now)
 
     def _digest(self) -> Digest:
         """Return what this gateway knows."""
         state = self._state
         return Digest(
-            sender=self._own,
+            sender=self._describe_own(),
             configuration_revision=state.configuration_revision,
             backends_revision=state.backends_revision,
-            known_peers=self._peers.to_tell(),
-            starting=not state.complete,
+            members=self._peers.to_tell(self._loop.time()),
         )
 
     def _compare(self, digest: Digest, now: float) -> None:
         """Pull from a peer that knows more, unless the store brings it soon anyway."""
-        state = self._state
-        behind = (
-            digest.configuration_revision > state.configuration_revision
-            or digest.backends_revision > state.backends_revision
-        )
-        if not behind:
+        if not self._is_behind(digest):
             return
         if self._behind_since is None:
             self._behind_since = now
             self._loop.call_later(PULL_PATIENCE_S, self._pull_if_behind, digest)
-        if not state.complete or now - self._behind_since >= PULL_PATIENCE_S:
+        if not self._state.complete or now - self._behind_since >= PULL_PATIENCE_S:
             self._pull_if_behind(digest)
 
     def _pull_if_behind(self, digest: Digest) -> None:
         """Start a pull if the store has not brought what the digest promised."""
+        if not self._is_behind(digest):
+            self._behind_since = None
+        elif self._pulling is None:
+            self._pulling = self._loop.create_task(self._pull(digest.sender.address))
+
+    def _is_behind(self, digest: Digest) -> bool:
+        """Tell whether a peer knows something newer."""
         state = self._state
-        behind = (
+        return (
             digest.configuration_revision > state.configuration_revision
             or digest.backends_revision > state.backends_revision
         )
-        if not behind:
-            self._behind_since = None
-        elif self._pulling is None:
-            self._pulling = self._loop.create_task(self._pull(digest.sender))
 
     async def _pull(self, peer: Address) -> None:
         """Fetch a peer's snapshot and take what is newer."""
         try:
-            async with asyncio.timeout(PULL_TIMEOUT_S):
-                snapshot = await self._request_snapshot(peer)
-        except (OSError, TimeoutError, EOFError, FrameError, MalformedPeerMessageError) as error:
+            snapshot = await self._request_snapshot(peer)
+        except (PeerNotSentError, PeerLostError, MalformedPeerMessageError) as error:
             self._on_pull(str(peer), f"failed: {error!r}")
         else:
             self._apply(snapshot)
@@ -158,15 +171,10 @@
             self._behind_since = None
 
     async def _request_snapshot(self, peer: Address) -> Snapshot:
-        """Ask one peer over a connection of its own."""
-        reader, writer = await asyncio.open_connection(peer.host, peer.port)
-        try:
-            request = encode_request(SnapshotRequest(self._state.configuration_revision))
-            writer.write(encode_frame(Frame(FrameType.REQUEST, EXCHANGE_ID, request)))
-            frame = await read_payload(reader, await read_header(reader))
-            return decode_snapshot(frame.payload)
-        finally:
-            writer.close()
+        """Ask one peer."""
+        request = encode_request(SnapshotRequest(self._state.configuration_revision))
+        address = PeerAddress(peer.host, peer.port)
+        return decode_snapshot(await self._client.request(address, request, PULL_TIMEOUT_S))
 
     def _apply(self, snapshot: Snapshot) -> None:
         """Take what is newer."""
@@ -176,19 +184,15 @@
         if snapshot.backends_read:
             self._state.note_backends_read()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Answer one request for a snapshot."""
-        try:
-            async with asyncio.timeout(SERVE_TIMEOUT_S):
-                frame = await read_payload(reader, await read_header(reader))
-                request = decode_request(frame.payload)
-                payload = encode_snapshot(self._snapshot(request))
-                writer.write(encode_frame(Frame(FrameType.ANSWER, frame.request_id, payload)))
-                await writer.drain()
-        except (OSError, TimeoutError, EOFError, FrameError, MalformedPeerMessageError):
-            return
-        finally:
-            writer.close()
+    async def _serve(self, _peer: PeerAddress, payload: bytes) -> bytes:
+        """Answer one request of a peer.
+
+        :raises MalformedPeerMessageError: it is none.
+        """
+        request = decode_request(payload)
+        if isinstance(request, ScatterRequest):
+            return encode_answer(await self._serve_scatter(request))
+        return encode_snapshot(self._snapshot(request))
 
     def _snapshot(self, request: SnapshotRequest) -> Snapshot:
         """Return this gateway's state."""
@@ -205,8 +209,10 @@
             self.send_digests()
 
     async def _tick(self) -> None:
-        """Send digests regularly, not all gateways at the same time."""
-        self.send_digests()
+        """Send digests regularly, not all gateways at the same time; more often at first."""
+        sent = 0
         while True:
-            await asyncio.sleep(DIGEST_INTERVAL_S * random.uniform(0.8, 1.2))
             self.send_digests()
+            sent += 1
+            interval_s = FIRST_DIGEST_INTERVAL_S if sent < FIRST_DIGESTS else DIGEST_INTERVAL_S
+            await asyncio.sleep(interval_s * random.uniform(0.8, 1.2))
--- a/tinrudder/gateway/peer_list.py
+++ b/tinrudder/gateway/peer_list.py
@@ -1,23 +1,39 @@
-"""Which other gateways there are, as far as this one has heard."""
+"""Which other gateways there are, as far as this one has heard.
+
+Gateways tell each other in digests whom they know and how old that knowledge is.  The age, not a
+time of day, travels, so that clocks need not agree; it only grows, so a gateway that has gone is
+forgotten everywhere at about the same moment.
+"""
 
 from __future__ import annotations
 
 import random
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from tinrudder.gateway.model import Address
+from tinrudder.gateway.peer_messages import Member, ToldMember
 
 ALL_PEERS_UP_TO = 16
 RANDOM_PEERS = 6
 COUNTED_FOR_S = 30.0
+CANDIDATE_FOR_S = 15.0
 FORGOTTEN_AFTER_S = 90.0
 TOLD_PEERS = 8
 SETTLE_S = 3.0
 ASSUMED_AT_START = 10
 
 
+@dataclass(frozen=True, slots=True)
+class _Known:
+    """A peer and the monotonic time of its own latest word, as far as known here."""
+
+    member: Member
+    heard_at: float
+
+
 class PeerList:
-    """Addresses of peers with the time each was last heard of.
+    """Peers with the time of each one's latest word.
 
     Seeds are kept although they may be stale: after a cut they are the way back.
     """
@@ -28,24 +44,27 @@
         self._settled_at = started_at + SETTLE_S
         self._random = random_source
         self._seeds: set[Address] = set()
-        self._heard: dict[Address, float] = {}
-        self._contacts: dict[Address, float] = {}
+        self._known: dict[Address, _Known] = {}
+        self._last_message_at: float | None = None
 
     def set_seeds(self, seeds: Iterable[Address]) -> None:
         """Replace the seeds."""
         self._seeds = {seed for seed in seeds if seed != self._own}
 
-    def heard_from(self, address: Address, now: float) -> None:
+    def heard_from(self, member: Member, now: float) -> None:
         """Note a message of a peer's own."""
-        if address != self._own:
-            self._heard[address] = now
-            self._contacts[address] = now
-
-    def heard_of(self, addresses: Iterable[Address], now: float) -> None:
-        """Note peers that another peer names; they count only once they are heard from."""
-        for address in addresses:
-            if address != self._own:
-                self._contacts.setdefault(address, now)
+        if member.address != self._own:
+            self._known[member.address] = _Known(member, now)
+            self._last_message_at = now
+
+    def heard_of(self, told: Iterable[ToldMember], now: float) -> None:
+        """Note what another peer knows, where it is newer than what is known here."""
+        for one in told:
+            address = one.member.address
+            heard_at = now - max(0.0, one.age_s)
+            known = self._known.get(address)
+            if address != self._own and (known is None or known.heard_at < heard_at):
+                self._known[address] = _Known(one.member, heard_at)
 
     def nodes(self, now: float) -> int:
         """Return how many gateways there seem to be, this one included.
@@ -55,34 +74,47 @@
         started, perhaps together with all others, assumes some that it has not heard yet.
         """
         horizon = now - COUNTED_FOR_S
-        heard = 1 + sum(1 for heard_at in self._heard.values() if heard_at >= horizon)
+        heard = 1 + sum(1 for known in self._known.values() if known.heard_at >= horizon)
         return heard if now >= self._settled_at else max(heard, ASSUMED_AT_START)
 
+    def candidates(self, now: float) -> list[Member]:
+        """Return the peers that may be asked to coordinate, by address."""
+        horizon = now - CANDIDATE_FOR_S
+        members = (
+            known.member
+            for known in self._known.values()
+            if known.heard_at >= horizon and known.member.serves_others
+        )
+        return sorted(members, key=lambda member: str(member.address))
+
     @property
     def has_peers(self) -> bool:
         """Tell whether any peer was heard from lately."""
-        return bool(self._heard)
+        return self._last_message_at is not None
 
     def silent_s(self, now: float) -> float:
         """Return how long no peer was heard from."""
-        return now - max(self._heard.values(), default=float("-inf"))
+        return now - self._last_message_at if self._last_message_at is not None else float("inf")
 
     def receivers(self, now: float) -> list[Address]:
         """Return the peers that the next digest goes to."""
         self._forget(now)
-        everybody = sorted(self._seeds | self._contacts.keys(), key=str)
+        everybody = sorted(self._seeds | self._known.keys(), key=str)
         if len(everybody) <= ALL_PEERS_UP_TO:
             return everybody
         return self._random.sample(everybody, RANDOM_PEERS)
 
-    def to_tell(self) -> tuple[Address, ...]:
-        """Return some peers to name in a digest, the most recently heard first."""
-        latest = sorted(self._heard, key=self._heard.__getitem__, reverse=True)
-        return tuple(latest[:TOLD_PEERS])
+    def to_tell(self, now: float) -> tuple[ToldMember, ...]:
+        """Return some peers to name in a digest, drawn anew each time."""
+        horizon = now - COUNTED_FOR_S
+        counted = [known for known in self._known.values() if known.heard_at >= horizon]
+        drawn = self._random.sample(counted, min(TOLD_PEERS, len(counted)))
+        return tuple(ToldMember(known.member, now - known.heard_at) for known in drawn)
 
     def _forget(self, now: float) -> None:
         """Drop peers that were silent for long."""
         horizon = now - FORGOTTEN_AFTER_S
-        for known in (self._heard, self._contacts):
-            for address in [address for address, at in known.items() if at < horizon]:
-                del known[address]
+        for address in [a for a, known in self._known.items() if known.heard_at < horizon]:
+            del self._known[address]
+        if self._last_message_at is not None and self._last_message_at < horizon:
+            self._last_message_at = None
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -2,25 +2,54 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
+from tinrudder.gateway.messages import HttpRequest
 from tinrudder.gateway.model import Address
+from tinrudder.gateway.outcomes import RequestOutcome
 from tinrudder.gateway.stored_values import StoredValue
 
 
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One gateway, as it describes itself.
+
+    :param capacity: processor cores.
+    :param leaving: it has been told to stop.
+    :param starting: it knows too little to serve.
+    """
+
+    address: Address
+    zone: str = ""
+    capacity: float = 1.0
+    leaving: bool = False
+    starting: bool = False
+
+    @property
+    def serves_others(self) -> bool:
+        """Tell whether it may be asked to coordinate."""
+        return not self.leaving and not self.starting
+
+
+@dataclass(frozen=True, slots=True)
+class ToldMember:
+    """A member as another gateway knows it; ``age_s`` is how old that knowledge is, seconds."""
+
+    member: Member
+    age_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class Digest:
     """How far a gateway's knowledge of the store goes; sent by datagram.
 
-    :param known_peers: some addresses of other gateways.
-    :param starting: the sender knows nothing yet and would like to hear soon.
+    :param members: some other gateways.
     """
 
-    sender: Address
+    sender: Member
     configuration_revision: int
     backends_revision: int
-    known_peers: tuple[Address, ...] = ()
-    starting: bool = False
+    members: tuple[ToldMember, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,3 +69,61 @@
     configuration: StoredValue | None
     backends: tuple[StoredValue, ...]
     backends_read: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ScatterRequest:
+    """Asks a coordinator to run a client's scatter.
+
+    Times are what is left when this is sent, since clocks of two machines have nothing in common.
+
+    :param route: name of the route that the entry found.
+    :param objective_left_s: may be negative: the objective has passed.
+    :param returning: the client has been waiting since an earlier attempt.
+    :param configuration_revision: the entry's; an older configuration must not answer.
+    :param repeated: another coordinator may have begun already, so every call is a repeat.
+    """
+
+    request: HttpRequest
+    request_id: bytes
+    route: str
+    objective_left_s: float
+    deadline_left_s: float
+    returning: bool
+    configuration_revision: int
+    repeated: bool = False
+
+
+PeerRequest = SnapshotRequest | ScatterRequest
+
+
+@dataclass(frozen=True, slots=True)
+class MissingShard:
+    """A shard without an answer, and why."""
+
+    service: str
+    problem: str
+
+
+@dataclass(frozen=True, slots=True)
+class ScatterEnd:
+    """How a coordinated scatter ended.
+
+    :param configuration_version: of the configuration that answered.
+    :param repeats: calls beyond the first of each shard.
+    """
+
+    outcome: RequestOutcome
+    configuration_version: int
+    repeats: int = 0
+    missing_shards: tuple[MissingShard, ...] = field(default=())
+
+
+@dataclass(frozen=True, slots=True)
+class Declined:
+    """The coordinator sent nothing and never will; the entry may ask another or run it itself."""
+
+    detail: str
+
+
+ScatterAnswer = ScatterEnd | Declined
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from typing import Protocol
 
 from tinrudder.gateway.admission import Admission
 from tinrudder.gateway.answers import build_answer
@@ -12,7 +12,7 @@
 from tinrudder.gateway.client_moments import ClientMoments, Moments
 from tinrudder.gateway.forwarding import Forwarding
 from tinrudder.gateway.messages import HttpRequest
-from tinrudder.gateway.model import ClientLimits, GatewayConfiguration, Route
+from tinrudder.gateway.model import ClientLimits, Route
 from tinrudder.gateway.outcomes import (
     STATUS_BAD_REQUEST,
     Invalid,
@@ -20,32 +20,33 @@
     RequestOutcome,
     UnknownRoute,
 )
+from tinrudder.gateway.peer_messages import MissingShard
+from tinrudder.gateway.relayed_run import RelayedRun, Relaying
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_log import FinishedRequest, RequestObserver
-from tinrudder.gateway.request_run import RequestRun
+from tinrudder.gateway.request_run import OutcomeListener, RequestRun
+from tinrudder.gateway.routes_in_force import RoutesInForce
 from tinrudder.gateway.shared_state import SharedState
-from tinrudder.routing.route_table import RouteTable
-from tinrudder.routing.weighted_rotation import WeightedRotation
 
 RETRY_AFTER_START_S = 0.3
-ROTATION_SPREAD = 8
 
 
-@dataclass(slots=True)
-class RoutesInForce:
-    """One configuration, indexed.
+class Run(Protocol):
+    """A request on its way to an outcome, here or at a coordinator."""
 
-    :param priorities: those that any route has, the most urgent first.
-    """
+    @property
+    def repeats(self) -> int:
+        """Return how many calls were sent beyond the first of each shard."""
+
+    @property
+    def missing_shards(self) -> tuple[MissingShard, ...]:
+        """Return the shards without an answer."""
 
-    configuration: GatewayConfiguration
-    table: RouteTable[Route]
-    rotations: dict[str, WeightedRotation] = field(default_factory=dict)
-    priorities: tuple[int, ...] = ()
+    def start(self) -> None:
+        """Begin."""
 
-    def steps_below_urgent(self, route: Route) -> int:
-        """Return how many priorities in use are more urgent than a route's."""
-        return sum(1 for priority in self.priorities if priority < route.priority)
+    def abandon(self) -> None:
+        """End for a client that has left."""
 
 
 class InvalidRequestError(Exception):
@@ -62,12 +63,14 @@
         observer: RequestObserver,
         random_source: random.Random,
         knows_news: Callable[[], bool],
+        relaying: Relaying,
     ) -> None:
         """Report every finished request to ``observer``.
 
         :param knows_news: tells whether this gateway would know of a newer configuration.
         """
         self._knows_news = knows_news
+        self._relaying = relaying
         self.closing = False
         self.in_progress = 0
         self.forwarding = forwarding
@@ -76,9 +79,14 @@
         self._random = random_source
         self._routes: RoutesInForce | None = None
         self._moments = ClientMoments(forwarding.names)
-        self._admission = Admission(forwarding, random_source)
+        self.admission = Admission(forwarding, random_source)
         state.subscribe(self._refresh)
 
+    @property
+    def routes(self) -> RoutesInForce | None:
+        """Return the configuration in force, ``None`` before there is one."""
+        return self._routes
+
     @property
     def limits(self) -> ClientLimits:
         """Return the limits in force."""
@@ -101,23 +109,20 @@
             serving.end(NotRun("no configuration is known yet", RETRY_AFTER_START_S))
             return serving
         serving.version = routes.configuration.version
-        route = self._find(routes, request)
+        route = routes.find(request)
         if route is None:
             serving.end(self._without_route())
             return serving
         serving.route = route
         moments = self._moments.of(route, request, serving.received_at)
-        services = route.shards or (self._choose_service(routes, route),)
-        steps = routes.steps_below_urgent(route)
-        refusal = self._admission.refusal(route, services, moments, steps)
-        if refusal is not None:
+        plan = self._plan(routes, route, request, moments, serving)
+        if isinstance(plan, NotRun):
             self.forwarding.counters.refused += 1
-            serving.end(refusal)
+            serving.end(plan)
             return serving
-        run = self._new_run(route, services, request, moments, serving)
         self.in_progress += 1
-        serving.run = run
-        run.start()
+        serving.run = plan
+        plan.start()
         return serving
 
     def finished(self, request: FinishedRequest) -> None:
@@ -140,44 +145,47 @@
             raise InvalidRequestError("request id: must stand exactly once")
         return ids[0]
 
-    def _find(self, routes: RoutesInForce, request: HttpRequest) -> Route | None:
-        """Return the request's route."""
-        host = next(value for name, value in request.headers if name == b"host")
-        name = host.decode("latin-1").lower()
-        if name.count(":") == 1:
-            name = name.partition(":")[0]
-        return routes.table.find(name, request.path.decode("latin-1"))
-
     def _without_route(self) -> RequestOutcome:
         """Say that there is no route, but only if a newer configuration would be known here."""
         if self._knows_news():
             return UnknownRoute()
         return NotRun("no route, and no word from store or peers lately", RETRY_AFTER_START_S)
 
-    def _new_run(
+    def _plan(
         self,
+        routes: RoutesInForce,
         route: Route,
-        services: tuple[str, ...],
         request: HttpRequest,
         moments: Moments,
         serving: _Serving,
-    ) -> RequestRun:
-        """Plan one request."""
-        encoded = RequestBytes(
-            request, serving.request_id, moments.deadline_at, self.forwarding.names
-        )
-        return RequestRun(route, services, encoded, moments, self.forwarding, serving.end)
-
-    def _choose_service(self, routes: RoutesInForce, route: Route) -> str:
-        """Return the service whose turn it is."""
-        if len(route.services) == 1:
-            return route.services[0].service
-        rotation = routes.rotations.get(route.name)
-        if rotation is None:
-            weights = {part.service: part.weight for part in route.services}
-            rotation = WeightedRotation(weights, self._random.randrange(ROTATION_SPREAD))
-            routes.rotations[route.name] = rotation
-        return rotation.next()
+    ) -> Run | NotRun:
+        """Decide where a request runs, or refuse it at once.
+
+        A coordinator judges by itself whether a scatter can be in time: it sees the queues.
+        """
+        services = route.shards or (routes.choose_service(route, self._random),)
+
+        def run_here(on_outcome: OutcomeListener) -> RequestRun:
+            names = self.forwarding.names
+            encoded = RequestBytes(request, serving.request_id, moments.deadline_at, names)
+            return RequestRun(route, services, encoded, moments, self.forwarding, on_outcome)
+
+        if route.shards:
+            coordination = self._relaying.coordinators.of_route(route)
+            if not coordination.own:
+                return RelayedRun(
+                    route,
+                    request,
+                    serving.request_id,
+                    moments,
+                    self._relaying,
+                    coordination.asked,
+                    run_here,
+                    serving.end,
+                )
+        steps = routes.steps_below_urgent(route)
+        refusal = self.admission.refusal(route, services, moments, steps)
+        return refusal if refusal is not None else run_here(serving.end)
 
     def _refresh(self) -> None:
         """Index a configuration that has just come into force."""
@@ -187,10 +195,7 @@
         configuration = accepted.configuration
         if self._routes is not None and self._routes.configuration is configuration:
             return
-        priorities = tuple(sorted({route.priority for route in configuration.routes}))
-        self._routes = RoutesInForce(
-            configuration, RouteTable(configuration.routes), priorities=priorities
-        )
+        self._routes = RoutesInForce.of(configuration)
         names = frozenset(route.name for route in configuration.routes)
         self.forwarding.forget_unused(frozenset(configuration.services), names)
         self._moments.forget_unused(names)
@@ -209,7 +214,7 @@
         self.request_id = b""
         self.version = 0
         self.route: Route | None = None
-        self.run: RequestRun | None = None
+        self.run: Run | None = None
         self.received_at = received_at
         self._handler = handler
         self._request = request
@@ -242,6 +247,6 @@
             version=self.version,
             outcome=outcome,
             elapsed_s=self._handler.forwarding.loop.time() - self.received_at,
-            shards=run.shards if run is not None else [],
+            missing_shards=run.missing_shards if run is not None else (),
             repeats=run.repeats if run is not None else 0,
         )
--- a/tinrudder/gateway/request_log.py
+++ b/tinrudder/gateway/request_log.py
@@ -16,7 +16,7 @@
     TimedOut,
     status_of,
 )
-from tinrudder.gateway.shard_calls import ShardCalls
+from tinrudder.gateway.peer_messages import MissingShard, ScatterEnd, ScatterRequest
 from tinrudder.logs import LogValue, log_event
 
 CLIENT_LEFT = "client_left"
@@ -33,7 +33,7 @@
     version: int
     outcome: RequestOutcome | None
     elapsed_s: float
-    shards: Sequence[ShardCalls] = field(default=())
+    missing_shards: Sequence[MissingShard] = field(default=())
     repeats: int = 0
 
     @property
@@ -67,20 +67,42 @@
         fields["target"] = request.target.decode("latin-1")[:100]
     if request.detail:
         fields["detail"] = request.detail
-    if isinstance(request.outcome, Merged):
-        fields["included"] = len(request.outcome.stamps)
-        fields["missing"] = request.outcome.missing
-    fields.update(_missing_shards(request))
+    fields.update(_parts(request.outcome))
+    fields.update(_missing(request.missing_shards))
     log_event("request", fields)
 
 
-def _missing_shards(request: FinishedRequest) -> dict[str, LogValue]:
+def log_coordinated(
+    scatter: ScatterRequest, route: Route, end: ScatterEnd, elapsed_s: float
+) -> None:
+    """Write a coordinator's line of one request that another gateway handed over."""
+    fields: dict[str, LogValue] = {
+        "request": scatter.request_id.decode("latin-1"),
+        "route": route.name,
+        "version": end.configuration_version,
+        "outcome": type(end.outcome).__name__,
+        "elapsed_ms": round(elapsed_s * MILLISECONDS, 1),
+        "repeats": end.repeats,
+        "repeated": scatter.repeated,
+    }
+    fields.update(_parts(end.outcome))
+    fields.update(_missing(end.missing_shards))
+    log_event("coordinated", fields)
+
+
+def _parts(outcome: RequestOutcome | None) -> dict[str, LogValue]:
+    """Count what a merged answer holds and lacks."""
+    if not isinstance(outcome, Merged):
+        return {}
+    return {"included": len(outcome.stamps), "missing": outcome.missing}
+
+
+def _missing(shards: Sequence[MissingShard]) -> dict[str, LogValue]:
     """Name the shards without an answer and count the reasons."""
-    missing = [shard for shard in request.shards if shard.part is None]
-    if not missing:
+    if not shards:
         return {}
-    reasons = Counter(shard.last_problem or "no answer yet" for shard in missing)
+    reasons = Counter(shard.problem for shard in shards)
     return {
-        "missing_shards": " ".join(shard.service for shard in missing[:10]),
+        "missing_shards": " ".join(shard.service for shard in shards[:10]),
         "reasons": "; ".join(f"{count} x {reason}" for reason, count in reasons.items()),
     }
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -16,6 +16,7 @@
     RequestOutcome,
     TimedOut,
 )
+from tinrudder.gateway.peer_messages import MissingShard
 from tinrudder.gateway.record_merge import greatest_records
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.shard_calls import NEVER, ShardCalls
@@ -40,8 +41,13 @@
         moments: Moments,
         forwarding: Forwarding,
         on_outcome: OutcomeListener,
+        *,
+        repeated: bool = False,
     ) -> None:
-        """Prepare calls to ``services``: the route's shards, or the one service chosen."""
+        """Prepare calls to ``services``: the route's shards, or the one service chosen.
+
+        :param repeated: another gateway may have sent calls for this request already.
+        """
         self._route = route
         self._moments = moments
         self._forwarding = forwarding
@@ -53,7 +59,13 @@
         self._timer_at = NEVER
         self.shards = [
             ShardCalls(
-                service, route, request, forwarding, self._review, relay_failures=not self._scatter
+                service,
+                route,
+                request,
+                forwarding,
+                self._review,
+                relay_failures=not self._scatter,
+                repeated=repeated,
             )
             for service in services
         ]
@@ -68,6 +80,15 @@
         """Return how many calls were sent beyond the first of each shard."""
         return sum(max(0, shard.sends - 1) for shard in self.shards)
 
+    @property
+    def missing_shards(self) -> tuple[MissingShard, ...]:
+        """Return the shards without an answer, and why."""
+        return tuple(
+            MissingShard(shard.service, shard.last_problem or "no answer yet")
+            for shard in self.shards
+            if shard.part is None
+        )
+
     def start(self) -> None:
         """Send the first calls."""
         now = self._forwarding.loop.time()
--- /dev/null
+++ b/tinrudder/gateway/routes_in_force.py
@@ -0,0 +1,57 @@
+"""The configuration in force, indexed for finding the route of a request."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.model import GatewayConfiguration, Route
+from tinrudder.routing.route_table import RouteTable
+from tinrudder.routing.weighted_rotation import WeightedRotation
+
+FIRST_TURNS = 240
+"""Gateways begin at different turns, drawn from whole rounds of most weights (a number with many
+divisors), so that the shares hold over all of them although each sees few requests."""
+
+
+@dataclass(slots=True)
+class RoutesInForce:
+    """One configuration, indexed.
+
+    :param priorities: those that any route has, the most urgent first.
+    """
+
+    configuration: GatewayConfiguration
+    table: RouteTable[Route]
+    priorities: tuple[int, ...]
+    _rotations: dict[str, WeightedRotation] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, configuration: GatewayConfiguration) -> RoutesInForce:
+        """Index a configuration."""
+        priorities = tuple(sorted({route.priority for route in configuration.routes}))
+        return cls(configuration, RouteTable(configuration.routes), priorities)
+
+    def find(self, request: HttpRequest) -> Route | None:
+        """Return a request's route: by its host, then the longest prefix of its path."""
+        host = next(value for name, value in request.headers if name == b"host")
+        name = host.decode("latin-1").lower()
+        if name.count(":") == 1:
+            name = name.partition(":")[0]
+        return self.table.find(name, request.path.decode("latin-1"))
+
+    def steps_below_urgent(self, route: Route) -> int:
+        """Return how many priorities in use are more urgent than a route's."""
+        return sum(1 for priority in self.priorities if priority < route.priority)
+
+    def choose_service(self, route: Route, random_source: random.Random) -> str:
+        """Return the service whose turn it is on a route to one back end."""
+        if len(route.services) == 1:
+            return route.services[0].service
+        rotation = self._rotations.get(route.name)
+        if rotation is None:
+            weights = {part.service: part.weight for part in route.services}
+            rotation = WeightedRotation(weights, random_source.randrange(FIRST_TURNS))
+            self._rotations[route.name] = rotation
+        return rotation.next()
--- /dev/null
+++ b/tinrudder/gateway/scatter_service.py
@@ -0,0 +1,104 @@
+"""The coordinator's side of a scatter that another gateway hands over."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tinrudder.gateway.admission import Admission
+from tinrudder.gateway.client_moments import Moments
+from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.outcomes import RequestOutcome
+from tinrudder.gateway.peer_messages import Declined, ScatterAnswer, ScatterEnd, ScatterRequest
+from tinrudder.gateway.request_bytes import RequestBytes
+from tinrudder.gateway.request_log import log_coordinated
+from tinrudder.gateway.request_run import RequestRun
+from tinrudder.gateway.routes_in_force import RoutesInForce
+from tinrudder.gateway.shared_state import SharedState
+
+
+class ScatterService:
+    """Runs scatters for their entries; declines what it cannot answer as well as they could.
+
+    :ivar in_progress: scatters that run now.
+    :ivar closing: a planned stop has begun; what comes now is declined.
+    """
+
+    def __init__(
+        self,
+        forwarding: Forwarding,
+        state: SharedState,
+        admission: Admission,
+        routes: Callable[[], RoutesInForce | None],
+    ) -> None:
+        """Find routes by what ``routes`` returns at that moment."""
+        self.in_progress = 0
+        self.closing = False
+        self._forwarding = forwarding
+        self._state = state
+        self._admission = admission
+        self._routes = routes
+
+    async def serve(self, scatter: ScatterRequest) -> ScatterAnswer:
+        """Run one scatter; cancelling this ends its calls."""
+        routes = self._routes()
+        if self.closing:
+            return Declined("stopping")
+        if routes is None or not self._state.complete:
+            return Declined("starting")
+        if self._state.configuration_revision < scatter.configuration_revision:
+            # The entry may have shown the newer one's effect already: nothing may go back.
+            return Declined("an older configuration")
+        route = routes.find(scatter.request)
+        if route is None or not route.shards:
+            return Declined("no scatter by the configuration here")
+        moments = self._moments(scatter)
+        steps = routes.steps_below_urgent(route)
+        version = routes.configuration.version
+        refusal = self._admission.refusal(route, route.shards, moments, steps)
+        if refusal is not None:
+            self._forwarding.counters.refused += 1
+            return ScatterEnd(refusal, version)
+        ended: asyncio.Future[RequestOutcome] = self._forwarding.loop.create_future()
+        run = RequestRun(
+            route,
+            route.shards,
+            self._request_bytes(scatter, moments),
+            moments,
+            self._forwarding,
+            ended.set_result,
+            repeated=scatter.repeated,
+        )
+        end = ScatterEnd(await self._finish(run, ended), version, run.repeats, run.missing_shards)
+        log_coordinated(scatter, route, end, self._forwarding.loop.time() - moments.received_at)
+        return end
+
+    async def _finish(
+        self, run: RequestRun, ended: asyncio.Future[RequestOutcome]
+    ) -> RequestOutcome:
+        """Run to the outcome; abandon the run if the entry gives it up."""
+        self.in_progress += 1
+        self._forwarding.counters.coordinated += 1
+        try:
+            run.start()
+            return await ended
+        except asyncio.CancelledError:
+            run.abandon()
+            raise
+        finally:
+            self.in_progress -= 1
+
+    def _moments(self, scatter: ScatterRequest) -> Moments:
+        """Count the entry's times from now."""
+        now = self._forwarding.loop.time()
+        return Moments(
+            received_at=now,
+            objective_at=now + scatter.objective_left_s,
+            deadline_at=now + scatter.deadline_left_s,
+            returning=scatter.returning,
+        )
+
+    def _request_bytes(self, scatter: ScatterRequest, moments: Moments) -> RequestBytes:
+        """Prepare the request for the back ends."""
+        names = self._forwarding.names
+        return RequestBytes(scatter.request, scatter.request_id, moments.deadline_at, names)
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -62,8 +62,13 @@
         on_change: Callable[[], None],
         *,
         relay_failures: bool,
+        repeated: bool = False,
     ) -> None:
-        """Prepare; ``relay_failures`` makes a back end's own refusal an answer."""
+        """Prepare.
+
+        :param relay_failures: a back end's own refusal is an answer.
+        :param repeated: another gateway may have sent the first call already.
+        """
         self.service = service
         self.part: HttpAnswer | None = None
         self.failure: HttpAnswer | None = None
@@ -76,6 +81,7 @@
         self._forwarding = forwarding
         self._on_change = on_change
         self._relay_failures = relay_failures
+        self._repeated = repeated
         self._attempts: list[Attempt] = []
         self._tries = 0
         self._offered: set[str] = set()
@@ -97,7 +103,8 @@
 
     def start(self, now: float) -> None:
         """Send the first call."""
-        self._budget.note_request(now)
+        if not self._repeated:
+            self._budget.note_request(now)
         self._try_next(now)
 
     def on_time(self, now: float) -> None:
@@ -126,13 +133,18 @@
             attempt.backend.pool.cancel(attempt.call)
         self._attempts.clear()
 
+    @property
+    def _next_is_repeat(self) -> bool:
+        """Tell whether the next call that leaves is not the service's first of this request."""
+        return self._repeated or self.sends > 0
+
     def _try_next(self, now: float) -> None:
         """Send a call, or note when to look again, or that there is nothing to try."""
         self._tries += 1
         candidates = self._candidates()
         if not candidates or self._tries > MAX_TRIES or self.sends >= MAX_SENDS:
             return
-        paid = self.sends > 0
+        paid = self._next_is_repeat
         if paid and not self._may_repeat(now, hedge=False):
             self.next_at = now + DENIED_PAUSE_S
             return
@@ -153,7 +165,7 @@
         if not candidates:
             self.next_at = now + DENIED_PAUSE_S
             return
-        paid = self.sends > 0
+        paid = self._next_is_repeat
         if paid and not self._may_repeat(now, hedge=True):
             self.next_at = now + DENIED_PAUSE_S
             return
@@ -175,7 +187,7 @@
     def _may_repeat(self, now: float, *, hedge: bool) -> bool:
         """Draw on the service's budget."""
         forwarding = self._forwarding
-        if self._budget.may_repeat(now, forwarding.nodes(), hedge=hedge):
+        if self._budget.may_repeat(now, forwarding.sharers(self.service), hedge=hedge):
             return True
         forwarding.counters.repeats_denied += 1
         return False
@@ -187,7 +199,7 @@
         attempt.call.listener = lambda outcome: self._on_outcome(attempt, outcome)
         attempt.call.make_bytes = lambda: self._leave(attempt)
         self._attempts.append(attempt)
-        fill = self._budget.fill(now, self._forwarding.nodes())
+        fill = self._budget.fill(now, self._forwarding.sharers(self.service))
         self.next_at = now + hedge_delay_s(self._latency, self._route.objective_s, fill)
         backend.pool.start(attempt.call)
 
@@ -207,7 +219,7 @@
         if not forwarding.directory.may_receive(attempt.backend):
             return None
         now = forwarding.loop.time()
-        if self.sends > 0 and not attempt.paid and not self._may_repeat(now, hedge=True):
+        if self._next_is_repeat and not attempt.paid and not self._may_repeat(now, hedge=True):
             return None
         self.sends += 1
         self.may_have_run = True
--- a/tinrudder/peers.py
+++ b/tinrudder/peers.py
@@ -29,6 +29,10 @@
     """The peer may have received the request, but no answer came."""
 
 
+class PeerSilentError(PeerLostError):
+    """The peer did not even say in time that it has begun; it was told to give up."""
+
+
 DatagramHandler = Callable[[PeerAddress, bytes], None]
 RequestHandler = Callable[[PeerAddress, bytes], Awaitable[bytes]]
 
--- a/tinrudder/platform/settings_file.py
+++ b/tinrudder/platform/settings_file.py
@@ -35,6 +35,11 @@
     budget_extra: NotNegative = 10
 
 
+class _Limits(msgspec.Struct):
+    cpu_share: Positive = 1.0
+    cores: Positive = 1.0
+
+
 class _Store(msgspec.Struct):
     addr: str
 
@@ -45,6 +50,7 @@
     platform: _Store
     zone: str = ""
     seeds: list[str] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -60,6 +66,7 @@
     except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.MsgspecError) as error:
         raise SettingsFileError(f"{path}: {error}") from error
     bounds = document.bounds
+    limits = document.limits
     return GatewaySettings(
         name=document.node,
         zone=document.zone,
@@ -68,6 +75,7 @@
         peers=_optional_address("listen.control", document.listen.control),
         seeds=tuple(_address("seeds", text) for text in document.seeds),
         store=_address("platform.addr", document.platform.addr),
+        capacity=limits.cpu_share * limits.cores,
         drain_s=bounds.drain_ms / MILLISECONDS,
         stop_grace_s=bounds.grace_s,
         repeats=RepeatBounds(bounds.budget_ratio, bounds.budget_extra, bounds.budget_window_s),
--- /dev/null
+++ b/tinrudder/routing/coordinator_choice.py
@@ -0,0 +1,109 @@
+"""Which gateways carry the scatters of an index, where not every gateway can call its back ends.
+
+A back end takes a limited number of connections.  While there are few gateways each calls the
+back ends itself.  Beyond that a few coordinators in every zone do, and the others hand their
+scatters to one of them: connections stay warm, and each coordinator sees enough of every back end
+to judge it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from tinrudder.routing.rendezvous import weighted_score
+
+CONNECTION_SAFETY = 0.9
+LEAST_CONNECTIONS_A_SHARD = 4.0
+WANTED_CONNECTIONS_A_SHARD = 8.0
+CAPACITY_EXPONENT = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A gateway that may coordinate.
+
+    :param name: its address.
+    :param capacity: processor cores, as a measure of what it can carry.
+    """
+
+    name: str
+    zone: str
+    capacity: float
+
+
+@dataclass(frozen=True, slots=True)
+class IndexDemand:
+    """The back ends of an index.
+
+    :param replicas: back ends of one shard.
+    :param max_connections: what one back end accepts from all gateways together.
+    """
+
+    replicas: int
+    max_connections: int
+
+    @property
+    def connections(self) -> float:
+        """Return how many connections one shard's back ends take from all gateways together."""
+        return CONNECTION_SAFETY * self.max_connections * self.replicas
+
+
+def coordinators_needed(demand: IndexDemand, nodes: int) -> int | None:
+    """Return how many gateways should call an index's back ends; ``None``: all of them.
+
+    >>> coordinators_needed(IndexDemand(replicas=2, max_connections=26), nodes=8)
+    >>> coordinators_needed(IndexDemand(replicas=3, max_connections=54), nodes=64)
+    18
+    """
+    if demand.connections / nodes >= LEAST_CONNECTIONS_A_SHARD:
+        return None
+    return max(1, int(demand.connections / WANTED_CONNECTIONS_A_SHARD))
+
+
+def choose_coordinators(
+    index: str, candidates: Iterable[Candidate], count: int
+) -> tuple[Candidate, ...]:
+    """Choose coordinators by weighted rendezvous hashing, equally many in every zone.
+
+    Machines with more capacity are preferred strongly: a scatter is a burst of work, which a
+    slow processor turns into latency.
+
+    :param index: tells indexes apart, so that they spread over the gateways.
+    :param count: how many in all; rounded up to a multiple of the zones.
+    """
+    by_zone: defaultdict[str, list[Candidate]] = defaultdict(list)
+    for candidate in candidates:
+        by_zone[candidate.zone].append(candidate)
+    if not by_zone:
+        return ()
+    each = math.ceil(count / len(by_zone))
+    chosen: list[Candidate] = []
+    for zone in sorted(by_zone):
+        ranked = sorted(by_zone[zone], key=lambda one: _rank(index, one), reverse=True)
+        chosen.extend(ranked[:each])
+    return tuple(chosen)
+
+
+def preference(
+    own_name: str, own_zone: str, coordinators: Iterable[Candidate]
+) -> tuple[Candidate, ...]:
+    """Return the coordinators in the order in which one gateway asks them.
+
+    Its own zone first.  Within a zone every gateway has its favourite, so that it keeps one
+    connection; favourites spread by capacity.
+    """
+
+    def order(candidate: Candidate) -> tuple[bool, float]:
+        score = weighted_score(own_name, candidate.name, candidate.capacity)
+        return candidate.zone != own_zone, -score
+
+    return tuple(sorted(coordinators, key=order))
+
+
+def _rank(index: str, candidate: Candidate) -> tuple[float, str]:
+    """Return the sort key of a candidate for an index; higher is better."""
+    weight = candidate.capacity**CAPACITY_EXPONENT
+    return weighted_score(index, candidate.name, weight), candidate.name
--- a/tinrudder/routing/coordinator_set.py
+++ b/tinrudder/routing/coordinator_set.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from tinrudder.cluster.view import Member, MemberStatus
+from tinrudder.routing.rendezvous import rendezvous_score
 
 MAX_SLOTS_HELD = 32
 """Slots of all back ends together that one coordinator holds, so that one process can carry
@@ -50,15 +51,6 @@
         return max(FALLBACK_LIMIT, even_share(backend, calls, position, len(self.members)))
 
 
-def rendezvous_score(service: str, member: str) -> int:
-    """Return the pseudo-random weight of a member for a service.
-
-    >>> rendezvous_score("stock", "node-1") == rendezvous_score("stock", "node-1")
-    True
-    """
-    return xxhash.xxh64_intdigest(f"{service}\0{member}".encode())
-
-
 def coordinator_count(slots: Sequence[int]) -> int:
     """Return how many coordinators a service has.
 
--- a/tinrudder/routing/repeat_budget.py
+++ b/tinrudder/routing/repeat_budget.py
@@ -47,17 +47,17 @@
         """Count one request for the service."""
         self._bucket(now).requests += 1
 
-    def may_repeat(self, now: float, nodes: int, *, hedge: bool) -> bool:
+    def may_repeat(self, now: float, nodes: float, *, hedge: bool) -> bool:
         """Count one more call if the budget has room for it.
 
-        :param nodes: how many nodes share the extra, this one included.
+        :param nodes: in how many equal parts the extra is divided, one of them this node's.
         """
         if self.remaining(now, nodes, hedge=hedge) < 1.0:
             return False
         self._bucket(now).repeats += 1
         return True
 
-    def remaining(self, now: float, nodes: int, *, hedge: bool = False) -> float:
+    def remaining(self, now: float, nodes: float, *, hedge: bool = False) -> float:
         """Return how many calls the budget has room for."""
         self._forget(now)
         spent = sum(bucket.repeats for bucket in self._buckets)
@@ -66,14 +66,14 @@
             allowed *= 1.0 - KEPT_FOR_RETRIES
         return allowed - spent
 
-    def fill(self, now: float, nodes: int) -> float:
+    def fill(self, now: float, nodes: float) -> float:
         """Return how much of the allowance for hedges is left, 0 to 1."""
         allowed = self._allowed(now, nodes) * (1.0 - KEPT_FOR_RETRIES)
         if allowed < 1.0:
             return 0.0
         return min(1.0, max(0.0, self.remaining(now, nodes, hedge=True) / allowed))
 
-    def _allowed(self, now: float, nodes: int) -> float:
+    def _allowed(self, now: float, nodes: float) -> float:
         """Return what may be spent in the window that ends now."""
         oldest = self._index(now - self._window_s)
         requests = sum(bucket.requests for bucket in self._buckets if bucket.index > oldest)
--- a/tinrudder/wire/frames.py
+++ b/tinrudder/wire/frames.py
@@ -20,6 +20,8 @@
     """What a frame is.
 
     ``REFUSED``: the peer did not start the request.  ``ERROR``: it started, and failed.
+    ``ACKNOWLEDGED_REQUEST``: a request that the peer answers at once, and regularly while
+    it is at work, with ``ACCEPTED``.
     """
 
     REQUEST = 1
@@ -27,6 +29,8 @@
     CANCEL = 3
     REFUSED = 4
     ERROR = 5
+    ACKNOWLEDGED_REQUEST = 6
+    ACCEPTED = 7
 
 
 class FrameError(Exception):
--- /dev/null
+++ b/tinrudder/wire/gateway_relay_codec.py
@@ -0,0 +1,145 @@
+"""Turns requests between gateways into protobuf and back, refusing what is no message."""
+
+from __future__ import annotations
+
+from google.protobuf.message import DecodeError
+
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.outcomes import Merged, NoAnswer, NotRun, RequestOutcome, TimedOut
+from tinrudder.gateway.peer_messages import (
+    Declined,
+    MissingShard,
+    PeerRequest,
+    ScatterAnswer,
+    ScatterEnd,
+    ScatterRequest,
+    SnapshotRequest,
+)
+from tinrudder.wire import gateway_relay_pb2 as pb
+from tinrudder.wire import snapshot_pb2
+from tinrudder.wire.snapshot_codec import MalformedPeerMessageError
+
+MICROSECONDS = 1e6
+
+
+def encode_request(request: PeerRequest) -> bytes:
+    """Return the payload of a request to a peer."""
+    if isinstance(request, SnapshotRequest):
+        revision = request.configuration_revision
+        snapshot = snapshot_pb2.SnapshotRequest(configuration_revision=revision)
+        return pb.PeerRequest(snapshot=snapshot).SerializeToString()
+    return pb.PeerRequest(scatter=_encode_scatter(request)).SerializeToString()
+
+
+def decode_request(payload: bytes) -> PeerRequest:
+    """Read a peer's request.
+
+    :raises MalformedPeerMessageError: it is none.
+    """
+    try:
+        message = pb.PeerRequest.FromString(payload)
+    except DecodeError as error:
+        raise MalformedPeerMessageError(str(error)) from error
+    match message.WhichOneof("request"):
+        case "snapshot":
+            return SnapshotRequest(message.snapshot.configuration_revision)
+        case "scatter":
+            return _decode_scatter(message.scatter)
+        case _:
+            raise MalformedPeerMessageError("request: none of the kinds known")
+
+
+def encode_answer(answer: ScatterAnswer) -> bytes:
+    """Return the payload of a coordinator's answer."""
+    if isinstance(answer, Declined):
+        return pb.ScatterAnswer(declined=pb.Text(detail=answer.detail)).SerializeToString()
+    message = pb.ScatterAnswer(
+        configuration_version=answer.configuration_version,
+        repeats=answer.repeats,
+        missing_shards=[
+            pb.MissingShard(service=shard.service, problem=shard.problem)
+            for shard in answer.missing_shards
+        ],
+    )
+    _encode_outcome(answer.outcome, message)
+    return message.SerializeToString()
+
+
+def decode_answer(payload: bytes) -> ScatterAnswer:
+    """Read a coordinator's answer.
+
+    :raises MalformedPeerMessageError: it is none.
+    """
+    try:
+        message = pb.ScatterAnswer.FromString(payload)
+    except DecodeError as error:
+        raise MalformedPeerMessageError(str(error)) from error
+    if message.WhichOneof("outcome") == "declined":
+        return Declined(message.declined.detail)
+    missing = tuple(MissingShard(one.service, one.problem) for one in message.missing_shards)
+    return ScatterEnd(
+        _decode_outcome(message), message.configuration_version, message.repeats, missing
+    )
+
+
+def _encode_scatter(scatter: ScatterRequest) -> pb.ScatterRequest:
+    request = scatter.request
+    return pb.ScatterRequest(
+        method=request.method,
+        target=request.target,
+        headers=[pb.Header(name=name, value=value) for name, value in request.headers],
+        body=request.body,
+        request_id=scatter.request_id,
+        route=scatter.route,
+        objective_left_us=int(scatter.objective_left_s * MICROSECONDS),
+        deadline_left_us=int(scatter.deadline_left_s * MICROSECONDS),
+        returning=scatter.returning,
+        configuration_revision=scatter.configuration_revision,
+        repeated=scatter.repeated,
+    )
+
+
+def _decode_scatter(message: pb.ScatterRequest) -> ScatterRequest:
+    headers = tuple((header.name, header.value) for header in message.headers)
+    return ScatterRequest(
+        request=HttpRequest(message.method, message.target, headers, message.body),
+        request_id=message.request_id,
+        route=message.route,
+        objective_left_s=message.objective_left_us / MICROSECONDS,
+        deadline_left_s=message.deadline_left_us / MICROSECONDS,
+        returning=message.returning,
+        configuration_revision=message.configuration_revision,
+        repeated=message.repeated,
+    )
+
+
+def _encode_outcome(outcome: RequestOutcome, message: pb.ScatterAnswer) -> None:
+    match outcome:
+        case Merged():
+            message.merged.body = outcome.body
+            message.merged.stamps.extend(outcome.stamps)
+            message.merged.missing = outcome.missing
+        case NotRun():
+            message.not_run.detail = outcome.detail
+            message.not_run.retry_after_s = outcome.retry_after_s
+        case NoAnswer():
+            message.no_answer.detail = outcome.detail
+        case TimedOut():
+            message.timed_out.detail = outcome.detail
+        case _:
+            raise ValueError(f"{type(outcome).__name__} ends no scatter")
+
+
+def _decode_outcome(message: pb.ScatterAnswer) -> RequestOutcome:
+    match message.WhichOneof("outcome"):
+        case "merged":
+            merged = message.merged
+            return Merged(merged.body, tuple(merged.stamps), merged.missing)
+        case "not_run":
+            return NotRun(message.not_run.detail, message.not_run.retry_after_s)
+        case "no_answer":
+            return NoAnswer(message.no_answer.detail)
+        case "timed_out":
+            return TimedOut(message.timed_out.detail)
+        case _:
+            raise MalformedPeerMessageError("outcome: none of the kinds known")
--- a/tinrudder/wire/peer_client.py
+++ b/tinrudder/wire/peer_client.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import ssl
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError, PeerSilentError
 from tinrudder.wire.frames import (
     MAX_FRAME_BYTES,
     Frame,
@@ -21,11 +22,30 @@
 LONGEST_CONNECT_S = 1.0
 CONNECT_SHARE = 0.5
 IDLE_CLOSE_S = 60.0
+LONGEST_SILENCE_S = 0.25
 MAX_UNSENT_BYTES = 32 * 1024 * 1024
 
 ClientContext = Callable[[], ssl.SSLContext | None]
 
 
+@dataclass(eq=False, slots=True)
+class _Waiting:
+    """A request without an answer.
+
+    :param end: loop time at which nobody waits any longer.
+    :param patience: what is left of the time to hear of it, once waiting has begun.
+    """
+
+    answer: asyncio.Future[bytes]
+    end: float
+    patience: asyncio.Timeout | None = None
+
+    def hear(self, now: float) -> None:
+        """Wait on: the peer says that it is at work."""
+        if self.patience is not None and not self.patience.expired():
+            self.patience.reschedule(min(self.end, now + LONGEST_SILENCE_S))
+
+
 @dataclass(eq=False)
 class _Connection:
     """An open connection and the requests that wait on it.
@@ -34,7 +54,7 @@
     """
 
     writer: asyncio.StreamWriter
-    waiting: dict[int, asyncio.Future[bytes]] = field(default_factory=dict)
+    waiting: dict[int, _Waiting] = field(default_factory=dict)
     last_request_id: int = 0
     reading: asyncio.Task[None] | None = None
     idle_timer: asyncio.TimerHandle | None = None
@@ -43,29 +63,53 @@
 class PeerClient:
     """Sends requests to other nodes."""
 
-    def __init__(self, tls: ClientContext) -> None:
-        """Open connections with the context that ``tls`` returns at that moment."""
+    def __init__(self, tls: ClientContext, unacknowledged_s: float | None = None) -> None:
+        """Open connections with the context that ``tls`` returns at that moment.
+
+        :param unacknowledged_s: how long sent bytes may stay without the peer's acknowledgement
+            before a connection is given up; ``None`` leaves that to the system.
+        """
         self._tls = tls
+        self._unacknowledged_s = unacknowledged_s
         self._connections: dict[PeerAddress, _Connection] = {}
         self._connecting: dict[PeerAddress, asyncio.Task[_Connection]] = {}
 
-    async def request(self, destination: PeerAddress, payload: bytes, timeout_s: float) -> bytes:
-        """Send a request and return its answer; see :class:`tinrudder.peers.PeerTransport`."""
+    async def request(
+        self,
+        destination: PeerAddress,
+        payload: bytes,
+        timeout_s: float,
+        accept_within_s: float | None = None,
+    ) -> bytes:
+        """Send a request and return its answer; see :class:`tinrudder.peers.PeerTransport`.
+
+        :param accept_within_s: the peer must say in this time that it has begun, counted from
+            now, opening a connection included; and again and again while it is at work.
+        :raises PeerSilentError: it did not.
+        """
         if len(payload) > MAX_FRAME_BYTES:
             raise PeerNotSentError(f"request: {len(payload)} bytes, at most {MAX_FRAME_BYTES}")
-        end = asyncio.get_running_loop().time() + timeout_s
-        connection = await self._connection(destination, timeout_s)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + timeout_s
+        acknowledged = accept_within_s is not None
+        first_word_at = end if accept_within_s is None else min(end, loop.time() + accept_within_s)
+        connect_s = min(timeout_s * CONNECT_SHARE, first_word_at - loop.time())
+        connection = await self._connection(destination, connect_s)
         if connection.writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
             raise PeerNotSentError(f"{destination}: does not read what it is sent")
         connection.last_request_id += 1
         request_id = connection.last_request_id
-        answer: asyncio.Future[bytes] = asyncio.get_running_loop().create_future()
-        connection.waiting[request_id] = answer
-        _write(connection, Frame(FrameType.REQUEST, request_id, payload))
+        waiting = _Waiting(loop.create_future(), end)
+        answer = waiting.answer
+        connection.waiting[request_id] = waiting
+        kind = FrameType.ACKNOWLEDGED_REQUEST if acknowledged else FrameType.REQUEST
+        _write(connection, Frame(kind, request_id, payload))
         try:
-            async with asyncio.timeout_at(end):
+            async with asyncio.timeout_at(first_word_at) as waiting.patience:
                 return await answer
         except TimeoutError as error:
+            if acknowledged and loop.time() < end:
+                raise PeerSilentError(f"{destination}: silent") from error
             raise PeerLostError(f"{destination}: no answer in {timeout_s:.3f} s") from error
         finally:
             connection.waiting.pop(request_id, None)
@@ -82,11 +126,11 @@
         readers = [c.reading for c in self._connections.values() if c.reading is not None]
         await asyncio.gather(*readers, return_exceptions=True)
 
-    async def _connection(self, destination: PeerAddress, timeout_s: float) -> _Connection:
+    async def _connection(self, destination: PeerAddress, connect_s: float) -> _Connection:
         """Return the open connection to a peer, opening it if needed.
 
         Requests that wait for the same connection share one attempt.  Opening may take only a
-        part of the time, so that a request still has some left for another peer.
+        part of a request's time, so that some is left for another peer.
         """
         existing = self._connections.get(destination)
         if existing is not None and not existing.writer.is_closing():
@@ -97,7 +141,7 @@
             self._connecting[destination] = task
             task.add_done_callback(lambda done: self._on_connected(destination, done))
         try:
-            async with asyncio.timeout(timeout_s * CONNECT_SHARE):
+            async with asyncio.timeout(connect_s):
                 return await asyncio.shield(task)
         except TimeoutError as error:
             raise PeerNotSentError(f"{destination}: no connection in time") from error
@@ -111,12 +155,20 @@
                 )
         except (OSError, TimeoutError) as error:
             raise PeerNotSentError(f"{destination}: {error!r}") from error
+        self._limit_silence(writer)
         connection = _Connection(writer)
         self._connections[destination] = connection
         connection.reading = asyncio.create_task(self._read(destination, reader, connection))
         self._close_when_idle(destination, connection)
         return connection
 
+    def _limit_silence(self, writer: asyncio.StreamWriter) -> None:
+        """Let the system give up on a machine that acknowledges nothing."""
+        tcp_socket = writer.get_extra_info("socket")
+        if self._unacknowledged_s is not None and tcp_socket is not None:
+            milliseconds = int(self._unacknowledged_s * 1000)
+            tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+
     def _on_connected(self, destination: PeerAddress, task: asyncio.Task[_Connection]) -> None:
         """Forget a finished attempt; its error has reached those who waited."""
         self._connecting.pop(destination, None)
@@ -160,17 +212,20 @@
             connection.idle_timer.cancel()
         if self._connections.get(peer) is connection:
             del self._connections[peer]
-        for answer in connection.waiting.values():
-            if not answer.done():
-                answer.set_exception(PeerLostError(f"{peer}: connection closed"))
+        for waiting in connection.waiting.values():
+            if not waiting.answer.done():
+                waiting.answer.set_exception(PeerLostError(f"{peer}: connection closed"))
 
 
 def _settle(peer: PeerAddress, connection: _Connection, frame: Frame) -> None:
     """Give one frame to the request it answers; late ones are dropped."""
-    answer = connection.waiting.get(frame.request_id)
-    if answer is None or answer.done():
+    waiting = connection.waiting.get(frame.request_id)
+    if waiting is None or waiting.answer.done():
         return
+    answer = waiting.answer
     match frame.frame_type:
+        case FrameType.ACCEPTED:
+            waiting.hear(answer.get_loop().time())
         case FrameType.ANSWER:
             answer.set_result(frame.payload)
         case FrameType.REFUSED:
--- a/tinrudder/wire/peer_server.py
+++ b/tinrudder/wire/peer_server.py
@@ -25,6 +25,7 @@
 MAX_UNREAD_BYTES = 32 * 1024 * 1024
 IDLE_TIMEOUT_S = 300.0
 CLOSE_TIMEOUT_S = 2.0
+PROGRESS_INTERVAL_S = 0.1
 
 
 @dataclass(eq=False)
@@ -85,6 +86,9 @@
         match frame.frame_type:
             case FrameType.REQUEST:
                 self._start(accepted, frame)
+            case FrameType.ACKNOWLEDGED_REQUEST:
+                self._start(accepted, frame)
+                _report_progress(accepted, frame.request_id)
             case FrameType.CANCEL:
                 task = accepted.running.get(frame.request_id)
                 if task is not None:
@@ -128,6 +132,15 @@
     _write(accepted, Frame(FrameType.ANSWER, frame.request_id, payload))
 
 
+def _report_progress(accepted: _Accepted, request_id: int) -> None:
+    """Say again and again that a request is at work, until it has ended."""
+    if request_id not in accepted.running:
+        return
+    _write(accepted, Frame(FrameType.ACCEPTED, request_id))
+    loop = asyncio.get_running_loop()
+    loop.call_later(PROGRESS_INTERVAL_S, _report_progress, accepted, request_id)
+
+
 def _write(accepted: _Accepted, frame: Frame) -> None:
     """Write a frame; a peer that does not read its answers loses the connection."""
     if accepted.writer.is_closing():
--- a/tinrudder/wire/snapshot_codec.py
+++ b/tinrudder/wire/snapshot_codec.py
@@ -5,10 +5,12 @@
 from google.protobuf.message import DecodeError
 
 from tinrudder.gateway.model import Address
-from tinrudder.gateway.peer_messages import Digest, Snapshot, SnapshotRequest
+from tinrudder.gateway.peer_messages import Digest, Member, Snapshot, ToldMember
 from tinrudder.gateway.stored_values import StoredValue
 from tinrudder.wire import snapshot_pb2 as pb
 
+MILLISECONDS = 1000.0
+
 
 class MalformedPeerMessageError(Exception):
     """The bytes are no message between gateways."""
@@ -17,11 +19,10 @@
 def encode_digest(digest: Digest) -> bytes:
     """Return the payload of a datagram."""
     message = pb.Digest(
-        peer_address=str(digest.sender),
+        sender=_encode_member(digest.sender, 0.0),
         configuration_revision=digest.configuration_revision,
         backends_revision=digest.backends_revision,
-        known_peers=[str(address) for address in digest.known_peers],
-        starting=digest.starting,
+        members=[_encode_member(told.member, told.age_s) for told in digest.members],
     )
     return message.SerializeToString()
 
@@ -34,33 +35,15 @@
     try:
         message = pb.Digest.FromString(payload)
         return Digest(
-            sender=Address.parse(message.peer_address),
+            sender=_decode_member(message.sender),
             configuration_revision=message.configuration_revision,
             backends_revision=message.backends_revision,
-            known_peers=tuple(Address.parse(text) for text in message.known_peers),
-            starting=message.starting,
+            members=tuple(_decode_told(member) for member in message.members),
         )
     except (DecodeError, ValueError) as error:
         raise MalformedPeerMessageError(str(error)) from error
 
 
-def encode_request(request: SnapshotRequest) -> bytes:
-    """Return the payload of a request for a snapshot."""
-    message = pb.SnapshotRequest(configuration_revision=request.configuration_revision)
-    return message.SerializeToString()
-
-
-def decode_request(payload: bytes) -> SnapshotRequest:
-    """Read a request for a snapshot.
-
-    :raises MalformedPeerMessageError: it is none.
-    """
-    try:
-        return SnapshotRequest(pb.SnapshotRequest.FromString(payload).configuration_revision)
-    except DecodeError as error:
-        raise MalformedPeerMessageError(str(error)) from error
-
-
 def encode_snapshot(snapshot: Snapshot) -> bytes:
     """Return the payload of a snapshot."""
     message = pb.Snapshot(
@@ -88,6 +71,31 @@
     return Snapshot(configuration, backends, message.backends_read)
 
 
+def _encode_member(member: Member, age_s: float) -> pb.Member:
+    return pb.Member(
+        address=str(member.address),
+        zone=member.zone,
+        capacity=member.capacity,
+        leaving=member.leaving,
+        starting=member.starting,
+        age_ms=int(age_s * MILLISECONDS),
+    )
+
+
+def _decode_member(message: pb.Member) -> Member:
+    return Member(
+        address=Address.parse(message.address),
+        zone=message.zone,
+        capacity=message.capacity,
+        leaving=message.leaving,
+        starting=message.starting,
+    )
+
+
+def _decode_told(message: pb.Member) -> ToldMember:
+    return ToldMember(_decode_member(message), message.age_ms / MILLISECONDS)
+
+
 def _encode_value(value: StoredValue) -> pb.Value:
     return pb.Value(key=value.key, revision=value.revision, value=value.value)
 
