--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -117,10 +117,10 @@
             if backend.leaving_since is not None and backend.leaving_since >= horizon
         ]
 
-    def replicas(self, service: str) -> int:
-        """Return how many back ends a service has that are not leaving."""
+    def replica_zones(self, service: str) -> tuple[str, ...]:
+        """Return the zone of each back end of a service that is not leaving."""
         backends = self._services.get(service, [])
-        return sum(1 for backend in backends if backend.leaving_since is None)
+        return tuple(one.entry.zone for one in backends if one.leaving_since is None)
 
     def _own_replicas(self, service: str, staying: list[Backend]) -> list[Backend]:
         """Leave out replicas where each of them would get more connections than it takes."""
--- a/tinrudder/gateway/coordinators.py
+++ b/tinrudder/gateway/coordinators.py
@@ -60,14 +60,14 @@
     planned open connections, since a coordinator serves whoever asks.
 
     :param describe_own: returns this gateway as it would describe itself now.
-    :param replicas: returns how many back ends a service has.
+    :param replica_zones: returns the zone of each back end of a service that is not leaving.
     """
 
     peers: PeerList
     state: SharedState
     clock: Callable[[], float]
     describe_own: Callable[[], Member]
-    replicas: Callable[[str], int]
+    replica_zones: Callable[[str], tuple[str, ...]]
     _by_index: dict[tuple[str, ...], Coordination] = field(default_factory=dict)
     _index_of: dict[str, tuple[str, ...]] = field(default_factory=dict)
     _avoided: dict[Address, _Avoided] = field(default_factory=dict)
@@ -115,13 +115,15 @@
 
     def _decide(self, index: tuple[str, ...], now: float) -> Coordination:
         """Choose the coordinators of one index."""
-        count = coordinators_needed(self._demand(index), self.peers.nodes(now))
+        zones = [self.replica_zones(service) for service in index]
+        count = coordinators_needed(self._demand(index, zones), self.peers.nodes(now))
         if count is None:
             return self._by_all(now)
         own = self.describe_own()
         members = [own, *self.peers.candidates(now)]
         by_name = {str(member.address): member for member in members}
-        candidates = [_candidate(member) for member in members if member.serves_others]
+        serving = [member for member in members if member.serves_others]
+        candidates = [_candidate(member) for member in _near(serving, zones)]
         chosen = choose_coordinators("\n".join(index), candidates, count)
         callers = max(count, len(chosen))
         if any(one.name == str(own.address) for one in chosen):
@@ -137,12 +139,12 @@
         nodes = self.peers.nodes(now)
         return Coordination(True, (), nodes, nodes, now)
 
-    def _demand(self, index: tuple[str, ...]) -> IndexDemand:
+    def _demand(self, index: tuple[str, ...], zones: list[tuple[str, ...]]) -> IndexDemand:
         """Return what an index's back ends take, a typical shard for all of them."""
         accepted = self.state.accepted
         services = accepted.configuration.services if accepted is not None else {}
         limits = [services[name].max_connections for name in index if name in services]
-        replicas = statistics.median_low([self.replicas(name) for name in index])
+        replicas = statistics.median_low([len(one) for one in zones])
         return IndexDemand(max(1, replicas), min(limits, default=1))
 
     def _is_avoided(self, coordinator: Address, now: float) -> bool:
@@ -150,5 +152,14 @@
         return avoided is not None and now < avoided.until
 
 
+def _near(members: list[Member], zones: list[tuple[str, ...]]) -> list[Member]:
+    """Return the members in zones that have back ends, all of them if there are none.
+
+    From elsewhere every call would cross a zone, where a relayed scatter crosses once.
+    """
+    with_backends = {zone for of_shard in zones for zone in of_shard}
+    return [member for member in members if member.zone in with_backends] or members
+
+
 def _candidate(member: Member) -> Candidate:
     return Candidate(str(member.address), member.zone, member.capacity)
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -22,6 +22,7 @@
 from tinrudder.gateway.scatter_service import ScatterService
 from tinrudder.gateway.shared_state import SharedState
 from tinrudder.gateway.store_follower import StoreFollower
+from tinrudder.gateway.store_readers import StoreReaders
 from tinrudder.gateway.stored_values import MetadataStore, Topic, ValueDecoders
 from tinrudder.lifecycle import NodeLifecycle
 from tinrudder.logs import LogValue, log_event, log_problem
@@ -35,6 +36,8 @@
 LISTEN_BACKLOG = 1024
 NEWS_S = 2.0
 UNACKNOWLEDGED_S = 1.0
+STALE_AFTER_S = 6.0
+STALE_SPREAD_S = 2.0
 
 StoreFactory = Callable[[Address, Callable[[], None]], MetadataStore]
 
@@ -66,7 +69,7 @@
         self.state = SharedState(decoders, loop.time, self._on_unreadable)
         self.counters = ForwardingCounters()
         self.coordinators = Coordinators(
-            self.peers, self.state, loop.time, self.describe, self._replicas
+            self.peers, self.state, loop.time, self.describe, self._replica_zones
         )
         self.state.subscribe(self.coordinators.refresh)
         self.directory = BackendDirectory(
@@ -103,8 +106,26 @@
         )
         self.store_calls = 0
         store = make_store(settings.store, self._count_store_call)
+        self._readers = StoreReaders(
+            self._own,
+            self.peers,
+            self.state,
+            loop.time,
+            self.describe,
+            started_at=loop.time(),
+            stale_after_s=STALE_AFTER_S + self._random.uniform(0.0, STALE_SPREAD_S),
+            seeds=settings.seeds,
+        )
         self._followers = [
-            StoreFollower(topic, store, self.state, self._on_reachability, self.nodes, self._random)
+            StoreFollower(
+                topic,
+                store,
+                self.state,
+                self._on_reachability,
+                self.nodes,
+                self._readers,
+                self._random,
+            )
             for topic in Topic
         ]
         self._exchange: PeerExchange | None = None
@@ -115,6 +136,7 @@
                 self.peers,
                 relaying.client,
                 self.scatters.serve,
+                self._readers,
                 self._on_pull,
             )
         self._logged_version = 0
@@ -134,9 +156,9 @@
             starting=not self.state.complete,
         )
 
-    def _replicas(self, service: str) -> int:
-        """Return how many back ends a service has that are not leaving."""
-        return self.directory.replicas(service)
+    def _replica_zones(self, service: str) -> tuple[str, ...]:
+        """Return the zones of a service's back ends."""
+        return self.directory.replica_zones(service)
 
     def _knows_news(self) -> bool:
         """Tell whether a newer configuration would be known here: by peers, else by the store."""
@@ -152,6 +174,7 @@
     def reload(self, settings: GatewaySettings) -> None:
         """Take over what may change while the process runs: the seeds."""
         self.peers.set_seeds(settings.seeds)
+        self._readers.seeds = settings.seeds
         log_event("reloaded", {"seeds": len(settings.seeds)})
 
     async def run(self) -> None:
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -18,7 +18,8 @@
     SnapshotRequest,
 )
 from tinrudder.gateway.shared_state import SharedState
-from tinrudder.gateway.stored_values import Topic
+from tinrudder.gateway.store_readers import StoreReaders
+from tinrudder.gateway.stored_values import Reading, Topic
 from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
 from tinrudder.wire.gateway_relay_codec import decode_request, encode_answer, encode_request
 from tinrudder.wire.peer_client import PeerClient
@@ -49,13 +50,19 @@
         peers: PeerList,
         client: PeerClient,
         serve_scatter: ScatterServer,
+        readers: StoreReaders,
         on_pull: Callable[[str, str], None],
     ) -> None:
-        """Exchange ``state`` with ``peers``; ``on_pull`` learns of every pull and its result."""
+        """Exchange ``state`` with ``peers``; ``on_pull`` learns of every pull and its result.
+
+        :param readers: tells whether this gateway follows the store itself, which then probably
+            brings news before a peer has to be asked.
+        """
         self._client = client
         self._describe_own = describe_own
         self._own = describe_own().address
         self._serve_scatter = serve_scatter
+        self._readers = readers
         self._peer_server = PeerServer(lambda: self._serve)
         self._state = state
         self._peers = peers
@@ -130,18 +137,37 @@
             configuration_revision=state.configuration_revision,
             backends_revision=state.backends_revision,
             members=self._peers.to_tell(self._loop.time()),
+            configuration_unconfirmed_s=self._unconfirmed_s(Topic.CONFIGURATION),
+            backends_unconfirmed_s=self._unconfirmed_s(Topic.BACKENDS),
         )
 
     def _compare(self, digest: Digest, now: float) -> None:
         """Pull from a peer that knows more, unless the store brings it soon anyway."""
+        self._take_confirmations(digest)
         if not self._is_behind(digest):
             return
         if self._behind_since is None:
             self._behind_since = now
             self._loop.call_later(PULL_PATIENCE_S, self._pull_if_behind, digest)
-        if not self._state.complete or now - self._behind_since >= PULL_PATIENCE_S:
+        patient = self._state.complete and self._readers.is_reader()
+        if not patient or now - self._behind_since >= PULL_PATIENCE_S:
             self._pull_if_behind(digest)
 
+    def _unconfirmed_s(self, topic: Topic) -> float | None:
+        """Return the age of the store's last word on a topic, as far as known."""
+        age_s = self._state.unconfirmed_s(topic)
+        return age_s if age_s != float("inf") else None
+
+    def _take_confirmations(self, digest: Digest) -> None:
+        """Learn that the store had nothing newer, where this gateway knows as much."""
+        state = self._state
+        age_s = digest.configuration_unconfirmed_s
+        if age_s is not None and digest.configuration_revision <= state.configuration_revision:
+            state.confirm(Topic.CONFIGURATION, age_s)
+        age_s = digest.backends_unconfirmed_s
+        if age_s is not None and digest.backends_revision <= state.backends_revision:
+            state.confirm(Topic.BACKENDS, age_s)
+
     def _pull_if_behind(self, digest: Digest) -> None:
         """Start a pull if the store has not brought what the digest promised."""
         if not self._is_behind(digest):
@@ -162,8 +188,10 @@
         try:
             snapshot = await self._request_snapshot(peer)
         except (PeerNotSentError, PeerLostError, MalformedPeerMessageError) as error:
+            self._readers.note_pull(succeeded=False)
             self._on_pull(str(peer), f"failed: {error!r}")
         else:
+            self._readers.note_pull(succeeded=True)
             self._apply(snapshot)
             self._on_pull(str(peer), "applied")
         finally:
@@ -180,9 +208,11 @@
         """Take what is newer."""
         if snapshot.configuration is not None:
             self._state.apply(Topic.CONFIGURATION, (snapshot.configuration,))
-        self._state.apply(Topic.BACKENDS, snapshot.backends)
         if snapshot.backends_read:
-            self._state.note_backends_read()
+            revision = max((value.revision for value in snapshot.backends), default=0)
+            self._state.apply_complete(Topic.BACKENDS, Reading(snapshot.backends, revision))
+        else:
+            self._state.apply(Topic.BACKENDS, snapshot.backends)
 
     async def _serve(self, _peer: PeerAddress, payload: bytes) -> bytes:
         """Answer one request of a peer.
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -44,12 +44,17 @@
     """How far a gateway's knowledge of the store goes; sent by datagram.
 
     :param members: some other gateways.
+    :param configuration_unconfirmed_s: how long ago the store said, to the sender or to somebody
+        whom it heard, that nothing newer was there; ``None``: never.
+    :param backends_unconfirmed_s: the same for the list of back ends.
     """
 
     sender: Member
     configuration_revision: int
     backends_revision: int
     members: tuple[ToldMember, ...] = ()
+    configuration_unconfirmed_s: float | None = None
+    backends_unconfirmed_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/gateway/shared_state.py
+++ b/tinrudder/gateway/shared_state.py
@@ -62,6 +62,7 @@
         self.backends: dict[str, KnownBackend] = {}
         self.backends_read = False
         self.generation = 0
+        self._confirmed_at: dict[Topic, float] = {}
         self._decoders = decoders
         self._clock = clock
         self._on_unreadable = on_unreadable
@@ -102,8 +103,14 @@
         return changed
 
     def apply_complete(self, topic: Topic, reading: Reading) -> bool:
-        """Take a complete reading: back ends that it lacks are gone as of its revision."""
-        changed = self.apply(topic, reading.values)
+        """Take a complete reading: back ends that it lacks are gone as of its revision.
+
+        Its pages are no snapshot: a value that changed while they were read may stand on a later
+        page although another change before it was missed on an earlier one.  Such values wait for
+        the watch, so that this state is complete up to the highest revision that it holds.
+        """
+        settled = [value for value in reading.values if value.revision <= reading.revision]
+        changed = self.apply(topic, settled)
         if topic is Topic.CONFIGURATION:
             return changed
         present = {value.key for value in reading.values}
@@ -113,6 +120,22 @@
         self.note_backends_read()
         return changed
 
+    def confirm(self, topic: Topic, age_s: float = 0.0) -> None:
+        """Note that some time ago nothing newer was in the store than what is known now."""
+        at = self._clock() - age_s
+        self._confirmed_at[topic] = max(at, self._confirmed_at.get(topic, at))
+
+    def unconfirmed_s(self, topic: Topic) -> float:
+        """Return for how long nobody is known to have seen the store say that this is all."""
+        confirmed_at = self._confirmed_at.get(topic)
+        return self._clock() - confirmed_at if confirmed_at is not None else float("inf")
+
+    def revision(self, topic: Topic) -> int:
+        """Return the highest revision known of a topic; 0 for none."""
+        if topic is Topic.CONFIGURATION:
+            return self.configuration_revision
+        return self.backends_revision
+
     def note_backends_read(self) -> None:
         """Note that the list of back ends has been complete once."""
         if not self.backends_read:
--- a/tinrudder/gateway/store_follower.py
+++ b/tinrudder/gateway/store_follower.py
@@ -1,8 +1,9 @@
 """Keeps the shared state up with the metadata store, whatever the store does.
 
 One follower for each topic: read everything, then watch; forgotten history leads back to a full
-read.  A watch that was silently cut is noticed when its wait ends.  Calls are priced, so the more
-gateways there are the longer each waits: one of them notices soon, and digests tell the others.
+read.  A watch that was silently cut is noticed when its wait ends.  Calls are priced, so of many
+gateways only a few readers follow the store, and digests tell the others.  Digests also tell how
+old the store's last word is: where no reader gets through, everybody tries.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from collections.abc import Callable
 
 from tinrudder.gateway.shared_state import SharedState
+from tinrudder.gateway.store_readers import READERS, StoreReaders
 from tinrudder.gateway.stored_values import (
     HistoryForgottenError,
     MetadataStore,
@@ -19,6 +21,7 @@
     Topic,
 )
 
+RECHECK_S = 0.2
 SHORTEST_WAIT_S = 3.0
 LONGEST_WAIT_S = 9.0
 WAIT_PER_NODE_S = 1.0
@@ -40,13 +43,16 @@
         state: SharedState,
         on_reachability: ReachabilityListener,
         nodes: Callable[[], int],
+        readers: StoreReaders,
         random_source: random.Random,
     ) -> None:
         """Tell ``on_reachability`` when the store is lost or regained, and why.
 
         :param nodes: tells how many gateways teach each other.
+        :param readers: tells whether this gateway follows the store at all.
         """
         self._nodes = nodes
+        self._readers = readers
         self._random = random_source
         self._topic = topic
         self._store = store
@@ -54,6 +60,7 @@
         self._on_reachability = on_reachability
         self._revision: int | None = None
         self._reachable = False
+        self._forgotten = False
         self._retry_s = FIRST_RETRY_S
 
     @property
@@ -64,6 +71,10 @@
     async def run(self) -> None:
         """Follow for ever."""
         while True:
+            if not self._readers.must_read(self._topic):
+                self._revision = None
+                await asyncio.sleep(RECHECK_S)
+                continue
             try:
                 await self._step()
             except StoreUnavailableError as error:
@@ -76,24 +87,45 @@
 
     async def _step(self) -> None:
         """Read everything, or what has changed."""
+        if self._revision is None:
+            self._revision = self._known_revision()
         if self._revision is None:
             reading = await self._store.read(self._topic)
             self._state.apply_complete(self._topic, reading)
             self._revision = reading.revision
+            self._confirm()
             return
         try:
             reading = await self._store.watch(self._topic, self._revision, self._wait_s())
         except HistoryForgottenError:
             self._revision = None
+            self._forgotten = True
             return
         self._revision = max(self._revision, reading.revision)
         self._state.apply(self._topic, reading.values)
+        self._confirm()
         if reading.values:
             await asyncio.sleep(PACE_S[self._topic])
 
+    def _known_revision(self) -> int | None:
+        """Return the revision up to which peers have told everything; ``None``: read it all.
+
+        Every gateway's knowledge is complete up to its highest revision, since the store tells
+        changes in their order, and so is what two of them know together.
+        """
+        if self._forgotten or not self._state.complete:
+            return None
+        return self._state.revision(self._topic)
+
+    def _confirm(self) -> None:
+        """Note the store's word that nothing newer is there."""
+        self._forgotten = False
+        self._state.confirm(self._topic)
+
     def _wait_s(self) -> float:
         """Return how long the next watch waits; not the same on all gateways."""
-        wait_s = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, self._nodes() * WAIT_PER_NODE_S))
+        readers = min(READERS, self._nodes())
+        wait_s = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, readers * WAIT_PER_NODE_S))
         return wait_s * self._random.uniform(1.0 - WAIT_SPREAD, 1.0 + WAIT_SPREAD)
 
     def _note(self, *, reachable: bool, detail: str = "") -> None:
--- a/tinrudder/routing/coordinator_choice.py
+++ b/tinrudder/routing/coordinator_choice.py
@@ -17,8 +17,9 @@
 
 CONNECTION_SAFETY = 0.9
 LEAST_CONNECTIONS_A_SHARD = 4.0
-WANTED_CONNECTIONS_A_SHARD = 8.0
-CAPACITY_EXPONENT = 2.0
+WANTED_CONNECTIONS_A_SHARD = 24.0
+FEWEST_IN_A_ZONE = 2
+CAPACITY_EXPONENT = 6.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +57,7 @@
 
     >>> coordinators_needed(IndexDemand(replicas=2, max_connections=26), nodes=8)
     >>> coordinators_needed(IndexDemand(replicas=3, max_connections=54), nodes=64)
-    18
+    6
     """
     if demand.connections / nodes >= LEAST_CONNECTIONS_A_SHARD:
         return None
@@ -72,14 +73,18 @@
     slow processor turns into latency.
 
     :param index: tells indexes apart, so that they spread over the gateways.
-    :param count: how many in all; rounded up to a multiple of the zones.
+    :param count: how many in all; rounded up to a multiple of the zones, at least two in each.
+
+    >>> pair = [Candidate("a", "z1", 2.0), Candidate("b", "z2", 2.0)]
+    >>> len(choose_coordinators("index", pair, count=1))
+    2
     """
     by_zone: defaultdict[str, list[Candidate]] = defaultdict(list)
     for candidate in candidates:
         by_zone[candidate.zone].append(candidate)
     if not by_zone:
         return ()
-    each = math.ceil(count / len(by_zone))
+    each = max(FEWEST_IN_A_ZONE, math.ceil(count / len(by_zone)))
     chosen: list[Candidate] = []
     for zone in sorted(by_zone):
         ranked = sorted(by_zone[zone], key=lambda one: _rank(index, one), reverse=True)
--- a/tinrudder/wire/snapshot_codec.py
+++ b/tinrudder/wire/snapshot_codec.py
@@ -23,6 +23,8 @@
         configuration_revision=digest.configuration_revision,
         backends_revision=digest.backends_revision,
         members=[_encode_member(told.member, told.age_s) for told in digest.members],
+        configuration_unconfirmed_ms=_milliseconds(digest.configuration_unconfirmed_s),
+        backends_unconfirmed_ms=_milliseconds(digest.backends_unconfirmed_s),
     )
     return message.SerializeToString()
 
@@ -39,6 +41,8 @@
             configuration_revision=message.configuration_revision,
             backends_revision=message.backends_revision,
             members=tuple(_decode_told(member) for member in message.members),
+            configuration_unconfirmed_s=_age_s(message, "configuration_unconfirmed_ms"),
+            backends_unconfirmed_s=_age_s(message, "backends_unconfirmed_ms"),
         )
     except (DecodeError, ValueError) as error:
         raise MalformedPeerMessageError(str(error)) from error
@@ -71,6 +75,17 @@
     return Snapshot(configuration, backends, message.backends_read)
 
 
+def _milliseconds(age_s: float | None) -> int | None:
+    return None if age_s is None else int(age_s * MILLISECONDS)
+
+
+def _age_s(message: pb.Digest, field: str) -> float | None:
+    if not message.HasField(field):  # type: ignore[arg-type]
+        return None
+    milliseconds: int = getattr(message, field)
+    return milliseconds / MILLISECONDS
+
+
 def _encode_member(member: Member, age_s: float) -> pb.Member:
     return pb.Member(
         address=str(member.address),
