--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -74,6 +74,7 @@
         self._own_name = own_name
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, list[Backend]] = {}
+        self._shares: dict[str, float] = {}
         state.subscribe(self.refresh)
 
     def __len__(self) -> int:
@@ -124,7 +125,9 @@
 
     def _own_replicas(self, service: str, staying: list[Backend]) -> list[Backend]:
         """Leave out replicas where each of them would get more connections than it takes."""
-        share = self._connection_share(service)
+        share = self._shares.get(service, 1.0)
+        if share >= 1.0:
+            return staying
         wanted = max(FEWEST_REPLICAS, math.ceil(share * len(staying)))
         if wanted >= len(staying):
             return staying
@@ -189,6 +192,8 @@
     def _set_connection_limits(self) -> None:
         """Divide what each back end accepts among the gateways that call it."""
         for service, backends in self._services.items():
-            limit = max(1, int(self._connection_share(service)))
+            share = self._connection_share(service)
+            self._shares[service] = share
+            limit = max(1, int(share))
             for backend in backends:
                 backend.pool.max_connections = limit
--- a/tinrudder/gateway/coordinators.py
+++ b/tinrudder/gateway/coordinators.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tinrudder.gateway.model import Address, Route
+from tinrudder.gateway.model import Address, GatewayConfiguration, Route
 from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.peer_messages import Member
 from tinrudder.gateway.shared_state import SharedState
@@ -71,12 +71,17 @@
     _by_index: dict[tuple[str, ...], Coordination] = field(default_factory=dict)
     _index_of: dict[str, tuple[str, ...]] = field(default_factory=dict)
     _avoided: dict[Address, _Avoided] = field(default_factory=dict)
+    _all: Coordination | None = None
+    _indexed: GatewayConfiguration | None = None
 
     def refresh(self) -> None:
         """Learn which services are shards of which index."""
         accepted = self.state.accepted
         if accepted is None:
             return
+        if accepted.configuration is self._indexed:
+            return
+        self._indexed = accepted.configuration
         indexes = [route.shards for route in accepted.configuration.routes if route.shards]
         self._index_of = {service: index for index in indexes for service in index}
         self._by_index.clear()
@@ -88,7 +93,12 @@
     def of_service(self, service: str) -> Coordination:
         """Return how a service is served: as its index, or by every gateway."""
         index = self._index_of.get(service)
-        return self._of_index(index) if index is not None else self._by_all(self.clock())
+        if index is not None:
+            return self._of_index(index)
+        now = self.clock()
+        if self._all is None or now - self._all.decided_at >= KEPT_FOR_S:
+            self._all = self._by_all(now)
+        return self._all
 
     def failed(self, coordinator: Address) -> None:
         """Leave a coordinator alone for a while, longer after every failure in a row."""
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -200,7 +200,9 @@
 
     async def _request_snapshot(self, peer: Address) -> Snapshot:
         """Ask one peer."""
-        request = encode_request(SnapshotRequest(self._state.configuration_revision))
+        state = self._state
+        known = state.backends_revision if state.backends_read else 0
+        request = encode_request(SnapshotRequest(state.configuration_revision, known))
         address = PeerAddress(peer.host, peer.port)
         return decode_snapshot(await self._client.request(address, request, PULL_TIMEOUT_S))
 
@@ -208,7 +210,7 @@
         """Take what is newer."""
         if snapshot.configuration is not None:
             self._state.apply(Topic.CONFIGURATION, (snapshot.configuration,))
-        if snapshot.backends_read:
+        if snapshot.backends_read and not snapshot.changes_only:
             revision = max((value.revision for value in snapshot.backends), default=0)
             self._state.apply_complete(Topic.BACKENDS, Reading(snapshot.backends, revision))
         else:
@@ -230,7 +232,13 @@
         configuration = None
         if accepted is not None and accepted.value.revision > request.configuration_revision:
             configuration = accepted.value
-        return Snapshot(configuration, self._state.snapshot(), self._state.backends_read)
+        # Removals are forgotten after a while: what is older can be told only as a whole.
+        after = request.backends_revision
+        if after < self._state.forgotten_up_to:
+            after = 0
+        return Snapshot(
+            configuration, self._state.snapshot(after), self._state.backends_read, after > 0
+        )
 
     def _on_state_change(self) -> None:
         """Tell peers of a change at once."""
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -59,9 +59,10 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotRequest:
-    """Asks for a peer's state; the configuration is wanted only if it is newer than this."""
+    """Asks for what a peer knows beyond these revisions."""
 
     configuration_revision: int
+    backends_revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,11 +70,13 @@
     """A gateway's state.
 
     :param backends_read: the sender has had a complete list of back ends.
+    :param changes_only: only back ends' changes since the asker's revision.
     """
 
     configuration: StoredValue | None
     backends: tuple[StoredValue, ...]
     backends_read: bool
+    changes_only: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +89,7 @@
     :param objective_left_s: may be negative: the objective has passed.
     :param returning: the client has been waiting since an earlier attempt.
     :param configuration_revision: the entry's; an older configuration must not answer.
+    :param attempts: the most back ends that one shard's part may still be sent to.
     :param repeated: another coordinator may have begun already, so every call is a repeat.
     """
 
@@ -96,6 +100,7 @@
     deadline_left_s: float
     returning: bool
     configuration_revision: int
+    attempts: int
     repeated: bool = False
 
 
--- a/tinrudder/gateway/relayed_run.py
+++ b/tinrudder/gateway/relayed_run.py
@@ -26,7 +26,7 @@
 from tinrudder.wire.snapshot_codec import MalformedPeerMessageError
 
 ACCEPTANCE_SHARE = 0.3
-SHORTEST_ACCEPTANCE_S = 0.012
+SHORTEST_ACCEPTANCE_S = 0.025
 LONGEST_ACCEPTANCE_S = 0.1
 ANSWER_MARGIN_S = 0.01
 
@@ -48,8 +48,9 @@
     """One scatter; coordinators are asked in turn, and the last resort is to run it here.
 
     A coordinator that does not even say that it has begun is taken for dead while there is time
-    for another.  Whatever may have been started already is asked again only as a repeat, which
-    draws on the budget.
+    for another, which then may use one back end less for each shard and draws on the budget for
+    every call: the first may have sent one call each before it read that it should give up.
+    Where a coordinator had begun, its calls cannot be counted, so nothing is sent again.
 
     :ivar version: of the configuration that answered, 0 before.
     """
@@ -77,7 +78,8 @@
         self._asked = asked
         self._run_here = run_here
         self._on_outcome = on_outcome
-        self._may_have_run = False
+        self._silent = 0
+        self._begun = False
         self._problems: list[str] = []
         self._task: asyncio.Task[None] | None = None
         self._local: RequestRun | None = None
@@ -97,6 +99,8 @@
     async def _run(self) -> None:
         """Ask coordinators until one answers."""
         for coordinator in self._asked:
+            if self._begun or self._attempts_left < 1:
+                break
             answer = await self._ask(coordinator)
             if isinstance(answer, ScatterEnd):
                 self.version = answer.configuration_version
@@ -105,7 +109,7 @@
                 self._on_outcome(answer.outcome)
                 return
         detail = "; ".join(self._problems)
-        if not self._may_have_run:
+        if not self._begun and not self._silent:
             self._run_local()
         elif self._left_s() <= ANSWER_MARGIN_S:
             self._on_outcome(TimedOut(detail))
@@ -126,12 +130,12 @@
             answer = decode_answer(
                 await relaying.client.request(address, payload, left_s, acceptance_s)
             )
-        except (PeerNotSentError, PeerSilentError, PeerLostError) as error:
-            self._may_have_run |= isinstance(error, PeerLostError)
+        except (PeerNotSentError, PeerLostError) as error:
+            self._note_error(error)
             self._fail(coordinator, str(error))
             return None
         except MalformedPeerMessageError as error:
-            self._may_have_run = True
+            self._begun = True
             self._fail(coordinator, f"{coordinator}: {error}")
             return None
         if isinstance(answer, Declined):
@@ -140,6 +144,18 @@
             relaying.coordinators.succeeded(coordinator)
         return answer
 
+    @property
+    def _attempts_left(self) -> int:
+        """Return how many back ends each shard's part may still be sent to."""
+        return self._route.attempts - self._silent
+
+    def _note_error(self, error: Exception) -> None:
+        """Note how far a coordinator that failed may have come."""
+        if isinstance(error, PeerSilentError):
+            self._silent += 1
+        elif isinstance(error, PeerLostError):
+            self._begun = True
+
     def _left_s(self) -> float:
         """Return the time until the final answer must leave."""
         return self._moments.deadline_at - self._relaying.forwarding.loop.time()
@@ -155,7 +171,8 @@
             deadline_left_s=moments.deadline_at - now - ANSWER_MARGIN_S,
             returning=moments.returning,
             configuration_revision=self._relaying.configuration_revision(),
-            repeated=self._may_have_run,
+            attempts=self._attempts_left,
+            repeated=self._silent > 0,
         )
 
     def _acceptance_s(self, now: float) -> float:
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -42,10 +42,13 @@
         forwarding: Forwarding,
         on_outcome: OutcomeListener,
         *,
+        attempts: int | None = None,
         repeated: bool = False,
     ) -> None:
         """Prepare calls to ``services``: the route's shards, or the one service chosen.
 
+        :param attempts: the most back ends that one shard's part may be sent to; by the route
+            if ``None``.
         :param repeated: another gateway may have sent calls for this request already.
         """
         self._route = route
@@ -65,6 +68,7 @@
                 forwarding,
                 self._review,
                 relay_failures=not self._scatter,
+                attempts=attempts if attempts is not None else route.attempts,
                 repeated=repeated,
             )
             for service in services
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -67,6 +67,7 @@
             moments,
             self._forwarding,
             ended.set_result,
+            attempts=min(route.attempts, scatter.attempts),
             repeated=scatter.repeated,
         )
         end = ScatterEnd(await self._finish(run, ended), version, run.repeats, run.missing_shards)
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -62,11 +62,13 @@
         on_change: Callable[[], None],
         *,
         relay_failures: bool,
+        attempts: int,
         repeated: bool = False,
     ) -> None:
         """Prepare.
 
         :param relay_failures: a back end's own refusal is an answer.
+        :param attempts: the most back ends that this shard's part may be sent to.
         :param repeated: another gateway may have sent the first call already.
         """
         self.service = service
@@ -81,6 +83,7 @@
         self._forwarding = forwarding
         self._on_change = on_change
         self._relay_failures = relay_failures
+        self._most_backends = attempts
         self._repeated = repeated
         self._attempts: list[Attempt] = []
         self._tries = 0
@@ -175,11 +178,11 @@
     def _candidates(self) -> list[Backend]:
         """Return the back ends that may get the next call.
 
-        No more than the route's number of back ends may run one request; those that it was
+        No more than a number of back ends may run one request; those that it was
         offered to already may be asked again.
         """
         usable = self._forwarding.directory.usable(self.service)
-        if len(self._offered) >= self._route.attempts:
+        if len(self._offered) >= self._most_backends:
             usable = [backend for backend in usable if backend.backend_id in self._offered]
         fresh = [backend for backend in usable if backend.backend_id not in self._avoided]
         return fresh or usable
--- a/tinrudder/gateway/shared_state.py
+++ b/tinrudder/gateway/shared_state.py
@@ -67,6 +67,8 @@
         self._clock = clock
         self._on_unreadable = on_unreadable
         self._removals: dict[str, tuple[int, float]] = {}
+        self._backends_revision = 0
+        self._forgotten_up_to = 0
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -77,9 +79,12 @@
     @property
     def backends_revision(self) -> int:
         """Return the highest revision of any back end's entry or removal; 0 for none."""
-        known = max((backend.value.revision for backend in self.backends.values()), default=0)
-        removed = max((revision for revision, _ in self._removals.values()), default=0)
-        return max(known, removed)
+        return self._backends_revision
+
+    @property
+    def forgotten_up_to(self) -> int:
+        """Return the highest revision of a removal that was forgotten; 0 for none."""
+        return self._forgotten_up_to
 
     @property
     def complete(self) -> bool:
@@ -142,19 +147,26 @@
             self.backends_read = True
             self._announce()
 
-    def snapshot(self) -> tuple[StoredValue, ...]:
-        """Return every back end's value, removals included, for a peer."""
-        present = tuple(known.value for known in self.backends.values() if not known.removed)
+    def snapshot(self, after: int = 0) -> tuple[StoredValue, ...]:
+        """Return back ends' values and removals behind a revision, for a peer."""
+        present = tuple(
+            known.value
+            for known in self.backends.values()
+            if not known.removed and known.value.revision > after
+        )
         removed = tuple(
-            StoredValue(key, revision, None) for key, (revision, _) in self._removals.items()
+            StoredValue(key, revision, None)
+            for key, (revision, _) in self._removals.items()
+            if revision > after
         )
         return present + removed
 
     def forget_old_removals(self) -> None:
         """Drop removals that no peer can contradict any more."""
         horizon = self._clock() - REMOVAL_MEMORY_S
-        for key, (_, since) in tuple(self._removals.items()):
+        for key, (revision, since) in tuple(self._removals.items()):
             if since < horizon:
+                self._forgotten_up_to = max(self._forgotten_up_to, revision)
                 del self._removals[key]
                 self.backends.pop(key, None)
 
@@ -180,6 +192,7 @@
         newest = max(removed_revision, known.value.revision if known is not None else 0)
         if value.revision <= newest:
             return False
+        self._backends_revision = max(self._backends_revision, value.revision)
         if value.value is None:
             self._remove(value, known)
             return known is not None
--- a/tinrudder/peers.py
+++ b/tinrudder/peers.py
@@ -30,7 +30,11 @@
 
 
 class PeerSilentError(PeerLostError):
-    """The peer did not even say in time that it has begun; it was told to give up."""
+    """The peer did not even say in time that it has begun; it was told to give up.
+
+    It may be at work all the same, but not for long: it reads the request and the order to give
+    up one right after the other.
+    """
 
 
 DatagramHandler = Callable[[PeerAddress, bytes], None]
--- a/tinrudder/wire/gateway_relay_codec.py
+++ b/tinrudder/wire/gateway_relay_codec.py
@@ -25,8 +25,10 @@
 def encode_request(request: PeerRequest) -> bytes:
     """Return the payload of a request to a peer."""
     if isinstance(request, SnapshotRequest):
-        revision = request.configuration_revision
-        snapshot = snapshot_pb2.SnapshotRequest(configuration_revision=revision)
+        snapshot = snapshot_pb2.SnapshotRequest(
+            configuration_revision=request.configuration_revision,
+            backends_revision=request.backends_revision,
+        )
         return pb.PeerRequest(snapshot=snapshot).SerializeToString()
     return pb.PeerRequest(scatter=_encode_scatter(request)).SerializeToString()
 
@@ -42,7 +44,8 @@
         raise MalformedPeerMessageError(str(error)) from error
     match message.WhichOneof("request"):
         case "snapshot":
-            return SnapshotRequest(message.snapshot.configuration_revision)
+            snapshot = message.snapshot
+            return SnapshotRequest(snapshot.configuration_revision, snapshot.backends_revision)
         case "scatter":
             return _decode_scatter(message.scatter)
         case _:
@@ -96,6 +99,7 @@
         returning=scatter.returning,
         configuration_revision=scatter.configuration_revision,
         repeated=scatter.repeated,
+        attempts=scatter.attempts,
     )
 
 
@@ -110,6 +114,7 @@
         returning=message.returning,
         configuration_revision=message.configuration_revision,
         repeated=message.repeated,
+        attempts=message.attempts,
     )
 
 
--- a/tinrudder/wire/peer_client.py
+++ b/tinrudder/wire/peer_client.py
@@ -34,14 +34,17 @@
 
     :param end: loop time at which nobody waits any longer.
     :param patience: what is left of the time to hear of it, once waiting has begun.
+    :param begun: the peer has said that it is at work.
     """
 
     answer: asyncio.Future[bytes]
     end: float
     patience: asyncio.Timeout | None = None
+    begun: bool = False
 
     def hear(self, now: float) -> None:
         """Wait on: the peer says that it is at work."""
+        self.begun = True
         if self.patience is not None and not self.patience.expired():
             self.patience.reschedule(min(self.end, now + LONGEST_SILENCE_S))
 
@@ -108,9 +111,10 @@
             async with asyncio.timeout_at(first_word_at) as waiting.patience:
                 return await answer
         except TimeoutError as error:
-            if acknowledged and loop.time() < end:
+            if acknowledged and not waiting.begun:
                 raise PeerSilentError(f"{destination}: silent") from error
-            raise PeerLostError(f"{destination}: no answer in {timeout_s:.3f} s") from error
+            waited_s = timeout_s - (end - loop.time())
+            raise PeerLostError(f"{destination}: no answer in {waited_s:.3f} s") from error
         finally:
             connection.waiting.pop(request_id, None)
             if answer.cancelled():
--- a/tinrudder/wire/snapshot_codec.py
+++ b/tinrudder/wire/snapshot_codec.py
@@ -53,6 +53,7 @@
     message = pb.Snapshot(
         backends=[_encode_value(value) for value in snapshot.backends],
         backends_read=snapshot.backends_read,
+        changes_only=snapshot.changes_only,
     )
     if snapshot.configuration is not None:
         message.configuration.CopyFrom(_encode_value(snapshot.configuration))
@@ -72,7 +73,7 @@
     if message.HasField("configuration"):
         configuration = _decode_value(message.configuration)
     backends = tuple(_decode_value(value) for value in message.backends)
-    return Snapshot(configuration, backends, message.backends_read)
+    return Snapshot(configuration, backends, message.backends_read, message.changes_only)
 
 
 def _milliseconds(age_s: float | None) -> int | None:
