--- /dev/null
+++ b/tests/unit/test_coordinator_choice.py
@@ -0,0 +1,110 @@
+"""Which gateways coordinate an index, and in which order the others ask them."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tinrudder.routing.coordinator_choice import (
+    CONNECTION_SAFETY,
+    FEWEST_IN_A_ZONE,
+    Candidate,
+    IndexDemand,
+    choose_coordinators,
+    coordinators_needed,
+    preference,
+)
+
+ZONES = ("zone-a", "zone-b", "zone-c")
+CANDIDATES = st.lists(
+    st.builds(
+        Candidate,
+        name=st.integers(1, 400).map(lambda number: f"10.0.0.{number}:1"),
+        zone=st.sampled_from(ZONES),
+        capacity=st.sampled_from([0.5, 1.0, 2.0]),
+    ),
+    max_size=40,
+    unique_by=lambda candidate: candidate.name,
+)
+
+
+def fleet(each: int, capacity: float = 1.0) -> list[Candidate]:
+    return [
+        Candidate(f"{zone}-{number}", zone, capacity) for zone in ZONES for number in range(each)
+    ]
+
+
+@given(replicas=st.integers(1, 20), max_connections=st.integers(1, 500), nodes=st.integers(1, 1000))
+def test_whoever_calls_has_connections_left_or_few_do(
+    replicas: int, max_connections: int, nodes: int
+) -> None:
+    demand = IndexDemand(replicas, max_connections)
+    needed = coordinators_needed(demand, nodes)
+    callers = nodes if needed is None else needed
+    assert callers >= 1
+    assert needed is None or needed == 1 or needed * 8 <= demand.connections
+    if needed is None:
+        assert callers <= CONNECTION_SAFETY * max_connections * replicas / 4
+
+
+@given(candidates=CANDIDATES, count=st.integers(1, 12))
+def test_every_zone_has_coordinators_of_its_own(candidates: list[Candidate], count: int) -> None:
+    chosen = choose_coordinators("index", candidates, count)
+    assert set(chosen) <= set(candidates)
+    there = Counter(candidate.zone for candidate in candidates)
+    of_zone = Counter(candidate.zone for candidate in chosen)
+    for zone, many in there.items():
+        wanted = max(FEWEST_IN_A_ZONE, math.ceil(count / len(there)))
+        assert of_zone[zone] == min(many, wanted)
+
+
+@given(candidates=CANDIDATES, count=st.integers(1, 12))
+def test_the_order_of_candidates_does_not_matter(candidates: list[Candidate], count: int) -> None:
+    chosen = choose_coordinators("index", candidates, count)
+    assert choose_coordinators("index", reversed(candidates), count) == chosen
+
+
+@given(candidates=CANDIDATES, count=st.integers(1, 12), data=st.data())
+def test_one_that_goes_changes_only_its_own_place(
+    candidates: list[Candidate], count: int, data: st.DataObject
+) -> None:
+    if not candidates:
+        return
+    gone = data.draw(st.sampled_from(candidates))
+    rest = [candidate for candidate in candidates if candidate != gone]
+    if {candidate.zone for candidate in rest} != {candidate.zone for candidate in candidates}:
+        return
+    before = set(choose_coordinators("index", candidates, count))
+    after = set(choose_coordinators("index", rest, count))
+    assert len(after - before) <= (1 if gone in before else 0)
+
+
+def test_stronger_machines_are_chosen_before_weaker_ones() -> None:
+    strong = [
+        Candidate(f"strong-{zone}-{number}", zone, 2.15) for zone in ZONES for number in (1, 2)
+    ]
+    weak = fleet(13, 0.516)
+    chosen = [choose_coordinators(f"index-{number}", strong + weak, 6) for number in range(50)]
+    taken = Counter(candidate.capacity for one in chosen for candidate in one)
+    assert taken[2.15] >= 0.95 * sum(taken.values())
+
+
+def test_indexes_spread_over_equal_machines() -> None:
+    chosen = [choose_coordinators(f"index-{number}", fleet(10), 6) for number in range(200)]
+    busy = Counter(candidate.name for one in chosen for candidate in one)
+    assert len(busy) == 30
+    assert max(busy.values()) <= 2 * min(busy.values())
+
+
+def test_a_gateway_asks_its_own_zone_first_and_has_one_favourite() -> None:
+    coordinators = choose_coordinators("index", fleet(4), 6)
+    for number in range(30):
+        order = preference(f"gateway-{number}", "zone-b", coordinators)
+        assert [one.zone for one in order[:2]] == ["zone-b", "zone-b"]
+        assert set(order) == set(coordinators)
+    first = Counter(preference(f"g-{number}", "zone-b", coordinators)[0] for number in range(300))
+    assert len(first) == 2
+    assert min(first.values()) >= 100
--- /dev/null
+++ b/tests/unit/test_gateway_relay_codec.py
@@ -0,0 +1,154 @@
+"""Requests between gateways: what is written is read back, and nothing else is taken for one."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.model import Address
+from tinrudder.gateway.outcomes import (
+    Merged,
+    NoAnswer,
+    NotRun,
+    RequestOutcome,
+    TimedOut,
+    UnknownRoute,
+)
+from tinrudder.gateway.peer_messages import (
+    Declined,
+    Digest,
+    Member,
+    MissingShard,
+    ScatterAnswer,
+    ScatterEnd,
+    ScatterRequest,
+    SnapshotRequest,
+    ToldMember,
+)
+from tinrudder.wire.gateway_relay_codec import (
+    decode_answer,
+    decode_request,
+    encode_answer,
+    encode_request,
+)
+from tinrudder.wire.snapshot_codec import (
+    MalformedPeerMessageError,
+    decode_digest,
+    encode_digest,
+)
+
+MICROSECOND = 1e-6
+TEXT = st.text(max_size=20)
+REVISION = st.integers(0, 2**63)
+SECONDS = st.floats(0, 100).map(lambda value: round(value, 3))
+HEADERS = st.lists(st.tuples(st.binary(max_size=8), st.binary(max_size=8)), max_size=4).map(tuple)
+REQUESTS = st.builds(
+    HttpRequest, st.binary(max_size=8), st.binary(max_size=20), HEADERS, st.binary(max_size=50)
+)
+SCATTERS = st.builds(
+    ScatterRequest,
+    request=REQUESTS,
+    request_id=st.binary(max_size=16),
+    route=TEXT,
+    objective_left_s=st.floats(-10, 10),
+    deadline_left_s=st.floats(0, 60),
+    returning=st.booleans(),
+    configuration_revision=REVISION,
+    attempts=st.integers(0, 9),
+    repeated=st.booleans(),
+)
+OUTCOMES = st.one_of(
+    st.builds(
+        Merged,
+        body=st.binary(max_size=64),
+        stamps=st.lists(st.binary(max_size=8), max_size=4).map(tuple),
+        missing=st.integers(0, 200),
+    ),
+    st.builds(NotRun, TEXT, st.floats(0, 10)),
+    st.builds(NoAnswer, TEXT),
+    st.builds(TimedOut, TEXT),
+)
+ANSWERS = st.one_of(
+    st.builds(Declined, TEXT),
+    st.builds(
+        ScatterEnd,
+        outcome=OUTCOMES,
+        configuration_version=REVISION,
+        repeats=st.integers(0, 500),
+        missing_shards=st.lists(st.builds(MissingShard, TEXT, TEXT), max_size=4).map(tuple),
+    ),
+)
+MEMBERS = st.builds(
+    Member,
+    address=st.integers(1, 250).map(lambda number: Address(f"10.0.0.{number}", 81)),
+    zone=TEXT,
+    capacity=st.sampled_from([0.5, 2.0]),
+    leaving=st.booleans(),
+    starting=st.booleans(),
+)
+DIGESTS = st.builds(
+    Digest,
+    sender=MEMBERS,
+    configuration_revision=REVISION,
+    backends_revision=REVISION,
+    members=st.lists(st.builds(ToldMember, MEMBERS, SECONDS), max_size=8).map(tuple),
+    configuration_unconfirmed_s=st.none() | SECONDS,
+    backends_unconfirmed_s=st.none() | SECONDS,
+)
+
+
+@given(SCATTERS)
+def test_a_scatter_is_read_as_it_was_written(scatter: ScatterRequest) -> None:
+    read = decode_request(encode_request(scatter))
+    assert isinstance(read, ScatterRequest)
+    assert abs(read.objective_left_s - scatter.objective_left_s) <= MICROSECOND
+    assert abs(read.deadline_left_s - scatter.deadline_left_s) <= MICROSECOND
+    for field in ("request", "request_id", "route", "returning", "repeated", "attempts"):
+        assert getattr(read, field) == getattr(scatter, field)
+    assert read.configuration_revision == scatter.configuration_revision
+
+
+@given(REVISION, REVISION)
+def test_a_request_for_a_snapshot_is_read_as_it_was_written(first: int, second: int) -> None:
+    request = SnapshotRequest(first, second)
+    assert decode_request(encode_request(request)) == request
+
+
+@given(ANSWERS)
+def test_an_answer_is_read_as_it_was_written(answer: ScatterAnswer) -> None:
+    assert decode_answer(encode_answer(answer)) == answer
+
+
+@given(DIGESTS)
+def test_a_digest_is_read_as_it_was_written(digest: Digest) -> None:
+    read = decode_digest(encode_digest(digest))
+    assert read.sender == digest.sender
+    assert [told.member for told in read.members] == [told.member for told in digest.members]
+    for ours, theirs in zip(read.members, digest.members, strict=True):
+        assert abs(ours.age_s - theirs.age_s) <= 0.001
+    assert (read.configuration_unconfirmed_s is None) == (
+        digest.configuration_unconfirmed_s is None
+    )
+
+
+@given(st.binary(max_size=200))
+def test_other_bytes_are_refused_or_read_but_never_break(data: bytes) -> None:
+    for decode in (decode_request, decode_answer, decode_digest):
+        with contextlib.suppress(MalformedPeerMessageError):
+            decode(data)
+
+
+def test_an_empty_message_is_neither_request_nor_answer() -> None:
+    for decode in (decode_request, decode_answer, decode_digest):
+        with pytest.raises(MalformedPeerMessageError):
+            decode(b"")
+
+
+def test_only_the_ends_of_a_scatter_have_a_form() -> None:
+    outcome: RequestOutcome = UnknownRoute()
+    with pytest.raises(ValueError, match="UnknownRoute"):
+        encode_answer(ScatterEnd(outcome, 1))
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -105,8 +105,9 @@
             self.forwarding, self.state, self.handler.admission, lambda: self.handler.routes
         )
         self.store_calls = 0
+        self._followers: list[StoreFollower] = []
         store = make_store(settings.store, self._count_store_call)
-        self._readers = StoreReaders(
+        self.readers = StoreReaders(
             self._own,
             self.peers,
             self.state,
@@ -123,7 +124,7 @@
                 self.state,
                 self._on_reachability,
                 self.nodes,
-                self._readers,
+                self.readers,
                 self._random,
             )
             for topic in Topic
@@ -136,7 +137,7 @@
                 self.peers,
                 relaying.client,
                 self.scatters.serve,
-                self._readers,
+                self.readers,
                 self._on_pull,
             )
         self._logged_version = 0
@@ -154,6 +155,7 @@
             capacity=self.settings.capacity,
             leaving=self.lifecycle.is_stopping(),
             starting=not self.state.complete,
+            without_store=any(follower.lost for follower in self._followers),
         )
 
     def _replica_zones(self, service: str) -> tuple[str, ...]:
@@ -174,7 +176,7 @@
     def reload(self, settings: GatewaySettings) -> None:
         """Take over what may change while the process runs: the seeds."""
         self.peers.set_seeds(settings.seeds)
-        self._readers.seeds = settings.seeds
+        self.readers.seeds = settings.seeds
         log_event("reloaded", {"seeds": len(settings.seeds)})
 
     async def run(self) -> None:
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -17,6 +17,7 @@
     :param capacity: processor cores.
     :param leaving: it has been told to stop.
     :param starting: it knows too little to serve.
+    :param without_store: the store does not answer it.
     """
 
     address: Address
@@ -24,6 +25,7 @@
     capacity: float = 1.0
     leaving: bool = False
     starting: bool = False
+    without_store: bool = False
 
     @property
     def serves_others(self) -> bool:
--- a/tinrudder/gateway/relayed_run.py
+++ b/tinrudder/gateway/relayed_run.py
@@ -11,7 +11,7 @@
 from tinrudder.gateway.forwarding import Forwarding
 from tinrudder.gateway.messages import HttpRequest
 from tinrudder.gateway.model import Address, Route
-from tinrudder.gateway.outcomes import NoAnswer, RequestOutcome, TimedOut
+from tinrudder.gateway.outcomes import NoAnswer, NotRun, RequestOutcome, TimedOut
 from tinrudder.gateway.peer_messages import (
     Declined,
     MissingShard,
@@ -106,7 +106,7 @@
                 self.version = answer.configuration_version
                 self.repeats = answer.repeats
                 self.missing_shards = answer.missing_shards
-                self._on_outcome(answer.outcome)
+                self._on_outcome(self._truthful(answer.outcome))
                 return
         detail = "; ".join(self._problems)
         if not self._begun and not self._silent:
@@ -144,6 +144,12 @@
             relaying.coordinators.succeeded(coordinator)
         return answer
 
+    def _truthful(self, outcome: RequestOutcome) -> RequestOutcome:
+        """Promise that nothing ran only if no other coordinator can have begun."""
+        if isinstance(outcome, NotRun) and self._silent:
+            return NoAnswer(outcome.detail)
+        return outcome
+
     @property
     def _attempts_left(self) -> int:
         """Return how many back ends each shard's part may still be sent to."""
--- a/tinrudder/gateway/store_follower.py
+++ b/tinrudder/gateway/store_follower.py
@@ -60,6 +60,7 @@
         self._on_reachability = on_reachability
         self._revision: int | None = None
         self._reachable = False
+        self._lost = False
         self._forgotten = False
         self._retry_s = FIRST_RETRY_S
 
@@ -68,11 +69,17 @@
         """Tell whether the last call was answered."""
         return self._reachable
 
+    @property
+    def lost(self) -> bool:
+        """Tell whether this gateway asks the store and the last call was not answered."""
+        return self._lost
+
     async def run(self) -> None:
         """Follow for ever."""
         while True:
             if not self._readers.must_read(self._topic):
                 self._revision = None
+                self._lost = False
                 await asyncio.sleep(RECHECK_S)
                 continue
             try:
@@ -130,6 +137,7 @@
 
     def _note(self, *, reachable: bool, detail: str = "") -> None:
         """Report a change."""
+        self._lost = not reachable
         if reachable != self._reachable:
             self._reachable = reachable
             self._on_reachability(self._topic, reachable, detail)
--- a/tinrudder/gateway/store_readers.py
+++ b/tinrudder/gateway/store_readers.py
@@ -61,14 +61,16 @@
         """Tell whether this gateway is one of those that follow the store for all.
 
         Just after a start the seeds alone do: everybody knows them, and who else there is shows
-        within a second.
+        within a second.  A reader that the store refuses keeps trying, while others, who hear of
+        that, take its place.
         """
         now = self.clock()
         if self.seeds and now - self.started_at < ACQUAINTANCE_S:
             return self.own in self.seeds
         if self.peers.nodes(now) <= READERS:
             return True
-        members = [self.describe_own(), *self.peers.candidates(now)]
+        others = [one for one in self.peers.candidates(now) if not one.without_store]
+        members = [self.describe_own(), *others]
         candidates = [Candidate(str(one.address), one.zone, 1.0) for one in members]
         chosen = choose_coordinators(ROLE, candidates, READERS)
         return any(one.name == str(self.own) for one in chosen)
--- a/tinrudder/wire/snapshot_codec.py
+++ b/tinrudder/wire/snapshot_codec.py
@@ -94,6 +94,7 @@
         capacity=member.capacity,
         leaving=member.leaving,
         starting=member.starting,
+        without_store=member.without_store,
         age_ms=int(age_s * MILLISECONDS),
     )
 
@@ -105,6 +106,7 @@
         capacity=message.capacity,
         leaving=message.leaving,
         starting=message.starting,
+        without_store=message.without_store,
     )
 
 
--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -8,6 +8,9 @@
 
 from tinrudder.gateway.record_merge import RECORD_BYTES
 
+ROUTE_ATTEMPTS = 2
+"""What every route of the emulator allows."""
+
 
 @dataclass(frozen=True, slots=True)
 class IssuedAnswer:
@@ -86,6 +89,20 @@
             *self._refused_but_ran(),
             *self._over_budget(ratio, extra, window_s),
             *self._after_leaving(drain_s),
+            *self._too_many_back_ends(),
+        ]
+
+    def _too_many_back_ends(self) -> list[BrokenPromise]:
+        """Check that no request ran on more of one service's back ends than its route allows."""
+        ran_on: dict[tuple[str, str], set[str]] = {}
+        for arrival in self.arrivals:
+            if arrival.ran:
+                key = (arrival.request_id, arrival.service)
+                ran_on.setdefault(key, set()).add(arrival.backend_id)
+        return [
+            BrokenPromise("attempts", f"{request_id} ran on {len(used)} of {service}")
+            for (request_id, service), used in ran_on.items()
+            if len(used) > ROUTE_ATTEMPTS
         ]
 
     def _mixed(self) -> list[BrokenPromise]:
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -17,7 +17,7 @@
 from tinrudder.platform.store_client import StoreClient
 from tinrudder_lab.emulator.backend import EmulatedBackend
 from tinrudder_lab.emulator.client import PlannedRequest, send_request
-from tinrudder_lab.emulator.ledger import ClientResult, Ledger
+from tinrudder_lab.emulator.ledger import ROUTE_ATTEMPTS, ClientResult, Ledger
 from tinrudder_lab.emulator.loop import EmulatorLoop
 from tinrudder_lab.emulator.store import EmulatedStore
 from tinrudder_lab.sim.loop import Machine
@@ -61,7 +61,9 @@
 class EmulatedSite:
     """Everything; use :meth:`start` before anything else.
 
-    :param shards: how many shards the scatter route has, two back ends each.
+    :param shards: how many shards the scatter route has.
+    :param copies: how many back ends each shard has.
+    :param capacities: processor cores of the gateways, by turns.
     :param network: first number of every address.
     :param work_s: time that a back end's slot is held by one request.
     """
@@ -71,6 +73,8 @@
     network: int = 10
     node_count: int = 3
     shards: int = 8
+    copies: int = 2
+    capacities: tuple[float, ...] = (1.0,)
     singles: int = 3
     work_s: float = 0.02
     ledger: Ledger = field(default_factory=Ledger)
@@ -91,8 +95,8 @@
         for node in self.nodes:
             await self.store.listen(node.store_port)
         for shard in self.shard_services:
-            for copy in range(2):
-                await self.add_backend(f"{shard}-{copy}", shard, ZONES[copy])
+            for copy in range(self.copies):
+                await self.add_backend(f"{shard}-{copy}", shard, ZONES[copy % len(ZONES)])
         for copy in range(self.singles):
             await self.add_backend(f"single-{copy}", "single", ZONES[copy % 2])
         self.configure()
@@ -161,7 +165,7 @@
             "kind": "safe",
             "timeout_ms": 2000,
             "goal_ms": 200,
-            "attempts": 2,
+            "attempts": ROUTE_ATTEMPTS,
             "priority": 1,
             "gather": list(self.shard_services),
             "top_k": 10,
@@ -193,6 +197,7 @@
             peers=Address(node.host, PEER_PORT),
             seeds=self.seeds,
             store=Address(self.store.host, node.store_port),
+            capacity=self.capacities[node.index % len(self.capacities)],
             drain_s=DRAIN_S,
             stop_grace_s=GRACE_S,
             repeats=REPEATS,
@@ -271,7 +276,7 @@
         "kind": kind,
         "timeout_ms": 2000,
         "goal_ms": 400,
-        "attempts": 2,
+        "attempts": ROUTE_ATTEMPTS,
         "priority": 2,
         "service": "single",
     }
