--- a/tests/functional/test_gateway_coordinators.py
+++ b/tests/functional/test_gateway_coordinators.py
@@ -63,6 +63,21 @@
     run_many(scenario, capacities=(2.0, 2.0, 0.5, 0.5, 0.5))
 
 
+def test_the_parts_of_the_fleets_budget_add_up_to_no_more_than_the_whole() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        parts = [
+            1.0 / node.gateway.coordinators.of_service(service).sharers
+            for service in ("shard-0", "single")
+            for node in site.nodes
+            if node.gateway is not None
+        ]
+        assert sum(parts[:MANY]) <= 1.0
+        assert sum(parts[MANY:]) <= 1.0 + 1e-9
+
+    run_many(scenario)
+
+
 def test_few_gateways_call_the_back_ends_themselves() -> None:
     async def scenario(site: EmulatedSite) -> None:
         await asyncio.sleep(SETTLED_S)
--- a/tests/functional/test_serve.py
+++ b/tests/functional/test_serve.py
@@ -140,6 +140,16 @@
         body = msgspec.json.encode(content)
         return await self.request(node, "POST", "/v1/operations", body, head)
 
+    async def wait_for_members(self) -> None:
+        """Wait until every node's log says that it counts the other: only then does it relay."""
+        async with asyncio.timeout(TIMEOUT_S):
+            while not all(self._knows_the_other(node) for node in self.processes):
+                await asyncio.sleep(0.02)
+
+    def _knows_the_other(self, node: str) -> bool:
+        text = (self.directory / f"{node}.log").read_bytes()
+        return any(b'"member changed"' in line and b'"alive"' in line for line in text.splitlines())
+
     async def wait_for_status(self, node: str, path: str, status: int) -> Reply:
         async with asyncio.timeout(TIMEOUT_S):
             while True:
@@ -188,6 +198,7 @@
             await cluster.start_node(member, platform_port)
         for member in members:
             await cluster.wait_for_status(member.name, "/readyz", 200)
+        await cluster.wait_for_members()
         yield cluster
     finally:
         for process in cluster.processes.values():
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -33,6 +34,7 @@
 EXIT_MARGIN_S = 0.4
 LAST_LOOK_S = 0.05
 QUIET_LOOKS = 2
+FAREWELL_S = 0.2
 LISTEN_BACKLOG = 1024
 NEWS_S = 2.0
 UNACKNOWLEDGED_S = 1.0
@@ -245,7 +247,10 @@
         for task in self._tasks:
             task.cancel()
         if self._exchange is not None:
-            await self._exchange.stop()
+            # A dead peer takes no last bytes; nothing that matters to it is waiting.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(FAREWELL_S):
+                    await self._exchange.stop()
         self.lifecycle.trigger("finish")
         log_event("stopped", {"cut_off": self.handler.in_progress})
 
