--- a/tinrudder/cluster/claims_service.py
+++ b/tinrudder/cluster/claims_service.py
@@ -20,8 +20,8 @@
 from collections.abc import Awaitable, Callable, Mapping, Sequence
 from dataclasses import dataclass
 
-import xxhash
-
+from tinrudder.cluster.claim import Claim
+from tinrudder.cluster.claim_identity import list_digest, new_instance
 from tinrudder.cluster.claim_proposer import ClaimPhase, ClaimProposer, DispatchWindow
 from tinrudder.cluster.claim_voter import ClaimVoter
 from tinrudder.cluster.claims import (
@@ -53,8 +53,6 @@
     encode_request,
 )
 
-INSTANCE_RANDOM_BITS = 12
-MICROSECONDS = 1_000_000
 TELL_INTERVAL_S = 1.0
 TELL_EVERYONE_S = 60.0
 """While a list waits for it, every node is told once in this time which list this node knows."""
@@ -81,78 +79,6 @@
     sent_bytes: int = 0
 
 
-class Claim:
-    """One attempt to claim a key, won or not."""
-
-    def __init__(
-        self,
-        proposer: ClaimProposer,
-        timers: Timers,
-        wall_clock: WallClock,
-        release: Callable[[ClaimProposer], None],
-    ) -> None:
-        """Read both clocks at every question."""
-        self.proposer = proposer
-        self._timers = timers
-        self._wall_clock = wall_clock
-        self._release = release
-
-    @property
-    def won(self) -> bool:
-        """Tell whether the key is ours."""
-        return self.proposer.phase is ClaimPhase.WON
-
-    @property
-    def dispatched(self) -> bool:
-        """Tell whether the request may have left."""
-        return self.proposer.phase is ClaimPhase.DISPATCHED
-
-    @property
-    def holders(self) -> tuple[ProposerId, ...]:
-        """Return the other proposers that voters named as the key's holders."""
-        return tuple(self.proposer.holders)
-
-    def begin_dispatch(self) -> bool:
-        """Use up the permission to send; ``True`` at most once."""
-        return self.proposer.begin_dispatch(self._timers.time(), self._wall_clock())
-
-    def is_open(self) -> bool:
-        """Tell whether the time to send has not run out; ask again as the bytes leave."""
-        return self.proposer.window.is_open(self._timers.time(), self._wall_clock())
-
-    def dispatch_did_not_start(self) -> None:
-        """Restore the permission: the request is known not to have started."""
-        self.proposer.dispatch_did_not_start()
-
-    def give_up(self) -> bool:
-        """Renounce and release the votes; ``False`` if the request may have left."""
-        if not self.proposer.give_up():
-            return False
-        self._release(self.proposer)
-        return True
-
-
-def _new_instance(now: float, source: random.Random) -> int:
-    """Return a number that no earlier start of this node had, whatever the random source.
-
-    Two starts with one number could pass for one proposer, and a voter grants a proposer twice.
-    """
-    return (int(now * MICROSECONDS) << INSTANCE_RANDOM_BITS) | source.getrandbits(
-        INSTANCE_RANDOM_BITS
-    )
-
-
-def _digest(revision: int, regions: Mapping[str, Sequence[ListedVoter]]) -> int:
-    """Return a digest of a list; two lists of one revision differ after a platform's restore."""
-    lines = [
-        f"{region}\t{listed.voter.identity}\t{listed.voter.zone}\t{listed.leaving}"
-        for region in sorted(regions)
-        for listed in regions[region]
-    ]
-    text = "\n".join((str(revision), *sorted(lines)))
-    return xxhash.xxh3_64_intdigest(text.encode())
-
-
 class ClaimsService:
     """Votes and claims on one node."""
 
@@ -176,7 +102,7 @@
         self._node = node
         self.limits = limits
         self._answers = answers
-        self._instance = _new_instance(wall_clock(), source)
+        self._instance = new_instance(wall_clock(), source)
         self._attempts = 0
         self._histories: dict[str, ElectorateHistory] = {}
         self._revision = 0
@@ -211,7 +137,7 @@
         if revision <= self._revision:
             return
         self._revision = revision
-        self._list_digest = _digest(revision, regions)
+        self._list_digest = list_digest(revision, regions)
         now = self._wall_clock()
         for region in sorted(self._histories.keys() | regions.keys()):
             history = self._histories.setdefault(region, ElectorateHistory(self.limits))
--- a/tinrudder/cluster/membership.py
+++ b/tinrudder/cluster/membership.py
@@ -10,16 +10,16 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from tinrudder.cluster.membership_list import ListedMember
-from tinrudder.cluster.membership_messages import Observation, ObservationKind
-from tinrudder.cluster.membership_outbox import Send
-from tinrudder.cluster.membership_protocol import (
+from tinrudder.cluster.membership_events import (
     Action,
     MemberChanged,
-    MembershipProtocol,
     NewerRevisionHeard,
     ObservationHeard,
 )
+from tinrudder.cluster.membership_list import ListedMember
+from tinrudder.cluster.membership_messages import Observation, ObservationKind
+from tinrudder.cluster.membership_outbox import Send
+from tinrudder.cluster.membership_protocol import MembershipProtocol
 from tinrudder.cluster.membership_revisions import EnforcedRevision
 from tinrudder.cluster.membership_settings import MembershipSettings
 from tinrudder.cluster.observations import Hint
--- a/tinrudder/cluster/membership_protocol.py
+++ b/tinrudder/cluster/membership_protocol.py
@@ -7,9 +7,15 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from tinrudder.cluster.failure_detector import LocalHealth, Suspicions
+from tinrudder.cluster.membership_events import (
+    Action,
+    MemberChanged,
+    NewerRevisionHeard,
+    ObservationHeard,
+)
 from tinrudder.cluster.membership_list import ListedMember, PlatformListing
 from tinrudder.cluster.membership_messages import (
     Acknowledgement,
@@ -17,7 +23,6 @@
     Gossip,
     MemberUpdate,
     NegativeAcknowledgement,
-    Observation,
     ObservationKind,
     Ping,
     PingRequest,
@@ -27,7 +32,7 @@
     full_update,
     same_start,
 )
-from tinrudder.cluster.membership_outbox import Outbox, Send
+from tinrudder.cluster.membership_outbox import Outbox
 from tinrudder.cluster.membership_probes import Prober
 from tinrudder.cluster.membership_revisions import EnforcedRevisions
 from tinrudder.cluster.membership_settings import MembershipSettings
@@ -45,32 +50,6 @@
 TOLD_DIRECTLY = 200
 
 
-@dataclass(frozen=True, slots=True)
-class MemberChanged:
-    """A member is new or has another state; ``previous`` is ``None`` for a new one."""
-
-    member: Member
-    previous: Member | None
-
-
-@dataclass(frozen=True, slots=True)
-class NewerRevisionHeard:
-    """A member enforces a newer revision of the configuration than we do."""
-
-    member: Member
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class ObservationHeard:
-    """Another node observed something of a back end."""
-
-    observation: Observation
-
-
-Action = Send | MemberChanged | NewerRevisionHeard | ObservationHeard
-
-
 class MembershipProtocol:
     """One node's part; every public method takes the monotonic time ``now``, seconds."""
 
--- a/tinrudder/node_membership.py
+++ b/tinrudder/node_membership.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from tinrudder.cluster.membership import Membership
+from tinrudder.cluster.membership_events import MemberChanged
 from tinrudder.cluster.membership_messages import first_incarnation
-from tinrudder.cluster.membership_protocol import MemberChanged
 from tinrudder.cluster.membership_settings import MembershipSettings
 from tinrudder.cluster.view import Member, MemberStatus, MemberView
 from tinrudder.configuration_service.member_view import listed_members
--- a/tinrudder/query/at_most_once.py
+++ b/tinrudder/query/at_most_once.py
@@ -10,6 +10,7 @@
 
 import xxhash
 
+from tinrudder.cluster.claim import Claim
 from tinrudder.cluster.claim_proposer import DispatchWindow
 from tinrudder.cluster.claims import (
     AnswerStatus,
@@ -18,7 +19,7 @@
     StoredAnswer,
     make_claim_key,
 )
-from tinrudder.cluster.claims_service import Claim, ClaimsService
+from tinrudder.cluster.claims_service import ClaimsService
 from tinrudder.outcomes import Failed, MayHaveRun, MayHaveRunReason, NotRun, NotRunReason, Outcome
 from tinrudder.query.admission_gate import AdmissionGate
 from tinrudder.query.dispatcher import Dispatcher
--- a/tinrudder_lab/hollow_node.py
+++ b/tinrudder_lab/hollow_node.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 
 from tinrudder.cluster.membership import Membership
+from tinrudder.cluster.membership_events import MemberChanged
 from tinrudder.cluster.membership_list import ListedMember
 from tinrudder.cluster.membership_messages import ObservationKind, first_incarnation
-from tinrudder.cluster.membership_protocol import MemberChanged
 from tinrudder.cluster.state_exchange import StateExchange
 from tinrudder.cluster.view import Member, MemberStatus
 from tinrudder.configuration_service.messages import ResourceDocument
