--- a/tinrudder/cli/gateway.py
+++ b/tinrudder/cli/gateway.py
@@ -1,7 +1,7 @@
 """``tinrudder gateway``: run one gateway on the users' platform.
 
-On the users' machines it runs as ``python3 -m tinrudder.cli.gateway_process``, which imports nothing
-of the other commands.
+On the users' machines: ``python3 -m tinrudder.cli.gateway_process``, which imports nothing of the
+other commands.
 """
 
 from __future__ import annotations
