--- a/tests/functional/test_peer_transport.py
+++ b/tests/functional/test_peer_transport.py
@@ -11,10 +11,11 @@
 import pytest
 import trustme
 
-from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError, PeerSilentError
 from tinrudder.tls import Identity, TlsError, TlsFiles
 from tinrudder.wire import peer_server
 from tinrudder.wire.frames import MAX_FRAME_BYTES, Frame, FrameType, encode_frame
+from tinrudder.wire.peer_client import PeerClient
 from tinrudder.wire.peer_transport import TcpPeerTransport
 
 HOST = "127.0.0.1"
@@ -241,3 +242,76 @@
             assert identity.reload_if_changed()
 
     asyncio.run(scenario())
+
+
+@contextlib.asynccontextmanager
+async def answering_with(*frames: Frame) -> AsyncIterator[PeerAddress]:
+    """A peer that reads, sends these frames for the first request, and then nothing more."""
+    ended = asyncio.Event()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.read(1)
+        for frame in frames:
+            writer.write(encode_frame(frame))
+        await ended.wait()
+        writer.close()
+
+    server = await asyncio.start_server(serve, HOST, 0)
+    try:
+        yield PeerAddress(HOST, server.sockets[0].getsockname()[1])
+    finally:
+        ended.set()
+        server.close()
+
+
+def test_an_acknowledged_request_is_answered_like_any_other() -> None:
+    async def scenario() -> None:
+        async with serving() as (address, handler, _):
+            client = PeerClient(lambda: None)
+            assert await client.request(address, b"hello", TIMEOUT_S, TIMEOUT_S) == b"hello"
+            with pytest.raises(PeerLostError, match="RuntimeError"):
+                await client.request(address, b"fail", TIMEOUT_S, TIMEOUT_S)
+            assert handler.started == [b"hello", b"fail"]
+            await client.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_peer_that_never_says_that_it_began_is_silent() -> None:
+    async def scenario() -> None:
+        async with answering_with() as address:
+            client = PeerClient(lambda: None)
+            with pytest.raises(PeerSilentError):
+                await client.request(address, b"hello", TIMEOUT_S, 0.05)
+            await client.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_peer_that_began_and_fell_silent_is_lost_not_silent() -> None:
+    """Its calls may be anywhere; a merely silent one has read the order to give up by now."""
+
+    async def scenario() -> None:
+        async with answering_with(Frame(FrameType.ACCEPTED, 1)) as address:
+            client = PeerClient(lambda: None)
+            with pytest.raises(PeerLostError) as caught:
+                await client.request(address, b"hello", TIMEOUT_S, 0.05)
+            assert not isinstance(caught.value, PeerSilentError)
+            await client.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_peer_at_work_says_so_until_it_answers() -> None:
+    async def scenario() -> None:
+        async with serving() as (address, handler, _):
+            client = PeerClient(lambda: None)
+            request = asyncio.create_task(client.request(address, b"hold", TIMEOUT_S, 0.1))
+            await handler.holding.wait()
+            await asyncio.sleep(0.6)
+            assert not request.done()
+            request.cancel()
+            await handler.cancelled.wait()
+            await client.close()
+
+    asyncio.run(scenario())
--- a/tests/unit/test_shared_state.py
+++ b/tests/unit/test_shared_state.py
@@ -113,6 +113,61 @@
     assert seen(pupil) == seen(teacher)
 
 
+def test_a_value_newer_than_a_readings_first_page_waits_for_the_watch() -> None:
+    """Taken at once, it would claim knowledge of a change that an earlier page missed."""
+    state = new_state()
+    state.apply_complete(Topic.BACKENDS, Reading((backend("a", 5), backend("b", 9)), 7))
+    assert state.revision(Topic.BACKENDS) == 5
+    assert set(seen(state)) == {"servers/a"}
+    state.apply(Topic.BACKENDS, (removed("a", 8), backend("b", 9)))
+    assert set(seen(state)) == {"servers/b"}
+
+
+def test_a_known_back_end_that_changed_during_a_reading_is_not_taken_for_gone() -> None:
+    state = new_state()
+    state.apply(Topic.BACKENDS, (backend("b", 3),))
+    state.apply_complete(Topic.BACKENDS, Reading((backend("a", 5), backend("b", 9)), 7))
+    assert seen(state)["servers/b"] == (3, False, False)
+
+
+@given(
+    changes=st.lists(st.tuples(st.sampled_from("abcd"), st.booleans()), max_size=15),
+    known=st.integers(0, 15),
+)
+def test_changes_only_teach_as_much_as_everything(
+    changes: list[tuple[str, bool]], known: int
+) -> None:
+    values = [
+        backend(key, revision) if stays else removed(key, revision)
+        for revision, (key, stays) in enumerate(changes, start=1)
+    ]
+    teacher, pupil = new_state(), new_state()
+    teacher.apply(Topic.BACKENDS, values)
+    pupil.apply(Topic.BACKENDS, values[:known])
+    pupil.apply(Topic.BACKENDS, teacher.snapshot(pupil.revision(Topic.BACKENDS)))
+    assert seen(pupil) == seen(teacher)
+
+
+def test_what_was_removed_too_long_ago_is_known_to_be_forgotten() -> None:
+    now = [0.0]
+    state = SharedState(DECODERS, lambda: now[0], lambda _: None)
+    state.apply(Topic.BACKENDS, (backend("a", 5), removed("a", 8)))
+    now[0] = 121.0
+    state.forget_old_removals()
+    assert state.snapshot() == ()
+    assert state.forgotten_up_to == 8
+
+
+def test_the_age_of_the_stores_word_is_the_youngest_that_was_told() -> None:
+    now = [10.0]
+    state = SharedState(DECODERS, lambda: now[0], lambda _: None)
+    assert state.unconfirmed_s(Topic.BACKENDS) == float("inf")
+    state.confirm(Topic.BACKENDS, 2.0)
+    state.confirm(Topic.BACKENDS, 5.0)
+    assert state.unconfirmed_s(Topic.BACKENDS) == 2.0
+    assert state.unconfirmed_s(Topic.CONFIGURATION) == float("inf")
+
+
 def member(host: str, **changes: bool) -> Member:
     return Member(Address(host, 1), "zone-a", 2.0, **changes)
 
