--- a/tests/unit/test_gateway_commands.py
+++ b/tests/unit/test_gateway_commands.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -98,3 +100,16 @@
     assert "without an answer: s3" in told
     assert "coordinator 10.0.0.3:1 failed g1: 10.0.0.3:1: silent" in told
     assert "s before: coordinator" not in told
+
+
+def test_a_reader_that_has_seen_enough_is_no_error(tmp_path: Path) -> None:
+    path = tmp_path / "log"
+    path.write_text(LOG * 2000)
+    command = [sys.executable, "-m", "tinrudder.cli.main", "story", str(path), "r1"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE) as process:
+        assert process.stdout is not None
+        process.stdout.read(10)
+        process.stdout.close()
+        assert process.stderr is not None
+        assert process.stderr.read() == b""
+    assert process.returncode == ExitCode.OK
--- a/tinrudder/cli/main.py
+++ b/tinrudder/cli/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import os
 import sys
 from collections.abc import Sequence
 
@@ -21,6 +22,7 @@
     validate,
     watch,
 )
+from tinrudder.cli.exit_codes import ExitCode
 
 SUBCOMMANDS = (
     serve,
@@ -51,7 +53,13 @@
 def main(argv: Sequence[str] | None = None) -> int:
     """Run one subcommand and return its exit code."""
     arguments = build_parser().parse_args(argv)
-    code: int = arguments.run(arguments)
+    try:
+        code: int = arguments.run(arguments)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Whoever read the output, say head, has seen enough.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ExitCode.OK
     return code
 
 
