Drop a field of the relayed run that nobody reads

RelayedRun.version was written and never read: the entry's line has the version it planned with, the coordinator's line its own.

--- a/tinrudder/gateway/relayed_run.py
+++ b/tinrudder/gateway/relayed_run.py
@@ -52,8 +52,6 @@
     for another, which then may use one back end less for each shard and draws on the budget for
     every call: the first may have sent one call each before it read that it should give up.
     Where a coordinator had begun, its calls cannot be counted, so nothing is sent again.
-
-    :ivar version: of the configuration that answered, 0 before.
     """
 
     def __init__(
@@ -68,7 +66,6 @@
         on_outcome: OutcomeListener,
     ) -> None:
         """Prepare; ``run_here`` makes the run of the last resort."""
-        self.version = 0
         self.repeats = 0
         self.missing_shards: tuple[MissingShard, ...] = ()
         self._route = route
@@ -104,7 +101,6 @@
                 break
             answer = await self._ask(coordinator)
             if isinstance(answer, ScatterEnd):
-                self.version = answer.configuration_version
                 self.repeats = answer.repeats
                 self.missing_shards = answer.missing_shards
                 self._on_outcome(self._truthful(answer.outcome))
