Judge attempts as a call leaves, and count what each back end may have run

Cause: ShardCalls compared the back ends a shard was offered to with its attempts when a call was chosen. A call that waits for a connection is not offered yet, so a hedge and a retry behind it could both leave: 3 back ends where 2 are allowed. Found by the new state machine beside that: a rejection of a second call to a back end took back its first call too, which may have run, so a further back end was asked, and the request could be called not run. MAX_SENDS was passed the same way.

--- /dev/null
+++ b/tests/unit/test_shard_calls_machine.py
@@ -0,0 +1,227 @@
+"""One shard's calls under any order of connecting, refused, lost, broken and late answers.
+
+The oracle is a list of what left for whom and of who took it back by a rejection.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from tinrudder.gateway.backend_directory import Backend
+from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.messages import (
+    Answered,
+    Broken,
+    HttpAnswer,
+    HttpRequest,
+    NotSent,
+    Rejected,
+    UpstreamCall,
+    Withdrawn,
+)
+from tinrudder.gateway.model import BackendEntry, HeaderNames, RepeatBounds, Route
+from tinrudder.gateway.request_bytes import RequestBytes
+from tinrudder.gateway.shard_calls import MAX_SENDS, NEVER, ShardCalls
+
+SERVICE = "shard-0"
+NAMES = HeaderNames(
+    *(name.encode() for name in ("id", "deadline", "stamp", "expect", "load", "not-run", "p", "m"))
+)
+
+
+class ManualLoop:
+    """A clock that the test sets."""
+
+    now = 100.0
+
+    def time(self) -> float:
+        return self.now
+
+
+@dataclass
+class FakePool:
+    """Holds calls until the test lets a connection come up, or fail."""
+
+    connected: bool
+    waiting: list[UpstreamCall] = field(default_factory=list)
+    sent: list[UpstreamCall] = field(default_factory=list)
+    arrivals: int = 0
+
+    def start(self, call: UpstreamCall) -> None:
+        if self.connected:
+            self.let_leave(call)
+        else:
+            self.waiting.append(call)
+
+    def let_leave(self, call: UpstreamCall) -> None:
+        if call.make_bytes() is None:
+            call.finish(Withdrawn())
+            return
+        self.arrivals += 1
+        self.sent.append(call)
+
+    def cancel(self, call: UpstreamCall) -> None:
+        call.finished = True
+
+
+class FakeDirectory:
+    """Replicas of one shard, all usable."""
+
+    def __init__(self, replicas: int, connected: list[bool]) -> None:
+        self.replicas = []
+        for index in range(replicas):
+            entry = BackendEntry(f"b{index}", SERVICE, "10.0.0.1", index, "zone", 2, False)
+            self.replicas.append(Backend(entry, FakePool(connected[index])))  # type: ignore[arg-type]
+
+    def usable(self, _: str) -> list[Backend]:
+        return [one for one in self.replicas if not one.readdressed]
+
+    def may_receive(self, backend: Backend) -> bool:
+        return not backend.readdressed
+
+
+class ShardCallsMachine(RuleBasedStateMachine):
+    """Drives one shard; a count of live arrivals for each replica is the oracle."""
+
+    @initialize(
+        replicas=st.integers(1, 5),
+        attempts=st.integers(1, 4),
+        connected=st.lists(st.booleans(), min_size=5, max_size=5),
+        repeated=st.booleans(),
+        repeatable=st.booleans(),
+    )
+    def begin(
+        self,
+        replicas: int,
+        attempts: int,
+        connected: list[bool],
+        repeated: bool,
+        repeatable: bool,
+    ) -> None:
+        self.loop = ManualLoop()
+        self.directory = FakeDirectory(replicas, connected)
+        self.attempts = attempts
+        self.repeatable = repeatable
+        self.may_have_run: dict[str, int] = {}
+        self.source = random.Random(0)
+        forwarding = Forwarding(
+            loop=self.loop,  # type: ignore[arg-type]
+            names=NAMES,
+            zone="zone",
+            directory=self.directory,  # type: ignore[arg-type]
+            bounds=RepeatBounds(1.0, 1000.0, 10.0),
+            sharers=lambda service: 1.0,
+            started_at=0.0,
+        )
+        route = Route("r", "h", "/", repeatable, 5.0, 0.1, attempts, 0, shards=(SERVICE,))
+        request = HttpRequest(b"GET", b"/", (), b"")
+        self.shard = ShardCalls(
+            SERVICE,
+            route,
+            RequestBytes(request, b"id", self.loop.now + 5.0, NAMES),
+            forwarding,
+            lambda shard: None,
+            relay_failures=False,
+            attempts=attempts,
+            repeated=repeated,
+        )
+        self.shard.start(self.loop.now)
+
+    @property
+    def pools(self) -> list[tuple[str, FakePool]]:
+        return [(one.backend_id, one.pool) for one in self.directory.replicas]  # type: ignore[misc]
+
+    def waiting(self) -> list[tuple[FakePool, UpstreamCall]]:
+        return [(pool, call) for _, pool in self.pools for call in pool.waiting]
+
+    def running(self) -> list[tuple[str, FakePool, UpstreamCall]]:
+        return [(name, pool, call) for name, pool in self.pools for call in pool.sent]
+
+    @precondition(lambda self: self.waiting())
+    @rule(choice=st.integers(0, 100))
+    def connection_comes_up(self, choice: int) -> None:
+        waiting = self.waiting()
+        pool, call = waiting[choice % len(waiting)]
+        pool.waiting.remove(call)
+        if not call.finished:
+            pool.let_leave(call)
+
+    @precondition(lambda self: self.waiting())
+    @rule(choice=st.integers(0, 100))
+    def connection_fails(self, choice: int) -> None:
+        waiting = self.waiting()
+        pool, call = waiting[choice % len(waiting)]
+        pool.waiting.remove(call)
+        call.finish(NotSent("connect: refused"))
+
+    @precondition(lambda self: self.running())
+    @rule(choice=st.integers(0, 100), status=st.sampled_from((200, 500)))
+    def answer_comes(self, choice: int, status: int) -> None:
+        name, call = self.take_running(choice)
+        self.note_run(name)
+        call.finish(Answered(HttpAnswer(status, b"", (), b"")))
+
+    @precondition(lambda self: self.running())
+    @rule(choice=st.integers(0, 100))
+    def call_breaks(self, choice: int) -> None:
+        name, call = self.take_running(choice)
+        self.note_run(name)
+        call.finish(Broken("connection lost"))
+
+    @precondition(lambda self: self.running())
+    @rule(choice=st.integers(0, 100), wrong_backend=st.booleans())
+    def call_is_rejected(self, choice: int, wrong_backend: bool) -> None:
+        _, call = self.take_running(choice)
+        call.finish(Rejected(421 if wrong_backend else 503, wrong_backend))
+
+    @rule(seconds=st.sampled_from((0.01, 0.05, 0.1, 1.0)))
+    def time_passes(self, seconds: float) -> None:
+        self.loop.now += seconds
+        self.shard.on_time(self.loop.now)
+
+    @rule(index=st.integers(0, 4), connected=st.booleans())
+    def replica_changes(self, index: int, connected: bool) -> None:
+        if index < len(self.directory.replicas):
+            self.directory.replicas[index].pool.connected = connected  # type: ignore[attr-defined]
+
+    def take_running(self, choice: int) -> tuple[str, UpstreamCall]:
+        running = self.running()
+        name, pool, call = running[choice % len(running)]
+        pool.sent.remove(call)
+        return name, call
+
+    def note_run(self, name: str) -> None:
+        self.may_have_run[name] = self.may_have_run.get(name, 0) + 1
+
+    def live_at(self) -> set[str]:
+        """Return the replicas that may have run the request or may run it."""
+        return {name for name, _, _ in self.running()} | set(self.may_have_run)
+
+    @invariant()
+    def no_more_replicas_than_attempts(self) -> None:
+        assert len(self.live_at()) <= self.attempts
+
+    @invariant()
+    def a_promise_that_nothing_ran_is_true(self) -> None:
+        assert self.shard.may_have_run == bool(self.live_at())
+
+    @invariant()
+    def what_must_not_repeat_runs_once(self) -> None:
+        if not self.repeatable:
+            assert len(self.running()) + sum(self.may_have_run.values()) <= 1
+
+    @invariant()
+    def sends_stay_few(self) -> None:
+        assert self.shard.sends <= MAX_SENDS
+        assert self.shard.next_at == NEVER or self.shard.part is None
+
+
+ShardCallsMachine.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=30, deadline=None, derandomize=True
+)
+TestShardCalls = ShardCallsMachine.TestCase
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -87,7 +88,7 @@
         self._repeated = repeated
         self._attempts: list[Attempt] = []
         self._tries = 0
-        self._offered: set[str] = set()
+        self._offered: Counter[str] = Counter()
         self._avoided: set[str] = set()
         self._budget = forwarding.budget(service)
         self._latency = forwarding.latency(route)
@@ -182,11 +183,28 @@
         offered to already may be asked again.
         """
         usable = self._forwarding.directory.usable(self.service)
-        if len(self._offered) >= self._most_backends:
-            usable = [backend for backend in usable if backend.backend_id in self._offered]
+        usable = [backend for backend in usable if self._may_offer(backend)]
         fresh = [backend for backend in usable if backend.backend_id not in self._avoided]
         return fresh or usable
 
+    def _may_offer(self, backend: Backend) -> bool:
+        """Tell whether a call to a back end keeps to the number of back ends that may run it."""
+        return backend.backend_id in self._offered or len(self._offered) < self._most_backends
+
+    def _may_leave(self, attempt: Attempt, now: float) -> bool:
+        """Judge a call at the moment at which its bytes would leave.
+
+        What held when the back end was chosen may not hold any more: calls wait for connections,
+        and meanwhile others of the same shard leave.
+        """
+        if not self._forwarding.directory.may_receive(attempt.backend):
+            return False
+        if self.sends >= MAX_SENDS or not self._may_offer(attempt.backend):
+            return False
+        if attempt.paid or not self._next_is_repeat:
+            return True
+        return self._may_repeat(now, hedge=True)
+
     def _may_repeat(self, now: float, *, hedge: bool) -> bool:
         """Draw on the service's budget."""
         forwarding = self._forwarding
@@ -219,14 +237,12 @@
     def _leave(self, attempt: Attempt) -> bytes | None:
         """Return the bytes that leave now; ``None`` if the back end may not get them any more."""
         forwarding = self._forwarding
-        if not forwarding.directory.may_receive(attempt.backend):
-            return None
         now = forwarding.loop.time()
-        if self._next_is_repeat and not attempt.paid and not self._may_repeat(now, hedge=True):
+        if not self._may_leave(attempt, now):
             return None
         self.sends += 1
         self.may_have_run = True
-        self._offered.add(attempt.backend.backend_id)
+        self._offered[attempt.backend.backend_id] += 1
         forwarding.counters.calls += 1
         usual = usual_latency_s(self._latency, self._route.objective_s)
         attempt.running = attempt.backend.observations.begin(now, usual)
@@ -245,8 +261,7 @@
             case Answered(answer=answer):
                 self._on_answer(attempt, answer, now)
             case Rejected(status=status):
-                self._offered.discard(attempt.backend.backend_id)
-                self.may_have_run = bool(self._offered)
+                self._take_back(attempt.backend)
                 self._on_failure(f"rejected with {status}", now, at_once=len(self._avoided) < 2)
             case NotSent(detail=detail):
                 self._on_failure(detail, now, at_once=True)
@@ -256,6 +271,13 @@
                 self._on_failure(detail, now, at_once=True)
         self._on_change(self)
 
+    def _take_back(self, backend: Backend) -> None:
+        """Note that one call has not run; an earlier one to the same back end still may have."""
+        self._offered[backend.backend_id] -= 1
+        if not self._offered[backend.backend_id]:
+            del self._offered[backend.backend_id]
+        self.may_have_run = bool(self._offered)
+
     def _observe(self, attempt: Attempt, outcome: CallOutcome, now: float) -> None:
         """Learn from the end of one call, also when nobody waits for it any more."""
         observations = attempt.backend.observations
