Ask shards without a local replica through a gateway beside their replicas

Change: routing/scatter_place.py groups the shards that lack a local replica and tells whether handing them over lets at most half of the bytes cross, from observed sizes; gateway/delegated_shards.py hands a group to one gateway beside the replicas, which returns one merged part. Not taken: asked from here with all attempts; silent: asked from here with one attempt less, each call a repeat; lost after it had begun: nothing is sent again.

--- a/tests/unit/test_gateway_relay_codec.py
+++ b/tests/unit/test_gateway_relay_codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from dataclasses import replace
 
 import pytest
 from hypothesis import given
@@ -53,13 +54,14 @@
     ScatterRequest,
     request=REQUESTS,
     request_id=st.binary(max_size=16),
-    route=TEXT,
     objective_left_s=st.floats(-10, 10),
     deadline_left_s=st.floats(0, 60),
     returning=st.booleans(),
     configuration_revision=REVISION,
     attempts=st.integers(0, 9),
     repeated=st.booleans(),
+    shards=st.lists(TEXT, max_size=4).map(tuple),
+    minimum_share=st.floats(0, 1),
 )
 OUTCOMES = st.one_of(
     st.builds(
@@ -107,9 +109,8 @@
     assert isinstance(read, ScatterRequest)
     assert abs(read.objective_left_s - scatter.objective_left_s) <= MICROSECOND
     assert abs(read.deadline_left_s - scatter.deadline_left_s) <= MICROSECOND
-    for field in ("request", "request_id", "route", "returning", "repeated", "attempts"):
-        assert getattr(read, field) == getattr(scatter, field)
-    assert read.configuration_revision == scatter.configuration_revision
+    same = replace(read, objective_left_s=0.0, deadline_left_s=0.0)
+    assert same == replace(scatter, objective_left_s=0.0, deadline_left_s=0.0)
 
 
 @given(REVISION, REVISION)
--- /dev/null
+++ b/tests/unit/test_scatter_place.py
@@ -0,0 +1,62 @@
+"""Which shards are handed to a gateway in another zone."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tinrudder.routing.scatter_place import (
+    ScatterSizes,
+    group_by_place,
+    pays_to_hand_over,
+)
+
+ZONES = ("a", "b", "c", "d")
+REPLICAS = st.dictionaries(
+    st.integers(0, 40).map(lambda number: f"shard-{number}"),
+    st.frozensets(st.sampled_from(ZONES), max_size=3),
+    max_size=30,
+)
+SIZES = st.builds(ScatterSizes, part=st.floats(0, 5000), merged=st.floats(0, 20000))
+
+
+@given(
+    own=st.sampled_from(ZONES),
+    zones=st.frozensets(st.sampled_from(ZONES)),
+    replicas=REPLICAS,
+    sizes=SIZES,
+)
+def test_only_what_is_lacking_here_goes_and_only_where_it_is(
+    own: str, zones: frozenset[str], replicas: dict[str, frozenset[str]], sizes: ScatterSizes
+) -> None:
+    groups = group_by_place(own, zones, replicas, sizes)
+    handed = [shard for group in groups for shard in group.shards]
+    assert len(handed) == len(set(handed))
+    for group in groups:
+        assert group.zones <= zones - {own}
+        assert group.zones
+        assert pays_to_hand_over(len(group.shards), sizes)
+        for shard in group.shards:
+            assert own not in replicas[shard]
+            assert group.zones <= replicas[shard]
+
+
+@given(part=st.floats(0, 5000), merged=st.floats(0, 20000), shards=st.integers(1, 200))
+def test_more_shards_pay_no_less(part: float, merged: float, shards: int) -> None:
+    sizes = ScatterSizes(part, merged)
+    if pays_to_hand_over(shards, sizes):
+        assert pays_to_hand_over(shards + 1, sizes)
+
+
+def test_a_large_merged_answer_is_fetched_part_by_part() -> None:
+    replicas = {f"shard-{number}": ("b",) for number in range(10)}
+    assert group_by_place("a", "ab", replicas, ScatterSizes(part=1000.0, merged=800.0))
+    assert not group_by_place("a", "ab", replicas, ScatterSizes(part=1000.0, merged=9000.0))
+
+
+def test_shards_of_several_places_make_several_groups() -> None:
+    replicas = {f"b-{number}": ("b",) for number in range(10)}
+    replicas |= {f"c-{number}": ("c",) for number in range(8)}
+    replicas |= {"lost": ()}
+    groups = group_by_place("a", "abc", replicas, ScatterSizes(part=1000.0, merged=800.0))
+    assert [(len(group.shards), set(group.zones)) for group in groups] == [(10, {"b"}), (8, {"c"})]
--- a/tinrudder/gateway/coordinators.py
+++ b/tinrudder/gateway/coordinators.py
@@ -1,10 +1,13 @@
-"""Who calls the back ends of an index: every gateway, or a few coordinators for all."""
+"""Who calls the back ends of an index: every gateway, or a few coordinators for all.
+
+Shards without a replica in a gateway's zone are asked by a gateway that has them beside it.
+"""
 
 from __future__ import annotations
 
 import statistics
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
 
 from tinrudder.gateway.model import Address, GatewayConfiguration, Route
 from tinrudder.gateway.peer_list import PeerList
@@ -17,6 +20,7 @@
     coordinators_needed,
     preference,
 )
+from tinrudder.routing.scatter_place import ScatterSizes, group_by_place
 
 KEPT_FOR_S = 0.5
 ASKED_AT_MOST = 3
@@ -27,12 +31,21 @@
 run a scatter themselves."""
 
 
+@dataclass(frozen=True, slots=True)
+class HandedShards:
+    """Shards that others ask for this gateway, and who may be asked to."""
+
+    shards: tuple[str, ...]
+    asked: tuple[Address, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Essence:
     """Whether this gateway calls the back ends itself, and whom it asks otherwise."""
 
     own: bool
     asked: frozenset[Address]
+    handed_over: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +56,7 @@
     :param asked: the coordinators to ask, best first; empty where ``own``.
     :param callers: how many gateways call the back ends, this one included where ``own``.
     :param sharers: in how many parts the fleet's repeats are divided, as seen from here.
+    :param handed_over: where ``own``, the shards that gateways beside their replicas ask.
     """
 
     own: bool
@@ -50,11 +64,24 @@
     callers: int
     sharers: float
     decided_at: float
+    handed_over: tuple[HandedShards, ...] = ()
 
     @property
     def essence(self) -> Essence:
         """Return what tells one coordination from another, whenever it was decided."""
-        return Essence(self.own, frozenset(self.asked))
+        return Essence(self.own, frozenset(self.asked), self.handed_over_count)
+
+    @property
+    def handed_over_count(self) -> int:
+        """Return how many shards are handed over."""
+        return sum(len(group.shards) for group in self.handed_over)
+
+    def own_shards(self, index: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the shards that are not handed over."""
+        if not self.handed_over:
+            return index
+        handed_over = {shard for group in self.handed_over for shard in group.shards}
+        return tuple(shard for shard in index if shard not in handed_over)
 
 
 @dataclass(slots=True)
@@ -75,6 +102,7 @@
     :param describe_own: returns this gateway as it would describe itself now.
     :param on_change: is told of every change of an index's coordination.
     :param replica_zones: returns the zone of each back end of a service that is not leaving.
+    :param sizes: returns how large answers of an index have been.
     """
 
     peers: PeerList
@@ -82,6 +110,7 @@
     clock: Callable[[], float]
     describe_own: Callable[[], Member]
     replica_zones: Callable[[str], tuple[str, ...]]
+    sizes: Callable[[tuple[str, ...]], ScatterSizes]
     on_change: Callable[[Coordination], None]
     _by_index: dict[tuple[str, ...], Coordination] = field(default_factory=dict)
     _index_of: dict[str, tuple[str, ...]] = field(default_factory=dict)
@@ -148,26 +177,54 @@
             self.on_change(coordination)
 
     def _decide(self, index: tuple[str, ...], now: float) -> Coordination:
-        """Choose the coordinators of one index."""
+        """Choose who calls the back ends of one index."""
         zones = [self.replica_zones(service) for service in index]
         count = coordinators_needed(self._demand(index, zones), self.peers.nodes(now))
+        others = self.peers.candidates(now)
         if count is None:
-            return self._by_all(now)
+            handed_over = self._handed_over(index, zones, others, now)
+            return replace(self._by_all(now), handed_over=handed_over)
         own = self.describe_own()
-        members = [own, *self.peers.candidates(now)]
+        members = [own, *others]
         by_name = {str(member.address): member for member in members}
         serving = [member for member in members if member.serves_others]
         candidates = [_candidate(member) for member in _near(serving, zones)]
         chosen = choose_coordinators("\n".join(index), candidates, count)
         callers = max(count, len(chosen))
         if any(one.name == str(own.address) for one in chosen):
-            return Coordination(True, (), callers, callers / COORDINATORS_PART, now)
+            beside = [by_name[one.name] for one in chosen if one.name != str(own.address)]
+            handed_over = self._handed_over(index, zones, beside, now)
+            return Coordination(True, (), callers, callers / COORDINATORS_PART, now, handed_over)
         order = preference(str(own.address), own.zone, chosen)
         addresses = [by_name[one.name].address for one in order]
         asked = tuple(one for one in addresses if not self._is_avoided(one, now))
         sharers = self.peers.nodes(now) / (1.0 - COORDINATORS_PART)
         return Coordination(False, asked[:ASKED_AT_MOST], callers, sharers, now)
 
+    def _handed_over(
+        self,
+        index: tuple[str, ...],
+        zones: list[tuple[str, ...]],
+        members: Iterable[Member],
+        now: float,
+    ) -> tuple[HandedShards, ...]:
+        """Return the shards that some of ``members`` ask for this gateway."""
+        willing = [one for one in members if not self._is_avoided(one.address, now)]
+        own_zone = self.describe_own().zone
+        groups = group_by_place(
+            own_zone,
+            {member.zone for member in willing},
+            dict(zip(index, zones, strict=True)),
+            self.sizes(index),
+        )
+        return tuple(
+            HandedShards(
+                group.shards,
+                tuple(one.address for one in willing if one.zone in group.zones),
+            )
+            for group in groups
+        )
+
     def _by_all(self, now: float) -> Coordination:
         """Return what holds where every gateway calls the back ends itself."""
         nodes = self.peers.nodes(now)
--- /dev/null
+++ b/tinrudder/gateway/delegated_shards.py
@@ -0,0 +1,158 @@
+"""Some shards of a scatter that another gateway asks, since their replicas are in its zone."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tinrudder.gateway.client_moments import Moments
+from tinrudder.gateway.hand_over import Lost, NotTaken, Silent, hand_over
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.model import Address, Route
+from tinrudder.gateway.outcomes import Merged, NotRun
+from tinrudder.gateway.peer_messages import MissingShard, ScatterEnd, ScatterRequest
+from tinrudder.gateway.relaying import Relaying
+
+PATH_MARGIN_S = 0.004
+"""The answer of the other gateway still has to come here and be merged."""
+ANSWER_MARGIN_S = 0.01
+
+
+@dataclass(frozen=True, slots=True)
+class Delegation:
+    """What is asked of whom.
+
+    :param minimum_share: the least share of these shards with which the whole can suffice.
+    """
+
+    services: tuple[str, ...]
+    coordinator: Address
+    minimum_share: float
+
+
+def minimum_share_of_group(shards: int, group: int, minimum_share: float) -> float:
+    """Return the least share of a group with which a scatter can suffice if all others answer.
+
+    >>> minimum_share_of_group(20, 5, 0.89)
+    0.6
+    >>> minimum_share_of_group(20, 2, 0.5)
+    0.0
+    """
+    missing = math.floor(shards * (1.0 - minimum_share) + 1e-9)
+    return max(0, group - missing) / group
+
+
+class DelegatedShards:
+    """One group; its end is reported once, unless it is cancelled before.
+
+    :ivar part: the merged answer of the group, once there is one.
+    :ivar may_have_run: back ends may have got the request.
+    :ivar attempts_left: the most back ends that each shard may be sent to from here, after the
+        end; 0 where the other gateway answered, or what it sent cannot be counted.
+    """
+
+    def __init__(
+        self,
+        delegation: Delegation,
+        route: Route,
+        request: HttpRequest,
+        request_id: bytes,
+        moments: Moments,
+        relaying: Relaying,
+    ) -> None:
+        """Prepare; set :attr:`on_end` before :meth:`start`."""
+        self.services = delegation.services
+        self.on_end: Callable[[DelegatedShards], None] = lambda _: None
+        self.pending = True
+        self.part: Merged | None = None
+        self.may_have_run = False
+        self.repeated = False
+        self.attempts_left = 0
+        self.repeats = 0
+        self._missing: tuple[MissingShard, ...] = ()
+        self._problem = "no answer yet"
+        self._delegation = delegation
+        self._route = route
+        self._request = request
+        self._request_id = request_id
+        self._moments = moments
+        self._relaying = relaying
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Ask the other gateway."""
+        self.may_have_run = True
+        forwarding = self._relaying.forwarding
+        forwarding.counters.delegated += 1
+        self._task = forwarding.loop.create_task(self._run())
+
+    def cancel(self) -> None:
+        """Tell the other gateway that nobody waits any more."""
+        if self._task is not None:
+            self._task.cancel()
+
+    @property
+    def included(self) -> int:
+        """Return how many of the shards have answered."""
+        return len(self.part.stamps) if self.part is not None else 0
+
+    @property
+    def hopeful(self) -> int:
+        """Return how many of the shards may still answer."""
+        return len(self.services) if self.pending else 0
+
+    @property
+    def missing_shards(self) -> tuple[MissingShard, ...]:
+        """Return the shards without an answer, and why."""
+        if self.part is not None:
+            return self._missing
+        return tuple(MissingShard(service, self._problem) for service in self.services)
+
+    async def _run(self) -> None:
+        """Ask once; what the other gateway does not do is left to the caller."""
+        delegation = self._delegation
+        scatter = self._scatter_request()
+        outcome = await hand_over(self._relaying, delegation.coordinator, scatter, self._moments)
+        self.pending = False
+        match outcome:
+            case ScatterEnd():
+                self._take(outcome)
+            case NotTaken(detail=detail):
+                self._problem = detail
+                self.may_have_run = False
+                self.attempts_left = self._route.attempts
+            case Silent(detail=detail):
+                self._problem = detail
+                self.repeated = True
+                self.attempts_left = self._route.attempts - 1
+            case Lost(detail=detail):
+                self._problem = detail
+        self.on_end(self)
+
+    def _take(self, end: ScatterEnd) -> None:
+        """Take the answer."""
+        self.repeats = end.repeats
+        self._missing = end.missing_shards
+        if isinstance(end.outcome, Merged):
+            self.part = end.outcome
+        else:
+            self._problem = end.outcome.__class__.__name__
+            self.may_have_run = not isinstance(end.outcome, NotRun)
+
+    def _scatter_request(self) -> ScatterRequest:
+        """Say what is asked, with the time that is left now."""
+        now = self._relaying.forwarding.loop.time()
+        moments = self._moments
+        return ScatterRequest(
+            request=self._request,
+            request_id=self._request_id,
+            objective_left_s=moments.objective_at - now - PATH_MARGIN_S,
+            deadline_left_s=moments.deadline_at - now - ANSWER_MARGIN_S,
+            returning=moments.returning,
+            configuration_revision=self._relaying.configuration_revision(),
+            attempts=self._route.attempts,
+            shards=self.services,
+            minimum_share=self._delegation.minimum_share,
+        )
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from tinrudder.gateway.backend_directory import Backend, BackendDirectory
 from tinrudder.gateway.model import HeaderNames, RepeatBounds, Route
 from tinrudder.routing.latency_window import LatencyWindow
 from tinrudder.routing.repeat_budget import RepeatBudget
+from tinrudder.routing.scatter_place import ScatterSizes
+
+SIZE_GAIN = 0.1
 
 
 @dataclass(slots=True)
@@ -30,6 +33,8 @@
     relays_failed: int = 0
     relays_run_here: int = 0
     coordinated: int = 0
+    delegated: int = 0
+    delegations_run_here: int = 0
 
 
 @dataclass(slots=True)
@@ -50,6 +55,7 @@
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     _latencies: dict[str, LatencyWindow] = field(default_factory=dict)
     _unloaded: dict[str, LatencyWindow] = field(default_factory=dict)
+    _sizes: dict[tuple[str, ...], ScatterSizes] = field(default_factory=dict)
 
     def budget(self, service: str) -> RepeatBudget:
         """Return a service's repeat budget."""
@@ -76,8 +82,23 @@
             self._unloaded[route.name] = window
         return window
 
+    def sizes(self, index: tuple[str, ...]) -> ScatterSizes:
+        """Return how large answers of an index have been."""
+        return self._sizes.get(index, ScatterSizes())
+
+    def observe_sizes(self, index: tuple[str, ...], merged: int, parts: Sequence[int]) -> None:
+        """Learn from one merged answer, and from the parts that came here."""
+        known = self.sizes(index)
+        part = known.part
+        if parts:
+            part = _smoothed(part, sum(parts) / len(parts))
+        self._sizes[index] = ScatterSizes(part, _smoothed(known.merged, merged))
+
     def forget_unused(self, services: frozenset[str], routes: frozenset[str]) -> None:
         """Drop what belongs to services and routes that no configuration names any more."""
+        self._sizes = {
+            index: sizes for index, sizes in self._sizes.items() if services.issuperset(index)
+        }
         for service in self._budgets.keys() - services:
             del self._budgets[service]
         for route in self._latencies.keys() - routes:
@@ -100,3 +121,8 @@
                 now, same_zone=backend.entry.zone == zone
             ),
         )
+
+
+def _smoothed(former: float, seen: float) -> float:
+    """Return a mean in which the latest value weighs a little; the first one counts whole."""
+    return former + SIZE_GAIN * (seen - former) if former else float(seen)
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -76,6 +76,8 @@
     "connections_opened": "Connections opened to back ends.",
     "refused": "Requests refused because queues at the back ends were too long.",
     "relayed": "Scatters handed to coordinators.",
+    "delegated": "Groups of shards handed to gateways beside their replicas.",
+    "delegations_run_here": "Groups of shards asked from here since the other gateway did not.",
     "relays_failed": "Coordinators that did not serve a scatter.",
     "relays_run_here": "Scatters run here because no coordinator served them.",
     "coordinated": "Scatters run for other gateways.",
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -17,9 +17,10 @@
 from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.peer_messages import Member
 from tinrudder.gateway.plain_answers import PlainHandler, readiness_answer, text_answer
-from tinrudder.gateway.relayed_run import Relaying
+from tinrudder.gateway.relaying import Relaying
 from tinrudder.gateway.request_handler import RequestHandler as ForwardingHandler
 from tinrudder.gateway.request_log import FinishedRequest, log_request
+from tinrudder.gateway.scatter_planner import ScatterPlanner
 from tinrudder.gateway.scatter_service import ScatterService
 from tinrudder.gateway.shared_state import SharedState
 from tinrudder.gateway.store_follower import StoreFollower
@@ -76,6 +77,7 @@
             loop.time,
             self.describe,
             self._replica_zones,
+            lambda index: self.forwarding.sizes(index),
             self._on_coordination,
         )
         self.state.subscribe(self.coordinators.refresh)
@@ -105,11 +107,22 @@
             forwarding=self.forwarding,
             configuration_revision=lambda: self.state.configuration_revision,
         )
+        planner = ScatterPlanner(self.forwarding, relaying, self._random)
         self.handler = ForwardingHandler(
-            self.forwarding, self.state, self._on_finished, self._random, self._knows_news, relaying
+            self.forwarding,
+            self.state,
+            self._on_finished,
+            self._random,
+            self._knows_news,
+            relaying,
+            planner,
         )
         self.scatters = ScatterService(
-            self.forwarding, self.state, self.handler.admission, lambda: self.handler.routes
+            self.forwarding,
+            self.state,
+            self.handler.admission,
+            planner,
+            lambda: self.handler.routes,
         )
         self.store_calls = 0
         self._followers: list[StoreFollower] = []
@@ -299,6 +312,7 @@
         fields: dict[str, LogValue] = {
             "own": coordination.own,
             "asked": " ".join(str(address) for address in coordination.asked),
+            "handed_over": coordination.handed_over_count,
             "callers": coordination.callers,
             "nodes": self.nodes(),
         }
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -21,11 +21,13 @@
     UnknownRoute,
 )
 from tinrudder.gateway.peer_messages import MissingShard
-from tinrudder.gateway.relayed_run import RelayedRun, Relaying
+from tinrudder.gateway.relayed_run import RelayedRun
+from tinrudder.gateway.relaying import Relaying
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_log import FinishedRequest, RequestObserver
-from tinrudder.gateway.request_run import OutcomeListener, RequestRun
+from tinrudder.gateway.request_run import RequestRun
 from tinrudder.gateway.routes_in_force import RoutesInForce
+from tinrudder.gateway.scatter_planner import ScatterPlanner
 from tinrudder.gateway.shared_state import SharedState
 
 RETRY_AFTER_START_S = 0.3
@@ -64,6 +66,7 @@
         random_source: random.Random,
         knows_news: Callable[[], bool],
         relaying: Relaying,
+        planner: ScatterPlanner,
     ) -> None:
         """Report every finished request to ``observer``.
 
@@ -71,6 +74,7 @@
         """
         self._knows_news = knows_news
         self._relaying = relaying
+        self._planner = planner
         self.closing = False
         self.in_progress = 0
         self.forwarding = forwarding
@@ -163,29 +167,43 @@
 
         A coordinator judges by itself whether a scatter can be in time: it sees the queues.
         """
-        services = route.shards or (routes.choose_service(route, self._random),)
-
-        def run_here(on_outcome: OutcomeListener) -> RequestRun:
-            names = self.forwarding.names
-            encoded = RequestBytes(request, serving.request_id, moments.deadline_at, names)
-            return RequestRun(route, services, encoded, moments, self.forwarding, on_outcome)
-
-        if route.shards:
-            coordination = self._relaying.coordinators.of_route(route)
-            if not coordination.own:
-                return RelayedRun(
-                    route,
-                    request,
-                    serving.request_id,
-                    moments,
-                    self._relaying,
-                    coordination.asked,
-                    run_here,
-                    serving.end,
-                )
+        if not route.shards:
+            return self._plan_single(routes, route, request, moments, serving)
+        coordination = self._relaying.coordinators.of_route(route)
+        if not coordination.own:
+            return RelayedRun(
+                route,
+                request,
+                serving.request_id,
+                moments,
+                self._relaying,
+                coordination.asked,
+                self._planner,
+                serving.end,
+            )
+        shards = coordination.own_shards(route.shards)
+        refusal = self.admission.refusal(route, shards, moments, routes.steps_below_urgent(route))
+        if refusal is not None:
+            return refusal
+        return self._planner.run(route, request, serving.request_id, moments, serving.end)
+
+    def _plan_single(
+        self,
+        routes: RoutesInForce,
+        route: Route,
+        request: HttpRequest,
+        moments: Moments,
+        serving: _Serving,
+    ) -> Run | NotRun:
+        """Run a request at one back end of the service chosen, or refuse it at once."""
+        services = (routes.choose_service(route, self._random),)
         steps = routes.steps_below_urgent(route)
         refusal = self.admission.refusal(route, services, moments, steps)
-        return refusal if refusal is not None else run_here(serving.end)
+        if refusal is not None:
+            return refusal
+        names = self.forwarding.names
+        encoded = RequestBytes(request, serving.request_id, moments.deadline_at, names)
+        return RequestRun(route, services, encoded, moments, self.forwarding, serving.end)
 
     def _refresh(self) -> None:
         """Index a configuration that has just come into force."""
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from tinrudder.gateway.client_moments import Moments
+from tinrudder.gateway.delegated_shards import DelegatedShards
 from tinrudder.gateway.forwarding import Forwarding
-from tinrudder.gateway.messages import header_value
+from tinrudder.gateway.messages import HttpAnswer, header_value
 from tinrudder.gateway.model import Route
 from tinrudder.gateway.outcomes import (
     Merged,
@@ -44,14 +45,19 @@
         *,
         attempts: int | None = None,
         repeated: bool = False,
+        minimum_share: float | None = None,
+        delegated: Sequence[DelegatedShards] = (),
     ) -> None:
-        """Prepare calls to ``services``: the route's shards, or the one service chosen.
+        """Prepare calls to ``services``: shards of the route, or the one service chosen.
 
         :param attempts: the most back ends that one shard's part may be sent to; by the route
             if ``None``.
         :param repeated: another gateway may have sent calls for this request already.
+        :param minimum_share: the least share that makes an answer; by the route if ``None``.
+        :param delegated: the other shards of the scatter, asked by other gateways.
         """
         self._route = route
+        self._request = request
         self._moments = moments
         self._forwarding = forwarding
         self._on_outcome = on_outcome
@@ -61,17 +67,28 @@
         self._timer: TimerHandle | None = None
         self._timer_at = NEVER
         self._included = 0
+        self._may_have_run_elsewhere = False
         self._ended: set[ShardCalls] = set()
         self._hopeless: set[ShardCalls] = set()
-        self.shards = [
+        if minimum_share is None:
+            minimum_share = route.minimum_share if self._scatter else WHOLE
+        self._minimum_share = minimum_share
+        self._total = len(services) + sum(len(group.services) for group in delegated)
+        self._delegated = list(delegated)
+        most = attempts if attempts is not None else route.attempts
+        self.shards = self._calls(services, most, repeated=repeated)
+
+    def _calls(self, services: Sequence[str], attempts: int, *, repeated: bool) -> list[ShardCalls]:
+        """Prepare the calls of some shards."""
+        return [
             ShardCalls(
                 service,
-                route,
-                request,
-                forwarding,
+                self._route,
+                self._request,
+                self._forwarding,
                 self._review,
                 relay_failures=not self._scatter,
-                attempts=attempts if attempts is not None else route.attempts,
+                attempts=attempts,
                 repeated=repeated,
             )
             for service in services
@@ -80,25 +97,30 @@
     @property
     def included(self) -> int:
         """Return how many shards have answered."""
-        return self._included
+        return self._included + sum(group.included for group in self._delegated)
 
     @property
     def repeats(self) -> int:
         """Return how many calls were sent beyond the first of each shard."""
-        return sum(max(0, shard.sends - 1) for shard in self.shards)
+        here = sum(max(0, shard.sends - 1) for shard in self.shards)
+        return here + sum(group.repeats for group in self._delegated)
 
     @property
     def missing_shards(self) -> tuple[MissingShard, ...]:
         """Return the shards without an answer, and why."""
-        return tuple(
+        here = tuple(
             MissingShard(shard.service, shard.last_problem or "no answer yet")
             for shard in self.shards
             if shard.part is None
         )
+        return here + tuple(one for group in self._delegated for one in group.missing_shards)
 
     def start(self) -> None:
         """Send the first calls."""
         now = self._forwarding.loop.time()
+        for group in self._delegated:
+            group.on_end = self._on_group_end
+            group.start()
         for shard in self.shards:
             shard.start(now)
         self._starting = False
@@ -123,6 +145,30 @@
         if not self._finished:
             self._arm(shard.next_at)
 
+    def _on_group_end(self, group: DelegatedShards) -> None:
+        """Take what another gateway got, or ask here for what it did not."""
+        if self._finished:
+            return
+        now = self._forwarding.loop.time()
+        if group.part is None and group.attempts_left > 0:
+            self._take_over(group, now)
+        self._act(now)
+        self._arm_for_shards()
+
+    def _take_over(self, group: DelegatedShards, now: float) -> None:
+        """Ask a group's shards from here."""
+        self._forwarding.counters.delegations_run_here += 1
+        self._delegated.remove(group)
+        self._may_have_run_elsewhere |= group.may_have_run
+        calls = self._calls(group.services, group.attempts_left, repeated=group.repeated)
+        self.shards.extend(calls)
+        self._starting = True
+        for shard in calls:
+            shard.start(now)
+        self._starting = False
+        for shard in calls:
+            self._count(shard)
+
     def _count(self, shard: ShardCalls) -> None:
         """Keep the counts that the decision needs; a scatter reviews as often as it has shards."""
         if shard in self._ended:
@@ -147,12 +193,12 @@
 
     def _state(self) -> ScatterState:
         """Return the inputs of the decision."""
-        route = self._route
+        here = len(self.shards) - self._included - len(self._hopeless)
         return ScatterState(
-            shards=len(self.shards),
+            shards=self._total,
             included=self.included,
-            hopeful=len(self.shards) - self._included - len(self._hopeless),
-            minimum_share=route.minimum_share if self._scatter else WHOLE,
+            hopeful=here + sum(group.hopeful for group in self._delegated),
+            minimum_share=self._minimum_share,
             objective_at=self._moments.objective_at,
             deadline_at=self._moments.deadline_at,
         )
@@ -193,27 +239,43 @@
         parts = [shard.part for shard in self.shards if shard.part is not None]
         if not self._scatter:
             return Relayed(parts[0])
+        return self._merged(parts)
+
+    def _merged(self, parts: list[HttpAnswer]) -> Merged:
+        """Merge what came here with what other gateways merged."""
         stamp = self._forwarding.names.stamp
-        return Merged(
-            body=greatest_records((part.body for part in parts), self._route.top_records),
-            stamps=tuple(header_value(part.headers, stamp) or b"" for part in parts),
-            missing=len(self.shards) - len(parts),
-        )
+        stamps = [header_value(part.headers, stamp) or b"" for part in parts]
+        bodies = [part.body for part in parts]
+        sizes = [len(body) for body in bodies]
+        for group in self._delegated:
+            if group.part is not None:
+                stamps.extend(group.part.stamps)
+                bodies.append(group.part.body)
+        body = greatest_records(bodies, self._route.top_records)
+        self._forwarding.observe_sizes(self._route.shards, len(body), sizes)
+        return Merged(body, tuple(stamps), self._total - len(stamps))
 
     def _failure(self, now: float) -> RequestOutcome:
         """Say truthfully why there is no answer."""
         detail = "; ".join(
             sorted({shard.last_problem for shard in self.shards if shard.last_problem})
         )
-        if not any(shard.may_have_run for shard in self.shards):
+        if not self._may_have_run:
             return NotRun(detail or "no back end is left", RETRY_AFTER_S)
-        failure = self.shards[0].failure
-        if not self._scatter and failure is not None:
+        failure = None if self._scatter else self.shards[0].failure
+        if failure is not None:
             return Relayed(failure)
         if now >= self._moments.deadline_at:
             return TimedOut(detail or "no answer in time")
         return NoAnswer(detail)
 
+    @property
+    def _may_have_run(self) -> bool:
+        """Tell whether any back end may have got the request."""
+        here = any(shard.may_have_run for shard in self.shards)
+        elsewhere = any(group.may_have_run for group in self._delegated)
+        return here or elsewhere or self._may_have_run_elsewhere
+
     def _finish(self, outcome: RequestOutcome) -> None:
         """Report once."""
         self._stop()
@@ -225,6 +287,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        for group in self._delegated:
+            group.cancel()
         for shard in self.shards:
             shard.withdraw_unsent()
         if any(shard.running for shard in self.shards):
--- /dev/null
+++ b/tinrudder/gateway/scatter_planner.py
@@ -0,0 +1,86 @@
+"""Prepares scatters: which shards are asked from here, and which by a gateway beside them."""
+
+from __future__ import annotations
+
+import random
+
+from tinrudder.gateway.client_moments import Moments
+from tinrudder.gateway.coordinators import Coordination
+from tinrudder.gateway.delegated_shards import (
+    DelegatedShards,
+    Delegation,
+    minimum_share_of_group,
+)
+from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.model import Route
+from tinrudder.gateway.relaying import Relaying
+from tinrudder.gateway.request_bytes import RequestBytes
+from tinrudder.gateway.request_run import OutcomeListener, RequestRun
+
+
+class ScatterPlanner:
+    """Makes the runs of scatters that this gateway merges."""
+
+    def __init__(
+        self, forwarding: Forwarding, relaying: Relaying, random_source: random.Random
+    ) -> None:
+        """Ask other gateways through ``relaying``."""
+        self._forwarding = forwarding
+        self._relaying = relaying
+        self._random = random_source
+
+    def own_shards(self, route: Route) -> tuple[str, ...]:
+        """Return the shards that this gateway would ask itself."""
+        return self._coordination(route).own_shards(route.shards)
+
+    def run(
+        self,
+        route: Route,
+        request: HttpRequest,
+        request_id: bytes,
+        moments: Moments,
+        on_outcome: OutcomeListener,
+        *,
+        attempts: int | None = None,
+        repeated: bool = False,
+    ) -> RequestRun:
+        """Prepare one scatter.
+
+        A repeated one is not divided again: its calls are few and counted here.
+        """
+        encoded = RequestBytes(request, request_id, moments.deadline_at, self._forwarding.names)
+        services = route.shards
+        delegated: list[DelegatedShards] = []
+        if not repeated:
+            services = self.own_shards(route)
+            delegated = [
+                DelegatedShards(one, route, request, request_id, moments, self._relaying)
+                for one in self._delegations(route)
+            ]
+        return RequestRun(
+            route,
+            services,
+            encoded,
+            moments,
+            self._forwarding,
+            on_outcome,
+            attempts=attempts,
+            repeated=repeated,
+            delegated=delegated,
+        )
+
+    def _delegations(self, route: Route) -> list[Delegation]:
+        """Choose for each group one of the gateways beside its replicas, by chance."""
+        total = len(route.shards)
+        return [
+            Delegation(
+                group.shards,
+                self._random.choice(group.asked),
+                minimum_share_of_group(total, len(group.shards), route.minimum_share),
+            )
+            for group in self._coordination(route).handed_over
+        ]
+
+    def _coordination(self, route: Route) -> Coordination:
+        return self._relaying.coordinators.of_route(route)
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -8,12 +8,14 @@
 from tinrudder.gateway.admission import Admission
 from tinrudder.gateway.client_moments import Moments
 from tinrudder.gateway.forwarding import Forwarding
-from tinrudder.gateway.outcomes import RequestOutcome
+from tinrudder.gateway.model import Route
+from tinrudder.gateway.outcomes import NotRun, RequestOutcome
 from tinrudder.gateway.peer_messages import Declined, ScatterAnswer, ScatterEnd, ScatterRequest
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_log import log_coordinated
-from tinrudder.gateway.request_run import RequestRun
+from tinrudder.gateway.request_run import OutcomeListener, RequestRun
 from tinrudder.gateway.routes_in_force import RoutesInForce
+from tinrudder.gateway.scatter_planner import ScatterPlanner
 from tinrudder.gateway.shared_state import SharedState
 
 
@@ -29,6 +31,7 @@
         forwarding: Forwarding,
         state: SharedState,
         admission: Admission,
+        planner: ScatterPlanner,
         routes: Callable[[], RoutesInForce | None],
     ) -> None:
         """Find routes by what ``routes`` returns at that moment."""
@@ -37,6 +40,7 @@
         self._forwarding = forwarding
         self._state = state
         self._admission = admission
+        self._planner = planner
         self._routes = routes
 
     async def serve(self, scatter: ScatterRequest) -> ScatterAnswer:
@@ -52,27 +56,59 @@
         route = routes.find(scatter.request)
         if route is None or not route.shards:
             return Declined("no scatter by the configuration here")
+        if not set(scatter.shards) <= set(route.shards):
+            return Declined("other shards by the configuration here")
         moments = self._moments(scatter)
-        steps = routes.steps_below_urgent(route)
         version = routes.configuration.version
-        refusal = self._admission.refusal(route, route.shards, moments, steps)
+        refusal = self._refusal(routes, route, scatter, moments)
         if refusal is not None:
             self._forwarding.counters.refused += 1
             return ScatterEnd(refusal, version)
         ended: asyncio.Future[RequestOutcome] = self._forwarding.loop.create_future()
-        run = RequestRun(
+        run = self._run(route, scatter, moments, ended.set_result)
+        end = ScatterEnd(await self._finish(run, ended), version, run.repeats, run.missing_shards)
+        log_coordinated(scatter, route, end, self._forwarding.loop.time() - moments.received_at)
+        return end
+
+    def _refusal(
+        self, routes: RoutesInForce, route: Route, scatter: ScatterRequest, moments: Moments
+    ) -> NotRun | None:
+        """Refuse a whole scatter that cannot be in time; of a part, the entry has judged."""
+        if scatter.shards:
+            return None
+        steps = routes.steps_below_urgent(route)
+        return self._admission.refusal(route, self._planner.own_shards(route), moments, steps)
+
+    def _run(
+        self,
+        route: Route,
+        scatter: ScatterRequest,
+        moments: Moments,
+        on_outcome: OutcomeListener,
+    ) -> RequestRun:
+        """Prepare what is asked for: a whole scatter, or some of its shards."""
+        attempts = min(route.attempts, scatter.attempts)
+        if not scatter.shards:
+            return self._planner.run(
+                route,
+                scatter.request,
+                scatter.request_id,
+                moments,
+                on_outcome,
+                attempts=attempts,
+                repeated=scatter.repeated,
+            )
+        return RequestRun(
             route,
-            route.shards,
+            scatter.shards,
             self._request_bytes(scatter, moments),
             moments,
             self._forwarding,
-            ended.set_result,
-            attempts=min(route.attempts, scatter.attempts),
+            on_outcome,
+            attempts=attempts,
             repeated=scatter.repeated,
+            minimum_share=scatter.minimum_share,
         )
-        end = ScatterEnd(await self._finish(run, ended), version, run.repeats, run.missing_shards)
-        log_coordinated(scatter, route, end, self._forwarding.loop.time() - moments.received_at)
-        return end
 
     async def _finish(
         self, run: RequestRun, ended: asyncio.Future[RequestOutcome]
--- /dev/null
+++ b/tinrudder/routing/scatter_place.py
@@ -0,0 +1,86 @@
+"""Which shards of a scatter are asked from another zone, because their replicas are there.
+
+What crosses from one zone to another is paid for.  A gateway that asks shards without a replica in
+its zone fetches every part from elsewhere.  Handed to a gateway beside the replicas, one request
+and one merged answer cross instead.  Nothing here reads a clock or sends.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass
+
+CALL_OVERHEAD_BYTES = 400.0
+"""Heads of one call and of its answer."""
+HANDOVER_BYTES = 700.0
+"""A request handed over, the words that it was taken, and the answer without what it holds."""
+STAMP_BYTES = 48.0
+"""A shard's name in the request and its part's signature in the answer."""
+LEAST_GAIN = 2.0
+"""Handing over must cross so many times fewer bytes: it also costs a hop and another gateway."""
+
+
+@dataclass(frozen=True, slots=True)
+class ScatterSizes:
+    """How large the bodies of an index's answers have been, bytes; 0 where none was seen.
+
+    :param part: of one shard's answer.
+    :param merged: of the merged answer, or of a merged part of it.
+    """
+
+    part: float = 0.0
+    merged: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ShardGroup:
+    """Shards that are handed over together, and the zones that serve them equally well."""
+
+    shards: tuple[str, ...]
+    zones: frozenset[str]
+
+
+def pays_to_hand_over(shards: int, sizes: ScatterSizes) -> bool:
+    """Tell whether handing shards over lets so much less cross that it is worth a hop.
+
+    >>> pays_to_hand_over(7, ScatterSizes(part=1000.0, merged=800.0))
+    True
+    >>> pays_to_hand_over(1, ScatterSizes(part=1000.0, merged=800.0))
+    False
+    """
+    fetched = shards * (CALL_OVERHEAD_BYTES + sizes.part)
+    handed_over = HANDOVER_BYTES + shards * STAMP_BYTES + sizes.merged
+    return fetched >= LEAST_GAIN * handed_over
+
+
+def group_by_place(
+    own_zone: str,
+    zones: Iterable[str],
+    replica_zones: Mapping[str, Collection[str]],
+    sizes: ScatterSizes,
+) -> tuple[ShardGroup, ...]:
+    """Return the groups of shards to hand over; the rest is asked from here.
+
+    The zone with replicas of the most such shards comes first, together with all others that have
+    replicas of just the same ones.
+
+    :param zones: the zones in which gateways would take shards.
+    :param replica_zones: for each shard the zones of its replicas.
+
+    >>> replicas = {f"s{i}": ("a", "b") for i in range(5)} | {"s5": ("c",)}
+    >>> [(len(group.shards), sorted(group.zones))
+    ...     for group in group_by_place("c", "abc", replicas, ScatterSizes(1000.0, 800.0))]
+    [(5, ['a', 'b'])]
+    """
+    lacking = [shard for shard, places in replica_zones.items() if own_zone not in places]
+    others = sorted(set(zones) - {own_zone})
+    groups: list[ShardGroup] = []
+    while lacking:
+        served = {zone: [one for one in lacking if zone in replica_zones[one]] for zone in others}
+        most = max(served.values(), key=len, default=[])
+        if not most or not pays_to_hand_over(len(most), sizes):
+            break
+        equals = frozenset(zone for zone, shards in served.items() if shards == most)
+        groups.append(ShardGroup(tuple(most), equals))
+        lacking = [shard for shard in lacking if shard not in most]
+    return tuple(groups)
--- a/tinrudder/wire/gateway_relay_codec.py
+++ b/tinrudder/wire/gateway_relay_codec.py
@@ -93,13 +93,14 @@
         headers=[pb.Header(name=name, value=value) for name, value in request.headers],
         body=request.body,
         request_id=scatter.request_id,
-        route=scatter.route,
         objective_left_us=int(scatter.objective_left_s * MICROSECONDS),
         deadline_left_us=int(scatter.deadline_left_s * MICROSECONDS),
         returning=scatter.returning,
         configuration_revision=scatter.configuration_revision,
         repeated=scatter.repeated,
         attempts=scatter.attempts,
+        shards=scatter.shards,
+        minimum_share=scatter.minimum_share,
     )
 
 
@@ -108,13 +109,14 @@
     return ScatterRequest(
         request=HttpRequest(message.method, message.target, headers, message.body),
         request_id=message.request_id,
-        route=message.route,
         objective_left_s=message.objective_left_us / MICROSECONDS,
         deadline_left_s=message.deadline_left_us / MICROSECONDS,
         returning=message.returning,
         configuration_revision=message.configuration_revision,
         repeated=message.repeated,
         attempts=message.attempts,
+        shards=tuple(message.shards),
+        minimum_share=message.minimum_share,
     )
 
 
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -64,6 +64,9 @@
     :param shards: how many shards the scatter route has.
     :param copies: how many back ends each shard has.
     :param capacities: processor cores of the gateways, by turns.
+    :param zones: of the gateways, by turns.
+    :param spread: the copies of a shard stand in ``zones`` from the shard's own number on, so that
+        every zone lacks some shards; else in the first zones, the same ones for all shards.
     :param network: first number of every address.
     :param work_s: time that a back end's slot is held by one request.
     """
@@ -74,6 +77,8 @@
     node_count: int = 3
     shards: int = 8
     copies: int = 2
+    zones: tuple[str, ...] = ZONES
+    spread: bool = False
     capacities: tuple[float, ...] = (1.0,)
     singles: int = 3
     work_s: float = 0.02
@@ -90,13 +95,15 @@
         self.store = EmulatedStore(f"{self.network}.200.0.1")
         for index in range(self.node_count):
             name = f"gateway-{index}"
-            machine = Machine(name, ZONES[index % 2], "region")
+            machine = Machine(name, self.zones[index % len(self.zones)], "region")
             self.nodes.append(EmulatedNode(name, index, machine, self.network))
         for node in self.nodes:
             await self.store.listen(node.store_port)
-        for shard in self.shard_services:
+        for number, shard in enumerate(self.shard_services):
+            first = number if self.spread else 0
             for copy in range(self.copies):
-                await self.add_backend(f"{shard}-{copy}", shard, ZONES[copy % len(ZONES)])
+                zone = self.zones[(first + copy) % len(self.zones)]
+                await self.add_backend(f"{shard}-{copy}", shard, zone)
         for copy in range(self.singles):
             await self.add_backend(f"single-{copy}", "single", ZONES[copy % 2])
         self.configure()
