--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -18,6 +18,12 @@
 from tinrudder.routing.load_forecast import admission_share, wait_of_shards
 from tinrudder.routing.route_table import RouteTable
 from tinrudder.routing.weighted_rotation import WeightedRotation
+from tinrudder.routing.zone_preference import (
+    LARGEST_ADVANTAGE,
+    LEAST_ADVANTAGE,
+    is_slow,
+    zone_advantage,
+)
 
 
 @dataclass(frozen=True)
@@ -164,15 +170,15 @@
     stalled.begin(0.0, 0.02)
     for _ in range(2):
         busy.begin(0.09, 0.02)
-    assert stalled.cost(0.1, same_zone=True) > busy.cost(0.1, same_zone=False)
+    assert stalled.cost(0.1) > busy.cost(0.1) + LARGEST_ADVANTAGE
 
 
 def test_a_failure_weighs_more_than_slowness_and_fades() -> None:
     failed, slow = BackendObservations(), BackendObservations()
     failed.failed(failed.begin(0.0, 0.02), 0.0)
     slow.answered(slow.begin(0.0, 0.02), 0.2)
-    assert failed.cost(0.2, same_zone=True) > slow.cost(0.2, same_zone=True)
-    assert failed.cost(5.0, same_zone=True) == slow.cost(5.0, same_zone=True)
+    assert failed.cost(0.2) > slow.cost(0.2)
+    assert failed.cost(5.0) == slow.cost(5.0)
 
 
 def test_reported_queues_count_until_they_are_old() -> None:
@@ -205,3 +211,27 @@
         seen.update(rotation.next() for _ in range(2))
     for name, weight in weights.items():
         assert abs(seen[name] / 800 - weight / sum(weights.values())) < 0.1
+
+
+@given(
+    usual_s=st.floats(0.001, 1.0),
+    longer=st.floats(1.0, 10.0),
+    hedge=st.floats(0.004, 0.5),
+    objective_s=st.floats(0.02, 2.0),
+)
+def test_the_own_zone_yields_as_calls_take_longer(
+    usual_s: float, longer: float, hedge: float, objective_s: float
+) -> None:
+    usual = zone_advantage(usual_s, hedge, objective_s)
+    loaded = zone_advantage(usual_s * longer, hedge * longer, objective_s)
+    assert LEAST_ADVANTAGE <= loaded <= usual <= LARGEST_ADVANTAGE
+
+
+def test_one_stall_is_not_slowness_but_two_slow_answers_are() -> None:
+    backend = BackendObservations()
+    backend.answered(backend.begin(0.0, 0.033), 0.2)
+    assert not is_slow(backend.expected_relative_latency(0.2))
+    slow = BackendObservations()
+    for sent_at in (0.0, 0.4):
+        slow.answered(slow.begin(sent_at, 0.033), sent_at + 0.33)
+    assert is_slow(slow.expected_relative_latency(0.8))
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -8,9 +8,11 @@
 
 from tinrudder.gateway.backend_directory import Backend, BackendDirectory
 from tinrudder.gateway.model import HeaderNames, RepeatBounds, Route
+from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
 from tinrudder.routing.latency_window import LatencyWindow
 from tinrudder.routing.repeat_budget import RepeatBudget
 from tinrudder.routing.scatter_place import ScatterSizes
+from tinrudder.routing.zone_preference import LEAST_ADVANTAGE, is_slow, zone_advantage
 
 SIZE_GAIN = 0.1
 
@@ -112,15 +114,26 @@
         waits = (backend.observations.wait_s(now, service_s) for backend in backends)
         return min(waits, default=0.0)
 
-    def choose(self, candidates: list[Backend], now: float) -> Backend:
-        """Return the most promising back end."""
-        zone = self.zone
-        return min(
-            candidates,
-            key=lambda backend: backend.observations.cost(
-                now, same_zone=backend.entry.zone == zone
-            ),
-        )
+    def choose(self, candidates: list[Backend], route: Route, now: float) -> Backend:
+        """Return the most promising back end, one in the own zone where that is soon enough."""
+        advantage = self._zone_advantage(candidates, route, now)
+
+        def cost(backend: Backend) -> float:
+            local = backend.entry.zone == self.zone
+            return backend.observations.cost(now) + (0.0 if local else advantage)
+
+        return min(candidates, key=cost)
+
+    def _zone_advantage(self, candidates: list[Backend], route: Route, now: float) -> float:
+        """Return by how much back ends elsewhere must be faster, in usual latencies."""
+        for backend in candidates:
+            local = backend.entry.zone == self.zone
+            if local and is_slow(backend.observations.expected_relative_latency(now)):
+                return LEAST_ADVANTAGE
+        latency = self.latency(route)
+        usual_s = usual_latency_s(latency, route.objective_s)
+        hedged_s = hedge_delay_s(latency, route.objective_s, budget_fill=1.0)
+        return zone_advantage(usual_s, hedged_s, route.objective_s)
 
 
 def _smoothed(former: float, seen: float) -> float:
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -152,7 +152,7 @@
         if paid and not self._may_repeat(now, hedge=False):
             self.next_at = now + DENIED_PAUSE_S
             return
-        self._send(self._forwarding.choose(candidates, now), now, paid=paid)
+        self._send(self._forwarding.choose(candidates, self._route, now), now, paid=paid)
 
     def _hedge(self, now: float) -> None:
         """Send a second call beside one that is overdue."""
@@ -174,7 +174,7 @@
             self.next_at = now + DENIED_PAUSE_S
             return
         self._forwarding.counters.hedges += 1
-        self._send(self._forwarding.choose(candidates, now), now, paid=paid)
+        self._send(self._forwarding.choose(candidates, self._route, now), now, paid=paid)
 
     def _candidates(self) -> list[Backend]:
         """Return the back ends that may get the next call.
--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -17,7 +17,6 @@
 SUSPECT_MAX_S = 2.0
 SUSPECT_PENALTY = 20.0
 COLD_FACTOR = 1.6
-OTHER_ZONE_PENALTY = 0.35
 BACKLOG_LIFETIME_S = 0.8
 USUAL_LATENCY_S = 0.02
 
@@ -120,7 +119,7 @@
         faded = max(0, ahead) * (1.0 - age / BACKLOG_LIFETIME_S)
         return faded / max(1, self.slots)
 
-    def cost(self, now: float, *, same_zone: bool) -> float:
+    def cost(self, now: float) -> float:
         """Return how long a call is expected to take, relative to its route; lower is better."""
         slots = max(1, self.slots)
         queued = max(0, len(self.running) + 1 - slots) / slots
@@ -129,8 +128,6 @@
         cost = self.expected_relative_latency(now) * (1.0 + busy) + queued
         if now < self.cold_until:
             cost *= COLD_FACTOR
-        if not same_zone:
-            cost += OTHER_ZONE_PENALTY
         if self.is_stalled(now):
             cost += STALLED_PENALTY
         if self.is_suspect(now):
