End with success on a stop signal that comes before the handlers

Ruled out: ignoring it until the loop runs, as the reload is: the platform would wait out its grace time for a process that has nothing to finish.

--- a/tests/functional/test_gateway_process.py
+++ b/tests/functional/test_gateway_process.py
@@ -27,9 +27,20 @@
     assert b"node" in problem
 
 
+def test_a_stop_signal_during_the_start_ends_the_process_with_success(tmp_path: Path) -> None:
+    settings = tmp_path / "boot.toml"
+    os.mkfifo(settings)
+    command = [sys.executable, "-m", "tinrudder.cli.gateway_process", "--settings", str(settings)]
+    with subprocess.Popen(command, stderr=subprocess.PIPE) as process, settings.open("w"):
+        process.send_signal(signal.SIGTERM)
+        process.communicate(timeout=TIMEOUT_S)
+    assert process.returncode == ExitCode.OK
+
+
 def test_the_signal_is_ignored_before_the_long_imports() -> None:
     source = Path(__file__).parents[2] / "tinrudder" / "cli" / "gateway_process.py"
     lines = source.read_text().splitlines()
     ignored = lines.index("signal.signal(signal.SIGHUP, signal.SIG_IGN)")
+    stops = next(n for n, line in enumerate(lines) if line.startswith("signal.signal(signal.SIGT"))
     imported = next(n for n, line in enumerate(lines) if line.startswith("from tinrudder"))
-    assert ignored < imported
+    assert max(ignored, stops) < imported
