Send digests mostly within the zone

Ruled out: a longer interval for all: news by digest and the silence limits (1.5 s, 2 s) depend on it. Change: of more than 17 gateways two of three receivers are in the own zone; of fewer, every second regular digest stays in the zone (changes are still told to all at once), and two members are named in place of seven.

--- a/tests/unit/test_shared_state.py
+++ b/tests/unit/test_shared_state.py
@@ -220,6 +220,27 @@
     assert len(peers.to_tell(11.0)) == 7
 
 
+@given(beside=st.integers(0, 40), elsewhere=st.integers(0, 40), seed=st.integers(0, 100))
+def test_digests_of_many_go_mostly_to_the_own_zone_but_always_beyond(
+    beside: int, elsewhere: int, seed: int
+) -> None:
+    peers = PeerList(Address("10.0.0.1", 1), random.Random(seed), 0.0, "zone-a")
+    for index in range(beside):
+        peers.heard_from(Member(Address(f"10.1.0.{index}", 1), "zone-a"), 10.0)
+    for index in range(elsewhere):
+        peers.heard_from(Member(Address(f"10.2.0.{index}", 1), "zone-b"), 10.0)
+    receivers = peers.receivers(11.0)
+    beyond = [one for one in receivers if one.host.startswith("10.2")]
+    assert len(set(receivers)) == len(receivers)
+    if beside + elsewhere <= 16:
+        assert len(receivers) == beside + elsewhere
+        assert len(peers.receivers(11.0, zone_only=True)) == beside
+    else:
+        assert len(receivers) == 3
+        assert bool(beyond) == bool(elsewhere)
+        assert len(beyond) <= max(1, 3 - beside)
+
+
 def test_digests_of_a_large_fleet_stay_within_the_bytes_allowed() -> None:
     """At most 3 KB/s of control for a node (docs/CAPACITY.md), datagram headers included."""
     peers = PeerList(Address("10.0.0.1", 1), random.Random(1), started_at=0.0)
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -67,7 +67,7 @@
         self._servers: list[asyncio.Server] = []
         self._metrics_address = metrics_address
         self._own = settings.peers or settings.clients
-        self.peers = PeerList(self._own, self._random, loop.time())
+        self.peers = PeerList(self._own, self._random, loop.time(), settings.zone)
         self.peers.set_seeds(settings.seeds)
         self.state = SharedState(decoders, loop.time, self._on_unreadable)
         self.counters = ForwardingCounters()
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -100,14 +100,17 @@
         await self._peer_server.close()
         await self._client.close()
 
-    def send_digests(self) -> None:
-        """Tell peers how far this gateway's knowledge goes."""
+    def send_digests(self, *, zone_only: bool = False) -> None:
+        """Tell peers how far this gateway's knowledge goes.
+
+        :param zone_only: only those in this gateway's zone, where there are few in all.
+        """
         if self._transport is None:
             return
         state = self._state
         self._told = (state.configuration_revision, state.backends_revision)
         payload = encode_digest(self._digest())
-        for address in self._peers.receivers(self._loop.time()):
+        for address in self._peers.receivers(self._loop.time(), zone_only=zone_only):
             self._transport.sendto(payload, (address.host, address.port))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -250,7 +253,8 @@
         """Send digests regularly, not all gateways at the same time; more often at first."""
         sent = 0
         while True:
-            self.send_digests()
+            # Peers in other zones hear every second one: bytes between zones are paid for.
+            self.send_digests(zone_only=sent > FIRST_DIGESTS and sent % 2 == 1)
             sent += 1
             interval_s = FIRST_DIGEST_INTERVAL_S if sent < FIRST_DIGESTS else DIGEST_INTERVAL_S
             await asyncio.sleep(interval_s * random.uniform(0.8, 1.2))
--- a/tinrudder/gateway/peer_list.py
+++ b/tinrudder/gateway/peer_list.py
@@ -16,10 +16,14 @@
 
 ALL_PEERS_UP_TO = 16
 RANDOM_PEERS = 3
+RANDOM_PEERS_ELSEWHERE = 1
+"""How many of the random peers are of other zones, between which bytes are paid for."""
 COUNTED_FOR_S = 30.0
 CANDIDATE_FOR_S = 15.0
 FORGOTTEN_AFTER_S = 90.0
 TOLD_PEERS = 7
+TOLD_PEERS_OF_FEW = 2
+"""Where everybody hears everybody, others are named only for those who have just started."""
 SETTLE_S = 3.0
 ASSUMED_AT_START = 10
 
@@ -38,9 +42,16 @@
     Seeds are kept although they may be stale: after a cut they are the way back.
     """
 
-    def __init__(self, own: Address, random_source: random.Random, started_at: float) -> None:
+    def __init__(
+        self,
+        own: Address,
+        random_source: random.Random,
+        started_at: float,
+        own_zone: str = "",
+    ) -> None:
         """Start with nobody but ``own``; ``started_at`` is when this process began."""
         self._own = own
+        self._own_zone = own_zone
         self._settled_at = started_at + SETTLE_S
         self._random = random_source
         self._seeds: set[Address] = set()
@@ -96,21 +107,36 @@
         """Return how long no peer was heard from."""
         return now - self._last_message_at if self._last_message_at is not None else float("inf")
 
-    def receivers(self, now: float) -> list[Address]:
-        """Return the peers that the next digest goes to."""
+    def receivers(self, now: float, *, zone_only: bool = False) -> list[Address]:
+        """Return the peers that the next digest goes to.
+
+        :param zone_only: leave out peers in other zones, where there are few in all.
+        """
         self._forget(now)
         everybody = sorted(self._seeds | self._known.keys(), key=str)
+        elsewhere = [address for address in everybody if self._is_elsewhere(address)]
+        beside = [address for address in everybody if not self._is_elsewhere(address)]
         if len(everybody) <= ALL_PEERS_UP_TO:
-            return everybody
-        return self._random.sample(everybody, RANDOM_PEERS)
+            return beside if zone_only else everybody
+        few_elsewhere = min(RANDOM_PEERS_ELSEWHERE, len(elsewhere))
+        few_beside = min(RANDOM_PEERS - few_elsewhere, len(beside))
+        drawn = self._random.sample(beside, few_beside)
+        return drawn + self._random.sample(elsewhere, RANDOM_PEERS - few_beside)
 
     def to_tell(self, now: float) -> tuple[ToldMember, ...]:
         """Return some peers to name in a digest, drawn anew each time."""
         horizon = now - COUNTED_FOR_S
         counted = [known for known in self._known.values() if known.heard_at >= horizon]
-        drawn = self._random.sample(counted, min(TOLD_PEERS, len(counted)))
+        few = len(self._seeds | self._known.keys()) <= ALL_PEERS_UP_TO
+        most = TOLD_PEERS_OF_FEW if few else TOLD_PEERS
+        drawn = self._random.sample(counted, min(most, len(counted)))
         return tuple(ToldMember(known.member, now - known.heard_at) for known in drawn)
 
+    def _is_elsewhere(self, address: Address) -> bool:
+        """Tell whether a peer is known to be in another zone."""
+        known = self._known.get(address)
+        return known is not None and known.member.zone != self._own_zone
+
     def _forget(self, now: float) -> None:
         """Drop peers that were silent for long."""
         horizon = now - FORGOTTEN_AFTER_S
