Rest after changes by the number of readers, and watch from what peers told

Change: a watch begins after the highest revision known, whoever told it; after changes a reader rests longer the more readers there are (0.12 s each for back ends, at most 1 s, spread by 0.6), while others bring news by digest; a watch waits 1.5 s for each reader, at most 12 s (1.0 and 9 before). The test of the watch's beginning fails on the code before (11 in place of 50).

--- /dev/null
+++ b/tests/unit/test_store_follower.py
@@ -0,0 +1,111 @@
+"""A follower of the store watches from what it knows, and rests after changes."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import async_solipsism
+import pytest
+
+from tests.unit.test_shared_state import DECODERS, backend, configuration
+from tinrudder.gateway.shared_state import SharedState
+from tinrudder.gateway.store_follower import (
+    LONGEST_REST_S,
+    LONGEST_WAIT_S,
+    REST_SPREAD,
+    SHORTEST_WAIT_S,
+    WAIT_SPREAD,
+    StoreFollower,
+)
+from tinrudder.gateway.stored_values import Reading, StoredValue, Topic
+
+FIRST_REVISION = 10
+
+
+class ScriptedStore:
+    """Gives one change to every watch, and remembers from where each one began."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.watched_after: list[int] = []
+        self.watched_at: list[float] = []
+        self.waits_s: list[float] = []
+        self._clock = clock
+
+    async def read(self, topic: Topic) -> Reading:
+        value = configuration(1, FIRST_REVISION)
+        if topic is Topic.BACKENDS:
+            value = backend("a", FIRST_REVISION)
+        return Reading((value,), FIRST_REVISION)
+
+    async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
+        self.watched_after.append(after)
+        self.watched_at.append(self._clock())
+        self.waits_s.append(wait_s)
+        await asyncio.sleep(0.01)
+        values: tuple[StoredValue, ...] = (backend(f"b{after}", after + 1),)
+        return Reading(values, after + 1)
+
+
+class AlwaysReads:
+    """Readers of a fleet in which this gateway follows the store."""
+
+    def must_read(self, topic: Topic) -> bool:
+        return True
+
+
+def follow(seconds: float, nodes: int, taught: int | None = None) -> ScriptedStore:
+    """Follow back ends for a while; peers teach a revision after the first change."""
+    loop = async_solipsism.EventLoop()
+    store = ScriptedStore(loop.time)
+
+    async def run() -> None:
+        state = SharedState(DECODERS, loop.time, lambda problem: None)
+        state.apply(Topic.CONFIGURATION, [configuration(1, FIRST_REVISION)])
+        follower = StoreFollower(
+            Topic.BACKENDS,
+            store,  # type: ignore[arg-type]
+            state,
+            lambda topic, reachable, detail: None,
+            lambda: nodes,
+            AlwaysReads(),  # type: ignore[arg-type]
+            random.Random(1),
+        )
+        task = loop.create_task(follower.run())
+        await asyncio.sleep(0.02)
+        if taught is not None:
+            state.apply(Topic.BACKENDS, [backend("c", taught)])
+        await asyncio.sleep(seconds)
+        task.cancel()
+
+    try:
+        loop.run_until_complete(run())
+    finally:
+        loop.close()
+    return store
+
+
+def test_the_next_watch_begins_after_what_peers_told_meanwhile() -> None:
+    store = follow(1.0, nodes=1, taught=50)
+    assert store.watched_after[0] == FIRST_REVISION
+    assert store.watched_after[1] == 50
+
+
+@pytest.mark.parametrize("nodes", [1, 8, 60])
+def test_more_readers_rest_longer_but_never_long(nodes: int) -> None:
+    store = follow(20.0, nodes)
+    gaps = [later - one for one, later in zip(store.watched_at, store.watched_at[1:], strict=False)]
+    assert max(gaps) <= LONGEST_REST_S[Topic.BACKENDS] * (1.0 + REST_SPREAD) + 0.02
+    assert len(gaps) > 5
+    if nodes == 1:
+        assert max(gaps) <= 0.25
+
+
+@pytest.mark.parametrize("nodes", [1, 4, 60])
+def test_waits_grow_with_the_readers_within_bounds(nodes: int) -> None:
+    waits = follow(5.0, nodes).waits_s
+    assert min(waits) >= SHORTEST_WAIT_S * (1.0 - WAIT_SPREAD)
+    assert max(waits) <= LONGEST_WAIT_S * (1.0 + WAIT_SPREAD)
+    if nodes >= 8:
+        assert min(waits) >= LONGEST_WAIT_S * (1.0 - WAIT_SPREAD)
--- a/tinrudder/gateway/store_follower.py
+++ b/tinrudder/gateway/store_follower.py
@@ -23,12 +23,14 @@
 
 RECHECK_S = 0.2
 SHORTEST_WAIT_S = 3.0
-LONGEST_WAIT_S = 9.0
-WAIT_PER_NODE_S = 1.0
+LONGEST_WAIT_S = 12.0
+WAIT_PER_NODE_S = 1.5
 WAIT_SPREAD = 0.3
 FIRST_RETRY_S = 0.1
 LONGEST_RETRY_S = 0.8
-PACE_S = {Topic.CONFIGURATION: 0.05, Topic.BACKENDS: 0.25}
+REST_PER_READER_S = {Topic.CONFIGURATION: 0.05, Topic.BACKENDS: 0.12}
+LONGEST_REST_S = {Topic.CONFIGURATION: 0.1, Topic.BACKENDS: 1.0}
+REST_SPREAD = 0.6
 
 ReachabilityListener = Callable[[Topic, bool, str], None]
 
@@ -94,8 +96,7 @@
 
     async def _step(self) -> None:
         """Read everything, or what has changed."""
-        if self._revision is None:
-            self._revision = self._known_revision()
+        self._revision = self._known_revision()
         if self._revision is None:
             reading = await self._store.read(self._topic)
             self._state.apply_complete(self._topic, reading)
@@ -112,17 +113,17 @@
         self._state.apply(self._topic, reading.values)
         self._confirm()
         if reading.values:
-            await asyncio.sleep(PACE_S[self._topic])
+            await asyncio.sleep(self._rest_s())
 
     def _known_revision(self) -> int | None:
-        """Return the revision up to which peers have told everything; ``None``: read it all.
+        """Return the revision up to which everything is known; ``None``: read it all.
 
         Every gateway's knowledge is complete up to its highest revision, since the store tells
         changes in their order, and so is what two of them know together.
         """
         if self._forgotten or not self._state.complete:
-            return None
-        return self._state.revision(self._topic)
+            return self._revision
+        return max(self._revision or 0, self._state.revision(self._topic))
 
     def _confirm(self) -> None:
         """Note the store's word that nothing newer is there."""
@@ -131,10 +132,24 @@
 
     def _wait_s(self) -> float:
         """Return how long the next watch waits; not the same on all gateways."""
-        readers = min(READERS, self._nodes())
-        wait_s = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, readers * WAIT_PER_NODE_S))
+        wait_s = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, self._reader_count * WAIT_PER_NODE_S))
         return wait_s * self._random.uniform(1.0 - WAIT_SPREAD, 1.0 + WAIT_SPREAD)
 
+    def _rest_s(self) -> float:
+        """Return how long to rest after changes, which often come in numbers.
+
+        A change wakes every reader.  The more there are, the longer each rests, at other moments
+        than the rest: those that are awake bring what comes next to all, by digest.
+        """
+        rest_s = self._reader_count * REST_PER_READER_S[self._topic]
+        rest_s = min(LONGEST_REST_S[self._topic], rest_s)
+        return rest_s * self._random.uniform(1.0 - REST_SPREAD, 1.0 + REST_SPREAD)
+
+    @property
+    def _reader_count(self) -> int:
+        """Return how many gateways follow the store."""
+        return min(READERS, self._nodes())
+
     def _note(self, *, reachable: bool, detail: str = "") -> None:
         """Report a change."""
         self._lost = not reachable
