--- a/tinrudder_lab/emulator/loop.py
+++ b/tinrudder_lab/emulator/loop.py
@@ -123,3 +123,5 @@
         self._remove_reader(tcp_socket.fileno())
         self._remove_writer(tcp_socket.fileno())
         tcp_socket.close()
+        # The collector would close it again, which sockets in memory take for an error.
+        transport._sock = None
