Let a coordinator begin only when the entry has confirmed its word

The entry had answered 502 93 ms after the request came, after two silent coordinators; one of them sent its calls 106 ms later. The count across coordinators assumed that a silent one sends at most one call for each shard before it reads the order to give up. One that stands still between reading the request and that order hedges first: due timers run before what has arrived is read. Change: FrameType.CONFIRMED: the sender of an acknowledged request answers the first word of its peer, and the peer begins only then. A silent coordinator therefore has sent nothing and never will: the next one, or the entry itself, has all attempts, no repeat is drawn, and a 503 after it is true.

--- a/tinrudder/gateway/delegated_shards.py
+++ b/tinrudder/gateway/delegated_shards.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from tinrudder.gateway.client_moments import Moments
-from tinrudder.gateway.hand_over import Lost, NotTaken, Silent, hand_over
+from tinrudder.gateway.hand_over import Lost, NotTaken, hand_over
 from tinrudder.gateway.messages import HttpRequest
 from tinrudder.gateway.model import Address, Route
 from tinrudder.gateway.outcomes import Merged, NotRun
@@ -49,8 +49,7 @@
 
     :ivar part: the merged answer of the group, once there is one.
     :ivar may_have_run: back ends may have got the request.
-    :ivar attempts_left: the most back ends that each shard may be sent to from here, after the
-        end; 0 where the other gateway answered, or what it sent cannot be counted.
+    :ivar may_run_here: the other gateway sent nothing and never will.
     """
 
     def __init__(
@@ -68,8 +67,7 @@
         self.pending = True
         self.part: Merged | None = None
         self.may_have_run = False
-        self.repeated = False
-        self.attempts_left = 0
+        self.may_run_here = False
         self.repeats = 0
         self._missing: tuple[MissingShard, ...] = ()
         self._problem = "no answer yet"
@@ -122,11 +120,7 @@
             case NotTaken(detail=detail):
                 self._problem = detail
                 self.may_have_run = False
-                self.attempts_left = self._route.attempts
-            case Silent(detail=detail):
-                self._problem = detail
-                self.repeated = True
-                self.attempts_left = self._route.attempts - 1
+                self.may_run_here = True
             case Lost(detail=detail):
                 self._problem = detail
         self.on_end(self)
@@ -152,7 +146,6 @@
             deadline_left_s=moments.deadline_at - now - ANSWER_MARGIN_S,
             returning=moments.returning,
             configuration_revision=self._relaying.configuration_revision(),
-            attempts=self._route.attempts,
             shards=self.services,
             minimum_share=self._delegation.minimum_share,
         )
--- a/tinrudder/gateway/hand_over.py
+++ b/tinrudder/gateway/hand_over.py
@@ -9,7 +9,7 @@
 from tinrudder.gateway.peer_messages import Declined, ScatterEnd, ScatterRequest
 from tinrudder.gateway.relaying import Relaying
 from tinrudder.gateway.request_log import log_coordinator_failed
-from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError, PeerSilentError
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
 from tinrudder.wire.gateway_relay_codec import decode_answer, encode_request
 from tinrudder.wire.snapshot_codec import MalformedPeerMessageError
 
@@ -20,17 +20,7 @@
 
 @dataclass(frozen=True, slots=True)
 class NotTaken:
-    """The other gateway sent nothing and never will."""
-
-    detail: str
-
-
-@dataclass(frozen=True, slots=True)
-class Silent:
-    """It did not even say that it has begun, and was told to give up.
-
-    It may have sent one call for each shard before it read that.
-    """
+    """The other gateway sent nothing and never will, also where it only did not answer in time."""
 
     detail: str
 
@@ -42,7 +32,7 @@
     detail: str
 
 
-HandOverOutcome = ScatterEnd | NotTaken | Silent | Lost
+HandOverOutcome = ScatterEnd | NotTaken | Lost
 
 
 async def hand_over(
@@ -74,8 +64,6 @@
         )
     except PeerNotSentError as error:
         return NotTaken(str(error))
-    except PeerSilentError as error:
-        return Silent(str(error))
     except PeerLostError as error:
         return Lost(str(error))
     except MalformedPeerMessageError as error:
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -90,8 +90,6 @@
     :param objective_left_s: may be negative: the objective has passed.
     :param returning: the client has been waiting since an earlier attempt.
     :param configuration_revision: the entry's; an older configuration must not answer.
-    :param attempts: the most back ends that one shard's part may still be sent to.
-    :param repeated: another coordinator may have begun already, so every call is a repeat.
     :param shards: only these shards of the route are asked for; empty: all of them.
     :param minimum_share: the least share of ``shards`` that is of use.
     """
@@ -102,8 +100,6 @@
     deadline_left_s: float
     returning: bool
     configuration_revision: int
-    attempts: int
-    repeated: bool = False
     shards: tuple[str, ...] = ()
     minimum_share: float = 0.0
 
--- a/tinrudder/gateway/relayed_run.py
+++ b/tinrudder/gateway/relayed_run.py
@@ -5,10 +5,10 @@
 import asyncio
 
 from tinrudder.gateway.client_moments import Moments
-from tinrudder.gateway.hand_over import Lost, NotTaken, Silent, hand_over
+from tinrudder.gateway.hand_over import Lost, NotTaken, hand_over
 from tinrudder.gateway.messages import HttpRequest
 from tinrudder.gateway.model import Address, Route
-from tinrudder.gateway.outcomes import Merged, NoAnswer, NotRun, RequestOutcome, TimedOut
+from tinrudder.gateway.outcomes import Merged, NoAnswer, RequestOutcome, TimedOut
 from tinrudder.gateway.peer_messages import MissingShard, ScatterEnd, ScatterRequest
 from tinrudder.gateway.relaying import Relaying
 from tinrudder.gateway.request_run import OutcomeListener, RequestRun
@@ -20,10 +20,9 @@
 class RelayedRun:
     """One scatter; coordinators are asked in turn, and the last resort is to run it here.
 
-    A coordinator that does not even say that it has begun is taken for dead while there is time
-    for another, which then may use one back end less for each shard and draws on the budget for
-    every call: the first may have sent one call each before it read that it should give up.
-    Where a coordinator had begun, its calls cannot be counted, so nothing is sent again.
+    A coordinator that does not even say that it took the scatter is taken for dead while there is
+    time for another: it never begins without a confirmation.  Where a coordinator had begun, its
+    calls cannot be counted, so nothing is sent again.
     """
 
     def __init__(
@@ -48,7 +47,6 @@
         self._asked = asked
         self._planner = planner
         self._on_outcome = on_outcome
-        self._silent = 0
         self._lost = False
         self._problems: list[str] = []
         self._task: asyncio.Task[None] | None = None
@@ -92,9 +90,6 @@
                 return outcome
             case NotTaken(detail=detail):
                 self._problems.append(detail)
-            case Silent(detail=detail):
-                self._problems.append(detail)
-                self._silent += 1
             case Lost(detail=detail):
                 self._problems.append(detail)
                 self._lost = True
@@ -107,24 +102,12 @@
         if isinstance(end.outcome, Merged):
             size = len(end.outcome.body)
             self._relaying.forwarding.observe_sizes(self._route.shards, size, ())
-        self._on_outcome(self._truthful(end.outcome))
-
-    def _truthful(self, outcome: RequestOutcome) -> RequestOutcome:
-        """Promise that nothing ran only if no other coordinator can have begun."""
-        if isinstance(outcome, NotRun) and self._silent:
-            return NoAnswer(outcome.detail)
-        return outcome
+        self._on_outcome(end.outcome)
 
     @property
     def _may_ask_again(self) -> bool:
         """Tell whether there is time, and whether calls may be sent at all."""
-        in_time = self._left_s > ANSWER_MARGIN_S
-        return in_time and not self._lost and self._attempts_left >= 1
-
-    @property
-    def _attempts_left(self) -> int:
-        """Return how many back ends each shard's part may still be sent to."""
-        return self._route.attempts - self._silent
+        return not self._lost and self._left_s > ANSWER_MARGIN_S
 
     @property
     def _left_s(self) -> float:
@@ -142,12 +125,10 @@
             deadline_left_s=moments.deadline_at - now - ANSWER_MARGIN_S,
             returning=moments.returning,
             configuration_revision=self._relaying.configuration_revision(),
-            attempts=self._attempts_left,
-            repeated=self._silent > 0,
         )
 
     def _run_local(self) -> None:
-        """Run the scatter here, with what the silent ones have left of its attempts."""
+        """Run the scatter here."""
         self._relaying.forwarding.counters.relays_run_here += 1
         self._local = self._planner.run(
             self._route,
@@ -155,8 +136,6 @@
             self._request_id,
             self._moments,
             self._end_local,
-            attempts=self._attempts_left,
-            repeated=self._silent > 0,
         )
         self._local.start()
 
@@ -165,4 +144,4 @@
         assert self._local is not None
         self.repeats = self._local.repeats
         self.missing_shards = self._local.missing_shards
-        self._on_outcome(self._truthful(outcome))
+        self._on_outcome(outcome)
--- a/tinrudder/gateway/request_log.py
+++ b/tinrudder/gateway/request_log.py
@@ -83,7 +83,6 @@
         "outcome": type(end.outcome).__name__,
         "elapsed_ms": round(elapsed_s * MILLISECONDS, 1),
         "repeats": end.repeats,
-        "repeated": scatter.repeated,
     }
     fields.update(_parts(end.outcome))
     fields.update(_missing(end.missing_shards))
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -43,16 +43,11 @@
         forwarding: Forwarding,
         on_outcome: OutcomeListener,
         *,
-        attempts: int | None = None,
-        repeated: bool = False,
         minimum_share: float | None = None,
         delegated: Sequence[DelegatedShards] = (),
     ) -> None:
         """Prepare calls to ``services``: shards of the route, or the one service chosen.
 
-        :param attempts: the most back ends that one shard's part may be sent to; by the route
-            if ``None``.
-        :param repeated: another gateway may have sent calls for this request already.
         :param minimum_share: the least share that makes an answer; by the route if ``None``.
         :param delegated: the other shards of the scatter, asked by other gateways.
         """
@@ -67,7 +62,6 @@
         self._timer: TimerHandle | None = None
         self._timer_at = NEVER
         self._included = 0
-        self._may_have_run_elsewhere = False
         self._ended: set[ShardCalls] = set()
         self._hopeless: set[ShardCalls] = set()
         if minimum_share is None:
@@ -75,10 +69,9 @@
         self._minimum_share = minimum_share
         self._total = len(services) + sum(len(group.services) for group in delegated)
         self._delegated = list(delegated)
-        most = attempts if attempts is not None else route.attempts
-        self.shards = self._calls(services, most, repeated=repeated)
+        self.shards = self._calls(services)
 
-    def _calls(self, services: Sequence[str], attempts: int, *, repeated: bool) -> list[ShardCalls]:
+    def _calls(self, services: Sequence[str]) -> list[ShardCalls]:
         """Prepare the calls of some shards."""
         return [
             ShardCalls(
@@ -88,8 +81,6 @@
                 self._forwarding,
                 self._review,
                 relay_failures=not self._scatter,
-                attempts=attempts,
-                repeated=repeated,
             )
             for service in services
         ]
@@ -150,7 +141,7 @@
         if self._finished:
             return
         now = self._forwarding.loop.time()
-        if group.part is None and group.attempts_left > 0:
+        if group.may_run_here:
             self._take_over(group, now)
         self._act(now)
         self._arm_for_shards()
@@ -159,8 +150,7 @@
         """Ask a group's shards from here."""
         self._forwarding.counters.delegations_run_here += 1
         self._delegated.remove(group)
-        self._may_have_run_elsewhere |= group.may_have_run
-        calls = self._calls(group.services, group.attempts_left, repeated=group.repeated)
+        calls = self._calls(group.services)
         self.shards.extend(calls)
         self._starting = True
         for shard in calls:
@@ -274,7 +264,7 @@
         """Tell whether any back end may have got the request."""
         here = any(shard.may_have_run for shard in self.shards)
         elsewhere = any(group.may_have_run for group in self._delegated)
-        return here or elsewhere or self._may_have_run_elsewhere
+        return here or elsewhere
 
     def _finish(self, outcome: RequestOutcome) -> None:
         """Report once."""
--- a/tinrudder/gateway/scatter_planner.py
+++ b/tinrudder/gateway/scatter_planner.py
@@ -41,32 +41,20 @@
         request_id: bytes,
         moments: Moments,
         on_outcome: OutcomeListener,
-        *,
-        attempts: int | None = None,
-        repeated: bool = False,
     ) -> RequestRun:
-        """Prepare one scatter.
-
-        A repeated one is not divided again: its calls are few and counted here.
-        """
+        """Prepare one scatter."""
         encoded = RequestBytes(request, request_id, moments.deadline_at, self._forwarding.names)
-        services = route.shards
-        delegated: list[DelegatedShards] = []
-        if not repeated:
-            services = self.own_shards(route)
-            delegated = [
-                DelegatedShards(one, route, request, request_id, moments, self._relaying)
-                for one in self._delegations(route)
-            ]
+        delegated = [
+            DelegatedShards(one, route, request, request_id, moments, self._relaying)
+            for one in self._delegations(route)
+        ]
         return RequestRun(
             route,
-            services,
+            self.own_shards(route),
             encoded,
             moments,
             self._forwarding,
             on_outcome,
-            attempts=attempts,
-            repeated=repeated,
             delegated=delegated,
         )
 
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -87,7 +87,6 @@
         on_outcome: OutcomeListener,
     ) -> RequestRun:
         """Prepare what is asked for: a whole scatter, or some of its shards."""
-        attempts = min(route.attempts, scatter.attempts)
         if not scatter.shards:
             return self._planner.run(
                 route,
@@ -95,8 +94,6 @@
                 scatter.request_id,
                 moments,
                 on_outcome,
-                attempts=attempts,
-                repeated=scatter.repeated,
             )
         return RequestRun(
             route,
@@ -105,8 +102,6 @@
             moments,
             self._forwarding,
             on_outcome,
-            attempts=attempts,
-            repeated=scatter.repeated,
             minimum_share=scatter.minimum_share,
         )
 
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -63,14 +63,10 @@
         on_change: Callable[[ShardCalls], None],
         *,
         relay_failures: bool,
-        attempts: int,
-        repeated: bool = False,
     ) -> None:
         """Prepare.
 
         :param relay_failures: a back end's own refusal is an answer.
-        :param attempts: the most back ends that this shard's part may be sent to.
-        :param repeated: another gateway may have sent the first call already.
         """
         self.service = service
         self.part: HttpAnswer | None = None
@@ -84,8 +80,6 @@
         self._forwarding = forwarding
         self._on_change = on_change
         self._relay_failures = relay_failures
-        self._most_backends = attempts
-        self._repeated = repeated
         self._attempts: list[Attempt] = []
         self._tries = 0
         self._offered: Counter[str] = Counter()
@@ -107,8 +101,7 @@
 
     def start(self, now: float) -> None:
         """Send the first call."""
-        if not self._repeated:
-            self._budget.note_request(now)
+        self._budget.note_request(now)
         self._try_next(now)
 
     def on_time(self, now: float) -> None:
@@ -140,7 +133,7 @@
     @property
     def _next_is_repeat(self) -> bool:
         """Tell whether the next call that leaves is not the service's first of this request."""
-        return self._repeated or self.sends > 0
+        return self.sends > 0
 
     def _try_next(self, now: float) -> None:
         """Send a call, or note when to look again, or that there is nothing to try."""
@@ -189,7 +182,7 @@
 
     def _may_offer(self, backend: Backend) -> bool:
         """Tell whether a call to a back end keeps to the number of back ends that may run it."""
-        return backend.backend_id in self._offered or len(self._offered) < self._most_backends
+        return backend.backend_id in self._offered or len(self._offered) < self._route.attempts
 
     def _may_leave(self, attempt: Attempt, now: float) -> bool:
         """Judge a call at the moment at which its bytes would leave.
--- a/tinrudder/peers.py
+++ b/tinrudder/peers.py
@@ -29,11 +29,10 @@
     """The peer may have received the request, but no answer came."""
 
 
-class PeerSilentError(PeerLostError):
-    """The peer did not even say in time that it has begun; it was told to give up.
+class PeerSilentError(PeerNotSentError):
+    """The peer did not even say in time that it took the request.
 
-    It may be at work all the same, but not for long: it reads the request and the order to give
-    up one right after the other.
+    It may have received it, but begins only when its word has been confirmed, which never happens.
     """
 
 
--- a/tinrudder/wire/frames.py
+++ b/tinrudder/wire/frames.py
@@ -21,7 +21,8 @@
 
     ``REFUSED``: the peer did not start the request.  ``ERROR``: it started, and failed.
     ``ACKNOWLEDGED_REQUEST``: a request that the peer answers at once, and regularly while
-    it is at work, with ``ACCEPTED``.
+    it is at work, with ``ACCEPTED``.  The peer begins only on ``CONFIRMED``, with which the sender
+    answers the first of them: who was taken for dead meanwhile never begins.
     """
 
     REQUEST = 1
@@ -31,6 +32,7 @@
     ERROR = 5
     ACKNOWLEDGED_REQUEST = 6
     ACCEPTED = 7
+    CONFIRMED = 8
 
 
 class FrameError(Exception):
--- a/tinrudder/wire/gateway_relay_codec.py
+++ b/tinrudder/wire/gateway_relay_codec.py
@@ -97,8 +97,6 @@
         deadline_left_us=int(scatter.deadline_left_s * MICROSECONDS),
         returning=scatter.returning,
         configuration_revision=scatter.configuration_revision,
-        repeated=scatter.repeated,
-        attempts=scatter.attempts,
         shards=scatter.shards,
         minimum_share=scatter.minimum_share,
     )
@@ -113,8 +111,6 @@
         deadline_left_s=message.deadline_left_us / MICROSECONDS,
         returning=message.returning,
         configuration_revision=message.configuration_revision,
-        repeated=message.repeated,
-        attempts=message.attempts,
         shards=tuple(message.shards),
         minimum_share=message.minimum_share,
     )
--- a/tinrudder/wire/peer_client.py
+++ b/tinrudder/wire/peer_client.py
@@ -229,6 +229,8 @@
     answer = waiting.answer
     match frame.frame_type:
         case FrameType.ACCEPTED:
+            if not waiting.begun:
+                _write(connection, Frame(FrameType.CONFIRMED, frame.request_id))
             waiting.hear(answer.get_loop().time())
         case FrameType.ANSWER:
             answer.set_result(frame.payload)
--- a/tinrudder/wire/peer_server.py
+++ b/tinrudder/wire/peer_server.py
@@ -26,15 +26,20 @@
 IDLE_TIMEOUT_S = 300.0
 CLOSE_TIMEOUT_S = 2.0
 PROGRESS_INTERVAL_S = 0.1
+UNCONFIRMED_S = 1.0
 
 
 @dataclass(eq=False)
 class _Accepted:
-    """One accepted connection and the requests that run for it."""
+    """One accepted connection and the requests that run for it.
+
+    :param unconfirmed: requests that wait for their sender's word before they begin.
+    """
 
     source: PeerAddress
     writer: asyncio.StreamWriter
     running: dict[int, asyncio.Task[None]] = field(default_factory=dict)
+    unconfirmed: dict[int, asyncio.Event] = field(default_factory=dict)
 
 
 class PeerServer:
@@ -80,15 +85,20 @@
     def _on_frame(self, accepted: _Accepted, frame: Frame) -> None:
         """Start or cancel a request.
 
-        A request and its cancellation that arrive together start nothing: the task is cancelled
-        before its first step.  A process that slept reads such pairs when it wakes.
+        An acknowledged request begins when the peer has confirmed that it heard of it.  A process
+        that stood still may read a request, and be at work on others, long after its sender has
+        turned to another: whatever it does then, it must not begin.
         """
         match frame.frame_type:
             case FrameType.REQUEST:
-                self._start(accepted, frame)
+                self._start(accepted, frame, None)
             case FrameType.ACKNOWLEDGED_REQUEST:
-                self._start(accepted, frame)
+                self._start(accepted, frame, asyncio.Event())
                 _report_progress(accepted, frame.request_id)
+            case FrameType.CONFIRMED:
+                awaited = accepted.unconfirmed.pop(frame.request_id, None)
+                if awaited is not None:
+                    awaited.set()
             case FrameType.CANCEL:
                 task = accepted.running.get(frame.request_id)
                 if task is not None:
@@ -96,14 +106,16 @@
             case _:
                 raise FrameError(f"frame: {frame.frame_type.name} is not for a server")
 
-    def _start(self, accepted: _Accepted, frame: Frame) -> None:
+    def _start(self, accepted: _Accepted, frame: Frame, confirmed: asyncio.Event | None) -> None:
         """Run the handler in a task of its own, within the limits of a connection."""
         handler = self._handler()
         if handler is None or len(accepted.running) >= MAX_REQUESTS_IN_FLIGHT:
             _write(accepted, Frame(FrameType.REFUSED, frame.request_id, b"too many requests"))
             return
-        task = asyncio.create_task(_answer(accepted, handler, frame))
+        task = asyncio.create_task(_answer(accepted, handler, frame, confirmed))
         accepted.running[frame.request_id] = task
+        if confirmed is not None:
+            accepted.unconfirmed[frame.request_id] = confirmed
         task.add_done_callback(partial(_forget, accepted, frame.request_id))
 
 
@@ -118,8 +130,15 @@
                 raise FrameError(f"idle for {IDLE_TIMEOUT_S} s") from None
 
 
-async def _answer(accepted: _Accepted, handler: RequestHandler, frame: Frame) -> None:
-    """Run the handler and send its answer, or an error in its place: never silence."""
+async def _answer(
+    accepted: _Accepted, handler: RequestHandler, frame: Frame, confirmed: asyncio.Event | None
+) -> None:
+    """Run the handler and send its answer, or an error in its place: never silence.
+
+    Only a request that its sender does not confirm has no answer: nobody waits for it.
+    """
+    if confirmed is not None and not await _is_confirmed(confirmed):
+        return
     try:
         payload = await handler(accepted.source, frame.payload)
         if len(payload) > MAX_FRAME_BYTES:
@@ -132,6 +151,16 @@
     _write(accepted, Frame(FrameType.ANSWER, frame.request_id, payload))
 
 
+async def _is_confirmed(confirmed: asyncio.Event) -> bool:
+    """Wait for the sender's word that it heard of the request being taken."""
+    try:
+        async with asyncio.timeout(UNCONFIRMED_S):
+            await confirmed.wait()
+    except TimeoutError:
+        return False
+    return True
+
+
 def _report_progress(accepted: _Accepted, request_id: int) -> None:
     """Say again and again that a request is at work, until it has ended."""
     if request_id not in accepted.running:
@@ -155,3 +184,4 @@
     """Drop an ended request."""
     if accepted.running.get(request_id) is task:
         del accepted.running[request_id]
+        accepted.unconfirmed.pop(request_id, None)
