Let starts learn from peers before they ask the store

And during an outage each incomplete gateway asked again every 0.8 s, for every topic.

Now seeds read at once; others wait for a peer's digest (0.3 to 0.6 s where nobody is heard, 1.2 to 2.4 s where somebody is who knows too little as well), and a gateway that becomes complete answers all who asked it before. A gateway that is no reader repeats an unanswered call at a pace that the fleet keeps together, 20 calls a second.

Ruled out: that watches make up the calls: 20 emulated gateways made 80 reads in their first 2 s, now 4. The five new tests: three fail before (reads at a start of all, reads of a single start, calls during an outage: 520 in 8 s, at most 240 now), two hold what must not get lost (seeds turned away, dead seeds).

--- a/tests/functional/test_gateway_coordinators.py
+++ b/tests/functional/test_gateway_coordinators.py
@@ -6,11 +6,13 @@
 import math
 from typing import Any
 
+import pytest
+
 from tinrudder.gateway.stored_values import Topic
 from tinrudder_lab.emulator.backend import Fault
 from tinrudder_lab.emulator.loop import EmulatorLoop
 from tinrudder_lab.emulator.site import EmulatedNode, EmulatedSite, run_site
-from tinrudder_lab.emulator.store import StoreMode
+from tinrudder_lab.emulator.store import PAGE_ITEMS, StoreMode
 
 MANY = 20
 CONNECTIONS = 26
@@ -310,3 +312,89 @@
         assert len(gateway.state.snapshot()) == len(site.backends)
 
     run_site(scenario)
+
+
+def reads_of_one(site: EmulatedSite) -> int:
+    """Return how many calls one gateway needs to read everything: one more than pages."""
+    return 1 + math.ceil(len(site.backends) / PAGE_ITEMS)
+
+
+def all_complete(site: EmulatedSite) -> bool:
+    return all(node.gateway is not None and node.gateway.state.complete for node in site.nodes)
+
+
+def restart_all(site: EmulatedSite) -> None:
+    for node in site.nodes:
+        site.kill_node(node)
+    for node in site.nodes:
+        site.start_node(node)
+
+
+def test_when_all_start_at_once_only_the_seeds_read_the_store() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        assert all_complete(site)
+        assert site.store.reads <= len(site.seeds) * reads_of_one(site)
+        reads = site.store.reads
+        restart_all(site)
+        await asyncio.sleep(0.4)
+        assert all_complete(site)
+        assert site.store.reads - reads <= len(site.seeds) * reads_of_one(site)
+
+    run_many(scenario)
+
+
+def test_a_single_start_among_running_gateways_asks_peers_and_not_the_store() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        reads = site.store.reads
+        started = site.nodes[-1]
+        site.kill_node(started)
+        site.start_node(started)
+        await asyncio.sleep(0.05)
+        assert started.gateway is not None
+        assert started.gateway.state.complete
+        assert site.store.reads == reads
+
+    run_many(scenario)
+
+
+@pytest.mark.parametrize("cut", [StoreMode.REFUSING, StoreMode.SILENT])
+def test_where_the_store_turns_every_seed_away_the_others_read_it(cut: StoreMode) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        seeds = {address.host for address in site.seeds}
+        for node in site.nodes:
+            if node.host in seeds:
+                site.store.set_mode(cut, node.store_port)
+        restart_all(site)
+        await asyncio.sleep(2.5)
+        assert all_complete(site)
+
+    run_many(scenario)
+
+
+def test_a_start_without_living_seeds_soon_reads_the_store() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        for node in site.nodes:
+            site.kill_node(node)
+        last = site.nodes[-1]
+        site.start_node(last)
+        await asyncio.sleep(0.8)
+        assert last.gateway is not None
+        assert last.gateway.state.complete
+
+    run_many(scenario)
+
+
+def test_starts_during_an_outage_of_the_store_do_not_all_keep_asking_it() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.store.set_mode(StoreMode.REFUSING)
+        restart_all(site)
+        calls = site.store.calls
+        await asyncio.sleep(8.0)
+        # Two seeds ask at their usual pace; all the others together about twenty times a second.
+        assert site.store.calls - calls <= 8.0 * (20 + 2 * len(site.seeds) * 2 / 0.8)
+        site.store.set_mode(StoreMode.SERVING)
+        await asyncio.sleep(1.5)
+        assert all_complete(site)
+
+    run_many(scenario)
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -135,6 +135,7 @@
             self.describe,
             started_at=loop.time(),
             stale_after_s=STALE_AFTER_S + self._random.uniform(0.0, STALE_SPREAD_S),
+            patience=self._random.uniform(1.0, 2.0),
             seeds=settings.seeds,
         )
         self._followers = [
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -76,6 +76,7 @@
         self._pulling: asyncio.Task[None] | None = None
         self._told: tuple[int, int] = (0, 0)
         self._ticking: asyncio.Task[None] | None = None
+        self._waiting_to_learn: set[Address] = set()
         state.subscribe(self._on_state_change)
 
     async def start(self) -> None:
@@ -128,12 +129,22 @@
         now = self._loop.time()
         self._peers.heard_from(digest.sender, now)
         self._peers.heard_of(digest.members, now)
-        if digest.sender.starting and self._transport is not None and self._state.complete:
-            answer = encode_digest(self._digest())
-            sender = digest.sender.address
-            self._transport.sendto(answer, (sender.host, sender.port))
+        if digest.sender.starting:
+            self._waiting_to_learn.add(digest.sender.address)
+            self._answer_starting()
+        else:
+            self._waiting_to_learn.discard(digest.sender.address)
         self._compare(digest, now)
 
+    def _answer_starting(self) -> None:
+        """Send a digest to peers that know too little to serve, once there is enough here."""
+        if self._transport is None or not self._state.complete:
+            return
+        answer = encode_digest(self._digest())
+        for peer in self._waiting_to_learn:
+            self._transport.sendto(answer, (peer.host, peer.port))
+        self._waiting_to_learn.clear()
+
     def _digest(self) -> Digest:
         """Return what this gateway knows."""
         state = self._state
@@ -247,6 +258,7 @@
 
     def _on_state_change(self) -> None:
         """Tell peers of a change at once."""
+        self._answer_starting()
         state = self._state
         if (state.configuration_revision, state.backends_revision) != self._told:
             self.send_digests()
--- a/tinrudder/gateway/store_follower.py
+++ b/tinrudder/gateway/store_follower.py
@@ -88,7 +88,7 @@
                 await self._step()
             except StoreUnavailableError as error:
                 self._note(reachable=False, detail=str(error))
-                await asyncio.sleep(self._retry_s)
+                await asyncio.sleep(self._readers.retry_pause_s(self._retry_s))
                 self._retry_s = min(LONGEST_RETRY_S, self._retry_s * 2)
             else:
                 self._note(reachable=True)
--- a/tinrudder/gateway/store_readers.py
+++ b/tinrudder/gateway/store_readers.py
@@ -17,6 +17,14 @@
 SILENCE_S = 1.5
 PULL_FAILURE_MEMORY_S = 5.0
 ROLE = "store reader"
+UNHEARD_PATIENCE_S = 0.3
+"""How long a start waits for any peer: seeds answer within a round trip, lost digests are sent
+again after 0.2 s.  Gateways wait one to two times as long, so that they do not ask all at once."""
+HEARD_PATIENCE_S = 1.2
+"""The same where a peer was heard, who also knows too little: six pages of a store at 0.2 s each."""
+FLEET_RETRIES_PER_S = 20.0
+"""How often all gateways that are no readers together ask a store that does not answer: one of
+them finds within 0.1 s that it is back, and tells all."""
 
 
 @dataclass(slots=True)
@@ -29,6 +37,8 @@
     :param own: this gateway's address.
     :param describe_own: returns this gateway as it would describe itself now.
     :param stale_after_s: how old the store's last word may be; differs between gateways.
+    :param patience: how many times :data:`UNHEARD_PATIENCE_S` or :data:`HEARD_PATIENCE_S` this
+        gateway waits at its start until it reads the store itself; differs between gateways.
     :ivar seeds: the gateways that all others know from the start.
     """
 
@@ -39,6 +49,7 @@
     describe_own: Callable[[], Member]
     started_at: float
     stale_after_s: float
+    patience: float = 1.0
     seeds: tuple[Address, ...] = ()
     _pull_failed_at: float = field(default=float("-inf"))
 
@@ -49,23 +60,39 @@
     def must_read(self, topic: Topic) -> bool:
         """Tell whether this gateway asks the store now."""
         now = self.clock()
-        if not self.state.complete or self.is_reader():
+        if self.is_reader() or now - self._pull_failed_at < PULL_FAILURE_MEMORY_S:
             return True
-        doubts_peers = (
-            self.peers.silent_s(now) > SILENCE_S
-            or now - self._pull_failed_at < PULL_FAILURE_MEMORY_S
-        )
-        return doubts_peers or self.state.unconfirmed_s(topic) > self.stale_after_s
+        if not self.state.complete:
+            return now - self.started_at > self._patience_s
+        silent = self.peers.silent_s(now) > SILENCE_S
+        return silent or self.state.unconfirmed_s(topic) > self.stale_after_s
+
+    def retry_pause_s(self, own_pause_s: float) -> float:
+        """Return how long to rest after a call that the store did not answer.
+
+        :param own_pause_s: how long a gateway that follows the store for all would rest.
+        """
+        if self.is_reader():
+            return own_pause_s
+        askers = self.peers.nodes(self.clock()) * len(Topic)
+        return max(own_pause_s, askers / FLEET_RETRIES_PER_S)
+
+    @property
+    def _patience_s(self) -> float:
+        """Return how long after the start peers may still teach this gateway everything."""
+        usual_s = HEARD_PATIENCE_S if self.peers.has_peers else UNHEARD_PATIENCE_S
+        return usual_s * self.patience
 
     def is_reader(self) -> bool:
         """Tell whether this gateway is one of those that follow the store for all.
 
         Just after a start the seeds alone do: everybody knows them, and who else there is shows
-        within a second.  A reader that the store refuses keeps trying, while others, who hear of
-        that, take its place.
+        within a second.  Others that know too little to serve learn it from them.  A reader that
+        the store refuses keeps trying, while others, who hear of that, take its place.
         """
         now = self.clock()
-        if self.seeds and now - self.started_at < ACQUAINTANCE_S:
+        acquainted = self.state.complete and now - self.started_at >= ACQUAINTANCE_S
+        if self.seeds and not acquainted:
             return self.own in self.seeds
         if self.peers.nodes(now) <= READERS:
             return True
--- a/tinrudder_lab/emulator/store.py
+++ b/tinrudder_lab/emulator/store.py
@@ -48,13 +48,18 @@
 
 
 class EmulatedStore:
-    """One store that each machine reaches at a port of its own, so that it can be treated apart."""
+    """One store that each machine reaches at a port of its own, so that it can be treated apart.
+
+    :ivar calls: how often it was asked anything.
+    :ivar reads: how many of these calls were not watches.
+    """
 
     def __init__(self, host: str) -> None:
         """Start empty at ``host``."""
         self.host = host
         self.modes: dict[int, StoreMode] = {}
         self.calls = 0
+        self.reads = 0
         self.revision = 0
         self._forgotten = 0
         self._items: dict[str, _Item] = {}
@@ -106,6 +111,8 @@
     def _serve(self, request: ServedRequest, connection: ServerConnection, port: int) -> None:
         """Answer one call by the machine's mode."""
         self.calls += 1
+        if not request.target.startswith(WATCH_PATH):
+            self.reads += 1
         mode = self.modes[port]
         if mode is StoreMode.SILENT:
             return
