Ask other gateways for answers by moments that leave time for the path

Cause: an entry told its coordinator what was left until the objective, a coordinator its neighbours the same less 4 ms. The way there and back, and the work at both ends, came on top: answers that were cut at the objective reached clients just behind it.

Now the answering gateway says how long it had the request until it decided; the rest of the time was under way, merging included. Mean and deviation of that are kept as TCP keeps them for its timer, one pair for the own zone and one for others, and four deviations more than the mean are left.

Ruled out: hedges too late for the objective (traces: the parts were in by 110 ms), processor time (shown without any charged).

Test: with paths of 12 ms each way and a shard that stands still, answers were late (fails before).

--- a/tests/functional/test_gateway_coordinators.py
+++ b/tests/functional/test_gateway_coordinators.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tinrudder.gateway.stored_values import Topic
+from tinrudder.wire.peer_client import PeerClient
 from tinrudder_lab.emulator.backend import Fault
 from tinrudder_lab.emulator.loop import EmulatorLoop
 from tinrudder_lab.emulator.site import EmulatedNode, EmulatedSite, run_site
@@ -398,3 +399,37 @@
         assert all_complete(site)
 
     run_many(scenario)
+
+
+def delay_paths(monkeypatch: pytest.MonkeyPatch, one_way_s: float) -> None:
+    """Let everything that gateways ask of each other travel for a while."""
+    request = PeerClient.request
+
+    async def slow(self: PeerClient, *arguments: Any) -> bytes:
+        await asyncio.sleep(one_way_s)
+        answer = await request(self, *arguments)
+        await asyncio.sleep(one_way_s)
+        return answer
+
+    monkeypatch.setattr(PeerClient, "request", slow)
+
+
+def test_answers_cut_at_the_objective_are_in_time_whatever_the_path_takes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        await site.traffic(10.0, 40.0, ("scatter",))
+        for name, backend in site.backends.items():
+            if name.startswith("shard-0"):
+                backend.pause(5.0)
+        first = len(site.ledger.results)
+        await site.traffic(3.0, 40.0, ("scatter",))
+        results = site.ledger.results[first:]
+        cut = [one for one in results if one.headers.get("tinrudder-missing-parts") == "1"]
+        assert len(cut) > 50
+        assert in_time(site, first) >= 0.95
+        assert site.broken_promises() == []
+
+    delay_paths(monkeypatch, 0.012)
+    run_many(scenario)
--- /dev/null
+++ b/tests/unit/test_path_time.py
@@ -0,0 +1,35 @@
+"""How much earlier than needed an answer is asked for follows what paths were seen to take."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tinrudder.routing.path_time import LONGEST_SEEN_S, PathTime
+
+
+def seen(values: list[float]) -> PathTime:
+    path = PathTime()
+    for value in values:
+        path.observe(value)
+    return path
+
+
+@given(st.floats(0.0005, 0.04), st.integers(0, 1000))
+def test_nearly_all_of_what_comes_next_takes_no_longer(usual_s: float, seed: int) -> None:
+    source = random.Random(seed)
+    path = seen([usual_s * source.uniform(0.8, 1.2) for _ in range(60)])
+    late = sum(usual_s * source.uniform(0.8, 1.2) > path.allowance_s for _ in range(100))
+    assert late <= 5
+    assert path.allowance_s <= 2.0 * usual_s
+
+
+def test_a_single_stall_asks_for_little_more_and_is_soon_forgotten() -> None:
+    path = seen([0.004] * 60)
+    path.observe(5.0)
+    assert path.allowance_s <= 2.0 * LONGEST_SEEN_S
+    for _ in range(30):
+        path.observe(0.004)
+    assert path.allowance_s < 0.008
--- a/tinrudder/gateway/delegated_shards.py
+++ b/tinrudder/gateway/delegated_shards.py
@@ -15,8 +15,6 @@
 from tinrudder.gateway.peer_messages import MissingShard, ScatterEnd, ScatterRequest
 from tinrudder.gateway.relaying import Relaying
 
-PATH_MARGIN_S = 0.004
-"""The answer of the other gateway still has to come here and be merged."""
 ANSWER_MARGIN_S = 0.01
 
 
@@ -139,10 +137,11 @@
         """Say what is asked, with the time that is left now."""
         now = self._relaying.forwarding.loop.time()
         moments = self._moments
+        path_s = self._relaying.path_time(self._delegation.coordinator).allowance_s
         return ScatterRequest(
             request=self._request,
             request_id=self._request_id,
-            objective_left_s=moments.objective_at - now - PATH_MARGIN_S,
+            objective_left_s=moments.objective_at - now - path_s,
             deadline_left_s=moments.deadline_at - now - ANSWER_MARGIN_S,
             returning=moments.returning,
             configuration_revision=self._relaying.configuration_revision(),
--- a/tinrudder/gateway/hand_over.py
+++ b/tinrudder/gateway/hand_over.py
@@ -70,6 +70,8 @@
         return Lost(f"{coordinator}: {error}")
     if isinstance(answer, Declined):
         return NotTaken(f"{coordinator}: {answer.detail}")
+    took_s = relaying.forwarding.loop.time() - now
+    relaying.path_time(coordinator).observe(took_s - answer.elapsed_s)
     return answer
 
 
--- a/tinrudder/gateway/peer_list.py
+++ b/tinrudder/gateway/peer_list.py
@@ -114,8 +114,8 @@
         """
         self._forget(now)
         everybody = sorted(self._seeds | self._known.keys(), key=str)
-        elsewhere = [address for address in everybody if self._is_elsewhere(address)]
-        beside = [address for address in everybody if not self._is_elsewhere(address)]
+        elsewhere = [address for address in everybody if self.is_elsewhere(address)]
+        beside = [address for address in everybody if not self.is_elsewhere(address)]
         if len(everybody) <= ALL_PEERS_UP_TO:
             return beside if zone_only else everybody
         few_elsewhere = min(RANDOM_PEERS_ELSEWHERE, len(elsewhere))
@@ -132,7 +132,7 @@
         drawn = self._random.sample(counted, min(most, len(counted)))
         return tuple(ToldMember(known.member, now - known.heard_at) for known in drawn)
 
-    def _is_elsewhere(self, address: Address) -> bool:
+    def is_elsewhere(self, address: Address) -> bool:
         """Tell whether a peer is known to be in another zone."""
         known = self._known.get(address)
         return known is not None and known.member.zone != self._own_zone
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -121,12 +121,14 @@
 
     :param configuration_version: of the configuration that answered.
     :param repeats: calls beyond the first of each shard.
+    :param elapsed_s: how long the answering gateway had the request until it decided to answer.
     """
 
     outcome: RequestOutcome
     configuration_version: int
     repeats: int = 0
     missing_shards: tuple[MissingShard, ...] = field(default=())
+    elapsed_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/gateway/relayed_run.py
+++ b/tinrudder/gateway/relayed_run.py
@@ -83,7 +83,7 @@
 
     async def _ask(self, coordinator: Address) -> ScatterEnd | None:
         """Ask one coordinator; ``None`` when it gave no usable answer."""
-        scatter = self._scatter_request()
+        scatter = self._scatter_request(coordinator)
         outcome = await hand_over(self._relaying, coordinator, scatter, self._moments)
         match outcome:
             case ScatterEnd():
@@ -114,14 +114,15 @@
         """Return the time until the final answer must leave."""
         return self._moments.deadline_at - self._relaying.forwarding.loop.time()
 
-    def _scatter_request(self) -> ScatterRequest:
-        """Say what is asked of a coordinator, with the time that is left now."""
+    def _scatter_request(self, coordinator: Address) -> ScatterRequest:
+        """Say what is asked of a coordinator, with the time that is left to it now."""
         now = self._relaying.forwarding.loop.time()
         moments = self._moments
+        path_s = self._relaying.path_time(coordinator).allowance_s
         return ScatterRequest(
             request=self._request,
             request_id=self._request_id,
-            objective_left_s=moments.objective_at - now,
+            objective_left_s=moments.objective_at - now - path_s,
             deadline_left_s=moments.deadline_at - now - ANSWER_MARGIN_S,
             returning=moments.returning,
             configuration_revision=self._relaying.configuration_revision(),
--- a/tinrudder/gateway/relaying.py
+++ b/tinrudder/gateway/relaying.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from tinrudder.gateway.coordinators import Coordinators
 from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.model import Address
+from tinrudder.routing.path_time import PathTime
 from tinrudder.wire.peer_client import PeerClient
 
 
@@ -21,3 +23,10 @@
     coordinators: Coordinators
     forwarding: Forwarding
     configuration_revision: Callable[[], int]
+    _path_beside: PathTime = field(default_factory=PathTime)
+    _path_elsewhere: PathTime = field(default_factory=PathTime)
+
+    def path_time(self, gateway: Address) -> PathTime:
+        """Return how long requests to a gateway are under way: within the zone, or beyond it."""
+        elsewhere = self.coordinators.peers.is_elsewhere(gateway)
+        return self._path_elsewhere if elsewhere else self._path_beside
--- a/tinrudder/gateway/request_log.py
+++ b/tinrudder/gateway/request_log.py
@@ -72,16 +72,14 @@
     log_event("request", fields)
 
 
-def log_coordinated(
-    scatter: ScatterRequest, route: Route, end: ScatterEnd, elapsed_s: float
-) -> None:
+def log_coordinated(scatter: ScatterRequest, route: Route, end: ScatterEnd) -> None:
     """Write a coordinator's line of one request that another gateway handed over."""
     fields: dict[str, LogValue] = {
         "request": scatter.request_id.decode("latin-1"),
         "route": route.name,
         "version": end.configuration_version,
         "outcome": type(end.outcome).__name__,
-        "elapsed_ms": round(elapsed_s * MILLISECONDS, 1),
+        "elapsed_ms": round(end.elapsed_s * MILLISECONDS, 1),
         "repeats": end.repeats,
     }
     fields.update(_parts(end.outcome))
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -32,7 +32,10 @@
 
 
 class RequestRun:
-    """One request; its outcome is reported exactly once, unless the client leaves before."""
+    """One request; its outcome is reported exactly once, unless the client leaves before.
+
+    :ivar decided_at: monotonic time of the latest decision; merging comes after the last one.
+    """
 
     def __init__(
         self,
@@ -61,6 +64,7 @@
         self._starting = True
         self._timer: TimerHandle | None = None
         self._timer_at = NEVER
+        self.decided_at = 0.0
         self._included = 0
         self._ended: set[ShardCalls] = set()
         self._hopeless: set[ShardCalls] = set()
@@ -173,6 +177,7 @@
 
     def _act(self, now: float) -> None:
         """Wait, answer or fail, as decided now."""
+        self.decided_at = now
         decision = decide(self._state(), now)
         if decision.verdict is Verdict.WAIT:
             self._arm(decision.until)
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -66,8 +66,10 @@
             return ScatterEnd(refusal, version)
         ended: asyncio.Future[RequestOutcome] = self._forwarding.loop.create_future()
         run = self._run(route, scatter, moments, ended.set_result)
-        end = ScatterEnd(await self._finish(run, ended), version, run.repeats, run.missing_shards)
-        log_coordinated(scatter, route, end, self._forwarding.loop.time() - moments.received_at)
+        outcome = await self._finish(run, ended)
+        elapsed_s = run.decided_at - moments.received_at
+        end = ScatterEnd(outcome, version, run.repeats, run.missing_shards, elapsed_s)
+        log_coordinated(scatter, route, end)
         return end
 
     def _refusal(
--- a/tinrudder/wire/gateway_relay_codec.py
+++ b/tinrudder/wire/gateway_relay_codec.py
@@ -63,6 +63,7 @@
             pb.MissingShard(service=shard.service, problem=shard.problem)
             for shard in answer.missing_shards
         ],
+        elapsed_us=int(answer.elapsed_s * MICROSECONDS),
     )
     _encode_outcome(answer.outcome, message)
     return message.SerializeToString()
@@ -81,7 +82,11 @@
         return Declined(message.declined.detail)
     missing = tuple(MissingShard(one.service, one.problem) for one in message.missing_shards)
     return ScatterEnd(
-        _decode_outcome(message), message.configuration_version, message.repeats, missing
+        _decode_outcome(message),
+        message.configuration_version,
+        message.repeats,
+        missing,
+        message.elapsed_us / MICROSECONDS,
     )
 
 
