Begin what is handed over at once where that does no harm

Cause: a coordinator begins only when its first word has been confirmed, a round trip later, twice in a row (entry, coordinator, gateways beside the replicas).

A refusal is turned into "no answer" where an unheard gateway may have run it.

Tests: the frame; a woken coordinator with two replicas as well as three; refusals stay true.

--- a/tests/functional/test_gateway_coordinators.py
+++ b/tests/functional/test_gateway_coordinators.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from tinrudder.gateway.outcomes import NotRun
 from tinrudder.gateway.stored_values import Topic
 from tinrudder.wire.peer_client import PeerClient
 from tinrudder_lab.emulator.backend import Fault
@@ -144,7 +145,8 @@
     run_many(scenario)
 
 
-def test_what_a_woken_coordinator_finds_is_not_run_on_too_many_back_ends() -> None:
+@pytest.mark.parametrize("copies", [2, 3])
+def test_what_a_woken_coordinator_finds_is_not_run_on_too_many_back_ends(copies: int) -> None:
     """It reads a request and the order to give it up; the second coordinator has run it."""
 
     async def scenario(site: EmulatedSite) -> None:
@@ -170,7 +172,34 @@
             await asyncio.sleep(0.5)
         assert site.broken_promises() == []
 
-    run_many(scenario, copies=3)
+    run_many(scenario, copies=copies)
+
+
+def test_a_refusal_says_nothing_of_having_run_where_an_unheard_coordinator_may_have() -> None:
+    """With two replicas coordinators begin at once, so a silent one may run what it was handed."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S + 8.0)
+        await site.traffic(2.0, 40.0, ("scatter",))
+        refusal = NotRun("queues", 0.1)
+        for _ in range(6):
+            coordinator = busiest_coordinator(site)
+            others = [node for node in site.nodes if node is not coordinator]
+            for node in others:
+                assert node.gateway is not None
+                node.gateway.handler.admission.refusal = lambda *_: refusal  # type: ignore[method-assign]
+            coordinator.machine.pause()
+            first = len(site.ledger.results)
+            for node in others:
+                await site.send("scatter", node.index)
+            coordinator.machine.resume(site.loop)
+            await asyncio.sleep(1.0)
+            refused = [one for one in site.ledger.results[first:] if one.status in (429, 503)]
+            ran = {arrival.request_id for arrival in site.ledger.arrivals if arrival.ran}
+            assert not {one.request_id for one in refused} & ran
+        assert site.broken_promises() == []
+
+    run_many(scenario, copies=2)
 
 
 def test_a_planned_stop_of_a_coordinator_cuts_nothing() -> None:
@@ -405,9 +434,9 @@
     """Let everything that gateways ask of each other travel for a while."""
     request = PeerClient.request
 
-    async def slow(self: PeerClient, *arguments: Any) -> bytes:
+    async def slow(self: PeerClient, *arguments: Any, **options: Any) -> bytes:
         await asyncio.sleep(one_way_s)
-        answer = await request(self, *arguments)
+        answer = await request(self, *arguments, **options)
         await asyncio.sleep(one_way_s)
         return answer
 
--- a/tests/functional/test_peer_transport.py
+++ b/tests/functional/test_peer_transport.py
@@ -307,6 +307,43 @@
     asyncio.run(scenario())
 
 
+def test_a_server_begins_a_tracked_request_at_once_unless_it_finds_it_given_up() -> None:
+    async def scenario() -> None:
+        async with serving() as (address, handler, _):
+            reader, writer = await asyncio.open_connection(address.host, address.port)
+            requests = [
+                Frame(FrameType.TRACKED_REQUEST, number, b"%d" % number) for number in (1, 2)
+            ]
+            given_up = Frame(FrameType.CANCEL, 1)
+            writer.write(b"".join(encode_frame(frame) for frame in (*requests, given_up)))
+            answer = await read_payload(reader, await read_header(reader))
+            while answer.frame_type is FrameType.ACCEPTED:
+                answer = await read_payload(reader, await read_header(reader))
+            assert (answer.frame_type, answer.request_id) == (FrameType.ANSWER, 2)
+            assert handler.started == [b"2"]
+            writer.close()
+
+    asyncio.run(scenario())
+
+
+def test_a_tracked_request_is_answered_like_any_other_and_may_be_silent() -> None:
+    async def scenario() -> None:
+        async with serving() as (address, _, _):
+            client = PeerClient(lambda: None)
+            answer = await client.request(
+                address, b"hello", TIMEOUT_S, TIMEOUT_S, begin_at_once=True
+            )
+            assert answer == b"hello"
+            await client.close()
+        async with answering_with() as address:
+            client = PeerClient(lambda: None)
+            with pytest.raises(PeerSilentError):
+                await client.request(address, b"hello", TIMEOUT_S, 0.05, begin_at_once=True)
+            await client.close()
+
+    asyncio.run(scenario())
+
+
 def test_a_peer_that_never_says_that_it_began_is_silent() -> None:
     async def scenario() -> None:
         async with answering_with() as address:
--- a/tinrudder/gateway/delegated_shards.py
+++ b/tinrudder/gateway/delegated_shards.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from tinrudder.gateway.client_moments import Moments
-from tinrudder.gateway.hand_over import Lost, NotTaken, hand_over
+from tinrudder.gateway.hand_over import Lost, NotTaken, Unheard, hand_over, may_begin_at_once
 from tinrudder.gateway.messages import HttpRequest
 from tinrudder.gateway.model import Address, Route
 from tinrudder.gateway.outcomes import Merged, NotRun
@@ -47,7 +47,7 @@
 
     :ivar part: the merged answer of the group, once there is one.
     :ivar may_have_run: back ends may have got the request.
-    :ivar may_run_here: the other gateway sent nothing and never will.
+    :ivar may_run_here: the other gateway sent nothing and never will, or it does no harm.
     """
 
     def __init__(
@@ -110,7 +110,13 @@
         """Ask once; what the other gateway does not do is left to the caller."""
         delegation = self._delegation
         scatter = self._scatter_request()
-        outcome = await hand_over(self._relaying, delegation.coordinator, scatter, self._moments)
+        outcome = await hand_over(
+            self._relaying,
+            delegation.coordinator,
+            scatter,
+            self._moments,
+            begin_at_once=may_begin_at_once(self._relaying, self._route, self.services),
+        )
         self.pending = False
         match outcome:
             case ScatterEnd():
@@ -119,6 +125,9 @@
                 self._problem = detail
                 self.may_have_run = False
                 self.may_run_here = True
+            case Unheard(detail=detail):
+                self._problem = detail
+                self.may_run_here = True
             case Lost(detail=detail):
                 self._problem = detail
         self.on_end(self)
--- a/tinrudder/gateway/hand_over.py
+++ b/tinrudder/gateway/hand_over.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from tinrudder.gateway.client_moments import Moments
-from tinrudder.gateway.model import Address
+from tinrudder.gateway.model import Address, Route
 from tinrudder.gateway.peer_messages import Declined, ScatterEnd, ScatterRequest
 from tinrudder.gateway.relaying import Relaying
 from tinrudder.gateway.request_log import log_coordinator_failed
-from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError
+from tinrudder.peers import PeerAddress, PeerLostError, PeerNotSentError, PeerSilentError
 from tinrudder.wire.gateway_relay_codec import decode_answer, encode_request
 from tinrudder.wire.snapshot_codec import MalformedPeerMessageError
 
@@ -25,6 +26,16 @@
     detail: str
 
 
+@dataclass(frozen=True, slots=True)
+class Unheard:
+    """It did not say in time that it began, and may begin all the same: to be borne, not to deny.
+
+    It is told not to, so it sends calls only if that word comes behind its beginning.
+    """
+
+    detail: str
+
+
 @dataclass(frozen=True, slots=True)
 class Lost:
     """It had begun, and no usable answer came: its calls cannot be counted."""
@@ -32,14 +43,22 @@
     detail: str
 
 
-HandOverOutcome = ScatterEnd | NotTaken | Lost
+HandOverOutcome = ScatterEnd | NotTaken | Unheard | Lost
 
 
 async def hand_over(
-    relaying: Relaying, coordinator: Address, scatter: ScatterRequest, moments: Moments
+    relaying: Relaying,
+    coordinator: Address,
+    scatter: ScatterRequest,
+    moments: Moments,
+    *,
+    begin_at_once: bool,
 ) -> HandOverOutcome:
-    """Ask one gateway; one that does not serve is left alone for a while."""
-    outcome = await _ask(relaying, coordinator, scatter, moments)
+    """Ask one gateway; one that does not serve is left alone for a while.
+
+    :param begin_at_once: see :func:`may_begin_at_once`.
+    """
+    outcome = await _ask(relaying, coordinator, scatter, moments, begin_at_once)
     if isinstance(outcome, ScatterEnd):
         relaying.coordinators.succeeded(coordinator)
         return outcome
@@ -49,8 +68,24 @@
     return outcome
 
 
+def may_begin_at_once(relaying: Relaying, route: Route, shards: Iterable[str]) -> bool:
+    """Tell whether two gateways at work on the same shards would do no harm.
+
+    One that stood still may begin when another has been asked in its place.  Together they could
+    send a shard's calls to all of its replicas, so no more of them may stand than one request may
+    run on.  Otherwise a gateway waits for the word that its own was heard, which takes a round
+    trip more.
+    """
+    directory = relaying.forwarding.directory
+    return all(len(directory.replica_zones(shard)) <= route.attempts for shard in shards)
+
+
 async def _ask(
-    relaying: Relaying, coordinator: Address, scatter: ScatterRequest, moments: Moments
+    relaying: Relaying,
+    coordinator: Address,
+    scatter: ScatterRequest,
+    moments: Moments,
+    begin_at_once: bool,
 ) -> HandOverOutcome:
     """Send the request and wait for the answer, or for signs that none will come."""
     now = relaying.forwarding.loop.time()
@@ -60,8 +95,12 @@
     payload = encode_request(scatter)
     try:
         answer = decode_answer(
-            await relaying.client.request(address, payload, left_s, acceptance_s)
+            await relaying.client.request(
+                address, payload, left_s, acceptance_s, begin_at_once=begin_at_once
+            )
         )
+    except PeerSilentError as error:
+        return Unheard(str(error)) if begin_at_once else NotTaken(str(error))
     except PeerNotSentError as error:
         return NotTaken(str(error))
     except PeerLostError as error:
--- a/tinrudder/gateway/relayed_run.py
+++ b/tinrudder/gateway/relayed_run.py
@@ -5,10 +5,10 @@
 import asyncio
 
 from tinrudder.gateway.client_moments import Moments
-from tinrudder.gateway.hand_over import Lost, NotTaken, hand_over
+from tinrudder.gateway.hand_over import Lost, NotTaken, Unheard, hand_over, may_begin_at_once
 from tinrudder.gateway.messages import HttpRequest
 from tinrudder.gateway.model import Address, Route
-from tinrudder.gateway.outcomes import Merged, NoAnswer, RequestOutcome, TimedOut
+from tinrudder.gateway.outcomes import Merged, NoAnswer, NotRun, RequestOutcome, TimedOut
 from tinrudder.gateway.peer_messages import MissingShard, ScatterEnd, ScatterRequest
 from tinrudder.gateway.relaying import Relaying
 from tinrudder.gateway.request_run import OutcomeListener, RequestRun
@@ -21,8 +21,8 @@
     """One scatter; coordinators are asked in turn, and the last resort is to run it here.
 
     A coordinator that does not even say that it took the scatter is taken for dead while there is
-    time for another: it never begins without a confirmation.  Where a coordinator had begun, its
-    calls cannot be counted, so nothing is sent again.
+    time for another: it never begins without a confirmation, or does no harm if it does.  Where a
+    coordinator had begun, its calls cannot be counted, so nothing is sent again.
     """
 
     def __init__(
@@ -48,6 +48,7 @@
         self._planner = planner
         self._on_outcome = on_outcome
         self._lost = False
+        self._may_have_run = False
         self._problems: list[str] = []
         self._task: asyncio.Task[None] | None = None
         self._local: RequestRun | None = None
@@ -84,12 +85,21 @@
     async def _ask(self, coordinator: Address) -> ScatterEnd | None:
         """Ask one coordinator; ``None`` when it gave no usable answer."""
         scatter = self._scatter_request(coordinator)
-        outcome = await hand_over(self._relaying, coordinator, scatter, self._moments)
+        outcome = await hand_over(
+            self._relaying,
+            coordinator,
+            scatter,
+            self._moments,
+            begin_at_once=may_begin_at_once(self._relaying, self._route, self._route.shards),
+        )
         match outcome:
             case ScatterEnd():
                 return outcome
             case NotTaken(detail=detail):
                 self._problems.append(detail)
+            case Unheard(detail=detail):
+                self._problems.append(detail)
+                self._may_have_run = True
             case Lost(detail=detail):
                 self._problems.append(detail)
                 self._lost = True
@@ -102,7 +112,13 @@
         if isinstance(end.outcome, Merged):
             size = len(end.outcome.body)
             self._relaying.forwarding.observe_sizes(self._route.shards, size, ())
-        self._on_outcome(end.outcome)
+        self._report(end.outcome)
+
+    def _report(self, outcome: RequestOutcome) -> None:
+        """Report the outcome; that nothing has run is said only if that holds for all asked."""
+        if isinstance(outcome, NotRun) and self._may_have_run:
+            outcome = NoAnswer("; ".join([*self._problems, outcome.detail]))
+        self._on_outcome(outcome)
 
     @property
     def _may_ask_again(self) -> bool:
@@ -145,4 +161,4 @@
         assert self._local is not None
         self.repeats = self._local.repeats
         self.missing_shards = self._local.missing_shards
-        self._on_outcome(outcome)
+        self._report(outcome)
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -68,6 +68,7 @@
         self._included = 0
         self._ended: set[ShardCalls] = set()
         self._hopeless: set[ShardCalls] = set()
+        self._unheard_may_run = False
         if minimum_share is None:
             minimum_share = route.minimum_share if self._scatter else WHOLE
         self._minimum_share = minimum_share
@@ -154,6 +155,7 @@
         """Ask a group's shards from here."""
         self._forwarding.counters.delegations_run_here += 1
         self._delegated.remove(group)
+        self._unheard_may_run |= group.may_have_run
         calls = self._calls(group.services)
         self.shards.extend(calls)
         self._starting = True
@@ -269,7 +271,7 @@
         """Tell whether any back end may have got the request."""
         here = any(shard.may_have_run for shard in self.shards)
         elsewhere = any(group.may_have_run for group in self._delegated)
-        return here or elsewhere
+        return here or elsewhere or self._unheard_may_run
 
     def _finish(self, outcome: RequestOutcome) -> None:
         """Report once."""
--- a/tinrudder/gateway/store_readers.py
+++ b/tinrudder/gateway/store_readers.py
@@ -21,7 +21,7 @@
 """How long a start waits for any peer: seeds answer within a round trip, lost digests are sent
 again after 0.2 s.  Gateways wait one to two times as long, so that they do not ask all at once."""
 HEARD_PATIENCE_S = 1.2
-"""The same where a peer was heard, who also knows too little: six pages of a store at 0.2 s each."""
+"""The same where a peer was heard that knows too little itself: six calls of 0.2 s to a store."""
 FLEET_RETRIES_PER_S = 20.0
 """How often all gateways that are no readers together ask a store that does not answer: one of
 them finds within 0.1 s that it is back, and tells all."""
--- a/tinrudder/peers.py
+++ b/tinrudder/peers.py
@@ -32,7 +32,8 @@
 class PeerSilentError(PeerNotSentError):
     """The peer did not even say in time that it took the request.
 
-    It may have received it, but begins only when its word has been confirmed, which never happens.
+    It may have received it, but begins only when its word has been confirmed, which never happens;
+    unless it was asked to begin at once.
     """
 
 
--- a/tinrudder/routing/path_time.py
+++ b/tinrudder/routing/path_time.py
@@ -15,7 +15,8 @@
 """Weights of a new value in the mean and in the deviation, those of TCP's retransmission timer."""
 DEVIATION_GAIN = 0.25
 DEVIATIONS = 4.0
-"""Also from that timer; an answer that comes too late loses nine tenths of its worth, one that leaves early little."""
+"""Also from that timer.  An answer that comes too late loses nine tenths of its worth, one that
+leaves early a few parts."""
 LONGEST_SEEN_S = 0.05
 """Longer ones are stalls of one gateway and say nothing of the next request."""
 
--- a/tinrudder/wire/frames.py
+++ b/tinrudder/wire/frames.py
@@ -23,6 +23,8 @@
     ``ACKNOWLEDGED_REQUEST``: a request that the peer answers at once, and regularly while
     it is at work, with ``ACCEPTED``.  The peer begins only on ``CONFIRMED``, with which the sender
     answers the first of them: who was taken for dead meanwhile never begins.
+    ``TRACKED_REQUEST``: the same without ``CONFIRMED``, a round trip sooner: it begins at once,
+    so whoever hears nothing of it must be able to bear that it begins later all the same.
     """
 
     REQUEST = 1
@@ -33,6 +35,7 @@
     ACKNOWLEDGED_REQUEST = 6
     ACCEPTED = 7
     CONFIRMED = 8
+    TRACKED_REQUEST = 9
 
 
 class FrameError(Exception):
--- a/tinrudder/wire/peer_client.py
+++ b/tinrudder/wire/peer_client.py
@@ -35,12 +35,14 @@
     :param end: loop time at which nobody waits any longer.
     :param patience: what is left of the time to hear of it, once waiting has begun.
     :param begun: the peer has said that it is at work.
+    :param confirms: the peer waits for the word that this was heard.
     """
 
     answer: asyncio.Future[bytes]
     end: float
     patience: asyncio.Timeout | None = None
     begun: bool = False
+    confirms: bool = True
 
     def hear(self, now: float) -> None:
         """Wait on: the peer says that it is at work."""
@@ -83,11 +85,15 @@
         payload: bytes,
         timeout_s: float,
         accept_within_s: float | None = None,
+        *,
+        begin_at_once: bool = False,
     ) -> bytes:
         """Send a request and return its answer; see :class:`tinrudder.peers.PeerTransport`.
 
         :param accept_within_s: the peer must say in this time that it has begun, counted from
             now, opening a connection included; and again and again while it is at work.
+        :param begin_at_once: the peer begins without hearing that its first word arrived, so a
+            silent one may begin as well.
         :raises PeerSilentError: it did not.
         """
         if len(payload) > MAX_FRAME_BYTES:
@@ -102,10 +108,12 @@
             raise PeerNotSentError(f"{destination}: does not read what it is sent")
         connection.last_request_id += 1
         request_id = connection.last_request_id
-        waiting = _Waiting(loop.create_future(), end)
+        waiting = _Waiting(loop.create_future(), end, confirms=not begin_at_once)
         answer = waiting.answer
         connection.waiting[request_id] = waiting
         kind = FrameType.ACKNOWLEDGED_REQUEST if acknowledged else FrameType.REQUEST
+        if acknowledged and begin_at_once:
+            kind = FrameType.TRACKED_REQUEST
         _write(connection, Frame(kind, request_id, payload))
         try:
             async with asyncio.timeout_at(first_word_at) as waiting.patience:
@@ -229,7 +237,7 @@
     answer = waiting.answer
     match frame.frame_type:
         case FrameType.ACCEPTED:
-            if not waiting.begun:
+            if not waiting.begun and waiting.confirms:
                 _write(connection, Frame(FrameType.CONFIRMED, frame.request_id))
             waiting.hear(answer.get_loop().time())
         case FrameType.ANSWER:
--- a/tinrudder/wire/peer_server.py
+++ b/tinrudder/wire/peer_server.py
@@ -95,6 +95,9 @@
             case FrameType.ACKNOWLEDGED_REQUEST:
                 self._start(accepted, frame, asyncio.Event())
                 _report_progress(accepted, frame.request_id)
+            case FrameType.TRACKED_REQUEST:
+                self._start(accepted, frame, None)
+                _report_progress(accepted, frame.request_id)
             case FrameType.CONFIRMED:
                 awaited = accepted.unconfirmed.pop(frame.request_id, None)
                 if awaited is not None:
