Ask again for shards that other gateways ended without, where too few are in

Cause: a gateway beside the replicas answers at the objective with as many shards missing as may be missing of the whole.

The gateway that merges now asks those shards itself, as repeats within the budget, where a shard has no more replicas than one request may run on; late answers are delivered. Ruled out: dividing what may be missing among the groups: a single slow group would make whole answers late that are in time today.

Test: four shards of a group stand still for 0.4 s and one here fails for good: 502 before, 200 now.

--- a/tests/functional/test_gateway_delegation.py
+++ b/tests/functional/test_gateway_delegation.py
@@ -60,6 +60,26 @@
     run_spread(scenario)
 
 
+def test_shards_that_another_gateway_ended_without_are_asked_again_where_too_few_are_in() -> None:
+    """Four of 18 may be missing: the group's four, cut at the objective, and one here are five."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(WHOLE_BUDGET_S)
+        await site.traffic(2.0, 20.0, ("scatter",))
+        entry = site.nodes[0]
+        lacking = [number for number in range(SHARDS) if number % 3 == 1]
+        for number in lacking[:4]:
+            for copy in range(2):
+                site.backends[f"shard-{number}-{copy}"].pause(0.4)
+        for copy in range(2):
+            site.backends[f"shard-0-{copy}"].choose_fault = lambda: Fault.ERROR
+        result = await site.send("scatter", entry.index)
+        assert result.status == 200
+        assert site.broken_promises() == []
+
+    run_spread(scenario)
+
+
 def test_a_gateway_that_dies_costs_only_what_it_was_at_work_on() -> None:
     async def scenario(site: EmulatedSite) -> None:
         await asyncio.sleep(SETTLED_S)
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -76,7 +76,7 @@
         self._delegated = list(delegated)
         self.shards = self._calls(services)
 
-    def _calls(self, services: Sequence[str]) -> list[ShardCalls]:
+    def _calls(self, services: Sequence[str], *, asked_before: bool = False) -> list[ShardCalls]:
         """Prepare the calls of some shards."""
         return [
             ShardCalls(
@@ -86,6 +86,7 @@
                 self._forwarding,
                 self._review,
                 relay_failures=not self._scatter,
+                asked_before=asked_before,
             )
             for service in services
         ]
@@ -98,7 +99,7 @@
     @property
     def repeats(self) -> int:
         """Return how many calls were sent beyond the first of each shard."""
-        here = sum(max(0, shard.sends - 1) for shard in self.shards)
+        here = sum(shard.repeats for shard in self.shards)
         return here + sum(group.repeats for group in self._delegated)
 
     @property
@@ -109,7 +110,9 @@
             for shard in self.shards
             if shard.part is None
         )
-        return here + tuple(one for group in self._delegated for one in group.missing_shards)
+        asked_here = {shard.service for shard in self.shards}
+        elsewhere = (one for group in self._delegated for one in group.missing_shards)
+        return here + tuple(one for one in elsewhere if one.service not in asked_here)
 
     def start(self) -> None:
         """Send the first calls."""
@@ -156,7 +159,34 @@
         self._forwarding.counters.delegations_run_here += 1
         self._delegated.remove(group)
         self._unheard_may_run |= group.may_have_run
-        calls = self._calls(group.services)
+        self._start_here(self._calls(group.services), now)
+
+    def _ask_again_here(self, now: float) -> bool:
+        """Ask for shards that other gateways ended without; tell whether there are any.
+
+        Their answers left at the objective, each with as few shards as may be missing of the
+        whole; together that can be too few.
+        """
+        if not self._scatter or now >= self._moments.deadline_at:
+            return False
+        asked_here = {shard.service for shard in self.shards}
+        lacking = [
+            one.service
+            for group in self._delegated
+            if not group.pending
+            for one in group.missing_shards
+            if one.service not in asked_here and self._may_ask_again(one.service)
+        ]
+        self._start_here(self._calls(lacking, asked_before=True), now)
+        return bool(lacking)
+
+    def _may_ask_again(self, service: str) -> bool:
+        """Tell whether a shard has no more replicas than one request may run on."""
+        replicas = self._forwarding.directory.replica_zones(service)
+        return len(replicas) <= self._route.attempts
+
+    def _start_here(self, calls: list[ShardCalls], now: float) -> None:
+        """Start calls of further shards."""
         self.shards.extend(calls)
         self._starting = True
         for shard in calls:
@@ -181,6 +211,9 @@
         """Wait, answer or fail, as decided now."""
         self.decided_at = now
         decision = decide(self._state(), now)
+        if decision.verdict is Verdict.FAIL and self._ask_again_here(now):
+            decision = decide(self._state(), now)
+            self._arm_for_shards()
         if decision.verdict is Verdict.WAIT:
             self._arm(decision.until)
         elif decision.verdict is Verdict.ANSWER:
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -63,10 +63,12 @@
         on_change: Callable[[ShardCalls], None],
         *,
         relay_failures: bool,
+        asked_before: bool = False,
     ) -> None:
         """Prepare.
 
         :param relay_failures: a back end's own refusal is an answer.
+        :param asked_before: another gateway has called the shard's back ends for this request.
         """
         self.service = service
         self.part: HttpAnswer | None = None
@@ -80,6 +82,7 @@
         self._forwarding = forwarding
         self._on_change = on_change
         self._relay_failures = relay_failures
+        self._asked_before = asked_before
         self._attempts: list[Attempt] = []
         self._tries = 0
         self._offered: Counter[str] = Counter()
@@ -101,7 +104,8 @@
 
     def start(self, now: float) -> None:
         """Send the first call."""
-        self._budget.note_request(now)
+        if not self._asked_before:
+            self._budget.note_request(now)
         self._try_next(now)
 
     def on_time(self, now: float) -> None:
@@ -133,7 +137,12 @@
     @property
     def _next_is_repeat(self) -> bool:
         """Tell whether the next call that leaves is not the service's first of this request."""
-        return self.sends > 0
+        return self._asked_before or self.sends > 0
+
+    @property
+    def repeats(self) -> int:
+        """Return how many calls were sent beyond the first of this request."""
+        return self.sends if self._asked_before else max(0, self.sends - 1)
 
     def _try_next(self, now: float) -> None:
         """Send a call, or note when to look again, or that there is nothing to try."""
