Load what only a scrape needs at the first scrape

Cause: a process costs half a second of processor time before it serves, a second on a machine of half a core, and every restart of all pays it while clients wait. A fifth of the imports was prometheus_client with http.server, and the loopback node's outcomes by way of its metrics.

Tests: the text of the figures; that a start does not load these modules (fails before).

--- /dev/null
+++ b/tests/unit/test_gateway_metrics.py
@@ -0,0 +1,49 @@
+"""The text of a gateway's metrics, and what a start does not load for it."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+from tinrudder.gateway.gateway_metrics import GatewayMetrics
+from tinrudder.gateway.outcomes import TimedOut
+from tinrudder.gateway.peer_messages import MissingShard
+from tinrudder.gateway.request_log import FinishedRequest
+from tinrudder_lab.emulator.site import EmulatedSite, run_site
+
+LATER = ("prometheus_client", "http.server", "tinrudder.metrics", "tinrudder.outcomes")
+"""Modules that no request needs."""
+
+
+def text_of(metrics: GatewayMetrics) -> str:
+    return metrics.render().decode()
+
+
+def test_finished_requests_are_counted_by_priority_outcome_and_latency() -> None:
+    async def scenario(site: EmulatedSite) -> str:
+        gateway = site.nodes[0].gateway
+        assert gateway is not None
+        await site.send("scatter")
+        missing = (MissingShard("shard-0", "late"), MissingShard("shard-1", "late"))
+        late = FinishedRequest(b"1", None, b"/", 1, TimedOut("late"), 0.25, missing)
+        gateway.metrics.observe(late)
+        return text_of(gateway.metrics)
+
+    lines = run_site(scenario).splitlines()
+    name = "tinrudder_gateway_request_seconds"
+    assert f'{name}_count{{outcome="Merged",priority="1"}} 1.0' in lines
+    assert f'{name}_bucket{{le="0.2",outcome="TimedOut",priority="none"}} 0.0' in lines
+    assert f'{name}_bucket{{le="0.3",outcome="TimedOut",priority="none"}} 1.0' in lines
+    assert f'{name}_bucket{{le="+Inf",outcome="TimedOut",priority="none"}} 1.0' in lines
+    assert f'{name}_sum{{outcome="TimedOut",priority="none"}} 0.25' in lines
+    assert "tinrudder_gateway_missing_shards_total 2.0" in lines
+    assert "tinrudder_gateway_requests_total 1.0" in lines
+    assert "tinrudder_gateway_backends 19.0" in lines
+
+
+def test_a_start_loads_nothing_that_only_a_scrape_needs() -> None:
+    program = "import sys, tinrudder.cli.gateway_process; print(*sys.modules)"
+    loaded = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, check=True, text=True
+    ).stdout.split()
+    assert [name for name in LATER if name in loaded] == []
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -1,19 +1,37 @@
-"""Counters and latency histograms of a gateway, with bounded labels."""
+"""Counters and latency histograms of a gateway, with bounded labels.
+
+Counting needs no library.  The one that writes the text format is loaded at the first scrape: it
+takes a fifth of a process's start, which every restart would pay.
+"""
 
 from __future__ import annotations
 
 import functools
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from prometheus_client import CollectorRegistry, Counter, Histogram, generate_latest
-
+from tinrudder.gateway.request_latencies import LatencyCounts, LatencyLabels
 from tinrudder.gateway.request_log import FinishedRequest
-from tinrudder.metrics import LATENCY_BUCKETS_S, ReadCollector, ReadMetric
 
 if TYPE_CHECKING:
     from tinrudder.gateway.node import GatewayNode
 
 
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """A figure that some part of the gateway keeps.
+
+    :param is_counter: it only grows while the process lives.
+    """
+
+    name: str
+    help: str
+    read: Callable[[], float]
+    is_counter: bool = True
+
+
 class GatewayMetrics:
     """Everything the metrics address shows.
 
@@ -23,48 +41,37 @@
 
     def __init__(self, node: GatewayNode) -> None:
         """Read what the node's parts count anyway at every scrape."""
-        self._registry = CollectorRegistry()
-        self._latency = Histogram(
-            "tinrudder_gateway_request_seconds",
-            "Time from a client's whole request to its outcome.",
-            ["priority", "outcome"],
-            buckets=LATENCY_BUCKETS_S,
-            registry=self._registry,
-        )
-        self._missing = Counter(
-            "tinrudder_gateway_missing_shards",
-            "Shards left out of merged answers.",
-            registry=self._registry,
-        )
+        self.latencies: defaultdict[LatencyLabels, LatencyCounts] = defaultdict(LatencyCounts)
+        self._missing_shards = 0
         counters = node.counters
-        figures = ReadCollector()
-        figures.metrics.extend(
-            ReadMetric(
-                f"tinrudder_gateway_{name}", text, functools.partial(getattr, counters, name)
-            )
+        self.figures = [
+            Figure(f"{PREFIX}_{name}", text, functools.partial(getattr, counters, name))
             for name, text in _COUNTED.items()
-        )
-        figures.metrics.append(
-            ReadMetric(
-                "tinrudder_gateway_store_calls", "Calls to the store.", lambda: node.store_calls
-            )
-        )
-        figures.metrics.extend(_gauges(node))
-        self._registry.register(figures)
+        ]
+        self.figures += [
+            Figure(f"{PREFIX}_store_calls", "Calls to the store.", lambda: node.store_calls),
+            Figure(
+                f"{PREFIX}_missing_shards",
+                "Shards left out of merged answers.",
+                lambda: self._missing_shards,
+            ),
+            *_gauges(node),
+        ]
 
     def observe(self, request: FinishedRequest) -> None:
         """Count one finished request."""
         priority = str(request.route.priority) if request.route is not None else "none"
-        self._latency.labels(priority, request.outcome_name).observe(request.elapsed_s)
-        missing = len(request.missing_shards)
-        if missing:
-            self._missing.inc(missing)
+        self.latencies[LatencyLabels(priority, request.outcome_name)].observe(request.elapsed_s)
+        self._missing_shards += len(request.missing_shards)
 
     def render(self) -> bytes:
         """Return the text format."""
-        return generate_latest(self._registry)
+        from tinrudder.gateway.metrics_text import metrics_text
+
+        return metrics_text(self)
 
 
+PREFIX = "tinrudder_gateway"
 _COUNTED = {
     "requests": "Requests read.",
     "calls": "Calls sent to back ends.",
@@ -85,29 +92,29 @@
 }
 
 
-def _gauges(node: GatewayNode) -> list[ReadMetric]:
+def _gauges(node: GatewayNode) -> list[Figure]:
     """Return what is as it is now."""
     return [
-        ReadMetric(
-            "tinrudder_gateway_configuration_revision",
+        Figure(
+            f"{PREFIX}_configuration_revision",
             "Revision of the configuration in force.",
             lambda: node.state.configuration_revision,
             is_counter=False,
         ),
-        ReadMetric(
-            "tinrudder_gateway_nodes",
+        Figure(
+            f"{PREFIX}_nodes",
             "Gateways that share budgets, this one included.",
             node.nodes,
             is_counter=False,
         ),
-        ReadMetric(
-            "tinrudder_gateway_backends",
+        Figure(
+            f"{PREFIX}_backends",
             "Back ends known.",
             lambda: len(node.directory),
             is_counter=False,
         ),
-        ReadMetric(
-            "tinrudder_gateway_in_progress",
+        Figure(
+            f"{PREFIX}_in_progress",
             "Requests being served.",
             lambda: node.handler.in_progress,
             is_counter=False,
--- /dev/null
+++ b/tinrudder/gateway/metrics_text.py
@@ -0,0 +1,57 @@
+"""The metrics of a gateway in the text format; imported by the first scrape."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+from prometheus_client.registry import Collector
+
+from tinrudder.gateway.gateway_metrics import PREFIX, GatewayMetrics
+from tinrudder.gateway.request_latencies import LATENCY_BUCKETS_S, LatencyCounts
+
+UNBOUNDED = "+Inf"
+
+
+class _GatewayCollector(Collector):
+    """Reads a gateway's figures."""
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        self._metrics = metrics
+
+    def collect(self) -> Iterable[Metric]:
+        """Return every figure as it is now."""
+        for figure in self._metrics.figures:
+            family = CounterMetricFamily if figure.is_counter else GaugeMetricFamily
+            yield family(figure.name, figure.help, value=figure.read())
+        latency = HistogramMetricFamily(
+            f"{PREFIX}_request_seconds",
+            "Time from a client's whole request to its outcome.",
+            labels=["priority", "outcome"],
+        )
+        for labels, counts in self._metrics.latencies.items():
+            buckets = list(_cumulative(counts))
+            latency.add_metric([labels.priority, labels.outcome], buckets, counts.total_s)
+        yield latency
+
+
+def metrics_text(metrics: GatewayMetrics) -> bytes:
+    """Return everything that a scrape asks for."""
+    registry = CollectorRegistry()
+    registry.register(_GatewayCollector(metrics))
+    return generate_latest(registry)
+
+
+def _cumulative(counts: LatencyCounts) -> Iterator[tuple[str, float]]:
+    """Yield each bucket's upper bound with the number of requests up to it."""
+    bounds = [str(bound) for bound in LATENCY_BUCKETS_S] + [UNBOUNDED]
+    reached = 0
+    for bound, count in zip(bounds, counts.counts, strict=True):
+        reached += count
+        yield bound, float(reached)
--- /dev/null
+++ b/tinrudder/gateway/request_latencies.py
@@ -0,0 +1,37 @@
+"""Counts of finished requests by latency, cheap to keep; a scrape turns them into text."""
+
+from __future__ import annotations
+
+import bisect
+from dataclasses import dataclass, field
+
+LATENCY_BUCKETS_S = (0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0)
+"""Upper bounds, from a fast call's few milliseconds to the longest time that clients wait."""
+
+
+@dataclass(slots=True)
+class LatencyCounts:
+    """One histogram: how many requests fell into each bucket, the last one without a bound.
+
+    >>> counts = LatencyCounts()
+    >>> counts.observe(0.01)
+    >>> counts.observe(60.0)
+    >>> counts.counts[1], counts.counts[-1], counts.total_s
+    (1, 1, 60.01)
+    """
+
+    counts: list[int] = field(default_factory=lambda: [0] * (len(LATENCY_BUCKETS_S) + 1))
+    total_s: float = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count one request."""
+        self.counts[bisect.bisect_left(LATENCY_BUCKETS_S, seconds)] += 1
+        self.total_s += seconds
+
+
+@dataclass(frozen=True, slots=True)
+class LatencyLabels:
+    """What requests of one histogram have in common."""
+
+    priority: str
+    outcome: str
