Let at most eight gateways follow the store, not two in every zone

Cause: readers were chosen as coordinators are, at least two a zone and rounded up: twelve on six zones, nine on three. Every change wakes every reader, and each is a call.

Now eight are divided among the zones and rounded down, one a zone at least: six on six zones, six on three, eight on two. Ruled out: one reader for all: a store that turns a third of the machines away would leave it to the stale ones to notice.

--- a/tests/unit/test_coordinator_choice.py
+++ b/tests/unit/test_coordinator_choice.py
@@ -14,6 +14,7 @@
     Candidate,
     IndexDemand,
     choose_coordinators,
+    choose_readers,
     coordinators_needed,
     preference,
 )
@@ -108,3 +109,15 @@
     first = Counter(preference(f"g-{number}", "zone-b", coordinators)[0] for number in range(300))
     assert len(first) == 2
     assert min(first.values()) >= 100
+
+
+@given(st.integers(1, 12), st.integers(1, 40), st.integers(1, 20))
+def test_readers_are_no_more_than_wanted_unless_zones_are(
+    zones: int, in_each: int, most: int
+) -> None:
+    candidates = [
+        Candidate(f"{zone}-{i}", f"z{zone}", 1.0) for zone in range(zones) for i in range(in_each)
+    ]
+    chosen = choose_readers("reader", candidates, most)
+    assert len(chosen) <= max(most, zones)
+    assert {one.zone for one in chosen} == {one.zone for one in candidates}
--- a/tinrudder/gateway/store_readers.py
+++ b/tinrudder/gateway/store_readers.py
@@ -10,7 +10,7 @@
 from tinrudder.gateway.peer_messages import Member
 from tinrudder.gateway.shared_state import SharedState
 from tinrudder.gateway.stored_values import Topic
-from tinrudder.routing.coordinator_choice import Candidate, choose_coordinators
+from tinrudder.routing.coordinator_choice import Candidate, choose_readers
 
 READERS = 8
 ACQUAINTANCE_S = 1.0
@@ -99,5 +99,5 @@
         others = [one for one in self.peers.candidates(now) if not one.without_store]
         members = [self.describe_own(), *others]
         candidates = [Candidate(str(one.address), one.zone, 1.0) for one in members]
-        chosen = choose_coordinators(ROLE, candidates, READERS)
+        chosen = choose_readers(ROLE, candidates, READERS)
         return any(one.name == str(self.own) for one in chosen)
--- a/tinrudder/routing/coordinator_choice.py
+++ b/tinrudder/routing/coordinator_choice.py
@@ -79,15 +79,40 @@
     >>> len(choose_coordinators("index", pair, count=1))
     2
     """
+    by_zone = _by_zone(candidates)
+    each = max(FEWEST_IN_A_ZONE, math.ceil(count / max(1, len(by_zone))))
+    return _first_in_each_zone(index, by_zone, each)
+
+
+def choose_readers(role: str, candidates: Iterable[Candidate], most: int) -> tuple[Candidate, ...]:
+    """Choose gateways for work that a few do for all, equally many in every zone.
+
+    :param role: tells roles apart, so that they fall on different gateways.
+    :param most: how many in all, rounded down to a multiple of the zones, but one in each.
+
+    >>> three_zones = [Candidate(f"{zone}{i}", zone, 1.0) for zone in "abc" for i in range(5)]
+    >>> len(choose_readers("reader", three_zones, most=8))
+    6
+    """
+    by_zone = _by_zone(candidates)
+    return _first_in_each_zone(role, by_zone, max(1, most // max(1, len(by_zone))))
+
+
+def _by_zone(candidates: Iterable[Candidate]) -> dict[str, list[Candidate]]:
+    """Sort candidates into their zones."""
     by_zone: defaultdict[str, list[Candidate]] = defaultdict(list)
     for candidate in candidates:
         by_zone[candidate.zone].append(candidate)
-    if not by_zone:
-        return ()
-    each = max(FEWEST_IN_A_ZONE, math.ceil(count / len(by_zone)))
+    return by_zone
+
+
+def _first_in_each_zone(
+    name: str, by_zone: dict[str, list[Candidate]], each: int
+) -> tuple[Candidate, ...]:
+    """Return the best few candidates of every zone."""
     chosen: list[Candidate] = []
     for zone in sorted(by_zone):
-        ranked = sorted(by_zone[zone], key=lambda one: _rank(index, one), reverse=True)
+        ranked = sorted(by_zone[zone], key=lambda one: _rank(name, one), reverse=True)
         chosen.extend(ranked[:each])
     return tuple(chosen)
 
