Teach a process that has just started all gateways that a peer counts

Cause: views of the fleet filled through seven members a digest.

Within its first 3 s a process asks for members with its pulls, and asks twice for nothing else: a seed after 0.2 s, which has heard of all that started with it, and any peer after 1 s. About 45 bytes a member, 9 KB at 195 and 33 KB at 730 gateways, twice a start; digests are as they were.

--- a/tests/functional/test_gateway_coordinators.py
+++ b/tests/functional/test_gateway_coordinators.py
@@ -462,3 +462,30 @@
 
     delay_paths(monkeypatch, 0.012)
     run_many(scenario)
+
+
+def test_gateways_that_start_together_know_each_other_within_a_second() -> None:
+    """Coordinators are chosen among those who are known, so views must agree early."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        restart_all(site)
+        await asyncio.sleep(0.7)
+        known = [node.gateway.nodes() for node in site.nodes if node.gateway is not None]
+        assert min(known) >= 0.95 * len(site.nodes)
+
+    run_site(scenario, node_count=60)
+
+
+def test_one_that_starts_among_many_knows_them_at_once_and_not_the_dead() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        started, dead = site.nodes[-1], site.nodes[-2]
+        site.kill_node(dead)
+        site.kill_node(started)
+        await asyncio.sleep(31.0)
+        site.start_node(started)
+        await asyncio.sleep(0.5)
+        assert started.gateway is not None
+        assert started.gateway.nodes() == len(site.nodes) - 1
+
+    run_site(scenario, node_count=60)
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -16,6 +16,7 @@
     ScatterRequest,
     Snapshot,
     SnapshotRequest,
+    ToldMember,
 )
 from tinrudder.gateway.shared_state import SharedState
 from tinrudder.gateway.store_readers import StoreReaders
@@ -35,6 +36,9 @@
 DIGEST_INTERVAL_S = 0.5
 FIRST_DIGEST_INTERVAL_S = 0.2
 FIRST_DIGESTS = 15
+INTRODUCTIONS = (2, 6)
+"""With which digests a start asks for all members: when seeds have heard of those that started
+together, 0.2 s, and when processes on machines half as fast have started too, 1 s."""
 PULL_PATIENCE_S = 0.25
 PULL_TIMEOUT_S = 1.0
 ScatterServer = Callable[[ScatterRequest], Awaitable[ScatterAnswer]]
@@ -74,6 +78,7 @@
         self._server: asyncio.Server | None = None
         self._behind_since: float | None = None
         self._pulling: asyncio.Task[None] | None = None
+        self._introduction: asyncio.Task[None] | None = None
         self._told: tuple[int, int] = (0, 0)
         self._ticking: asyncio.Task[None] | None = None
         self._waiting_to_learn: set[Address] = set()
@@ -218,12 +223,14 @@
         """Ask one peer."""
         state = self._state
         known = state.backends_revision if state.backends_read else 0
-        request = encode_request(SnapshotRequest(state.configuration_revision, known))
+        settling = self._peers.is_settling(self._loop.time())
+        request = encode_request(SnapshotRequest(state.configuration_revision, known, settling))
         address = PeerAddress(peer.host, peer.port)
         return decode_snapshot(await self._client.request(address, request, PULL_TIMEOUT_S))
 
     def _apply(self, snapshot: Snapshot) -> None:
         """Take what is newer."""
+        self._peers.heard_of(snapshot.members, self._loop.time())
         if snapshot.configuration is not None:
             self._state.apply(Topic.CONFIGURATION, (snapshot.configuration,))
         if snapshot.backends_read and not snapshot.changes_only:
@@ -252,9 +259,12 @@
         after = request.backends_revision
         if after < self._state.forgotten_up_to:
             after = 0
-        return Snapshot(
-            configuration, self._state.snapshot(after), self._state.backends_read, after > 0
-        )
+        members: tuple[ToldMember, ...] = ()
+        if request.members_wanted:
+            own = ToldMember(self._describe_own(), 0.0)
+            members = (own, *self._peers.all_told(self._loop.time()))
+        backends = self._state.snapshot(after)
+        return Snapshot(configuration, backends, self._state.backends_read, after > 0, members)
 
     def _on_state_change(self) -> None:
         """Tell peers of a change at once."""
@@ -263,6 +273,19 @@
         if (state.configuration_revision, state.backends_revision) != self._told:
             self.send_digests()
 
+    def _learn_members(self, *, seeds_only: bool) -> None:
+        """Ask a peer for everybody whom it knows."""
+        teacher = self._peers.teacher(seeds_only=seeds_only)
+        if teacher is not None:
+            self._introduction = self._loop.create_task(self._introduce(teacher))
+
+    async def _introduce(self, teacher: Address) -> None:
+        """Learn from one peer; one that fails is no reason to doubt the others."""
+        try:
+            self._apply(await self._request_snapshot(teacher))
+        except (PeerNotSentError, PeerLostError, MalformedPeerMessageError) as error:
+            self._on_pull(str(teacher), f"introduction failed: {error!r}")
+
     async def _tick(self) -> None:
         """Send digests regularly, not all gateways at the same time; more often at first."""
         sent = 0
@@ -270,5 +293,7 @@
             # Peers in other zones hear every second one: bytes between zones are paid for.
             self.send_digests(zone_only=sent > FIRST_DIGESTS and sent % 2 == 1)
             sent += 1
+            if sent in INTRODUCTIONS:
+                self._learn_members(seeds_only=sent == INTRODUCTIONS[0])
             interval_s = FIRST_DIGEST_INTERVAL_S if sent < FIRST_DIGESTS else DIGEST_INTERVAL_S
             await asyncio.sleep(interval_s * self._random.uniform(0.8, 1.2))
--- a/tinrudder/gateway/peer_list.py
+++ b/tinrudder/gateway/peer_list.py
@@ -86,7 +86,7 @@
         """
         horizon = now - COUNTED_FOR_S
         heard = 1 + sum(1 for known in self._known.values() if known.heard_at >= horizon)
-        return heard if now >= self._settled_at else max(heard, ASSUMED_AT_START)
+        return max(heard, ASSUMED_AT_START) if self.is_settling(now) else heard
 
     def candidates(self, now: float) -> list[Member]:
         """Return the peers that may be asked to coordinate, by address."""
@@ -132,6 +132,27 @@
         drawn = self._random.sample(counted, min(most, len(counted)))
         return tuple(ToldMember(known.member, now - known.heard_at) for known in drawn)
 
+    def all_told(self, now: float) -> tuple[ToldMember, ...]:
+        """Return every peer that counts, for one that has just started."""
+        horizon = now - COUNTED_FOR_S
+        return tuple(
+            ToldMember(known.member, now - known.heard_at)
+            for known in self._known.values()
+            if known.heard_at >= horizon
+        )
+
+    def is_settling(self, now: float) -> bool:
+        """Tell whether this process has just started, perhaps together with all others."""
+        return now < self._settled_at
+
+    def teacher(self, *, seeds_only: bool) -> Address | None:
+        """Draw a peer to learn from; ``None`` where nobody is known.
+
+        :param seeds_only: only one whom all others tell of themselves at their start.
+        """
+        known = self._seeds if seeds_only else self._seeds | self._known.keys()
+        return self._random.choice(sorted(known, key=str)) if known else None
+
     def is_elsewhere(self, address: Address) -> bool:
         """Tell whether a peer is known to be in another zone."""
         known = self._known.get(address)
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -61,10 +61,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotRequest:
-    """Asks for what a peer knows beyond these revisions."""
+    """Asks for what a peer knows beyond these revisions.
+
+    :param members_wanted: the asker has just started and knows few other gateways.
+    """
 
     configuration_revision: int
     backends_revision: int
+    members_wanted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,12 +77,14 @@
 
     :param backends_read: the sender has had a complete list of back ends.
     :param changes_only: only back ends' changes since the asker's revision.
+    :param members: all gateways that the sender counts, itself included, where asked for.
     """
 
     configuration: StoredValue | None
     backends: tuple[StoredValue, ...]
     backends_read: bool
     changes_only: bool = False
+    members: tuple[ToldMember, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/wire/gateway_relay_codec.py
+++ b/tinrudder/wire/gateway_relay_codec.py
@@ -28,6 +28,7 @@
         snapshot = snapshot_pb2.SnapshotRequest(
             configuration_revision=request.configuration_revision,
             backends_revision=request.backends_revision,
+            members_wanted=request.members_wanted,
         )
         return pb.PeerRequest(snapshot=snapshot).SerializeToString()
     return pb.PeerRequest(scatter=_encode_scatter(request)).SerializeToString()
@@ -45,7 +46,11 @@
     match message.WhichOneof("request"):
         case "snapshot":
             snapshot = message.snapshot
-            return SnapshotRequest(snapshot.configuration_revision, snapshot.backends_revision)
+            return SnapshotRequest(
+                snapshot.configuration_revision,
+                snapshot.backends_revision,
+                snapshot.members_wanted,
+            )
         case "scatter":
             return _decode_scatter(message.scatter)
         case _:
--- a/tinrudder/wire/snapshot_codec.py
+++ b/tinrudder/wire/snapshot_codec.py
@@ -54,6 +54,7 @@
         backends=[_encode_value(value) for value in snapshot.backends],
         backends_read=snapshot.backends_read,
         changes_only=snapshot.changes_only,
+        members=[_encode_member(told.member, told.age_s) for told in snapshot.members],
     )
     if snapshot.configuration is not None:
         message.configuration.CopyFrom(_encode_value(snapshot.configuration))
@@ -67,13 +68,14 @@
     """
     try:
         message = pb.Snapshot.FromString(payload)
-    except DecodeError as error:
+        members = tuple(_decode_told(member) for member in message.members)
+    except (DecodeError, ValueError) as error:
         raise MalformedPeerMessageError(str(error)) from error
     configuration = None
     if message.HasField("configuration"):
         configuration = _decode_value(message.configuration)
     backends = tuple(_decode_value(value) for value in message.backends)
-    return Snapshot(configuration, backends, message.backends_read, message.changes_only)
+    return Snapshot(configuration, backends, message.backends_read, message.changes_only, members)
 
 
 def _milliseconds(age_s: float | None) -> int | None:
