--- /dev/null
+++ b/tests/support/many_gateways.py
@@ -0,0 +1,39 @@
+"""Sites with so many gateways that not all can call the back ends."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tinrudder_lab.emulator.site import EmulatedNode, EmulatedSite, run_site
+
+MANY = 20
+CONNECTIONS = 26
+SETTLED_S = 4.0
+OBJECTIVE_S = 0.2
+
+
+def run_many(scenario: Any, **options: Any) -> Any:
+    """Run with so many gateways that not all can call the back ends."""
+    return run_site(scenario, node_count=MANY, **options)
+
+
+def counted(site: EmulatedSite, counter: str) -> dict[str, int]:
+    return {
+        node.name: getattr(node.gateway.counters, counter)
+        for node in site.nodes
+        if node.gateway is not None and getattr(node.gateway.counters, counter)
+    }
+
+
+def busiest_coordinator(site: EmulatedSite) -> EmulatedNode:
+    served = counted(site, "coordinated")
+    name = max(served, key=served.__getitem__)
+    return next(node for node in site.nodes if node.name == name)
+
+
+def in_time(site: EmulatedSite, first: int = 0) -> float:
+    results = site.ledger.results[first:]
+    good = [
+        one for one in results if one.status == 200 and one.ended_at - one.sent_at <= OBJECTIVE_S
+    ]
+    return len(good) / len(results)
