--- a/tinrudder/gateway/hand_over.py
+++ b/tinrudder/gateway/hand_over.py
@@ -28,9 +28,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Unheard:
-    """It did not say in time that it began, and may begin all the same: to be borne, not to deny.
+    """It did not say in time that it began, and may begin all the same.
 
-    It is told not to, so it sends calls only if that word comes behind its beginning.
+    It is told to stop, so it sends calls only if it begins before it reads that.
     """
 
     detail: str
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -38,11 +38,12 @@
 FIRST_DIGESTS = 15
 IMPATIENT_INTERVAL_S = 0.03
 IMPATIENT_DIGESTS = 10
-"""A start that knows too little to serve asks so often at first: seeds that start at the same time
-may not listen yet, and a round trip and their reading of the store take about as long."""
+"""How often a process that knows too little to serve asks at first: seeds that start at the same
+time may not listen yet, and a round trip and their reading of the store take about as long."""
 INTRODUCTIONS = (2, 6)
-"""With which digests a start asks for all members: when seeds have heard of those that started
-together, 0.2 s, and when processes on machines half as fast have started too, 1 s."""
+"""After which digests a process that has just started asks for all members: 0.2 s after it is
+complete, when seeds have heard of those that started with it, and 1 s, when processes on machines
+half as fast have started too."""
 PULL_PATIENCE_S = 0.25
 PULL_TIMEOUT_S = 1.0
 ScatterServer = Callable[[ScatterRequest], Awaitable[ScatterAnswer]]
