Send nothing to the back ends of an evacuated zone

Ruled out: a topic of its own (a third watch: a half more store calls); honouring evacuations only while other replicas are left (the rule knows no last resort).

Beside it: the rule of how many back ends two gateways may ask stands once (BackendDirectory.fits_attempts), where it stood twice.

--- a/tests/unit/test_gateway_relay_codec.py
+++ b/tests/unit/test_gateway_relay_codec.py
@@ -93,10 +93,10 @@
 DIGESTS = st.builds(
     Digest,
     sender=MEMBERS,
-    configuration_revision=REVISION,
+    operator_revision=REVISION,
     backends_revision=REVISION,
     members=st.lists(st.builds(ToldMember, MEMBERS, SECONDS), max_size=8).map(tuple),
-    configuration_unconfirmed_s=st.none() | SECONDS,
+    operator_unconfirmed_s=st.none() | SECONDS,
     backends_unconfirmed_s=st.none() | SECONDS,
 )
 
@@ -129,9 +129,7 @@
     assert [told.member for told in read.members] == [told.member for told in digest.members]
     for ours, theirs in zip(read.members, digest.members, strict=True):
         assert abs(ours.age_s - theirs.age_s) <= 0.001
-    assert (read.configuration_unconfirmed_s is None) == (
-        digest.configuration_unconfirmed_s is None
-    )
+    assert (read.operator_unconfirmed_s is None) == (digest.operator_unconfirmed_s is None)
 
 
 @given(st.binary(max_size=200))
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -8,8 +8,18 @@
 import pytest
 
 from tinrudder.gateway.model import Address, SettingsFileError
-from tinrudder.gateway.stored_values import UnreadableValueError
-from tinrudder.platform.documents import decode_backend, decode_configuration
+from tinrudder.gateway.stored_values import (
+    ConfigurationKey,
+    EvacuationKey,
+    ForeignKey,
+    OperatorKey,
+    UnreadableValueError,
+)
+from tinrudder.platform.documents import (
+    decode_backend,
+    decode_configuration,
+    decode_operator_key,
+)
 from tinrudder.platform.settings_file import load_gateway_settings
 
 PRODUCT = Path(__file__).parents[2] / "tinrudder"
@@ -30,6 +40,7 @@
     "kv-range",
     "kv-watch",
     "op/config",
+    "op/evacuate",
     "servers/",
     "goal_ms",
     "oldest_version",
@@ -68,6 +79,25 @@
     assert found == []
 
 
+@pytest.mark.parametrize(
+    ("key", "meaning"),
+    [
+        ("op/config", ConfigurationKey()),
+        ("op/evacuate/zone-a", EvacuationKey("zone-a")),
+        ("op/config2", ForeignKey()),
+        ("op/something", ForeignKey()),
+    ],
+)
+def test_an_operators_key_is_told_by_its_form(key: str, meaning: OperatorKey) -> None:
+    assert decode_operator_key(key) == meaning
+
+
+@pytest.mark.parametrize("key", ["op/evacuate/", "op/evacuate/zone-a/", "op/evacuate/a/b"])
+def test_an_evacuation_of_no_zone_or_of_two_is_refused_by_its_key(key: str) -> None:
+    with pytest.raises(UnreadableValueError, match=key):
+        decode_operator_key(key)
+
+
 def test_the_folder_stays_small() -> None:
     lines = sum(len(path.read_text().splitlines()) for path in (PRODUCT / "platform").glob("*.py"))
     assert lines <= MAX_FOLDER_LINES
--- a/tests/unit/test_shared_state.py
+++ b/tests/unit/test_shared_state.py
@@ -14,11 +14,15 @@
 from tinrudder.gateway.peer_messages import Digest, Member, ToldMember
 from tinrudder.gateway.shared_state import SharedState
 from tinrudder.gateway.stored_values import Reading, StoredValue, Topic, ValueDecoders
-from tinrudder.platform.documents import decode_backend, decode_configuration
+from tinrudder.platform.documents import (
+    decode_backend,
+    decode_configuration,
+    decode_operator_key,
+)
 from tinrudder.wire.snapshot_codec import encode_digest
 
 IP_AND_UDP_HEADER_BYTES = 28
-DECODERS = ValueDecoders(decode_configuration, decode_backend)
+DECODERS = ValueDecoders(decode_operator_key, decode_configuration, decode_backend)
 
 
 def new_state(problems: list[str] | None = None) -> SharedState:
@@ -41,6 +45,10 @@
     return StoredValue("op/config", revision, msgspec.json.encode(document))
 
 
+def evacuation(zone: str, revision: int, *, in_force: bool = True) -> StoredValue:
+    return StoredValue(f"op/evacuate/{zone}", revision, b"{}" if in_force else None)
+
+
 def seen(state: SharedState) -> dict[str, tuple[int, bool, bool]]:
     return {
         key: (known.value.revision, known.leaving, known.removed)
@@ -75,9 +83,9 @@
 
 def test_a_configuration_never_goes_back() -> None:
     state = new_state()
-    assert state.apply(Topic.CONFIGURATION, (configuration(4, 40),))
-    assert not state.apply(Topic.CONFIGURATION, (configuration(2, 30),))
-    assert not state.apply(Topic.CONFIGURATION, (configuration(2, 50),))
+    assert state.apply(Topic.OPERATOR, (configuration(4, 40),))
+    assert not state.apply(Topic.OPERATOR, (configuration(2, 30),))
+    assert not state.apply(Topic.OPERATOR, (configuration(2, 50),))
     assert state.accepted is not None
     assert state.accepted.configuration.version == 4
 
@@ -85,9 +93,9 @@
 def test_an_unreadable_value_keeps_the_last_good_one_and_names_the_field() -> None:
     problems: list[str] = []
     state = new_state(problems)
-    state.apply(Topic.CONFIGURATION, (configuration(4, 40),))
+    state.apply(Topic.OPERATOR, (configuration(4, 40),))
     broken = StoredValue("op/config", 41, b'{"version": "x", "routes": []}')
-    assert not state.apply(Topic.CONFIGURATION, (broken,))
+    assert not state.apply(Topic.OPERATOR, (broken,))
     assert state.configuration_revision == 40
     assert "version" in problems[0]
 
@@ -168,7 +176,7 @@
     state.confirm(Topic.BACKENDS, 2.0)
     state.confirm(Topic.BACKENDS, 5.0)
     assert state.unconfirmed_s(Topic.BACKENDS) == 2.0
-    assert state.unconfirmed_s(Topic.CONFIGURATION) == float("inf")
+    assert state.unconfirmed_s(Topic.OPERATOR) == float("inf")
 
 
 def member(host: str, **changes: bool) -> Member:
@@ -252,3 +260,63 @@
     datagram = len(encode_digest(digest)) + IP_AND_UDP_HEADER_BYTES
     receivers = len(peers.receivers(30.0))
     assert datagram * receivers / DIGEST_INTERVAL_S <= 3000
+
+
+@given(
+    changes=st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=12),
+    seed=st.integers(0, 1000),
+)
+def test_evacuations_told_in_any_order_lead_to_the_same_zones(
+    changes: list[tuple[str, bool]], seed: int
+) -> None:
+    values = [
+        evacuation(zone, revision, in_force=in_force)
+        for revision, (zone, in_force) in enumerate(changes, start=1)
+    ]
+    in_order, shuffled = new_state(), new_state()
+    in_order.apply(Topic.OPERATOR, values)
+    random.Random(seed).shuffle(values)
+    for value in values + values[:3]:
+        shuffled.apply(Topic.OPERATOR, (value,), "a peer")
+    assert in_order.evacuations.zones == shuffled.evacuations.zones
+    assert in_order.operator_revision == shuffled.operator_revision == len(changes)
+
+
+@given(
+    changes=st.lists(st.tuples(st.sampled_from("abc"), st.booleans()), max_size=12),
+    known=st.integers(0, 12),
+)
+def test_a_peers_evacuations_behind_a_revision_complete_what_was_known(
+    changes: list[tuple[str, bool]], known: int
+) -> None:
+    values = [
+        evacuation(zone, revision, in_force=in_force)
+        for revision, (zone, in_force) in enumerate(changes, start=1)
+    ]
+    teacher, pupil = new_state(), new_state()
+    teacher.apply(Topic.OPERATOR, values)
+    pupil.apply(Topic.OPERATOR, values[:known])
+    pupil.apply(Topic.OPERATOR, teacher.evacuations.snapshot(pupil.operator_revision))
+    assert pupil.evacuations.zones == teacher.evacuations.zones
+
+
+def test_an_evacuation_that_a_complete_reading_lacks_has_ended() -> None:
+    state = new_state()
+    state.apply(Topic.OPERATOR, (evacuation("a", 5), evacuation("b", 50)))
+    state.apply_complete(Topic.OPERATOR, Reading((configuration(2, 7),), 20))
+    assert state.evacuations.zones == frozenset("b")
+    assert not state.apply(Topic.OPERATOR, (evacuation("a", 6),))
+
+
+def test_an_evacuation_is_newer_than_the_configuration_before_it() -> None:
+    state = new_state()
+    state.apply(Topic.OPERATOR, (configuration(2, 7), evacuation("a", 9)))
+    assert (state.configuration_revision, state.operator_revision) == (7, 9)
+
+
+def test_a_key_that_names_no_zone_is_told_and_changes_nothing() -> None:
+    problems: list[str] = []
+    state = new_state(problems)
+    assert not state.apply(Topic.OPERATOR, (evacuation("", 5),))
+    assert state.evacuations.zones == frozenset()
+    assert len(problems) == 1 and "op/evacuate/" in problems[0]
--- a/tests/unit/test_snapshot_codec.py
+++ b/tests/unit/test_snapshot_codec.py
@@ -33,6 +33,7 @@
     st.booleans(),
     st.booleans(),
     st.lists(members, max_size=5).map(tuple),
+    st.lists(values, max_size=3).map(tuple),
 )
 
 
--- a/tests/unit/test_store_follower.py
+++ b/tests/unit/test_store_follower.py
@@ -62,7 +62,7 @@
 
     async def run() -> None:
         state = SharedState(DECODERS, loop.time, lambda problem: None)
-        state.apply(Topic.CONFIGURATION, [configuration(1, FIRST_REVISION)])
+        state.apply(Topic.OPERATOR, [configuration(1, FIRST_REVISION)])
         follower = StoreFollower(
             Topic.BACKENDS,
             store,  # type: ignore[arg-type]
--- a/tinrudder/cli/gateway.py
+++ b/tinrudder/cli/gateway.py
@@ -20,14 +20,18 @@
 from tinrudder.gateway.stored_values import ValueDecoders
 from tinrudder.log_stream import BoundedLineStream
 from tinrudder.logs import configure_logs, log_problem
-from tinrudder.platform.documents import decode_backend, decode_configuration
+from tinrudder.platform.documents import (
+    decode_backend,
+    decode_configuration,
+    decode_operator_key,
+)
 from tinrudder.platform.headers import HEADERS
 from tinrudder.platform.settings_file import SETTINGS_VARIABLE, load_gateway_settings
 from tinrudder.platform.store_client import StoreClient
 
 STANDARD_OUTPUT = 1
 SETTINGS_LOOK_S = 1.0
-DECODERS = ValueDecoders(decode_configuration, decode_backend)
+DECODERS = ValueDecoders(decode_operator_key, decode_configuration, decode_backend)
 
 
 def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -38,6 +38,7 @@
     :param leaving_since: when this process learned that it takes no new work; ``None`` before.
     :param lapsed: its entry is gone although it never said that it leaves.
     :param readdressed: something else answered at its address.
+    :param evacuated: the operator wants the back ends of its zone to get nothing.
     """
 
     entry: BackendEntry
@@ -46,6 +47,7 @@
     leaving_since: float | None = None
     lapsed: bool = False
     readdressed: bool = False
+    evacuated: bool = False
 
     @property
     def backend_id(self) -> str:
@@ -90,6 +92,7 @@
 
     def refresh(self) -> None:
         """Take over what the shared state says now."""
+        evacuated = self._state.evacuations.zones
         gone = set(self._backends)
         for key, known in self._state.backends.items():
             gone.discard(key)
@@ -101,6 +104,7 @@
             backend.entry = known.entry
             backend.leaving_since = known.since if known.leaving else None
             backend.lapsed = known.removed and not known.entry.leaving
+            self._set_evacuated(backend, known.entry.zone in evacuated)
         for key in gone:
             self._drop(key)
         self._set_connection_limits()
@@ -111,8 +115,10 @@
         Those that are leaving are a last resort, for a part of the time that they still serve.
         Entries can lapse while the store is down although every back end lives; one that does is
         back soon after the store's return, and one that is missing then is gone.
+
+        Those of an evacuated zone are left out even where no others are.
         """
-        backends = self._services.get(service, [])
+        backends = [one for one in self._services.get(service, []) if not one.evacuated]
         staying = [
             backend
             for backend in backends
@@ -122,10 +128,29 @@
             return self._own_replicas(service, staying)
         return [backend for backend in backends if self.may_receive(backend)]
 
+    def lack(self, service: str) -> str:
+        """Say why no back end of a service may get new work, for logs and callers."""
+        backends = self._services.get(service, [])
+        if any(backend.evacuated for backend in backends):
+            return "every back end left is in an evacuated zone"
+        return "every back end is leaving" if backends else "no back end is known"
+
     def replica_zones(self, service: str) -> tuple[str, ...]:
-        """Return the zone of each back end of a service that is not leaving."""
+        """Return the zone of each back end of a service that takes new work for longer."""
+        return tuple(one.entry.zone for one in self._staying(service) if not one.evacuated)
+
+    def fits_attempts(self, service: str, attempts: int) -> bool:
+        """Tell whether two gateways may ask the back ends of a service for the same request.
+
+        Neither knows whom the other asks, so no more back ends may stand than one request may run
+        on.  Those of an evacuated zone count: the other may have asked one a moment before.
+        """
+        return len(self._staying(service)) <= attempts
+
+    def _staying(self, service: str) -> list[Backend]:
+        """Return the back ends of a service that are not leaving."""
         backends = self._services.get(service, [])
-        return tuple(one.entry.zone for one in backends if one.leaving_since is None)
+        return [backend for backend in backends if backend.leaving_since is None]
 
     def _own_replicas(self, service: str, staying: list[Backend]) -> list[Backend]:
         """Leave out replicas where each of them would get more connections than it takes."""
@@ -151,7 +176,7 @@
 
     def may_receive(self, backend: Backend) -> bool:
         """Tell whether a call may still leave for a back end that was chosen earlier."""
-        if backend.readdressed:
+        if backend.readdressed or backend.evacuated:
             return False
         if backend.leaving_since is None:
             return True
@@ -190,6 +215,12 @@
         self._services.setdefault(entry.service, []).append(backend)
         return backend
 
+    def _set_evacuated(self, backend: Backend, evacuated: bool) -> None:
+        """Let a back end get nothing, or calls again; idle connections would only age there."""
+        if evacuated and not backend.evacuated:
+            backend.pool.close_idle()
+        backend.evacuated = evacuated
+
     def _drop(self, key: str) -> None:
         """Forget a back end; calls in progress end by themselves."""
         backend = self._backends.pop(key)
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -113,6 +113,12 @@
             lambda: len(node.directory),
             is_counter=False,
         ),
+        Figure(
+            f"{PREFIX}_evacuated_zones",
+            "Zones whose back ends get nothing since the operator evacuates them.",
+            lambda: len(node.state.evacuations.zones),
+            is_counter=False,
+        ),
         Figure(
             f"{PREFIX}_in_progress",
             "Requests being served.",
--- a/tinrudder/gateway/hand_over.py
+++ b/tinrudder/gateway/hand_over.py
@@ -71,13 +71,12 @@
 def may_begin_at_once(relaying: Relaying, route: Route, shards: Iterable[str]) -> bool:
     """Tell whether two gateways at work on the same shards would do no harm.
 
-    One that stood still may begin when another has been asked in its place.  Together they could
-    send a shard's calls to all of its replicas, so no more of them may stand than one request may
-    run on.  Otherwise a gateway waits for the word that its own was heard, which takes a round
-    trip more.
+    One that stood still may begin when another has been asked in its place.  Where together they
+    could ask too many replicas, a gateway waits for the word that its own was heard, which takes
+    a round trip more.
     """
     directory = relaying.forwarding.directory
-    return all(len(directory.replica_zones(shard)) <= route.attempts for shard in shards)
+    return all(directory.fits_attempts(shard, route.attempts) for shard in shards)
 
 
 async def _ask(
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -121,7 +121,7 @@
         if self._transport is None:
             return
         state = self._state
-        self._told = (state.configuration_revision, state.backends_revision)
+        self._told = (state.operator_revision, state.backends_revision)
         payload = encode_digest(self._digest())
         for address in self._peers.receivers(self._loop.time(), zone_only=zone_only):
             self._transport.sendto(payload, (address.host, address.port))
@@ -160,10 +160,10 @@
         state = self._state
         return Digest(
             sender=self._describe_own(),
-            configuration_revision=state.configuration_revision,
+            operator_revision=state.operator_revision,
             backends_revision=state.backends_revision,
             members=self._peers.to_tell(self._loop.time()),
-            configuration_unconfirmed_s=self._unconfirmed_s(Topic.CONFIGURATION),
+            operator_unconfirmed_s=self._unconfirmed_s(Topic.OPERATOR),
             backends_unconfirmed_s=self._unconfirmed_s(Topic.BACKENDS),
         )
 
@@ -187,9 +187,9 @@
     def _take_confirmations(self, digest: Digest) -> None:
         """Learn that the store had nothing newer, where this gateway knows as much."""
         state = self._state
-        age_s = digest.configuration_unconfirmed_s
-        if age_s is not None and digest.configuration_revision <= state.configuration_revision:
-            state.confirm(Topic.CONFIGURATION, age_s)
+        age_s = digest.operator_unconfirmed_s
+        if age_s is not None and digest.operator_revision <= state.operator_revision:
+            state.confirm(Topic.OPERATOR, age_s)
         age_s = digest.backends_unconfirmed_s
         if age_s is not None and digest.backends_revision <= state.backends_revision:
             state.confirm(Topic.BACKENDS, age_s)
@@ -205,7 +205,7 @@
         """Tell whether a peer knows something newer."""
         state = self._state
         return (
-            digest.configuration_revision > state.configuration_revision
+            digest.operator_revision > state.operator_revision
             or digest.backends_revision > state.backends_revision
         )
 
@@ -218,7 +218,7 @@
             self._on_pull(str(peer), f"failed: {error!r}")
         else:
             self._readers.note_pull(succeeded=True)
-            self._apply(snapshot)
+            self._apply(snapshot, peer)
             self._on_pull(str(peer), "applied")
         finally:
             self._pulling = None
@@ -229,15 +229,15 @@
         state = self._state
         known = state.backends_revision if state.backends_read else 0
         settling = self._peers.is_settling(self._loop.time())
-        request = encode_request(SnapshotRequest(state.configuration_revision, known, settling))
+        request = encode_request(SnapshotRequest(state.operator_revision, known, settling))
         address = PeerAddress(peer.host, peer.port)
         return decode_snapshot(await self._client.request(address, request, PULL_TIMEOUT_S))
 
-    def _apply(self, snapshot: Snapshot) -> None:
+    def _apply(self, snapshot: Snapshot, peer: Address) -> None:
         """Take what is newer."""
         self._peers.heard_of(snapshot.members, self._loop.time())
-        if snapshot.configuration is not None:
-            self._state.apply(Topic.CONFIGURATION, (snapshot.configuration,))
+        configuration = () if snapshot.configuration is None else (snapshot.configuration,)
+        self._state.apply(Topic.OPERATOR, configuration + snapshot.evacuations, str(peer))
         if snapshot.backends_read and not snapshot.changes_only:
             revision = max((value.revision for value in snapshot.backends), default=0)
             self._state.apply_complete(Topic.BACKENDS, Reading(snapshot.backends, revision))
@@ -258,7 +258,7 @@
         """Return this gateway's state."""
         accepted = self._state.accepted
         configuration = None
-        if accepted is not None and accepted.value.revision > request.configuration_revision:
+        if accepted is not None and accepted.value.revision > request.operator_revision:
             configuration = accepted.value
         # Removals are forgotten after a while: what is older can be told only as a whole.
         after = request.backends_revision
@@ -269,13 +269,20 @@
             own = ToldMember(self._describe_own(), 0.0)
             members = (own, *self._peers.all_told(self._loop.time()))
         backends = self._state.snapshot(after)
-        return Snapshot(configuration, backends, self._state.backends_read, after > 0, members)
+        return Snapshot(
+            configuration=configuration,
+            backends=backends,
+            backends_read=self._state.backends_read,
+            changes_only=after > 0,
+            members=members,
+            evacuations=self._state.evacuations.snapshot(request.operator_revision),
+        )
 
     def _on_state_change(self) -> None:
         """Tell peers of a change at once."""
         self._answer_starting()
         state = self._state
-        if (state.configuration_revision, state.backends_revision) != self._told:
+        if (state.operator_revision, state.backends_revision) != self._told:
             self.send_digests()
 
     def _learn_members(self, *, seeds_only: bool) -> None:
@@ -287,7 +294,7 @@
     async def _introduce(self, teacher: Address) -> None:
         """Learn from one peer; one that fails is no reason to doubt the others."""
         try:
-            self._apply(await self._request_snapshot(teacher))
+            self._apply(await self._request_snapshot(teacher), teacher)
         except (PeerNotSentError, PeerLostError, MalformedPeerMessageError) as error:
             self._on_pull(str(teacher), f"introduction failed: {error!r}")
 
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -45,17 +45,19 @@
 class Digest:
     """How far a gateway's knowledge of the store goes; sent by datagram.
 
+    :param operator_revision: of the newest thing that the operator asked for: a configuration,
+        the evacuation of a zone, or the end of one.
     :param members: some other gateways.
-    :param configuration_unconfirmed_s: how long ago the store said, to the sender or to somebody
-        whom it heard, that nothing newer was there; ``None``: never.
+    :param operator_unconfirmed_s: how long ago the store said, to the sender or to somebody whom
+        it heard, that nothing newer was there; ``None``: never.
     :param backends_unconfirmed_s: the same for the list of back ends.
     """
 
     sender: Member
-    configuration_revision: int
+    operator_revision: int
     backends_revision: int
     members: tuple[ToldMember, ...] = ()
-    configuration_unconfirmed_s: float | None = None
+    operator_unconfirmed_s: float | None = None
     backends_unconfirmed_s: float | None = None
 
 
@@ -66,7 +68,7 @@
     :param members_wanted: the asker has just started and knows few other gateways.
     """
 
-    configuration_revision: int
+    operator_revision: int
     backends_revision: int
     members_wanted: bool = False
 
@@ -78,6 +80,7 @@
     :param backends_read: the sender has had a complete list of back ends.
     :param changes_only: only back ends' changes since the asker's revision.
     :param members: all gateways that the sender counts, itself included, where asked for.
+    :param evacuations: of zones, and ends of these, that are newer than what the asker knows.
     """
 
     configuration: StoredValue | None
@@ -85,6 +88,7 @@
     backends_read: bool
     changes_only: bool = False
     members: tuple[ToldMember, ...] = ()
+    evacuations: tuple[StoredValue, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -170,21 +170,17 @@
         if not self._scatter or now >= self._moments.deadline_at:
             return False
         asked_here = {shard.service for shard in self.shards}
+        fits_attempts = self._forwarding.directory.fits_attempts
         lacking = [
             one.service
             for group in self._delegated
             if not group.pending
             for one in group.missing_shards
-            if one.service not in asked_here and self._may_ask_again(one.service)
+            if one.service not in asked_here and fits_attempts(one.service, self._route.attempts)
         ]
         self._start_here(self._calls(lacking, asked_before=True), now)
         return bool(lacking)
 
-    def _may_ask_again(self, service: str) -> bool:
-        """Tell whether a shard has no more replicas than one request may run on."""
-        replicas = self._forwarding.directory.replica_zones(service)
-        return len(replicas) <= self._route.attempts
-
     def _start_here(self, calls: list[ShardCalls], now: float) -> None:
         """Start calls of further shards."""
         self.shards.extend(calls)
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -148,7 +148,10 @@
         """Send a call, or note when to look again, or that there is nothing to try."""
         self._tries += 1
         candidates = self._candidates()
-        if not candidates or self._tries > MAX_TRIES or self.sends >= MAX_SENDS:
+        if not candidates:
+            self.last_problem = self.last_problem or self._forwarding.directory.lack(self.service)
+            return
+        if self._tries > MAX_TRIES or self.sends >= MAX_SENDS:
             return
         paid = self._next_is_repeat
         if paid and not self._may_repeat(now, hedge=False):
--- a/tinrudder/gateway/shared_state.py
+++ b/tinrudder/gateway/shared_state.py
@@ -10,8 +10,11 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from tinrudder.gateway.evacuations import STORE, Evacuations
 from tinrudder.gateway.model import BackendEntry, GatewayConfiguration
 from tinrudder.gateway.stored_values import (
+    ConfigurationKey,
+    EvacuationKey,
     Reading,
     StoredValue,
     Topic,
@@ -49,7 +52,12 @@
 
 
 class SharedState:
-    """The configuration and the back ends as this process knows them; nothing goes back."""
+    """What the operator asks for and the back ends, as this process knows them.
+
+    Nothing goes back within one life of the process.
+
+    :ivar evacuations: zones whose back ends get nothing.
+    """
 
     def __init__(
         self,
@@ -59,6 +67,7 @@
     ) -> None:
         """Start knowing nothing."""
         self.accepted: AcceptedConfiguration | None = None
+        self.evacuations = Evacuations(clock)
         self.backends: dict[str, KnownBackend] = {}
         self.backends_read = False
         self.generation = 0
@@ -76,6 +85,11 @@
         """Return the revision of the configuration in force; 0 for none."""
         return self.accepted.value.revision if self.accepted is not None else 0
 
+    @property
+    def operator_revision(self) -> int:
+        """Return the highest revision of anything that the operator asks for; 0 for none."""
+        return max(self.configuration_revision, self.evacuations.revision)
+
     @property
     def backends_revision(self) -> int:
         """Return the highest revision of any back end's entry or removal; 0 for none."""
@@ -95,12 +109,15 @@
         """Call ``listener`` after every change."""
         self._listeners.append(listener)
 
-    def apply(self, topic: Topic, values: Iterable[StoredValue]) -> bool:
-        """Take changed values; tell whether anything was new."""
+    def apply(self, topic: Topic, values: Iterable[StoredValue], source: str = STORE) -> bool:
+        """Take changed values; tell whether anything was new.
+
+        :param source: where they come from; a peer's address if not from the store.
+        """
         changed = False
         for value in values:
-            if topic is Topic.CONFIGURATION:
-                changed |= self._apply_configuration(value)
+            if topic is Topic.OPERATOR:
+                changed |= self._apply_operator_value(value, source)
             else:
                 changed |= self._apply_backend(value)
         if changed:
@@ -108,7 +125,7 @@
         return changed
 
     def apply_complete(self, topic: Topic, reading: Reading) -> bool:
-        """Take a complete reading: back ends that it lacks are gone as of its revision.
+        """Take a complete reading: what it lacks is gone as of its revision.
 
         Its pages are no snapshot: a value that changed while they were read may stand on a later
         page although another change before it was missed on an earlier one.  Such values wait for
@@ -116,13 +133,13 @@
         """
         settled = [value for value in reading.values if value.revision <= reading.revision]
         changed = self.apply(topic, settled)
-        if topic is Topic.CONFIGURATION:
-            return changed
         present = {value.key for value in reading.values}
-        missing = [key for key in self.backends if key not in present]
+        held = self.evacuations.keys if topic is Topic.OPERATOR else tuple(self.backends)
+        missing = [key for key in held if key not in present]
         removals = (StoredValue(key, reading.revision, None) for key in missing)
         changed |= self.apply(topic, removals)
-        self.note_backends_read()
+        if topic is Topic.BACKENDS:
+            self.note_backends_read()
         return changed
 
     def confirm(self, topic: Topic, age_s: float = 0.0) -> None:
@@ -137,8 +154,8 @@
 
     def revision(self, topic: Topic) -> int:
         """Return the highest revision known of a topic; 0 for none."""
-        if topic is Topic.CONFIGURATION:
-            return self.configuration_revision
+        if topic is Topic.OPERATOR:
+            return self.operator_revision
         return self.backends_revision
 
     def note_backends_read(self) -> None:
@@ -170,6 +187,21 @@
                 del self._removals[key]
                 self.backends.pop(key, None)
 
+    def _apply_operator_value(self, value: StoredValue, source: str) -> bool:
+        """Take a newer configuration, evacuation or removal of one; leave other keys alone."""
+        try:
+            key = self._decoders.operator_key(value.key)
+        except UnreadableValueError as error:
+            self._on_unreadable(str(error))
+            return False
+        match key:
+            case ConfigurationKey():
+                return self._apply_configuration(value)
+            case EvacuationKey(zone=zone):
+                return self.evacuations.apply(zone, value, source)
+            case _:
+                return False
+
     def _apply_configuration(self, value: StoredValue) -> bool:
         """Put a newer configuration in force."""
         if value.value is None or value.revision <= self.configuration_revision:
--- a/tinrudder/gateway/stored_values.py
+++ b/tinrudder/gateway/stored_values.py
@@ -11,9 +11,13 @@
 
 
 class Topic(enum.Enum):
-    """What is read: the operator's configuration or the list of back ends."""
+    """What is read: what the operator asks for, or the list of back ends.
 
-    CONFIGURATION = "configuration"
+    The operator's configuration and evacuations of zones are one topic: they change rarely, and
+    one watch costs one call to the store however much it follows.
+    """
+
+    OPERATOR = "operator"
     BACKENDS = "backends"
 
 
@@ -63,9 +67,33 @@
         """
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationKey:
+    """The key of the one configuration."""
+
+
+@dataclass(frozen=True, slots=True)
+class EvacuationKey:
+    """A key that asks, as long as it stands, for no calls to the back ends of a zone."""
+
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class ForeignKey:
+    """A key of the operator's that means nothing to gateways."""
+
+
+OperatorKey = ConfigurationKey | EvacuationKey | ForeignKey
+
+
 @dataclass(frozen=True, slots=True)
 class ValueDecoders:
-    """Turn stored bytes into the product's values; each raises :class:`UnreadableValueError`."""
+    """Turn stored keys and bytes into the product's values.
+
+    Each raises :class:`UnreadableValueError`.
+    """
 
+    operator_key: Callable[[str], OperatorKey]
     configuration: Callable[[bytes], GatewayConfiguration]
     backend: Callable[[str, bytes], BackendEntry]
--- a/tinrudder/gateway/upstream_pool.py
+++ b/tinrudder/gateway/upstream_pool.py
@@ -57,7 +57,11 @@
     def close(self) -> None:
         """Close what is idle now and the rest when its call has ended."""
         self._closed = True
-        for connection in self._idle:
+        self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close what is idle now; calls that come later open connections again."""
+        for connection in tuple(self._idle):
             connection.abort()
         self._idle.clear()
 
--- a/tinrudder/platform/documents.py
+++ b/tinrudder/platform/documents.py
@@ -16,10 +16,18 @@
     ServiceSpec,
     WeightedService,
 )
-from tinrudder.gateway.stored_values import UnreadableValueError
+from tinrudder.gateway.stored_values import (
+    ConfigurationKey,
+    EvacuationKey,
+    ForeignKey,
+    OperatorKey,
+    UnreadableValueError,
+)
 
 BACKENDS_PREFIX = "servers/"
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 REPEATABLE_KIND = "safe"
 LEAVING_STATE = "draining"
 MILLISECONDS = 1000.0
@@ -80,6 +88,23 @@
 _backend_decoder = msgspec.json.Decoder(_Backend)
 
 
+def decode_operator_key(key: str) -> OperatorKey:
+    """Tell what a key of the operator's stands for.
+
+    An evacuation is asked for by its key alone, so that its value needs no decoding.
+
+    :raises UnreadableValueError: an evacuation that names no zone, or more than one.
+    """
+    if key == CONFIGURATION_KEY:
+        return ConfigurationKey()
+    if not key.startswith(EVACUATION_PREFIX):
+        return ForeignKey()
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    if not zone or "/" in zone:
+        raise UnreadableValueError(f"{key}: one zone must follow {EVACUATION_PREFIX!r}")
+    return EvacuationKey(zone)
+
+
 def decode_configuration(value: bytes) -> GatewayConfiguration:
     """Decode a configuration.
 
--- a/tinrudder/platform/store_client.py
+++ b/tinrudder/platform/store_client.py
@@ -22,16 +22,14 @@
 )
 from tinrudder.gateway.upstream_connection import accept_any_answer
 from tinrudder.gateway.upstream_pool import UpstreamPool
-from tinrudder.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY
+from tinrudder.platform.documents import BACKENDS_PREFIX, OPERATOR_PREFIX
 
-KEY_PATH = "/v1/kv-key"
 RANGE_PATH = "/v1/kv-range"
 WATCH_PATH = "/v1/kv-watch"
 READ_TIMEOUT_S = 2.5
 WATCH_SLACK_S = 1.5
 MAX_PAGES = 100
 OK = 200
-NOT_FOUND = 404
 HISTORY_FORGOTTEN = 410
 MILLISECONDS = 1000
 
@@ -43,13 +41,6 @@
     gone: bool = False
 
 
-class _KeyAnswer(msgspec.Struct):
-    key: str
-    rev: int
-    value: str
-    at: int
-
-
 class _RangeAnswer(msgspec.Struct):
     items: list[_Item]
     at: int
@@ -61,7 +52,8 @@
     at: int
 
 
-_key_decoder = msgspec.json.Decoder(_KeyAnswer)
+PREFIXES = {Topic.OPERATOR: OPERATOR_PREFIX, Topic.BACKENDS: BACKENDS_PREFIX}
+
 _range_decoder = msgspec.json.Decoder(_RangeAnswer)
 _watch_decoder = msgspec.json.Decoder(_WatchAnswer)
 
@@ -78,45 +70,19 @@
         }
 
     async def read(self, topic: Topic) -> Reading:
-        """Read every value of a topic; see :class:`MetadataStore`."""
-        if topic is Topic.CONFIGURATION:
-            return await self._read_configuration()
-        return await self._read_backends()
-
-    async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
-        """Wait for changes; see :class:`MetadataStore`."""
-        prefix = CONFIGURATION_KEY if topic is Topic.CONFIGURATION else BACKENDS_PREFIX
-        wait_ms = int(wait_s * MILLISECONDS)
-        query = urlencode({"path_prefix": prefix, "after": after, "wait_ms": wait_ms})
-        answer = await self._call(topic, f"{WATCH_PATH}?{query}", wait_s + WATCH_SLACK_S)
-        if answer.status == HISTORY_FORGOTTEN:
-            raise HistoryForgottenError(f"after {after}")
-        _check_status(answer)
-        document = _decode(_watch_decoder, answer.body)
-        return Reading(_values(document.events), document.at)
-
-    async def _read_configuration(self) -> Reading:
-        """Read the one configuration key."""
-        query = urlencode({"key": CONFIGURATION_KEY})
-        answer = await self._call(Topic.CONFIGURATION, f"{KEY_PATH}?{query}", READ_TIMEOUT_S)
-        if answer.status == NOT_FOUND:
-            return Reading((), 0)
-        _check_status(answer)
-        document = _decode(_key_decoder, answer.body)
-        item = _Item(document.key, document.rev, document.value)
-        return Reading(_values([item]), document.at)
+        """Read every value of a topic; see :class:`MetadataStore`.
 
-    async def _read_backends(self) -> Reading:
-        """Read all pages; changes between them lie behind the first page's revision."""
+        Changes between pages lie behind the first page's revision.
+        """
         values: list[StoredValue] = []
         revision = 0
         after = ""
         for _ in range(MAX_PAGES):
-            parameters = {"path_prefix": BACKENDS_PREFIX}
+            parameters = {"path_prefix": PREFIXES[topic]}
             if after:
                 parameters["after"] = after
             path = f"{RANGE_PATH}?{urlencode(parameters)}"
-            answer = await self._call(Topic.BACKENDS, path, READ_TIMEOUT_S)
+            answer = await self._call(topic, path, READ_TIMEOUT_S)
             _check_status(answer)
             document = _decode(_range_decoder, answer.body)
             values.extend(_values(document.items))
@@ -126,6 +92,17 @@
             after = document.items[-1].key
         raise StoreUnavailableError(f"more than {MAX_PAGES} pages")
 
+    async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
+        """Wait for changes; see :class:`MetadataStore`."""
+        wait_ms = int(wait_s * MILLISECONDS)
+        query = urlencode({"path_prefix": PREFIXES[topic], "after": after, "wait_ms": wait_ms})
+        answer = await self._call(topic, f"{WATCH_PATH}?{query}", wait_s + WATCH_SLACK_S)
+        if answer.status == HISTORY_FORGOTTEN:
+            raise HistoryForgottenError(f"after {after}")
+        _check_status(answer)
+        document = _decode(_watch_decoder, answer.body)
+        return Reading(_values(document.events), document.at)
+
     async def _call(self, topic: Topic, target: str, timeout_s: float) -> HttpAnswer:
         """Send one GET."""
         self._count_call()
--- a/tinrudder/wire/gateway_relay_codec.py
+++ b/tinrudder/wire/gateway_relay_codec.py
@@ -26,7 +26,7 @@
     """Return the payload of a request to a peer."""
     if isinstance(request, SnapshotRequest):
         snapshot = snapshot_pb2.SnapshotRequest(
-            configuration_revision=request.configuration_revision,
+            operator_revision=request.operator_revision,
             backends_revision=request.backends_revision,
             members_wanted=request.members_wanted,
         )
@@ -47,7 +47,7 @@
         case "snapshot":
             snapshot = message.snapshot
             return SnapshotRequest(
-                snapshot.configuration_revision,
+                snapshot.operator_revision,
                 snapshot.backends_revision,
                 snapshot.members_wanted,
             )
--- a/tinrudder/wire/snapshot_codec.py
+++ b/tinrudder/wire/snapshot_codec.py
@@ -27,10 +27,10 @@
     """Return the payload of a datagram."""
     message = pb.Digest(
         sender=_encode_member(digest.sender, 0.0),
-        configuration_revision=digest.configuration_revision,
+        operator_revision=digest.operator_revision,
         backends_revision=digest.backends_revision,
         members=[_encode_member(told.member, told.age_s) for told in digest.members],
-        configuration_unconfirmed_ms=_milliseconds(digest.configuration_unconfirmed_s),
+        operator_unconfirmed_ms=_milliseconds(digest.operator_unconfirmed_s),
         backends_unconfirmed_ms=_milliseconds(digest.backends_unconfirmed_s),
     )
     return message.SerializeToString()
@@ -45,10 +45,10 @@
         message = pb.Digest.FromString(payload)
         return Digest(
             sender=_decode_member(message.sender),
-            configuration_revision=message.configuration_revision,
+            operator_revision=message.operator_revision,
             backends_revision=message.backends_revision,
             members=tuple(_decode_told(member) for member in message.members),
-            configuration_unconfirmed_s=_age_s(message, "configuration_unconfirmed_ms"),
+            operator_unconfirmed_s=_age_s(message, "operator_unconfirmed_ms"),
             backends_unconfirmed_s=_age_s(message, "backends_unconfirmed_ms"),
         )
     except (DecodeError, ValueError) as error:
@@ -62,6 +62,7 @@
         backends_read=snapshot.backends_read,
         changes_only=snapshot.changes_only,
         members=[_encode_member(told.member, told.age_s) for told in snapshot.members],
+        evacuations=[_encode_value(value) for value in snapshot.evacuations],
     )
     if snapshot.configuration is not None:
         message.configuration.CopyFrom(_encode_value(snapshot.configuration))
@@ -82,7 +83,14 @@
     if message.HasField("configuration"):
         configuration = _decode_value(message.configuration)
     backends = tuple(_decode_value(value) for value in message.backends)
-    return Snapshot(configuration, backends, message.backends_read, message.changes_only, members)
+    return Snapshot(
+        configuration=configuration,
+        backends=backends,
+        backends_read=message.backends_read,
+        changes_only=message.changes_only,
+        members=members,
+        evacuations=tuple(_decode_value(value) for value in message.evacuations),
+    )
 
 
 def _decompress(payload: bytes) -> bytes:
--- a/tinrudder_lab/ablation.py
+++ b/tinrudder_lab/ablation.py
@@ -156,7 +156,7 @@
         "begin-at-once",
         "every gateway begins what it is handed only when that is confirmed",
         GATEWAY + "hand_over.py",
-        "return all(len(directory.replica_zones(shard)) <= route.attempts for shard in shards)",
+        "return all(directory.fits_attempts(shard, route.attempts) for shard in shards)",
         "return False",
     ),
     _one(
--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -63,6 +63,15 @@
     what: str
 
 
+@dataclass(slots=True)
+class EvacuatedZone:
+    """A zone whose back ends were to get nothing between two moments."""
+
+    zone: str
+    since: float
+    until: float = float("inf")
+
+
 @dataclass
 class Ledger:
     """Everything that was seen."""
@@ -71,6 +80,8 @@
     arrivals: list[Arrival] = field(default_factory=list)
     results: list[ClientResult] = field(default_factory=list)
     leaving_at: dict[str, float] = field(default_factory=dict)
+    zones: dict[str, str] = field(default_factory=dict)
+    evacuations: list[EvacuatedZone] = field(default_factory=list)
     _serial: itertools.count[int] = field(default_factory=itertools.count)
 
     def issue(self, request_id: str, service: str, body: bytes) -> str:
@@ -80,7 +91,7 @@
         return stamp
 
     def broken_promises(
-        self, ratio: float, extra: float, window_s: float, drain_s: float
+        self, ratio: float, extra: float, window_s: float, drain_s: float, evacuation_s: float
     ) -> list[BrokenPromise]:
         """Return everything that must not have happened."""
         return [
@@ -90,6 +101,17 @@
             *self._over_budget(ratio, extra, window_s),
             *self._after_leaving(drain_s),
             *self._too_many_back_ends(),
+            *self._in_evacuated_zones(evacuation_s),
+        ]
+
+    def _in_evacuated_zones(self, evacuation_s: float) -> list[BrokenPromise]:
+        """Check that nothing reaches a zone from a while after it was evacuated."""
+        return [
+            BrokenPromise("evacuation", f"{arrival.request_id} reached {arrival.backend_id}")
+            for arrival in self.arrivals
+            for evacuated in self.evacuations
+            if self.zones[arrival.backend_id] == evacuated.zone
+            and evacuated.since + evacuation_s < arrival.at < evacuated.until
         ]
 
     def _too_many_back_ends(self) -> list[BrokenPromise]:
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -12,12 +12,17 @@
 from tinrudder.cli.gateway import DECODERS
 from tinrudder.gateway.model import Address, GatewaySettings, RepeatBounds
 from tinrudder.gateway.node import GatewayNode
-from tinrudder.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY
+from tinrudder.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY, EVACUATION_PREFIX
 from tinrudder.platform.headers import HEADERS
 from tinrudder.platform.store_client import StoreClient
 from tinrudder_lab.emulator.backend import EmulatedBackend
 from tinrudder_lab.emulator.client import PlannedRequest, send_request
-from tinrudder_lab.emulator.ledger import ROUTE_ATTEMPTS, ClientResult, Ledger
+from tinrudder_lab.emulator.ledger import (
+    ROUTE_ATTEMPTS,
+    ClientResult,
+    EvacuatedZone,
+    Ledger,
+)
 from tinrudder_lab.emulator.loop import EmulatorLoop
 from tinrudder_lab.emulator.store import EmulatedStore
 from tinrudder_lab.sim.loop import Machine
@@ -30,6 +35,8 @@
 SITE_HOST = "search.example"
 REPEATS = RepeatBounds(ratio=0.2, extra=56.0, window_s=10.0)
 DRAIN_S = 3.0
+EVACUATION_S = 5.0
+"""How long after the store has taken an evacuation calls may still reach the zone."""
 GRACE_S = 6.0
 ZONES = ("zone-a", "zone-b")
 
@@ -144,6 +151,7 @@
     ) -> None:
         """Write a back end's entry."""
         self._entries[backend_id] = (service, address, zone)
+        self.ledger.zones[backend_id] = zone
         document = {
             "service": service,
             "addr": address,
@@ -167,6 +175,18 @@
         self.write_entry(backend_id, service, address, zone, state="draining")
         self.ledger.leaving_at[backend_id] = self.loop.time()
 
+    def evacuate(self, zone: str) -> None:
+        """Ask that nothing go to the back ends of a zone."""
+        self.store.put(EVACUATION_PREFIX + zone, {})
+        self.ledger.evacuations.append(EvacuatedZone(zone, self.loop.time()))
+
+    def take_back(self, zone: str) -> None:
+        """End the evacuation of a zone."""
+        self.store.remove(EVACUATION_PREFIX + zone)
+        for evacuated in self.ledger.evacuations:
+            if evacuated.zone == zone:
+                evacuated.until = min(evacuated.until, self.loop.time())
+
     def configure(self, **changes: Any) -> None:
         """Write the next configuration; ``changes`` replace fields of the scatter's route."""
         self.version += 2
@@ -274,7 +294,7 @@
     def broken_promises(self) -> list[str]:
         """Return what must not have happened."""
         broken = self.ledger.broken_promises(
-            REPEATS.ratio, REPEATS.extra, REPEATS.window_s, DRAIN_S
+            REPEATS.ratio, REPEATS.extra, REPEATS.window_s, DRAIN_S, EVACUATION_S
         )
         return [f"{promise.promise}: {promise.what}" for promise in broken]
 
--- a/tinrudder_lab/emulator/store.py
+++ b/tinrudder_lab/emulator/store.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from tinrudder.platform.store_client import KEY_PATH, RANGE_PATH, WATCH_PATH
+from tinrudder.platform.store_client import RANGE_PATH, WATCH_PATH
 from tinrudder_lab.emulator.http_server import ServedRequest, ServerConnection, encode_response
 
 PAGE_ITEMS = 50
@@ -130,23 +130,13 @@
         """Answer one call."""
         parts = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        if parts.path == KEY_PATH:
-            self._answer_key(query["key"], connection)
-        elif parts.path == RANGE_PATH:
+        if parts.path == RANGE_PATH:
             self._answer_range(query, connection)
         elif parts.path == WATCH_PATH:
             self._watch(query, connection, port)
         else:
             connection.write(encode_response(404, {}, b"{}"))
 
-    def _answer_key(self, key: str, connection: ServerConnection) -> None:
-        item = self._items.get(key)
-        if item is None or item.value is None:
-            connection.write(encode_response(404, {}, b"{}"))
-            return
-        document = _document(key, item) | {"at": self.revision}
-        connection.write(encode_response(200, {}, msgspec.json.encode(document)))
-
     def _answer_range(self, query: dict[str, str], connection: ServerConnection) -> None:
         prefix, after = query["path_prefix"], query.get("after", "")
         keys = sorted(
--- a/tinrudder_lab/soak/run.py
+++ b/tinrudder_lab/soak/run.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from tinrudder_lab.emulator.site import DRAIN_S, REPEATS
 from tinrudder_lab.soak.faults import FAULTS, SoakFault
 from tinrudder_lab.soak.process_site import ProcessSite
 
@@ -65,8 +64,7 @@
     await site.traffic(3.0, REQUESTS_PER_SECOND, ROUTES)
     after = site.ledger.results[before:]
     served_after = sum(1 for result in after if result.status == 200) / max(1, len(after))
-    broken = site.ledger.broken_promises(REPEATS.ratio, REPEATS.extra, REPEATS.window_s, DRAIN_S)
-    texts = [f"{promise.promise}: {promise.what}" for promise in broken]
+    texts = site.broken_promises()
     texts.extend(site.problems)
     texts.extend(site.ended_by_themselves())
     if served_after < MINIMUM_SERVED_AFTER:
