Read load reports of three and of four figures, and count what cannot be read

Cause: a report with a fourth figure (how long work takes there now) raised ValueError in ShardCalls._observe_load, which returned: queues were unknown wherever back ends send it, so nothing was refused at overload and no latency without a queue was learned.

The fourth figure is decoded, not used yet: that is a decision of its own, measured apart.

Ruled out: int() over the split parts (takes 5,000 digits and a sign).

--- a/tests/functional/test_gateway_site.py
+++ b/tests/functional/test_gateway_site.py
@@ -606,3 +606,28 @@
         {},
         reader.answer.body,
     )
+
+
+def test_queues_are_known_from_reports_with_a_fourth_figure() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await site.traffic(2.0, 20.0, ("single",))
+        gateway = site.nodes[0].gateway
+        assert gateway is not None
+        backends = gateway.directory.usable("single")
+        assert any(backend.observations.reported_at > 0 for backend in backends)
+        assert gateway.forwarding.load_reports.unreadable == 0
+
+    run_site(scenario)
+
+
+def test_an_unreadable_load_report_harms_no_answer_and_is_counted() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        for backend in site.backends.values():
+            backend.tell_load = lambda: "much"  # type: ignore[method-assign]
+        await site.traffic(2.0, 20.0, ALL_ROUTES)
+        assert site.served_share() == 1.0
+        gateway = site.nodes[0].gateway
+        assert gateway is not None
+        assert gateway.forwarding.load_reports.unreadable > 0
+
+    run_site(scenario)
--- a/tests/unit/test_shard_calls_machine.py
+++ b/tests/unit/test_shard_calls_machine.py
@@ -14,6 +14,7 @@
 
 from tinrudder.gateway.backend_directory import Backend
 from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.load_reports import LoadReports
 from tinrudder.gateway.messages import (
     Answered,
     Broken,
@@ -27,6 +28,7 @@
 from tinrudder.gateway.model import BackendEntry, HeaderNames, RepeatBounds, Route
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.shard_calls import MAX_SENDS, NEVER, ShardCalls
+from tinrudder.platform.load_header import decode_load_report
 
 SERVICE = "shard-0"
 NAMES = HeaderNames(
@@ -108,6 +110,7 @@
         self.may_have_run: dict[str, int] = {}
         self.source = random.Random(0)
         forwarding = Forwarding(
+            load_reports=LoadReports(decode_load_report, self.loop.time),
             loop=self.loop,  # type: ignore[arg-type]
             names=NAMES,
             zone="zone",
--- a/tests/unit/test_shared_state.py
+++ b/tests/unit/test_shared_state.py
@@ -19,10 +19,13 @@
     decode_configuration,
     decode_operator_key,
 )
+from tinrudder.platform.load_header import decode_load_report
 from tinrudder.wire.snapshot_codec import encode_digest
 
 IP_AND_UDP_HEADER_BYTES = 28
-DECODERS = ValueDecoders(decode_operator_key, decode_configuration, decode_backend)
+DECODERS = ValueDecoders(
+    decode_operator_key, decode_configuration, decode_backend, decode_load_report
+)
 
 
 def new_state(problems: list[str] | None = None) -> SharedState:
--- a/tinrudder/cli/gateway.py
+++ b/tinrudder/cli/gateway.py
@@ -26,12 +26,15 @@
     decode_operator_key,
 )
 from tinrudder.platform.headers import HEADERS
+from tinrudder.platform.load_header import decode_load_report
 from tinrudder.platform.settings_file import SETTINGS_VARIABLE, load_gateway_settings
 from tinrudder.platform.store_client import StoreClient
 
 STANDARD_OUTPUT = 1
 SETTINGS_LOOK_S = 1.0
-DECODERS = ValueDecoders(decode_operator_key, decode_configuration, decode_backend)
+DECODERS = ValueDecoders(
+    decode_operator_key, decode_configuration, decode_backend, decode_load_report
+)
 
 
 def add_parser(subparsers: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from tinrudder.gateway.backend_directory import Backend, BackendDirectory
+from tinrudder.gateway.load_reports import LoadReports
 from tinrudder.gateway.model import HeaderNames, RepeatBounds, Route
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
 from tinrudder.routing.latency_window import LatencyWindow
@@ -53,6 +54,7 @@
     bounds: RepeatBounds
     sharers: Callable[[str], float]
     started_at: float
+    load_reports: LoadReports
     counters: ForwardingCounters = field(default_factory=ForwardingCounters)
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     _latencies: dict[str, LatencyWindow] = field(default_factory=dict)
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -50,6 +50,11 @@
         ]
         self.figures += [
             Figure(f"{PREFIX}_store_calls", "Calls to the store.", lambda: node.store_calls),
+            Figure(
+                f"{PREFIX}_unreadable_load_reports",
+                "Load reports of back ends that do not have the form agreed on.",
+                lambda: node.forwarding.load_reports.unreadable,
+            ),
             Figure(
                 f"{PREFIX}_missing_shards",
                 "Shards left out of merged answers.",
--- a/tinrudder/gateway/messages.py
+++ b/tinrudder/gateway/messages.py
@@ -85,6 +85,23 @@
         return 200 <= self.status < 300
 
 
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a back end says of its own load.
+
+    :param running: requests that hold a slot.
+    :param waiting: requests that wait for one.
+    :param slots: requests that it runs at the same time.
+    :param slowdown: how long work takes there at this moment, 1 is usual; back ends share their
+        machines with others, so this changes within half a second.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float = 1.0
+
+
 @dataclass(frozen=True, slots=True)
 class Answered:
     """The back end ran the call and this is its whole answer, a failure of its own included."""
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -12,6 +12,7 @@
 from tinrudder.gateway.coordinators import Coordination, Coordinators
 from tinrudder.gateway.forwarding import Forwarding, ForwardingCounters
 from tinrudder.gateway.gateway_metrics import GatewayMetrics
+from tinrudder.gateway.load_reports import LoadReports
 from tinrudder.gateway.model import Address, GatewaySettings, HeaderNames
 from tinrudder.gateway.peer_exchange import PeerExchange
 from tinrudder.gateway.peer_list import PeerList
@@ -98,6 +99,7 @@
             bounds=settings.repeats,
             sharers=lambda service: self.coordinators.of_service(service).sharers,
             started_at=loop.time(),
+            load_reports=LoadReports(decoders.load_report, loop.time),
             counters=self.counters,
         )
         self.metrics = GatewayMetrics(self)
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -314,12 +314,11 @@
         value = header_value(answer.headers, self._forwarding.names.load)
         if value is None:
             return
-        try:
-            running, waiting, slots = (int(number) for number in value.split(b","))
-        except ValueError:
+        report = self._forwarding.load_reports.read(value, backend.backend_id)
+        if report is None:
             return
-        backend.observations.reported(running, waiting, slots, now)
-        if waiting == 0 and latency_s is not None:
+        backend.observations.reported(report.running, report.waiting, report.slots, now)
+        if report.waiting == 0 and latency_s is not None:
             self._forwarding.unloaded_latency(self._route).observe(latency_s)
 
     def _on_answer(self, attempt: Attempt, answer: HttpAnswer, now: float) -> None:
--- a/tinrudder/gateway/stored_values.py
+++ b/tinrudder/gateway/stored_values.py
@@ -1,4 +1,4 @@
-"""What a gateway reads from a metadata store, whichever store it is."""
+"""What a gateway reads from its platform, whichever platform it is."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from tinrudder.gateway.messages import LoadReport
 from tinrudder.gateway.model import BackendEntry, GatewayConfiguration
 
 
@@ -47,7 +48,7 @@
 
 
 class UnreadableValueError(Exception):
-    """A stored value does not have the form agreed on; the text names key and field."""
+    """A value does not have the form agreed on; the text names key or header, and field."""
 
 
 class MetadataStore(Protocol):
@@ -89,7 +90,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ValueDecoders:
-    """Turn stored keys and bytes into the product's values.
+    """Turn keys and bytes of the platform into the product's values.
 
     Each raises :class:`UnreadableValueError`.
     """
@@ -97,3 +98,4 @@
     operator_key: Callable[[str], OperatorKey]
     configuration: Callable[[bytes], GatewayConfiguration]
     backend: Callable[[str, bytes], BackendEntry]
+    load_report: Callable[[bytes], LoadReport]
--- /dev/null
+++ b/tinrudder/platform/load_header.py
@@ -0,0 +1,44 @@
+"""The header in which back ends tell their load, decoded into the product's report."""
+
+from __future__ import annotations
+
+import re
+
+from tinrudder.gateway.messages import LoadReport
+from tinrudder.gateway.stored_values import UnreadableValueError
+from tinrudder.platform.headers import HEADERS
+
+USUAL = 100.0
+"""The fourth figure where work takes as long as usual."""
+MOST_DIGITS = 9
+"""Of one figure: far more requests than any back end queues, and no work to read."""
+_FIGURE = re.compile(rb"[0-9]{1,%d}" % MOST_DIGITS)
+_FIGURES = ("running", "waiting", "slots", "work time")
+
+
+def decode_load_report(value: bytes) -> LoadReport:
+    """Decode ``running,waiting,slots`` or ``running,waiting,slots,work time``.
+
+    More figures may follow one day; they are skipped, as unknown fields are elsewhere.
+
+    :raises UnreadableValueError: figures are missing, or one is no whole number.
+
+    >>> decode_load_report(b"1,0,2,130")
+    LoadReport(running=1, waiting=0, slots=2, slowdown=1.3)
+    """
+    parts = value.split(b",")
+    name = HEADERS.load.decode()
+    if len(parts) < len(_FIGURES) - 1:
+        raise UnreadableValueError(f"{name}: {len(parts)} figures, at least 3 are needed")
+    figures = []
+    for field, part in zip(_FIGURES, parts, strict=False):
+        text = part.strip()
+        if not _FIGURE.fullmatch(text):
+            raise UnreadableValueError(f"{name}: {field}: {text[:20]!r} is no whole number")
+        figures.append(int(text))
+    running, waiting, slots, *rest = figures
+    if not rest:
+        return LoadReport(running, waiting, slots)
+    if rest[0] == 0:
+        raise UnreadableValueError(f"{name}: {_FIGURES[-1]}: must be above zero")
+    return LoadReport(running, waiting, slots, rest[0] / USUAL)
--- a/tinrudder_lab/emulator/backend.py
+++ b/tinrudder_lab/emulator/backend.py
@@ -91,6 +91,10 @@
         """Stand still for a while."""
         self._paused_until = self._loop.time() + seconds
 
+    def tell_load(self) -> str:
+        """Return the load as an answer tells it; work always takes as long as usual."""
+        return f"{len(self._running)},{len(self._queue)},{self.slots},100"
+
     def _accept(self) -> ServerConnection:
         """Take a connection."""
         connection = ServerConnection(self._on_request)
@@ -156,7 +160,7 @@
         body = self._random.randbytes(RECORD_BYTES * 6)
         headers = {
             "Tinrudder-Request-Id": request_id,
-            "Tinrudder-Backend-Load": f"{len(self._running)},{len(self._queue)},{self.slots}",
+            "Tinrudder-Backend-Load": self.tell_load(),
         }
         if fault is Fault.LOST:
             return
