Hold the fleet's calls to cold back ends to what these bear, and notice when one turns cold

Cause: cold_left_ms was taken when a back end first appeared and never again, though it may turn cold at any moment; the rate that a cold one bears was not decoded, and nothing held all gateways together to it.

Built: an entry's cold time is taken at every change of the entry. Where a service names a rate, each gateway has its part of rate x factor + extra: whole calls, divided by place among the gateways that call the back end (pure, routing/cold_pace.py); without a part its calls go to other replicas.

Ways weighed: equal fractions (a part below one call is nothing: with 76 callers of a rate of 20 nobody would call), chance by the share (exceeds the rate now and then), places by rendezvous (adds up exactly; kept).

Ruled out: reading the health answers' header: no gateway asks health, which is priced, and the entry says the same.

--- /dev/null
+++ b/tests/functional/test_gateway_cold.py
@@ -0,0 +1,68 @@
+"""Back ends that turn cold: noticed at any time, and never sent more than they bear."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tinrudder_lab.emulator.site import COLD, EmulatedSite, run_site
+
+COLD_CALLS_PER_S = 4.0
+COLD_S = 8.0
+
+
+@pytest.mark.parametrize("node_count", [3, 8])
+def test_all_gateways_together_keep_to_what_cold_back_ends_bear(node_count: int) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await site.traffic(2.0, 40.0, ("scatter", "single"))
+        cold = ["shard-0-0", "shard-0-1", "shard-1-0", "single-0"]
+        spans = [site.turn_cold(backend_id, COLD_S) for backend_id in cold]
+        await site.traffic(COLD_S, 60.0, ("scatter", "single"))
+        busiest = [site.ledger.most_in_a_second(span) for span in spans]
+        assert max(busiest) <= COLD.rate(COLD_CALLS_PER_S)
+        assert min(busiest) > 0
+        assert site.served_share() == 1.0
+        assert site.broken_promises() == []
+
+    run_site(scenario, node_count=node_count, cold_calls_per_s=COLD_CALLS_PER_S)
+
+
+def test_processes_that_all_start_beside_cold_back_ends_keep_to_what_these_bear() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        for node in site.nodes:
+            site.kill_node(node)
+        spans = [site.turn_cold(f"shard-{number}-0", COLD_S) for number in range(8)]
+        await asyncio.sleep(0.5)
+        for node in site.nodes:
+            site.start_node(node)
+        await site.traffic(COLD_S, 40.0, ("scatter",))
+        busiest = [site.ledger.most_in_a_second(span) for span in spans]
+        assert max(busiest) <= COLD.rate(COLD_CALLS_PER_S)
+
+    run_site(scenario, node_count=6, cold_calls_per_s=COLD_CALLS_PER_S)
+
+
+def test_a_back_end_that_turns_cold_again_is_noticed() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.turn_cold("shard-0-0", COLD_S)
+        await asyncio.sleep(1.0)
+        for node in site.nodes:
+            assert node.gateway is not None
+            backends = node.gateway.directory.usable("shard-0")
+            cold = [one.backend_id for one in backends if one.is_cold(site.loop.time())]
+            assert cold == ["shard-0-0"]
+
+    run_site(scenario)
+
+
+def test_without_a_rate_of_its_own_a_cold_back_end_is_only_preferred_less() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        for copy in range(2):
+            site.turn_cold(f"shard-0-{copy}", COLD_S)
+        await asyncio.sleep(1.0)
+        await site.traffic(3.0, 40.0, ("scatter",))
+        whole = [one for one in site.ledger.results if "tinrudder-missing-parts" not in one.headers]
+        assert len(whole) >= 0.95 * len(site.ledger.results)
+
+    run_site(scenario)
--- a/tests/unit/test_shard_calls_machine.py
+++ b/tests/unit/test_shard_calls_machine.py
@@ -86,6 +86,12 @@
     def may_receive(self, backend: Backend) -> bool:
         return not backend.readdressed
 
+    def note_call(self, backend: Backend) -> None:
+        assert self.may_receive(backend)
+
+    def lack(self, _: str) -> str:
+        return "none is left"
+
 
 class ShardCallsMachine(RuleBasedStateMachine):
     """Drives one shard; a count of live arrivals for each replica is the oracle."""
--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -15,10 +15,11 @@
     UpstreamCall,
     header_value,
 )
-from tinrudder.gateway.model import Address, BackendEntry, HeaderNames
-from tinrudder.gateway.shared_state import SharedState
+from tinrudder.gateway.model import Address, BackendEntry, ColdBounds, HeaderNames
+from tinrudder.gateway.shared_state import KnownBackend, SharedState
 from tinrudder.gateway.upstream_pool import UpstreamPool
 from tinrudder.routing.backend_observations import BackendObservations
+from tinrudder.routing.cold_pace import Callers, ColdPace, own_part
 from tinrudder.routing.coordinator_choice import CONNECTION_SAFETY
 from tinrudder.routing.rendezvous import rendezvous_score
 
@@ -35,6 +36,8 @@
 class Backend:
     """One start of one back end, as this process sees it.
 
+    :param cold_pace: this gateway's calls to it while it is cold.
+    :param entry_revision: of the store, at which it wrote ``entry``.
     :param leaving_since: when this process learned that it takes no new work; ``None`` before.
     :param lapsed: its entry is gone although it never said that it leaves.
     :param readdressed: something else answered at its address.
@@ -44,6 +47,8 @@
     entry: BackendEntry
     pool: UpstreamPool
     observations: BackendObservations = field(default_factory=BackendObservations)
+    cold_pace: ColdPace = field(default_factory=ColdPace)
+    entry_revision: int = 0
     leaving_since: float | None = None
     lapsed: bool = False
     readdressed: bool = False
@@ -54,6 +59,10 @@
         """Return the id."""
         return self.entry.backend_id
 
+    def is_cold(self, now: float) -> bool:
+        """Tell whether it is slow, and bears fewer requests, since it has just started."""
+        return now < self.observations.cold_until
+
 
 class BackendDirectory:
     """Follows the shared state; a back end's connections close when it is gone."""
@@ -65,12 +74,13 @@
         clock: Callable[[], float],
         drain_s: float,
         count_connection: Callable[[], None],
-        callers: Callable[[str], int],
+        callers: Callable[[str], Callers],
         own_name: str,
+        cold: ColdBounds,
     ) -> None:
         """Follow ``state``.
 
-        :param callers: tells how many gateways call the back ends of a service.
+        :param callers: tells which gateways call the back ends of a service.
         :param own_name: differs between gateways, so that they do not all pick the same replicas.
         """
         self._state = state
@@ -81,6 +91,7 @@
         self._count_connection = count_connection
         self._callers = callers
         self._own_name = own_name
+        self._cold = cold
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, list[Backend]] = {}
         self._shares: dict[str, float] = {}
@@ -100,8 +111,8 @@
             if backend is None:
                 if known.removed:
                     continue
-                backend = self._add(key, known.entry, known.since)
-            backend.entry = known.entry
+                backend = self._add(key, known.entry)
+            self._take_entry(backend, known)
             backend.leaving_since = known.since if known.leaving else None
             backend.lapsed = known.removed and not known.entry.leaving
             self._set_evacuated(backend, known.entry.zone in evacuated)
@@ -116,9 +127,11 @@
         Entries can lapse while the store is down although every back end lives; one that does is
         back soon after the store's return, and one that is missing then is gone.
 
-        Those of an evacuated zone are left out even where no others are.
+        Those of an evacuated zone are left out even where no others are, and so are cold ones
+        that have had this gateway's part of what they bear.
         """
-        backends = [one for one in self._services.get(service, []) if not one.evacuated]
+        known = self._services.get(service, [])
+        backends = [one for one in known if not one.evacuated and self._bears_call(one)]
         staying = [
             backend
             for backend in backends
@@ -133,6 +146,8 @@
         backends = self._services.get(service, [])
         if any(backend.evacuated for backend in backends):
             return "every back end left is in an evacuated zone"
+        if not all(self._bears_call(backend) for backend in backends):
+            return "every back end left is cold and has had this gateway's part of calls"
         return "every back end is leaving" if backends else "no back end is known"
 
     def replica_zones(self, service: str) -> tuple[str, ...]:
@@ -172,17 +187,42 @@
         spec = accepted.configuration.services.get(service) if accepted is not None else None
         if spec is None:
             return 1.0
-        return spec.max_connections * CONNECTION_SAFETY / max(1, self._callers(service))
+        return spec.max_connections * CONNECTION_SAFETY / max(1, self._callers(service).count)
 
     def may_receive(self, backend: Backend) -> bool:
         """Tell whether a call may still leave for a back end that was chosen earlier."""
-        if backend.readdressed or backend.evacuated:
+        if backend.readdressed or backend.evacuated or not self._bears_call(backend):
             return False
         if backend.leaving_since is None:
             return True
         allowed_s = self._lapse_s if backend.lapsed else self._last_resort_s
         return self._clock() - backend.leaving_since <= allowed_s
 
+    def note_call(self, backend: Backend) -> None:
+        """Count a call that leaves, where the back end bears only so many."""
+        if self._cold_rate(backend) is not None:
+            backend.cold_pace.note_sent(self._clock())
+
+    def _bears_call(self, backend: Backend) -> bool:
+        """Tell whether a call now would keep to this gateway's part of what a cold one bears."""
+        rate = self._cold_rate(backend)
+        if rate is None:
+            return True
+        callers = self._callers(backend.entry.service)
+        part = own_part(rate, self._own_name, callers, backend.backend_id)
+        return backend.cold_pace.may_send(self._clock(), part)
+
+    def _cold_rate(self, backend: Backend) -> float | None:
+        """Return what a back end may get from all gateways in a second; ``None``: any number."""
+        if not backend.is_cold(self._clock()):
+            return None
+        accepted = self._state.accepted
+        services = accepted.configuration.services if accepted is not None else {}
+        spec = services.get(backend.entry.service)
+        if spec is None or not spec.cold_calls_per_s:
+            return None
+        return self._cold.rate(spec.cold_calls_per_s)
+
     def trim(self) -> None:
         """Close connections that back ends are about to close, and adapt their numbers."""
         self._set_connection_limits()
@@ -205,11 +245,18 @@
                 return Broken("an encoded body was not asked for")
         return Answered(answer)
 
-    def _add(self, key: str, entry: BackendEntry, since: float) -> Backend:
+    def _take_entry(self, backend: Backend, known: KnownBackend) -> None:
+        """Take what a back end says of itself; it may say anew that it is cold at any time."""
+        backend.entry = known.entry
+        if known.value.revision != backend.entry_revision and not known.removed:
+            backend.entry_revision = known.value.revision
+            backend.observations.cold_until = self._clock() + known.entry.cold_left_s
+
+    def _add(self, key: str, entry: BackendEntry) -> Backend:
         """Begin with a back end that was not known."""
         address = Address(entry.host, entry.port)
         pool = UpstreamPool(address, self.check_answer, self._count_connection)
-        observations = BackendObservations(slots=entry.slots, cold_until=since + entry.cold_left_s)
+        observations = BackendObservations(slots=entry.slots)
         backend = Backend(entry, pool, observations)
         self._backends[key] = backend
         self._services.setdefault(entry.service, []).append(backend)
--- a/tinrudder/gateway/coordinators.py
+++ b/tinrudder/gateway/coordinators.py
@@ -13,6 +13,7 @@
 from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.peer_messages import Member
 from tinrudder.gateway.shared_state import SharedState
+from tinrudder.routing.cold_pace import Callers
 from tinrudder.routing.coordinator_choice import (
     Candidate,
     IndexDemand,
@@ -57,6 +58,7 @@
     :param callers: how many gateways call the back ends, this one included where ``own``.
     :param sharers: in how many parts the fleet's repeats are divided, as seen from here.
     :param handed_over: where ``own``, the shards that gateways beside their replicas ask.
+    :param caller_names: the callers that are known.
     """
 
     own: bool
@@ -65,12 +67,18 @@
     sharers: float
     decided_at: float
     handed_over: tuple[HandedShards, ...] = ()
+    caller_names: frozenset[str] = frozenset()
 
     @property
     def essence(self) -> Essence:
         """Return what tells one coordination from another, whenever it was decided."""
         return Essence(self.own, frozenset(self.asked), self.handed_over_count)
 
+    @property
+    def known_callers(self) -> Callers:
+        """Return who calls the back ends, for what callers divide among themselves."""
+        return Callers(self.caller_names, self.callers)
+
     @property
     def handed_over_count(self) -> int:
         """Return how many shards are handed over."""
@@ -194,7 +202,9 @@
         if any(one.name == str(own.address) for one in chosen):
             beside = [by_name[one.name] for one in chosen if one.name != str(own.address)]
             handed_over = self._handed_over(index, zones, beside, now)
-            return Coordination(True, (), callers, callers / COORDINATORS_PART, now, handed_over)
+            sharers = callers / COORDINATORS_PART
+            names = frozenset(one.name for one in chosen)
+            return Coordination(True, (), callers, sharers, now, handed_over, names)
         order = preference(str(own.address), own.zone, chosen)
         addresses = [by_name[one.name].address for one in order]
         asked = tuple(one for one in addresses if not self._is_avoided(one, now))
@@ -228,7 +238,9 @@
     def _by_all(self, now: float) -> Coordination:
         """Return what holds where every gateway calls the back ends itself."""
         nodes = self.peers.nodes(now)
-        return Coordination(True, (), nodes, nodes, now)
+        members = [self.describe_own(), *self.peers.candidates(now)]
+        names = frozenset(str(member.address) for member in members)
+        return Coordination(True, (), nodes, nodes, now, caller_names=names)
 
     def _demand(self, index: tuple[str, ...], zones: list[tuple[str, ...]]) -> IndexDemand:
         """Return what an index's back ends take, a typical shard for all of them."""
--- a/tinrudder/gateway/model.py
+++ b/tinrudder/gateway/model.py
@@ -52,10 +52,12 @@
     """A service.
 
     :param max_connections: what one of its back ends accepts from all gateways together.
+    :param cold_calls_per_s: what one of them bears while it is cold; 0: no less than when warm.
     """
 
     name: str
     max_connections: int
+    cold_calls_per_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -162,6 +164,22 @@
     window_s: float = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class ColdBounds:
+    """How far all gateways together may exceed what a cold back end bears, in any second.
+
+    :param factor: times its :attr:`ServiceSpec.cold_calls_per_s`.
+    :param extra: calls on top.
+    """
+
+    factor: float = 1.0
+    extra: float = 0.0
+
+    def rate(self, cold_calls_per_s: float) -> float:
+        """Return how many calls a cold back end may get in any second."""
+        return cold_calls_per_s * self.factor + self.extra
+
+
 @dataclass(frozen=True, slots=True)
 class GatewaySettings:
     """Settings of one gateway process.
@@ -187,6 +205,7 @@
     drain_s: float = 3.0
     stop_grace_s: float = 6.0
     repeats: RepeatBounds = field(default_factory=RepeatBounds)
+    cold: ColdBounds = field(default_factory=ColdBounds)
 
 
 class SettingsFileError(Exception):
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -88,8 +88,9 @@
             loop.time,
             settings.drain_s,
             self._count_connection,
-            lambda service: self.coordinators.of_service(service).callers,
+            lambda service: self.coordinators.of_service(service).known_callers,
             str(self._own),
+            settings.cold,
         )
         self.forwarding = Forwarding(
             loop=loop,
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -248,6 +248,7 @@
         self.sends += 1
         self.may_have_run = True
         self._offered[attempt.backend.backend_id] += 1
+        forwarding.directory.note_call(attempt.backend)
         forwarding.counters.calls += 1
         usual = usual_latency_s(self._latency, self._route.objective_s)
         attempt.running = attempt.backend.observations.begin(now, usual)
--- a/tinrudder/platform/documents.py
+++ b/tinrudder/platform/documents.py
@@ -59,6 +59,8 @@
 class _Service(msgspec.Struct):
     name: str
     max_conns: int = 1
+    # Zero stands for no limit of its own: see docs/design/shifted-work.md.
+    cold_per_s: Annotated[float, Meta(ge=0)] = 0.0
 
 
 class _Limits(msgspec.Struct):
@@ -114,7 +116,10 @@
         document = _configuration_decoder.decode(value)
     except msgspec.MsgspecError as error:
         raise UnreadableValueError(f"{CONFIGURATION_KEY}: {error}") from error
-    services = {spec.name: ServiceSpec(spec.name, spec.max_conns) for spec in document.services}
+    services = {
+        spec.name: ServiceSpec(spec.name, spec.max_conns, spec.cold_per_s)
+        for spec in document.services
+    }
     limits = ClientLimits(
         max_header_bytes=document.limits.max_header_bytes,
         max_body_bytes=document.limits.max_body_bytes,
--- a/tinrudder/platform/settings_file.py
+++ b/tinrudder/platform/settings_file.py
@@ -12,7 +12,13 @@
 import msgspec
 from msgspec import Meta
 
-from tinrudder.gateway.model import Address, GatewaySettings, RepeatBounds, SettingsFileError
+from tinrudder.gateway.model import (
+    Address,
+    ColdBounds,
+    GatewaySettings,
+    RepeatBounds,
+    SettingsFileError,
+)
 
 SETTINGS_VARIABLE = "TINRUDDER_CONFIG"
 MILLISECONDS = 1000.0
@@ -33,6 +39,8 @@
     budget_ratio: NotNegative = 0.1
     budget_window_s: Positive = 10
     budget_extra: NotNegative = 10
+    cold_excess: NotNegative = 1
+    cold_slack: NotNegative = 0
 
 
 class _Limits(msgspec.Struct):
@@ -79,6 +87,7 @@
         drain_s=bounds.drain_ms / MILLISECONDS,
         stop_grace_s=bounds.grace_s,
         repeats=RepeatBounds(bounds.budget_ratio, bounds.budget_extra, bounds.budget_window_s),
+        cold=ColdBounds(bounds.cold_excess, bounds.cold_slack),
     )
 
 
--- /dev/null
+++ b/tinrudder/routing/cold_pace.py
@@ -0,0 +1,69 @@
+"""How many calls a gateway may send to a cold back end, so that all together keep to its rate.
+
+A cold back end bears few requests a second and falls over well above that.  Gateways share no
+counter, so each one has a part of the rate: whole calls, divided by place among the gateways that
+call the back end.  Where all see the same gateways the parts add up to the rate and never to more;
+a gateway without a part sends its calls to other replicas.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from tinrudder.routing.rendezvous import rendezvous_score
+
+WINDOW_S = 1.1
+"""Calls sent within this time may arrive within one second: paths differ by less than 0.1 s."""
+RATE_SHARE = 0.8
+"""Part of the rate that is divided.  The rest is for gateways that do not know of each other yet,
+and for calls that the process before this one has just sent."""
+
+
+@dataclass(frozen=True, slots=True)
+class Callers:
+    """The gateways that call the back ends of a service, as one of them sees it.
+
+    :param names: of those that are known.
+    :param count: how many there seem to be: just after a start more than are known.
+    """
+
+    names: Collection[str]
+    count: int
+
+
+def own_part(rate: float, own: str, callers: Callers, backend_id: str) -> int:
+    """Return how many calls one gateway may send to a cold back end in a second.
+
+    :param rate: what all gateways together may send in any second.
+    :param own: the gateway's name; one that is not among the callers has no part.
+
+    >>> callers = Callers(("a", "b", "c"), count=3)
+    >>> [own_part(10.0, name, callers, "back-end") for name in ("a", "b", "c", "d")]
+    [2, 3, 3, 0]
+    """
+    if own not in callers.names:
+        return 0
+    each, rest = divmod(int(rate * RATE_SHARE), max(callers.count, len(callers.names)))
+    if not rest:
+        return each
+    ranked = sorted(callers.names, key=lambda name: rendezvous_score(name, backend_id))
+    return each + (ranked.index(own) < rest)
+
+
+@dataclass(slots=True)
+class ColdPace:
+    """Counts one gateway's calls to one cold back end."""
+
+    _sent: deque[float] = field(default_factory=deque)
+
+    def may_send(self, now: float, part: int) -> bool:
+        """Tell whether a call may leave now without exceeding ``part`` in any second."""
+        while self._sent and self._sent[0] <= now - WINDOW_S:
+            self._sent.popleft()
+        return len(self._sent) < part
+
+    def note_sent(self, now: float) -> None:
+        """Count a call that leaves."""
+        self._sent.append(now)
--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -72,6 +72,15 @@
     until: float = float("inf")
 
 
+@dataclass(frozen=True, slots=True)
+class ColdSpan:
+    """A time in which a back end bears few requests a second."""
+
+    backend_id: str
+    since: float
+    until: float
+
+
 @dataclass
 class Ledger:
     """Everything that was seen."""
@@ -114,6 +123,21 @@
             and evacuated.since + evacuation_s < arrival.at < evacuated.until
         ]
 
+    def most_in_a_second(self, span: ColdSpan) -> int:
+        """Return how many requests reached a back end in the fullest second of a span."""
+        arrivals = sorted(
+            one.at
+            for one in self.arrivals
+            if one.backend_id == span.backend_id and span.since <= one.at < span.until
+        )
+        first = 0
+        most = 0
+        for last, at in enumerate(arrivals):
+            while arrivals[first] <= at - 1.0:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
     def _too_many_back_ends(self) -> list[BrokenPromise]:
         """Check that no request ran on more of one service's back ends than its route allows."""
         ran_on: dict[tuple[str, str], set[str]] = {}
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -10,7 +10,7 @@
 from typing import Any, TypeVar
 
 from tinrudder.cli.gateway import DECODERS
-from tinrudder.gateway.model import Address, GatewaySettings, RepeatBounds
+from tinrudder.gateway.model import Address, ColdBounds, GatewaySettings, RepeatBounds
 from tinrudder.gateway.node import GatewayNode
 from tinrudder.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY, EVACUATION_PREFIX
 from tinrudder.platform.headers import HEADERS
@@ -20,6 +20,7 @@
 from tinrudder_lab.emulator.ledger import (
     ROUTE_ATTEMPTS,
     ClientResult,
+    ColdSpan,
     EvacuatedZone,
     Ledger,
 )
@@ -33,8 +34,12 @@
 PEER_PORT = 8102
 BACKEND_PORT = 8080
 SITE_HOST = "search.example"
+COLD = ColdBounds(factor=1.5, extra=5.0)
 REPEATS = RepeatBounds(ratio=0.2, extra=56.0, window_s=10.0)
 DRAIN_S = 3.0
+COLD_NOTICE_S = 1.0
+"""How long it takes until every gateway knows that a back end has turned cold."""
+MILLISECONDS = 1000.0
 EVACUATION_S = 5.0
 """How long after the store has taken an evacuation calls may still reach the zone."""
 GRACE_S = 6.0
@@ -76,6 +81,7 @@
         every zone lacks some shards; else in the first zones, the same ones for all shards.
     :param network: first number of every address.
     :param work_s: time that a back end's slot is held by one request.
+    :param cold_calls_per_s: what the configuration says that a cold back end bears.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -89,6 +95,7 @@
     capacities: tuple[float, ...] = (1.0,)
     singles: int = 3
     work_s: float = 0.02
+    cold_calls_per_s: float = 0.0
     ledger: Ledger = field(default_factory=Ledger)
     nodes: list[EmulatedNode] = field(default_factory=list)
     backends: dict[str, EmulatedBackend] = field(default_factory=dict)
@@ -147,7 +154,13 @@
         return self.work_s * self.random.lognormvariate(0.0, 0.35)
 
     def write_entry(
-        self, backend_id: str, service: str, address: str, zone: str, state: str = "ready"
+        self,
+        backend_id: str,
+        service: str,
+        address: str,
+        zone: str,
+        state: str = "ready",
+        cold_left_s: float = 0.0,
     ) -> None:
         """Write a back end's entry."""
         self._entries[backend_id] = (service, address, zone)
@@ -159,7 +172,7 @@
             "version": "v1",
             "slots": 2,
             "state": state,
-            "cold_left_ms": 0,
+            "cold_left_ms": cold_left_s * MILLISECONDS,
             "seq": 1,
         }
         self.store.put(BACKENDS_PREFIX + backend_id, document)
@@ -169,6 +182,13 @@
         service, address, zone = self._entries[backend_id]
         self.write_entry(backend_id, service, address, zone)
 
+    def turn_cold(self, backend_id: str, seconds: float) -> ColdSpan:
+        """Let a back end say that it bears few requests for some time from now on."""
+        service, address, zone = self._entries[backend_id]
+        self.write_entry(backend_id, service, address, zone, cold_left_s=seconds)
+        since = self.loop.time() + COLD_NOTICE_S
+        return ColdSpan(backend_id, since, since + seconds - COLD_NOTICE_S)
+
     def drain(self, backend_id: str) -> None:
         """Let a back end say that it leaves."""
         service, address, zone = self._entries[backend_id]
@@ -205,7 +225,10 @@
         } | changes
         routes = [scatter, _single("single", "safe"), _single("once", "unsafe")]
         names = {*self.shard_services, "single", *scatter["gather"]}
-        services = [{"name": name, "max_conns": 26} for name in sorted(names)]
+        services = [
+            {"name": name, "max_conns": 26, "cold_per_s": self.cold_calls_per_s}
+            for name in sorted(names)
+        ]
         limits = {"max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
         document = {
             "version": self.version,
@@ -233,6 +256,7 @@
             drain_s=DRAIN_S,
             stop_grace_s=GRACE_S,
             repeats=REPEATS,
+            cold=COLD,
         )
 
         async def run() -> None:
