Expect calls to take as long as the replica reports at this moment

Hypothesis: back ends report how long work takes there now; a replica that shares its machine with a busy neighbour is four times slower for half a second. Own observations learn that from latencies, slowly, and keep it for seconds after it has passed.

Change: the latest report, over what that back end typically reports, multiplies the expected latency and fades over 0.5 s; what a report explains is not learned as the back end's own.

Also corrects the example of own_part, whose doctest had not been run.

--- a/tests/unit/test_gateway_decisions.py
+++ b/tests/unit/test_gateway_decisions.py
@@ -235,3 +235,34 @@
     for sent_at in (0.0, 0.4):
         slow.answered(slow.begin(sent_at, 0.033), sent_at + 0.33)
     assert is_slow(slow.expected_relative_latency(0.8))
+
+
+def test_a_replica_that_reports_a_slow_moment_is_avoided_until_the_report_is_old() -> None:
+    slow, usual = BackendObservations(), BackendObservations()
+    for observations in (slow, usual):
+        observations.reported(0, 0, 2, 9.0, 1.0)
+    slow.reported(0, 0, 2, 10.0, 4.0)
+    assert slow.cost(10.0) > 3 * usual.cost(10.0)
+    assert slow.cost(10.1) > 2 * usual.cost(10.1)
+    assert slow.cost(10.6) == usual.cost(10.6)
+
+
+def test_what_is_typical_of_a_replica_is_no_slow_moment() -> None:
+    observations = BackendObservations()
+    for number in range(50):
+        observations.reported(0, 0, 2, number * 0.1, 1.3)
+    assert observations.momentary_slowdown(4.9) == pytest.approx(1.0)
+
+
+def test_a_slow_moment_that_was_reported_is_not_learned_as_the_replicas_own() -> None:
+    with_reports, without = BackendObservations(), BackendObservations()
+    for number in range(20):
+        now = number * 0.1
+        with_reports.reported(0, 0, 2, now, 1.0)
+    now = 2.0
+    for observations, slowdown in ((with_reports, 4.0), (without, 1.0)):
+        call = observations.begin(now, usual_s=0.02)
+        observations.reported(0, 0, 2, now + 0.08, slowdown)
+        observations.answered(call, now + 0.08)
+    assert with_reports.expected_relative_latency(3.0) < 1.1
+    assert without.expected_relative_latency(3.0) > 1.5
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -318,7 +318,8 @@
         report = self._forwarding.load_reports.read(value, backend.backend_id)
         if report is None:
             return
-        backend.observations.reported(report.running, report.waiting, report.slots, now)
+        observations = backend.observations
+        observations.reported(report.running, report.waiting, report.slots, now, report.slowdown)
         if report.waiting == 0 and latency_s is not None:
             self._forwarding.unloaded_latency(self._route).observe(latency_s)
 
--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -19,6 +19,12 @@
 COLD_FACTOR = 1.6
 BACKLOG_LIFETIME_S = 0.8
 USUAL_LATENCY_S = 0.02
+SLOWDOWN_LIFETIME_S = 0.5
+"""How long a reported slowdown says something of the next call, seconds: back ends report another
+one several times a second.  Its weight falls to nothing over this time."""
+TYPICAL_SLOWDOWN_GAIN = 0.1
+"""Weight of one report in what is typical of a back end: momentary ones, a few in a hundred,
+hardly move it."""
 
 
 @dataclass(slots=True, eq=False)
@@ -38,6 +44,8 @@
 
     :param relative_latency: recent latencies over what is usual for their routes, 1 is usual.
     :param suspect_until: monotonic time until which other back ends go first.
+    :param reported_slowdown: how long work takes there by its latest report, 1 is usual.
+    :param typical_slowdown: the same in the mean of its reports; 0 before the first.
     """
 
     slots: int = 1
@@ -49,6 +57,8 @@
     reported_backlog: int = 0
     reported_at: float = -BACKLOG_LIFETIME_S
     sent_since_report: int = 0
+    reported_slowdown: float = 1.0
+    typical_slowdown: float = 0.0
     running: set[RunningCall] = field(default_factory=set)
 
     def begin(self, now: float, usual_s: float) -> RunningCall:
@@ -68,8 +78,10 @@
         self.failures = 0
         self.suspect_until = 0.0
         if call.usual_s > 0:
-            relative = min(MAX_RELATIVE_LATENCY, (now - call.sent_at) / call.usual_s)
-            faded = self.expected_relative_latency(now)
+            # What a report explains passes with it, so it is not learned as the back end's own.
+            relative = (now - call.sent_at) / call.usual_s / self.momentary_slowdown(now)
+            relative = min(MAX_RELATIVE_LATENCY, relative)
+            faded = self._lasting_latency(now)
             self.relative_latency = faded + LATENCY_GAIN * (relative - faded)
             self.latency_at = now
 
@@ -81,8 +93,13 @@
         pause = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2 ** (self.failures - 1))
         self.suspect_until = now + pause
 
-    def reported(self, running: int, waiting: int, slots: int, now: float) -> None:
-        """Note what the back end says of its own load."""
+    def reported(
+        self, running: int, waiting: int, slots: int, now: float, slowdown: float = 1.0
+    ) -> None:
+        """Note what the back end says of its own load, and how long work takes there now."""
+        typical = self.typical_slowdown or slowdown
+        self.typical_slowdown = typical + TYPICAL_SLOWDOWN_GAIN * (slowdown - typical)
+        self.reported_slowdown = slowdown
         self.reported_backlog = running + waiting
         self.reported_at = now
         self.sent_since_report = 0
@@ -90,6 +107,18 @@
             self.slots = slots
 
     def expected_relative_latency(self, now: float) -> float:
+        """Return how long the next call may run, relative to what is usual for its route."""
+        return self._lasting_latency(now) * self.momentary_slowdown(now)
+
+    def momentary_slowdown(self, now: float) -> float:
+        """Return by how much work takes longer there at this moment than it typically does."""
+        age = max(0.0, now - self.reported_at)
+        if age >= SLOWDOWN_LIFETIME_S or not self.typical_slowdown:
+            return 1.0
+        weight = 1.0 - age / SLOWDOWN_LIFETIME_S
+        return 1.0 + weight * (self.reported_slowdown / self.typical_slowdown - 1.0)
+
+    def _lasting_latency(self, now: float) -> float:
         """Return the relative latency, fading back to the usual when nothing new is seen."""
         age = max(0.0, now - self.latency_at)
         weight = max(0.0, 1.0 - age / LATENCY_MEMORY_S)
--- a/tinrudder/routing/cold_pace.py
+++ b/tinrudder/routing/cold_pace.py
@@ -41,7 +41,7 @@
 
     >>> callers = Callers(("a", "b", "c"), count=3)
     >>> [own_part(10.0, name, callers, "back-end") for name in ("a", "b", "c", "d")]
-    [2, 3, 3, 0]
+    [3, 3, 2, 0]
     """
     if own not in callers.names:
         return 0
