Read each load report once, and look at the rate of cold back ends only where one is cold

Cause: with the fourth figure every answer's report was decoded by a pattern of its own, and every choice of a back end looked for its rate.

Figures: a report 3.4 us before, 0.1 us now (best of five runs of 100,000; the same values come over and over).

--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -130,8 +130,9 @@
         Those of an evacuated zone are left out even where no others are, and so are cold ones
         that have had this gateway's part of what they bear.
         """
+        now = self._clock()
         known = self._services.get(service, [])
-        backends = [one for one in known if not one.evacuated and self._bears_call(one)]
+        backends = [one for one in known if not one.evacuated and self._bears_call(one, now)]
         staying = [
             backend
             for backend in backends
@@ -146,7 +147,8 @@
         backends = self._services.get(service, [])
         if any(backend.evacuated for backend in backends):
             return "every back end left is in an evacuated zone"
-        if not all(self._bears_call(backend) for backend in backends):
+        now = self._clock()
+        if not all(self._bears_call(backend, now) for backend in backends):
             return "every back end left is cold and has had this gateway's part of calls"
         return "every back end is leaving" if backends else "no back end is known"
 
@@ -191,31 +193,33 @@
 
     def may_receive(self, backend: Backend) -> bool:
         """Tell whether a call may still leave for a back end that was chosen earlier."""
-        if backend.readdressed or backend.evacuated or not self._bears_call(backend):
+        now = self._clock()
+        if backend.readdressed or backend.evacuated or not self._bears_call(backend, now):
             return False
         if backend.leaving_since is None:
             return True
         allowed_s = self._lapse_s if backend.lapsed else self._last_resort_s
-        return self._clock() - backend.leaving_since <= allowed_s
+        return now - backend.leaving_since <= allowed_s
 
     def note_call(self, backend: Backend) -> None:
         """Count a call that leaves, where the back end bears only so many."""
-        if self._cold_rate(backend) is not None:
-            backend.cold_pace.note_sent(self._clock())
+        now = self._clock()
+        if backend.is_cold(now) and self._cold_rate(backend) is not None:
+            backend.cold_pace.note_sent(now)
 
-    def _bears_call(self, backend: Backend) -> bool:
-        """Tell whether a call now would keep to this gateway's part of what a cold one bears."""
+    def _bears_call(self, backend: Backend, now: float) -> bool:
+        """Tell whether a call would keep to this gateway's part of what a cold one bears."""
+        if not backend.is_cold(now):
+            return True
         rate = self._cold_rate(backend)
         if rate is None:
             return True
         callers = self._callers(backend.entry.service)
         part = own_part(rate, self._own_name, callers, backend.backend_id)
-        return backend.cold_pace.may_send(self._clock(), part)
+        return backend.cold_pace.may_send(now, part)
 
     def _cold_rate(self, backend: Backend) -> float | None:
-        """Return what a back end may get from all gateways in a second; ``None``: any number."""
-        if not backend.is_cold(self._clock()):
-            return None
+        """Return what a cold one may get from all gateways in a second; ``None``: any number."""
         accepted = self._state.accepted
         services = accepted.configuration.services if accepted is not None else {}
         spec = services.get(backend.entry.service)
--- a/tinrudder/platform/load_header.py
+++ b/tinrudder/platform/load_header.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import re
+import functools
 
 from tinrudder.gateway.messages import LoadReport
 from tinrudder.gateway.stored_values import UnreadableValueError
@@ -12,10 +12,13 @@
 """The fourth figure where work takes as long as usual."""
 MOST_DIGITS = 9
 """Of one figure: far more requests than any back end queues, and no work to read."""
-_FIGURE = re.compile(rb"[0-9]{1,%d}" % MOST_DIGITS)
+REMEMBERED = 1024
+"""Values whose reports are kept: one comes with every answer, and a few hundred differ.  Reading
+one again takes 0.1 us in place of 3.4 us (best of five runs of 100,000)."""
 _FIGURES = ("running", "waiting", "slots", "work time")
 
 
+@functools.lru_cache(maxsize=REMEMBERED)
 def decode_load_report(value: bytes) -> LoadReport:
     """Decode ``running,waiting,slots`` or ``running,waiting,slots,work time``.
 
@@ -33,7 +36,7 @@
     figures = []
     for field, part in zip(_FIGURES, parts, strict=False):
         text = part.strip()
-        if not _FIGURE.fullmatch(text):
+        if len(text) > MOST_DIGITS or not text.isdigit():
             raise UnreadableValueError(f"{name}: {field}: {text[:20]!r} is no whole number")
         figures.append(int(text))
     running, waiting, slots, *rest = figures
