Let a process that starts spend the tenth of the extra repeats that earlier lives leave

Cause: for a window of 10 s after its start a gateway had nothing of the extra, since the life before may have spent it, and a part of the ratio below one call is nothing.

Change: a life older than a window spends 0.9 of its part, as it did; a younger one 0.1, which nobody spends otherwise. One start of all within a window stays within the rule by arithmetic.

Tried and not kept: a token bucket that is empty at the start and holds half or a quarter of the extra when full.

--- a/tinrudder/routing/repeat_budget.py
+++ b/tinrudder/routing/repeat_budget.py
@@ -4,7 +4,7 @@
 ``extra`` on top, from all nodes together.  Each node spends the ratio of its own requests, and an
 equal part of the extra.  Sums of the first hold by themselves.  The parts of the second hold when
 no node counts fewer nodes than there are, and when a node that starts, which has forgotten what
-its earlier life spent, leaves its part untouched for one window.
+its earlier life spent, takes for one window only what earlier lives leave untouched.
 """
 
 from __future__ import annotations
@@ -16,6 +16,11 @@
 
 BUCKETS_PER_WINDOW = 20
 SAFETY = 0.9
+"""Part of ratio and extra that a node spends once it has lived for a window."""
+START_SHARE = 1.0 - SAFETY
+"""Part of the extra that a node may spend in its first window, since the life before it left it.
+After a start of all 76 gateways of a deployment 1.2 calls a shard were repeated in a scatter where
+9 are usual, and 6.5 shards were missing where 0.8 are, in the mean of two seconds."""
 KEPT_FOR_RETRIES = 0.25
 
 
@@ -37,7 +42,7 @@
     def __init__(self, ratio: float, extra: float, window_s: float, started_at: float) -> None:
         """Take the bounds of the whole fleet; ``started_at`` is when this process began."""
         self._ratio = ratio * SAFETY
-        self._extra = extra * SAFETY
+        self._extra = extra
         self._window_s = window_s
         self._slice_s = window_s / BUCKETS_PER_WINDOW
         self._extra_from = started_at + window_s
@@ -77,8 +82,8 @@
         """Return what may be spent in the window that ends now."""
         oldest = self._index(now - self._window_s)
         requests = sum(bucket.requests for bucket in self._buckets if bucket.index > oldest)
-        extra = self._extra / max(1, nodes) if now >= self._extra_from else 0.0
-        return self._ratio * requests + extra
+        share = SAFETY if now >= self._extra_from else START_SHARE
+        return self._ratio * requests + share * self._extra / max(1, nodes)
 
     def _index(self, now: float) -> int:
         """Return the slice that a moment belongs to."""
