--- /dev/null
+++ b/tinrudder/gateway/call_observation.py
@@ -0,0 +1,88 @@
+"""What a gateway learns from the end of one call, also when nobody waits for it any more."""
+
+from __future__ import annotations
+
+from tinrudder.gateway.backend_directory import Backend
+from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.messages import (
+    Answered,
+    Broken,
+    CallOutcome,
+    HttpAnswer,
+    NotSent,
+    Rejected,
+    header_value,
+)
+from tinrudder.gateway.model import Route
+from tinrudder.routing.backend_observations import RunningCall
+
+SERVER_ERROR = 500
+"""The first status that says that the back end failed, rather than the request."""
+
+
+def observe_end(
+    forwarding: Forwarding,
+    route: Route,
+    backend: Backend,
+    running: RunningCall | None,
+    outcome: CallOutcome,
+    now: float,
+) -> None:
+    """Take the end of one call.
+
+    :param running: the call as it was sent; ``None``: no byte of it left.
+    """
+    observations = backend.observations
+    match outcome:
+        case Answered(answer=answer):
+            _observe_answer(forwarding, route, backend, running, answer, now)
+        case Rejected(wrong_backend=wrong_backend):
+            forwarding.counters.rejections += 1
+            backend.readdressed |= wrong_backend
+            observations.failed(running, now)
+        case NotSent():
+            observations.failed(running, now)
+        case Broken():
+            forwarding.counters.broken += 1
+            observations.failed(running, now)
+
+
+def _observe_answer(
+    forwarding: Forwarding,
+    route: Route,
+    backend: Backend,
+    running: RunningCall | None,
+    answer: HttpAnswer,
+    now: float,
+) -> None:
+    """Learn how long an answer took, and what it says of the back end's load."""
+    latency_s = now - running.sent_at if running is not None else None
+    _observe_load(forwarding, route, backend, answer, latency_s, now)
+    if running is None:
+        return
+    forwarding.latency(route).observe(now - running.sent_at)
+    if answer.status < SERVER_ERROR:
+        backend.observations.answered(running, now)
+    else:
+        backend.observations.failed(running, now)
+
+
+def _observe_load(
+    forwarding: Forwarding,
+    route: Route,
+    backend: Backend,
+    answer: HttpAnswer,
+    latency_s: float | None,
+    now: float,
+) -> None:
+    """Learn what a back end says of its load, and how long calls take without waiting."""
+    value = header_value(answer.headers, forwarding.names.load)
+    if value is None:
+        return
+    report = forwarding.load_reports.read(value, backend.backend_id)
+    if report is None:
+        return
+    observations = backend.observations
+    observations.reported(report.running, report.waiting, report.slots, now, report.slowdown)
+    if report.waiting == 0 and latency_s is not None:
+        forwarding.unloaded_latency(route).observe(latency_s)
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from tinrudder.gateway.backend_directory import Backend
+from tinrudder.gateway.call_observation import SERVER_ERROR, observe_end
 from tinrudder.gateway.forwarding import Forwarding
 from tinrudder.gateway.messages import (
     Answered,
@@ -18,7 +19,6 @@
     Rejected,
     UpstreamCall,
     Withdrawn,
-    header_value,
 )
 from tinrudder.gateway.model import Route
 from tinrudder.gateway.request_bytes import RequestBytes
@@ -30,7 +30,7 @@
 RETRY_PAUSE_S = 0.03
 DENIED_PAUSE_S = 0.02
 MAX_HEDGE_WAIT = 1.5
-SERVER_ERROR = 500
+
 NEVER = float("inf")
 
 
@@ -260,7 +260,7 @@
             return
         self._attempts.remove(attempt)
         now = self._forwarding.loop.time()
-        self._observe(attempt, outcome, now)
+        observe_end(self._forwarding, self._route, attempt.backend, attempt.running, outcome, now)
         if self.part is not None:
             return
         match outcome:
@@ -284,45 +284,6 @@
             del self._offered[backend.backend_id]
         self.may_have_run = bool(self._offered)
 
-    def _observe(self, attempt: Attempt, outcome: CallOutcome, now: float) -> None:
-        """Learn from the end of one call, also when nobody waits for it any more."""
-        observations = attempt.backend.observations
-        counters = self._forwarding.counters
-        match outcome:
-            case Answered(answer=answer):
-                latency_s = now - attempt.running.sent_at if attempt.running else None
-                self._observe_load(attempt.backend, answer, latency_s, now)
-                if attempt.running is not None:
-                    self._latency.observe(now - attempt.running.sent_at)
-                    if answer.status < SERVER_ERROR:
-                        observations.answered(attempt.running, now)
-                    else:
-                        observations.failed(attempt.running, now)
-            case Rejected(wrong_backend=wrong_backend):
-                counters.rejections += 1
-                attempt.backend.readdressed |= wrong_backend
-                observations.failed(attempt.running, now)
-            case NotSent():
-                observations.failed(attempt.running, now)
-            case Broken():
-                counters.broken += 1
-                observations.failed(attempt.running, now)
-
-    def _observe_load(
-        self, backend: Backend, answer: HttpAnswer, latency_s: float | None, now: float
-    ) -> None:
-        """Learn what the back end says of its load, and how long calls take without waiting."""
-        value = header_value(answer.headers, self._forwarding.names.load)
-        if value is None:
-            return
-        report = self._forwarding.load_reports.read(value, backend.backend_id)
-        if report is None:
-            return
-        observations = backend.observations
-        observations.reported(report.running, report.waiting, report.slots, now, report.slowdown)
-        if report.waiting == 0 and latency_s is not None:
-            self._forwarding.unloaded_latency(self._route).observe(latency_s)
-
     def _on_answer(self, attempt: Attempt, answer: HttpAnswer, now: float) -> None:
         """Take a whole answer; a failure of the back end's own may be tried elsewhere."""
         final = answer.successful
