--- a/tests/functional/test_gateway_evacuation.py
+++ b/tests/functional/test_gateway_evacuation.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.support.many_gateways import SETTLED_S, counted, run_many
 from tinrudder_lab.emulator.site import EVACUATION_S, EmulatedSite, run_site
 from tinrudder_lab.emulator.store import StoreMode
 
@@ -181,3 +182,19 @@
             assert node.gateway.state.evacuations.zones == frozenset()
 
     run_site(scenario)
+
+
+def test_coordinators_and_gateways_beside_replicas_keep_to_evacuations() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        await site.traffic(1.0, 30.0, ("scatter",))
+        assert counted(site, "coordinated")
+        site.evacuate(ZONE)
+        await asyncio.sleep(NOTICE_S)
+        evacuated_at = site.loop.time()
+        await site.traffic(EVACUATION_S + 2.0, 30.0, ("scatter",))
+        assert ZONE not in used_zones(site, evacuated_at)
+        assert site.served_share() == 1.0
+        assert site.broken_promises() == []
+
+    run_many(scenario, zones=("zone-a", "zone-b", "zone-c"), spread=True, shards=9)
--- a/tests/unit/test_gateway_commands.py
+++ b/tests/unit/test_gateway_commands.py
@@ -20,7 +20,8 @@
 
 LOG = "\n".join(
     [
-        line("store_lost", 95.0, topic="configuration", detail="no answer in 2.5 s"),
+        line("store_lost", 95.0, topic="operator", detail="no answer in 2.5 s"),
+        line("zone_evacuated", 96.0, zone="zone-a", detail="zone-a, learned from 10.0.0.2:81"),
         line("request", 96.0, request="other", outcome="Merged", status=200),
         "not a line of ours",
         "  12.5 front-1 "
@@ -66,7 +67,8 @@
     assert "18 shards in, 2 missing" in told
     assert "without an answer: s1 s2" in told
     assert "reasons: 2 x no answer yet" in told
-    assert "5.0 s before: store_lost configuration no answer in 2.5 s" in told
+    assert "5.0 s before: store_lost operator no answer in 2.5 s" in told
+    assert "4.0 s before: zone_evacuated zone-a, learned from 10.0.0.2:81" in told
     assert "other" not in told
 
 
--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -136,6 +136,8 @@
         ('front = "10.0.0.1:80"', "", "front"),
         ('front = "10.0.0.1:80"', 'front = "nowhere"', "listen.front"),
         ("drain_ms = 2000", "drain_ms = -1", "drain_ms"),
+        ("drain_ms = 2000", "cold_excess = -1", "cold_excess"),
+        ("drain_ms = 2000", "cold_slack = 'much'", "cold_slack"),
         ('node = "front-1"', 'node = ""', "node"),
         ("[platform]", "[platform", "boot.toml"),
     ],
