Let the soak's check of leaving back ends count from the end of a store outage

Why the check was wrong: the users' rule binds to what the store acknowledges while it is stable; the check knew of no outage. As strict otherwise: only outages to all gateways count, what is written after one or to gateways with one peer that hears the store counts at once.

--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -72,6 +72,17 @@
     until: float = float("inf")
 
 
+@dataclass(slots=True)
+class StoreOutage:
+    """A time in which no gateway could learn anything from the store.
+
+    :param until: when it served again and every watch that it had lost was over.
+    """
+
+    since: float
+    until: float = float("inf")
+
+
 @dataclass(frozen=True, slots=True)
 class ColdSpan:
     """A time in which a back end bears few requests a second."""
@@ -91,6 +102,7 @@
     leaving_at: dict[str, float] = field(default_factory=dict)
     zones: dict[str, str] = field(default_factory=dict)
     evacuations: list[EvacuatedZone] = field(default_factory=list)
+    store_outages: list[StoreOutage] = field(default_factory=list)
     _serial: itertools.count[int] = field(default_factory=itertools.count)
 
     def issue(self, request_id: str, service: str, body: bytes) -> str:
@@ -239,13 +251,21 @@
         """Return when clients sent requests for a service."""
         return [result.sent_at for result in self.results if service in result.services]
 
+    def _known_at(self, written_at: float) -> float:
+        """Return from when gateways must know of what was written to the store at a moment."""
+        ends = [one.until for one in self.store_outages if one.since <= written_at < one.until]
+        return max([written_at, *ends])
+
     def _after_leaving(self, drain_s: float) -> list[BrokenPromise]:
-        """Check that nothing reaches a back end long after it said that it leaves."""
+        """Check that nothing reaches a back end long after it said that it leaves.
+
+        What it said while no gateway could hear the store counts from the end of that.
+        """
+        known_at = {name: self._known_at(at) for name, at in self.leaving_at.items()}
         return [
             BrokenPromise("leaving", f"{arrival.request_id} reached {arrival.backend_id}")
             for arrival in self.arrivals
-            if arrival.ran
-            and arrival.at > self.leaving_at.get(arrival.backend_id, float("inf")) + drain_s
+            if arrival.ran and arrival.at > known_at.get(arrival.backend_id, float("inf")) + drain_s
         ]
 
 
--- a/tinrudder_lab/soak/faults.py
+++ b/tinrudder_lab/soak/faults.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from tinrudder_lab.emulator.backend import EmulatedBackend, Fault
+from tinrudder_lab.emulator.ledger import StoreOutage
 from tinrudder_lab.emulator.store import StoreMode
 from tinrudder_lab.soak.process_site import ProcessSite
 from tinrudder_lab.soak.proxy import LinkMode
@@ -23,6 +24,9 @@
 BAD_ANSWERS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 BAD_ANSWER_SHARE = 0.1
 MAX_STORE_OUTAGE_S = 4.0
+LOST_WATCH_S = 7.5
+"""How long a watch that the store lost in an outage may go on after it: the longest wait of a few
+gateways, 4.5 s and a third more, and what the client allows on top, 1.5 s."""
 
 
 async def kill(site: ProcessSite) -> str:
@@ -79,9 +83,13 @@
     ports = [node.store_port for node in site.nodes]
     chosen = site.random.sample(ports, site.random.randint(1, len(ports)))
     mode = site.random.choice(BAD_STORE_MODES)
+    outage = StoreOutage(site.loop.time())
+    if len(chosen) == len(ports):
+        site.ledger.store_outages.append(outage)
     site.store.set_mode(mode, *chosen)
     await asyncio.sleep(site.random.uniform(0.5, MAX_STORE_OUTAGE_S))
     site.store.set_mode(StoreMode.SERVING, *chosen)
+    outage.until = site.loop.time() + LOST_WATCH_S
     return f"store {mode.value} to {len(chosen)}"
 
 
