--- a/tinrudder/platform/documents.py
+++ b/tinrudder/platform/documents.py
@@ -58,8 +58,8 @@
     public: bool = False
 
 
-class _Tenant(TenantDocument, rename={"keys": "api_keys"}):
-    """Limits that are zero, null or absent let any number of requests pass."""
+class _Tenant(TenantDocument, frozen=True):
+    keys: tuple[str, ...] = msgspec.field(default=(), name="api_keys")
 
 
 class _Service(msgspec.Struct):
