--- /dev/null
+++ b/tests/functional/test_gateway_keys.py
@@ -0,0 +1,310 @@
+"""Whose key a request carries is known, ends in time on every machine, and stays at the entry."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from tests.support.many_gateways import SETTLED_S, run_many
+from tinrudder.gateway.knowledge_keeper import FRESH_SHARE
+from tinrudder.gateway.node import GatewayNode
+from tinrudder_lab.emulator.site import EmulatedNode, EmulatedSite, SiteTenant, run_site
+from tinrudder_lab.emulator.store import StoreMode
+
+ALL_ROUTES = ("scatter", "single", "once")
+REVOCATION_S = 5.0
+LONGER_S = REVOCATION_S + 0.5
+NOTICE_S = 1.0
+"""Watches and digests bring a change sooner than this."""
+FIRST = SiteTenant("first", ("key-a", "key-b"))
+SECOND = SiteTenant("second", ("key-c",))
+ENDED = SiteTenant("first", ("key-b",))
+
+
+def run_keyed(scenario: Any, **options: Any) -> Any:
+    settings = {"tenants": (FIRST, SECOND), "revocation_s": REVOCATION_S}
+    return run_site(scenario, **(settings | options))
+
+
+def gateway_of(node: EmulatedNode) -> GatewayNode:
+    assert node.gateway is not None
+    return node.gateway
+
+
+async def statuses(site: EmulatedSite, key: str, node: int = 0) -> list[int]:
+    return [(await site.send(route, node, key=key)).status for route in ALL_ROUTES]
+
+
+def test_every_route_is_served_for_the_tenant_whose_key_it_is() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        assert await statuses(site, "key-a") == [200] * 3
+        assert await statuses(site, "key-c", 1) == [200] * 3
+        assert {one.tenant for one in site.ledger.arrivals} == {"first", "second"}
+        assert site.broken_promises() == []
+
+    run_keyed(scenario)
+
+
+def test_keys_that_nobody_has_are_refused_for_good_and_run_nowhere() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        for key in ("", "foreign", "x" * 5000):
+            assert await statuses(site, key) == [401] * 3
+        assert site.ledger.arrivals == []
+
+    run_keyed(scenario)
+
+
+def test_two_sets_of_credentials_are_refused() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        doubled = "key-a\r\nAuthorization: Token key-c"
+        assert await statuses(site, doubled) == [400] * 3
+        assert site.ledger.arrivals == []
+
+    run_keyed(scenario)
+
+
+def test_public_routes_are_served_without_a_key_and_with_one_that_nobody_has() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.configure(public=True)
+        await asyncio.sleep(NOTICE_S)
+        for key in ("", "foreign"):
+            assert (await site.send("scatter", key=key)).status == 200
+        assert {one.tenant for one in site.ledger.arrivals} == {""}
+        assert not any(one.credentials for one in site.ledger.arrivals)
+
+    run_keyed(scenario)
+
+
+def test_no_key_leaves_the_entry_towards_coordinators(caplog: pytest.LogCaptureFixture) -> None:
+    seen: list[bytes] = []
+
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        for node in site.nodes:
+            scatters = gateway_of(node).scatters
+            serve = scatters.serve
+
+            async def listen(scatter: Any, serve: Any = serve) -> Any:
+                seen.extend(value for _, value in scatter.request.headers)
+                return await serve(scatter)
+
+            exchange = gateway_of(node)._exchange
+            assert exchange is not None
+            exchange._serve_scatter = listen
+        for index in range(len(site.nodes)):
+            assert (await site.send("scatter", index, key="key-a")).status == 200
+        assert site.broken_promises() == []
+
+    run_many(scenario, tenants=(FIRST,), revocation_s=REVOCATION_S)
+    assert b"first" in seen
+    assert not any(b"key-a" in value for value in seen)
+    assert "key-a" not in caplog.text
+
+
+def test_a_key_that_ends_stops_working_and_the_others_go_on() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.set_tenants(ENDED, SECOND)
+        await asyncio.sleep(NOTICE_S)
+        assert await statuses(site, "key-a") == [401] * 3
+        assert await statuses(site, "key-b") == [200] * 3
+        assert site.broken_promises() == []
+
+    run_keyed(scenario)
+
+
+def test_a_key_may_be_given_again_and_to_another_tenant() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.set_tenants(ENDED, SECOND)
+        await asyncio.sleep(NOTICE_S)
+        site.set_tenants(ENDED, SiteTenant("second", ("key-c", "key-a")))
+        await asyncio.sleep(NOTICE_S)
+        site.ledger.arrivals.clear()
+        assert await statuses(site, "key-a") == [200] * 3
+        assert {one.tenant for one in site.ledger.arrivals} == {"second"}
+        assert site.broken_promises() == []
+
+    run_keyed(scenario)
+
+
+def test_a_process_that_stood_still_while_a_key_ended_runs_nothing_with_it() -> None:
+    """What would have told it of the end is lost, or waits behind requests with the ended key:
+    whatever it reads first, it knows that it knows too little."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        paused = site.nodes[0]
+        loop: Any = site.loop
+        loop.datagram_lost = lambda source, target: target[0] == paused.host
+        site.store.set_mode(StoreMode.SILENT, paused.store_port)
+        paused.machine.pause()
+        await asyncio.sleep(0.1)
+        site.set_tenants(ENDED, SECOND)
+        await asyncio.sleep(LONGER_S)
+        late = [asyncio.create_task(site.send(route, 0, key="key-a")) for route in ALL_ROUTES]
+        await asyncio.sleep(0.5)
+        paused.machine.resume(site.loop)
+        results = await asyncio.gather(*late)
+        assert all(result.status in (401, 503) for result in results)
+        assert site.broken_promises() == []
+
+    run_keyed(scenario)
+
+
+@pytest.mark.parametrize(
+    "mode",
+    [StoreMode.REFUSING, StoreMode.SILENT, StoreMode.RESETTING, StoreMode.DEAF, StoreMode.SLOW],
+)
+def test_a_key_ends_in_time_where_the_store_turns_a_machine_away(mode: StoreMode) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.store.set_mode(mode, site.nodes[0].store_port)
+        await asyncio.sleep(4.0)
+        site.set_tenants(ENDED, SECOND)
+        await asyncio.sleep(NOTICE_S)
+        for _ in range(8):
+            assert await statuses(site, "key-a") == [401] * 3
+            assert await statuses(site, "key-b") == [200] * 3
+            await asyncio.sleep(1.0)
+        assert site.broken_promises() == []
+
+    run_keyed(scenario)
+
+
+@pytest.mark.parametrize("mode", [StoreMode.REFUSING, StoreMode.SILENT, StoreMode.RESETTING])
+def test_where_nobody_reaches_the_store_keyed_requests_are_refused_truly(mode: StoreMode) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.store.set_mode(mode)
+        site.set_tenants(ENDED, SECOND)
+        await asyncio.sleep(LONGER_S)
+        ran = len(site.ledger.arrivals)
+        for key in ("key-a", "key-b"):
+            for route in ALL_ROUTES:
+                result = await site.send(route, key=key)
+                assert result.status == 503
+                assert float(result.headers["retry-after"]) > 0
+                assert result.ended_at - result.sent_at < 0.05
+        assert len(site.ledger.arrivals) == ran
+        site.store.set_mode(StoreMode.SERVING)
+        await asyncio.sleep(3.0)
+        assert await statuses(site, "key-a") == [401] * 3
+        assert await statuses(site, "key-b") == [200] * 3
+        assert site.broken_promises() == []
+
+    run_keyed(scenario)
+
+
+def test_public_routes_go_on_where_nobody_reaches_the_store() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.configure(public=True)
+        await asyncio.sleep(NOTICE_S)
+        site.store.set_mode(StoreMode.SILENT)
+        await asyncio.sleep(LONGER_S)
+        assert (await site.send("scatter", key="")).status == 200
+        assert (await site.send("single", key="key-a")).status == 503
+
+    run_keyed(scenario)
+
+
+def test_a_gateway_that_hears_nobody_refuses_keyed_requests_before_the_bound() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        alone = site.nodes[0].host
+        loop: Any = site.loop
+        loop.datagram_lost = lambda source, target: alone in (source[0], target[0])
+        site.store.set_mode(StoreMode.SILENT, site.nodes[0].store_port)
+        site.set_tenants(ENDED, SECOND)
+        await asyncio.sleep(LONGER_S)
+        assert await statuses(site, "key-a") == [503] * 3
+        assert await statuses(site, "key-a", 1) == [401] * 3
+        assert site.broken_promises() == []
+
+    run_keyed(scenario)
+
+
+def test_a_start_beside_peers_that_are_behind_believes_no_ended_key() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.store.set_mode(StoreMode.SILENT)
+        site.set_tenants(ENDED, SECOND)
+        site.kill_node(site.nodes[0])
+        await asyncio.sleep(LONGER_S)
+        site.start_node(site.nodes[0])
+        await asyncio.sleep(2.0)
+        assert 200 not in await statuses(site, "key-a")
+        assert 401 not in await statuses(site, "key-b")
+        assert site.broken_promises() == []
+
+    run_keyed(scenario)
+
+
+def test_a_new_key_is_never_refused_for_good_by_a_gateway_that_is_behind() -> None:
+    """Its peers know the key for seconds while it hears nothing: it may say only that it can't."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        behind = site.nodes[0]
+        loop: Any = site.loop
+        loop.datagram_lost = lambda source, target: target[0] == behind.host
+        site.store.set_mode(StoreMode.SILENT, behind.store_port)
+        await asyncio.sleep(REVOCATION_S * FRESH_SHARE)
+        site.set_tenants(FIRST, SiteTenant("second", ("key-c", "key-new")))
+        for _ in range(8):
+            assert await statuses(site, "key-new") == [503] * 3
+            await asyncio.sleep(0.1)
+        assert await statuses(site, "key-a") == [200] * 3
+
+    run_keyed(scenario)
+
+
+def test_two_configurations_in_quick_succession_leave_the_last_in_force() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.set_tenants(ENDED, SECOND)
+        site.set_tenants(FIRST, SiteTenant("second", ()))
+        await asyncio.sleep(NOTICE_S)
+        for node in range(len(site.nodes)):
+            assert await statuses(site, "key-a", node) == [200] * 3
+            assert await statuses(site, "key-c", node) == [401] * 3
+
+    run_keyed(scenario)
+
+
+def test_a_broken_configuration_is_refused_whole_and_the_one_in_force_stays() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        broken = {"version": site.version + 2, "routes": [], "tenants": [{"name": ""}]}
+        site.store.put("op/config", json.loads(json.dumps(broken)))
+        await asyncio.sleep(NOTICE_S)
+        assert await statuses(site, "key-a") == [200] * 3
+
+    run_keyed(scenario)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_keys_end_one_after_another_under_traffic_and_failures(seed: int) -> None:
+    """Every gateway is paused, killed or turned away by the store in turn while keys end."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        keys = [f"key-{number}" for number in range(8)]
+        site.set_tenants(SiteTenant("first", tuple(keys)))
+        await asyncio.sleep(NOTICE_S)
+
+        async def clients() -> None:
+            for _ in range(800):
+                route, node = site.random.choice(ALL_ROUTES), site.random.randrange(3)
+                key = site.random.choice(keys)
+                tasks.append(site.loop.create_task(site.send(route, node, key=key)))
+                await asyncio.sleep(0.04)
+
+        tasks: list[asyncio.Task[Any]] = []
+        sending = site.loop.create_task(clients())
+        for ended in range(4):
+            node = site.nodes[ended % 3]
+            site.store.set_mode(StoreMode.REFUSING, site.nodes[(ended + 1) % 3].store_port)
+            node.machine.pause()
+            site.set_tenants(SiteTenant("first", tuple(keys[ended + 1 :])))
+            await asyncio.sleep(site.random.uniform(2.0, 7.0))
+            node.machine.resume(site.loop)
+            site.store.set_mode(StoreMode.SERVING)
+            await asyncio.sleep(1.0)
+        await sending
+        await asyncio.gather(*tasks)
+        assert site.broken_promises() == []
+
+    run_keyed(scenario, seed=seed)
--- /dev/null
+++ b/tests/unit/test_knowledge.py
@@ -0,0 +1,141 @@
+"""How far knowledge reaches is never believed to be later than it is."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from tinrudder.gateway.knowledge import Knowledge
+
+NODES = st.integers(0, 2)
+
+
+@dataclass
+class FakeState:
+    """The one figure of the shared state that counts here."""
+
+    operator_revision: int = 0
+    listeners: list[object] = field(default_factory=list)
+
+    def subscribe(self, listener: object) -> None:
+        self.listeners.append(listener)
+
+    def learn(self, revision: int) -> None:
+        if revision > self.operator_revision:
+            self.operator_revision = revision
+            for listener in self.listeners:
+                listener()  # type: ignore[operator]
+
+
+@dataclass
+class Question:
+    """A question to the store or to a node; answered at some moment, then delivered, or not."""
+
+    asker: int
+    sent_at: float
+    answered: bool = False
+    revision: int = 0
+    age_s: float | None = None
+
+
+class KnowledgeMachine(RuleBasedStateMachine):
+    """Three gateways and a store: anything may take any time, come twice, or never.
+
+    A pause of a gateway is that nothing is delivered to it for a while.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.changes: list[float] = []
+        self.states = [FakeState() for _ in range(3)]
+        self.known = [Knowledge(state, lambda: self.now) for state in self.states]  # type: ignore[arg-type]
+        self.reads: list[Question] = []
+        self.probes: list[tuple[Question, int]] = []
+
+    @rule(seconds=st.floats(0.001, 4.0))
+    def time_passes(self, seconds: float) -> None:
+        self.now += seconds
+
+    @rule()
+    def operator_changes_something(self) -> None:
+        self.changes.append(self.now)
+
+    @rule(asker=NODES)
+    def ask_store(self, asker: int) -> None:
+        self.reads.append(Question(asker, self.now))
+
+    @rule(which=st.integers(0, 5))
+    def store_answers(self, which: int) -> None:
+        waiting = [read for read in self.reads if not read.answered]
+        if waiting:
+            read = waiting[which % len(waiting)]
+            read.answered = True
+            read.revision = len(self.changes)
+
+    @rule(which=st.integers(0, 5))
+    def store_answer_arrives(self, which: int) -> None:
+        answered = [read for read in self.reads if read.answered]
+        if answered:
+            read = answered[which % len(answered)]
+            self.states[read.asker].learn(read.revision)
+            self.known[read.asker].prove(read.sent_at)
+
+    @rule(asker=NODES, answerer=NODES)
+    def ask_peer(self, asker: int, answerer: int) -> None:
+        self.probes.append((Question(asker, self.now), answerer))
+
+    @rule(which=st.integers(0, 5))
+    def peer_answers(self, which: int) -> None:
+        waiting = [(probe, peer) for probe, peer in self.probes if not probe.answered]
+        if waiting:
+            probe, peer = waiting[which % len(waiting)]
+            probe.answered = True
+            probe.revision = self.states[peer].operator_revision
+            probe.age_s = self.known[peer].told_age_s
+
+    @rule(which=st.integers(0, 5))
+    def peer_answer_arrives(self, which: int) -> None:
+        answered = [probe for probe, _ in self.probes if probe.answered]
+        if answered:
+            probe = answered[which % len(answered)]
+            if probe.age_s is not None:
+                at = probe.sent_at - probe.age_s
+                self.known[probe.asker].prove(at, probe.revision)
+
+    @rule(learner=NODES, teacher=NODES)
+    def news_arrives_early(self, learner: int, teacher: int) -> None:
+        """A digest, a watch or a snapshot brings changes, and proves nothing."""
+        self.states[learner].learn(self.states[teacher].operator_revision)
+
+    @invariant()
+    def nothing_is_missed(self) -> None:
+        for state, known in zip(self.states, self.known, strict=True):
+            reaches = self.now - known.age_s
+            acknowledged = sum(1 for at in self.changes if at < reaches)
+            assert state.operator_revision >= acknowledged
+
+
+KnowledgeMachine.TestCase.settings = settings(max_examples=200, stateful_step_count=40)
+TestKnowledge = KnowledgeMachine.TestCase
+
+
+def test_a_proof_for_what_is_not_known_here_counts_once_it_is() -> None:
+    now = [10.0]
+    state = FakeState(operator_revision=4)
+    known = Knowledge(state, lambda: now[0])  # type: ignore[arg-type]
+    known.prove(9.0, revision=7)
+    assert known.told_age_s is None
+    state.learn(7)
+    assert known.age_s == 1.0
+
+
+def test_an_old_answer_never_makes_knowledge_younger_or_older() -> None:
+    now = [10.0]
+    known = Knowledge(FakeState(), lambda: now[0])  # type: ignore[arg-type]
+    known.prove(9.0)
+    known.prove(3.0)
+    assert known.age_s == 1.0
--- /dev/null
+++ b/tests/unit/test_probes.py
@@ -0,0 +1,77 @@
+"""Probes prove something of the moment at which they left, whatever happens to their answers."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from tinrudder.gateway.model import Address
+from tinrudder.gateway.peer_messages import Probe, ProbeAnswer
+from tinrudder.gateway.probes import REMEMBERED_S, Probes, SentProbe
+
+PEER = Address("10.0.0.1", 80)
+
+
+class FakeDatagrams:
+    """Keeps what is sent, and hands in what the test wants to arrive."""
+
+    def __init__(self) -> None:
+        self.sent: list[Any] = []
+        self.handlers: dict[Any, Any] = {}
+
+    def handle(self, kind: Any, handler: Any) -> None:
+        self.handlers[kind] = handler
+
+    def send(self, datagram: Any, *peers: Address) -> None:
+        self.sent += [(datagram, peer) for peer in peers]
+
+    def arrive(self, datagram: Any) -> None:
+        self.handlers[type(datagram)](datagram, PEER)
+
+
+def prepared() -> tuple[FakeDatagrams, Probes, list[float], list[tuple[SentProbe, ProbeAnswer]]]:
+    datagrams, now = FakeDatagrams(), [100.0]
+    heard: list[tuple[SentProbe, ProbeAnswer]] = []
+    probes = Probes(
+        datagrams,  # type: ignore[arg-type]
+        lambda number: ProbeAnswer(number, 7, 0.5),
+        lambda: now[0],
+        random.Random(1),
+    )
+    probes.subscribe(lambda sent, answer: heard.append((sent, answer)))
+    return datagrams, probes, now, heard
+
+
+def test_an_answer_counts_from_when_the_question_left() -> None:
+    datagrams, probes, now, heard = prepared()
+    probes.ask(PEER)
+    (question, _) = datagrams.sent[0]
+    now[0] += 4.0
+    answer = ProbeAnswer(question.number, 7, 0.5)
+    datagrams.arrive(answer)
+    assert heard == [(SentProbe(PEER, 100.0), answer)]
+
+
+def test_an_answer_counts_once_and_only_if_it_was_asked_for() -> None:
+    datagrams, probes, _, heard = prepared()
+    probes.ask(PEER)
+    (question, _) = datagrams.sent[0]
+    for number in (question.number, question.number, question.number + 1):
+        datagrams.arrive(ProbeAnswer(number, 7, 0.5))
+    assert len(heard) == 1
+
+
+def test_questions_without_an_answer_are_forgotten() -> None:
+    datagrams, probes, now, heard = prepared()
+    probes.ask(PEER)
+    (question, _) = datagrams.sent[0]
+    now[0] += REMEMBERED_S
+    probes.ask(PEER)
+    datagrams.arrive(ProbeAnswer(question.number, 7, 0.5))
+    assert heard == []
+
+
+def test_a_question_is_answered_with_its_number() -> None:
+    datagrams, _, _, _ = prepared()
+    datagrams.arrive(Probe(42))
+    assert datagrams.sent == [(ProbeAnswer(42, 7, 0.5), PEER)]
--- a/tinrudder_lab/emulator/backend.py
+++ b/tinrudder_lab/emulator/backend.py
@@ -225,5 +225,7 @@
                 target=request.target,
                 deadline_ms=int(deadline) if deadline is not None else None,
                 ran=ran,
+                tenant=request.headers.get("tinrudder-tenant", ""),
+                credentials="authorization" in request.headers,
             )
         )
--- a/tinrudder_lab/emulator/client.py
+++ b/tinrudder_lab/emulator/client.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from tinrudder.gateway.answer_reader import AnswerReader, ReadState
-from tinrudder_lab.emulator.ledger import ClientResult, Ledger
+from tinrudder_lab.emulator.ledger import ClientResult, Ledger, SentRequest
 
 NO_ANSWER = 0
 
@@ -16,6 +16,7 @@
     """A request that a client sends.
 
     :param leaves_after_s: closes its connection after this time, whatever has come.
+    :param key: of the tenant on whose behalf it asks; empty: it sends none.
     """
 
     request_id: str
@@ -29,6 +30,7 @@
     top_records: int = 0
     minimum_share: float = 0.0
     leaves_after_s: float | None = None
+    key: str = ""
 
     def encode(self) -> bytes:
         """Return the request's bytes."""
@@ -38,6 +40,9 @@
             f"Tinrudder-Request-Id: {self.request_id}",
             f"Tinrudder-Deadline-Ms: {self.deadline_ms}",
         ]
+        if self.key:
+            lines.append(f"Authorization: Token {self.key}")
+            lines.append("Tinrudder-Tenant: said-by-the-client")
         if self.body:
             lines.append(f"Content-Length: {len(self.body)}")
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + self.body
@@ -49,6 +54,7 @@
     """Send one request and note how it ended."""
     loop = asyncio.get_running_loop()
     sent_at = loop.time()
+    ledger.sent[request.request_id] = SentRequest(request.key, sent_at)
     wait_s = request.deadline_ms / 1000
     if request.leaves_after_s is not None:
         wait_s = min(wait_s, request.leaves_after_s)
--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -26,6 +26,8 @@
     """A request that reached a back end.
 
     :param ran: the back end began to work on it.
+    :param tenant: on whose behalf it was asked, as it was told; empty: nobody's.
+    :param credentials: a client's key came with it.
     """
 
     at: float
@@ -35,6 +37,25 @@
     target: str
     deadline_ms: int | None
     ran: bool
+    tenant: str = ""
+    credentials: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SentRequest:
+    """A request as its client sent it; ``key`` is empty for none."""
+
+    key: str
+    at: float
+
+
+@dataclass(slots=True)
+class HeldKey:
+    """A key of a tenant, from a configuration's acknowledgement to that of one without it."""
+
+    tenant: str
+    since: float
+    until: float = float("inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +124,9 @@
     zones: dict[str, str] = field(default_factory=dict)
     evacuations: list[EvacuatedZone] = field(default_factory=list)
     store_outages: list[StoreOutage] = field(default_factory=list)
+    sent: dict[str, SentRequest] = field(default_factory=dict)
+    keys: dict[str, list[HeldKey]] = field(default_factory=dict)
+    revocation_s: float | None = None
     _serial: itertools.count[int] = field(default_factory=itertools.count)
 
     def issue(self, request_id: str, service: str, body: bytes) -> str:
@@ -123,8 +147,52 @@
             *self._after_leaving(drain_s),
             *self._too_many_back_ends(),
             *self._in_evacuated_zones(evacuation_s),
+            *self._keys_passed_on(),
+            *self._ran_without_key(),
         ]
 
+    def _keys_passed_on(self) -> list[BrokenPromise]:
+        """Check that no client's key reaches a back end."""
+        return [
+            BrokenPromise("keys", f"{arrival.request_id} reached {arrival.backend_id} with its key")
+            for arrival in self.arrivals
+            if arrival.credentials
+        ]
+
+    def _ran_without_key(self) -> list[BrokenPromise]:
+        """Check that what ran for a tenant was asked for with a key that it had."""
+        if not self.keys:
+            return []
+        broken = []
+        for arrival in self.arrivals:
+            sent = self.sent.get(arrival.request_id)
+            if arrival.ran and sent is not None and not self._allowed(arrival, sent):
+                what = f"{arrival.request_id} ran for {arrival.tenant or 'nobody'}"
+                broken.append(BrokenPromise("keys", what))
+        return broken
+
+    def _allowed(self, arrival: Arrival, sent: SentRequest) -> bool:
+        """Tell whether a request's key was its tenant's, or had been a short while before."""
+        late_s = self.revocation_s if self.revocation_s is not None else float("inf")
+        return any(
+            held.tenant == arrival.tenant
+            and held.since <= arrival.at
+            and sent.at <= held.until + late_s
+            for held in self.keys.get(sent.key, [])
+        )
+
+    def most_in_window(self, tenant: str, window_s: float) -> int:
+        """Return how many requests of a tenant ran that were sent within the fullest window."""
+        ran = {one.request_id for one in self.arrivals if one.ran and one.tenant == tenant}
+        moments = sorted(self.sent[request_id].at for request_id in ran)
+        first = 0
+        most = 0
+        for last, at in enumerate(moments):
+            while moments[first] <= at - window_s:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
     def _in_evacuated_zones(self, evacuation_s: float) -> list[BrokenPromise]:
         """Check that nothing reaches a zone from a while after it was evacuated."""
         return [
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -22,6 +22,7 @@
     ClientResult,
     ColdSpan,
     EvacuatedZone,
+    HeldKey,
     Ledger,
 )
 from tinrudder_lab.emulator.loop import EmulatorLoop
@@ -69,6 +70,27 @@
         return STORE_FIRST_PORT + self.index
 
 
+@dataclass(frozen=True)
+class SiteTenant:
+    """A tenant of the emulated configuration."""
+
+    name: str
+    keys: tuple[str, ...]
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int | None = None
+
+    def document(self) -> dict[str, Any]:
+        """Return it as the configuration has it."""
+        return {
+            "name": self.name,
+            "api_keys": list(self.keys),
+            "rate_per_s": self.rate_per_s,
+            "burst": self.burst,
+            "priority": self.priority,
+        }
+
+
 @dataclass
 class EmulatedSite:
     """Everything; use :meth:`start` before anything else.
@@ -82,6 +104,8 @@
     :param network: first number of every address.
     :param work_s: time that a back end's slot is held by one request.
     :param cold_calls_per_s: what the configuration says that a cold back end bears.
+    :param tenants: of the configuration, each with its keys, as :class:`SiteTenant`.
+    :param revocation_s: the bound within which an ended key stops working everywhere.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -96,6 +120,8 @@
     singles: int = 3
     work_s: float = 0.02
     cold_calls_per_s: float = 0.0
+    tenants: tuple[SiteTenant, ...] = ()
+    revocation_s: float | None = None
     ledger: Ledger = field(default_factory=Ledger)
     nodes: list[EmulatedNode] = field(default_factory=list)
     backends: dict[str, EmulatedBackend] = field(default_factory=dict)
@@ -235,9 +261,29 @@
             "routes": routes,
             "services": services,
             "limits": limits,
+            "tenants": [tenant.document() for tenant in self.tenants],
         }
+        self._note_keys()
         self.store.put(CONFIGURATION_KEY, document)
 
+    def _note_keys(self) -> None:
+        """Note which keys end with the configuration that is about to be written, and begin."""
+        now = self.loop.time()
+        self.ledger.revocation_s = self.revocation_s
+        given = {key: tenant.name for tenant in self.tenants for key in tenant.keys}
+        for key, spans in self.ledger.keys.items():
+            if spans[-1].until > now and given.get(key) != spans[-1].tenant:
+                spans[-1].until = now
+        for key, name in given.items():
+            spans = self.ledger.keys.setdefault(key, [])
+            if not spans or spans[-1].until <= now:
+                spans.append(HeldKey(name, now))
+
+    def set_tenants(self, *tenants: SiteTenant) -> None:
+        """Write a configuration with other tenants."""
+        self.tenants = tenants
+        self.configure()
+
     def start_node(self, node: EmulatedNode) -> None:
         """Start, or start again, a gateway's process."""
         node.machine = Machine(node.name, node.machine.zone, "region")
@@ -257,6 +303,7 @@
             stop_grace_s=GRACE_S,
             repeats=REPEATS,
             cold=COLD,
+            revocation_s=self.revocation_s,
         )
 
         async def run() -> None:
@@ -284,6 +331,7 @@
             "target": f"/{route}/{self._serial}",
             "services": ("single",),
             "repeatable": route != "once",
+            "key": self.tenants[0].keys[0] if self.tenants and self.tenants[0].keys else "",
         }
         if route == "scatter":
             fields |= {
