--- /dev/null
+++ b/tests/unit/test_zone_paths.py
@@ -0,0 +1,125 @@
+"""What is believed of the way to a zone, by what passes on it."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tinrudder.routing.zone_paths import (
+    CLOSED_AFTER_S,
+    FIRST_CLOSED_S,
+    LEAST_ROUNDS,
+    LONGEST_CLOSED_S,
+    SILENT_AFTER_S,
+    PathState,
+    ZonePaths,
+)
+
+ZONE = "z"
+
+
+def closed(now: float = 10.0) -> ZonePaths:
+    paths = ZonePaths()
+    assert paths.doubt(ZONE, now - 0.05, now)
+    for _ in range(LEAST_ROUNDS):
+        paths.note_round(ZONE)
+    assert paths.review(ZONE, now + CLOSED_AFTER_S)
+    return paths
+
+
+def test_a_zone_that_answers_something_is_not_doubted_for_one_slow_call() -> None:
+    paths = ZonePaths()
+    paths.answered(ZONE, 5.0)
+    assert not paths.doubt(ZONE, sent_at=4.9, now=5.2)
+    assert paths.path(ZONE).state is PathState.OPEN
+
+
+def test_a_call_without_an_answer_makes_a_silent_zone_suspect() -> None:
+    paths = ZonePaths()
+    paths.answered(ZONE, 5.0)
+    assert paths.doubt(ZONE, sent_at=5.1, now=5.2)
+    assert paths.doubtful == (ZONE,)
+    assert not paths.is_closed(ZONE)
+
+
+def test_questions_without_an_answer_close_the_way() -> None:
+    paths = closed()
+    assert paths.closed == paths.lost == (ZONE,)
+
+
+def test_too_few_questions_close_nothing() -> None:
+    """A process that stood still finds its timers due before it has asked again."""
+    paths = ZonePaths()
+    paths.doubt(ZONE, 9.9, 10.0)
+    paths.note_round(ZONE)
+    assert not paths.review(ZONE, 60.0)
+
+
+def test_one_answer_opens_the_way_at_once() -> None:
+    paths = closed()
+    assert paths.answered(ZONE, 11.0)
+    assert paths.closed == paths.lost == ()
+
+
+def test_what_is_only_heard_opens_nothing() -> None:
+    paths = closed()
+    paths.heard(ZONE, 11.0)
+    assert paths.is_closed(ZONE)
+
+
+def test_calls_try_a_way_that_was_closed_for_long_and_close_it_for_longer() -> None:
+    paths, now = closed(), 10.0 + CLOSED_AFTER_S
+    pause = FIRST_CLOSED_S
+    for _ in range(6):
+        assert not paths.review(ZONE, now + pause - 0.1)
+        now += pause
+        assert paths.review(ZONE, now)
+        assert not paths.is_closed(ZONE)
+        assert paths.lost == (ZONE,)
+        assert paths.doubt(ZONE, now, now + 0.1)
+        now += 0.1
+        pause = min(LONGEST_CLOSED_S, pause * 2)
+        assert paths.is_closed(ZONE)
+
+
+def test_an_answer_to_a_call_that_tried_opens_it() -> None:
+    paths = closed()
+    paths.review(ZONE, 10.0 + CLOSED_AFTER_S + FIRST_CLOSED_S)
+    assert paths.answered(ZONE, 20.0)
+    assert paths.lost == ()
+
+
+def test_silence_from_everywhere_makes_all_ways_suspect() -> None:
+    paths = ZonePaths()
+    paths.heard("a", 10.0)
+    paths.heard("b", 9.0)
+    assert not paths.doubt_silent(("a", "b"), 10.0 + SILENT_AFTER_S - 0.1)
+    assert paths.doubt_silent(("a", "b"), 10.0 + SILENT_AFTER_S)
+    assert set(paths.doubtful) == {"a", "b"}
+    assert not paths.doubt_silent((), 100.0)
+
+
+@given(st.lists(st.tuples(st.sampled_from("hadnr"), st.floats(0.0, 1.0)), max_size=60))
+def test_a_way_is_closed_only_by_questions_and_never_after_an_answer(
+    events: list[tuple[str, float]],
+) -> None:
+    paths, now, rounds, doubted_at = ZonePaths(), 100.0, 0, float("-inf")
+    for event, pause in events:
+        now += pause
+        before = paths.path(ZONE).state
+        if event == "h":
+            paths.heard(ZONE, now)
+        elif event == "a":
+            paths.answered(ZONE, now)
+            assert paths.path(ZONE).state is PathState.OPEN
+        elif event == "d" and paths.doubt(ZONE, now - 0.05, now):
+            rounds, doubted_at = 0, now
+        elif event == "n":
+            paths.note_round(ZONE)
+            rounds += 1
+        elif event == "r":
+            paths.review(ZONE, now)
+        if before is PathState.SUSPECT and paths.is_closed(ZONE):
+            assert rounds >= LEAST_ROUNDS
+            assert now - doubted_at >= CLOSED_AFTER_S
+            assert paths.path(ZONE).answered_at < doubted_at
