Refuse tenants of whom most is asked first, and show limits, knowledge and reach

Cause: under overload one tenant at seven times the others' requests took their places, and nothing showed an operator what limits, knowledge and ways to zones are. Ruled out: equal parts for all tenants (idle ones would waste theirs).

--- a/tests/unit/test_gateway_commands.py
+++ b/tests/unit/test_gateway_commands.py
@@ -72,6 +72,37 @@
     assert "other" not in told
 
 
+def test_a_story_names_the_tenant_and_why_its_limit_or_a_cut_refused_it(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "log"
+    detail = "tenant a is over 5 a second and 5 on top, by its quota home 10.0.0.2:81"
+    path.write_text(
+        "\n".join(
+            [
+                line("zone_path", 98.0, zone="zone-b", state="closed", heard_share=0.75),
+                line("quota_pressed", 99.0, tenant="a", tokens=1.5, pressed_s=2.0, told=6),
+                line(
+                    "request",
+                    100.0,
+                    request="r2",
+                    tenant="a",
+                    outcome="OverQuota",
+                    status=429,
+                    detail=detail,
+                ),
+            ]
+        )
+    )
+    assert main(["story", str(path), "r2"]) == ExitCode.OK
+    told = capsys.readouterr().out
+    assert "OverQuota, status 429" in told
+    assert "  tenant: a" in told
+    assert f"decided by: {detail}" in told
+    assert "2.0 s before: zone_path zone-b closed heard share 0.75" in told
+    assert "1.0 s before: quota_pressed a" in told
+
+
 def test_an_unknown_request_and_a_missing_log_are_told(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tests/unit/test_gateway_metrics.py
+++ b/tests/unit/test_gateway_metrics.py
@@ -9,7 +9,7 @@
 from tinrudder.gateway.outcomes import TimedOut
 from tinrudder.gateway.peer_messages import MissingShard
 from tinrudder.gateway.request_log import FinishedRequest
-from tinrudder_lab.emulator.site import EmulatedSite, run_site
+from tinrudder_lab.emulator.site import EmulatedSite, SiteTenant, run_site
 
 LATER = ("prometheus_client", "http.server", "tinrudder.metrics", "tinrudder.outcomes")
 """Modules that no request needs."""
@@ -41,6 +41,27 @@
     assert "tinrudder_gateway_backends 19.0" in lines
 
 
+def test_tenants_limits_knowledge_and_reach_are_shown() -> None:
+    async def scenario(site: EmulatedSite) -> str:
+        gateway = site.nodes[0].gateway
+        assert gateway is not None
+        for _ in range(40):
+            await site.send("single")
+        return text_of(gateway.metrics)
+
+    tenant = SiteTenant("narrow", ("key",), 1.0, 1.0)
+    text = run_site(scenario, tenants=(tenant,), revocation_s=5.0, node_count=1)
+    figures = dict(line.rsplit(" ", 1) for line in text.splitlines() if line[0] != "#")
+    prefix = "tinrudder_gateway"
+    decided = f'{prefix}_tenant_requests_total{{decision="%s",tenant="narrow"}}'
+    assert float(figures[decided % "admitted"]) >= 3.0
+    assert float(figures[decided % "over_quota"]) >= 20.0
+    assert float(figures[f'{prefix}_tenant_tokens{{tenant="narrow"}}']) < 2.0
+    assert 0.0 <= float(figures[f"{prefix}_knowledge_age_seconds"]) < 2.5
+    assert figures[f"{prefix}_zones_out_of_reach"] == "0.0"
+    assert figures[f"{prefix}_ready"] == "1.0"
+
+
 def test_a_start_loads_nothing_that_only_a_scrape_needs() -> None:
     program = "import sys, tinrudder.cli.gateway_process; print(*sys.modules)"
     loaded = subprocess.run(
--- a/tinrudder/cli/story.py
+++ b/tinrudder/cli/story.py
@@ -17,10 +17,14 @@
 COORDINATED_EVENT = "coordinated"
 COORDINATOR_FAILED_EVENT = "coordinator_failed"
 REQUEST_EVENTS = frozenset((REQUEST_EVENT, COORDINATED_EVENT, COORDINATOR_FAILED_EVENT))
+ZONE_PATH_EVENT = "zone_path"
+QUOTA_EVENTS = frozenset(("quota_pressed", "quota_home_silent"))
 MEANINGS = {
     "Merged": "answered from the shards that were in",
     "Relayed": "a back end's own answer was passed on",
     "NotRun": "refused: no back end ran it, and none will",
+    "OverQuota": "refused: the tenant has had what its limit allows; nothing ran",
+    "Unauthorized": "refused for good: no tenant has the key",
     "UnknownRoute": "no route of the configuration in force matched host and path",
     "Invalid": "the request breaks a rule of the protocol",
     "NoAnswer": "a back end may have run it, and every call failed",
@@ -53,6 +57,10 @@
     result: str = ""
     count: int = 0
     coordinator: str = ""
+    tenant: str = ""
+    zone: str = ""
+    state: str = ""
+    heard_share: float = 1.0
     repeated: bool = False
 
 
@@ -120,6 +128,8 @@
         f"  meaning: {meaning}",
         f"  route: {line.route or 'none'}, configuration version {line.version}",
     ]
+    if line.tenant:
+        told.append(f"  tenant: {line.tenant}")
     if line.target:
         told.append(f"  target: {line.target}")
     told.extend(_coverage_lines(line))
@@ -158,13 +168,21 @@
         age = request.time - line.time
         about_requests = line.event in REQUEST_EVENTS
         if line.node == request.node and not about_requests and 0 <= age <= CONTEXT_S:
-            facts = [line.topic, line.peer, line.result, line.detail]
-            words = " ".join(fact for fact in facts if fact)
+            words = " ".join(fact for fact in _facts(line) if fact)
             version = f"version {line.version}" if line.version else ""
             told.append(f"  {age:.1f} s before: {line.event} {words} {version}".rstrip())
     return told
 
 
+def _facts(line: LogLine) -> list[str]:
+    """Return what a line says beside its event, the most telling field first."""
+    if line.event == ZONE_PATH_EVENT:
+        return [line.zone, line.state, f"heard share {line.heard_share:g}"]
+    if line.event in QUOTA_EVENTS:
+        return [line.tenant, line.detail]
+    return [line.topic, line.peer, line.result, line.detail]
+
+
 def _read(log: str) -> str:
     """Return a log's text."""
     return sys.stdin.read() if log == STANDARD_INPUT else Path(log).read_text(errors="replace")
--- a/tinrudder/gateway/access.py
+++ b/tinrudder/gateway/access.py
@@ -35,6 +35,11 @@
     request: HttpRequest
     tenant: Tenant | None
 
+    @property
+    def tenant_name(self) -> str:
+        """Return the tenant's name, empty for none."""
+        return self.tenant.name if self.tenant is not None else ""
+
     def priority(self, route: Route) -> int:
         """Return the tenant's priority, or else the route's."""
         if self.tenant is None or self.tenant.priority is None:
--- a/tinrudder/gateway/admission.py
+++ b/tinrudder/gateway/admission.py
@@ -10,27 +10,42 @@
 from tinrudder.gateway.outcomes import NotRun
 from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
 from tinrudder.routing.load_forecast import admission_share, wait_of_shards
+from tinrudder.routing.tenant_shares import TenantShares
 
 RETRY_AFTER_SHARE = 0.3
 
 
 class Admission:
-    """Judges requests by the queues that back ends report."""
+    """Judges requests by the queues that back ends report.
+
+    Where not all can be served, tenants that ask for much are refused before those that ask for
+    little: at seven times the others' requests and half of the room, one tenant gets 0.29 of what
+    it asks for and the others all (see :mod:`tinrudder.routing.tenant_shares`).
+    """
 
     def __init__(self, forwarding: Forwarding, random_source: random.Random) -> None:
         """Read the queues through ``forwarding``."""
         self._forwarding = forwarding
         self._random = random_source
+        self._tenants = TenantShares()
 
     def refusal(
-        self, route: Route, services: tuple[str, ...], moments: Moments, priority_steps: int
+        self,
+        route: Route,
+        services: tuple[str, ...],
+        moments: Moments,
+        priority_steps: int,
+        tenant: str = "",
     ) -> NotRun | None:
         """Refuse a request, with what decided it; ``None`` admits it.
 
-        :param priority_steps: how many priorities in use are more urgent than the route's.
+        :param priority_steps: how many priorities in use are more urgent than the request's.
+        :param tenant: on whose behalf it comes; empty for nobody's.
         """
         forwarding = self._forwarding
         now = moments.received_at
+        if tenant:
+            self._tenants.note(tenant, now)
         unloaded = forwarding.unloaded_latency(route)
         if len(unloaded) < MINIMUM_OBSERVATIONS:
             return None
@@ -45,6 +60,8 @@
             priority_steps=priority_steps,
             returning=moments.returning,
         )
+        if tenant:
+            share = self._tenants.share_of(tenant, share, now)
         if share >= 1.0 or self._random.random() < share:
             return None
         detail = f"overload: wait {wait_s:.3f} s, usual {usual_s:.3f} s, left {left_s:.3f} s"
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import functools
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -32,17 +32,31 @@
     is_counter: bool = True
 
 
+class TenantFigure(Struct, frozen=True):
+    """What was decided on a tenant's requests, or is held for it."""
+
+    tenant: str
+    kind: str
+    value: float
+
+
+MOST_TENANTS = 100
+"""Tenants with figures of their own, those that asked most; a scrape of 100 takes 2 ms."""
+OTHER_TENANTS = "other"
+
+
 class GatewayMetrics:
     """Everything the metrics address shows.
 
-    Labels are an outcome's tag and a route's priority, so that their number stays small however
-    many routes there are.
+    Labels are an outcome's tag, a route's priority and the busiest tenants, so that their number
+    stays small however many routes and tenants there are.
     """
 
     def __init__(self, node: GatewayNode) -> None:
         """Read what the node's parts count anyway at every scrape."""
         self.latencies: defaultdict[LatencyLabels, LatencyCounts] = defaultdict(LatencyCounts)
         self._missing_shards = 0
+        self._quotas = node.quotas
         counters = node.counters
         self.figures = [
             Figure(f"{PREFIX}_{name}", text, functools.partial(getattr, counters, name))
@@ -55,6 +69,21 @@
                 "Load reports of back ends that do not have the form agreed on.",
                 lambda: node.forwarding.load_reports.unreadable,
             ),
+            Figure(
+                f"{PREFIX}_unreadable_datagrams",
+                "Datagrams that are none of the kinds that gateways send each other.",
+                lambda: node.datagrams.unreadable,
+            ),
+            Figure(
+                f"{PREFIX}_knowledge_reads",
+                "Calls to the store to know that nothing newer is there.",
+                lambda: node.keeper.reads,
+            ),
+            Figure(
+                f"{PREFIX}_zone_closings",
+                "Times that a zone went out of reach.",
+                lambda: node.watch.closings,
+            ),
             Figure(
                 f"{PREFIX}_missing_shards",
                 "Shards left out of merged answers.",
@@ -69,6 +98,22 @@
         self.latencies[LatencyLabels(priority, request.outcome_name)].observe(request.elapsed_s)
         self._missing_shards += len(request.missing_shards)
 
+    def tenant_requests(self) -> list[TenantFigure]:
+        """Return the decisions on requests of the busiest tenants, and of all others together."""
+        busiest = sorted(self._quotas.counts.items(), key=lambda one: one[1].asked, reverse=True)
+        totals: Counter[tuple[str, str]] = Counter()
+        for place, (name, counts) in enumerate(busiest):
+            tenant = name if place < MOST_TENANTS else OTHER_TENANTS
+            totals[tenant, "admitted"] += counts.admitted
+            totals[tenant, "over_quota"] += counts.over_quota
+            totals[tenant, "home_unknown"] += counts.unknown
+        return [TenantFigure(tenant, kind, value) for (tenant, kind), value in totals.items()]
+
+    def tenant_tokens(self) -> list[TenantFigure]:
+        """Return what the emptiest buckets hold, of tenants whose home this gateway is."""
+        held = sorted(self._quotas.home.held().items(), key=lambda one: one[1])[:MOST_TENANTS]
+        return [TenantFigure(tenant, "held", tokens) for tenant, tokens in held]
+
     def render(self) -> bytes:
         """Return the text format."""
         from tinrudder.gateway.metrics_text import metrics_text
@@ -118,6 +163,30 @@
             lambda: len(node.directory),
             is_counter=False,
         ),
+        Figure(
+            f"{PREFIX}_knowledge_age_seconds",
+            "How old what is known of the operator's word is at most; -1: it was never proven.",
+            lambda: _proven(node.knowledge.told_age_s),
+            is_counter=False,
+        ),
+        Figure(
+            f"{PREFIX}_zones_out_of_reach",
+            "Zones to which calls would only hang.",
+            lambda: len(node.watch.paths.lost),
+            is_counter=False,
+        ),
+        Figure(
+            f"{PREFIX}_heard_share",
+            "Part of the gateways known that can be reached, this one included.",
+            lambda: node.watch.heard_share,
+            is_counter=False,
+        ),
+        Figure(
+            f"{PREFIX}_ready",
+            "1 while clients should come here.",
+            node.is_ready,
+            is_counter=False,
+        ),
         Figure(
             f"{PREFIX}_evacuated_zones",
             "Zones whose back ends get nothing since the operator evacuates them.",
@@ -131,3 +200,8 @@
             is_counter=False,
         ),
     ]
+
+
+def _proven(age_s: float | None) -> float:
+    """Return an age for a gauge, which has no word for never."""
+    return -1.0 if age_s is None else age_s
--- a/tinrudder/gateway/metrics_text.py
+++ b/tinrudder/gateway/metrics_text.py
@@ -39,6 +39,22 @@
             buckets = list(_cumulative(counts))
             latency.add_metric([labels.priority, labels.outcome], buckets, counts.total_s)
         yield latency
+        requests = CounterMetricFamily(
+            f"{PREFIX}_tenant_requests",
+            "Requests with a tenant's key, by what its limit said.",
+            labels=["tenant", "decision"],
+        )
+        for decided in self._metrics.tenant_requests():
+            requests.add_metric([decided.tenant, decided.kind], decided.value)
+        yield requests
+        tokens = GaugeMetricFamily(
+            f"{PREFIX}_tenant_tokens",
+            "Requests that a tenant may ask now, where this gateway keeps its bucket.",
+            labels=["tenant"],
+        )
+        for held in self._metrics.tenant_tokens():
+            tokens.add_metric([held.tenant], held.value)
+        yield tokens
 
 
 def metrics_text(metrics: GatewayMetrics) -> bytes:
--- a/tinrudder/gateway/quotas.py
+++ b/tinrudder/gateway/quotas.py
@@ -235,7 +235,7 @@
         if alone and not verdict.granted:
             pending.decide(NotRun("quota: no home of the tenant answers", RETRY_UNKNOWN_S))
         else:
-            pending.decide(_refusal(verdict))
+            pending.decide(_refusal(pending, verdict))
 
     def _judge(self, report: QuotaReport) -> QuotaVerdict:
         """Answer a report as the tenant's home."""
@@ -301,7 +301,7 @@
         self._watch.answered_by(pending.home)
         self._press(verdict)
         if pending.decide is not None:
-            pending.decide(_refusal(verdict))
+            pending.decide(_refusal(pending, verdict))
 
     def _press(self, verdict: QuotaVerdict) -> None:
         """Note whether the tenant's home must be asked first, and until when."""
@@ -332,8 +332,13 @@
         return tuple(willing[:HOMES_TRIED])
 
 
-def _refusal(verdict: QuotaVerdict) -> OverQuota | None:
+def _refusal(pending: _Pending, verdict: QuotaVerdict) -> OverQuota | None:
     """Return what a home's word means for the request that asked."""
     if verdict.granted:
         return None
-    return OverQuota(f"over the limit of tenant {verdict.tenant}", verdict.wait_s)
+    tenant = pending.tenant
+    detail = (
+        f"tenant {tenant.name} is over {tenant.rate_per_s:g} a second and {tenant.burst:g} on top, "
+        f"by its quota home {pending.home}"
+    )
+    return OverQuota(detail, verdict.wait_s)
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -234,7 +234,7 @@
         priority = admitted.priority(route)
         steps = routes.steps_below_urgent(priority)
         if not route.shards:
-            return self._plan_single(routes, route, request, moments, serving, steps)
+            return self._plan_single(routes, route, admitted, moments, serving, steps)
         coordination = self._relaying.coordinators.of_route(route)
         if not coordination.own:
             return RelayedRun(
@@ -249,7 +249,7 @@
                 priority,
             )
         shards = coordination.own_shards(route.shards)
-        refusal = self.admission.refusal(route, shards, moments, steps)
+        refusal = self.admission.refusal(route, shards, moments, steps, admitted.tenant_name)
         if refusal is not None:
             return refusal
         return self._planner.run(route, request, serving.request_id, moments, serving.end)
@@ -258,18 +258,18 @@
         self,
         routes: RoutesInForce,
         route: Route,
-        request: HttpRequest,
+        admitted: Admitted,
         moments: Moments,
         serving: _Serving,
         steps: int,
     ) -> Run | NotRun:
         """Run a request at one back end of the service chosen, or refuse it at once."""
         services = (routes.choose_service(route, self._random),)
-        refusal = self.admission.refusal(route, services, moments, steps)
+        refusal = self.admission.refusal(route, services, moments, steps, admitted.tenant_name)
         if refusal is not None:
             return refusal
         names = self.forwarding.names
-        encoded = RequestBytes(request, serving.request_id, moments.deadline_at, names)
+        encoded = RequestBytes(admitted.request, serving.request_id, moments.deadline_at, names)
         return RequestRun(route, services, encoded, moments, self.forwarding, serving.end)
 
     def _refresh(self) -> None:
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -8,6 +8,7 @@
 from tinrudder.gateway.admission import Admission
 from tinrudder.gateway.client_moments import Moments
 from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.messages import header_value
 from tinrudder.gateway.model import Route
 from tinrudder.gateway.outcomes import NotRun, RequestOutcome
 from tinrudder.gateway.peer_messages import Declined, ScatterAnswer, ScatterEnd, ScatterRequest
@@ -85,7 +86,9 @@
         if out_of_reach is not None:
             return out_of_reach
         steps = routes.steps_below_urgent(scatter.priority)
-        return self._admission.refusal(route, self._planner.own_shards(route), moments, steps)
+        tenant = header_value(scatter.request.headers, self._forwarding.names.tenant) or b""
+        shards = self._planner.own_shards(route)
+        return self._admission.refusal(route, shards, moments, steps, tenant.decode())
 
     def _run(
         self,
--- a/tinrudder/routing/quota_home.py
+++ b/tinrudder/routing/quota_home.py
@@ -107,6 +107,10 @@
         """Return of how many tenants this gateway was asked lately."""
         return len(self._buckets)
 
+    def held(self) -> dict[str, float]:
+        """Return what each bucket held when it was last asked for."""
+        return {tenant: bucket.tokens for tenant, bucket in self._buckets.items()}
+
     def tokens(self, tenant: str) -> float:
         """Return what a tenant's bucket held when it was last asked for; 0 where there is none."""
         bucket = self._buckets.get(tenant)
