Let the soak end keys, change limits, ask too much and cut the back ends of a zone

Cause: the new parts were not soaked. Ruled out: keys drawn evenly for all traffic (the check that all is served after the faults needs one that is in force).

--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -331,7 +331,7 @@
             "target": f"/{route}/{self._serial}",
             "services": ("single",),
             "repeatable": route != "once",
-            "key": self.tenants[0].keys[0] if self.tenants and self.tenants[0].keys else "",
+            "key": self._own_key(),
         }
         if route == "scatter":
             fields |= {
@@ -342,6 +342,11 @@
             }
         return PlannedRequest(**(fields | changes))
 
+    def _own_key(self) -> str:
+        """Return the newest key of the first tenant, as its clients use it; empty for none."""
+        keys = self.tenants[0].keys if self.tenants else ()
+        return keys[-1] if keys else ""
+
     async def send(self, route: str, node: int = 0, **changes: Any) -> ClientResult:
         """Send one request to a node."""
         address = (self.nodes[node].host, CLIENT_PORT)
--- a/tinrudder_lab/soak/faults.py
+++ b/tinrudder_lab/soak/faults.py
@@ -8,6 +8,7 @@
 
 from tinrudder_lab.emulator.backend import EmulatedBackend, Fault
 from tinrudder_lab.emulator.ledger import StoreOutage
+from tinrudder_lab.emulator.site import SiteTenant
 from tinrudder_lab.emulator.store import StoreMode
 from tinrudder_lab.soak.process_site import ProcessSite
 from tinrudder_lab.soak.proxy import LinkMode
@@ -23,6 +24,10 @@
 )
 BAD_ANSWERS = tuple(fault for fault in Fault if fault is not Fault.NONE)
 BAD_ANSWER_SHARE = 0.1
+FIRST = SiteTenant("first", tuple(f"first-{number}" for number in range(4)))
+LIMITED = SiteTenant("limited", ("limited-0",), 4.0, 4.0)
+TENANTS = (FIRST, LIMITED)
+LOWER_RATE = 1.0
 MAX_STORE_OUTAGE_S = 4.0
 LOST_WATCH_S = 7.5
 """How long a watch that the store lost in an outage may go on after it: the longest wait of a few
@@ -105,6 +110,37 @@
     return f"configured {site.version}"
 
 
+async def end_key(site: ProcessSite) -> str:
+    """End the oldest key of the first tenant; it gets a new one."""
+    first, *others = site.tenants
+    ended, *kept = first.keys
+    number = int(first.keys[-1].rpartition("-")[2]) + 1
+    keys = (*kept, f"{first.name}-{number}")
+    site.set_tenants(SiteTenant(first.name, keys, first.rate_per_s, first.burst), *others)
+    return f"key {ended} ended"
+
+
+async def change_limit(site: ProcessSite) -> str:
+    """Let the limited tenant's limit go down or up, never above what its check allows."""
+    *others, limited = site.tenants
+    rate = site.random.choice((LOWER_RATE, LIMITED.rate_per_s))
+    site.set_tenants(*others, SiteTenant(limited.name, limited.keys, rate, limited.burst))
+    return f"limit {rate}"
+
+
+async def cut_back_ends(site: ProcessSite) -> str:
+    """Harm the links to all back ends of a zone at once."""
+    zone = site.random.choice(site.zones)
+    mode = site.random.choice((LinkMode.SILENT, LinkMode.ONE_WAY, LinkMode.RESETTING))
+    names = [name for name, where in site.ledger.zones.items() if where == zone]
+    for name in names:
+        site.links[name].set_mode(mode)
+    await asyncio.sleep(site.random.uniform(1.0, 4.0))
+    for name in names:
+        site.links[name].set_mode(LinkMode.PASSING)
+    return f"links to {zone} {mode.value}"
+
+
 async def spoil_answers(site: ProcessSite) -> str:
     """Let some back ends spoil some answers."""
     fault = site.random.choice(BAD_ANSWERS)
@@ -149,6 +185,9 @@
     harm_store,
     forget_history,
     configure,
+    end_key,
+    change_limit,
+    cut_back_ends,
     spoil_answers,
     stand_still,
     replace_backend,
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from tinrudder.gateway.model import Address
+from tinrudder.gateway.model import Address, QuotaBounds
 from tinrudder_lab.emulator.site import (
     BACKEND_PORT,
     CLIENT_PORT,
@@ -30,6 +30,8 @@
 START_TIMEOUT_S = 20.0
 LOOK_S = 0.02
 STOP_TIMEOUT_S = GRACE_S + 4.0
+REVOCATION_S = 5.0
+QUOTAS = QuotaBounds()
 
 
 @dataclass
@@ -161,4 +163,9 @@
 budget_ratio = {REPEATS.ratio}
 budget_extra = {REPEATS.extra}
 budget_window_s = {REPEATS.window_s}
+strict_revoke = {"true" if self.revocation_s is not None else "false"}
+revoke_ms = {(self.revocation_s or REVOCATION_S) * MILLISECONDS}
+quota_window_s = {QUOTAS.window_s}
+quota_excess = {QUOTAS.excess}
+quota_slack = {QUOTAS.slack}
 """
--- a/tinrudder_lab/soak/run.py
+++ b/tinrudder_lab/soak/run.py
@@ -9,13 +9,15 @@
 
 import msgspec
 
-from tinrudder_lab.soak.faults import FAULTS, SoakFault
-from tinrudder_lab.soak.process_site import ProcessSite
+from tinrudder_lab.soak.faults import FAULTS, LIMITED, TENANTS, SoakFault
+from tinrudder_lab.soak.process_site import QUOTAS, REVOCATION_S, ProcessSite
 
 START_S = 2.5
 SETTLE_S = 6.0
 REQUESTS_PER_SECOND = 25.0
 MINIMUM_SERVED_AFTER = 0.95
+TIMES_LIMIT = 5.0
+OLD_KEYS_PER_SECOND = 10.0
 ROUTES = ("scatter", "single", "once")
 
 
@@ -40,7 +42,14 @@
     :param gateways: above eleven, scatters go through coordinators and some follow no store.
     """
     loop = asyncio.get_running_loop()
-    site = ProcessSite(loop, seed=seed, folder=folder, node_count=gateways)
+    site = ProcessSite(
+        loop,
+        seed=seed,
+        folder=folder,
+        node_count=gateways,
+        tenants=TENANTS,
+        revocation_s=REVOCATION_S,
+    )
     task = asyncio.current_task()
     assert task is not None
     # Whoever ends the soak must not leave its gateways behind.
@@ -57,7 +66,11 @@
     await asyncio.sleep(START_S)
     told: list[str] = []
     faults = asyncio.create_task(_inject(site, seconds, told))
-    await site.traffic(seconds, REQUESTS_PER_SECOND, ROUTES)
+    await asyncio.gather(
+        site.traffic(seconds, REQUESTS_PER_SECOND, ROUTES),
+        ask_too_much(site, seconds),
+        ask_with_any_key(site, seconds),
+    )
     await faults
     await asyncio.sleep(SETTLE_S)
     before = len(site.ledger.results)
@@ -67,6 +80,7 @@
     texts = site.broken_promises()
     texts.extend(site.problems)
     texts.extend(site.ended_by_themselves())
+    texts.extend(over_limit(site))
     if served_after < MINIMUM_SERVED_AFTER:
         texts.append(f"recovery: {served_after:.3f} served after everything had healed")
     statuses = Counter(str(result.status) for result in site.ledger.results)
@@ -75,6 +89,38 @@
     )
 
 
+async def ask_too_much(site: ProcessSite, seconds: float) -> None:
+    """Send the limited tenant's requests, several times as many as its limit allows."""
+    tasks = []
+    end = site.loop.time() + seconds
+    while site.loop.time() < end:
+        await asyncio.sleep(site.random.expovariate(LIMITED.rate_per_s * TIMES_LIMIT))
+        node = site.random.randrange(len(site.nodes))
+        request = site.send("single", node, key=LIMITED.keys[0])
+        tasks.append(site.loop.create_task(request))
+    await asyncio.gather(*tasks)
+
+
+async def ask_with_any_key(site: ProcessSite, seconds: float) -> None:
+    """Send requests with keys that the first tenant has or had: some are about to end."""
+    tasks = []
+    end = site.loop.time() + seconds
+    while site.loop.time() < end:
+        await asyncio.sleep(site.random.expovariate(OLD_KEYS_PER_SECOND))
+        key = site.random.choice([*site.ledger.keys])
+        node = site.random.randrange(len(site.nodes))
+        tasks.append(site.loop.create_task(site.send(site.random.choice(ROUTES), node, key=key)))
+    await asyncio.gather(*tasks)
+
+
+def over_limit(site: ProcessSite) -> list[str]:
+    """Tell whether more of the limited tenant's requests ran than its highest limit allows."""
+    limit = LIMITED.rate_per_s * QUOTAS.window_s + LIMITED.burst
+    bound = limit * (1.0 + QUOTAS.excess) + QUOTAS.slack
+    ran = site.ledger.most_in_window(LIMITED.name, QUOTAS.window_s)
+    return [f"quota: {ran} ran in {QUOTAS.window_s} s, at most {bound}"] if ran > bound else []
+
+
 async def _inject(site: ProcessSite, seconds: float, told: list[str]) -> None:
     """Draw faults, up to two at a time, until the time is over; wait until they have healed."""
     end = site.loop.time() + seconds
