--- a/bench/scatter_cost.py
+++ b/bench/scatter_cost.py
@@ -116,7 +116,7 @@
         document = {"version": 1, "routes": [route], "services": services}
         value = StoredValue("op/config", 1, json.dumps(document).encode())
         self.state.apply(Topic.OPERATOR, [value])
-        entries = []
+        entries: list[StoredValue] = []
         for number, name in enumerate(shards):
             for copy in range(REPLICAS):
                 entry = {
--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -125,10 +125,9 @@
 
     def is_stalled(self, now: float) -> bool:
         """Tell whether a call has been running for so long that the back end may stand still."""
-        for call in self.running:
-            if now - call.sent_at > STALLED_AFTER * call.usual_s:
-                return True
-        return False
+        if not self.running:
+            return False
+        return any(now - call.sent_at > STALLED_AFTER * call.usual_s for call in self.running)
 
     def is_suspect(self, now: float) -> bool:
         """Tell whether calls failed lately."""
