One reader reads the store for all that need to know its latest word; the others ask it

Ruled out: asking a watch that ends at once (may be deaf), longer pauses (refusals that end a client's tries need knowledge younger than half of the bound).

--- a/tinrudder/gateway/api_keys.py
+++ b/tinrudder/gateway/api_keys.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import os
-from dataclasses import dataclass
 from hashlib import blake2b
 
 from msgspec import Struct
@@ -30,22 +29,19 @@
     return blake2b(key, digest_size=DIGEST_BYTES, key=_SECRET).digest()
 
 
-@dataclass(frozen=True, slots=True)
-class Known:
+class Known(Struct, frozen=True):
     """The key is a tenant's."""
 
     tenant: Tenant
 
 
-@dataclass(frozen=True, slots=True)
-class Unknown:
+class Unknown(Struct, frozen=True):
     """No tenant of the configuration in force has the key, or there is none."""
 
     detail: str
 
 
-@dataclass(frozen=True, slots=True)
-class Ambiguous:
+class Ambiguous(Struct, frozen=True):
     """The request carries more than one set of credentials."""
 
 
--- a/tinrudder/gateway/knowledge_keeper.py
+++ b/tinrudder/gateway/knowledge_keeper.py
@@ -25,7 +25,13 @@
 """Part of the bound after which a peer in the zone is asked.  With the readers' share an age stays
 below half of the bound, so that one lost reader or three lost datagrams refuse nothing."""
 READ_SHARE = 0.3
-"""The same for readers and the store: with a bound of 5 s, one call in 1.5 s a zone."""
+"""The same for the first reader and the store: with a bound of 5 s, one call in 1.5 s for all.  The
+other readers ask it: a question across zones costs a 25th of a call."""
+READ_STEP_SHARE = 0.025
+"""How much later each further reader reads, if nobody answers it: an eighth of a second; the last
+of eight before half of the bound."""
+FIRST_READERS = 2
+"""Readers that others ask beyond their zone: the one that reads first, and one in its place."""
 ASK_ELSEWHERE_SHARE = 0.5
 """The same for readers of other zones, when the zone's own do not help."""
 READ_ALONE_SHARE = 0.6
@@ -103,10 +109,11 @@
         share = self._knowledge.age_s / self._bound_s
         if share < ASK_SHARE:
             return
-        is_reader = self._readers.is_reader()
-        if share >= (READ_SHARE if is_reader else READ_ALONE_SHARE):
+        place = self._readers.place()
+        is_reader = place is not None
+        if share >= (READ_ALONE_SHARE if place is None else READ_SHARE + place * READ_STEP_SHARE):
             self._read(is_reader=is_reader)
-        if share >= ASK_ELSEWHERE_SHARE or not self._ask_beside():
+        if is_reader or share >= ASK_ELSEWHERE_SHARE or not self._ask_beside():
             self._ask_elsewhere()
 
     def _ask_beside(self) -> bool:
@@ -117,8 +124,8 @@
         return bool(beside)
 
     def _ask_elsewhere(self) -> None:
-        """Ask one reader, wherever it is, or any peer where no reader is known."""
-        anywhere = self._readers.addresses()
+        """Ask one of those that read first, or any peer where no reader is known."""
+        anywhere = self._readers.addresses()[:FIRST_READERS]
         if anywhere:
             self._probes.ask(self._random.choice(anywhere))
             return
--- a/tinrudder/gateway/store_readers.py
+++ b/tinrudder/gateway/store_readers.py
@@ -103,19 +103,26 @@
             return True
         return self.own in {one.address for one in self._chosen(now)}
 
+    def place(self) -> int | None:
+        """Return this gateway's place among the readers, 0 for the first; ``None``: it is none."""
+        if not self.is_reader():
+            return None
+        return sum(1 for address in self.addresses() if str(address) < str(self.own))
+
     def addresses(self, zone: str | None = None) -> list[Address]:
-        """Return the other readers, as far as they are known.
+        """Return the other readers, as far as they are known, in the order of their places.
 
         :param zone: only those of one zone; ``None``: all of them.
         """
         now = self.clock()
         if self._relies_on_seeds(now) and zone is None:
             return [seed for seed in self.seeds if seed != self.own]
-        return [
+        found = (
             one.address
             for one in self._chosen(now)
             if one.address != self.own and zone in (None, one.zone)
-        ]
+        )
+        return sorted(found, key=str)
 
     def _relies_on_seeds(self, now: float) -> bool:
         """Tell whether too little is known of the others to choose among them."""
