Send what may not be repeated only over connections that were heard a moment ago

Cause: a pooled connection that went silent, or that its server has forgotten, loses the call sent over it; a repeatable one is asked again elsewhere, one that may not be repeated ends as 502 or 504. Ruled out: probing pooled connections (priced, and says nothing of the next moment), closing all idle ones early (a new one costs every call). Figures: of the tests, the two with silent connections fail without it.

--- a/tests/functional/test_upstream_pool.py
+++ b/tests/functional/test_upstream_pool.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tinrudder.gateway import upstream_pool
-from tinrudder.gateway.messages import CallOutcome, NotSent, UpstreamCall
+from tinrudder.gateway.messages import Answered, CallOutcome, NotSent, UpstreamCall
 from tinrudder.gateway.model import Address
 from tinrudder.gateway.upstream_connection import accept_any_answer
 from tinrudder.gateway.upstream_pool import UpstreamPool
@@ -31,3 +31,92 @@
         return await outcome
 
     assert asyncio.run(run()) == NotSent("connect: timed out")
+
+
+class FakeServer:
+    """Answers calls until it is told to swallow what comes on the connections that are open."""
+
+    def __init__(self) -> None:
+        self.silent: set[asyncio.StreamWriter] = set()
+        self.open: set[asyncio.StreamWriter] = set()
+        self.opened = 0
+        self.served = 0
+
+    async def start(self) -> Address:
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return Address(*server.sockets[0].getsockname()[:2])
+
+    def go_silent(self) -> None:
+        """Let the connections that are open say nothing more; new ones work."""
+        self.silent |= self.open
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.add(writer)
+        self.opened += 1
+        while await reader.read(1000):
+            if writer not in self.silent:
+                self.served += 1
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        self.open.discard(writer)
+
+
+async def call(pool: UpstreamPool, *, repeatable: bool, wait_s: float = 5.0) -> CallOutcome:
+    loop = asyncio.get_running_loop()
+    outcome: asyncio.Future[CallOutcome] = loop.create_future()
+    request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+    pool.start(
+        UpstreamCall(
+            lambda: request,
+            b"r",
+            lambda result: None if outcome.done() else outcome.set_result(result),
+            loop.time() + wait_s,
+            repeatable=repeatable,
+        )
+    )
+    async with asyncio.timeout(wait_s):
+        return await outcome
+
+
+@pytest.mark.parametrize("most", [1, 2])
+def test_what_may_not_be_repeated_never_goes_over_a_connection_that_rested(
+    monkeypatch: pytest.MonkeyPatch, most: int
+) -> None:
+    monkeypatch.setattr(upstream_pool, "TRUSTED_S", 0.0)
+
+    async def run() -> FakeServer:
+        server = FakeServer()
+        pool = UpstreamPool(await server.start(), accept_any_answer, lambda: None)
+        pool.max_connections = most
+        assert isinstance(await call(pool, repeatable=True), Answered)
+        server.go_silent()
+        assert isinstance(await call(pool, repeatable=False), Answered)
+        assert pool.connections <= most
+        return server
+
+    server = asyncio.run(run())
+    assert server.opened == 2
+    assert server.served == 2
+
+
+def test_what_may_be_repeated_uses_what_is_open() -> None:
+    async def run() -> FakeServer:
+        server = FakeServer()
+        pool = UpstreamPool(await server.start(), accept_any_answer, lambda: None)
+        for _ in range(5):
+            assert isinstance(await call(pool, repeatable=True), Answered)
+        return server
+
+    assert asyncio.run(run()).opened == 1
+
+
+def test_a_connection_that_was_just_heard_is_trusted(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(upstream_pool, "TRUSTED_S", 60.0)
+
+    async def run() -> FakeServer:
+        server = FakeServer()
+        pool = UpstreamPool(await server.start(), accept_any_answer, lambda: None)
+        for _ in range(5):
+            assert isinstance(await call(pool, repeatable=False), Answered)
+        return server
+
+    assert asyncio.run(run()).opened == 1
--- a/tinrudder/gateway/messages.py
+++ b/tinrudder/gateway/messages.py
@@ -149,6 +149,8 @@
         is handed on shrinks; ``None`` withdraws the call.
     :param body_expected: whether an answer may have a body.
     :param deadline: monotonic time after which the answer is of no use.
+    :param repeatable: another may be sent if this one gets no answer; one that may not is sent
+        only over a connection that has just been heard.
     :param sent_at: monotonic time at which bytes left, ``None`` before.
     """
 
@@ -157,6 +159,7 @@
     listener: AnswerListener
     deadline: float
     body_expected: bool = True
+    repeatable: bool = True
     sent_at: float | None = None
     finished: bool = False
     carrier: object = None
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -241,6 +241,7 @@
             listener=lambda outcome: None,
             deadline=self._request.deadline_at,
             body_expected=self._request.body_expected,
+            repeatable=self._route.repeatable,
         )
 
     def _leave(self, attempt: Attempt) -> bytes | None:
--- a/tinrudder/gateway/upstream_connection.py
+++ b/tinrudder/gateway/upstream_connection.py
@@ -28,6 +28,8 @@
 class UpstreamConnection(asyncio.Protocol):
     """Sends a call, reads its answer, and tells whether the connection may be used again.
 
+    :ivar heard_at: when anything came over it, at first its opening.
+
     Whatever arrives while no call is waiting closes the connection: those bytes belong to no
     request.
     """
@@ -44,6 +46,7 @@
         self._on_free = on_free
         self._on_closed = on_closed
         self._loop = asyncio.get_running_loop()
+        self.heard_at = self._loop.time()
         self._transport: asyncio.Transport | None = None
         self._call: UpstreamCall | None = None
         self._reader: AnswerReader | None = None
@@ -90,6 +93,7 @@
         if self._call is None or reader is None:
             self.abort()
             return
+        self.heard_at = self._loop.time()
         state = reader.feed(data)
         if state is ReadState.COMPLETE:
             self._end_with_answer(reader)
--- a/tinrudder/gateway/upstream_pool.py
+++ b/tinrudder/gateway/upstream_pool.py
@@ -15,6 +15,10 @@
 from tinrudder.gateway.upstream_connection import AnswerCheck, UpstreamConnection
 
 CONNECT_TIMEOUT_S = 0.4
+TRUSTED_S = 0.15
+"""How long ago a connection must have been heard for a call that may not be repeated.  Servers
+forget idle connections, after 0.17 s at times, and ones that went silent show nothing: such a call
+is lost with its connection, where opening another costs a few milliseconds."""
 
 
 class UpstreamPool:
@@ -40,7 +44,7 @@
 
     def start(self, call: UpstreamCall) -> None:
         """Send a call over an idle connection, or let it wait for one."""
-        connection = self._take_idle()
+        connection = self._take_idle() if call.repeatable else self._take_trusted()
         if connection is not None:
             self._send(connection, call)
             return
@@ -81,6 +85,19 @@
             connection.abort()
         return None
 
+    def _take_trusted(self) -> UpstreamConnection | None:
+        """Return an idle connection that was heard a moment ago; else make room for a new one."""
+        connection = self._take_idle()
+        if connection is None:
+            return None
+        if self._loop.time() - connection.heard_at <= TRUSTED_S:
+            return connection
+        if self.connections < self.max_connections:
+            self._idle.append(connection)
+        else:
+            connection.abort()
+        return None
+
     def _send(self, connection: UpstreamConnection, call: UpstreamCall) -> None:
         """Send on a free connection, which stays free if the call was withdrawn."""
         if not connection.send(call):
