--- /dev/null
+++ b/tests/unit/test_quota_fleet.py
@@ -0,0 +1,125 @@
+"""Ways to hold a tenant's limit over a fleet, on the same arrivals: what each runs and refuses.
+
+A limit of 5 a second with a burst of 5 may be exceeded to 57.5 requests in any 5 s.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Iterator
+
+import pytest
+
+from tinrudder.routing.quota_home import QuotaHome, QuotaLimit
+
+RATE, BURST, WINDOW_S = 5.0, 5.0, 5.0
+LIMIT = QuotaLimit.of(RATE, BURST, WINDOW_S, 0.25, 20.0)
+BOUND = RATE * WINDOW_S + BURST + LIMIT.margin
+CALM, HOT = 0.6 * RATE, 7.0 * RATE
+SECONDS = 60.0
+REPORT_S = 0.024
+"""A report's pause and its way across zones, and the verdict's way back."""
+DIGEST_S = 2.0
+"""How long a count needs to reach 74 gateways, each telling three in half a second."""
+FLEETS = (7, 74, 730)
+
+Decide = Callable[[float, int], bool]
+
+
+def arrivals(per_second: float) -> Iterator[tuple[float, int]]:
+    source, now = random.Random(5), 0.0
+    while now < SECONDS:
+        now += source.expovariate(per_second)
+        yield now, source.randrange(10**6)
+
+
+def run(decide: Decide, per_second: float) -> tuple[float, int]:
+    """Return which part was refused, and the most that ran in any window."""
+    ran, asked = [], 0
+    for now, place in arrivals(per_second):
+        asked += 1
+        if decide(now, place):
+            ran.append(now)
+    windows = (sum(1 for at in ran if first <= at < first + WINDOW_S) for first in ran)
+    most = max(windows, default=0)
+    return 1.0 - len(ran) / asked, most
+
+
+def home_with_reports(gateways: int) -> Decide:
+    """Admit at once and report behind; ask first while the home says that the tenant is pressed."""
+    home = QuotaHome(-1000.0)
+    reports: list[float] = []
+    pressed: list[tuple[float, float]] = []
+
+    def decide(now: float, _place: int) -> bool:
+        while reports and reports[0] <= now:
+            at = heapq.heappop(reports)
+            grant = home.report("t", LIMIT, at, 1.0, admitted=1, asks=False)
+            if grant.pressed_s:
+                pressed.append((at + REPORT_S, at + REPORT_S + grant.pressed_s))
+        if any(since <= now < until for since, until in pressed):
+            grant = home.report("t", LIMIT, now, 1.0, admitted=0, asks=True)
+            if grant.pressed_s:
+                pressed.append((now, now + grant.pressed_s))
+            return grant.granted
+        heapq.heappush(reports, now + REPORT_S)
+        return True
+
+    return decide
+
+
+def equal_parts(gateways: int, whole_tokens: bool) -> Decide:
+    """Each gateway has its part of the rate, and a bucket of its part of the burst or of one."""
+    capacity = max(1.0, BURST / gateways) if whole_tokens else BURST / gateways
+    tokens = [capacity] * gateways
+    filled = [0.0] * gateways
+
+    def decide(now: float, place: int) -> bool:
+        one = place % gateways
+        grown = (now - filled[one]) * RATE / gateways
+        tokens[one] = min(capacity, tokens[one] + grown)
+        filled[one] = now
+        if tokens[one] < 1.0:
+            return False
+        tokens[one] -= 1.0
+        return True
+
+    return decide
+
+
+def counts_in_digests(gateways: int) -> Decide:
+    """Every gateway knows what ran until some seconds ago, and drops what lies above."""
+    ran: list[float] = []
+
+    def decide(now: float, _place: int) -> bool:
+        known = sum(1 for at in ran if now - WINDOW_S - DIGEST_S <= at < now - DIGEST_S)
+        if known >= RATE * WINDOW_S + BURST:
+            return False
+        ran.append(now)
+        return True
+
+    return decide
+
+
+@pytest.mark.parametrize("gateways", FLEETS)
+def test_a_home_with_reports_refuses_little_and_keeps_the_bound(gateways: int) -> None:
+    refused, _ = run(home_with_reports(gateways), CALM)
+    _, most = run(home_with_reports(gateways), HOT)
+    assert refused <= 0.005
+    assert most <= 36 < BOUND
+
+
+@pytest.mark.parametrize("gateways", FLEETS[1:])
+def test_equal_parts_refuse_everything_or_pass_the_bound(gateways: int) -> None:
+    refused, _ = run(equal_parts(gateways, whole_tokens=False), CALM)
+    _, most = run(equal_parts(gateways, whole_tokens=True), HOT)
+    assert refused == 1.0
+    assert most > BOUND
+
+
+def test_counts_that_spread_by_digests_come_too_late() -> None:
+    refused, _ = run(counts_in_digests(74), CALM)
+    _, most = run(counts_in_digests(74), HOT)
+    assert refused <= 0.005
+    assert most > BOUND
