Draw the first numbers of questions from the system; split the two sides of quotas and the node's log

Cause: found by reading: the numbers that match answers began where a source seeded by the machine's name says, so two lives of a process counted alike, and an answer to the first could prove something to the second of a moment at which it had not been asked. Ruled out: the time of day as a start (it jumps).

--- a/tests/functional/test_gateway_quotas.py
+++ b/tests/functional/test_gateway_quotas.py
@@ -300,11 +300,11 @@
     async def scenario(site: EmulatedSite) -> None:
         await asyncio.sleep(SETTLED_S)
         gateway = gateway_of(site.nodes[0])
-        tokens = gateway.quotas.home.tokens("limited")
+        tokens = gateway.quotas.homes.buckets.tokens("limited")
         for payload in (b"\xff\xff\xff", b"", b"not a datagram at all", bytes(2000)):
             gateway.datagrams.datagram_received(payload, ("10.9.9.9", 1))
         assert gateway.datagrams.unreadable == 4
-        assert gateway.quotas.home.tokens("limited") == tokens
+        assert gateway.quotas.homes.buckets.tokens("limited") == tokens
 
     run_limited(scenario)
 
--- a/tests/unit/test_probes.py
+++ b/tests/unit/test_probes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import random
 from typing import Any
 
 from tinrudder.gateway.model import Address
@@ -36,7 +35,6 @@
         datagrams,  # type: ignore[arg-type]
         lambda number: ProbeAnswer(number, 7, 0.5),
         lambda: now[0],
-        random.Random(1),
     )
     probes.subscribe(lambda sent, answer: heard.append((sent, answer)))
     return datagrams, probes, now, heard
@@ -61,6 +59,17 @@
     assert len(heard) == 1
 
 
+def test_an_answer_to_the_process_before_matches_nothing() -> None:
+    """Its first question has another number than this one's first."""
+    before, probes_before, _, _ = prepared()
+    datagrams, probes, _, heard = prepared()
+    probes_before.ask(PEER)
+    probes.ask(PEER)
+    (question, _) = before.sent[0]
+    datagrams.arrive(ProbeAnswer(question.number, 7, 0.5))
+    assert heard == []
+
+
 def test_questions_without_an_answer_are_forgotten() -> None:
     datagrams, probes, now, heard = prepared()
     probes.ask(PEER)
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -111,7 +111,9 @@
 
     def tenant_tokens(self) -> list[TenantFigure]:
         """Return what the emptiest buckets hold, of tenants whose home this gateway is."""
-        held = sorted(self._quotas.home.held().items(), key=lambda one: one[1])[:MOST_TENANTS]
+        held = sorted(self._quotas.homes.buckets.held().items(), key=lambda one: one[1])[
+            :MOST_TENANTS
+        ]
         return [TenantFigure(tenant, "held", tokens) for tenant, tokens in held]
 
     def render(self) -> bytes:
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -16,7 +16,14 @@
 from tinrudder.gateway.knowledge import Knowledge
 from tinrudder.gateway.knowledge_keeper import KnowledgeKeeper
 from tinrudder.gateway.load_reports import LoadReports
-from tinrudder.gateway.model import Address, GatewaySettings, HeaderNames, Tenant
+from tinrudder.gateway.model import Address, GatewaySettings, HeaderNames
+from tinrudder.gateway.node_log import (
+    log_configuration,
+    log_coordination,
+    log_pull,
+    log_reachability,
+    log_unreadable_value,
+)
 from tinrudder.gateway.peer_datagrams import PeerDatagrams
 from tinrudder.gateway.peer_exchange import PeerExchange
 from tinrudder.gateway.peer_list import PeerList
@@ -36,7 +43,7 @@
 from tinrudder.gateway.stored_values import MetadataStore, Topic, ValueDecoders
 from tinrudder.gateway.zone_watch import ZoneWatch
 from tinrudder.lifecycle import NodeLifecycle
-from tinrudder.logs import LogValue, log_event, log_problem
+from tinrudder.logs import log_event
 from tinrudder.wire.peer_client import PeerClient
 
 HOUSEKEEPING_S = 1.0
@@ -79,11 +86,11 @@
         self.peers = PeerList(self._own, self._random, loop.time(), settings.zone)
         self.peers.set_seeds(settings.seeds)
         self.datagrams = PeerDatagrams()
-        self.probes = Probes(self.datagrams, self._answer_probe, loop.time, self._random)
+        self.probes = Probes(self.datagrams, self._answer_probe, loop.time)
         self.watch = ZoneWatch(
             settings.zone, self.peers, self.probes, self._random, self._on_reach_change
         )
-        self.state = SharedState(decoders, loop.time, self._on_unreadable)
+        self.state = SharedState(decoders, loop.time, log_unreadable_value)
         self.knowledge = Knowledge(self.state, loop.time)
         self.counters = ForwardingCounters()
         self.coordinators = Coordinators(
@@ -128,8 +135,7 @@
             self.watch,
             self.datagrams,
             settings.quotas,
-            self._find_tenant,
-            self._random,
+            lambda name: self.handler.find_tenant(name),
         )
         self.metrics = GatewayMetrics(self)
         relaying = Relaying(
@@ -179,7 +185,7 @@
                 topic,
                 store,
                 self.state,
-                self._on_reachability,
+                log_reachability,
                 self.nodes,
                 self.readers,
                 self._random,
@@ -195,7 +201,7 @@
             self.probes,
             settings.zone,
             settings.revocation_s,
-            self._has_keys,
+            lambda: self.handler.asks_for_keys,
             self._catch_up,
             self._random,
         )
@@ -249,16 +255,6 @@
         """Answer a peer that wants to know whether this gateway hears, and what it knows."""
         return ProbeAnswer(number, self.state.operator_revision, self.knowledge.told_age_s)
 
-    def _has_keys(self) -> bool:
-        """Tell whether the configuration in force has tenants."""
-        routes = self.handler.routes
-        return routes is not None and routes.keys.required
-
-    def _find_tenant(self, name: str) -> Tenant | None:
-        """Return a tenant of the configuration in force."""
-        routes = self.handler.routes
-        return routes.tenants.get(name) if routes is not None else None
-
     def _catch_up(self, peer: Address) -> None:
         """Fetch what a peer knows beyond this gateway."""
         if self._exchange is not None:
@@ -370,12 +366,7 @@
         accepted = self.state.accepted
         if accepted is not None and accepted.configuration.version != self._logged_version:
             self._logged_version = accepted.configuration.version
-            fields: dict[str, LogValue] = {
-                "version": accepted.configuration.version,
-                "revision": accepted.value.revision,
-                "routes": len(accepted.configuration.routes),
-            }
-            log_event("configuration_in_force", fields)
+            log_configuration(accepted)
         if self.state.complete and self.lifecycle.is_before_ready():
             self.lifecycle.trigger("serve")
             log_event("ready", {"backends": len(self.directory)})
@@ -385,37 +376,13 @@
         self.metrics.observe(request)
         log_request(request)
 
-    def _on_reachability(self, topic: Topic, reachable: bool, detail: str) -> None:
-        """Log that the store was lost or regained."""
-        fields: dict[str, LogValue] = {"topic": topic.value, "detail": detail}
-        if reachable:
-            log_event("store_regained", fields)
-        else:
-            log_problem("store_lost", fields)
-
     def _on_coordination(self, coordination: Coordination) -> None:
         """Log who calls the back ends of an index now."""
-        fields: dict[str, LogValue] = {
-            "own": coordination.own,
-            "asked": " ".join(str(address) for address in coordination.asked),
-            "handed_over": coordination.handed_over_count,
-            "callers": coordination.callers,
-            "nodes": self.nodes(),
-        }
-        log_event("coordination_changed", fields)
+        log_coordination(coordination, self.nodes())
 
     def _on_pull(self, peer: str, result: str) -> None:
         """Log what a peer taught."""
-        fields: dict[str, LogValue] = {
-            "peer": peer,
-            "result": result,
-            "revision": self.state.configuration_revision,
-        }
-        log_event("pulled_from_peer", fields)
-
-    def _on_unreadable(self, detail: str) -> None:
-        """Log a stored value that breaks the form agreed on; the last good one stays."""
-        log_problem("unreadable_value", {"detail": detail})
+        log_pull(peer, result, self.state.configuration_revision)
 
     def _count_connection(self) -> None:
         """Count a connection opened to a back end."""
--- a/tinrudder/gateway/probes.py
+++ b/tinrudder/gateway/probes.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import random
 from collections.abc import Callable
 
 from msgspec import Struct
@@ -14,12 +13,10 @@
 from tinrudder.gateway.model import Address
 from tinrudder.gateway.peer_datagrams import PeerDatagrams
 from tinrudder.gateway.peer_messages import Probe, ProbeAnswer
+from tinrudder.gateway.peer_numbers import first_number
 
 REMEMBERED_S = 5.0
 """How long an answer is waited for: what it proves would be too old to be of use later."""
-FIRST_NUMBERS = 2**62
-"""A process begins at a number drawn below this, so that answers to one that had its address before
-match nothing."""
 
 
 class SentProbe(Struct, frozen=True):
@@ -40,13 +37,12 @@
         datagrams: PeerDatagrams,
         describe: Callable[[int], ProbeAnswer],
         clock: Callable[[], float],
-        random_source: random.Random,
     ) -> None:
         """Answer what peers ask with what ``describe`` returns for a question's number."""
         self._datagrams = datagrams
         self._describe = describe
         self._clock = clock
-        self._number = random_source.randrange(FIRST_NUMBERS)
+        self._number = first_number()
         self._sent: dict[int, SentProbe] = {}
         self._listeners: list[AnswerListener] = []
         datagrams.handle(Probe, self._on_probe)
--- /dev/null
+++ b/tinrudder/gateway/quota_home_choice.py
@@ -0,0 +1,68 @@
+"""Which gateway keeps a tenant's bucket, as one gateway sees it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Set
+
+from msgspec import Struct, field
+
+from tinrudder.gateway.model import Address
+from tinrudder.gateway.peer_list import PeerList
+from tinrudder.gateway.zone_watch import ZoneWatch
+from tinrudder.routing.rendezvous import rendezvous_score
+
+AVOIDED_S = 3.0
+"""How long a home that did not answer is passed over: one that stood still is not asked each time,
+and one that has come back is found again."""
+KEPT_S = 0.5
+"""How long a choice is remembered; ranking 730 gateways takes 0.3 ms."""
+
+
+class _Choice(Struct, frozen=True):
+    """A tenant's home, as chosen at a moment."""
+
+    home: Address
+    chosen_at: float
+
+
+class QuotaHomeChoice(Struct):
+    """Ranks the live gateways by rendezvous hashing of the tenant's name.
+
+    Views of two gateways may differ for seconds: then a tenant has two homes, which is one of the
+    things that the margin above its limit is for.
+    """
+
+    own: Address
+    peers: PeerList
+    watch: ZoneWatch
+    clock: Callable[[], float]
+    _chosen: dict[str, _Choice] = field(default_factory=dict)
+    _avoided: dict[Address, float] = field(default_factory=dict)
+
+    def home_of(self, tenant: str) -> Address:
+        """Return the gateway that keeps a tenant's bucket."""
+        now = self.clock()
+        known = self._chosen.get(tenant)
+        if known is None or now - known.chosen_at >= KEPT_S:
+            known = _Choice(self._choose(tenant, now), now)
+            self._chosen[tenant] = known
+        return known.home
+
+    def failed(self, home: Address) -> None:
+        """Pass over a home that did not answer, for a while."""
+        self._avoided[home] = self.clock() + AVOIDED_S
+        self._chosen = {name: one for name, one in self._chosen.items() if one.home != home}
+
+    def forget_unused(self, tenants: Set[str]) -> None:
+        """Drop what belongs to tenants that no configuration names any more."""
+        self._chosen = {name: one for name, one in self._chosen.items() if name in tenants}
+
+    def _choose(self, tenant: str, now: float) -> Address:
+        """Return the first of the live gateways that can be reached, this one included."""
+        willing = [
+            member.address
+            for member in self.peers.candidates(now)
+            if not self.watch.is_closed(member.zone)
+            and now >= self._avoided.get(member.address, 0.0)
+        ]
+        return max((*willing, self.own), key=lambda address: rendezvous_score(tenant, str(address)))
--- /dev/null
+++ b/tinrudder/gateway/quota_homes.py
@@ -0,0 +1,119 @@
+"""The side of tenants' limits that a gateway carries for the whole fleet: the tenants' buckets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tinrudder.gateway.model import Address, QuotaBounds, Tenant
+from tinrudder.gateway.peer_datagrams import PeerDatagrams
+from tinrudder.gateway.peer_list import PeerList
+from tinrudder.gateway.peer_messages import QuotaReport, QuotaVerdict
+from tinrudder.gateway.zone_watch import ZoneWatch
+from tinrudder.logs import LogValue, log_event
+from tinrudder.routing.quota_home import QuotaHome, QuotaLimit, part_of_rate
+
+TOLD_AGAIN_S = 1.0
+"""How often everybody is told that a tenant is pressed: half as long as a word lasts."""
+TO_EVERYBODY = 0
+"""Number of a word that answers no report."""
+ALONE_SHARE = 0.49
+"""Of the fleet, for whoever hears no home: less than half, or it would grant the whole rate."""
+
+
+class QuotaHomes:
+    """Answers entries' reports, and tells everybody of a tenant that is near its limit.
+
+    :ivar buckets: of the tenants whose home this gateway is.
+    """
+
+    def __init__(
+        self,
+        peers: PeerList,
+        watch: ZoneWatch,
+        datagrams: PeerDatagrams,
+        bounds: QuotaBounds,
+        find_tenant: Callable[[str], Tenant | None],
+    ) -> None:
+        """Find tenants, by their names, in the configuration in force."""
+        self._peers = peers
+        self._watch = watch
+        self._datagrams = datagrams
+        self._bounds = bounds
+        self._find_tenant = find_tenant
+        self._loop = asyncio.get_running_loop()
+        self.buckets = QuotaHome(self._loop.time())
+        # Where no home answers.  Apart, since what other entries ask for here is not to suffer.
+        self._alone = QuotaHome(self._loop.time())
+        self._told_at: dict[str, float] = {}
+        datagrams.handle(QuotaReport, self._on_report)
+
+    def judge(self, report: QuotaReport) -> QuotaVerdict:
+        """Answer a report as the tenant's home."""
+        share = part_of_rate(self._watch.heard_share, self._bounds.excess)
+        verdict = self._grant(self.buckets, report, share)
+        if verdict.pressed_s > 0.0:
+            self._tell_everybody(verdict)
+        return verdict
+
+    def judge_alone(self, report: QuotaReport) -> QuotaVerdict:
+        """Answer an own report as one of many that hear no home."""
+        nodes = self._peers.nodes(self._loop.time())
+        share = part_of_rate(min(1.0 / nodes, ALONE_SHARE), self._bounds.excess)
+        return self._grant(self._alone, report, share)
+
+    def forget_unused(self, tenants: frozenset[str]) -> None:
+        """Drop what belongs to tenants that no configuration names any more."""
+        self._told_at = {name: at for name, at in self._told_at.items() if name in tenants}
+        now = self._loop.time()
+        self.buckets.forget_idle(now)
+        self._alone.forget_idle(now)
+
+    def _on_report(self, report: QuotaReport, entry: Address) -> None:
+        """Answer an entry."""
+        self._datagrams.send(self.judge(report), entry)
+
+    def _grant(self, home: QuotaHome, report: QuotaReport, share: float) -> QuotaVerdict:
+        """Draw on a tenant's bucket."""
+        tenant = self._find_tenant(report.tenant)
+        if tenant is None or tenant.rate_per_s <= 0.0:
+            return QuotaVerdict(report.number, report.tenant)
+        bounds = self._bounds
+        limit = QuotaLimit.of(
+            tenant.rate_per_s, tenant.burst, bounds.window_s, bounds.excess, bounds.slack
+        )
+        grant = home.report(
+            report.tenant,
+            limit,
+            self._loop.time(),
+            share,
+            admitted=report.admitted,
+            asks=report.asks,
+            held=report.held,
+        )
+        return QuotaVerdict(
+            report.number,
+            report.tenant,
+            grant.granted,
+            grant.wait_s,
+            grant.pressed_s,
+            grant.tokens,
+        )
+
+    def _tell_everybody(self, verdict: QuotaVerdict) -> None:
+        """Say that a tenant is pressed, unless that was said a moment ago."""
+        now = self._loop.time()
+        tenant, pressed_s = verdict.tenant, verdict.pressed_s
+        if now - self._told_at.get(tenant, float("-inf")) < TOLD_AGAIN_S:
+            return
+        self._told_at[tenant] = now
+        peers = [member.address for member in self._peers.candidates(now)]
+        word = QuotaVerdict(TO_EVERYBODY, tenant, pressed_s=pressed_s, tokens=verdict.tokens)
+        self._datagrams.send(word, *peers)
+        fields: dict[str, LogValue] = {
+            "tenant": tenant,
+            "tokens": round(self.buckets.tokens(tenant), 1),
+            "pressed_s": round(pressed_s, 3),
+            "told": len(peers),
+        }
+        log_event("quota_pressed", fields)
--- a/tinrudder/gateway/quotas.py
+++ b/tinrudder/gateway/quotas.py
@@ -1,4 +1,4 @@
-"""Holds tenants to their limits over all gateways: entries report to a home, which keeps a bucket.
+"""Holds tenants to their limits over all gateways: entries report to homes, which keep buckets.
 
 Requests of a tenant that keeps well within its limit run at once and are reported behind; only
 while its bucket is nearly empty do entries ask first.  See docs/design/quotas.md.
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections import Counter
 from collections.abc import Callable
 
@@ -18,10 +17,12 @@
 from tinrudder.gateway.peer_datagrams import PeerDatagrams
 from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.peer_messages import QuotaReport, QuotaVerdict
+from tinrudder.gateway.peer_numbers import first_number
+from tinrudder.gateway.quota_home_choice import QuotaHomeChoice
+from tinrudder.gateway.quota_homes import TO_EVERYBODY, QuotaHomes
 from tinrudder.gateway.zone_watch import ZoneWatch
 from tinrudder.logs import LogValue, log_event
-from tinrudder.routing.quota_home import HeldTokens, QuotaHome, QuotaLimit, part_of_rate
-from tinrudder.routing.rendezvous import rendezvous_score
+from tinrudder.routing.quota_home import HeldTokens
 
 REPORT_PAUSE_S = 0.02
 """How long requests of a tenant are gathered for one report: at seven times a limit of a thousand a
@@ -31,24 +32,11 @@
 slow machine twice."""
 HOMES_TRIED = 3
 """One that failed, and one that failed with it."""
-AVOIDED_S = 3.0
-"""How long a home that did not answer is passed over: one that stood still is not asked each time,
-and one that has come back is found again."""
-HOMES_KEPT_S = 0.5
-"""How long a tenant's homes are remembered; ranking 730 gateways takes 0.3 ms."""
-TOLD_AGAIN_S = 1.0
-"""How often everybody is told that a tenant is pressed: half as long as a word lasts."""
 RETRY_UNKNOWN_S = 0.3
 """When to come back where no home answers: it is found anew or avoided by then."""
-FIRST_NUMBERS = 2**62
-"""Numbers begin below this, at random: answers to an earlier process here match nothing."""
 
-TO_EVERYBODY = 0
-"""Number of a word that answers no report."""
 OWN_NUMBER = 1
 """Number of reports of a gateway to itself, which are answered on the spot."""
-ALONE_SHARE = 0.49
-"""Of the fleet, for whoever hears no home: less than half, or it would grant the whole rate."""
 
 Refusal = OverQuota | NotRun
 Decision = Callable[[Refusal | None], None]
@@ -85,16 +73,10 @@
     at: float
 
 
-class _Homes(Struct, frozen=True):
-    """A tenant's homes, best first, as chosen at a moment."""
-
-    addresses: tuple[Address, ...]
-    chosen_at: float
-
-
 class Quotas:
-    """The entry's side and the home's side of tenants' limits.
+    """The entry's side of tenants' limits.
 
+    :ivar homes: the other side, of the tenants whose home this gateway is.
     :ivar counts: by tenant, of those that the configuration names.
     """
 
@@ -106,30 +88,23 @@
         datagrams: PeerDatagrams,
         bounds: QuotaBounds,
         find_tenant: Callable[[str], Tenant | None],
-        random_source: random.Random,
     ) -> None:
         """Find tenants, by their names, in the configuration in force."""
         self.counts: dict[str, TenantCounts] = {}
         self._own = own
-        self._peers = peers
+        self.homes = QuotaHomes(peers, watch, datagrams, bounds, find_tenant)
         self._watch = watch
         self._datagrams = datagrams
         self._bounds = bounds
         self._find_tenant = find_tenant
         self._loop = asyncio.get_running_loop()
-        self._number = random_source.randrange(OWN_NUMBER, FIRST_NUMBERS)
-        self.home = QuotaHome(self._loop.time())
-        # Where no home answers.  Apart, since what other entries ask for here is not to suffer.
-        self._alone = QuotaHome(self._loop.time())
+        self._choice = QuotaHomeChoice(own, peers, watch, self._loop.time)
+        self._number = first_number()
         self._pressed_until: dict[str, float] = {}
-        self._told_at: dict[str, float] = {}
         self._told: dict[str, _Told] = {}
         self._pending: dict[int, _Pending] = {}
         self._unreported: Counter[str] = Counter()
         self._reporting: asyncio.TimerHandle | None = None
-        self._homes: dict[str, _Homes] = {}
-        self._avoided: dict[Address, float] = {}
-        datagrams.handle(QuotaReport, self._on_report)
         datagrams.handle(QuotaVerdict, self._on_verdict)
 
     def admit(self, tenant: Tenant, decide: Decision) -> None:
@@ -160,16 +135,15 @@
 
     def home_of(self, tenant: str) -> Address:
         """Return the gateway that keeps a tenant's bucket, as seen from here."""
-        return self._homes_of(tenant)[0]
+        return self._choice.home_of(tenant)
 
     def forget_unused(self, tenants: frozenset[str]) -> None:
         """Drop what belongs to tenants that no configuration names any more."""
-        for kept in (self.counts, self._pressed_until, self._told_at, self._told, self._homes):
+        for kept in (self.counts, self._pressed_until, self._told):
             for name in kept.keys() - tenants:
                 del kept[name]
-        now = self._loop.time()
-        self.home.forget_idle(now)
-        self._alone.forget_idle(now)
+        self._choice.forget_unused(tenants)
+        self.homes.forget_unused(tenants)
 
     def _counted(self, counts: TenantCounts, decide: Decision) -> Decision:
         """Return a decision that is counted as well."""
@@ -229,8 +203,7 @@
         """Turn to the next home."""
         pending = self._pending.pop(number)
         now = self._loop.time()
-        self._avoided[pending.home] = now + AVOIDED_S
-        self._homes.pop(pending.tenant.name, None)
+        self._choice.failed(pending.home)
         self._watch.doubt_way_to(pending.home, pending.sent_at)
         fields: dict[str, LogValue] = {
             "tenant": pending.tenant.name,
@@ -246,7 +219,7 @@
         :param alone: other homes did not answer, so others may be asked elsewhere meanwhile.
         """
         report = self._report_of(pending, OWN_NUMBER)
-        verdict = self._judge_alone(report) if alone else self._judge(report)
+        verdict = self.homes.judge_alone(report) if alone else self.homes.judge(report)
         self._press(verdict)
         if pending.decide is None:
             return
@@ -255,70 +228,6 @@
         else:
             pending.decide(_refusal(pending, verdict))
 
-    def _judge(self, report: QuotaReport) -> QuotaVerdict:
-        """Answer a report as the tenant's home."""
-        share = part_of_rate(self._watch.heard_share, self._bounds.excess)
-        verdict = self._grant(self.home, report, share)
-        if verdict.pressed_s > 0.0:
-            self._tell_everybody(verdict)
-        return verdict
-
-    def _judge_alone(self, report: QuotaReport) -> QuotaVerdict:
-        """Answer an own report as one of many that hear nobody."""
-        nodes = self._peers.nodes(self._loop.time())
-        share = part_of_rate(min(1.0 / nodes, ALONE_SHARE), self._bounds.excess)
-        return self._grant(self._alone, report, share)
-
-    def _grant(self, home: QuotaHome, report: QuotaReport, share: float) -> QuotaVerdict:
-        """Draw on a tenant's bucket."""
-        tenant = self._find_tenant(report.tenant)
-        if tenant is None or tenant.rate_per_s <= 0.0:
-            return QuotaVerdict(report.number, report.tenant)
-        bounds = self._bounds
-        limit = QuotaLimit.of(
-            tenant.rate_per_s, tenant.burst, bounds.window_s, bounds.excess, bounds.slack
-        )
-        now = self._loop.time()
-        grant = home.report(
-            report.tenant,
-            limit,
-            now,
-            share,
-            admitted=report.admitted,
-            asks=report.asks,
-            held=report.held,
-        )
-        return QuotaVerdict(
-            report.number,
-            report.tenant,
-            grant.granted,
-            grant.wait_s,
-            grant.pressed_s,
-            grant.tokens,
-        )
-
-    def _tell_everybody(self, verdict: QuotaVerdict) -> None:
-        """Say that a tenant is pressed, unless that was said a moment ago."""
-        now = self._loop.time()
-        tenant, pressed_s = verdict.tenant, verdict.pressed_s
-        if now - self._told_at.get(tenant, float("-inf")) < TOLD_AGAIN_S:
-            return
-        self._told_at[tenant] = now
-        peers = [member.address for member in self._peers.candidates(now)]
-        word = QuotaVerdict(TO_EVERYBODY, tenant, pressed_s=pressed_s, tokens=verdict.tokens)
-        self._datagrams.send(word, *peers)
-        fields: dict[str, LogValue] = {
-            "tenant": tenant,
-            "tokens": round(self.home.tokens(tenant), 1),
-            "pressed_s": round(pressed_s, 3),
-            "told": len(peers),
-        }
-        log_event("quota_pressed", fields)
-
-    def _on_report(self, report: QuotaReport, entry: Address) -> None:
-        """Answer an entry."""
-        self._datagrams.send(self._judge(report), entry)
-
     def _on_verdict(self, verdict: QuotaVerdict, _home: Address) -> None:
         """Take a home's word."""
         if verdict.number == TO_EVERYBODY:
@@ -343,27 +252,6 @@
         else:
             self._pressed_until.pop(verdict.tenant, None)
 
-    def _homes_of(self, tenant: str) -> tuple[Address, ...]:
-        """Return a tenant's homes, best first."""
-        now = self._loop.time()
-        known = self._homes.get(tenant)
-        if known is None or now - known.chosen_at >= HOMES_KEPT_S:
-            known = _Homes(self._choose_homes(tenant, now), now)
-            self._homes[tenant] = known
-        return known.addresses
-
-    def _choose_homes(self, tenant: str, now: float) -> tuple[Address, ...]:
-        """Rank the live gateways that can be reached, this one included."""
-        willing = [
-            member.address
-            for member in self._peers.candidates(now)
-            if not self._watch.is_closed(member.zone)
-            and now >= self._avoided.get(member.address, 0.0)
-        ]
-        willing.append(self._own)
-        willing.sort(key=lambda address: rendezvous_score(tenant, str(address)), reverse=True)
-        return tuple(willing[:HOMES_TRIED])
-
 
 def _refusal(pending: _Pending, verdict: QuotaVerdict) -> OverQuota | None:
     """Return what a home's word means for the request that asked."""
--- a/tinrudder/gateway/zone_watch.py
+++ b/tinrudder/gateway/zone_watch.py
@@ -105,9 +105,13 @@
 
     def doubt(self, zone: str, sent_at: float) -> None:
         """Note that what was sent to a zone at a moment has no answer yet."""
-        if self.paths.doubt(zone, sent_at, self._loop.time()):
+        if not self.paths.doubt(zone, sent_at, self._loop.time()):
+            return
+        if self.paths.is_closed(zone):
+            self._on_closing(zone)
+        else:
             self._log(zone)
-            self._begin(zone)
+        self._begin(zone)
 
     def doubt_way_to(self, peer: Address, sent_at: float) -> None:
         """The same for what was sent to a gateway."""
@@ -135,9 +139,11 @@
         """Send one round of questions, and look at the way again later."""
         self._asking.pop(zone, None)
         if self.paths.review(zone, self._loop.time()):
-            self._log(zone)
-            self.closings += self.paths.is_closed(zone)
-            self._on_change()
+            if self.paths.is_closed(zone):
+                self._on_closing(zone)
+            else:
+                self._log(zone)
+                self._on_change()
         state = self.paths.path(zone).state
         if state is PathState.OPEN:
             return
@@ -148,6 +154,12 @@
         pause_s = ROUND_S if state is PathState.SUSPECT else CLOSED_ROUND_S
         self._asking[zone] = self._loop.call_later(pause_s, self._ask, zone)
 
+    def _on_closing(self, zone: str) -> None:
+        """Count and tell that a zone is out of reach."""
+        self.closings += 1
+        self._log(zone)
+        self._on_change()
+
     def _on_answer(self, sent: SentProbe, _answer: ProbeAnswer) -> None:
         """Take a gateway's answer, unless it was asked before the way came into doubt."""
         zone = self._peers.zone_of(sent.peer)
