Let a complete read of the store prove how old knowledge is, so that a start serves keyed requests

Cause: a gateway that had just read everything still refused keyed requests until it had read once more or asked a peer; after all machines return, callers got 503 in the seconds that count most. Ruled out: serving before anything is proven (an ended key might run).

--- a/tests/functional/test_gateway_keys.py
+++ b/tests/functional/test_gateway_keys.py
@@ -236,6 +236,24 @@
     run_keyed(scenario)
 
 
+def test_a_start_of_all_serves_keyed_requests_as_soon_as_any() -> None:
+    """Whoever has read the store has proven how old its knowledge is, and tells it with the rest."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        for node in site.nodes:
+            site.kill_node(node)
+        await asyncio.sleep(1.0)
+        for node in site.nodes:
+            site.start_node(node)
+        await asyncio.sleep(0.01)
+        while not all(gateway_of(node).state.complete for node in site.nodes):
+            await asyncio.sleep(0.001)
+        for node in range(len(site.nodes)):
+            assert (await site.send("single", node, key="key-a")).status == 200
+
+    run_keyed(scenario)
+
+
 def test_a_new_key_is_never_refused_for_good_by_a_gateway_that_is_behind() -> None:
     """Its peers know the key for seconds while it hears nothing: it may say only that it can't."""
 
--- a/tests/unit/test_store_follower.py
+++ b/tests/unit/test_store_follower.py
@@ -71,6 +71,7 @@
             lambda: nodes,
             AlwaysReads(),  # type: ignore[arg-type]
             random.Random(1),
+            lambda topic, asked_at: None,
         )
         task = loop.create_task(follower.run())
         await asyncio.sleep(0.02)
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -189,6 +189,7 @@
                 self.nodes,
                 self.readers,
                 self._random,
+                self._on_complete_read,
             )
             for topic in Topic
         ]
@@ -260,6 +261,11 @@
         if self._exchange is not None:
             self._exchange.catch_up(peer)
 
+    def _on_complete_read(self, topic: Topic, asked_at: float) -> None:
+        """Take what a complete read proves: a start serves keyed requests without another one."""
+        if topic is Topic.OPERATOR:
+            self.knowledge.prove(asked_at)
+
     def _on_reach_change(self) -> None:
         """Choose other coordinators; have those of the zone look as well."""
         self.coordinators.reconsider()
--- a/tinrudder/gateway/store_follower.py
+++ b/tinrudder/gateway/store_follower.py
@@ -33,6 +33,7 @@
 REST_SPREAD = 0.6
 
 ReachabilityListener = Callable[[Topic, bool, str], None]
+CompleteReadListener = Callable[[Topic, float], None]
 
 
 class StoreFollower:
@@ -47,12 +48,15 @@
         nodes: Callable[[], int],
         readers: StoreReaders,
         random_source: random.Random,
+        on_complete_read: CompleteReadListener,
     ) -> None:
         """Tell ``on_reachability`` when the store is lost or regained, and why.
 
         :param nodes: tells how many gateways teach each other.
         :param readers: tells whether this gateway follows the store at all.
+        :param on_complete_read: is told when all was read that was there at a moment.
         """
+        self._on_complete_read = on_complete_read
         self._nodes = nodes
         self._readers = readers
         self._random = random_source
@@ -98,7 +102,10 @@
         """Read everything, or what has changed."""
         self._revision = self._known_revision()
         if self._revision is None:
+            asked_at = asyncio.get_running_loop().time()
             reading = await self._store.read(self._topic)
+            # Before the values: whoever hears of these may ask how old they are.
+            self._on_complete_read(self._topic, asked_at)
             self._state.apply_complete(self._topic, reading)
             self._revision = reading.revision
             self._confirm()
