--- a/tests/functional/test_gateway_keys.py
+++ b/tests/functional/test_gateway_keys.py
@@ -237,7 +237,7 @@
 
 
 def test_a_start_of_all_serves_keyed_requests_as_soon_as_any() -> None:
-    """Whoever has read the store has proven how old its knowledge is, and tells it with the rest."""
+    """Whoever has read the store has proven how old its knowledge is, and tells that too."""
 
     async def scenario(site: EmulatedSite) -> None:
         for node in site.nodes:
