--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -116,7 +116,13 @@
     tokens: float | None = None
 
 
-PeerDatagram = Digest | Probe | ProbeAnswer | QuotaReport | QuotaVerdict
+class BackendWarning(Struct, frozen=True):
+    """Names back ends that have just failed calls of the sender."""
+
+    backend_ids: tuple[str, ...]
+
+
+PeerDatagram = Digest | Probe | ProbeAnswer | QuotaReport | QuotaVerdict | BackendWarning
 
 
 class SnapshotRequest(Struct, frozen=True):
