--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -97,7 +97,6 @@
         self._cold = cold
         self._backends: dict[str, Backend] = {}
         self._services: dict[str, list[Backend]] = {}
-        self._by_id: dict[str, Backend] = {}
         self._shares: dict[str, float] = {}
         state.subscribe(self.refresh)
 
@@ -159,10 +158,6 @@
             return "every back end left is cold and has had this gateway's part of calls"
         return "every back end is leaving" if backends else "no back end is known"
 
-    def by_id(self, backend_id: str) -> Backend | None:
-        """Return a back end by the id that it has chosen, ``None`` if it is not known here."""
-        return self._by_id.get(backend_id)
-
     def reachable(self, service: str) -> bool:
         """Tell whether any back end of a service may be called from here, cold or not."""
         return any(self._is_wanted(one) for one in self._services.get(service, ()))
@@ -282,7 +277,6 @@
         observations = BackendObservations(slots=entry.slots)
         backend = Backend(entry, pool, observations)
         self._backends[key] = backend
-        self._by_id[entry.backend_id] = backend
         self._services.setdefault(entry.service, []).append(backend)
         return backend
 
@@ -295,7 +289,6 @@
     def _drop(self, key: str) -> None:
         """Forget a back end; calls in progress end by themselves."""
         backend = self._backends.pop(key)
-        self._by_id.pop(backend.backend_id, None)
         self._services[backend.entry.service].remove(backend)
         backend.pool.close()
 
--- a/tinrudder/gateway/call_observation.py
+++ b/tinrudder/gateway/call_observation.py
@@ -44,11 +44,9 @@
             observations.failed(running, now)
         case NotSent():
             observations.failed(running, now)
-            forwarding.backend_failed(backend.backend_id)
         case Broken():
             forwarding.counters.broken += 1
             observations.failed(running, now)
-            forwarding.backend_failed(backend.backend_id)
 
 
 def _observe_answer(
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -46,7 +46,6 @@
     :param sharers: tells in how many equal parts the fleet's repeats of a service are divided.
     :param zone_answered: is told of each answer from a zone.
     :param zone_doubted: is told of a call to a zone that is overdue, and when it was sent.
-    :param backend_failed: is told of a back end, by its id, that left a call without an answer.
     """
 
     loop: asyncio.AbstractEventLoop
@@ -60,7 +59,6 @@
     counters: ForwardingCounters = field(default_factory=ForwardingCounters)
     zone_answered: Callable[[str], None] = lambda zone: None
     zone_doubted: Callable[[str, float], None] = lambda zone, sent_at: None
-    backend_failed: Callable[[str], None] = lambda backend_id: None
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     _latencies: dict[str, LatencyWindow] = field(default_factory=dict)
     _unloaded: dict[str, LatencyWindow] = field(default_factory=dict)
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -74,11 +74,6 @@
                 "Datagrams that are none of the kinds that gateways send each other.",
                 lambda: node.datagrams.unreadable,
             ),
-            Figure(
-                f"{PREFIX}_backend_warnings",
-                "Back ends doubted since another gateway of the zone said that they fail.",
-                lambda: node.warnings.taken,
-            ),
             Figure(
                 f"{PREFIX}_knowledge_reads",
                 "Calls to the store to know that nothing newer is there.",
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -9,7 +9,6 @@
 
 from tinrudder.gateway.access import Access
 from tinrudder.gateway.backend_directory import BackendDirectory
-from tinrudder.gateway.backend_warnings import BackendWarnings
 from tinrudder.gateway.client_connection import ClientConnection, RequestHandler
 from tinrudder.gateway.coordinators import Coordination, Coordinators
 from tinrudder.gateway.forwarding import Forwarding, ForwardingCounters
@@ -128,12 +127,6 @@
             counters=self.counters,
             zone_answered=self.watch.answered,
             zone_doubted=self.watch.doubt,
-            backend_failed=lambda backend_id: self.warnings.note(backend_id),
-        )
-        self.warnings = BackendWarnings(
-            self.datagrams,
-            self.directory,
-            lambda: self.peers.members_in(settings.zone, loop.time()),
         )
         self.reach = Reach(self.directory, self.watch, loop.time)
         self.quotas = Quotas(
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -116,13 +116,7 @@
     tokens: float | None = None
 
 
-class BackendWarning(Struct, frozen=True):
-    """Names back ends that have just failed calls of the sender."""
-
-    backend_ids: tuple[str, ...]
-
-
-PeerDatagram = Digest | Probe | ProbeAnswer | QuotaReport | QuotaVerdict | BackendWarning
+PeerDatagram = Digest | Probe | ProbeAnswer | QuotaReport | QuotaVerdict
 
 
 class SnapshotRequest(Struct, frozen=True):
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -130,7 +130,6 @@
         for attempt in self._attempts:
             if attempt.running is not None:
                 attempt.backend.observations.failed(attempt.running, now)
-                self._forwarding.backend_failed(attempt.backend.backend_id)
             attempt.backend.pool.cancel(attempt.call)
         self._attempts.clear()
 
--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -23,9 +23,6 @@
 PROBATION_PENALTY = 2.0
 """In usual latencies, at the pause's end: more than an idle one costs, less than one that stands
 still, so it is asked where the others are busy or slow."""
-WARNING_OVERRULED_S = 0.5
-"""How long after an answer of its own a gateway believes that rather than a warning: a call that
-failed elsewhere began longer ago than this."""
 COLD_FACTOR = 1.6
 BACKLOG_LIFETIME_S = 0.8
 USUAL_LATENCY_S = 0.02
@@ -101,17 +98,6 @@
         pause = min(SUSPECT_MAX_S, SUSPECT_FIRST_S * 2 ** (self.failures - 1))
         self.suspect_until = now + pause
 
-    def warned(self, now: float) -> bool:
-        """Take another gateway's word that calls fail; own observations of late go first.
-
-        Tells whether that changes anything.
-        """
-        if self.failures or now - self.latency_at < WARNING_OVERRULED_S:
-            return False
-        self.failures = 1
-        self.suspect_until = now + SUSPECT_FIRST_S
-        return True
-
     def reported(
         self, running: int, waiting: int, slots: int, now: float, slowdown: float = 1.0
     ) -> None:
--- a/tinrudder/wire/peer_datagram_codec.py
+++ b/tinrudder/wire/peer_datagram_codec.py
@@ -7,7 +7,6 @@
 from google.protobuf.message import DecodeError
 
 from tinrudder.gateway.peer_messages import (
-    BackendWarning,
     Digest,
     PeerDatagram,
     Probe,
@@ -78,9 +77,6 @@
                 held=datagram.tokens,
             )
             return pb.Datagram(quota_verdict=verdict)
-        case BackendWarning(backend_ids=backend_ids):
-            warning = pb.BackendWarning(backend_ids=backend_ids)
-            return pb.Datagram(backend_warning=warning)
 
 
 def _content(message: pb.Datagram) -> PeerDatagram:
@@ -108,8 +104,6 @@
                 verdict.pressed_ms / MILLISECONDS,
                 verdict.held if verdict.HasField("held") else None,
             )
-        case "backend_warning":
-            return BackendWarning(tuple(message.backend_warning.backend_ids))
         case _:
             raise MalformedPeerMessageError("datagram: none of the kinds known")
 
