--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -16,7 +16,7 @@
 SUSPECT_FIRST_S = 0.3
 SUSPECT_MAX_S = 2.0
 SUSPECT_PENALTY = 20.0
-PROBATION_S = 4.5
+PROBATION_S = 6.0
 """How long after a pause a back end that has answered nothing since stays second to others, fading:
 a gateway that sends one scatter a second finds each pause over before its next one, so every one
 of them asked back ends again that were silent for four seconds."""
