--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -16,13 +16,6 @@
 SUSPECT_FIRST_S = 0.3
 SUSPECT_MAX_S = 2.0
 SUSPECT_PENALTY = 20.0
-PROBATION_S = 6.0
-"""How long after a pause a back end that has answered nothing since stays second to others, fading:
-a gateway that sends one scatter a second finds each pause over before its next one, so every one
-of them asked back ends again that were silent for four seconds."""
-PROBATION_PENALTY = 2.0
-"""In usual latencies, at the pause's end: more than an idle one costs, less than one that stands
-still, so it is asked where the others are busy or slow."""
 COLD_FACTOR = 1.6
 BACKLOG_LIFETIME_S = 0.8
 USUAL_LATENCY_S = 0.02
@@ -169,7 +162,4 @@
             cost += STALLED_PENALTY
         if self.is_suspect(now):
             cost += SUSPECT_PENALTY
-        elif self.failures:
-            proven = min(1.0, (now - self.suspect_until) / PROBATION_S)
-            cost += PROBATION_PENALTY * (1.0 - proven)
         return cost
