--- a/tests/functional/test_gateway_keys.py
+++ b/tests/functional/test_gateway_keys.py
@@ -221,6 +221,52 @@
     run_keyed(scenario)
 
 
+def test_a_key_ends_in_time_where_the_store_forgets_its_history_meanwhile() -> None:
+    """Watches hear nothing while the key ends; then they are cut, and history is gone."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        site.store.set_mode(StoreMode.DEAF)
+        site.set_tenants(ENDED, SECOND)
+        await asyncio.sleep(1.0)
+        site.store.forget_history()
+        site.store.set_mode(StoreMode.SERVING)
+        await asyncio.sleep(REVOCATION_S - 1.0)
+        for node in range(len(site.nodes)):
+            assert 200 not in await statuses(site, "key-a", node)
+            assert await statuses(site, "key-b", node) == [200] * 3
+        assert site.broken_promises() == []
+
+    run_keyed(scenario)
+
+
+@pytest.mark.parametrize("behind", ["entry", "others"])
+def test_entries_and_coordinators_may_know_different_configurations(behind: str) -> None:
+    """Who asks is the entry's to know: a coordinator that is behind or ahead serves the same."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        entry = len(site.nodes) - 1
+        late = {site.nodes[entry].host}
+        if behind == "others":
+            late = {node.host for node in site.nodes} - late
+        loop: Any = site.loop
+        loop.datagram_lost = lambda source, target: target[0] in late
+        for node in site.nodes:
+            if node.host in late:
+                site.store.set_mode(StoreMode.SILENT, node.store_port)
+        site.set_tenants(ENDED)
+        await asyncio.sleep(NOTICE_S)
+        for key, expected in (("key-b", {200}), ("key-a", {200, 401, 503})):
+            for _ in range(4):
+                assert (await site.send("scatter", entry, key=key)).status in expected
+        assert {one.tenant for one in site.ledger.arrivals} <= {"first"}
+        await asyncio.sleep(REVOCATION_S)
+        assert (await site.send("scatter", entry, key="key-a")).status in (401, 503)
+        assert site.broken_promises() == []
+
+    run_many(scenario, tenants=(FIRST,), revocation_s=REVOCATION_S)
+
+
 def test_a_start_beside_peers_that_are_behind_believes_no_ended_key() -> None:
     async def scenario(site: EmulatedSite) -> None:
         site.store.set_mode(StoreMode.SILENT)
