--- /dev/null
+++ b/tests/functional/test_gateway_client_leaves.py
@@ -0,0 +1,81 @@
+"""Work for a client that has left ends within half a second, wherever it is done."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from tests.support.many_gateways import SETTLED_S, run_many
+from tinrudder_lab.emulator.site import EmulatedSite, run_site
+
+LEAVES_S = 0.05
+ENDED_S = 0.5
+"""Within this time after a client's close no back end is at work for it any more."""
+LONG_WORK_S = 3.0
+ROUTES = ("scatter", "single", "once")
+
+
+def at_work(site: EmulatedSite) -> int:
+    """Return how many requests back ends work on, or have queued."""
+    return sum(
+        1
+        for backend in site.backends.values()
+        for job in (*backend._running, *backend._queue)
+        if not job.dropped
+    )
+
+
+async def leave(site: EmulatedSite, route: str, node: int) -> None:
+    """Ask, leave, and look at the back ends half a second later."""
+    site.work_s = LONG_WORK_S
+    for backend in site.backends.values():
+        backend._work_s = lambda: LONG_WORK_S
+    await site.send(route, node, leaves_after_s=LEAVES_S)
+    await asyncio.sleep(ENDED_S)
+    assert at_work(site) == 0
+    arrivals = len(site.ledger.arrivals)
+    assert arrivals
+    await asyncio.sleep(2.0)
+    assert len(site.ledger.arrivals) == arrivals
+
+
+@pytest.mark.parametrize("route", ROUTES)
+def test_back_ends_stop_where_the_gateway_calls_them_itself(route: str) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await leave(site, route, 0)
+
+    run_site(scenario)
+
+
+def test_back_ends_stop_where_coordinators_and_neighbours_call_them() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        entry = next(
+            index
+            for index, node in enumerate(site.nodes)
+            if node.gateway is not None and not node.gateway.counters.coordinated
+        )
+        await leave(site, "scatter", entry)
+
+    run_many(scenario)
+
+
+def test_a_client_that_leaves_a_coordinated_scatter_frees_every_gateway() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        tasks: list[Any] = [
+            asyncio.create_task(site.send("scatter", node, leaves_after_s=LEAVES_S))
+            for node in range(len(site.nodes))
+        ]
+        for backend in site.backends.values():
+            backend._work_s = lambda: LONG_WORK_S
+        await asyncio.gather(*tasks)
+        await asyncio.sleep(ENDED_S)
+        for node in site.nodes:
+            assert node.gateway is not None
+            assert node.gateway.handler.in_progress == 0
+            assert node.gateway.scatters.in_progress == 0
+
+    run_many(scenario)
