Log every call whose connection ends before it is answered, with a fingerprint of its request

Ruled out: the request's id (another one each try), the target alone (it shows callers' data, and lacks the body). Before: no line. After: one line a lost call (call_lost) with request, fingerprint, service, back end; bounded as all logs are. The fingerprint is computed only for such calls.

--- a/tests/unit/test_upstream_connection.py
+++ b/tests/unit/test_upstream_connection.py
@@ -137,3 +137,41 @@
         assert not bench.connection.is_usable()
 
     in_loop(check)
+
+
+@pytest.mark.parametrize(
+    ("received", "error", "unanswered"),
+    [
+        (b"", None, True),
+        (b"", ConnectionResetError("reset by peer"), True),
+        (b"", TimeoutError("the kernel gave up"), False),
+        (ANSWER[:20], ConnectionResetError("reset by peer"), False),
+    ],
+)
+def test_a_connection_that_ends_before_any_byte_of_an_answer_is_told_apart(
+    received: bytes, error: Exception | None, unanswered: bool
+) -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        if received:
+            bench.connection.data_received(received)
+        bench.connection.connection_lost(error)
+        [outcome] = bench.outcomes
+        assert isinstance(outcome, Broken)
+        assert outcome.unanswered is unanswered
+
+    in_loop(check)
+
+
+@pytest.mark.parametrize(("received", "unanswered"), [(b"", True), (ANSWER[:20], False)])
+def test_an_orderly_end_before_any_byte_of_an_answer_is_told_apart(
+    received: bytes, unanswered: bool
+) -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        if received:
+            bench.connection.data_received(received)
+        bench.connection.eof_received()
+        assert bench.outcomes == [Broken("the connection ended inside the answer", unanswered)]
+
+    in_loop(check)
--- a/tinrudder/gateway/answer_reader.py
+++ b/tinrudder/gateway/answer_reader.py
@@ -55,6 +55,12 @@
         self._message_complete = False
         self._framed = False
         self._excess = False
+        self._begun = False
+
+    @property
+    def begun(self) -> bool:
+        """Tell whether any byte of an answer has come, an interim one included."""
+        return self._begun
 
     @property
     def answer(self) -> HttpAnswer:
@@ -63,6 +69,7 @@
 
     def feed(self, data: bytes) -> ReadState:
         """Take bytes as they arrive."""
+        self._begun = True
         if not self._head_complete:
             self._head_bytes += len(data)
         try:
--- a/tinrudder/gateway/messages.py
+++ b/tinrudder/gateway/messages.py
@@ -133,9 +133,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Broken:
-    """Bytes may have left and no usable answer came: the back end may have run the call."""
+    """Bytes may have left and no usable answer came: the back end may have run the call.
+
+    :param unanswered: the connection ended before a byte of the answer came, as it does when the
+        back end's process ends.
+    """
 
     detail: str = ""
+    unanswered: bool = False
 
 
 CallOutcome = Answered | Rejected | NotSent | Withdrawn | Broken
--- a/tinrudder/gateway/request_bytes.py
+++ b/tinrudder/gateway/request_bytes.py
@@ -4,6 +4,7 @@
 
 from tinrudder.gateway.messages import HttpRequest, end_to_end_headers
 from tinrudder.gateway.model import HeaderNames
+from tinrudder.gateway.request_fingerprint import fingerprint_of
 
 MILLISECONDS = 1000.0
 METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
@@ -22,6 +23,8 @@
         self.request_id = request_id
         self.deadline_at = deadline_at
         self.body_expected = request.method != b"HEAD"
+        self._request = request
+        self._fingerprint: bytes | None = None
         self._names = names
         left_out = frozenset((names.deadline_ms, names.expected_backend))
         lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
@@ -32,6 +35,13 @@
         self._head = b"\r\n".join(lines)
         self._body = request.body
 
+    @property
+    def fingerprint(self) -> bytes:
+        """Return what all tries of this request share; only few requests are asked for it."""
+        if self._fingerprint is None:
+            self._fingerprint = fingerprint_of(self._request, self._names)
+        return self._fingerprint
+
     def encode(self, backend_id: str, now: float) -> bytes:
         """Return the bytes for one back end, with the time that is left."""
         left_ms = max(1, int((self.deadline_at - now) * MILLISECONDS))
--- /dev/null
+++ b/tinrudder/gateway/request_fingerprint.py
@@ -0,0 +1,41 @@
+"""Tells whether two requests ask the same thing for the same caller."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+
+from tinrudder.gateway.messages import HttpRequest, header_value
+from tinrudder.gateway.model import HeaderNames
+
+FINGERPRINT_BYTES = 16
+"""Length of a fingerprint, bytes: nobody finds a second request with the fingerprint of another's,
+which would let one caller have another's request taken for its own."""
+_LENGTH_BYTES = 4
+
+
+def fingerprint_of(request: HttpRequest, names: HeaderNames) -> bytes:
+    """Return the same bytes for requests of one caller with the same path, query and body.
+
+    The caller is the tenant, where the entry has found one by its key, else the credentials that
+    the client sent.  Ids, deadlines and connections differ between the tries of one client, so
+    they do not count.
+
+    >>> from tinrudder.gateway.messages import HttpRequest
+    >>> from tinrudder.platform.headers import HEADERS
+    >>> first = HttpRequest(b"GET", b"/a", ((b"host", b"h"), (b"x-id", b"1")), b"")
+    >>> again = HttpRequest(b"GET", b"/a", ((b"host", b"h"), (b"x-id", b"2")), b"")
+    >>> other = HttpRequest(b"GET", b"/a", ((b"host", b"h"),), b"body")
+    >>> fingerprint_of(first, HEADERS) == fingerprint_of(again, HEADERS)
+    True
+    >>> fingerprint_of(first, HEADERS) == fingerprint_of(other, HEADERS)
+    False
+    """
+    headers = request.headers
+    caller = header_value(headers, names.tenant) or header_value(headers, b"authorization") or b""
+    host = header_value(headers, b"host") or b""
+    digest = blake2b(digest_size=FINGERPRINT_BYTES)
+    for field in (request.method, host, caller, request.target, request.body):
+        # With its length, so that no two different requests write the same bytes.
+        digest.update(len(field).to_bytes(_LENGTH_BYTES, "big"))
+        digest.update(field)
+    return digest.digest()
--- a/tinrudder/gateway/request_log.py
+++ b/tinrudder/gateway/request_log.py
@@ -106,6 +106,24 @@
     log_event("coordinator_failed", fields)
 
 
+def log_call_lost(
+    request_id: bytes, fingerprint: bytes, service: str, backend_id: str, detail: str
+) -> None:
+    """Write the line of a call whose connection ended before it was answered.
+
+    The fingerprint is the same for all tries of one client, at any gateway: lines of one
+    fingerprint with many back ends tell a request that ends back ends from back ends that end.
+    """
+    fields: dict[str, LogValue] = {
+        "request": request_id.decode("latin-1"),
+        "fingerprint": fingerprint.hex(),
+        "service": service,
+        "backend": backend_id,
+        "detail": detail,
+    }
+    log_event("call_lost", fields)
+
+
 def _parts(outcome: RequestOutcome | None) -> dict[str, LogValue]:
     """Count what a merged answer holds and lacks."""
     if not isinstance(outcome, Merged):
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -22,6 +22,7 @@
 )
 from tinrudder.gateway.model import Route
 from tinrudder.gateway.request_bytes import RequestBytes
+from tinrudder.gateway.request_log import log_call_lost
 from tinrudder.routing.backend_observations import RunningCall
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
 
@@ -278,10 +279,19 @@
                 self._on_failure(detail, now, at_once=True)
             case Withdrawn():
                 self._on_failure("withdrawn", now, at_once=True)
-            case Broken(detail=detail):
+            case Broken(detail=detail, unanswered=unanswered):
+                if unanswered:
+                    self._note_lost(attempt.backend, detail)
                 self._on_failure(detail, now, at_once=True)
         self._on_change(self)
 
+    def _note_lost(self, backend: Backend, detail: str) -> None:
+        """Tell of a back end that may have ended under this request."""
+        request = self._request
+        log_call_lost(
+            request.request_id, request.fingerprint, self.service, backend.backend_id, detail
+        )
+
     def _take_back(self, backend: Backend) -> None:
         """Note that one call has not run; an earlier one to the same back end still may have."""
         self._offered[backend.backend_id] -= 1
--- a/tinrudder/gateway/upstream_connection.py
+++ b/tinrudder/gateway/upstream_connection.py
@@ -107,16 +107,25 @@
             if reader.end_of_stream() is ReadState.COMPLETE:
                 self._end_with_answer(reader)
             else:
-                self._end(Broken(reader.detail), reusable=False)
+                self._end(Broken(reader.detail, not reader.begun), reusable=False)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Without its whole answer, a call that was sent may have run."""
         self._transport = None
         if self._call is not None:
-            self._end(Broken(f"connection lost: {exc}"), reusable=False)
+            detail = f"connection lost: {exc}"
+            self._end(Broken(detail, self._ended_unanswered(exc)), reusable=False)
         self._on_closed(self)
 
+    def _ended_unanswered(self, exc: Exception | None) -> bool:
+        """Tell whether the other side ended the connection before it answered.
+
+        Where the kernel gave up waiting, the way there is what failed.
+        """
+        begun = self._reader is not None and self._reader.begun
+        return not begun and not isinstance(exc, TimeoutError)
+
     def _end_with_answer(self, reader: AnswerReader) -> None:
         """End the call with a whole answer."""
         call = self._call
