--- a/tinrudder_lab/emulator/backend.py
+++ b/tinrudder_lab/emulator/backend.py
@@ -64,6 +64,8 @@
         self.backend_id = backend_id
         self.service = service
         self.choose_fault: Callable[[], Fault] = lambda: Fault.NONE
+        self.ends_under: Callable[[ServedRequest], bool] = lambda request: False
+        self.on_end: Callable[[ServedRequest], None] = lambda request: None
         self.slots = slots
         self.open_connections: set[ServerConnection] = set()
         self.peak_connections = 0
@@ -81,7 +83,9 @@
         self._server = await self._loop.create_server(self._accept, host, port)
 
     def stop(self) -> None:
-        """Crash: every connection ends."""
+        """Crash: every connection ends, and so does all work."""
+        for job in (*self._running, *self._queue):
+            job.dropped = True
         if self._server is not None:
             self._server.close()
         for connection in tuple(self.open_connections):
@@ -149,6 +153,10 @@
             self._loop.call_at(self._paused_until + CLOCK_STEP_S, self._finish, job)
             return
         self._running.discard(job)
+        if self.ends_under(job.request):
+            self.stop()
+            self.on_end(job.request)
+            return
         self._answer(job)
         self._run_queue()
 
--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -8,6 +8,12 @@
 
 from tinrudder.gateway.record_merge import RECORD_BYTES
 
+KNOWN_AFTER_ENDS = 3
+"""How many back ends end under a request before gateways must know it."""
+TELLING_S = 4.0
+"""Within this time all gateways that can be reached know it."""
+TRIES_ALLOWED = 3
+"""How often it may be tried again after that, in a day."""
 ROUTE_ATTEMPTS = 2
 """What every route of the emulator allows."""
 
@@ -76,6 +82,19 @@
     gone: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EndedBackend:
+    """A back end that ended under a request which ends whatever runs it.
+
+    :param target: what such requests of one client have in common.
+    """
+
+    at: float
+    backend_id: str
+    request_id: str
+    target: str
+
+
 @dataclass(frozen=True, slots=True)
 class BrokenPromise:
     """A promise that a run broke, with what shows it."""
@@ -127,6 +146,7 @@
     sent: dict[str, SentRequest] = field(default_factory=dict)
     keys: dict[str, list[HeldKey]] = field(default_factory=dict)
     revocation_s: float | None = None
+    ended: list[EndedBackend] = field(default_factory=list)
     _serial: itertools.count[int] = field(default_factory=itertools.count)
 
     def issue(self, request_id: str, service: str, body: bytes) -> str:
@@ -149,8 +169,31 @@
             *self._in_evacuated_zones(evacuation_s),
             *self._keys_passed_on(),
             *self._ran_without_key(),
+            *self._came_again_to_end_back_ends(),
         ]
 
+    def requests_after_three_ends(self, target: str) -> list[str]:
+        """Return the requests with a target that reached back ends although it was known.
+
+        Known: three back ends had ended under it, and the time to tell every gateway was over.
+        """
+        ends = sorted(one.at for one in self.ended if one.target == target)
+        if len(ends) < KNOWN_AFTER_ENDS:
+            return []
+        known_at = ends[KNOWN_AFTER_ENDS - 1] + TELLING_S
+        late = (one for one in self.arrivals if one.target == target and one.at > known_at)
+        return sorted({one.request_id for one in late})
+
+    def _came_again_to_end_back_ends(self) -> list[BrokenPromise]:
+        """Check that a request which ends back ends is not sent to one again and again."""
+        broken = []
+        for target in {one.target for one in self.ended}:
+            again = self.requests_after_three_ends(target)
+            if len(again) > TRIES_ALLOWED:
+                what = f"{target} was sent {len(again)} times more after it was known"
+                broken.append(BrokenPromise("ended back ends", what))
+        return broken
+
     def _keys_passed_on(self) -> list[BrokenPromise]:
         """Check that no client's key reaches a back end."""
         return [
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -17,10 +17,12 @@
 from tinrudder.platform.store_client import StoreClient
 from tinrudder_lab.emulator.backend import EmulatedBackend
 from tinrudder_lab.emulator.client import PlannedRequest, send_request
+from tinrudder_lab.emulator.http_server import ServedRequest
 from tinrudder_lab.emulator.ledger import (
     ROUTE_ATTEMPTS,
     ClientResult,
     ColdSpan,
+    EndedBackend,
     EvacuatedZone,
     HeldKey,
     Ledger,
@@ -38,6 +40,10 @@
 COLD = ColdBounds(factor=1.5, extra=5.0)
 REPEATS = RepeatBounds(ratio=0.2, extra=56.0, window_s=10.0)
 DRAIN_S = 3.0
+LAPSE_S = 1.0
+"""After this time without a heartbeat the store drops the entry of a back end that has ended."""
+BACK_S = 3.0
+"""After this time a back end that has ended is back, under another id at its old address."""
 COLD_NOTICE_S = 1.0
 """How long it takes until every gateway knows that a back end has turned cold."""
 MILLISECONDS = 1000.0
@@ -126,7 +132,9 @@
     nodes: list[EmulatedNode] = field(default_factory=list)
     backends: dict[str, EmulatedBackend] = field(default_factory=dict)
     version: int = 0
+    ends_under: Callable[[ServedRequest], bool] = lambda request: False
     _serial: int = 0
+    _backends_added: int = 0
     _entries: dict[str, tuple[str, str, str]] = field(default_factory=dict)
 
     async def start(self) -> None:
@@ -158,14 +166,47 @@
 
     async def add_backend(self, backend_id: str, service: str, zone: str) -> EmulatedBackend:
         """Start a back end and let it record itself."""
-        host = f"{self.network}.128.{len(self.backends) // 250}.{len(self.backends) % 250 + 1}"
-        backend = EmulatedBackend(backend_id, service, self.ledger, self.random, self._work_time)
+        number = self._backends_added
+        self._backends_added += 1
+        host = f"{self.network}.128.{number // 250}.{number % 250 + 1}"
+        backend = self._run_backend(backend_id, service)
         await backend.start(host, BACKEND_PORT)
-        self.backends[backend_id] = backend
         address = await self.reachable_at(backend_id, Address(host, BACKEND_PORT))
         self.write_entry(backend_id, service, str(address), zone)
         return backend
 
+    def _run_backend(self, backend_id: str, service: str) -> EmulatedBackend:
+        """Make the process of a back end."""
+        backend = EmulatedBackend(backend_id, service, self.ledger, self.random, self._work_time)
+        backend.ends_under = lambda request: self.ends_under(request)
+        backend.on_end = lambda request: self._on_end(backend, request)
+        self.backends[backend_id] = backend
+        return backend
+
+    def _on_end(self, backend: EmulatedBackend, request: ServedRequest) -> None:
+        """Note a back end that ended under a request, and let it come back."""
+        request_id = request.headers["tinrudder-request-id"]
+        ended = EndedBackend(self.loop.time(), backend.backend_id, request_id, request.target)
+        self.ledger.ended.append(ended)
+        self.end_backend(backend.backend_id)
+
+    def end_backend(self, backend_id: str) -> None:
+        """Crash a back end; its entry lapses, and it comes back under another id."""
+        backend = self.backends.pop(backend_id)
+        backend.stop()
+        self.loop.call_later(LAPSE_S, self.store.remove, BACKENDS_PREFIX + backend_id)
+        self.loop.create_task(self._come_back(backend_id, backend))
+
+    async def _come_back(self, backend_id: str, backend: EmulatedBackend) -> None:
+        """Start a back end again."""
+        await asyncio.sleep(BACK_S)
+        _, address, zone = self._entries[backend_id]
+        first_id, _, life = backend_id.partition("+")
+        again = f"{first_id}+{int(life or 0) + 1}"
+        host, _, port = address.rpartition(":")
+        await self._run_backend(again, backend.service).start(host, int(port))
+        self.write_entry(again, backend.service, address, zone)
+
     async def reachable_at(self, backend_id: str, address: Address) -> Address:
         """Return where gateways reach a back end: its own address."""
         return address
