Bar poison requests: try what lost back ends on one of them, and tell every gateway

Cause: a call that is lost with its connection was always held against the back end, never against the request; every shard sent the request to its second replica, and no gateway told another, so each try of the client began anew. Class: a retry without a bound over tries, since what failed was attributed to one side only. Change: evidence by fingerprint (routing/poison_requests.py), merged in any order; a run keeps to one call at a time from the first lost call until an answer (run_guard.py); reports by datagram to all gateways, repeated, asked for after a start or a pause (poison_watch.py). A barred request is refused at once with 503 and the time until its next trial.

--- a/bench/scatter_cost.py
+++ b/bench/scatter_cost.py
@@ -11,6 +11,7 @@
 import cProfile
 import json
 import pstats
+import random
 import statistics
 import time
 from collections.abc import Callable
@@ -21,8 +22,11 @@
 from tinrudder.gateway.forwarding import Forwarding
 from tinrudder.gateway.load_reports import LoadReports
 from tinrudder.gateway.messages import HttpRequest
-from tinrudder.gateway.model import ColdBounds, RepeatBounds
+from tinrudder.gateway.model import Address, ColdBounds, RepeatBounds
 from tinrudder.gateway.outcomes import Merged, RequestOutcome
+from tinrudder.gateway.peer_datagrams import PeerDatagrams
+from tinrudder.gateway.peer_list import PeerList
+from tinrudder.gateway.poison_watch import PoisonWatch
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_run import RequestRun
 from tinrudder.gateway.shared_state import SharedState
@@ -91,6 +95,7 @@
             sharers=lambda service: 8.0,
             started_at=loop.time() - 100.0,
             load_reports=LoadReports(DECODERS.load_report, loop.time),
+            evidence=self._no_evidence(),
         )
         for backend in (one for group in self.directory._services.values() for one in group):
             connection = backend.pool._new_connection()
@@ -98,6 +103,12 @@
             backend.pool._open.add(connection)
             backend.pool._idle.append(connection)
 
+    def _no_evidence(self) -> PoisonWatch:
+        """Hold nothing against any request, as on an ordinary day."""
+        source = random.Random(0)
+        peers = PeerList(Address("127.0.0.1", 1), source, self.loop.time())
+        return PoisonWatch(peers, PeerDatagrams(), self.loop.time, HEADERS, source)
+
     def _configure(self) -> None:
         shards = [f"shard-{number}" for number in range(SHARDS)]
         route = {
--- a/tests/unit/test_shard_calls_machine.py
+++ b/tests/unit/test_shard_calls_machine.py
@@ -7,6 +7,7 @@
 
 import random
 from dataclasses import dataclass, field
+from zlib import crc32
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -27,8 +28,10 @@
 )
 from tinrudder.gateway.model import BackendEntry, HeaderNames, RepeatBounds, Route
 from tinrudder.gateway.request_bytes import RequestBytes
+from tinrudder.gateway.run_guard import RunGuard
 from tinrudder.gateway.shard_calls import MAX_SENDS, NEVER, ShardCalls
 from tinrudder.platform.load_header import decode_load_report
+from tinrudder.routing.poison_requests import Judgement, PoisonRequests
 
 SERVICE = "shard-0"
 NAMES = HeaderNames(
@@ -96,6 +99,33 @@
         return "none is left"
 
 
+class LocalEvidence:
+    """What is held against requests, without other gateways."""
+
+    def __init__(self, loop: ManualLoop) -> None:
+        self.loop = loop
+        self.requests = PoisonRequests()
+
+    @property
+    def is_calm(self) -> bool:
+        return not len(self.requests)
+
+    def judge(self, fingerprint: bytes, origin: bytes) -> Judgement:
+        return self.requests.judge(fingerprint, origin, self.loop.now)
+
+    def note_crash(
+        self, fingerprint: bytes, origin: bytes, backend_id: str, *, trial: bool
+    ) -> None:
+        number = crc32(backend_id.encode())
+        self.requests.note_crash(fingerprint, origin, number, self.loop.now, trial=trial)
+
+    def note_answer(self, fingerprint: bytes) -> None:
+        self.requests.note_answer(fingerprint, self.loop.now)
+
+    def begin_trial(self, fingerprint: bytes) -> None:
+        self.requests.begin_trial(fingerprint, self.loop.now)
+
+
 class ShardCallsMachine(RuleBasedStateMachine):
     """Drives one shard; a count of live arrivals for each replica is the oracle."""
 
@@ -127,15 +157,18 @@
             bounds=RepeatBounds(1.0, 1000.0, 10.0),
             sharers=lambda service: 1.0,
             started_at=0.0,
+            evidence=LocalEvidence(self.loop),
         )
         route = Route("r", "h", "/", repeatable, 5.0, 0.1, attempts, 0, shards=(SERVICE,))
         request = HttpRequest(b"GET", b"/", (), b"")
+        encoded = RequestBytes(request, b"id", self.loop.now + 5.0, NAMES)
         self.shard = ShardCalls(
             SERVICE,
             route,
-            RequestBytes(request, b"id", self.loop.now + 5.0, NAMES),
+            encoded,
             forwarding,
             lambda shard: None,
+            RunGuard(forwarding.evidence, encoded, route),
             relay_failures=False,
         )
         self.shard.start(self.loop.now)
@@ -175,11 +208,11 @@
         call.finish(Answered(HttpAnswer(status, b"", (), b"")))
 
     @precondition(lambda self: self.running())
-    @rule(choice=st.integers(0, 100))
-    def call_breaks(self, choice: int) -> None:
+    @rule(choice=st.integers(0, 100), unanswered=st.booleans())
+    def call_breaks(self, choice: int, unanswered: bool) -> None:
         name, call = self.take_running(choice)
         self.note_run(name)
-        call.finish(Broken("connection lost"))
+        call.finish(Broken("connection lost", unanswered))
 
     @precondition(lambda self: self.running())
     @rule(choice=st.integers(0, 100), wrong_backend=st.booleans())
--- a/tinrudder/gateway/delegated_shards.py
+++ b/tinrudder/gateway/delegated_shards.py
@@ -15,6 +15,7 @@
 from tinrudder.gateway.outcomes import Merged, NotRun
 from tinrudder.gateway.peer_messages import MissingShard, ScatterEnd, ScatterRequest
 from tinrudder.gateway.relaying import Relaying
+from tinrudder.gateway.run_guard import POISON
 
 ANSWER_MARGIN_S = 0.01
 
@@ -84,6 +85,11 @@
         forwarding.counters.delegated += 1
         self._task = forwarding.loop.create_task(self._run())
 
+    def withhold(self) -> None:
+        """Note that the other gateway is not asked: back ends crash under the request."""
+        self.pending = False
+        self._problem = POISON
+
     def cancel(self) -> None:
         """Tell the other gateway that nobody waits any more."""
         if self._task is not None:
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -10,6 +10,7 @@
 from tinrudder.gateway.backend_directory import Backend, BackendDirectory
 from tinrudder.gateway.load_reports import LoadReports
 from tinrudder.gateway.model import HeaderNames, RepeatBounds, Route
+from tinrudder.gateway.run_guard import CrashEvidence
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
 from tinrudder.routing.latency_window import LatencyWindow
 from tinrudder.routing.repeat_budget import RepeatBudget
@@ -44,6 +45,7 @@
     """Everything a request needs besides its own state.
 
     :param sharers: tells in how many equal parts the fleet's repeats of a service are divided.
+    :param evidence: what is held against requests since back ends were lost under them.
     :param zone_answered: is told of each answer from a zone.
     :param zone_doubted: is told of a call to a zone that is overdue, and when it was sent.
     """
@@ -56,6 +58,7 @@
     sharers: Callable[[str], float]
     started_at: float
     load_reports: LoadReports
+    evidence: CrashEvidence
     counters: ForwardingCounters = field(default_factory=ForwardingCounters)
     zone_answered: Callable[[str], None] = lambda zone: None
     zone_doubted: Callable[[str, float], None] = lambda zone, sent_at: None
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -29,6 +29,7 @@
 from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.peer_messages import Member, ProbeAnswer
 from tinrudder.gateway.plain_answers import PlainHandler, readiness_answer, text_answer
+from tinrudder.gateway.poison_watch import PoisonWatch
 from tinrudder.gateway.probes import Probes
 from tinrudder.gateway.quotas import Quotas
 from tinrudder.gateway.reach import Reach
@@ -115,6 +116,9 @@
             settings.cold,
             self.watch.is_closed,
         )
+        self.poison = PoisonWatch(
+            self.peers, self.datagrams, loop.time, names, random.Random(f"poison {settings.name}")
+        )
         self.forwarding = Forwarding(
             loop=loop,
             names=names,
@@ -124,6 +128,7 @@
             sharers=lambda service: self.coordinators.of_service(service).sharers,
             started_at=loop.time(),
             load_reports=LoadReports(decoders.load_report, loop.time),
+            evidence=self.poison,
             counters=self.counters,
             zone_answered=self.watch.answered,
             zone_doubted=self.watch.doubt,
@@ -157,6 +162,7 @@
             Access(names, lambda: self.keeper.too_old, self._knows_news, self._random),
             self.quotas,
             self.reach,
+            self.poison,
         )
         self.scatters = ScatterService(
             self.forwarding,
@@ -165,6 +171,7 @@
             planner,
             lambda: self.handler.routes,
             self.reach,
+            self.poison,
         )
         self.store_calls = 0
         self._followers: list[StoreFollower] = []
@@ -307,8 +314,8 @@
         if self._exchange is not None:
             await self._exchange.start()
         self._tasks = [self._loop.create_task(follower.run()) for follower in self._followers]
-        for part in (self._keep_house(), self.keeper.run(), self.watch.run()):
-            self._tasks.append(self._loop.create_task(part))
+        parts = (self._keep_house(), self.keeper.run(), self.watch.run(), self.poison.run())
+        self._tasks.extend(self._loop.create_task(part) for part in parts)
         log_event("started", {"clients": str(settings.clients), "zone": settings.zone})
 
     async def _listen(
--- a/tinrudder/gateway/peer_list.py
+++ b/tinrudder/gateway/peer_list.py
@@ -61,6 +61,11 @@
         self._known: dict[Address, _Known] = {}
         self._last_message_at: float | None = None
 
+    @property
+    def heard_of_in_all(self) -> int:
+        """Return how many peers have been heard of lately or long ago."""
+        return len(self._known)
+
     def set_seeds(self, seeds: Iterable[Address]) -> None:
         """Replace the seeds."""
         self._seeds = {seed for seed in seeds if seed != self._own}
@@ -115,6 +120,12 @@
             if known.member.zone == zone and known.heard_at >= horizon
         ]
 
+    def everybody(self, now: float, most: int) -> list[Address]:
+        """Return the addresses of all peers that count, drawn by chance where they are too many."""
+        horizon = now - COUNTED_FOR_S
+        counted = [address for address, known in self._known.items() if known.heard_at >= horizon]
+        return self._random.sample(counted, most) if len(counted) > most else counted
+
     def zone_of(self, address: Address) -> str | None:
         """Return the zone of a peer, ``None`` if it is not known."""
         known = self._known.get(address)
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -116,7 +116,39 @@
     tokens: float | None = None
 
 
-PeerDatagram = Digest | Probe | ProbeAnswer | QuotaReport | QuotaVerdict
+class ToldCrash(Struct, frozen=True):
+    """A back end that was lost under a request; see :class:`Crash`."""
+
+    backend: int
+    age_s: float
+    trial: bool
+
+
+class ToldEvidence(Struct, frozen=True):
+    """What a gateway knows of one request that may be poison; see :class:`Evidence`.
+
+    :param answered_age_s: how long ago a back end answered it; ``None``: never.
+    :param trial_age_s: how long ago a trial began; ``None``: never.
+    """
+
+    fingerprint: bytes
+    origin: bytes
+    crashes: tuple[ToldCrash, ...] = ()
+    answered_age_s: float | None = None
+    trial_age_s: float | None = None
+
+
+class PoisonReport(Struct, frozen=True):
+    """Tells peers of requests that may be poison.
+
+    :param asks: the sender wants to be told everything: it has just started, or stood still.
+    """
+
+    evidence: tuple[ToldEvidence, ...] = ()
+    asks: bool = False
+
+
+PeerDatagram = Digest | Probe | ProbeAnswer | QuotaReport | QuotaVerdict | PoisonReport
 
 
 class SnapshotRequest(Struct, frozen=True):
--- /dev/null
+++ b/tinrudder/gateway/poison_watch.py
@@ -0,0 +1,257 @@
+"""Keeps what is known of poison requests, and tells other gateways of it.
+
+News goes to every gateway at once, in a large fleet by way of others.  What one of them missed,
+since it was cut off, stood still or had not started yet, it hears within a second or two, by the
+reports that repeat.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+from zlib import crc32
+
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.model import Address, HeaderNames, Route
+from tinrudder.gateway.outcomes import NotRun
+from tinrudder.gateway.peer_datagrams import PeerDatagrams
+from tinrudder.gateway.peer_list import PeerList
+from tinrudder.gateway.peer_messages import PoisonReport, ToldCrash, ToldEvidence
+from tinrudder.gateway.request_fingerprint import fingerprint_of, origin_of
+from tinrudder.logs import LogValue, log_event
+from tinrudder.routing.poison_requests import (
+    MOST_CRASHES_OF_A_KIND,
+    NEVER,
+    Crash,
+    Evidence,
+    Judgement,
+    PoisonRequests,
+    Standing,
+)
+
+GATHER_S = 0.05
+"""How long news waits where no trial has failed: when a rack or all connections are lost, most
+requests are answered by other back ends within this time, so that nothing need be told of them."""
+TOLD_DIRECTLY = 64
+PASSED_TO = 8
+"""How many peers the first gateway tells, and each of those that hear news for the first time: 730
+gateways have it after three hops, for 1.6 KB that each of them sends."""
+REPEAT_S = 1.0
+"""How often some evidence is told again to some peers, for those that missed it."""
+MOST_IN_A_REPORT = 6
+"""Evidence in one datagram: 200 bytes each at most, and 1,200 pass every network whole."""
+ASK_S = 0.2
+FIRST_ASKS = 10
+"""How often a process that has just started asks for what others know: seeds that start at the same
+time have it as little, and need 2 s at most to listen."""
+STOOD_STILL_S = 0.5
+"""Who wakes this much late has missed what was told meanwhile, and asks."""
+
+
+class PoisonWatch:
+    """What a gateway's requests ask before they send calls, and tell after calls were lost.
+
+    :ivar requests: the evidence.
+    :ivar refused: how many requests were refused since they were barred.
+    """
+
+    def __init__(
+        self,
+        peers: PeerList,
+        datagrams: PeerDatagrams,
+        clock: Callable[[], float],
+        names: HeaderNames,
+        random_source: random.Random,
+    ) -> None:
+        """Tell ``peers`` whatever is found here."""
+        self.requests = PoisonRequests()
+        self.refused = 0
+        self._peers = peers
+        self._datagrams = datagrams
+        self._clock = clock
+        self._names = names
+        self._random = random_source
+        self._news: set[bytes] = set()
+        self._passing: set[bytes] = set()
+        self._telling: asyncio.TimerHandle | None = None
+        self._told_everything = False
+        datagrams.handle(PoisonReport, self._on_report)
+
+    @property
+    def is_calm(self) -> bool:
+        """Tell whether nothing is held against any request: then none need be judged."""
+        return not len(self.requests)
+
+    def judge(self, fingerprint: bytes, origin: bytes) -> Judgement:
+        """Decide what may be done with a request now."""
+        return self.requests.judge(fingerprint, origin, self._clock())
+
+    def refusal(self, route: Route, request: HttpRequest) -> NotRun | None:
+        """Return why a request may not run, if so: it is refused at once, and has not run.
+
+        It may be asked again when its next trial is allowed; before, no gateway will send it.
+        """
+        if self.is_calm:
+            return None
+        fingerprint = fingerprint_of(request, self._names)
+        judgement = self.judge(fingerprint, origin_of(route.name, request, self._names))
+        if judgement.standing is not Standing.BARRED:
+            return None
+        self.refused += 1
+        detail = f"poison: back ends crashed under this request ({fingerprint.hex()})"
+        return NotRun(detail, judgement.barred_s)
+
+    def note_crash(
+        self, fingerprint: bytes, origin: bytes, backend_id: str, *, trial: bool
+    ) -> None:
+        """Hold a back end that was lost against the request that it ran."""
+        now = self._clock()
+        backend = crc32(backend_id.encode())
+        evidence = self.requests.note_crash(fingerprint, origin, backend, now, trial=trial)
+        if evidence.barred_until > now:
+            fields: dict[str, LogValue] = {
+                "fingerprint": fingerprint.hex(),
+                "backend": backend_id,
+                "crashes": len(evidence.crashes),
+                "failed_trials": evidence.failed_trials,
+                "barred_s": round(evidence.barred_until - now, 3),
+            }
+            log_event("request_barred", fields)
+        self._news.add(fingerprint)
+        self._tell_within(0.0 if trial else GATHER_S)
+
+    def note_answer(self, fingerprint: bytes) -> None:
+        """Clear a request that a back end has answered."""
+        if not self.requests.note_answer(fingerprint, self._clock()):
+            return
+        log_event("request_cleared", {"fingerprint": fingerprint.hex()})
+        if fingerprint in self._news:
+            # Nobody else holds anything against it, as far as is known here.
+            self._news.discard(fingerprint)
+        else:
+            self._news.add(fingerprint)
+            self._tell_within(0.0)
+
+    def begin_trial(self, fingerprint: bytes) -> None:
+        """Keep other gateways from a trial while one begins here."""
+        if self.requests.begin_trial(fingerprint, self._clock()):
+            log_event("request_on_trial", {"fingerprint": fingerprint.hex()})
+            self._news.add(fingerprint)
+            self._tell_news()
+
+    async def run(self) -> None:
+        """Ask for what others know, then repeat what is known here, until cancelled."""
+        for _ in range(FIRST_ASKS):
+            if self._told_everything:
+                break
+            self._ask()
+            await asyncio.sleep(ASK_S)
+        while True:
+            due_at = self._clock() + REPEAT_S
+            await asyncio.sleep(REPEAT_S * self._random.uniform(0.8, 1.0))
+            if self._clock() - due_at >= STOOD_STILL_S:
+                self._ask()
+            self.requests.forget(self._clock())
+            self._repeat()
+
+    def _ask(self) -> None:
+        """Ask some peers for everything."""
+        peers = self._peers.receivers(self._clock())
+        self._datagrams.send(PoisonReport(asks=True), *peers)
+
+    def _repeat(self) -> None:
+        """Tell some peers of some requests again."""
+        known = self.requests.all()
+        if not known:
+            return
+        drawn = self._random.sample(known, min(MOST_IN_A_REPORT, len(known)))
+        self._send([one for one, _ in drawn], self._peers.receivers(self._clock()))
+
+    def _tell_within(self, seconds: float) -> None:
+        """Tell what has changed after some time at most, with what else changes meanwhile."""
+        loop = asyncio.get_running_loop()
+        due_at = loop.time() + seconds
+        if self._telling is not None:
+            if self._telling.when() <= due_at:
+                return
+            self._telling.cancel()
+        self._telling = loop.call_at(due_at, self._tell_news)
+
+    def _tell_news(self) -> None:
+        """Tell every gateway what has changed here, and some what was heard for the first time."""
+        if self._telling is not None:
+            self._telling.cancel()
+            self._telling = None
+        news, self._news = self._news, set()
+        passing, self._passing = self._passing - news, set()
+        now = self._clock()
+        self._send(news, self._peers.everybody(now, TOLD_DIRECTLY))
+        if passing:
+            self._send(passing, self._peers.everybody(now, PASSED_TO))
+
+    def _send(self, fingerprints: Iterable[bytes], peers: list[Address]) -> None:
+        """Send evidence in as many reports as it takes."""
+        found = ((one, self.requests.find(one)) for one in fingerprints)
+        told = [self._told(one, evidence) for one, evidence in found if evidence is not None]
+        for first in range(0, len(told), MOST_IN_A_REPORT):
+            report = PoisonReport(tuple(told[first : first + MOST_IN_A_REPORT]))
+            self._datagrams.send(report, *peers)
+
+    def _on_report(self, report: PoisonReport, sender: Address) -> None:
+        """Take what another gateway knows, and tell it what it asks for."""
+        if report.asks:
+            self._answer(sender)
+            return
+        self._told_everything = True
+        for told in report.evidence:
+            self._take(told)
+        if self._passing:
+            self._tell_within(0.0)
+
+    def _take(self, told: ToldEvidence) -> None:
+        """Take what is known elsewhere of one request; pass it on if it decides something here."""
+        now = self._clock()
+        before = self.requests.judge(told.fingerprint, told.origin, now)
+        self.requests.merge(told.fingerprint, _evidence_of(told, now))
+        after = self.requests.judge(told.fingerprint, told.origin, now)
+        if after.standing is not before.standing and self._peers.heard_of_in_all > TOLD_DIRECTLY:
+            self._passing.add(told.fingerprint)
+
+    def _answer(self, peer: Address) -> None:
+        """Tell one peer everything, also that there is nothing."""
+        if len(self.requests):
+            self._send([one for one, _ in self.requests.all()], [peer])
+        elif self._told_everything:
+            self._datagrams.send(PoisonReport(), peer)
+
+    def _told(self, fingerprint: bytes, evidence: Evidence) -> ToldEvidence:
+        """Return evidence as it is told: with ages, since every gateway's clock is its own."""
+        now = self._clock()
+        crashes = tuple(ToldCrash(one.backend, now - one.at, one.trial) for one in evidence.crashes)
+        return ToldEvidence(
+            fingerprint,
+            evidence.origin,
+            crashes,
+            _age(now, evidence.answered_at),
+            _age(now, evidence.trial_at),
+        )
+
+
+def _age(now: float, moment: float) -> float | None:
+    return None if moment == NEVER else now - moment
+
+
+def _moment(now: float, age_s: float | None) -> float:
+    return NEVER if age_s is None else now - age_s
+
+
+def _evidence_of(told: ToldEvidence, now: float) -> Evidence:
+    """Return what a peer told, by the clock here."""
+    crashes = told.crashes[: 2 * MOST_CRASHES_OF_A_KIND]
+    return Evidence(
+        told.origin,
+        tuple(Crash(one.backend, now - one.age_s, one.trial) for one in crashes),
+        _moment(now, told.answered_age_s),
+        _moment(now, told.trial_age_s),
+    )
--- a/tinrudder/gateway/request_bytes.py
+++ b/tinrudder/gateway/request_bytes.py
@@ -4,7 +4,7 @@
 
 from tinrudder.gateway.messages import HttpRequest, end_to_end_headers
 from tinrudder.gateway.model import HeaderNames
-from tinrudder.gateway.request_fingerprint import fingerprint_of
+from tinrudder.gateway.request_fingerprint import fingerprint_of, origin_of
 
 MILLISECONDS = 1000.0
 METHODS_WITH_BODY = frozenset((b"POST", b"PUT", b"PATCH"))
@@ -25,6 +25,7 @@
         self.body_expected = request.method != b"HEAD"
         self._request = request
         self._fingerprint: bytes | None = None
+        self._origin: bytes | None = None
         self._names = names
         left_out = frozenset((names.deadline_ms, names.expected_backend))
         lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
@@ -42,6 +43,12 @@
             self._fingerprint = fingerprint_of(self._request, self._names)
         return self._fingerprint
 
+    def origin(self, route: str) -> bytes:
+        """Return what all requests of this caller on a route share."""
+        if self._origin is None:
+            self._origin = origin_of(route, self._request, self._names)
+        return self._origin
+
     def encode(self, backend_id: str, now: float) -> bytes:
         """Return the bytes for one back end, with the time that is left."""
         left_ms = max(1, int((self.deadline_at - now) * MILLISECONDS))
--- a/tinrudder/gateway/request_fingerprint.py
+++ b/tinrudder/gateway/request_fingerprint.py
@@ -13,6 +13,11 @@
 _LENGTH_BYTES = 4
 
 
+def origin_of(route: str, request: HttpRequest, names: HeaderNames) -> bytes:
+    """Return the same bytes for all requests of one caller on one route."""
+    return _digest(route.encode(), _caller(request, names))
+
+
 def fingerprint_of(request: HttpRequest, names: HeaderNames) -> bytes:
     """Return the same bytes for requests of one caller with the same path, query and body.
 
@@ -30,11 +35,20 @@
     >>> fingerprint_of(first, HEADERS) == fingerprint_of(other, HEADERS)
     False
     """
+    host = header_value(request.headers, b"host") or b""
+    caller = _caller(request, names)
+    return _digest(request.method, host, caller, request.target, request.body)
+
+
+def _caller(request: HttpRequest, names: HeaderNames) -> bytes:
+    """Return who asks, as far as a request says; empty where it says nothing."""
     headers = request.headers
-    caller = header_value(headers, names.tenant) or header_value(headers, b"authorization") or b""
-    host = header_value(headers, b"host") or b""
+    return header_value(headers, names.tenant) or header_value(headers, b"authorization") or b""
+
+
+def _digest(*fields: bytes) -> bytes:
     digest = blake2b(digest_size=FINGERPRINT_BYTES)
-    for field in (request.method, host, caller, request.target, request.body):
+    for field in fields:
         # With its length, so that no two different requests write the same bytes.
         digest.update(len(field).to_bytes(_LENGTH_BYTES, "big"))
         digest.update(field)
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -23,6 +23,7 @@
     UnknownRoute,
 )
 from tinrudder.gateway.peer_messages import MissingShard
+from tinrudder.gateway.poison_watch import PoisonWatch
 from tinrudder.gateway.quotas import Quotas
 from tinrudder.gateway.reach import Reach
 from tinrudder.gateway.relayed_run import RelayedRun
@@ -74,13 +75,16 @@
         access: Access,
         quotas: Quotas,
         reach: Reach,
+        poison: PoisonWatch,
     ) -> None:
         """Report every finished request to ``observer``.
 
         :param knows_news: tells whether this gateway would know of a newer configuration.
         :param access: decides on whose behalf requests run; ``quotas``: how many of these do.
         :param reach: tells what cannot be had from here.
+        :param poison: knows the requests that crash the back ends that run them.
         """
+        self._poison = poison
         self._access = access
         self._quotas = quotas
         self._reach = reach
@@ -186,7 +190,11 @@
     ) -> None:
         """Run a request, or refuse it at once."""
         moments = self._moments.of(route, admitted.request, serving.received_at)
-        plan = self._reach.refusal(route) or self._plan(routes, route, admitted, moments, serving)
+        plan = (
+            self._reach.refusal(route)
+            or self._poison.refusal(route, admitted.request)
+            or self._plan(routes, route, admitted, moments, serving)
+        )
         if isinstance(plan, NotRun):
             self.forwarding.counters.refused += 1
             serving.end(plan)
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -20,6 +20,7 @@
 from tinrudder.gateway.peer_messages import MissingShard
 from tinrudder.gateway.record_merge import greatest_records
 from tinrudder.gateway.request_bytes import RequestBytes
+from tinrudder.gateway.run_guard import RunGuard
 from tinrudder.gateway.shard_calls import NEVER, ShardCalls
 from tinrudder.routing.answer_moment import ScatterState, Verdict, decide
 from tinrudder.timers import TimerHandle
@@ -74,6 +75,9 @@
         self._minimum_share = minimum_share
         self._total = len(services) + sum(len(group.services) for group in delegated)
         self._delegated = list(delegated)
+        self._held_groups: list[DelegatedShards] = []
+        self._guard = RunGuard(forwarding.evidence, request, route)
+        self._was_free = True
         self.shards = self._calls(services)
 
     def _calls(self, services: Sequence[str], *, asked_before: bool = False) -> list[ShardCalls]:
@@ -85,6 +89,7 @@
                 self._request,
                 self._forwarding,
                 self._review,
+                self._guard,
                 relay_failures=not self._scatter,
                 asked_before=asked_before,
             )
@@ -117,9 +122,14 @@
     def start(self) -> None:
         """Send the first calls."""
         now = self._forwarding.loop.time()
+        self._was_free = self._guard.is_free
         for group in self._delegated:
             group.on_end = self._on_group_end
-            group.start()
+        self._held_groups = list(self._delegated)
+        if self._was_free:
+            self._start_held_groups()
+        elif not self.shards:
+            self._start_next_group()
         for shard in self.shards:
             shard.start(now)
         self._starting = False
@@ -128,6 +138,39 @@
         self._act(now)
         self._arm_for_shards()
 
+    def _start_held_groups(self) -> None:
+        """Let other gateways ask their shards."""
+        held, self._held_groups = self._held_groups, []
+        for group in held:
+            group.start()
+
+    def _start_next_group(self) -> None:
+        """Let one other gateway find out whether the request crashes what runs it."""
+        if self._held_groups:
+            self._held_groups.pop(0).start()
+
+    def _follow_guard(self, now: float) -> None:
+        """Send what was held back once the run is free, or give it up."""
+        if self._guard.is_stopped:
+            self._give_up()
+            return
+        is_free = self._guard.is_free
+        if is_free and not self._was_free:
+            self._start_held_groups()
+            for shard in self.shards:
+                shard.resume(now)
+        self._was_free = is_free
+
+    def _give_up(self) -> None:
+        """Send nothing more: back ends crash under this request."""
+        for group in self._held_groups:
+            group.withhold()
+        self._held_groups.clear()
+        for shard in self.shards:
+            if shard.part is None:
+                shard.give_up()
+                self._count(shard)
+
     def abandon(self) -> None:
         """End for a client that has left; nobody is told an outcome."""
         if self._finished:
@@ -140,7 +183,9 @@
         if self._finished or self._starting:
             return
         self._count(shard)
-        self._act(self._forwarding.loop.time())
+        now = self._forwarding.loop.time()
+        self._follow_guard(now)
+        self._act(now)
         if not self._finished:
             self._arm(shard.next_at)
 
@@ -151,6 +196,11 @@
         now = self._forwarding.loop.time()
         if group.may_run_here:
             self._take_over(group, now)
+        if group.included:
+            self._guard.note_answered_elsewhere()
+        self._follow_guard(now)
+        if not self.shards:
+            self._start_next_group()
         self._act(now)
         self._arm_for_shards()
 
@@ -257,8 +307,10 @@
             if self._finished:
                 return
             self._count(shard)
+        self._follow_guard(now)
         self._act(now)
         self._arm_for_shards()
+        self._arm_for_shards()
 
     def _answer(self) -> RequestOutcome:
         """Return what is in."""
@@ -287,7 +339,8 @@
             sorted({shard.last_problem for shard in self.shards if shard.last_problem})
         )
         if not self._may_have_run:
-            return NotRun(detail or "no back end is left", RETRY_AFTER_S)
+            retry_after_s = self._guard.barred_s or RETRY_AFTER_S
+            return NotRun(detail or "no back end is left", retry_after_s)
         failure = None if self._scatter else self.shards[0].failure
         if failure is not None:
             return Relayed(failure)
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -12,6 +12,7 @@
 from tinrudder.gateway.model import Route
 from tinrudder.gateway.outcomes import NotRun, RequestOutcome
 from tinrudder.gateway.peer_messages import Declined, ScatterAnswer, ScatterEnd, ScatterRequest
+from tinrudder.gateway.poison_watch import PoisonWatch
 from tinrudder.gateway.reach import Reach
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_log import log_coordinated
@@ -36,8 +37,10 @@
         planner: ScatterPlanner,
         routes: Callable[[], RoutesInForce | None],
         reach: Reach,
+        poison: PoisonWatch,
     ) -> None:
         """Find routes by what ``routes`` returns at that moment."""
+        self._poison = poison
         self._reach = reach
         self.in_progress = 0
         self.closing = False
@@ -79,9 +82,13 @@
     def _refusal(
         self, routes: RoutesInForce, route: Route, scatter: ScatterRequest, moments: Moments
     ) -> NotRun | None:
-        """Refuse a whole scatter that cannot be in time; of a part, the entry has judged."""
-        if scatter.shards:
-            return None
+        """Refuse what crashes back ends, and a whole scatter that cannot be in time.
+
+        Of a part, the entry has judged whether it can be in time.
+        """
+        poison = self._poison.refusal(route, scatter.request)
+        if poison is not None or scatter.shards:
+            return poison
         out_of_reach = self._reach.refusal(route)
         if out_of_reach is not None:
             return out_of_reach
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -23,6 +23,7 @@
 from tinrudder.gateway.model import Route
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_log import log_call_lost
+from tinrudder.gateway.run_guard import POISON, Permission, RunGuard
 from tinrudder.routing.backend_observations import RunningCall
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
 
@@ -30,6 +31,9 @@
 MAX_TRIES = 8
 RETRY_PAUSE_S = 0.03
 DENIED_PAUSE_S = 0.02
+HELD_PAUSE_S = 0.02
+"""How often a call that must wait for the end of another is looked at again, where nothing else
+tells of that end: a fifth of the tightest objective seen."""
 MAX_HEDGE_WAIT = 1.5
 NEVER = float("inf")
 
@@ -38,11 +42,13 @@
     """One call of a shard that has not ended.
 
     :param paid: the budget has counted it; the call that leaves first needs no budget.
+    :param canary: it left alone, to find out whether the request crashes what runs it.
     """
 
     backend: Backend
     call: UpstreamCall
     paid: bool = False
+    canary: bool = False
     running: RunningCall | None = None
 
 
@@ -61,12 +67,14 @@
         request: RequestBytes,
         forwarding: Forwarding,
         on_change: Callable[[ShardCalls], None],
+        guard: RunGuard,
         *,
         relay_failures: bool,
         asked_before: bool = False,
     ) -> None:
         """Prepare.
 
+        :param guard: decides for the whole run what may be sent after back ends were lost.
         :param relay_failures: a back end's own refusal is an answer.
         :param asked_before: another gateway has called the shard's back ends for this request.
         """
@@ -81,6 +89,7 @@
         self._request = request
         self._forwarding = forwarding
         self._on_change = on_change
+        self._guard = guard
         self._relay_failures = relay_failures
         self._asked_before = asked_before
         self._attempts: list[Attempt] = []
@@ -118,6 +127,17 @@
         else:
             self._try_next(now)
 
+    def resume(self, now: float) -> None:
+        """Send what was held back, now that the run is free to."""
+        if self.part is None and not self._attempts and self.next_at != NEVER:
+            self.next_at = NEVER
+            self._try_next(now)
+
+    def give_up(self) -> None:
+        """Send nothing more; what runs may still be answered."""
+        self.next_at = NEVER
+        self.last_problem = POISON
+
     def withdraw_unsent(self) -> None:
         """Take back what waits for a connection."""
         self.next_at = NEVER
@@ -146,6 +166,8 @@
 
     def _try_next(self, now: float) -> None:
         """Send a call, or note when to look again, or that there is nothing to try."""
+        if self._is_held_back(now):
+            return
         self._tries += 1
         candidates = self._candidates()
         if not candidates:
@@ -166,7 +188,7 @@
             if attempt.running is not None:
                 zone = attempt.backend.entry.zone
                 self._forwarding.zone_doubted(zone, attempt.running.sent_at)
-        if not self._route.repeatable or self.sends >= MAX_SENDS:
+        if not self._route.repeatable or self.sends >= MAX_SENDS or self._is_held_back(now):
             return
         busy = {attempt.backend.backend_id for attempt in self._attempts}
         candidates = [backend for backend in self._candidates() if backend.backend_id not in busy]
@@ -186,6 +208,15 @@
         self._forwarding.counters.hedges += 1
         self._send(self._forwarding.choose(candidates, self._route, now), now, paid=paid)
 
+    def _is_held_back(self, now: float) -> bool:
+        """Tell whether the run may not send now, and note when to look again, if ever."""
+        permission = self._guard.permission(now)
+        if permission is Permission.HOLD:
+            self.next_at = now + HELD_PAUSE_S
+        elif permission is Permission.STOP:
+            self.give_up()
+        return permission is not Permission.SEND
+
     def _candidates(self) -> list[Backend]:
         """Return the back ends that may get the next call.
 
@@ -207,6 +238,8 @@
         What held when the back end was chosen may not hold any more: calls wait for connections,
         and meanwhile others of the same shard leave.
         """
+        if self._guard.permission(now) is not Permission.SEND:
+            return False
         if not self._forwarding.directory.may_receive(attempt.backend):
             return False
         if self.sends >= MAX_SENDS or not self._may_offer(attempt.backend):
@@ -258,6 +291,7 @@
         forwarding.counters.calls += 1
         usual = usual_latency_s(self._latency, self._route.objective_s)
         attempt.running = attempt.backend.observations.begin(now, usual)
+        attempt.canary = self._guard.note_sent(now)
         return self._request.encode(attempt.backend.backend_id, now)
 
     def _on_outcome(self, attempt: Attempt, outcome: CallOutcome) -> None:
@@ -267,6 +301,8 @@
         self._attempts.remove(attempt)
         now = self._forwarding.loop.time()
         observe_end(self._forwarding, self._route, attempt.backend, attempt.running, outcome, now)
+        if attempt.running is not None:
+            self._tell_guard(attempt, outcome)
         if self.part is not None:
             return
         match outcome:
@@ -279,18 +315,24 @@
                 self._on_failure(detail, now, at_once=True)
             case Withdrawn():
                 self._on_failure("withdrawn", now, at_once=True)
-            case Broken(detail=detail, unanswered=unanswered):
-                if unanswered:
-                    self._note_lost(attempt.backend, detail)
+            case Broken(detail=detail):
                 self._on_failure(detail, now, at_once=True)
         self._on_change(self)
 
-    def _note_lost(self, backend: Backend, detail: str) -> None:
-        """Tell of a back end that may have ended under this request."""
-        request = self._request
-        log_call_lost(
-            request.request_id, request.fingerprint, self.service, backend.backend_id, detail
-        )
+    def _tell_guard(self, attempt: Attempt, outcome: CallOutcome) -> None:
+        """Tell what the end of a call that left says of the request."""
+        match outcome:
+            case Answered():
+                self._guard.note_answered()
+            case Broken(detail=detail, unanswered=True):
+                backend_id = attempt.backend.backend_id
+                request = self._request
+                log_call_lost(
+                    request.request_id, request.fingerprint, self.service, backend_id, detail
+                )
+                self._guard.note_crash(backend_id, canary=attempt.canary)
+            case _:
+                self._guard.note_unanswered()
 
     def _take_back(self, backend: Backend) -> None:
         """Note that one call has not run; an earlier one to the same back end still may have."""
--- /dev/null
+++ b/tinrudder/routing/poison_requests.py
@@ -0,0 +1,253 @@
+"""Tells poison requests, which crash the back ends that run them, from victims of crashes.
+
+A call that is lost with its connection accuses two: the back end and the request.  The back end may
+have crashed by itself, and then every request at work there looks guilty.  What tells them apart is
+an answer: a poison request never gets one, from any back end, while a victim gets one from the
+next.  So requests with lost calls are tried on one back end at a time, as canaries; an answer
+clears them, and only those whose trial costs a back end too are barred.
+
+All of this is a pure decision over evidence that gateways tell each other.  Evidence merges in any
+order, any number of times, to the same result; moments are each gateway's own, and travel as ages.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from enum import Enum, auto
+
+from msgspec import Struct
+
+NEVER = float("-inf")
+ENOUGH_CRASHES = 3
+"""How many back ends must have been lost under a request, one of them in a trial, before it is
+barred: the users' rule counts from the third, and two may be lost by chance to a victim, whose
+retry goes to the next back end of a rack that is failing."""
+FIRST_BAR_S = 10.0
+BAR_GROWTH = 6.0
+LONGEST_BAR_S = 3600.0
+"""How long a request is barred after one failed trial, and how much longer after each further one.
+A victim, barred since a rack failed under it and under its trial, is out again in seconds; a poison
+request costs four back ends in the first 40 minutes after that: at 10, 70, 430 and 2,590 s."""
+TRIAL_S = 1.0
+"""How long one gateway's trial keeps all others from one: a call takes tens of milliseconds, and
+after this its gateway is taken for dead."""
+KEPT_S = 600.0
+"""How long evidence is kept after its last crash, and after the end of a bar: ten times the pause
+between two tries of the clients seen."""
+CLEARED_KEPT_S = 30.0
+"""How long an answer is kept: until every gateway has heard that it clears the request."""
+ALERT_S = 60.0
+"""How long after a failed trial all requests of that caller on that route begin as canaries, since
+a caller that varies its body sends a new poison request each time.  In this time a scatter takes
+one call longer."""
+MOST_REQUESTS = 1024
+"""How many requests evidence is kept for, 0.5 KB each; what was lost longest ago is dropped."""
+MOST_CRASHES_OF_A_KIND = 5
+"""Crashes kept of a request, the latest inside and outside of trials each: more decide nothing."""
+
+
+class Crash(Struct, frozen=True):
+    """A back end that was lost under a request.
+
+    :param backend: a number drawn from its id.
+    :param at: monotonic time at which its connection ended.
+    :param trial: the call was the only one in progress of a request that was under suspicion.
+    """
+
+    backend: int
+    at: float
+    trial: bool
+
+
+class Evidence(Struct, frozen=True):
+    """What is known of one request.
+
+    :param origin: the route and the caller; see :meth:`PoisonRequests.judge`.
+    :param crashes: since it was answered last.
+    :param answered_at: when a back end answered it last; :data:`NEVER` if none has.
+    :param trial_at: when the latest trial began.
+    """
+
+    origin: bytes
+    crashes: tuple[Crash, ...] = ()
+    answered_at: float = NEVER
+    trial_at: float = NEVER
+
+    @property
+    def last_crash_at(self) -> float:
+        """Return when the latest back end was lost."""
+        return max((crash.at for crash in self.crashes), default=NEVER)
+
+    @property
+    def failed_trials(self) -> int:
+        """Count the trials that cost a back end when enough others had been lost."""
+        in_order = sorted(self.crashes, key=lambda crash: (crash.at, crash.backend))
+        return sum(crash.trial for crash in in_order[ENOUGH_CRASHES - 1 :])
+
+    @property
+    def barred_until(self) -> float:
+        """Return when the next trial is allowed; :data:`NEVER` for a request that is not barred."""
+        failed = self.failed_trials
+        if not failed:
+            return NEVER
+        bar_s = min(LONGEST_BAR_S, FIRST_BAR_S * BAR_GROWTH ** (failed - 1))
+        return self.last_crash_at + bar_s
+
+    @property
+    def kept_until(self) -> float:
+        """Return when it decides nothing any more."""
+        if not self.crashes:
+            return self.answered_at + CLEARED_KEPT_S
+        return max(self.last_crash_at, self.barred_until) + KEPT_S
+
+    def merged(self, other: Evidence) -> Evidence:
+        """Return what both say together; the order does not matter."""
+        answered_at = max(self.answered_at, other.answered_at)
+        found: dict[int, Crash] = {}
+        for crash in self.crashes + other.crashes:
+            if crash.at > answered_at:
+                known = found.get(crash.backend, crash)
+                at = max(known.at, crash.at)
+                found[crash.backend] = Crash(crash.backend, at, known.trial or crash.trial)
+        trial_at = max(self.trial_at, other.trial_at)
+        return Evidence(self.origin, _latest(found.values()), answered_at, trial_at)
+
+
+def _latest(crashes: Iterable[Crash]) -> tuple[Crash, ...]:
+    """Return the crashes that are kept, in one order whatever order they came in."""
+    in_order = sorted(crashes, key=lambda crash: (crash.at, crash.backend), reverse=True)
+    trials = [crash for crash in in_order if crash.trial][:MOST_CRASHES_OF_A_KIND]
+    others = [crash for crash in in_order if not crash.trial][:MOST_CRASHES_OF_A_KIND]
+    return tuple(trials + others)
+
+
+class Standing(Enum):
+    """What may be done with a request now.
+
+    ``FREE``: anything.  ``SUSPECT``: one call at a time until a back end answers.  ``ON_TRIAL``:
+    nothing until another gateway's trial has ended.  ``BARRED``: nothing.
+    """
+
+    FREE = auto()
+    SUSPECT = auto()
+    ON_TRIAL = auto()
+    BARRED = auto()
+
+
+class Judgement(Struct, frozen=True):
+    """The standing of a request, and for a barred one how long it stays so, seconds."""
+
+    standing: Standing
+    barred_s: float = 0.0
+
+
+FREE = Judgement(Standing.FREE)
+SUSPECT = Judgement(Standing.SUSPECT)
+ON_TRIAL = Judgement(Standing.ON_TRIAL)
+
+
+class PoisonRequests:
+    """Evidence on requests, by their fingerprints, bounded in number.
+
+    >>> table = PoisonRequests()
+    >>> for number in range(2):
+    ...     _ = table.note_crash(b"f", b"route", number, at=0.0, trial=False)
+    >>> table.judge(b"f", b"route", 0.1).standing
+    <Standing.SUSPECT: 2>
+    >>> _ = table.note_crash(b"f", b"route", 2, at=0.2, trial=True)
+    >>> table.judge(b"f", b"route", 0.2).standing
+    <Standing.BARRED: 4>
+    >>> table.note_answer(b"f", at=0.3)
+    True
+    >>> table.judge(b"f", b"route", 0.4).standing
+    <Standing.FREE: 1>
+    """
+
+    def __init__(self) -> None:
+        """Know nothing."""
+        self._evidence: dict[bytes, Evidence] = {}
+        self._alert_until: dict[bytes, float] = {}
+
+    def __len__(self) -> int:
+        """Return for how many requests evidence is kept."""
+        return len(self._evidence)
+
+    def barred(self, now: float) -> int:
+        """Return how many requests are barred."""
+        return sum(evidence.barred_until > now for evidence in self._evidence.values())
+
+    def find(self, fingerprint: bytes) -> Evidence | None:
+        """Return what is known of a request."""
+        return self._evidence.get(fingerprint)
+
+    def all(self) -> list[tuple[bytes, Evidence]]:
+        """Return everything, what was lost latest last."""
+        return list(self._evidence.items())
+
+    def judge(self, fingerprint: bytes, origin: bytes, now: float) -> Judgement:
+        """Decide what may be done with a request.
+
+        :param origin: its route and caller, all whose requests are suspect for a while after one
+            of them was barred.
+        """
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None or not evidence.crashes:
+            return SUSPECT if self.is_alert(origin, now) and evidence is None else FREE
+        if now < evidence.barred_until:
+            return Judgement(Standing.BARRED, evidence.barred_until - now)
+        if len(evidence.crashes) < ENOUGH_CRASHES:
+            return SUSPECT
+        under_way = evidence.trial_at > evidence.last_crash_at
+        return ON_TRIAL if under_way and now - evidence.trial_at < TRIAL_S else SUSPECT
+
+    def is_alert(self, origin: bytes, now: float) -> bool:
+        """Tell whether a request of the same route and caller was barred a short while ago."""
+        return now < self._alert_until.get(origin, NEVER)
+
+    def note_crash(
+        self, fingerprint: bytes, origin: bytes, backend: int, at: float, *, trial: bool
+    ) -> Evidence:
+        """Hold a lost back end against a request."""
+        return self.merge(fingerprint, Evidence(origin, (Crash(backend, at, trial),)))
+
+    def note_answer(self, fingerprint: bytes, at: float) -> bool:
+        """Clear a request that a back end has answered; tell whether anything was held against it.
+
+        Where nothing was, nothing is noted: a popular request would never be forgotten.
+        """
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None or not evidence.crashes:
+            return False
+        self.merge(fingerprint, Evidence(evidence.origin, answered_at=at))
+        return True
+
+    def begin_trial(self, fingerprint: bytes, now: float) -> bool:
+        """Note that a trial begins here; tell whether others must wait for its end."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None or len(evidence.crashes) < ENOUGH_CRASHES:
+            return False
+        self.merge(fingerprint, Evidence(evidence.origin, trial_at=now))
+        return True
+
+    def merge(self, fingerprint: bytes, told: Evidence) -> Evidence:
+        """Take evidence from here or from another gateway; return all there is now."""
+        known = self._evidence.pop(fingerprint, None)
+        evidence = told if known is None else known.merged(told)
+        # At the end: what changed latest is dropped last.
+        self._evidence[fingerprint] = evidence
+        if evidence.failed_trials:
+            until = evidence.last_crash_at + ALERT_S
+            self._alert_until[evidence.origin] = max(
+                until, self._alert_until.get(evidence.origin, NEVER)
+            )
+        while len(self._evidence) > MOST_REQUESTS:
+            del self._evidence[next(iter(self._evidence))]
+        return evidence
+
+    def forget(self, now: float) -> None:
+        """Drop what decides nothing any more."""
+        ended = [one for one, evidence in self._evidence.items() if evidence.kept_until <= now]
+        for fingerprint in ended:
+            del self._evidence[fingerprint]
+        for origin in [one for one, until in self._alert_until.items() if until <= now]:
+            del self._alert_until[origin]
--- a/tinrudder/wire/peer_datagram_codec.py
+++ b/tinrudder/wire/peer_datagram_codec.py
@@ -9,6 +9,7 @@
 from tinrudder.gateway.peer_messages import (
     Digest,
     PeerDatagram,
+    PoisonReport,
     Probe,
     ProbeAnswer,
     QuotaReport,
@@ -16,6 +17,7 @@
 )
 from tinrudder.routing.quota_home import HeldTokens
 from tinrudder.wire import peer_datagram_pb2 as pb
+from tinrudder.wire.poison_report_codec import poison_report_message, poison_report_of_message
 from tinrudder.wire.snapshot_codec import (
     MILLISECONDS,
     MalformedPeerMessageError,
@@ -77,6 +79,8 @@
                 held=datagram.tokens,
             )
             return pb.Datagram(quota_verdict=verdict)
+        case PoisonReport():
+            return pb.Datagram(poison_report=poison_report_message(datagram))
 
 
 def _content(message: pb.Datagram) -> PeerDatagram:
@@ -104,6 +108,8 @@
                 verdict.pressed_ms / MILLISECONDS,
                 verdict.held if verdict.HasField("held") else None,
             )
+        case "poison_report":
+            return poison_report_of_message(message.poison_report)
         case _:
             raise MalformedPeerMessageError("datagram: none of the kinds known")
 
--- /dev/null
+++ b/tinrudder/wire/poison_report_codec.py
@@ -0,0 +1,65 @@
+"""Turns reports of requests that may be poison into protobuf and back."""
+
+from __future__ import annotations
+
+from tinrudder.gateway.peer_messages import PoisonReport, ToldCrash, ToldEvidence
+from tinrudder.gateway.request_fingerprint import FINGERPRINT_BYTES
+from tinrudder.wire import peer_datagram_pb2 as pb
+from tinrudder.wire.snapshot_codec import MILLISECONDS, age_of
+
+LONGEST_AGE_MS = 2**32 - 1
+
+
+def poison_report_message(report: PoisonReport) -> pb.PoisonReport:
+    """Return a report's message."""
+    evidence = [_evidence_message(told) for told in report.evidence]
+    return pb.PoisonReport(evidence=evidence, asks=report.asks)
+
+
+def poison_report_of_message(message: pb.PoisonReport) -> PoisonReport:
+    """Read a report's message.
+
+    :raises ValueError: a fingerprint or an origin has another length.
+    """
+    evidence = tuple(_evidence_of(told) for told in message.evidence)
+    return PoisonReport(evidence, message.asks)
+
+
+def _evidence_message(told: ToldEvidence) -> pb.Evidence:
+    crashes = [
+        pb.Crash(backend=crash.backend, age_ms=_age_ms(crash.age_s), trial=crash.trial)
+        for crash in told.crashes
+    ]
+    return pb.Evidence(
+        fingerprint=told.fingerprint,
+        origin=told.origin,
+        crashes=crashes,
+        answered_age_ms=_optional_age_ms(told.answered_age_s),
+        trial_age_ms=_optional_age_ms(told.trial_age_s),
+    )
+
+
+def _evidence_of(message: pb.Evidence) -> ToldEvidence:
+    for name, value in (("fingerprint", message.fingerprint), ("origin", message.origin)):
+        if len(value) != FINGERPRINT_BYTES:
+            raise ValueError(f"poison report: {name} must have {FINGERPRINT_BYTES} bytes")
+    crashes = tuple(
+        ToldCrash(crash.backend, crash.age_ms / MILLISECONDS, crash.trial)
+        for crash in message.crashes
+    )
+    return ToldEvidence(
+        message.fingerprint,
+        message.origin,
+        crashes,
+        age_of(message, "answered_age_ms"),
+        age_of(message, "trial_age_ms"),
+    )
+
+
+def _age_ms(age_s: float) -> int:
+    """Return an age in whole milliseconds; one beyond what the field holds decides nothing."""
+    return min(LONGEST_AGE_MS, max(0, int(age_s * MILLISECONDS)))
+
+
+def _optional_age_ms(age_s: float | None) -> int | None:
+    return None if age_s is None else _age_ms(age_s)
