--- a/tests/functional/test_gateway_requests_that_end_back_ends.py
+++ b/tests/functional/test_gateway_requests_that_end_back_ends.py
@@ -22,8 +22,10 @@
 
 import pytest
 
+from tests.support.many_gateways import MANY, SETTLED_S, run_many
 from tinrudder_lab.emulator.http_server import ServedRequest
-from tinrudder_lab.emulator.site import EmulatedSite, run_site
+from tinrudder_lab.emulator.loop import EmulatorLoop
+from tinrudder_lab.emulator.site import BACK_S, EmulatedSite, run_site
 
 GATEWAYS = 8
 SHARDS = 10
@@ -57,3 +59,148 @@
         assert site.broken_promises() == []
 
     run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
+
+
+def most_ended_at_once(shards: int) -> int:
+    """One of each shard, and one more: the trial that shows that no answer is to be had."""
+    return shards + 1
+
+
+def test_the_first_try_costs_no_shard_its_second_replica() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.ends_under = ends_back_ends
+        result = await site.send("scatter", 0, target=PATHS["scatter"])
+        assert result.status in (502, 504)
+        assert len(site.ledger.ended) <= most_ended_at_once(SHARDS)
+
+    run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
+
+
+@pytest.mark.parametrize("route", ["scatter", "single"])
+def test_what_is_barred_is_refused_at_once_everywhere_and_says_when_to_come_back(
+    route: str,
+) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.ends_under = ends_back_ends
+        for node in range(3):
+            await site.send(route, node, target=PATHS[route])
+        ended = len(site.ledger.ended)
+        for node in range(GATEWAYS):
+            result = await site.send(route, node, target=PATHS[route])
+            assert result.status == 503
+            assert result.ended_at - result.sent_at < 0.02
+            assert 5.0 < float(result.headers["retry-after"]) <= 10.0
+            beside = await site.send(route, node)
+            assert beside.status in (200, 502, 503), "only while its back ends are not back"
+        assert len(site.ledger.ended) == ended
+
+    run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
+
+
+def test_other_requests_are_served_as_soon_as_the_back_ends_are_back() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.ends_under = ends_back_ends
+        for node in range(3):
+            await site.send("scatter", node, target=PATHS["scatter"])
+        await asyncio.sleep(BACK_S + 1.0)
+        first = len(site.ledger.results)
+        await site.traffic(10.0, 20.0, ("scatter", "single", "once"))
+        assert {one.status for one in site.ledger.results[first:]} == {200}
+
+    run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
+
+
+def test_a_gateway_that_has_just_started_hears_what_the_others_know() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.ends_under = ends_back_ends
+        for node in range(3):
+            await site.send("scatter", node, target=PATHS["scatter"])
+        ended = len(site.ledger.ended)
+        late = site.nodes[GATEWAYS - 1]
+        site.kill_node(late)
+        site.start_node(late)
+        await asyncio.sleep(1.0)
+        result = await site.send("scatter", GATEWAYS - 1, target=PATHS["scatter"])
+        assert result.status == 503
+        assert len(site.ledger.ended) == ended
+
+    run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
+
+
+def test_a_gateway_that_stood_still_or_was_cut_off_hears_it_within_two_seconds() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.ends_under = ends_back_ends
+        still, cut_off = site.nodes[GATEWAYS - 1], site.nodes[GATEWAYS - 2]
+        still.machine.pause()
+        loop = site.loop
+        assert isinstance(loop, EmulatorLoop)
+        loop.datagram_lost = lambda source, target: cut_off.host in (source[0], target[0])
+        for node in range(3):
+            await site.send("scatter", node, target=PATHS["scatter"])
+        ended = len(site.ledger.ended)
+        await asyncio.sleep(1.0)
+        loop.datagram_lost = lambda source, target: False
+        still.machine.resume(loop, stands_s=1.0)
+        await asyncio.sleep(2.0)
+        for node in (still, cut_off):
+            result = await site.send("scatter", node.index, target=PATHS["scatter"])
+            assert result.status == 503
+        assert len(site.ledger.ended) == ended
+
+    run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
+
+
+@pytest.mark.parametrize("spread", [False, True])
+def test_where_others_call_the_back_ends_the_first_try_costs_no_more(spread: bool) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        site.ends_under = ends_back_ends
+        for node in range(0, MANY, 5):
+            await site.send("scatter", node, target=PATHS["scatter"])
+        assert len(site.ledger.ended) <= most_ended_at_once(site.shards)
+
+    run_many(scenario, spread=spread)
+
+
+def test_a_caller_that_varies_its_body_ends_one_back_end_a_try_after_the_first() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.ends_under = lambda request: request.target.startswith("/all/varies")
+        for turn in range(3):
+            await site.send("scatter", turn, target="/all/varies")
+        ended = len(site.ledger.ended)
+        await asyncio.sleep(BACK_S + 1.0)
+        for turn in range(10):
+            await site.send("scatter", turn % GATEWAYS, target=f"/all/varies-{turn}")
+        assert len(site.ledger.ended) <= ended + 10
+
+    run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
+
+
+async def crash_by_chance(site: EmulatedSite, seconds: float) -> None:
+    """Let a third of the back ends crash every few seconds, whatever they run."""
+    end = site.loop.time() + seconds
+    while site.loop.time() < end:
+        await asyncio.sleep(4.0)
+        for backend_id in site.random.sample(sorted(site.backends), len(site.backends) // 3):
+            site.end_backend(backend_id)
+
+
+def test_where_back_ends_crash_by_themselves_hardly_a_request_is_barred() -> None:
+    """Of 1,800 requests, each of 30 popular ones among them, less than one in 1,000 is refused."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        crashing = asyncio.create_task(crash_by_chance(site, MINUTE_S))
+        end = site.loop.time() + MINUTE_S
+        tasks = []
+        while site.loop.time() < end:
+            await asyncio.sleep(site.random.expovariate(30.0))
+            node = site.random.randrange(GATEWAYS)
+            popular = site.random.randrange(30)
+            tasks.append(
+                asyncio.create_task(site.send("scatter", node, target=f"/all/popular-{popular}"))
+            )
+        await asyncio.gather(crashing, *tasks)
+        barred = sum(node.gateway.poison.refused for node in site.nodes if node.gateway is not None)
+        assert barred <= len(tasks) / 1000
+
+    run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
--- /dev/null
+++ b/tests/unit/test_poison_requests.py
@@ -0,0 +1,165 @@
+"""Evidence on poison requests: the same from any order of reports, and what it decides."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tinrudder.routing.poison_requests import (
+    ALERT_S,
+    CLEARED_KEPT_S,
+    ENOUGH_CRASHES,
+    FIRST_BAR_S,
+    KEPT_S,
+    LONGEST_BAR_S,
+    MOST_REQUESTS,
+    TRIAL_S,
+    Crash,
+    Evidence,
+    PoisonRequests,
+    Standing,
+)
+
+ORIGIN = b"route"
+OTHER = b"another"
+ASKED = b"fingerprint"
+
+crashes = st.builds(
+    Crash,
+    backend=st.integers(0, 4),
+    at=st.integers(0, 20).map(float),
+    trial=st.booleans(),
+)
+pieces = st.lists(
+    st.one_of(
+        st.builds(lambda crash: Evidence(ORIGIN, (crash,)), crashes),
+        st.integers(0, 20).map(lambda at: Evidence(ORIGIN, answered_at=float(at))),
+        st.integers(0, 20).map(lambda at: Evidence(ORIGIN, trial_at=float(at))),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+def together(evidence: list[Evidence]) -> Evidence:
+    table = PoisonRequests()
+    for one in evidence:
+        table.merge(ASKED, one)
+    found = table.find(ASKED)
+    assert found is not None
+    return found
+
+
+@given(pieces, st.integers(0, 10**6))
+def test_evidence_is_the_same_in_any_order_with_any_repeats(
+    evidence: list[Evidence], seed: int
+) -> None:
+    source = random.Random(seed)
+    again = evidence + source.choices(evidence, k=3)
+    source.shuffle(again)
+    assert together(again) == together([*evidence, *evidence])
+
+
+@given(pieces, st.integers(0, 8))
+def test_gateways_that_tell_each_other_agree_however_the_reports_are_divided(
+    evidence: list[Evidence], cut: int
+) -> None:
+    here, there = evidence[:cut], evidence[cut:]
+    if here and there:
+        told = together(here).merged(together(there))
+        assert told == together(there).merged(together(here))
+        assert told == together([*evidence, *evidence])
+
+
+@given(pieces)
+def test_only_what_lost_enough_back_ends_and_one_in_a_trial_is_barred(
+    evidence: list[Evidence],
+) -> None:
+    known = together(evidence)
+    barred = known.barred_until > known.last_crash_at
+    if barred:
+        assert len(known.crashes) >= ENOUGH_CRASHES
+        assert any(crash.trial for crash in known.crashes)
+        assert all(crash.at > known.answered_at for crash in known.crashes)
+
+
+def convicted(table: PoisonRequests, at: float) -> None:
+    for backend in range(ENOUGH_CRASHES):
+        table.note_crash(ASKED, ORIGIN, backend, at, trial=backend == ENOUGH_CRASHES - 1)
+
+
+def standing(table: PoisonRequests, now: float, asked: bytes = ASKED) -> Standing:
+    return table.judge(asked, ORIGIN, now).standing
+
+
+def test_a_victim_of_crashes_is_suspect_until_any_back_end_answers() -> None:
+    table = PoisonRequests()
+    for backend in range(20):
+        table.note_crash(ASKED, ORIGIN, backend, 1.0, trial=False)
+    assert standing(table, 1.1) is Standing.SUSPECT
+    assert table.note_answer(ASKED, 1.2)
+    assert standing(table, 1.3) is Standing.FREE
+    assert not table.note_answer(ASKED, 1.4)
+
+
+def test_one_gateway_at_a_time_tries_what_lost_enough_back_ends() -> None:
+    table = PoisonRequests()
+    for backend in range(ENOUGH_CRASHES):
+        table.note_crash(ASKED, ORIGIN, backend, 1.0, trial=False)
+    assert table.begin_trial(ASKED, 2.0)
+    assert standing(table, 2.1) is Standing.ON_TRIAL
+    assert standing(table, 2.1 + TRIAL_S) is Standing.SUSPECT
+
+
+def test_each_failed_trial_bars_for_longer_and_there_are_few_in_a_day() -> None:
+    table = PoisonRequests()
+    convicted(table, 0.0)
+    now, trials, backend = 0.0, 0, 100
+    while now < 86_400.0:
+        judgement = table.judge(ASKED, ORIGIN, now)
+        if judgement.standing is Standing.BARRED:
+            assert judgement.barred_s <= LONGEST_BAR_S + 1e-6
+            now += judgement.barred_s
+            continue
+        trials += 1
+        backend += 1
+        table.note_crash(ASKED, ORIGIN, backend, now + 0.1, trial=True)
+        now += 0.1
+        if now < 120.0:
+            assert trials <= 2
+    assert trials <= 30
+
+
+def test_after_a_bar_the_callers_other_requests_of_the_route_begin_as_canaries_for_a_while() -> (
+    None
+):
+    table = PoisonRequests()
+    convicted(table, 0.0)
+    assert standing(table, 1.0, OTHER) is Standing.SUSPECT
+    assert table.judge(OTHER, b"other caller", 1.0).standing is Standing.FREE
+    assert standing(table, ALERT_S + 0.1, OTHER) is Standing.FREE
+
+
+def test_everything_is_forgotten_in_the_end() -> None:
+    table = PoisonRequests()
+    convicted(table, 0.0)
+    table.forget(FIRST_BAR_S + KEPT_S - 1.0)
+    assert len(table) == 1
+    table.forget(FIRST_BAR_S + KEPT_S + 1.0)
+    assert len(table) == 0
+    convicted(table, 1_000.0)
+    table.note_answer(ASKED, 1_001.0)
+    table.forget(1_002.0 + CLEARED_KEPT_S)
+    assert len(table) == 0
+
+
+def test_a_flood_of_requests_drops_what_changed_longest_ago() -> None:
+    table = PoisonRequests()
+    for number in range(2 * MOST_REQUESTS):
+        table.note_crash(number.to_bytes(4, "big"), ORIGIN, 0, float(number), trial=False)
+        if number % 100 == 0:
+            convicted(table, float(number))
+    assert len(table) == MOST_REQUESTS
+    assert table.find(ASKED) is not None
