--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -119,7 +119,11 @@
             }
             log_event("request_barred", fields)
         self._news.add(fingerprint)
-        self._tell_within(0.0 if trial else GATHER_S)
+        if trial:
+            # Before the answer leaves: the client's next try is on its way a moment later.
+            self._tell_news()
+        else:
+            self._tell_within(GATHER_S)
 
     def note_answer(self, fingerprint: bytes) -> None:
         """Clear a request that a back end has answered."""
@@ -131,7 +135,7 @@
             self._news.discard(fingerprint)
         else:
             self._news.add(fingerprint)
-            self._tell_within(0.0)
+            self._tell_news()
 
     def begin_trial(self, fingerprint: bytes) -> None:
         """Keep other gateways from a trial while one begins here."""
@@ -207,7 +211,7 @@
         for told in report.evidence:
             self._take(told)
         if self._passing:
-            self._tell_within(0.0)
+            self._tell_news()
 
     def _take(self, told: ToldEvidence) -> None:
         """Take what is known elsewhere of one request; pass it on if it decides something here."""
