Count the time for which a machine was suspended in every age and deadline

Cause: the event loop's steady clock stands still while a machine is suspended, so what a process knew looked younger than it was by the suspension's length. Ruled out: a second clock for some moments; noticing jumps (docs/design/suspended-machines.md). Before: a gateway on a suspended machine ran requests with a key that had ended (test_a_process_that_stood_still_while_a_key_ended_runs_nothing_with_it[True] failed).

--- a/tests/functional/test_gateway_keys.py
+++ b/tests/functional/test_gateway_keys.py
@@ -129,9 +129,11 @@
     run_keyed(scenario)
 
 
-def test_a_process_that_stood_still_while_a_key_ended_runs_nothing_with_it() -> None:
+@pytest.mark.parametrize("suspended", [False, True])
+def test_a_process_that_stood_still_while_a_key_ended_runs_nothing_with_it(suspended: bool) -> None:
     """What would have told it of the end is lost, or waits behind requests with the ended key:
-    whatever it reads first, it knows that it knows too little."""
+    whatever it reads first, it knows that it knows too little.  Also where its whole machine was
+    suspended, and the kernel's steady clock with it."""
 
     async def scenario(site: EmulatedSite) -> None:
         paused = site.nodes[0]
@@ -139,12 +141,14 @@
         loop.datagram_lost = lambda source, target: target[0] == paused.host
         site.store.set_mode(StoreMode.SILENT, paused.store_port)
         paused.machine.pause()
+        paused_at = site.loop.time()
         await asyncio.sleep(0.1)
         site.set_tenants(ENDED, SECOND)
         await asyncio.sleep(LONGER_S)
         late = [asyncio.create_task(site.send(route, 0, key="key-a")) for route in ALL_ROUTES]
         await asyncio.sleep(0.5)
-        paused.machine.resume(site.loop)
+        stands_s = site.loop.time() - paused_at if suspended else 0.0
+        paused.machine.resume(site.loop, stands_s)
         results = await asyncio.gather(*late)
         assert all(result.status in (401, 503) for result in results)
         assert site.broken_promises() == []
--- a/tinrudder/cli/gateway.py
+++ b/tinrudder/cli/gateway.py
@@ -13,6 +13,7 @@
 import sys
 from pathlib import Path
 
+from tinrudder import event_loop
 from tinrudder.cli.exit_codes import ExitCode
 from tinrudder.garbage_collection import tune_garbage_collection
 from tinrudder.gateway.model import Address, GatewaySettings, SettingsFileError
@@ -71,7 +72,11 @@
         return ExitCode.OK
     stream = BoundedLineStream(STANDARD_OUTPUT)
     configure_logs(settings.name, arguments.log_level, stream)
-    asyncio.run(_serve(settings, path, modified_ns, arguments.metrics_port))
+    try:
+        event_loop.run(_serve(settings, path, modified_ns, arguments.metrics_port))
+    except event_loop.NoSuspensionClockError as error:
+        print(f"tinrudder gateway: {error}", file=sys.stderr)
+        return ExitCode.USAGE
     return ExitCode.OK
 
 
--- a/tinrudder/cli/serve.py
+++ b/tinrudder/cli/serve.py
@@ -15,6 +15,7 @@
 import uvicorn
 from starlette.types import ASGIApp
 
+from tinrudder import event_loop
 from tinrudder.api.caller_app import CallerApplication
 from tinrudder.api.caller_protocol import CallerProtocol
 from tinrudder.api.cursor import CursorCodec
@@ -80,8 +81,8 @@
     if not cluster_keys:
         log_problem("no cluster key: anyone may join", {"setting": "cluster_key_file"})
     try:
-        asyncio.run(serve(settings, cluster_keys or DEVELOPMENT_CLUSTER_KEYS))
-    except TlsError as error:
+        event_loop.run(serve(settings, cluster_keys or DEVELOPMENT_CLUSTER_KEYS))
+    except (TlsError, event_loop.NoSuspensionClockError) as error:
         print(f"tinrudder serve: {error}")
         return EXIT_USAGE
     return EXIT_OK
--- a/tinrudder_lab/emulator/loop.py
+++ b/tinrudder_lab/emulator/loop.py
@@ -54,6 +54,8 @@
     :ivar datagram_lost: tells from source and destination whether a datagram is lost.
     """
 
+    counts_suspensions = True
+
     def __init__(self) -> None:
         """Start with nobody listening."""
         super().__init__()
--- a/tinrudder_lab/sim/loop.py
+++ b/tinrudder_lab/sim/loop.py
@@ -55,18 +55,18 @@
         """Guard ``callback``."""
         super().__init__(machine, callback)
         self.loop = loop
-        self.stood_s = machine.stood_s
+        self.stood_s = loop.stood_s(machine)
 
     def __call__(self, *arguments: object) -> None:
         """Run, hold or drop the callback, or wait for the time the clock stood still."""
         machine = self.machine
         if self.handle is not None and self.handle.cancelled():
             return
-        late_s = machine.stood_s - self.stood_s
+        late_s = self.loop.stood_s(machine) - self.stood_s
         if machine.gone or machine.paused or not late_s:
             super().__call__(*arguments)
         else:
-            self.stood_s = machine.stood_s
+            self.stood_s = self.loop.stood_s(machine)
             self.loop.call_at_true_time(late_s, self, arguments)
 
 
@@ -118,13 +118,23 @@
 
 
 class MachineLoop(async_solipsism.EventLoop):  # type: ignore[misc]
-    """Virtual time; callbacks are bound to the machine of their context."""
+    """Virtual time; callbacks are bound to the machine of their context.
+
+    :cvar counts_suspensions: a machine's clock goes on while it is suspended, as that of the
+        product's own event loop does; without, it is the kernel's steady clock, which stands still.
+    """
+
+    counts_suspensions = False
 
     def time(self) -> float:
         """Return monotonic seconds as the machine of the caller counts them."""
         machine = MACHINE.get()
         now: float = super().time()
-        return now if machine is None else now - machine.stood_s
+        return now if machine is None else now - self.stood_s(machine)
+
+    def stood_s(self, machine: Machine) -> float:
+        """Return for how long a machine's clock has stood still."""
+        return 0.0 if self.counts_suspensions else machine.stood_s
 
     def true_time(self) -> float:
         """Return seconds since the start of the run, whoever asks."""
@@ -183,7 +193,7 @@
             plain: asyncio.TimerHandle = super().call_at(when, callback, *args, context=context)
             return plain
         guarded = MachineTimer(machine, callback, self)
-        true_when = when + machine.stood_s
+        true_when = when + self.stood_s(machine)
         handle: asyncio.TimerHandle = super().call_at(true_when, guarded, *args, context=context)
         guarded.handle = handle
         return handle
