Let a coordinated scatter end in the moment in which its entry gives it up

Cause: cancelling the task that serves a scatter cancels the future that it awaits; a run that ended before the task had run again reported to that future, and the error stopped the pool that was failing all calls that waited for a connection (twice in the incident's logs, InvalidStateError in UpstreamPool._connect); the calls behind waited for their deadline. Ruled out: a second outcome of the run (it reports once). Before: the new test raised InvalidStateError. After: it passes.

--- /dev/null
+++ b/tests/functional/test_gateway_scatter_service.py
@@ -0,0 +1,59 @@
+"""A coordinated scatter that ends in the same moment as its entry gives it up."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.outcomes import NoAnswer, RequestOutcome
+from tinrudder.gateway.peer_messages import ScatterRequest
+from tinrudder_lab.emulator.site import SITE_HOST, EmulatedSite, run_site
+
+
+class RunThatWaits:
+    """Ends when the test says so."""
+
+    def __init__(self, on_outcome: Callable[[RequestOutcome], None]) -> None:
+        self.end = on_outcome
+        self.abandoned = False
+
+    def start(self) -> None:
+        pass
+
+    def abandon(self) -> None:
+        self.abandoned = True
+
+
+def test_a_run_that_ends_as_its_entry_gives_it_up_disturbs_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its end was reported to a future that was cancelled; the error stopped the pool that was
+    telling all waiting calls of a failed connection, and those behind waited for their deadline."""
+    runs: list[RunThatWaits] = []
+
+    async def scenario(site: EmulatedSite) -> None:
+        gateway = site.nodes[0].gateway
+        assert gateway is not None
+
+        def run(route: Any, scatter: Any, moments: Any, on_outcome: Any) -> RunThatWaits:
+            runs.append(RunThatWaits(on_outcome))
+            return runs[-1]
+
+        monkeypatch.setattr(gateway.scatters, "_run", run)
+        headers = ((b"host", SITE_HOST.encode()), (b"tinrudder-request-id", b"r"))
+        request = HttpRequest(b"GET", b"/all/1", headers, b"")
+        scatter = ScatterRequest(request, b"r", 0.2, 2.0, False, 0)
+        serving = asyncio.create_task(gateway.scatters.serve(scatter))
+        await asyncio.sleep(0.01)
+        serving.cancel()
+        runs[0].end(NoAnswer("every call failed"))
+        with pytest.raises(asyncio.CancelledError):
+            await serving
+        assert runs[0].abandoned
+        assert gateway.scatters.in_progress == 0
+
+    run_site(scenario)
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -72,7 +72,13 @@
             self._forwarding.counters.refused += 1
             return ScatterEnd(refusal, version)
         ended: asyncio.Future[RequestOutcome] = self._forwarding.loop.create_future()
-        run = self._run(route, scatter, moments, ended.set_result)
+
+        def report(outcome: RequestOutcome) -> None:
+            # The entry may have given up a moment ago, which cancels the future before the run.
+            if not ended.done():
+                ended.set_result(outcome)
+
+        run = self._run(route, scatter, moments, report)
         outcome = await self._finish(run, ended)
         elapsed_s = run.decided_at - moments.received_at
         end = ScatterEnd(outcome, version, run.repeats, run.missing_shards, elapsed_s)
