--- a/tests/unit/test_fan_out.py
+++ b/tests/unit/test_fan_out.py
@@ -50,23 +50,27 @@
 
 @dataclass
 class Harness:
-    """One fan-out over two shards, each on the same two back ends."""
+    """One fan-out over two shards, each on the same back ends."""
 
     rule: QueryRuleSpec = field(default_factory=lambda: QueryRuleSpec(service="service"))
     slots: int = 5
+    names: str = "ab"
     timers: ManualTimers = field(default_factory=ManualTimers)
     transport: RecordingTransport = field(default_factory=RecordingTransport)
     outcomes: list[Outcome] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.backends = tuple(
-            BackendRecord(name, "127.0.0.1", 1, "zone", self.slots, self.slots) for name in "ab"
+            BackendRecord(name, "127.0.0.1", 1, "zone", self.slots, self.slots)
+            for name in self.names
         )
         self.dispatcher = Dispatcher(
             self.timers, self.transport, FirstInFirstOutQueue(), LeastLoadedReplica()
         )
         shards = tuple(
-            PlannedShard(ShardSpec(shard=name, owner="owner", backends=("a", "b")), self.backends)
+            PlannedShard(
+                ShardSpec(shard=name, owner="owner", backends=tuple(self.names)), self.backends
+            )
             for name in ("s1", "s2")
         )
         routing = RoutingTable(self.timers.time, random.Random(1)).routing_of("service", {})
@@ -179,3 +183,19 @@
     assert harness.outcomes == []
     assert all(backend.in_flight == 0 for backend in harness.backends)
     assert len(harness.transport.cancelled) == 2
+
+
+def lost_under_a_query(replies: list[object]) -> tuple[int, Outcome]:
+    """Reply to call after call; return how many calls were sent, and the outcome."""
+    harness = Harness(names="abc")
+    done = 0
+    while done < len(harness.transport.calls):
+        harness.transport.reply(harness.transport.calls[done], replies[min(done, len(replies) - 1)])
+        done += 1
+    return done, harness.outcome
+
+
+def test_a_query_that_breaks_every_call_is_sent_to_no_further_replica() -> None:
+    sent, outcome = lost_under_a_query([Broken()])
+    assert sent == 4
+    assert isinstance(outcome, Failed | MayHaveRun)
--- a/tinrudder/query/fan_out.py
+++ b/tinrudder/query/fan_out.py
@@ -28,6 +28,7 @@
 from tinrudder.query.shard_progress import ShardProgress
 from tinrudder.resources.model import Preference
 from tinrudder.routing.backend_record import BackendRecord
+from tinrudder.routing.poison_requests import ENOUGH_CRASHES
 from tinrudder.routing.tenant_usage import QueryPermit
 from tinrudder.timers import TimerHandle, Timers
 
@@ -72,6 +73,7 @@
         self._touched_before = False
         self._hopeless = False
         self._replans = 0
+        self._lost = 0
         self._timer: TimerHandle | None = None
         self._adopt(plan)
 
@@ -162,6 +164,7 @@
             return
         if type(reply) is Broken:
             progress.touched = True
+            self._lost += 1
         elif type(reply) is VersionGone:
             self._replanner.note_version_gone(self._plan, sent.backend)
         progress.last_reason = reason_of(reply)
@@ -200,6 +203,7 @@
         if progress.calls:
             return
         may_repeat = not self._hopeless and (self._plan.repeatable or progress.untouched)
+        may_repeat &= not self._may_be_poison
         if may_repeat and progress.attempts < MAX_ATTEMPTS_PER_SHARD:
             if type(reply) is Shed and len(progress.tried) >= len(progress.planned.candidates):
                 progress.tried = ()
@@ -261,6 +265,15 @@
             self._arm(now)
         return True
 
+    @property
+    def _may_be_poison(self) -> bool:
+        """Tell whether back ends were lost under the query and none has answered it.
+
+        It may crash whatever runs it, so it is sent to no further replica: two shards lost six
+        back ends under such a query, four with this bound (a scripted run).
+        """
+        return self._answered == 0 and self._lost >= ENOUGH_CRASHES
+
     def _may_spend_retry(self, progress: ShardProgress) -> bool:
         """Draw on the budget; a coverage-first answer without this owner has precedence."""
         urgent = (
@@ -297,7 +310,7 @@
         if now >= self._soft_deadline and self._suffices():
             self._finish(at_deadline=False)
             return
-        if not self._hopeless:
+        if not self._hopeless and not self._may_be_poison:
             self._hedger.hedge_overdue(now)
         self._arm(now)
 
