--- a/tests/unit/test_gateway_commands.py
+++ b/tests/unit/test_gateway_commands.py
@@ -103,6 +103,33 @@
     assert "1.0 s before: quota_pressed a" in told
 
 
+def test_a_story_names_the_back_ends_that_crashed_under_all_tries(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    seen = {"fingerprint": "5eed", "service": "stock", "node": "gateway-1"}
+    lines = [
+        {"time": 1.0, "event": "call_lost", "request": "first", "backend": "b-1", **seen},
+        {"time": 1.1, "event": "call_lost", "request": "first", "backend": "b-2", **seen},
+        {"time": 1.2, "event": "call_lost", "request": "x", "backend": "b-9"}
+        | {"fingerprint": "0the", "node": "gateway-1"},
+        {"time": 1.3, "event": "request_barred", "backend": "b-2", "failed_trials": 1}
+        | {"barred_s": 10.0, **seen},
+        {"time": 2.0, "node": "gateway-2", "event": "request", "request": "second"}
+        | {"outcome": "NotRun", "status": 503}
+        | {"detail": "poison: back ends crashed under this request (5eed)"},
+    ]
+    log = tmp_path / "gateways.log"
+    log.write_text("\n".join(json.dumps(line) for line in lines))
+    assert main(["story", str(log), "second"]) == ExitCode.OK
+    told = capsys.readouterr().out
+    assert "back end b-1 of stock" in told
+    assert "back end b-2 of stock" in told
+    assert "b-9" not in told
+    assert "barred at gateway-1, 1.300, for 10 s" in told
+    assert main(["story", str(log), "first"]) == ExitCode.OK
+    assert "call lost at gateway-1" in capsys.readouterr().out
+
+
 def test_an_unknown_request_and_a_missing_log_are_told(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tinrudder/cli/story.py
+++ b/tinrudder/cli/story.py
@@ -17,6 +17,10 @@
 COORDINATED_EVENT = "coordinated"
 COORDINATOR_FAILED_EVENT = "coordinator_failed"
 REQUEST_EVENTS = frozenset((REQUEST_EVENT, COORDINATED_EVENT, COORDINATOR_FAILED_EVENT))
+CALL_LOST_EVENT = "call_lost"
+BARRED_EVENT = "request_barred"
+CLEARED_EVENT = "request_cleared"
+POISON_EVENTS = frozenset((CALL_LOST_EVENT, BARRED_EVENT, CLEARED_EVENT, "request_on_trial"))
 ZONE_PATH_EVENT = "zone_path"
 QUOTA_EVENTS = frozenset(("quota_pressed", "quota_home_silent"))
 MEANINGS = {
@@ -62,6 +66,12 @@
     state: str = ""
     heard_share: float = 1.0
     repeated: bool = False
+    fingerprint: str = ""
+    service: str = ""
+    backend: str = ""
+    crashes: int = 0
+    failed_trials: int = 0
+    barred_s: float = 0.0
 
 
 _decoder = msgspec.json.Decoder(LogLine)
@@ -111,9 +121,12 @@
             continue
         if line.event == REQUEST_EVENT:
             story.extend(_request_lines(line))
+            story.extend(_poison_lines(lines, line))
             story.extend(_context_lines(lines, line))
         elif line.event == COORDINATED_EVENT:
             story.extend(_coordinated_lines(line))
+        elif line.event == CALL_LOST_EVENT:
+            story.append(_lost_line(line))
         elif line.event == COORDINATOR_FAILED_EVENT:
             story.append(f"coordinator {line.coordinator} failed {line.node}: {line.detail}")
     return story
@@ -139,6 +152,34 @@
     return told
 
 
+def _lost_line(line: LogLine) -> str:
+    """Tell of a back end that was lost under a request."""
+    return (
+        f"call lost at {line.node}, {line.time:.3f}: back end {line.backend} of {line.service}, "
+        f"{line.detail} (fingerprint {line.fingerprint})"
+    )
+
+
+def _poison_lines(lines: list[LogLine], request: LogLine) -> list[str]:
+    """Tell which back ends were lost under all tries of a request that is refused for that."""
+    told = []
+    for line in lines:
+        if line.event not in POISON_EVENTS or not line.fingerprint:
+            continue
+        if line.fingerprint not in request.detail:
+            continue
+        if line.event == CALL_LOST_EVENT:
+            told.append(f"  {_lost_line(line)}, request {line.request}")
+        elif line.event == BARRED_EVENT:
+            told.append(
+                f"  barred at {line.node}, {line.time:.3f}, for {line.barred_s:g} s: back end "
+                f"{line.backend} was lost in a trial, {line.failed_trials} trials failed so far"
+            )
+        else:
+            told.append(f"  {line.event} at {line.node}, {line.time:.3f}")
+    return told
+
+
 def _coordinated_lines(line: LogLine) -> list[str]:
     """Tell a coordinator's part in a request that another gateway handed over."""
     again = ", another coordinator may have begun before" if line.repeated else ""
@@ -166,7 +207,7 @@
     told = []
     for line in lines:
         age = request.time - line.time
-        about_requests = line.event in REQUEST_EVENTS
+        about_requests = line.event in REQUEST_EVENTS or line.event in POISON_EVENTS
         if line.node == request.node and not about_requests and 0 <= age <= CONTEXT_S:
             words = " ".join(fact for fact in _facts(line) if fact)
             version = f"version {line.version}" if line.version else ""
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -84,6 +84,11 @@
                 "Times that a zone went out of reach.",
                 lambda: node.watch.closings,
             ),
+            Figure(
+                f"{PREFIX}_poison_refused",
+                "Requests refused since back ends crash under them.",
+                lambda: node.poison.refused,
+            ),
             Figure(
                 f"{PREFIX}_missing_shards",
                 "Shards left out of merged answers.",
@@ -189,6 +194,18 @@
             node.is_ready,
             is_counter=False,
         ),
+        Figure(
+            f"{PREFIX}_suspect_requests",
+            "Different requests under which back ends were lost lately.",
+            lambda: len(node.poison.requests),
+            is_counter=False,
+        ),
+        Figure(
+            f"{PREFIX}_barred_requests",
+            "Different requests that no gateway sends now, since back ends crash under them.",
+            node.poison.barred,
+            is_counter=False,
+        ),
         Figure(
             f"{PREFIX}_evacuated_zones",
             "Zones whose back ends get nothing since the operator evacuates them.",
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -83,6 +83,10 @@
         """Tell whether nothing is held against any request: then none need be judged."""
         return not len(self.requests)
 
+    def barred(self) -> int:
+        """Return how many different requests are barred now."""
+        return self.requests.barred(self._clock())
+
     def judge(self, fingerprint: bytes, origin: bytes) -> Judgement:
         """Decide what may be done with a request now."""
         return self.requests.judge(fingerprint, origin, self._clock())
