--- /dev/null
+++ b/tests/functional/test_soak.py
@@ -0,0 +1,20 @@
+"""The soak, short and seeded: real gateways, faults from outside, what clients and back ends see.
+
+The long runs, of many seeds, are started by hand (docs/LAB.md).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from tinrudder_lab.soak.run import soak
+
+SEED = 201
+SECONDS = 15.0
+
+
+def test_no_promise_breaks_in_a_short_soak(tmp_path: Path) -> None:
+    result = asyncio.run(soak(SEED, SECONDS, tmp_path))
+    assert result.broken == []
+    assert result.ended_back_ends > 0
--- a/tinrudder_lab/emulator/backend.py
+++ b/tinrudder_lab/emulator/backend.py
@@ -77,9 +77,11 @@
         self._queue: deque[_Job] = deque()
         self._paused_until = 0.0
         self._server: asyncio.Server | None = None
+        self.listens_at = ("", 0)
 
     async def start(self, host: str, port: int) -> None:
         """Listen."""
+        self.listens_at = (host, port)
         self._server = await self._loop.create_server(self._accept, host, port)
 
     def stop(self) -> None:
--- a/tinrudder_lab/emulator/client.py
+++ b/tinrudder_lab/emulator/client.py
@@ -54,7 +54,7 @@
     """Send one request and note how it ended."""
     loop = asyncio.get_running_loop()
     sent_at = loop.time()
-    ledger.sent[request.request_id] = SentRequest(request.key, sent_at)
+    ledger.sent[request.request_id] = SentRequest(request.key, sent_at, address[0])
     wait_s = request.deadline_ms / 1000
     if request.leaves_after_s is not None:
         wait_s = min(wait_s, request.leaves_after_s)
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -203,10 +203,13 @@
         _, address, zone = self._entries[backend_id]
         first_id, _, life = backend_id.partition("+")
         again = f"{first_id}+{int(life or 0) + 1}"
-        host, _, port = address.rpartition(":")
-        await self._run_backend(again, backend.service).start(host, int(port))
+        await self._run_backend(again, backend.service).start(*backend.listens_at)
+        self.came_back(backend_id, again)
         self.write_entry(again, backend.service, address, zone)
 
+    def came_back(self, backend_id: str, again: str) -> None:
+        """Take note that a back end has another id; nothing here depends on it."""
+
     async def reachable_at(self, backend_id: str, address: Address) -> Address:
         """Return where gateways reach a back end: its own address."""
         return address
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from tinrudder.gateway.model import Address, QuotaBounds
+from tinrudder_lab.emulator.ledger import Disturbance
 from tinrudder_lab.emulator.site import (
     BACKEND_PORT,
     CLIENT_PORT,
@@ -97,7 +98,10 @@
         """Draw a gateway and keep other faults of processes away from it."""
         node = self.random.choice(self.nodes)
         async with self._locks.setdefault(node.name, asyncio.Lock()):
+            disturbance = Disturbance(node.host, self.loop.time())
+            self.ledger.disturbances.append(disturbance)
             yield node
+            disturbance.until = self.loop.time()
 
     def signal_node(self, node: EmulatedNode, number: signal.Signals) -> None:
         """Send a signal to a gateway that this soak started."""
@@ -134,6 +138,10 @@
         for link in self.links.values():
             link.close()
 
+    def came_back(self, backend_id: str, again: str) -> None:
+        """Know the link to a back end by its new id too."""
+        self.links[again] = self.links[backend_id]
+
     async def _link_to_store(self, node: EmulatedNode) -> None:
         """Put a proxy between a gateway and the store, once."""
         if node.name not in self.links:
--- a/tinrudder_lab/soak/regressions.py
+++ b/tinrudder_lab/soak/regressions.py
@@ -11,12 +11,14 @@
 
     :param gateways: how many there were.
     :param cause: what it was traced to, or that it is open.
+    :param poison: a client asked what crashes back ends.
     """
 
     seed: int
     seconds: float
     gateways: int
     cause: str
+    poison: bool = False
 
 
 REGRESSIONS = (
