Soak: faults of back ends bear that one crashes meanwhile

A fault of the soak. Change: faults keep the back ends themselves; new ones are numbered by how many were added. Before: test_soak failed. After: it passes.

--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -132,9 +132,9 @@
     nodes: list[EmulatedNode] = field(default_factory=list)
     backends: dict[str, EmulatedBackend] = field(default_factory=dict)
     version: int = 0
+    backends_added: int = 0
     ends_under: Callable[[ServedRequest], bool] = lambda request: False
     _serial: int = 0
-    _backends_added: int = 0
     _entries: dict[str, tuple[str, str, str]] = field(default_factory=dict)
 
     async def start(self) -> None:
@@ -166,8 +166,8 @@
 
     async def add_backend(self, backend_id: str, service: str, zone: str) -> EmulatedBackend:
         """Start a back end and let it record itself."""
-        number = self._backends_added
-        self._backends_added += 1
+        number = self.backends_added
+        self.backends_added += 1
         host = f"{self.network}.128.{number // 250}.{number % 250 + 1}"
         backend = self._run_backend(backend_id, service)
         await backend.start(host, BACKEND_PORT)
--- a/tinrudder_lab/soak/faults.py
+++ b/tinrudder_lab/soak/faults.py
@@ -144,16 +144,18 @@
 async def spoil_answers(site: ProcessSite) -> str:
     """Let some back ends spoil some answers."""
     fault = site.random.choice(BAD_ANSWERS)
-    backends = site.random.sample(sorted(site.backends), 4)
+    # The back ends themselves: one that crashes meanwhile comes back under another id.
+    alive = sorted(site.backends)
+    backends = [site.backends[one] for one in site.random.sample(alive, min(4, len(alive)))]
 
     def spoil() -> Fault:
         return fault if site.random.random() < BAD_ANSWER_SHARE else Fault.NONE
 
-    for name in backends:
-        site.backends[name].choose_fault = spoil
+    for backend in backends:
+        backend.choose_fault = spoil
     await asyncio.sleep(site.random.uniform(1.0, 4.0))
-    for name in backends:
-        site.backends[name].choose_fault = lambda: Fault.NONE
+    for backend in backends:
+        backend.choose_fault = lambda: Fault.NONE
     return f"answers {fault.value}"
 
 
@@ -166,10 +168,11 @@
 
 async def replace_backend(site: ProcessSite) -> str:
     """Let a back end of the single service leave, after another one came."""
-    old = site.random.choice([name for name in site.backends if name.startswith("single")])
-    if old in site.ledger.leaving_at:
+    alive = [name for name in site.backends if name.startswith("single")]
+    old = site.random.choice(alive) if alive else ""
+    if not alive or old in site.ledger.leaving_at:
         return "nothing replaced"
-    await site.add_backend(f"single-{len(site.backends)}", "single", "zone-a")
+    await site.add_backend(f"single-{site.backends_added}", "single", "zone-a")
     await asyncio.sleep(0.5)
     site.drain(old)
     return f"{old} leaves"
