--- a/tinrudder/routing/poison_requests.py
+++ b/tinrudder/routing/poison_requests.py
@@ -42,8 +42,8 @@
 scatters over 10 shards, 1.5 s apart, cost 49 back ends, without this 318, with it for failed trials
 alone 80 (emulated, 8 gateways).  In this time a scatter takes one call longer."""
 MOST_REQUESTS = 1024
-"""How many requests evidence is kept for, 1.5 KB each at most (traced allocations, ten crashes each):
-1.5 MB in all; what changed longest ago is dropped."""
+"""How many requests evidence is kept for, 1.5 KB each at most (traced allocations, ten crashes
+each), so 1.5 MB in all; what changed longest ago is dropped."""
 MOST_CRASHES_OF_A_KIND = 5
 """Crashes kept of a request, the latest inside and outside of trials each: more decide nothing."""
 
