Refuse at once what no back end can serve, since none listens any more

Change: a refused connection ends a back end for the run, and the next replica is asked at once; where none is left the shard is given up, and the client told to come back in 0.5 s.

--- /dev/null
+++ b/tests/functional/test_gateway_dead_shards.py
@@ -0,0 +1,65 @@
+"""Requests that no back end can serve, since nobody listens where any of them was."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tinrudder_lab.emulator.site import EmulatedSite, run_site
+
+OBJECTIVE_S = 0.2
+
+
+async def end_service(site: EmulatedSite, *services: str) -> None:
+    """Let all back ends of some services crash; their entries are not gone yet."""
+    for name, backend in tuple(site.backends.items()):
+        if backend.service in services:
+            site.end_backend(name)
+    await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("route", ["scatter", "single", "once"])
+def test_what_no_back_end_can_serve_is_refused_at_once_and_has_not_run(route: str) -> None:
+    """It was held for 0.4 to 0.8 s over refused connections before."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        await site.traffic(3.0, 20.0, ("scatter", "single", "once"))
+        await end_service(site, *site.shard_services, "single")
+        first = await site.send(route, 0)
+        again = await site.send(route, 0)
+        for result in (first, again):
+            assert result.ended_at - result.sent_at < 0.05
+        assert again.status == 503
+        assert float(again.headers["retry-after"]) >= 0.3
+
+    run_site(scenario)
+
+
+def test_an_answer_does_not_wait_for_a_shard_that_nobody_can_ask() -> None:
+    """It left at the objective, 0.2 s, before."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        await site.traffic(3.0, 20.0, ("scatter",))
+        await end_service(site, "shard-0")
+        await site.send("scatter", 0)
+        result = await site.send("scatter", 0)
+        assert result.status == 200
+        assert result.headers["tinrudder-missing-parts"] == "1"
+        assert result.ended_at - result.sent_at < OBJECTIVE_S / 2
+
+    run_site(scenario, node_count=1)
+
+
+def test_all_is_served_again_once_back_ends_listen_again() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await site.traffic(3.0, 20.0, ("scatter", "single"))
+        await end_service(site, "shard-0", "single")
+        await site.traffic(1.0, 20.0, ("scatter", "single"))
+        await asyncio.sleep(4.0)
+        first = len(site.ledger.results)
+        await site.traffic(2.0, 20.0, ("scatter", "single"))
+        assert {one.status for one in site.ledger.results[first:]} == {200}
+        assert site.broken_promises() == []
+
+    run_site(scenario)
--- a/tinrudder/gateway/messages.py
+++ b/tinrudder/gateway/messages.py
@@ -121,9 +121,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotSent:
-    """No byte of the call left this process."""
+    """No byte of the call left this process.
+
+    :param refused: nobody listens at the back end's address: its process has ended.
+    """
 
     detail: str = ""
+    refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -27,6 +27,9 @@
 
 ABSORB_S = 0.3
 RETRY_AFTER_S = 0.1
+RETRY_DEAD_S = 0.5
+"""When to come back where every back end of a shard has ended: processes take seconds to start, and
+the clients seen come back within a third of their deadline of 0.8 to 8 s at the latest."""
 WHOLE = 1.0
 
 OutcomeListener = Callable[[RequestOutcome], None]
@@ -339,7 +342,9 @@
             sorted({shard.last_problem for shard in self.shards if shard.last_problem})
         )
         if not self._may_have_run:
-            retry_after_s = self._guard.barred_s or RETRY_AFTER_S
+            none_listens = any(shard.is_dead for shard in self.shards)
+            usual_s = RETRY_DEAD_S if none_listens else RETRY_AFTER_S
+            retry_after_s = self._guard.barred_s or usual_s
             return NotRun(detail or "no back end is left", retry_after_s)
         failure = None if self._scatter else self.shards[0].failure
         if failure is not None:
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -96,6 +96,8 @@
         self._tries = 0
         self._offered: Counter[str] = Counter()
         self._avoided: set[str] = set()
+        # Nobody listens there, as this run has found out.
+        self._dead: set[str] = set()
         self._budget = forwarding.budget(service)
         self._latency = forwarding.latency(route)
 
@@ -104,6 +106,11 @@
         """Tell whether a call is in progress."""
         return bool(self._attempts)
 
+    @property
+    def is_dead(self) -> bool:
+        """Tell whether this run has found nobody listening at some back end, and has no answer."""
+        return self.part is None and bool(self._dead)
+
     @property
     def hopeful(self) -> bool:
         """Tell whether an answer may still come."""
@@ -169,7 +176,9 @@
         if self._is_held_back(now):
             return
         self._tries += 1
-        candidates = self._candidates()
+        # Trying those again for 0.4 to 0.8 s, as long as tries last, held requests back in vain:
+        # a process that has ended takes seconds to listen again.
+        candidates = [one for one in self._candidates() if one.backend_id not in self._dead]
         if not candidates:
             reason = self._forwarding.directory.reason_for_none(self.service)
             self.last_problem = self.last_problem or reason
@@ -311,8 +320,10 @@
             case Rejected(status=status):
                 self._take_back(attempt.backend)
                 self._on_failure(f"rejected with {status}", now, at_once=len(self._avoided) < 2)
-            case NotSent(detail=detail):
-                self._on_failure(detail, now, at_once=True)
+            case NotSent(detail=detail, refused=refused):
+                if refused:
+                    self._dead.add(attempt.backend.backend_id)
+                self._on_failure(detail, now, at_once=True, is_dead=refused)
             case Withdrawn():
                 self._on_failure("withdrawn", now, at_once=True)
             case Broken(detail=detail):
@@ -353,15 +364,20 @@
         self.failure = answer
         self._on_failure(f"answered with {answer.status}", now, at_once=True)
 
-    def _on_failure(self, problem: str, now: float, *, at_once: bool) -> None:
-        """Try again where that is allowed and nothing else is running."""
+    def _on_failure(
+        self, problem: str, now: float, *, at_once: bool, is_dead: bool = False
+    ) -> None:
+        """Try again where that is allowed and nothing else is running.
+
+        :param is_dead: nobody listened, so the next try is at another back end, if there is one.
+        """
         self.last_problem = problem
         if self._attempts:
             return
         self.next_at = NEVER
         if self.may_have_run and not self._route.repeatable:
             return
-        if at_once and self._tries < 2:
+        if is_dead or (at_once and self._tries < 2):
             self._forwarding.counters.retries += 1
             self._try_next(now)
         elif self._tries < MAX_TRIES and self.sends < MAX_SENDS:
--- a/tinrudder/gateway/upstream_pool.py
+++ b/tinrudder/gateway/upstream_pool.py
@@ -139,7 +139,8 @@
             connection = await self._open_connection()
         except (OSError, TimeoutError) as error:
             self._forget_connecting()
-            self._on_connect_failed(f"connect: {str(error) or 'timed out'}")
+            detail = f"connect: {str(error) or 'timed out'}"
+            self._on_connect_failed(detail, refused=isinstance(error, ConnectionRefusedError))
             return
         self._forget_connecting()
         self._on_opened()
@@ -167,11 +168,11 @@
         assert task is not None
         self._connecting.discard(task)
 
-    def _on_connect_failed(self, detail: str) -> None:
+    def _on_connect_failed(self, detail: str, *, refused: bool = False) -> None:
         """Fail the oldest waiting call, or all of them when no connection is left to wait for."""
         failed = 1 if self._open else len(self._waiting)
         for _ in range(min(failed, len(self._waiting))):
-            self._waiting.popleft().finish(NotSent(detail))
+            self._waiting.popleft().finish(NotSent(detail, refused))
 
     def _next_waiting(self) -> UpstreamCall | None:
         """Take the oldest waiting call that is still wanted."""
