--- a/tests/unit/test_emulator_ledger.py
+++ b/tests/unit/test_emulator_ledger.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from tinrudder_lab.emulator.ledger import Arrival, Ledger, StoreOutage
+from tinrudder_lab.emulator.ledger import (
+    Arrival,
+    Disturbance,
+    EndedBackend,
+    Ledger,
+    SentRequest,
+    StoreOutage,
+)
 
 DRAIN_S = 3.0
 
@@ -36,3 +43,50 @@
     arrival_at: float, outages: list[StoreOutage], broken: bool
 ) -> None:
     assert leaving_broken(ledger_with(arrival_at, outages)) is broken
+
+
+@pytest.mark.parametrize(
+    ("host", "since", "until", "broken"),
+    [
+        ("gateway", 11.0, 12.0, False),
+        ("gateway", 11.0, float("inf"), False),
+        ("gateway", 5.0, 9.0, True),
+        ("gateway", 14.0, 15.0, True),
+        ("another", 11.0, 12.0, True),
+    ],
+)
+def test_a_gateway_that_was_disturbed_lately_is_left_out(
+    host: str, since: float, until: float, broken: bool
+) -> None:
+    """One that has just started cannot know since when a back end leaves (soak seed 311)."""
+    ledger = ledger_with(13.1, [])
+    ledger.sent["r"] = SentRequest("", 13.0, "gateway")
+    ledger.disturbances.append(Disturbance(host, since, until))
+    assert leaving_broken(ledger) is broken
+
+
+def poison_ledger(tries_after: int, host: str = "") -> Ledger:
+    """Three ends in the first second, then tries from 4 s after the third on."""
+    ledger = Ledger(zones={"b": "z"})
+    ledger.ended = [EndedBackend(0.1 * n, f"b{n}", "r", "/poison") for n in range(3)]
+    for number in range(tries_after):
+        name = f"late-{number}"
+        ledger.sent[name] = SentRequest("", 5.0, host)
+        ledger.arrivals.append(Arrival(5.0 + number, name, "s", "b", "/poison", None, ran=True))
+    return ledger
+
+
+@pytest.mark.parametrize(("tries", "broken"), [(0, False), (3, False), (4, True)])
+def test_a_request_that_ended_three_back_ends_may_reach_others_three_times_more(
+    tries: int, broken: bool
+) -> None:
+    promises = poison_ledger(tries).broken_promises(0.2, 50.0, 10.0, DRAIN_S, 5.0)
+    assert any(one.promise == "ended back ends" for one in promises) is broken
+
+
+def test_tries_by_a_gateway_that_nobody_could_tell_do_not_count() -> None:
+    ledger = poison_ledger(4, host="gateway")
+    ledger.disturbances.append(Disturbance("gateway", 2.0, 4.5))
+    assert ledger.requests_after_three_ends("/poison") == []
+    ledger.disturbances[0].until = 0.9
+    assert len(ledger.requests_after_three_ends("/poison")) == 4
--- a/tinrudder_lab/soak/regressions.py
+++ b/tinrudder_lab/soak/regressions.py
@@ -45,4 +45,13 @@
         "the last one said since.  Seen again with 51: a gateway that had stood still admitted the "
         "21 requests that waited for it before its home could answer; at most 3 since",
     ),
+    RegressionSeed(
+        311,
+        12.0,
+        3,
+        "a request reached a back end 3.8 s after it said that it leaves.  By the logs a gateway "
+        "sent it 0.06 s after its start, as the last resort: all others of the service had "
+        "crashed.  Allowed: it could not know since when; the check leaves such gateways out",
+        poison=True,
+    ),
 )
