--- a/tests/functional/test_gateway_requests_that_end_back_ends.py
+++ b/tests/functional/test_gateway_requests_that_end_back_ends.py
@@ -19,14 +19,18 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any
 
 import pytest
 
 from tests.support.many_gateways import MANY, SETTLED_S, run_many
 from tinrudder_lab.emulator.http_server import ServedRequest
-from tinrudder_lab.emulator.ledger import ClientResult
+from tinrudder_lab.emulator.ledger import ClientResult, Disturbance
 from tinrudder_lab.emulator.loop import EmulatorLoop
-from tinrudder_lab.emulator.site import BACK_S, EmulatedSite, run_site
+from tinrudder_lab.emulator.site import BACK_S, EmulatedNode, EmulatedSite, run_site
+from tinrudder_lab.emulator.store import StoreMode
 
 GATEWAYS = 8
 SHARDS = 10
@@ -214,3 +218,109 @@
         assert barred <= len(tasks) / 1000
 
     run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
+
+
+Trouble = Callable[[EmulatedSite], Coroutine[Any, Any, None]]
+
+
+@contextlib.contextmanager
+def disturbed(site: EmulatedSite, *nodes: EmulatedNode) -> Iterator[None]:
+    """Note for the checks that nobody can tell some gateways anything meanwhile."""
+    disturbances = [Disturbance(node.host, site.loop.time()) for node in nodes]
+    site.ledger.disturbances.extend(disturbances)
+    yield
+    for one in disturbances:
+        one.until = site.loop.time()
+
+
+async def back_ends_crash(site: EmulatedSite) -> None:
+    await crash_by_chance(site, 20.0)
+
+
+async def zones_hear_nothing_of_each_other(site: EmulatedSite) -> None:
+    zones = {node.host: node.machine.zone for node in site.nodes}
+    loop = site.loop
+    assert isinstance(loop, EmulatorLoop)
+    with disturbed(site, *site.nodes):
+        loop.datagram_lost = lambda source, target: zones[source[0]] != zones[target[0]]
+        await asyncio.sleep(6.0)
+        loop.datagram_lost = lambda source, target: False
+
+
+async def datagrams_are_lost(site: EmulatedSite) -> None:
+    loop = site.loop
+    assert isinstance(loop, EmulatorLoop)
+    loop.datagram_lost = lambda source, target: site.random.random() < 0.2
+    await asyncio.sleep(20.0)
+    loop.datagram_lost = lambda source, target: False
+
+
+async def gateways_die_in_turn(site: EmulatedSite) -> None:
+    for node in site.nodes:
+        with disturbed(site, node):
+            site.kill_node(node)
+            await asyncio.sleep(0.5)
+            site.start_node(node)
+        await asyncio.sleep(1.5)
+
+
+async def most_gateways_die_at_once(site: EmulatedSite) -> None:
+    dying = site.nodes[1:]
+    with disturbed(site, *dying):
+        for node in dying:
+            site.kill_node(node)
+        await asyncio.sleep(1.0)
+        for node in dying:
+            site.start_node(node)
+
+
+async def gateways_stop_as_planned_in_turn(site: EmulatedSite) -> None:
+    for node in site.nodes:
+        with disturbed(site, node):
+            assert node.gateway is not None
+            node.machine.context.run(node.gateway.request_stop)
+            await asyncio.sleep(4.0)
+            site.kill_node(node)
+            site.start_node(node)
+
+
+async def machines_are_suspended_in_turn(site: EmulatedSite) -> None:
+    for node in site.nodes:
+        with disturbed(site, node):
+            node.machine.pause()
+            await asyncio.sleep(2.0)
+            node.machine.resume(site.loop, stands_s=2.0)
+
+
+async def store_is_silent(site: EmulatedSite) -> None:
+    site.store.set_mode(StoreMode.SILENT)
+    await asyncio.sleep(15.0)
+    site.store.set_mode(StoreMode.SERVING)
+
+
+@pytest.mark.parametrize(
+    "trouble",
+    [
+        back_ends_crash,
+        zones_hear_nothing_of_each_other,
+        datagrams_are_lost,
+        gateways_die_in_turn,
+        most_gateways_die_at_once,
+        gateways_stop_as_planned_in_turn,
+        machines_are_suspended_in_turn,
+        store_is_silent,
+    ],
+)
+def test_a_request_that_ends_back_ends_is_not_sent_again_beside(trouble: Trouble) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await site.traffic(3.0, 20.0, ("scatter", "single"))
+        coming = asyncio.create_task(come_again(site, "scatter", 45.0))
+        await asyncio.sleep(2.0)
+        await trouble(site)
+        await coming
+        assert site.broken_promises() == []
+        first = len(site.ledger.results)
+        await site.traffic(3.0, 20.0, ("scatter", "single"))
+        assert {one.status for one in site.ledger.results[first:]} == {200}
+
+    run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
