--- a/tests/functional/test_gateway_delegation.py
+++ b/tests/functional/test_gateway_delegation.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from tinrudder_lab.emulator.backend import Fault
-from tinrudder_lab.emulator.ledger import ClientResult
+from tinrudder_lab.emulator.records import ClientResult
 from tinrudder_lab.emulator.site import EmulatedNode, EmulatedSite, run_site
 
 SETTLED_S = 4.0
--- a/tests/functional/test_gateway_requests_that_end_back_ends.py
+++ b/tests/functional/test_gateway_requests_that_end_back_ends.py
@@ -27,8 +27,8 @@
 
 from tests.support.many_gateways import MANY, SETTLED_S, run_many
 from tinrudder_lab.emulator.http_server import ServedRequest
-from tinrudder_lab.emulator.ledger import ClientResult, Disturbance
 from tinrudder_lab.emulator.loop import EmulatorLoop
+from tinrudder_lab.emulator.records import ClientResult, Disturbance
 from tinrudder_lab.emulator.site import BACK_S, EmulatedNode, EmulatedSite, run_site
 from tinrudder_lab.emulator.store import StoreMode
 
--- a/tests/functional/test_gateway_site.py
+++ b/tests/functional/test_gateway_site.py
@@ -13,8 +13,8 @@
 from tinrudder.gateway.answer_reader import AnswerReader, ReadState
 from tinrudder.gateway.client_connection import ClientConnection
 from tinrudder_lab.emulator.backend import Fault
-from tinrudder_lab.emulator.ledger import ClientResult
 from tinrudder_lab.emulator.loop import EmulatorLoop
+from tinrudder_lab.emulator.records import ClientResult
 from tinrudder_lab.emulator.site import CLIENT_PORT, HEALTH_PORT, EmulatedSite, run_site
 from tinrudder_lab.emulator.store import StoreMode
 
--- a/tests/unit/test_emulator_ledger.py
+++ b/tests/unit/test_emulator_ledger.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from tinrudder_lab.emulator.ledger import (
+from tinrudder_lab.emulator.ledger import Ledger
+from tinrudder_lab.emulator.records import (
     Arrival,
     Disturbance,
     EndedBackend,
-    Ledger,
     SentRequest,
     StoreOutage,
 )
--- a/tinrudder_lab/emulator/backend.py
+++ b/tinrudder_lab/emulator/backend.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass
 
 from tinrudder_lab.emulator.http_server import ServedRequest, ServerConnection, encode_response
-from tinrudder_lab.emulator.ledger import Arrival, Ledger
+from tinrudder_lab.emulator.ledger import Ledger
+from tinrudder_lab.emulator.records import Arrival
 
 RECORD_BYTES = 16
 QUEUE_PLACES = 12
--- a/tinrudder_lab/emulator/client.py
+++ b/tinrudder_lab/emulator/client.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass
 
 from tinrudder.gateway.answer_reader import AnswerReader, ReadState
-from tinrudder_lab.emulator.ledger import ClientResult, Ledger, SentRequest
+from tinrudder_lab.emulator.ledger import Ledger
+from tinrudder_lab.emulator.records import ClientResult, SentRequest
 
 NO_ANSWER = 0
 
--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -7,6 +7,19 @@
 from dataclasses import dataclass, field
 
 from tinrudder.gateway.record_merge import RECORD_BYTES
+from tinrudder_lab.emulator.records import (
+    Arrival,
+    BrokenPromise,
+    ClientResult,
+    ColdSpan,
+    Disturbance,
+    EndedBackend,
+    EvacuatedZone,
+    HeldKey,
+    IssuedAnswer,
+    SentRequest,
+    StoreOutage,
+)
 
 KNOWN_AFTER_ENDS = 3
 """How many back ends end under a request before gateways must know it."""
@@ -18,133 +31,6 @@
 """What every route of the emulator allows."""
 
 
-@dataclass(frozen=True, slots=True)
-class IssuedAnswer:
-    """A whole, good answer that a back end signed."""
-
-    request_id: str
-    service: str
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Arrival:
-    """A request that reached a back end.
-
-    :param ran: the back end began to work on it.
-    :param tenant: on whose behalf it was asked, as it was told; empty: nobody's.
-    :param credentials: a client's key came with it.
-    """
-
-    at: float
-    request_id: str
-    service: str
-    backend_id: str
-    target: str
-    deadline_ms: int | None
-    ran: bool
-    tenant: str = ""
-    credentials: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class SentRequest:
-    """A request as its client sent it; ``key`` is empty for none.
-
-    :param host: the address of the gateway that it was sent to.
-    """
-
-    key: str
-    at: float
-    host: str = ""
-
-
-@dataclass(slots=True)
-class HeldKey:
-    """A key of a tenant, from a configuration's acknowledgement to that of one without it."""
-
-    tenant: str
-    since: float
-    until: float = float("inf")
-
-
-@dataclass(frozen=True, slots=True)
-class ClientResult:
-    """What a client got; status 0 for none."""
-
-    request_id: str
-    target: str
-    sent_at: float
-    ended_at: float
-    status: int
-    headers: dict[str, str]
-    body: bytes
-    repeatable: bool = True
-    services: tuple[str, ...] = ()
-    top_records: int = 0
-    minimum_share: float = 0.0
-    gone: bool = False
-
-
-@dataclass(slots=True)
-class Disturbance:
-    """A time in which a gateway's process was killed, stopped, paused or starting."""
-
-    host: str
-    since: float
-    until: float = float("inf")
-
-
-@dataclass(frozen=True, slots=True)
-class EndedBackend:
-    """A back end that ended under a request which ends whatever runs it.
-
-    :param target: what such requests of one client have in common.
-    """
-
-    at: float
-    backend_id: str
-    request_id: str
-    target: str
-
-
-@dataclass(frozen=True, slots=True)
-class BrokenPromise:
-    """A promise that a run broke, with what shows it."""
-
-    promise: str
-    what: str
-
-
-@dataclass(slots=True)
-class EvacuatedZone:
-    """A zone whose back ends were to get nothing between two moments."""
-
-    zone: str
-    since: float
-    until: float = float("inf")
-
-
-@dataclass(slots=True)
-class StoreOutage:
-    """A time in which no gateway could learn anything from the store.
-
-    :param until: when it served again and every watch that it had lost was over.
-    """
-
-    since: float
-    until: float = float("inf")
-
-
-@dataclass(frozen=True, slots=True)
-class ColdSpan:
-    """A time in which a back end bears few requests a second."""
-
-    backend_id: str
-    since: float
-    until: float
-
-
 @dataclass
 class Ledger:
     """Everything that was seen."""
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -18,16 +18,15 @@
 from tinrudder_lab.emulator.backend import EmulatedBackend
 from tinrudder_lab.emulator.client import PlannedRequest, send_request
 from tinrudder_lab.emulator.http_server import ServedRequest
-from tinrudder_lab.emulator.ledger import (
-    ROUTE_ATTEMPTS,
+from tinrudder_lab.emulator.ledger import ROUTE_ATTEMPTS, Ledger
+from tinrudder_lab.emulator.loop import EmulatorLoop
+from tinrudder_lab.emulator.records import (
     ClientResult,
     ColdSpan,
     EndedBackend,
     EvacuatedZone,
     HeldKey,
-    Ledger,
 )
-from tinrudder_lab.emulator.loop import EmulatorLoop
 from tinrudder_lab.emulator.store import EmulatedStore
 from tinrudder_lab.sim.loop import Machine
 
--- a/tinrudder_lab/soak/faults.py
+++ b/tinrudder_lab/soak/faults.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from tinrudder_lab.emulator.backend import EmulatedBackend, Fault
-from tinrudder_lab.emulator.ledger import StoreOutage
+from tinrudder_lab.emulator.records import StoreOutage
 from tinrudder_lab.emulator.site import SiteTenant
 from tinrudder_lab.emulator.store import StoreMode
 from tinrudder_lab.soak.process_site import ProcessSite
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from tinrudder.gateway.model import Address, QuotaBounds
-from tinrudder_lab.emulator.ledger import Disturbance
+from tinrudder_lab.emulator.records import Disturbance
 from tinrudder_lab.emulator.site import (
     BACKEND_PORT,
     CLIENT_PORT,
