Bar poison requests for 20 s at first, and answer questions also after a start of all

And after a start of all, nobody answered later starters' questions. Ruled out: 60 s at first (a victim's wrong bar would last a minute). Tests: at most one trial in the first two minutes.

--- a/tests/functional/test_gateway_requests_that_end_back_ends.py
+++ b/tests/functional/test_gateway_requests_that_end_back_ends.py
@@ -103,7 +103,7 @@
             result = await site.send(route, node, target=PATHS[route])
             assert result.status == 503
             assert result.ended_at - result.sent_at < 0.02
-            assert 5.0 < float(result.headers["retry-after"]) <= 10.0
+            assert 15.0 < float(result.headers["retry-after"]) <= 20.0
             beside = await site.send(route, node)
             assert beside.status in (200, 502, 503), "only while its back ends are not back"
         assert len(site.ledger.ended) == ended
--- a/tests/unit/test_poison_requests.py
+++ b/tests/unit/test_poison_requests.py
@@ -128,7 +128,7 @@
         table.note_crash(ASKED, ORIGIN, backend, now + 0.1, trial=True)
         now += 0.1
         if now < 120.0:
-            assert trials <= 2
+            assert trials <= 1
     assert trials <= 30
 
 
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -75,6 +75,7 @@
         self._news: set[bytes] = set()
         self._passing: set[bytes] = set()
         self._telling: asyncio.TimerHandle | None = None
+        # Until then, that nothing is known here says nothing of the others.
         self._told_everything = False
         datagrams.handle(PoisonReport, self._on_report)
 
@@ -155,6 +156,8 @@
                 break
             self._ask()
             await asyncio.sleep(ASK_S)
+        # Who started with all others finds nobody who knows anything, and can say so from now on.
+        self._told_everything = True
         while True:
             due_at = self._clock() + REPEAT_S
             await asyncio.sleep(REPEAT_S * self._random.uniform(0.8, 1.0))
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -33,7 +33,7 @@
 DENIED_PAUSE_S = 0.02
 HELD_PAUSE_S = 0.02
 """How often a call that must wait for the end of another is looked at again, where nothing else
-tells of that end: a fifth of the tightest objective seen."""
+tells of that end: a third of the tightest objective seen, 0.056 s."""
 MAX_HEDGE_WAIT = 1.5
 NEVER = float("inf")
 
--- a/tinrudder/routing/poison_requests.py
+++ b/tinrudder/routing/poison_requests.py
@@ -22,18 +22,19 @@
 """How many back ends must have been lost under a request, one of them in a trial, before it is
 barred: the users' rule counts from the third, and two may be lost by chance to a victim, whose
 retry goes to the next back end of a rack that is failing."""
-FIRST_BAR_S = 10.0
+FIRST_BAR_S = 20.0
 BAR_GROWTH = 6.0
 LONGEST_BAR_S = 3600.0
 """How long a request is barred after one failed trial, and how much longer after each further one.
 A victim, barred since a rack failed under it and under its trial, is out again in seconds; a poison
-request costs four back ends in the first 40 minutes after that: at 10, 70, 430 and 2,590 s."""
+request costs one back end more at 20, 140 and 860 s, then each hour.  The users' rule allows three
+tries in a day after it is known; a start of all gateways, which forgets it, takes one more."""
 TRIAL_S = 1.0
 """How long one gateway's trial keeps all others from one: a call takes tens of milliseconds, and
 after this its gateway is taken for dead."""
 KEPT_S = 600.0
-"""How long evidence is kept after its last crash, and after the end of a bar: ten times the pause
-between two tries of the clients seen."""
+"""How long evidence is kept after its last crash, and after the end of a bar, a choice: 37 times the
+longest pause seen between two tries of one client, 16 s."""
 CLEARED_KEPT_S = 30.0
 """How long an answer is kept: until every gateway has heard that it clears the request."""
 ALERT_S = 60.0
