--- a/tinrudder/routing/poison_requests.py
+++ b/tinrudder/routing/poison_requests.py
@@ -33,8 +33,8 @@
 """How long one gateway's trial keeps all others from one: a call takes tens of milliseconds, and
 after this its gateway is taken for dead."""
 KEPT_S = 600.0
-"""How long evidence is kept after its last crash, and after the end of a bar, a choice: 37 times the
-longest pause seen between two tries of one client, 16 s."""
+"""How long evidence is kept after its last crash, and after the end of a bar, a choice: 37 times
+the longest pause seen between two tries of one client, 16 s."""
 CLEARED_KEPT_S = 30.0
 """How long an answer is kept: until every gateway has heard that it clears the request."""
 ALERT_S = 60.0
