--- a/tinrudder/gateway/delegated_shards.py
+++ b/tinrudder/gateway/delegated_shards.py
@@ -9,7 +9,14 @@
 from msgspec import Struct
 
 from tinrudder.gateway.client_moments import Moments
-from tinrudder.gateway.hand_over import Lost, NotTaken, Unheard, hand_over, may_begin_at_once
+from tinrudder.gateway.hand_over import (
+    ANSWER_MARGIN_S,
+    Lost,
+    NotTaken,
+    Unheard,
+    hand_over,
+    may_begin_at_once,
+)
 from tinrudder.gateway.messages import HttpRequest
 from tinrudder.gateway.model import Address, Route
 from tinrudder.gateway.outcomes import Merged, NotRun
@@ -17,8 +24,6 @@
 from tinrudder.gateway.relaying import Relaying
 from tinrudder.gateway.run_guard import POISON
 
-ANSWER_MARGIN_S = 0.01
-
 
 class Delegation(Struct, frozen=True):
     """What is asked of whom.
--- a/tinrudder/gateway/hand_over.py
+++ b/tinrudder/gateway/hand_over.py
@@ -14,6 +14,9 @@
 from tinrudder.wire.gateway_relay_codec import decode_answer, encode_request
 from tinrudder.wire.snapshot_codec import MalformedPeerMessageError
 
+ANSWER_MARGIN_S = 0.01
+"""How long before the client's deadline another gateway's answer must be here, a choice: the way
+back between zones several times, and the merge."""
 ACCEPTANCE_SHARE = 0.3
 SHORTEST_ACCEPTANCE_S = 0.025
 LONGEST_ACCEPTANCE_S = 0.1
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -34,17 +34,19 @@
 """How long news waits where no trial has failed: when a rack or all connections are lost, most
 requests are answered by other back ends within this time, so that nothing need be told of them."""
 TOLD_DIRECTLY = 64
+"""How many peers hear news from the gateway that has it, a choice: 11 KB of datagrams at once."""
 PASSED_TO = 8
-"""How many peers the first gateway tells, and each of those that hear news for the first time: 730
-gateways have it after three hops, for 1.6 KB that each of them sends."""
+"""How many peers each of those that hear news first passes it to: 730 gateways have it after three
+hops, for 1.4 KB that each of them sends."""
 REPEAT_S = 1.0
 """How often some evidence is told again to some peers, for those that missed it."""
 MOST_IN_A_REPORT = 6
 """Evidence in one datagram: 200 bytes each at most, and 1,200 pass every network whole."""
 ASK_S = 0.2
+"""Time between two questions of a process that has just started, a choice."""
 FIRST_ASKS = 10
-"""How often a process that has just started asks for what others know: seeds that start at the same
-time have it as little, and need 2 s at most to listen."""
+"""How often such a process asks for what others know: seeds that start at the same time have it as
+little, and need 2 s at most to listen."""
 STOOD_STILL_S = 0.5
 """Who wakes this much late has missed what was told meanwhile, and asks."""
 
--- a/tinrudder/gateway/relayed_run.py
+++ b/tinrudder/gateway/relayed_run.py
@@ -5,7 +5,14 @@
 import asyncio
 
 from tinrudder.gateway.client_moments import Moments
-from tinrudder.gateway.hand_over import Lost, NotTaken, Unheard, hand_over, may_begin_at_once
+from tinrudder.gateway.hand_over import (
+    ANSWER_MARGIN_S,
+    Lost,
+    NotTaken,
+    Unheard,
+    hand_over,
+    may_begin_at_once,
+)
 from tinrudder.gateway.messages import HttpRequest
 from tinrudder.gateway.model import Address, Route
 from tinrudder.gateway.outcomes import Merged, NoAnswer, NotRun, RequestOutcome, TimedOut
@@ -14,8 +21,6 @@
 from tinrudder.gateway.request_run import OutcomeListener, RequestRun
 from tinrudder.gateway.scatter_planner import ScatterPlanner
 
-ANSWER_MARGIN_S = 0.01
-
 
 class RelayedRun:
     """One scatter; coordinators are asked in turn, and the last resort is to run it here.
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -36,6 +36,8 @@
 from tinrudder.gateway.shared_state import SharedState
 
 RETRY_AFTER_START_S = 0.3
+"""When to come back to a process that knows no configuration yet, a choice: ten questions to peers
+fit into this time."""
 
 
 class Run(Protocol):
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -26,11 +26,15 @@
 from tinrudder.timers import TimerHandle
 
 ABSORB_S = 0.3
+"""How long calls that nobody waits for may go on, since closing costs a connection: work for a
+client that has left must end within half a second, the ways there and back included."""
 RETRY_AFTER_S = 0.1
+"""When to come back after a refusal that another replica or a free slot may end, a choice."""
 RETRY_DEAD_S = 0.5
 """When to come back where every back end of a shard has ended: processes take seconds to start, and
 the clients seen come back within a third of their deadline of 0.8 to 8 s at the latest."""
 WHOLE = 1.0
+"""The share of a single back end's answer: all of it."""
 
 OutcomeListener = Callable[[RequestOutcome], None]
 
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -28,13 +28,19 @@
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
 
 MAX_SENDS = 4
+"""How many calls of one shard may leave for one request, a choice: two replicas, each twice."""
 MAX_TRIES = 8
+"""How often a back end is chosen for one shard, calls that never left included, a choice."""
 RETRY_PAUSE_S = 0.03
+"""Pause before a try after the second, times the tries so far, a choice: eight tries take 0.8 s."""
 DENIED_PAUSE_S = 0.02
+"""When to look again where the repeat budget or the back ends' queues denied a call, a choice."""
 HELD_PAUSE_S = 0.02
 """How often a call that must wait for the end of another is looked at again, where nothing else
 tells of that end: a third of the tightest objective seen, 0.056 s."""
 MAX_HEDGE_WAIT = 1.5
+"""How long a hedge may have to wait for a slot, in usual latencies, a choice: it would come later
+than what it is to replace."""
 NEVER = float("inf")
 
 
--- a/tinrudder/gateway/upstream_pool.py
+++ b/tinrudder/gateway/upstream_pool.py
@@ -15,6 +15,8 @@
 from tinrudder.gateway.upstream_connection import AnswerCheck, UpstreamConnection
 
 CONNECT_TIMEOUT_S = 0.4
+"""How long a connection may take to open, a choice: a hundred times the way between zones, and less
+than the second after which a lost opening packet is sent again."""
 TRUSTED_S = 0.15
 """How long ago a connection must have been heard for a call that may not be repeated.  Servers
 forget idle connections, after 0.17 s at times, and ones that went silent show nothing: such a call
