Let another gateway try a suspect request where nobody can be asked from here

Cause, found by reading: groups of shards that other gateways ask are held back until a back end has answered; where all back ends asked from here are dead, none ever does, and the run waited for its deadline. Ruled out: starting all groups at once (each would cost a back end to a poison request). Before: 503 after 1.98 s (the new test). After: an answer of the other zones' shards within the objective of 0.2 s.

--- a/tests/functional/test_gateway_dead_shards.py
+++ b/tests/functional/test_gateway_dead_shards.py
@@ -6,9 +6,13 @@
 
 import pytest
 
-from tinrudder_lab.emulator.site import EmulatedSite, run_site
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.request_fingerprint import fingerprint_of
+from tinrudder.platform.headers import HEADERS
+from tinrudder_lab.emulator.site import SITE_HOST, EmulatedSite, run_site
 
 OBJECTIVE_S = 0.2
+ZONES = ("zone-a", "zone-b", "zone-c")
 
 
 async def end_service(site: EmulatedSite, *services: str) -> None:
@@ -63,3 +67,29 @@
         assert site.broken_promises() == []
 
     run_site(scenario)
+
+
+def test_a_suspect_request_is_tried_elsewhere_where_nobody_here_can_be_asked() -> None:
+    """It waited for its deadline before: what other gateways ask was held back for an answer that
+    no back end asked from here could give."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        site.configure(oldest_version=0.1)
+        await site.traffic(3.0, 20.0, ("scatter",))
+        entry = site.nodes[0].gateway
+        assert entry is not None
+        coordination = entry.coordinators.of_service("shard-0")
+        own = coordination.own_shards(site.shard_services)
+        assert coordination.handed_over
+        assert own
+        await end_service(site, *own)
+        asked = site.request("scatter").target
+        request = HttpRequest(b"GET", asked.encode(), ((b"host", SITE_HOST.encode()),), b"")
+        entry.poison.requests.note_crash(
+            fingerprint_of(request, HEADERS), b"", 1, site.loop.time(), trial=False
+        )
+        result = await site.send("scatter", 0, target=asked)
+        assert result.status == 200
+        assert result.ended_at - result.sent_at < OBJECTIVE_S
+
+    run_site(scenario, node_count=6, zones=ZONES, spread=True, shards=18)
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -135,13 +135,12 @@
         self._held_groups = list(self._delegated)
         if self._was_free:
             self._start_held_groups()
-        elif not self.shards:
-            self._start_next_group()
         for shard in self.shards:
             shard.start(now)
         self._starting = False
         for shard in self.shards:
             self._count(shard)
+        self._follow_guard(now)
         self._act(now)
         self._arm_for_shards()
 
@@ -151,9 +150,14 @@
         for group in held:
             group.start()
 
-    def _start_next_group(self) -> None:
-        """Let one other gateway find out whether the request crashes what runs it."""
-        if self._held_groups:
+    def _try_elsewhere(self) -> None:
+        """Let one other gateway find out whether the request crashes what runs it.
+
+        Where no back end can be asked from here, nothing else would ever end the wait for that.
+        """
+        waits_here = any(shard.hopeful for shard in self.shards)
+        waits_there = any(one.pending for one in self._delegated if one not in self._held_groups)
+        if self._held_groups and not waits_here and not waits_there:
             self._held_groups.pop(0).start()
 
     def _follow_guard(self, now: float) -> None:
@@ -166,6 +170,8 @@
             self._start_held_groups()
             for shard in self.shards:
                 shard.resume(now)
+        elif not is_free:
+            self._try_elsewhere()
         self._was_free = is_free
 
     def _give_up(self) -> None:
@@ -206,8 +212,6 @@
         if group.included:
             self._guard.note_answered_elsewhere()
         self._follow_guard(now)
-        if not self.shards:
-            self._start_next_group()
         self._act(now)
         self._arm_for_shards()
 
