--- a/tinrudder/gateway/request_fingerprint.py
+++ b/tinrudder/gateway/request_fingerprint.py
@@ -11,6 +11,7 @@
 """Length of a fingerprint, bytes: nobody finds a second request with the fingerprint of another's,
 which would let one caller have another's request taken for its own."""
 _LENGTH_BYTES = 4
+"""Length of the number that stands before each field, bytes: fields are shorter than 4 GB."""
 
 
 def origin_of(route: str, request: HttpRequest, names: HeaderNames) -> bytes:
--- a/tinrudder/gateway/run_guard.py
+++ b/tinrudder/gateway/run_guard.py
@@ -11,9 +11,7 @@
 
 CANARY_PATIENCE = 0.3
 """After this part of the route's objective a second canary leaves beside the first, which may stand
-still: as long as most answers take, so that there is time left for the other shards."""
-
-
+still; a choice that leaves most of the objective to the other shards."""
 POISON = "back ends crashed under this request: it is not sent again"
 """What is said of shards that are not asked for that reason."""
 
@@ -49,7 +47,7 @@
 
 
 class RunGuard:
-    """Follows the calls of one run; costs nothing while nothing is held against any request.
+    """Follows the calls of one run; one is needed for each, also where nothing is held against any.
 
     A run is free to send until a call is lost with its connection before any back end has answered.
     From then on, and from its start where other tries of the same request lost back ends, one call
