--- a/tinrudder/routing/poison_requests.py
+++ b/tinrudder/routing/poison_requests.py
@@ -205,8 +205,8 @@
     def judge(self, fingerprint: bytes, origin: bytes, now: float) -> Judgement:
         """Decide what may be done with a request.
 
-        :param origin: its route and caller, all whose requests are suspect for a while after one
-            of them has cost several back ends, or one in a trial.
+        :param origin: its route and caller, all whose requests are suspect for a while after two
+            different ones have lost a back end in a trial.
         """
         evidence = self._evidence.get(fingerprint)
         if evidence is None or not evidence.crashes:
