Interfaces of the parts: a back end's life, the unanswered share of a scatter

Cause: parts built side by side need the same names. Ruled out: leaving both to the parts that use them.

--- a/tinrudder/gateway/model.py
+++ b/tinrudder/gateway/model.py
@@ -101,10 +101,11 @@
 class BackendEntry(Struct, frozen=True):
     """A back end as it describes itself.
 
-    :param backend_id: new at every start of the back end.
+    :param backend_id: its id, which a back end that starts again may keep.
     :param slots: requests that it works on at the same time.
     :param leaving: it has announced its end and takes no new work.
     :param cold_left_s: how much longer it stays slow.
+    :param started_ms: when its process started, Unix milliseconds; 0 if it does not say.
     """
 
     backend_id: str
@@ -115,6 +116,12 @@
     slots: int
     leaving: bool
     cold_left_s: float = 0.0
+    started_ms: int = 0
+
+    @property
+    def life(self) -> str:
+        """Return what names this start of the back end, as its id alone does not."""
+        return f"{self.backend_id}@{self.started_ms}"
 
 
 class HeaderNames(Struct, frozen=True):
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -108,6 +108,11 @@
         """Return how many shards have answered."""
         return self._included + sum(group.included for group in self._delegated)
 
+    @property
+    def unanswered_share(self) -> float:
+        """Return the part of the shards that has not answered, 0 to 1."""
+        return 1.0 - self.included / self._total
+
     @property
     def repeats(self) -> int:
         """Return how many calls were sent beyond the first of each shard."""
