End the news of poison requests: what clears evidence is counted, not timed

Evidence on requests travels with its age, which the way makes too short; the latest moment of an event held, so cleared evidence came back by slower ways, was news again, and was passed on by everybody. Ruled out: pulls between gateways (608 applied in 6 s by 113 gateways, all of changes only); scatters run here after coordinators fell silent (49 in 6 s). Before: one request that lost a call and was answered 0.15 s later makes each of 113 gateways, whose datagrams take 0.05 to 0.5 s, send 32, 565 and 11,900 datagrams a second after 1.5, 2 and 2.5 s (virtual time); at 7 and 28 gateways evidence stays held against all ten. A bucket of 192 and 24 a second bounds what a gateway sends in any case. A back end that keeps other connections 0.04 s after a call was lost has not crashed: that is held against the request no longer.

--- /dev/null
+++ b/tests/unit/test_poison_news_ends.py
@@ -0,0 +1,116 @@
+"""News of poison requests ends by itself, however slow the way between gateways is.
+
+Evidence travels with its age, and a slow way makes it look younger.  Gateways whose datagrams take
+up to half a second tell each other of ten requests that lost a call and were answered; measured is
+what they still send long after.  Where the latest moment of an event held, one such request was
+enough at 113 gateways: 32, 565 and 11,900 datagrams a second from each after 1.5, 2 and 2.5 s.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import async_solipsism
+import pytest
+
+from tinrudder.gateway.model import Address
+from tinrudder.gateway.peer_datagrams import PeerDatagrams
+from tinrudder.gateway.peer_list import PeerList
+from tinrudder.gateway.peer_messages import Member, PoisonReport
+from tinrudder.gateway.poison_watch import PoisonWatch
+from tinrudder.gateway.request_fingerprint import FINGERPRINT_BYTES
+from tinrudder.platform.headers import HEADERS
+
+ORIGIN = b"o" * FINGERPRINT_BYTES
+REQUESTS = 10
+SPAN_S = 1.0
+ANSWERED_AFTER_S = 0.15
+SETTLED_AFTER_S = 3.0
+REPEATED_TO = {7: 6, 28: 3, 113: 3}
+"""Whom each gateway tells again, once in 0.8 to 1 s."""
+MOST_SENT_FOR_A_REQUEST = 25
+"""By each gateway: passed on to 8 when it is held against the request and when that is dropped, and
+what repeats meanwhile."""
+
+
+class SlowNetwork:
+    """Gateways on one virtual clock, between which each datagram takes a time of its own."""
+
+    def __init__(self, size: int) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.sent = 0
+        self._random = random.Random(5)
+        addresses = [Address("10.0.0.1", number) for number in range(1, size + 1)]
+        self.watches: dict[Address, PoisonWatch] = {}
+        for own in addresses:
+            peers = PeerList(own, random.Random(own.port), self.loop.time())
+            for other in addresses:
+                peers.heard_from(Member(other), self.loop.time())
+            self.watches[own] = PoisonWatch(
+                peers, self._socket(own), self.loop.time, HEADERS, random.Random(own.port)
+            )
+
+    def _socket(self, own: Address) -> PeerDatagrams:
+        network = self
+
+        class Socket(PeerDatagrams):
+            def __init__(self) -> None:
+                self._handlers = {}
+
+            def send(self, datagram: Any, *peers: Address) -> None:
+                for peer in peers:
+                    network.sent += 1
+                    network.loop.call_later(
+                        network._random.uniform(0.05, 0.5), network._deliver, datagram, own, peer
+                    )
+
+        return Socket()
+
+    def _deliver(self, report: PoisonReport, sender: Address, receiver: Address) -> None:
+        self.watches[receiver]._on_report(report, sender)
+
+    async def lose_and_answer(self, number: int) -> None:
+        """Let one gateway lose a call of a request, and a back end answer it a moment later."""
+        await asyncio.sleep(self._random.uniform(0.0, SPAN_S))
+        watch = self._random.choice(list(self.watches.values()))
+        fingerprint = number.to_bytes(FINGERPRINT_BYTES, "big")
+        watch.note_crash(fingerprint, ORIGIN, f"back-end-{number}", trial=number % 4 == 0)
+        await asyncio.sleep(ANSWERED_AFTER_S)
+        watch.note_answer(fingerprint)
+
+
+async def play(size: int) -> tuple[float, float, int]:
+    """Return what a gateway sends in all and, after all is settled, in a second; and what is held
+    against requests then."""
+    network = SlowNetwork(size)
+    tasks = [asyncio.create_task(watch.run()) for watch in network.watches.values()]
+    await asyncio.sleep(3.0)
+    before = network.sent
+    await asyncio.gather(*(network.lose_and_answer(number) for number in range(REQUESTS)))
+    await asyncio.sleep(SETTLED_AFTER_S)
+    in_all = (network.sent - before) / size
+    settled = network.sent
+    await asyncio.sleep(1.0)
+    a_second = (network.sent - settled) / size
+    held = sum(
+        bool(evidence.crashes)
+        for watch in network.watches.values()
+        for _, evidence in watch.requests.all()
+    )
+    for task in tasks:
+        task.cancel()
+    return in_all, a_second, held
+
+
+@pytest.mark.parametrize("size", [7, 28, 113])
+def test_news_of_requests_that_were_answered_ends_on_slow_ways(size: int) -> None:
+    loop = async_solipsism.EventLoop()
+    try:
+        in_all, a_second, held = loop.run_until_complete(play(size))
+    finally:
+        loop.close()
+    assert held == 0
+    assert a_second <= 1.25 * REPEATED_TO[size]
+    assert in_all <= REQUESTS * MOST_SENT_FOR_A_REQUEST
--- a/tests/unit/test_poison_watch.py
+++ b/tests/unit/test_poison_watch.py
@@ -34,6 +34,7 @@
     st.lists(st.builds(ToldCrash, st.integers(0, 2**32 - 1), ages, st.booleans()), max_size=10).map(
         tuple
     ),
+    st.integers(0, 2**32 - 1),
     st.none() | ages,
     st.none() | ages,
 )
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -127,14 +127,16 @@
 class ToldEvidence(Struct, frozen=True):
     """What a gateway knows of one request that may be poison; see :class:`Evidence`.
 
-    :param answered_age_s: how long ago a back end answered it; ``None``: never.
+    :param cleared: how often what was held against it has been dropped.
+    :param cleared_age_s: how long ago that was last; ``None``: never.
     :param trial_age_s: how long ago a trial began; ``None``: never.
     """
 
     fingerprint: bytes
     origin: bytes
     crashes: tuple[ToldCrash, ...] = ()
-    answered_age_s: float | None = None
+    cleared: int = 0
+    cleared_age_s: float | None = None
     trial_age_s: float | None = None
 
 
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -29,6 +29,7 @@
     PoisonRequests,
     Standing,
 )
+from tinrudder.routing.send_budget import SendBudget
 
 GATHER_S = 0.05
 """How long news waits where no trial has failed: when a rack or all connections are lost, most
@@ -42,6 +43,11 @@
 """How often some evidence is told again to some peers, for those that missed it."""
 MOST_IN_A_REPORT = 6
 """Evidence in one datagram: 200 bytes each at most, and 1,200 pass every network whole."""
+MOST_DATAGRAMS_AT_ONCE = 192
+"""Of reports, by one gateway: three pieces of news to all whom it tells directly."""
+MOST_DATAGRAMS_A_SECOND = 24.0
+"""Of reports, by one gateway, after those: 5 KB a second at 200 bytes, below what a weak machine's
+link of 7 Mbit/s and its processor notice.  What is over it is left to the reports that repeat."""
 ASK_S = 0.2
 """Time between two questions of a process that has just started, a choice."""
 FIRST_ASKS = 10
@@ -56,6 +62,7 @@
 
     :ivar requests: the evidence.
     :ivar refused: how many requests were refused since they were barred.
+    :ivar unsent: how many datagrams the bound on them kept back.
     """
 
     def __init__(
@@ -69,6 +76,8 @@
         """Tell ``peers`` whatever is found here."""
         self.requests = PoisonRequests()
         self.refused = 0
+        self.unsent = 0
+        self._budget = SendBudget(MOST_DATAGRAMS_AT_ONCE, MOST_DATAGRAMS_A_SECOND)
         self._peers = peers
         self._datagrams = datagrams
         self._clock = clock
@@ -109,17 +118,18 @@
         detail = f"poison: back ends crashed under this request ({fingerprint.hex()})"
         return NotRun(detail, judgement.barred_s)
 
-    def note_crash(
-        self, fingerprint: bytes, origin: bytes, backend_id: str, *, trial: bool
-    ) -> None:
-        """Hold a back end that was lost against the request that it ran."""
+    def note_crash(self, fingerprint: bytes, origin: bytes, life: str, *, trial: bool) -> None:
+        """Hold a back end that was lost against the request that it ran.
+
+        :param life: names the start of the back end.
+        """
         now = self._clock()
-        backend = crc32(backend_id.encode())
+        backend = crc32(life.encode())
         evidence = self.requests.note_crash(fingerprint, origin, backend, now, trial=trial)
         if evidence.barred_until > now:
             fields: dict[str, LogValue] = {
                 "fingerprint": fingerprint.hex(),
-                "backend": backend_id,
+                "backend": life,
                 "crashes": len(evidence.crashes),
                 "failed_trials": evidence.failed_trials,
                 "barred_s": round(evidence.barred_until - now, 3),
@@ -137,6 +147,17 @@
         if not self.requests.note_answer(fingerprint, self._clock()):
             return
         log_event("request_cleared", {"fingerprint": fingerprint.hex()})
+        self._tell_dropped(fingerprint)
+
+    def note_survivor(self, fingerprint: bytes, life: str) -> None:
+        """Hold a back end no longer against a request: it has not crashed after all."""
+        if not self.requests.note_survivor(fingerprint, crc32(life.encode()), self._clock()):
+            return
+        log_event("back_end_survived", {"fingerprint": fingerprint.hex(), "backend": life})
+        self._tell_dropped(fingerprint)
+
+    def _tell_dropped(self, fingerprint: bytes) -> None:
+        """Tell others that something is held against a request no longer, if they know of it."""
         if fingerprint in self._news:
             # Nobody else holds anything against it, as far as is known here.
             self._news.discard(fingerprint)
@@ -208,8 +229,10 @@
         found = ((one, self.requests.find(one)) for one in fingerprints)
         told = [self._told(one, evidence) for one, evidence in found if evidence is not None]
         for first in range(0, len(told), MOST_IN_A_REPORT):
+            allowed = self._budget.take(len(peers), self._clock())
+            self.unsent += len(peers) - allowed
             report = PoisonReport(tuple(told[first : first + MOST_IN_A_REPORT]))
-            self._datagrams.send(report, *peers)
+            self._datagrams.send(report, *peers[:allowed])
 
     def _on_report(self, report: PoisonReport, sender: Address) -> None:
         """Take what another gateway knows, and tell it what it asks for."""
@@ -246,7 +269,8 @@
             fingerprint,
             evidence.origin,
             crashes,
-            _age(now, evidence.answered_at),
+            evidence.cleared,
+            _age(now, evidence.cleared_at),
             _age(now, evidence.trial_at),
         )
 
@@ -265,6 +289,7 @@
     return Evidence(
         told.origin,
         tuple(Crash(one.backend, now - one.age_s, one.trial) for one in crashes),
-        _moment(now, told.answered_age_s),
+        told.cleared,
+        _moment(now, told.cleared_age_s),
         _moment(now, told.trial_age_s),
     )
--- a/tinrudder/gateway/run_guard.py
+++ b/tinrudder/gateway/run_guard.py
@@ -34,11 +34,12 @@
     def judge(self, fingerprint: bytes, origin: bytes) -> Judgement:
         """Decide what may be done with a request now."""
 
-    def note_crash(
-        self, fingerprint: bytes, origin: bytes, backend_id: str, *, trial: bool
-    ) -> None:
+    def note_crash(self, fingerprint: bytes, origin: bytes, life: str, *, trial: bool) -> None:
         """Hold a back end that was lost against the request that it ran."""
 
+    def note_survivor(self, fingerprint: bytes, life: str) -> None:
+        """Hold a back end no longer against a request: it has not crashed after all."""
+
     def note_answer(self, fingerprint: bytes) -> None:
         """Clear a request that a back end has answered."""
 
@@ -124,19 +125,26 @@
         """Take the end of a call that says nothing of the request."""
         self._in_progress -= 1
 
-    def note_crash(self, backend_id: str, *, canary: bool) -> None:
-        """Take a call that was lost with its connection.
+    def note_crash(self, life: str, *, canary: bool) -> bool:
+        """Take a call that was lost with its connection; tell whether it counts as a crash.
 
         Where a back end has answered in this run, the request is not what crashed this one.
+
+        :param life: names the start of the back end.
         """
         self._in_progress -= 1
         if self.answered:
-            return
+            return False
         self._lost_here = True
         # A canary that is lost ends the run: the next try is another run's, if there is one.
         self._stopped |= canary
         request = self._request
-        self._evidence.note_crash(request.fingerprint, self._origin, backend_id, trial=canary)
+        self._evidence.note_crash(request.fingerprint, self._origin, life, trial=canary)
+        return True
+
+    def note_survivor(self, life: str) -> None:
+        """Take back a crash: the back end keeps other connections from before it."""
+        self._evidence.note_survivor(self._request.fingerprint, life)
 
     @property
     def barred_s(self) -> float:
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -24,6 +24,7 @@
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_log import log_call_lost
 from tinrudder.gateway.run_guard import POISON, Permission, RunGuard
+from tinrudder.gateway.upstream_pool import UpstreamPool
 from tinrudder.routing.backend_observations import RunningCall
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
 
@@ -41,6 +42,10 @@
 MAX_HEDGE_WAIT = 1.5
 """How long a hedge may have to wait for a slot, in usual latencies, a choice: it would come later
 than what it is to replace."""
+SURVIVAL_S = 0.04
+"""When to look whether a back end that was lost with a call keeps other connections.  A process
+that ends loses all of them at once.  This is several ways there and back between zones, and early
+enough that no other gateway has been told yet."""
 NEVER = float("inf")
 
 
@@ -347,10 +352,23 @@
                 log_call_lost(
                     request.request_id, request.fingerprint, self.service, backend_id, detail
                 )
-                self._guard.note_crash(backend_id, canary=attempt.canary)
+                self._suspect_crash(attempt)
             case _:
                 self._guard.note_unanswered()
 
+    def _suspect_crash(self, attempt: Attempt) -> None:
+        """Hold a lost call against the request, unless its back end turns out to be alive."""
+        life = attempt.backend.entry.life
+        if self._guard.note_crash(life, canary=attempt.canary):
+            loop = self._forwarding.loop
+            pool, lost_at = attempt.backend.pool, loop.time()
+            loop.call_later(SURVIVAL_S, self._look_for_survivor, life, pool, lost_at)
+
+    def _look_for_survivor(self, life: str, pool: UpstreamPool, lost_at: float) -> None:
+        """Take a crash back where only one connection has ended."""
+        if pool.has_connection_from_before(lost_at):
+            self._guard.note_survivor(life)
+
     def _take_back(self, backend: Backend) -> None:
         """Note that one call has not run; an earlier one to the same back end still may have."""
         self._offered[backend.backend_id] -= 1
--- a/tinrudder/gateway/upstream_connection.py
+++ b/tinrudder/gateway/upstream_connection.py
@@ -32,6 +32,7 @@
 class UpstreamConnection(asyncio.Protocol):
     """Sends a call, reads its answer, and tells whether the connection may be used again.
 
+    :ivar opened_at: when it was opened.
     :ivar heard_at: when anything came over it, at first its opening.
 
     Whatever arrives while no call is waiting closes the connection: those bytes belong to no
@@ -50,7 +51,8 @@
         self._on_free = on_free
         self._on_closed = on_closed
         self._loop = asyncio.get_running_loop()
-        self.heard_at = self._loop.time()
+        self.opened_at = self._loop.time()
+        self.heard_at = self.opened_at
         self._transport: asyncio.Transport | None = None
         self._call: UpstreamCall | None = None
         self._reader: AnswerReader | None = None
@@ -63,14 +65,14 @@
         if tcp_socket is not None:
             tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether neither side has ended it, as far as known."""
+        return self._transport is not None and not self._transport.is_closing()
+
     def is_usable(self) -> bool:
         """Tell whether another call may be sent."""
-        return (
-            self._transport is not None
-            and not self._transport.is_closing()
-            and self._call is None
-            and self._loop.time() < self.usable_until
-        )
+        return self.is_open and self._call is None and self._loop.time() < self.usable_until
 
     def send(self, call: UpstreamCall) -> bool:
         """Write one call; false when it was withdrawn and nothing was written."""
--- a/tinrudder/gateway/upstream_pool.py
+++ b/tinrudder/gateway/upstream_pool.py
@@ -44,6 +44,10 @@
         """Return the number of connections, those being opened included."""
         return len(self._open) + len(self._connecting)
 
+    def has_connection_from_before(self, moment: float) -> bool:
+        """Tell whether a connection is open that was opened before a moment."""
+        return any(one.is_open and one.opened_at < moment for one in self._open)
+
     def start(self, call: UpstreamCall) -> None:
         """Send a call over an idle connection, or let it wait for one."""
         connection = self._take_idle() if call.repeatable else self._take_trusted()
--- a/tinrudder/routing/poison_requests.py
+++ b/tinrudder/routing/poison_requests.py
@@ -7,7 +7,14 @@
 clears them, and only those whose trial costs a back end too are barred.
 
 All of this is a pure decision over evidence that gateways tell each other.  Evidence merges in any
-order, any number of times, to the same result; moments are each gateway's own, and travel as ages.
+order, any number of times, to the same result.  Moments are each gateway's own, and travel as
+ages, which the way there makes too short.  So what clears a request is told by a count, not by
+comparing moments, and of two moments of one event the earlier holds.  When the latest ones held,
+evidence that was cleared came back wherever its way had been longer than that of the answer, was
+passed on as news, and kept itself alive: one request that lost a call and was answered 0.15 s
+later made each of 113 gateways, whose datagrams took 0.05 to 0.5 s, send 32, 565 and 11,900
+datagrams a second after 1.5, 2 and 2.5 s.  Now 40 of them make each send 14 for a request, and
+then only what repeats (virtual time).
 """
 
 from __future__ import annotations
@@ -16,6 +23,7 @@
 from enum import Enum, auto
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 NEVER = float("-inf")
 ENOUGH_CRASHES = 3
@@ -53,9 +61,9 @@
 
 
 class Crash(Struct, frozen=True):
-    """A back end that was lost under a request.
+    """A back end that was lost under a request; one start of a back end is lost once.
 
-    :param backend: a number drawn from its id.
+    :param backend: a number drawn from its id and the moment of its start.
     :param at: monotonic time at which its connection ended.
     :param trial: the call was the only one in progress of a request that was under suspicion.
     """
@@ -69,14 +77,17 @@
     """What is known of one request.
 
     :param origin: the route and the caller; see :meth:`PoisonRequests.judge`.
-    :param crashes: since it was answered last.
-    :param answered_at: when a back end answered it last; :data:`NEVER` if none has.
+    :param crashes: those that no answer to it has cleared.
+    :param cleared: how often what was held against it has been dropped; of two pieces of evidence,
+        the one that was cleared more often holds, and of the other only its trial.
+    :param cleared_at: when that was last; :data:`NEVER` if it was not.
     :param trial_at: when the latest trial began.
     """
 
     origin: bytes
     crashes: tuple[Crash, ...] = ()
-    answered_at: float = NEVER
+    cleared: int = 0
+    cleared_at: float = NEVER
     trial_at: float = NEVER
 
     @property
@@ -109,20 +120,27 @@
     def kept_until(self) -> float:
         """Return when it decides nothing any more."""
         if not self.crashes:
-            return self.answered_at + CLEARED_KEPT_S
+            return self.cleared_at + CLEARED_KEPT_S
         return max(self.last_crash_at, self.barred_until) + KEPT_S
 
     def merged(self, other: Evidence) -> Evidence:
         """Return what both say together; the order does not matter."""
-        answered_at = max(self.answered_at, other.answered_at)
+        trial_at = max(self.trial_at, other.trial_at)
+        if self.cleared != other.cleared:
+            newer = self if self.cleared > other.cleared else other
+            return replace(newer, origin=self.origin, trial_at=trial_at)
         found: dict[int, Crash] = {}
         for crash in self.crashes + other.crashes:
-            if crash.at > answered_at:
-                known = found.get(crash.backend, crash)
-                at = max(known.at, crash.at)
-                found[crash.backend] = Crash(crash.backend, at, known.trial or crash.trial)
-        trial_at = max(self.trial_at, other.trial_at)
-        return Evidence(self.origin, _latest(found.values()), answered_at, trial_at)
+            known = found.get(crash.backend, crash)
+            at = min(known.at, crash.at)
+            found[crash.backend] = Crash(crash.backend, at, known.trial or crash.trial)
+        return Evidence(
+            self.origin,
+            _latest(found.values()),
+            self.cleared,
+            min(self.cleared_at, other.cleared_at),
+            trial_at,
+        )
 
 
 def _latest(crashes: Iterable[Crash]) -> tuple[Crash, ...]:
@@ -227,7 +245,9 @@
         self, fingerprint: bytes, origin: bytes, backend: int, at: float, *, trial: bool
     ) -> Evidence:
         """Hold a lost back end against a request."""
-        return self.merge(fingerprint, Evidence(origin, (Crash(backend, at, trial),)))
+        known = self._evidence.get(fingerprint, Evidence(origin))
+        crash = Crash(backend, at, trial)
+        return self.merge(fingerprint, replace(known, origin=origin, crashes=(crash,)))
 
     def note_answer(self, fingerprint: bytes, at: float) -> bool:
         """Clear a request that a back end has answered; tell whether anything was held against it.
@@ -237,15 +257,31 @@
         evidence = self._evidence.get(fingerprint)
         if evidence is None or not evidence.crashes:
             return False
-        self.merge(fingerprint, Evidence(evidence.origin, answered_at=at))
+        self._keep_only(fingerprint, evidence, (), at)
         return True
 
+    def note_survivor(self, fingerprint: bytes, backend: int, at: float) -> bool:
+        """Drop one back end that has not crashed after all; tell whether it was held against it."""
+        evidence = self._evidence.get(fingerprint)
+        if evidence is None or all(crash.backend != backend for crash in evidence.crashes):
+            return False
+        others = tuple(crash for crash in evidence.crashes if crash.backend != backend)
+        self._keep_only(fingerprint, evidence, others, at)
+        return True
+
+    def _keep_only(
+        self, fingerprint: bytes, evidence: Evidence, crashes: tuple[Crash, ...], at: float
+    ) -> None:
+        """Drop all crashes but some, here and wherever that is heard."""
+        kept = Evidence(evidence.origin, crashes, evidence.cleared + 1, at, evidence.trial_at)
+        self.merge(fingerprint, kept)
+
     def begin_trial(self, fingerprint: bytes, now: float) -> bool:
         """Note that a trial begins here; tell whether others must wait for its end."""
         evidence = self._evidence.get(fingerprint)
         if evidence is None or len(evidence.crashes) < ENOUGH_CRASHES:
             return False
-        self.merge(fingerprint, Evidence(evidence.origin, trial_at=now))
+        self.merge(fingerprint, replace(evidence, trial_at=now))
         return True
 
     def merge(self, fingerprint: bytes, told: Evidence) -> Evidence:
--- a/tinrudder/wire/poison_report_codec.py
+++ b/tinrudder/wire/poison_report_codec.py
@@ -34,8 +34,9 @@
         fingerprint=told.fingerprint,
         origin=told.origin,
         crashes=crashes,
-        answered_age_ms=_optional_age_ms(told.answered_age_s),
+        cleared_age_ms=_optional_age_ms(told.cleared_age_s),
         trial_age_ms=_optional_age_ms(told.trial_age_s),
+        cleared=told.cleared,
     )
 
 
@@ -51,7 +52,8 @@
         message.fingerprint,
         message.origin,
         crashes,
-        age_of(message, "answered_age_ms"),
+        message.cleared,
+        age_of(message, "cleared_age_ms"),
         age_of(message, "trial_age_ms"),
     )
 
