Take back crashes of back ends that answer: lost answers make no canaries of a route

Cause: a back end that loses an answer with its connection looks like one that crashed under the request; two requests that lost a canary so made all of their route begin as canaries for a minute. Ruled out: looking for other open connections alone (at 0.7 of all answers lost they are lost too; no change); a count of clearings for single crashes (two gateways that each take back their own bring back each other's). An answer within 0.5 s of the loss, or 4 s after it under the same entry, shows the same process.

--- a/tests/functional/test_gateway_requests_that_end_back_ends.py
+++ b/tests/functional/test_gateway_requests_that_end_back_ends.py
@@ -26,6 +26,7 @@
 import pytest
 
 from tests.support.many_gateways import MANY, SETTLED_S, run_many
+from tinrudder_lab.emulator.backend import Fault
 from tinrudder_lab.emulator.http_server import ServedRequest
 from tinrudder_lab.emulator.loop import EmulatorLoop
 from tinrudder_lab.emulator.records import ClientResult, Disturbance
@@ -324,3 +325,33 @@
         assert {one.status for one in site.ledger.results[first:]} == {200}
 
     run_site(scenario, node_count=GATEWAYS, shards=SHARDS)
+
+
+def lose_answers(site: EmulatedSite, share: float) -> None:
+    """Let all back ends lose a share of their answers with the connection; none ends."""
+    for backend in site.backends.values():
+        backend.choose_fault = lambda: Fault.CLOSED if site.random.random() < share else Fault.NONE
+
+
+def on_alert(site: EmulatedSite) -> list[str]:
+    """Return the gateways that begin other requests of a caller as canaries."""
+    return [
+        node.name
+        for node in site.nodes
+        if node.gateway is not None and node.gateway.poison.alerts() > 0
+    ]
+
+
+def test_back_ends_that_lose_answers_make_no_canaries_of_other_requests() -> None:
+    """Where they did, for a minute, the median of a scatter rose from 39 to 60 ms."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        rate = 90.0
+        await site.traffic(SETTLED_S, rate, ("scatter",))
+        lose_answers(site, 0.7)
+        await site.traffic(1.5, rate, ("scatter",))
+        lose_answers(site, 0.0)
+        await site.traffic(0.5, rate, ("scatter",))
+        assert on_alert(site) == []
+
+    run_site(scenario, node_count=2, shards=SHARDS)
--- a/tests/unit/test_poison_news_ends.py
+++ b/tests/unit/test_poison_news_ends.py
@@ -95,7 +95,7 @@
     await asyncio.sleep(1.0)
     a_second = (network.sent - settled) / size
     held = sum(
-        bool(evidence.crashes)
+        bool(evidence.held)
         for watch in network.watches.values()
         for _, evidence in watch.requests.all()
     )
--- a/tests/unit/test_poison_requests.py
+++ b/tests/unit/test_poison_requests.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,6 +17,8 @@
     LONGEST_BAR_S,
     MOST_REQUESTS,
     NEVER,
+    RESTART_KNOWN_S,
+    SOONEST_RESTART_S,
     TRIAL_S,
     Crash,
     Evidence,
@@ -32,6 +35,7 @@
     backend=st.integers(0, 4),
     at=st.integers(0, 20).map(float),
     trial=st.booleans(),
+    survived=st.booleans(),
 )
 moments = st.integers(0, 20).map(float)
 # How often it was cleared, and when that was last.
@@ -84,8 +88,8 @@
     known = together(evidence)
     barred = known.barred_until > known.last_crash_at
     if barred:
-        assert len(known.crashes) >= ENOUGH_CRASHES
-        assert any(crash.trial for crash in known.crashes)
+        assert len(known.held) >= ENOUGH_CRASHES
+        assert any(crash.trial for crash in known.held)
         latest = max(one.cleared for one in evidence)
         held = {crash.backend for one in evidence if one.cleared == latest for crash in one.crashes}
         assert {crash.backend for crash in known.crashes} == held
@@ -175,11 +179,11 @@
     told = table.find(ASKED)
     assert told is not None
     other.merge(ASKED, told)
-    assert table.note_survivor(ASKED, 0, 0.05)
+    assert table.note_survivor(ASKED, 0)
     assert standing(table, 0.1) is Standing.SUSPECT
-    assert not table.note_survivor(ASKED, 0, 0.06)
+    assert not table.note_survivor(ASKED, 0)
     for backend in range(1, ENOUGH_CRASHES):
-        assert table.note_survivor(ASKED, backend, 0.07)
+        assert table.note_survivor(ASKED, backend)
     assert standing(table, 0.1) is Standing.FREE
     table.merge(ASKED, told)
     assert standing(table, 0.1) is Standing.FREE
@@ -189,6 +193,31 @@
     assert standing(other, 0.1) is Standing.FREE
 
 
+@pytest.mark.parametrize(
+    ("later_s", "innocent"),
+    [
+        (-0.01, False),
+        (0.0, True),
+        (SOONEST_RESTART_S, True),
+        (SOONEST_RESTART_S + 0.1, False),
+        (RESTART_KNOWN_S - 0.1, False),
+        (RESTART_KNOWN_S, True),
+    ],
+)
+def test_an_answer_shows_that_a_back_end_lives_unless_it_may_have_been_restarted(
+    later_s: float, innocent: bool
+) -> None:
+    table = PoisonRequests()
+    table.note_crash(ASKED, ORIGIN, 1, 10.0, trial=True)
+    table.note_crash(b"second", ORIGIN, 2, 10.0, trial=True)
+    assert table.lost_under(1, 10.0 + later_s) == ((ASKED,) if innocent else ())
+    assert table.note_survivor(ASKED, 1)
+    assert table.lost_under(1, 10.0) == ()
+    assert table.lost_under(2, 10.0) == (b"second",)
+    table.note_answer(b"second", 10.1)
+    assert table.lost_under(2, 10.0) == ()
+
+
 def test_everything_is_forgotten_in_the_end() -> None:
     table = PoisonRequests()
     convicted(table, 0.0)
--- a/tests/unit/test_poison_watch.py
+++ b/tests/unit/test_poison_watch.py
@@ -31,9 +31,10 @@
     ToldEvidence,
     digests,
     digests,
-    st.lists(st.builds(ToldCrash, st.integers(0, 2**32 - 1), ages, st.booleans()), max_size=10).map(
-        tuple
-    ),
+    st.lists(
+        st.builds(ToldCrash, st.integers(0, 2**32 - 1), ages, st.booleans(), st.booleans()),
+        max_size=10,
+    ).map(tuple),
     st.integers(0, 2**32 - 1),
     st.none() | ages,
     st.none() | ages,
--- a/tests/unit/test_shard_calls_machine.py
+++ b/tests/unit/test_shard_calls_machine.py
@@ -126,7 +126,11 @@
         self.requests.note_crash(fingerprint, origin, number, self.loop.now, trial=trial)
 
     def note_survivor(self, fingerprint: bytes, life: str) -> None:
-        self.requests.note_survivor(fingerprint, crc32(life.encode()), self.loop.now)
+        self.requests.note_survivor(fingerprint, crc32(life.encode()))
+
+    def note_alive(self, life: str, sent_at: float) -> None:
+        for fingerprint in self.requests.lost_under(crc32(life.encode()), sent_at):
+            self.note_survivor(fingerprint, life)
 
     def note_answer(self, fingerprint: bytes) -> None:
         self.requests.note_answer(fingerprint, self.loop.now)
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -89,6 +89,17 @@
                 "Requests refused since back ends crash under them.",
                 lambda: node.poison.refused,
             ),
+            Figure(
+                f"{PREFIX}_poison_reports_unsent",
+                "Reports of poison requests kept back by the bound on them.",
+                lambda: node.poison.unsent,
+            ),
+            Figure(
+                f"{PREFIX}_poison_alerts",
+                "Routes and callers all whose requests begin as canaries now.",
+                node.poison.alerts,
+                is_counter=False,
+            ),
             Figure(
                 f"{PREFIX}_missing_shards",
                 "Shards left out of merged answers.",
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -122,6 +122,7 @@
     backend: int
     age_s: float
     trial: bool
+    survived: bool = False
 
 
 class ToldEvidence(Struct, frozen=True):
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -99,6 +99,10 @@
         """Return how many different requests are barred now."""
         return self.requests.barred(self._clock())
 
+    def alerts(self) -> int:
+        """Return for how many routes and callers all requests begin as canaries now."""
+        return self.requests.alerts(self._clock())
+
     def judge(self, fingerprint: bytes, origin: bytes) -> Judgement:
         """Decide what may be done with a request now."""
         return self.requests.judge(fingerprint, origin, self._clock())
@@ -130,7 +134,7 @@
             fields: dict[str, LogValue] = {
                 "fingerprint": fingerprint.hex(),
                 "backend": life,
-                "crashes": len(evidence.crashes),
+                "crashes": len(evidence.held),
                 "failed_trials": evidence.failed_trials,
                 "barred_s": round(evidence.barred_until - now, 3),
             }
@@ -151,11 +155,16 @@
 
     def note_survivor(self, fingerprint: bytes, life: str) -> None:
         """Hold a back end no longer against a request: it has not crashed after all."""
-        if not self.requests.note_survivor(fingerprint, crc32(life.encode()), self._clock()):
+        if not self.requests.note_survivor(fingerprint, crc32(life.encode())):
             return
         log_event("back_end_survived", {"fingerprint": fingerprint.hex(), "backend": life})
         self._tell_dropped(fingerprint)
 
+    def note_alive(self, life: str, sent_at: float) -> None:
+        """Hold a back end no longer against requests after which it still answers."""
+        for fingerprint in self.requests.lost_under(crc32(life.encode()), sent_at):
+            self.note_survivor(fingerprint, life)
+
     def _tell_dropped(self, fingerprint: bytes) -> None:
         """Tell others that something is held against a request no longer, if they know of it."""
         if fingerprint in self._news:
@@ -264,7 +273,10 @@
     def _told(self, fingerprint: bytes, evidence: Evidence) -> ToldEvidence:
         """Return evidence as it is told: with ages, since every gateway's clock is its own."""
         now = self._clock()
-        crashes = tuple(ToldCrash(one.backend, now - one.at, one.trial) for one in evidence.crashes)
+        crashes = tuple(
+            ToldCrash(one.backend, now - one.at, one.trial, one.survived)
+            for one in evidence.crashes
+        )
         return ToldEvidence(
             fingerprint,
             evidence.origin,
@@ -288,7 +300,7 @@
     crashes = told.crashes[: 2 * MOST_CRASHES_OF_A_KIND]
     return Evidence(
         told.origin,
-        tuple(Crash(one.backend, now - one.age_s, one.trial) for one in crashes),
+        tuple(Crash(one.backend, now - one.age_s, one.trial, one.survived) for one in crashes),
         told.cleared,
         _moment(now, told.cleared_age_s),
         _moment(now, told.trial_age_s),
--- a/tinrudder/gateway/run_guard.py
+++ b/tinrudder/gateway/run_guard.py
@@ -43,6 +43,9 @@
     def note_answer(self, fingerprint: bytes) -> None:
         """Clear a request that a back end has answered."""
 
+    def note_alive(self, life: str, sent_at: float) -> None:
+        """Take it that a back end has answered what was sent at a moment."""
+
     def begin_trial(self, fingerprint: bytes) -> None:
         """Keep other gateways from a trial while one begins here."""
 
@@ -110,12 +113,17 @@
         self._evidence.begin_trial(self._request.fingerprint)
         return True
 
-    def note_answered(self) -> None:
-        """Take an answer, whatever it says: the back end has survived the request."""
+    def note_answered(self, life: str, sent_at: float) -> None:
+        """Take an answer, whatever it says: the back end has survived the request.
+
+        :param life: names the start of the back end.
+        :param sent_at: when it was asked.
+        """
         self._in_progress -= 1
         self.answered = True
         if not self._evidence.is_calm:
             self._evidence.note_answer(self._request.fingerprint)
+            self._evidence.note_alive(life, sent_at)
 
     def note_answered_elsewhere(self) -> None:
         """Take it that other gateways' back ends have answered; these gateways tell all others."""
@@ -142,10 +150,6 @@
         self._evidence.note_crash(request.fingerprint, self._origin, life, trial=canary)
         return True
 
-    def note_survivor(self, life: str) -> None:
-        """Take back a crash: the back end keeps other connections from before it."""
-        self._evidence.note_survivor(self._request.fingerprint, life)
-
     @property
     def barred_s(self) -> float:
         """Return for how long no gateway sends the request; 0 for one that is not barred."""
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -24,7 +24,6 @@
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_log import log_call_lost
 from tinrudder.gateway.run_guard import POISON, Permission, RunGuard
-from tinrudder.gateway.upstream_pool import UpstreamPool
 from tinrudder.routing.backend_observations import RunningCall
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
 
@@ -345,7 +344,9 @@
         """Tell what the end of a call that left says of the request."""
         match outcome:
             case Answered():
-                self._guard.note_answered()
+                assert attempt.running is not None
+                life = attempt.backend.entry.life
+                self._guard.note_answered(life, attempt.running.sent_at)
             case Broken(detail=detail, unanswered=True):
                 backend_id = attempt.backend.backend_id
                 request = self._request
@@ -358,16 +359,17 @@
 
     def _suspect_crash(self, attempt: Attempt) -> None:
         """Hold a lost call against the request, unless its back end turns out to be alive."""
-        life = attempt.backend.entry.life
-        if self._guard.note_crash(life, canary=attempt.canary):
+        backend = attempt.backend
+        if self._guard.note_crash(backend.entry.life, canary=attempt.canary):
             loop = self._forwarding.loop
-            pool, lost_at = attempt.backend.pool, loop.time()
-            loop.call_later(SURVIVAL_S, self._look_for_survivor, life, pool, lost_at)
+            lost_at = loop.time()
+            loop.call_later(SURVIVAL_S, self._look_for_survivor, backend, lost_at)
 
-    def _look_for_survivor(self, life: str, pool: UpstreamPool, lost_at: float) -> None:
+    def _look_for_survivor(self, backend: Backend, lost_at: float) -> None:
         """Take a crash back where only one connection has ended."""
-        if pool.has_connection_from_before(lost_at):
-            self._guard.note_survivor(life)
+        if backend.pool.has_connection_from_before(lost_at):
+            evidence = self._forwarding.evidence
+            evidence.note_survivor(self._request.fingerprint, backend.entry.life)
 
     def _take_back(self, backend: Backend) -> None:
         """Note that one call has not run; an earlier one to the same back end still may have."""
--- a/tinrudder/routing/poison_requests.py
+++ b/tinrudder/routing/poison_requests.py
@@ -53,6 +53,12 @@
 """How many different requests must have lost one: a single one that comes again is barred by
 itself, and a canary costs each request of the route a call's time, 0.03 to 0.15 of the worth of a
 calm day where all of them begin so."""
+SOONEST_RESTART_S = 0.5
+"""An answer to a call that was sent within this time after a loss comes from the process of before:
+the ones seen take seconds until they listen again."""
+RESTART_KNOWN_S = 4.0
+"""After this time a restart would be known by the entry that the new process writes: three of its
+heartbeats of 1.2 s, and the way through the store."""
 MOST_REQUESTS = 1024
 """How many requests evidence is kept for, 1.5 KB each at most (traced allocations, ten crashes
 each), so 1.5 MB in all; what changed longest ago is dropped."""
@@ -66,18 +72,30 @@
     :param backend: a number drawn from its id and the moment of its start.
     :param at: monotonic time at which its connection ended.
     :param trial: the call was the only one in progress of a request that was under suspicion.
+    :param survived: it turned out that only the connection was lost.  That is remembered, or other
+        gateways' word would bring the crash back.
     """
 
     backend: int
     at: float
     trial: bool
+    survived: bool = False
+
+    def merged(self, other: Crash) -> Crash:
+        """Return what two gateways say together of the same loss."""
+        return Crash(
+            self.backend,
+            min(self.at, other.at),
+            self.trial or other.trial,
+            self.survived or other.survived,
+        )
 
 
 class Evidence(Struct, frozen=True):
     """What is known of one request.
 
     :param origin: the route and the caller; see :meth:`PoisonRequests.judge`.
-    :param crashes: those that no answer to it has cleared.
+    :param crashes: those that no answer to it has cleared, the survived ones among them.
     :param cleared: how often what was held against it has been dropped; of two pieces of evidence,
         the one that was cleared more often holds, and of the other only its trial.
     :param cleared_at: when that was last; :data:`NEVER` if it was not.
@@ -90,15 +108,20 @@
     cleared_at: float = NEVER
     trial_at: float = NEVER
 
+    @property
+    def held(self) -> tuple[Crash, ...]:
+        """Return the crashes that are held against the request."""
+        return tuple(crash for crash in self.crashes if not crash.survived)
+
     @property
     def last_crash_at(self) -> float:
         """Return when the latest back end was lost."""
-        return max((crash.at for crash in self.crashes), default=NEVER)
+        return max((crash.at for crash in self.held), default=NEVER)
 
     @property
     def failed_trials(self) -> int:
         """Count the trials that cost a back end when enough others had been lost."""
-        in_order = sorted(self.crashes, key=lambda crash: (crash.at, crash.backend))
+        in_order = sorted(self.held, key=lambda crash: (crash.at, crash.backend))
         return sum(crash.trial for crash in in_order[ENOUGH_CRASHES - 1 :])
 
     @property
@@ -113,14 +136,15 @@
     @property
     def alert_until(self) -> float:
         """Return until when other requests of the same origin begin as canaries."""
-        in_trials = [crash.at for crash in self.crashes if crash.trial]
+        in_trials = [crash.at for crash in self.held if crash.trial]
         return max(in_trials) + ALERT_S if in_trials else NEVER
 
     @property
     def kept_until(self) -> float:
         """Return when it decides nothing any more."""
-        if not self.crashes:
-            return self.cleared_at + CLEARED_KEPT_S
+        if not self.held:
+            latest = max((crash.at for crash in self.crashes), default=NEVER)
+            return max(self.cleared_at, latest) + CLEARED_KEPT_S
         return max(self.last_crash_at, self.barred_until) + KEPT_S
 
     def merged(self, other: Evidence) -> Evidence:
@@ -131,9 +155,7 @@
             return replace(newer, origin=self.origin, trial_at=trial_at)
         found: dict[int, Crash] = {}
         for crash in self.crashes + other.crashes:
-            known = found.get(crash.backend, crash)
-            at = min(known.at, crash.at)
-            found[crash.backend] = Crash(crash.backend, at, known.trial or crash.trial)
+            found[crash.backend] = crash.merged(found.get(crash.backend, crash))
         return Evidence(
             self.origin,
             _latest(found.values()),
@@ -151,6 +173,10 @@
     return tuple(trials + others)
 
 
+def _shows_same_process(later_s: float) -> bool:
+    return 0.0 <= later_s <= SOONEST_RESTART_S or later_s >= RESTART_KNOWN_S
+
+
 class Standing(Enum):
     """What may be done with a request now.
 
@@ -196,6 +222,8 @@
     def __init__(self) -> None:
         """Know nothing."""
         self._evidence: dict[bytes, Evidence] = {}
+        # By back end: the requests that it is held against.
+        self._lost_under: dict[int, set[bytes]] = {}
         # By origin and fingerprint: an answer takes back what its request alone had raised.
         self._alerts: dict[bytes, dict[bytes, float]] = {}
 
@@ -227,11 +255,11 @@
             different ones have lost a back end in a trial.
         """
         evidence = self._evidence.get(fingerprint)
-        if evidence is None or not evidence.crashes:
+        if evidence is None or not evidence.held:
             return SUSPECT if self.is_alert(origin, now) and evidence is None else FREE
         if now < evidence.barred_until:
             return Judgement(Standing.BARRED, evidence.barred_until - now)
-        if len(evidence.crashes) < ENOUGH_CRASHES:
+        if len(evidence.held) < ENOUGH_CRASHES:
             return SUSPECT
         under_way = evidence.trial_at > evidence.last_crash_at
         return ON_TRIAL if under_way and now - evidence.trial_at < TRIAL_S else SUSPECT
@@ -241,6 +269,10 @@
         alarms = sum(now < until for until in self._alerts.get(origin, {}).values())
         return alarms >= ENOUGH_ALARMS
 
+    def alerts(self, now: float) -> int:
+        """Return for how many routes and callers that is so."""
+        return sum(self.is_alert(origin, now) for origin in self._alerts)
+
     def note_crash(
         self, fingerprint: bytes, origin: bytes, backend: int, at: float, *, trial: bool
     ) -> Evidence:
@@ -255,31 +287,42 @@
         Where nothing was, nothing is noted: a popular request would never be forgotten.
         """
         evidence = self._evidence.get(fingerprint)
-        if evidence is None or not evidence.crashes:
+        if evidence is None or not evidence.held:
             return False
-        self._keep_only(fingerprint, evidence, (), at)
+        cleared = evidence.cleared + 1
+        self.merge(fingerprint, Evidence(evidence.origin, (), cleared, at, evidence.trial_at))
         return True
 
-    def note_survivor(self, fingerprint: bytes, backend: int, at: float) -> bool:
-        """Drop one back end that has not crashed after all; tell whether it was held against it."""
+    def note_survivor(self, fingerprint: bytes, backend: int) -> bool:
+        """Take back one crash; tell whether it was held against the request."""
         evidence = self._evidence.get(fingerprint)
-        if evidence is None or all(crash.backend != backend for crash in evidence.crashes):
+        if evidence is None:
             return False
-        others = tuple(crash for crash in evidence.crashes if crash.backend != backend)
-        self._keep_only(fingerprint, evidence, others, at)
+        crash = next((one for one in evidence.held if one.backend == backend), None)
+        if crash is None:
+            return False
+        self.merge(fingerprint, replace(evidence, crashes=(replace(crash, survived=True),)))
         return True
 
-    def _keep_only(
-        self, fingerprint: bytes, evidence: Evidence, crashes: tuple[Crash, ...], at: float
-    ) -> None:
-        """Drop all crashes but some, here and wherever that is heard."""
-        kept = Evidence(evidence.origin, crashes, evidence.cleared + 1, at, evidence.trial_at)
-        self.merge(fingerprint, kept)
+    def lost_under(self, backend: int, sent_at: float) -> tuple[bytes, ...]:
+        """Return the requests that a back end cannot have crashed under, since it answers.
+
+        An answer shows that it has not if it comes before a crashed process could have started
+        again, or so late that the new process would be known as another back end.
+
+        :param sent_at: when the call left that it has answered.
+        """
+        return tuple(
+            fingerprint
+            for fingerprint in self._lost_under.get(backend, ())
+            for crash in self._evidence[fingerprint].held
+            if crash.backend == backend and _shows_same_process(sent_at - crash.at)
+        )
 
     def begin_trial(self, fingerprint: bytes, now: float) -> bool:
         """Note that a trial begins here; tell whether others must wait for its end."""
         evidence = self._evidence.get(fingerprint)
-        if evidence is None or len(evidence.crashes) < ENOUGH_CRASHES:
+        if evidence is None or len(evidence.held) < ENOUGH_CRASHES:
             return False
         self.merge(fingerprint, replace(evidence, trial_at=now))
         return True
@@ -288,6 +331,7 @@
         """Take evidence from here or from another gateway; return all there is now."""
         known = self._evidence.pop(fingerprint, None)
         evidence = told if known is None else known.merged(told)
+        self._index(fingerprint, known, evidence)
         # At the end: what changed latest is dropped last.
         self._evidence[fingerprint] = evidence
         self._note_alert(fingerprint, evidence)
@@ -295,6 +339,16 @@
             self._drop(next(iter(self._evidence)))
         return evidence
 
+    def _index(self, fingerprint: bytes, known: Evidence | None, evidence: Evidence | None) -> None:
+        """Keep track of which back ends are held against a request."""
+        for crash in known.held if known is not None else ():
+            requests = self._lost_under.get(crash.backend, set())
+            requests.discard(fingerprint)
+            if not requests:
+                self._lost_under.pop(crash.backend, None)
+        for crash in evidence.held if evidence is not None else ():
+            self._lost_under.setdefault(crash.backend, set()).add(fingerprint)
+
     def _note_alert(self, fingerprint: bytes, evidence: Evidence) -> None:
         """Raise or take back what a request means for others of its origin."""
         until = evidence.alert_until
@@ -312,6 +366,7 @@
     def _drop(self, fingerprint: bytes) -> None:
         """Forget a request."""
         evidence = self._evidence.pop(fingerprint)
+        self._index(fingerprint, evidence, None)
         self._take_back_alert(fingerprint, evidence.origin)
 
     def forget(self, now: float) -> None:
--- a/tinrudder/wire/poison_report_codec.py
+++ b/tinrudder/wire/poison_report_codec.py
@@ -27,7 +27,12 @@
 
 def _evidence_message(told: ToldEvidence) -> pb.Evidence:
     crashes = [
-        pb.Crash(backend=crash.backend, age_ms=_age_ms(crash.age_s), trial=crash.trial)
+        pb.Crash(
+            backend=crash.backend,
+            age_ms=_age_ms(crash.age_s),
+            trial=crash.trial,
+            survived=crash.survived,
+        )
         for crash in told.crashes
     ]
     return pb.Evidence(
@@ -45,7 +50,7 @@
         if len(value) != FINGERPRINT_BYTES:
             raise ValueError(f"poison report: {name} must have {FINGERPRINT_BYTES} bytes")
     crashes = tuple(
-        ToldCrash(crash.backend, crash.age_ms / MILLISECONDS, crash.trial)
+        ToldCrash(crash.backend, crash.age_ms / MILLISECONDS, crash.trial, crash.survived)
         for crash in message.crashes
     )
     return ToldEvidence(
