--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -57,6 +57,7 @@
         self.latencies: defaultdict[LatencyLabels, LatencyCounts] = defaultdict(LatencyCounts)
         self._missing_shards = 0
         self._quotas = node.quotas
+        self.traffic = node.datagrams.traffic
         counters = node.counters
         self.figures = [
             Figure(f"{PREFIX}_{name}", text, functools.partial(getattr, counters, name))
--- a/tinrudder/gateway/hand_over.py
+++ b/tinrudder/gateway/hand_over.py
@@ -98,6 +98,7 @@
     acceptance_s = min(_acceptance_s(moments, now), left_s)
     address = PeerAddress(coordinator.host, coordinator.port)
     payload = encode_request(scatter)
+    relaying.traffic.note(scatter, len(payload))
     try:
         answer = decode_answer(
             await relaying.client.request(
--- a/tinrudder/gateway/metrics_text.py
+++ b/tinrudder/gateway/metrics_text.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 
 from prometheus_client import CollectorRegistry, generate_latest
 from prometheus_client.core import (
@@ -55,6 +55,14 @@
         for held in self._metrics.tenant_tokens():
             tokens.add_metric([held.tenant], held.value)
         yield tokens
+        yield _by_kind(
+            f"{PREFIX}_peer_bytes", "Bytes sent to other gateways.", self._metrics.traffic.bytes
+        )
+        yield _by_kind(
+            f"{PREFIX}_peer_messages",
+            "Messages sent to other gateways.",
+            self._metrics.traffic.messages,
+        )
 
 
 def metrics_text(metrics: GatewayMetrics) -> bytes:
@@ -64,6 +72,14 @@
     return generate_latest(registry)
 
 
+def _by_kind(name: str, text: str, counts: Mapping[str, int]) -> Metric:
+    """Return a counter with a label for each kind of message."""
+    family = CounterMetricFamily(name, text, labels=["kind"])
+    for kind, count in counts.items():
+        family.add_metric([kind], count)
+    return family
+
+
 def _cumulative(counts: LatencyCounts) -> Iterator[tuple[str, float]]:
     """Yield each bucket's upper bound with the number of requests up to it."""
     bounds = [str(bound) for bound in LATENCY_BUCKETS_S] + [UNBOUNDED]
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -149,6 +149,7 @@
             forwarding=self.forwarding,
             watch=self.watch,
             configuration_revision=lambda: self.state.configuration_revision,
+            traffic=self.datagrams.traffic,
         )
         planner = ScatterPlanner(self.forwarding, relaying, self._random)
         self.handler = ForwardingHandler(
--- a/tinrudder/gateway/peer_datagrams.py
+++ b/tinrudder/gateway/peer_datagrams.py
@@ -8,6 +8,7 @@
 
 from tinrudder.gateway.model import Address
 from tinrudder.gateway.peer_messages import PeerDatagram
+from tinrudder.gateway.peer_traffic import PeerTraffic
 from tinrudder.logs import log_problem
 from tinrudder.wire.peer_datagram_codec import decode_datagram, encode_datagram
 from tinrudder.wire.snapshot_codec import MalformedPeerMessageError
@@ -23,11 +24,13 @@
     """Sends and receives datagrams.
 
     :ivar unreadable: how many were none.
+    :ivar traffic: what this gateway sends others, by datagram and otherwise.
     """
 
     def __init__(self) -> None:
         """Handle nothing yet."""
         self.unreadable = 0
+        self.traffic = PeerTraffic()
         self._handlers: dict[type[Any], Callable[[Any, Address], None]] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._loop = asyncio.get_running_loop()
@@ -60,6 +63,7 @@
         if self._transport is None:
             return
         payload = encode_datagram(datagram)
+        self.traffic.note(datagram, len(payload), len(peers))
         for peer in peers:
             self._transport.sendto(payload, (peer.host, peer.port))
 
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -248,9 +248,11 @@
         state = self._state
         known = state.backends_revision if state.backends_read else 0
         settling = self._peers.is_settling(self._loop.time())
-        request = encode_request(SnapshotRequest(state.operator_revision, known, settling))
+        request = SnapshotRequest(state.operator_revision, known, settling)
+        payload = encode_request(request)
+        self._datagrams.traffic.note(request, len(payload))
         address = PeerAddress(peer.host, peer.port)
-        return decode_snapshot(await self._client.request(address, request, PULL_TIMEOUT_S))
+        return decode_snapshot(await self._client.request(address, payload, PULL_TIMEOUT_S))
 
     def _apply(self, snapshot: Snapshot, peer: Address) -> None:
         """Take what is newer."""
@@ -263,15 +265,21 @@
         else:
             self._state.apply(Topic.BACKENDS, snapshot.backends)
 
-    async def _serve(self, _peer: PeerAddress, payload: bytes) -> bytes:
+    async def _serve(self, _peer: PeerAddress, asked: bytes) -> bytes:
         """Answer one request of a peer.
 
         :raises MalformedPeerMessageError: it is none.
         """
-        request = decode_request(payload)
+        request = decode_request(asked)
+        answer: ScatterAnswer | Snapshot
         if isinstance(request, ScatterRequest):
-            return encode_answer(await self._serve_scatter(request))
-        return encode_snapshot(self._snapshot(request))
+            answer = await self._serve_scatter(request)
+            payload = encode_answer(answer)
+        else:
+            answer = self._snapshot(request)
+            payload = encode_snapshot(answer)
+        self._datagrams.traffic.note(answer, len(payload))
+        return payload
 
     def _snapshot(self, request: SnapshotRequest) -> Snapshot:
         """Return this gateway's state."""
--- a/tinrudder/gateway/relaying.py
+++ b/tinrudder/gateway/relaying.py
@@ -9,6 +9,7 @@
 from tinrudder.gateway.coordinators import Coordinators
 from tinrudder.gateway.forwarding import Forwarding
 from tinrudder.gateway.model import Address
+from tinrudder.gateway.peer_traffic import PeerTraffic
 from tinrudder.gateway.zone_watch import ZoneWatch
 from tinrudder.routing.path_time import PathTime
 from tinrudder.wire.peer_client import PeerClient
@@ -19,6 +20,7 @@
 
     :param watch: learns which ways to other gateways are open.
     :param configuration_revision: returns the revision in force.
+    :param traffic: counts what is sent.
     """
 
     client: PeerClient
@@ -26,6 +28,7 @@
     forwarding: Forwarding
     watch: ZoneWatch
     configuration_revision: Callable[[], int]
+    traffic: PeerTraffic
     _path_beside: PathTime = field(default_factory=PathTime)
     _path_elsewhere: PathTime = field(default_factory=PathTime)
 
