Entries of any writer, and back ends that start again under their id

Cause: an entry that could not be read left the one before it in force, and its revision was not taken, so that gateways which relied on peers kept pulling for it; fields that were missing were guessed; fields nested without end, an item of the store without a revision, a revision beyond 63 bits, or an id with a line break ended the task that follows the store, hid every other entry, or reached the wire. A start under the same id kept the pool (and so the address), the failures and the cold pace of the start before.

Now the newest revision of a key counts whatever it says: in force, removed, unreadable, or of an older start, and passes to peers as raw bytes. A start is another back end with a pool and observations of its own; calls that wait for the ended one are withdrawn. An older start with a newer revision is set aside for 5 s: a late word of a process that has ended is replaced or lapses by then, a clock that went back stands. Ruled out: the greatest start always wins (a start by a clock up to 15 s behind would never be used), and the revision alone (an ended process could come back for a beat).

HistoryForgotten is a StoreUnavailable now, so that a 410 to a read is retried and ends no task.

--- a/tests/unit/test_shared_state.py
+++ b/tests/unit/test_shared_state.py
@@ -35,7 +35,7 @@
 
 
 def backend(key: str, revision: int, state: str = "ready") -> StoredValue:
-    document = {"service": "s", "addr": "10.0.0.1:80", "state": state}
+    document = {"service": "s", "addr": "10.0.0.1:80", "zone": "z", "slots": 2, "state": state}
     return StoredValue(f"servers/{key}", revision, msgspec.json.encode(document))
 
 
--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -17,7 +17,7 @@
     header_value,
 )
 from tinrudder.gateway.model import Address, BackendEntry, ColdBounds, HeaderNames
-from tinrudder.gateway.shared_state import KnownBackend, SharedState
+from tinrudder.gateway.shared_state import EntryStanding, KnownBackend, SharedState
 from tinrudder.gateway.upstream_pool import UpstreamPool
 from tinrudder.routing.backend_observations import BackendObservations
 from tinrudder.routing.cold_pace import Callers, ColdPace, own_part
@@ -36,10 +36,15 @@
 class Backend(Struct, eq=False):
     """One start of one back end, as this process sees it.
 
+    A back end that starts again under its id is another one: nothing that was seen of the start
+    before says anything of it.
+
     :param cold_pace: this gateway's calls to it while it is cold.
     :param entry_revision: of the store, at which it wrote ``entry``.
     :param leaving_since: when this process learned that it takes no new work; ``None`` before.
     :param lapsed: its entry is gone although it never said that it leaves.
+    :param unreadable: its entry cannot be read any more, so that it is no last resort either.
+    :param ended: another start took its place; calls that have not left go elsewhere.
     :param readdressed: something else answered at its address.
     :param evacuated: the operator wants the back ends of its zone to get nothing.
     """
@@ -51,6 +56,8 @@
     entry_revision: int = 0
     leaving_since: float | None = None
     lapsed: bool = False
+    unreadable: bool = False
+    ended: bool = False
     readdressed: bool = False
     evacuated: bool = False
 
@@ -110,14 +117,13 @@
         gone = set(self._backends)
         for key, known in self._state.backends.items():
             gone.discard(key)
-            backend = self._backends.get(key)
+            backend = self._of_this_start(key, known)
             if backend is None:
-                if known.removed:
-                    continue
-                backend = self._add(key, known.entry)
+                continue
             self._take_entry(backend, known)
             backend.leaving_since = known.since if known.leaving else None
-            backend.lapsed = known.removed and not known.entry.leaving
+            backend.lapsed = not known.in_force and not known.entry.leaving
+            backend.unreadable = known.standing is EntryStanding.UNREADABLE
             self._set_evacuated(backend, known.entry.zone in evacuated)
         for key in gone:
             self._drop(key)
@@ -153,6 +159,8 @@
             return "every back end left is in an evacuated zone"
         if any(self._is_closed(backend.entry.zone) for backend in backends):
             return "every back end left is in a zone out of reach"
+        if any(backend.unreadable for backend in backends):
+            return "every back end left has an entry that cannot be read"
         now = self._clock()
         if not all(self._bears_call(backend, now) for backend in backends):
             return "every back end left is cold and has had this gateway's part of calls"
@@ -164,7 +172,8 @@
 
     def _is_wanted(self, backend: Backend) -> bool:
         """Tell whether calls to a back end are neither forbidden nor vain."""
-        return not backend.evacuated and not self._is_closed(backend.entry.zone)
+        forbidden = backend.evacuated or backend.unreadable
+        return not forbidden and not self._is_closed(backend.entry.zone)
 
     def replica_zones(self, service: str) -> tuple[str, ...]:
         """Return the zone of each back end of a service that takes new work for longer."""
@@ -208,7 +217,9 @@
     def may_receive(self, backend: Backend) -> bool:
         """Tell whether a call may still leave for a back end that was chosen earlier."""
         now = self._clock()
-        if backend.readdressed or backend.evacuated or not self._bears_call(backend, now):
+        if backend.ended or backend.unreadable or backend.readdressed or backend.evacuated:
+            return False
+        if not self._bears_call(backend, now):
             return False
         if backend.leaving_since is None:
             return True
@@ -266,10 +277,19 @@
     def _take_entry(self, backend: Backend, known: KnownBackend) -> None:
         """Take what a back end says of itself; it may say anew that it is cold at any time."""
         backend.entry = known.entry
-        if known.value.revision != backend.entry_revision and not known.removed:
+        if known.value.revision != backend.entry_revision and known.in_force:
             backend.entry_revision = known.value.revision
             backend.observations.cold_until = self._clock() + known.entry.cold_left_s
 
+    def _of_this_start(self, key: str, known: KnownBackend) -> Backend | None:
+        """Return the back end of an entry, anew for another start; ``None`` if none may be used."""
+        backend = self._backends.get(key)
+        if backend is not None and backend.entry.is_same_start(known.entry):
+            return backend
+        if backend is not None:
+            self._drop(key)
+        return self._add(key, known.entry) if known.in_force else None
+
     def _add(self, key: str, entry: BackendEntry) -> Backend:
         """Begin with a back end that was not known."""
         address = Address(entry.host, entry.port)
@@ -287,9 +307,13 @@
         backend.evacuated = evacuated
 
     def _drop(self, key: str) -> None:
-        """Forget a back end; calls in progress end by themselves."""
+        """Forget a back end; calls in progress end by themselves, and may have run."""
         backend = self._backends.pop(key)
-        self._services[backend.entry.service].remove(backend)
+        backend.ended = True
+        of_service = self._services[backend.entry.service]
+        of_service.remove(backend)
+        if not of_service:
+            del self._services[backend.entry.service]
         backend.pool.close()
 
     def _set_connection_limits(self) -> None:
--- /dev/null
+++ b/tinrudder/gateway/entry_rules.py
@@ -0,0 +1,44 @@
+"""What a back end's entry must hold to name a back end to use, whoever wrote it."""
+
+from __future__ import annotations
+
+import ipaddress
+
+from tinrudder.gateway.model import BackendEntry
+
+MOST_SLOTS = 10_000
+"""Slots of one back end, a choice: far more than a machine works on at once.  Replicas are chosen
+by free slots, so one absurd figure would draw every call."""
+LONGEST_COLD_S = 86_400.0
+"""How long a back end may stay cold, seconds, a choice: a day.  Until then it gets few calls."""
+MOST_STARTED_MS = 2**53
+"""Moments of a start lie below this: larger numbers are not whole for every writer of JSON."""
+PORTS = range(1, 65_536)
+
+
+def check_entry(entry: BackendEntry) -> None:
+    """Refuse an entry whose fields have the right types and no usable meaning.
+
+    The id becomes a header of every call, so that nothing but visible ASCII may stand in it.  A
+    host must be an IP address: a name would be looked up for every connection, and some names
+    raise errors where they are.
+
+    :raises ValueError: the text names the field.
+    """
+    backend_id = entry.backend_id
+    if not backend_id or not all("!" <= letter <= "~" for letter in backend_id):
+        raise ValueError("id: must be visible ASCII")
+    if not entry.service:
+        raise ValueError("service: must not be empty")
+    if entry.port not in PORTS:
+        raise ValueError(f"address: port {entry.port} is none")
+    try:
+        ipaddress.ip_address(entry.host)
+    except ValueError as error:
+        raise ValueError(f"address: {error}") from error
+    if not 0 < entry.slots <= MOST_SLOTS:
+        raise ValueError(f"slots: must be 1 to {MOST_SLOTS}")
+    if not 0 <= entry.cold_left_s <= LONGEST_COLD_S:
+        raise ValueError(f"cold time: must be at most {LONGEST_COLD_S} s")
+    if not 0 <= entry.started_ms < MOST_STARTED_MS:
+        raise ValueError(f"start: must be below {MOST_STARTED_MS} ms")
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -64,6 +64,11 @@
         ]
         self.figures += [
             Figure(f"{PREFIX}_store_calls", "Calls to the store.", lambda: node.store_calls),
+            Figure(
+                f"{PREFIX}_unreadable_values",
+                "Values in the store that do not have the form agreed on.",
+                lambda: node.unreadable_values.count,
+            ),
             Figure(
                 f"{PREFIX}_unreadable_load_reports",
                 "Load reports of back ends that do not have the form agreed on.",
--- a/tinrudder/gateway/knowledge_keeper.py
+++ b/tinrudder/gateway/knowledge_keeper.py
@@ -160,7 +160,8 @@
         self._read_again_at = 0.0
         self._state.apply_complete(Topic.OPERATOR, reading)
         self._state.confirm(Topic.OPERATOR, self._loop.time() - asked_at)
-        self._knowledge.prove(asked_at)
+        if reading.whole:
+            self._knowledge.prove(asked_at)
 
     def _on_answer(self, sent: SentProbe, answer: ProbeAnswer) -> None:
         """Take a peer's word; fetch what it knows beyond this gateway."""
--- a/tinrudder/gateway/model.py
+++ b/tinrudder/gateway/model.py
@@ -123,6 +123,19 @@
         """Return what names this start of the back end, as its id alone does not."""
         return f"{self.backend_id}@{self.started_ms}"
 
+    def is_same_start(self, other: BackendEntry) -> bool:
+        """Tell whether both entries are of one process that serves the same at one address."""
+        return (self.started_ms, self.host, self.port, self.service) == (
+            other.started_ms,
+            other.host,
+            other.port,
+            other.service,
+        )
+
+    def started_before(self, other: BackendEntry) -> bool:
+        """Tell whether this is an older start than ``other``; one that says no time is not."""
+        return 0 < self.started_ms < other.started_ms
+
 
 class HeaderNames(Struct, frozen=True):
     """Names of the headers that gateways, clients and back ends agree on, in lower case.
@@ -166,7 +179,7 @@
         :raises ValueError: the text has no such form.
         """
         host, separator, port = text.rpartition(":")
-        if not separator or not host:
+        if not separator or not host or not (port.isascii() and port.isdigit()):
             raise ValueError(f"{text!r} is not HOST:PORT")
         return cls(host, int(port))
 
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -22,7 +22,6 @@
     log_coordination,
     log_pull,
     log_reachability,
-    log_unreadable_value,
 )
 from tinrudder.gateway.peer_datagrams import PeerDatagrams
 from tinrudder.gateway.peer_exchange import PeerExchange
@@ -42,6 +41,7 @@
 from tinrudder.gateway.store_follower import StoreFollower
 from tinrudder.gateway.store_readers import StoreReaders
 from tinrudder.gateway.stored_values import MetadataStore, Topic, ValueDecoders
+from tinrudder.gateway.unreadable_values import UnreadableValues
 from tinrudder.gateway.zone_watch import ZoneWatch
 from tinrudder.lifecycle import NodeLifecycle
 from tinrudder.logs import log_event
@@ -91,7 +91,8 @@
         self.watch = ZoneWatch(
             settings.zone, self.peers, self.probes, self._random, self._on_reach_change
         )
-        self.state = SharedState(decoders, loop.time, log_unreadable_value)
+        self.unreadable_values = UnreadableValues(loop.time)
+        self.state = SharedState(decoders, loop.time, self.unreadable_values.note)
         self.knowledge = Knowledge(self.state, loop.time)
         self.counters = ForwardingCounters()
         self.coordinators = Coordinators(
@@ -372,6 +373,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
             self.state.forget_old_removals()
+            self.state.accept_older_starts()
             self.directory.trim()
 
     def _on_state_change(self) -> None:
--- a/tinrudder/gateway/node_log.py
+++ b/tinrudder/gateway/node_log.py
@@ -44,8 +44,3 @@
     """Write the line of what a peer taught."""
     fields: dict[str, LogValue] = {"peer": peer, "result": result, "revision": revision}
     log_event("pulled_from_peer", fields)
-
-
-def log_unreadable_value(detail: str) -> None:
-    """Write the line of a stored value that breaks its form; the last good one stays."""
-    log_problem("unreadable_value", {"detail": detail})
--- a/tinrudder/gateway/shared_state.py
+++ b/tinrudder/gateway/shared_state.py
@@ -1,12 +1,14 @@
 """What gateways know of the store: for each key the highest revision, whoever told it.
 
 The store gives one revision to every change, so values from the store itself and from other
-gateways merge by one rule: the highest revision of a key wins.  Removals are kept for a while, or
-an older value from a peer would bring a back end back.
+gateways merge by one rule: the highest revision of a key wins.  Removals are kept for a while, and
+values that cannot be read as long as they stand, or an older value from a peer would bring a back
+end back.
 """
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Callable, Iterable
 
 from msgspec import Struct
@@ -26,21 +28,54 @@
 REMOVAL_MEMORY_S = 120.0
 
 
+OLDER_START_S = 5.0
+"""How long an entry of an older start must stand before it counts.  A late write of a process that
+has ended is replaced at the next heartbeat of the one in its place, or goes after three heartbeats
+without a write, 3.6 s; what stands longer was written by a live process whose clock went back."""
+
+
+class EntryStanding(enum.Enum):
+    """What the newest value of a back end's key says of the entry that was in force last."""
+
+    IN_FORCE = "in force"
+    REMOVED = "removed"
+    UNREADABLE = "unreadable"
+    OLDER_START = "older start"
+
+
 class KnownBackend(Struct, frozen=True):
     """A back end's entry with the time this process learned of its present state.
 
-    :param removed: its entry is gone from the store; ``entry`` is the last one seen.
+    :param entry: the newest one that was in force.
+    :param value: the newest of its key, whatever that says.
     """
 
     entry: BackendEntry
     value: StoredValue
     since: float
-    removed: bool = False
+    standing: EntryStanding = EntryStanding.IN_FORCE
+
+    @property
+    def in_force(self) -> bool:
+        """Tell whether ``entry`` is what the store says now."""
+        return self.standing is EntryStanding.IN_FORCE
+
+    @property
+    def removed(self) -> bool:
+        """Tell whether its entry is gone from the store."""
+        return self.standing is EntryStanding.REMOVED
 
     @property
     def leaving(self) -> bool:
         """Tell whether it takes no new work."""
-        return self.removed or self.entry.leaving
+        return not self.in_force or self.entry.leaving
+
+
+class _Newest(Struct, frozen=True):
+    """The newest value of a back end's key, and when this process learned of it."""
+
+    value: StoredValue
+    since: float
 
 
 class AcceptedConfiguration(Struct, frozen=True):
@@ -74,7 +109,7 @@
         self._decoders = decoders
         self._clock = clock
         self._on_unreadable = on_unreadable
-        self._removals: dict[str, tuple[int, float]] = {}
+        self._newest: dict[str, _Newest] = {}
         self._backends_revision = 0
         self._forgotten_up_to = 0
         self._listeners: list[Callable[[], None]] = []
@@ -115,7 +150,9 @@
         """
         changed = False
         for value in values:
-            if topic is Topic.OPERATOR:
+            if not value.key:
+                self._on_unreadable(f"{topic.value}: an item without key or revision")
+            elif topic is Topic.OPERATOR:
                 changed |= self._apply_operator_value(value, source)
             else:
                 changed |= self._apply_backend(value)
@@ -128,13 +165,14 @@
 
         Its pages are no snapshot: a value that changed while they were read may stand on a later
         page although another change before it was missed on an earlier one.  Such values wait for
-        the watch, so that this state is complete up to the highest revision that it holds.
+        the watch, so that this state is complete up to the highest revision that it holds.  Where
+        the key of a value cannot be read, nothing is known to be missing.
         """
         settled = [value for value in reading.values if value.revision <= reading.revision]
         changed = self.apply(topic, settled)
         present = {value.key for value in reading.values}
-        held = self.evacuations.keys if topic is Topic.OPERATOR else tuple(self.backends)
-        missing = [key for key in held if key not in present]
+        held = self.evacuations.keys if topic is Topic.OPERATOR else tuple(self._newest)
+        missing = [key for key in held if key not in present] if reading.whole else []
         removals = (StoredValue(key, reading.revision, None) for key in missing)
         changed |= self.apply(topic, removals)
         if topic is Topic.BACKENDS:
@@ -165,27 +203,35 @@
 
     def snapshot(self, after: int = 0) -> tuple[StoredValue, ...]:
         """Return back ends' values and removals behind a revision, for a peer."""
-        present = tuple(
-            known.value
-            for known in self.backends.values()
-            if not known.removed and known.value.revision > after
-        )
-        removed = tuple(
-            StoredValue(key, revision, None)
-            for key, (revision, _) in self._removals.items()
-            if revision > after
+        return tuple(
+            newest.value for newest in self._newest.values() if newest.value.revision > after
         )
-        return present + removed
 
     def forget_old_removals(self) -> None:
         """Drop removals that no peer can contradict any more."""
         horizon = self._clock() - REMOVAL_MEMORY_S
-        for key, (revision, since) in tuple(self._removals.items()):
-            if since < horizon:
-                self._forgotten_up_to = max(self._forgotten_up_to, revision)
-                del self._removals[key]
+        for key, newest in tuple(self._newest.items()):
+            if newest.value.value is None and newest.since < horizon:
+                self._forgotten_up_to = max(self._forgotten_up_to, newest.value.revision)
+                del self._newest[key]
                 self.backends.pop(key, None)
 
+    def accept_older_starts(self) -> None:
+        """Put entries in force that stood for long, although a younger start was known."""
+        now = self._clock()
+        settled = [
+            known
+            for key, known in self.backends.items()
+            if known.standing is EntryStanding.OLDER_START
+            and now - self._newest[key].since >= OLDER_START_S
+        ]
+        for known in settled:
+            entry = self._read_entry(known.value)
+            assert entry is not None
+            self._put_in_force(entry, known.value)
+        if settled:
+            self._announce()
+
     def _apply_operator_value(self, value: StoredValue, source: str) -> bool:
         """Take a newer configuration, evacuation or removal of one; leave other keys alone."""
         try:
@@ -217,36 +263,48 @@
         return True
 
     def _apply_backend(self, value: StoredValue) -> bool:
-        """Take a newer entry, or its removal."""
-        known = self.backends.get(value.key)
-        removed_revision, _ = self._removals.get(value.key, (0, 0.0))
-        newest = max(removed_revision, known.value.revision if known is not None else 0)
-        if value.revision <= newest:
+        """Take a newer entry, its removal, or a value that names no back end."""
+        newest = self._newest.get(value.key)
+        if newest is not None and value.revision <= newest.value.revision:
             return False
+        self._newest[value.key] = _Newest(value, self._clock())
         self._backends_revision = max(self._backends_revision, value.revision)
         if value.value is None:
-            self._remove(value, known)
-            return known is not None
+            return self._withdraw(value, EntryStanding.REMOVED)
+        entry = self._read_entry(value)
+        if entry is None:
+            return self._withdraw(value, EntryStanding.UNREADABLE)
+        known = self.backends.get(value.key)
+        if known is not None and entry.started_before(known.entry):
+            return self._withdraw(value, EntryStanding.OLDER_START)
+        self._put_in_force(entry, value)
+        return True
+
+    def _read_entry(self, value: StoredValue) -> BackendEntry | None:
+        """Decode an entry; ``None`` if it cannot be read."""
+        assert value.value is not None
         try:
-            entry = self._decoders.backend(value.key, value.value)
+            return self._decoders.backend(value.key, value.value)
         except UnreadableValueError as error:
             self._on_unreadable(str(error))
-            return False
-        self._removals.pop(value.key, None)
+            return None
+
+    def _put_in_force(self, entry: BackendEntry, value: StoredValue) -> None:
+        """Take a back end's word; what it said of leaving dates from when it said so first."""
+        known = self.backends.get(value.key)
         since = self._clock()
-        same = known is not None and not known.removed and known.entry.leaving == entry.leaving
-        if same and known is not None:
-            since = known.since
+        if known is not None and known.in_force and known.entry.is_same_start(entry):
+            since = known.since if known.entry.leaving == entry.leaving else since
         self.backends[value.key] = KnownBackend(entry, value, since)
-        return True
 
-    def _remove(self, value: StoredValue, known: KnownBackend | None) -> None:
-        """Remember a removal, and what the entry said last."""
-        now = self._clock()
-        self._removals[value.key] = (value.revision, now)
-        if known is not None:
-            since = known.since if known.leaving else now
-            self.backends[value.key] = KnownBackend(known.entry, value, since, removed=True)
+    def _withdraw(self, value: StoredValue, standing: EntryStanding) -> bool:
+        """Note that no entry of a key is in force; tell whether one has ever been."""
+        known = self.backends.get(value.key)
+        if known is None:
+            return False
+        since = known.since if known.leaving else self._clock()
+        self.backends[value.key] = KnownBackend(known.entry, value, since, standing)
+        return True
 
     def _announce(self) -> None:
         """Tell everybody who asked."""
--- a/tinrudder/gateway/store_follower.py
+++ b/tinrudder/gateway/store_follower.py
@@ -105,7 +105,8 @@
             asked_at = asyncio.get_running_loop().time()
             reading = await self._store.read(self._topic)
             # Before the values: whoever hears of these may ask how old they are.
-            self._on_complete_read(self._topic, asked_at)
+            if reading.whole:
+                self._on_complete_read(self._topic, asked_at)
             self._state.apply_complete(self._topic, reading)
             self._revision = reading.revision
             self._confirm()
--- a/tinrudder/gateway/stored_values.py
+++ b/tinrudder/gateway/stored_values.py
@@ -24,7 +24,11 @@
 
 
 class StoredValue(Struct, frozen=True):
-    """One key at one revision; ``value`` is ``None`` once it is removed."""
+    """One key at one revision.
+
+    :param key: empty, with revision 0, if the store's item names none that can be read.
+    :param value: ``None`` once it is removed; empty if the item's value cannot be read.
+    """
 
     key: str
     revision: int
@@ -37,12 +41,17 @@
     values: tuple[StoredValue, ...]
     revision: int
 
+    @property
+    def whole(self) -> bool:
+        """Tell whether every value has a key: what is missing can then be told."""
+        return all(value.key for value in self.values)
+
 
 class StoreUnavailableError(Exception):
     """The store did not answer, or refused; nothing is known to be wrong with what we hold."""
 
 
-class HistoryForgottenError(Exception):
+class HistoryForgottenError(StoreUnavailableError):
     """The store no longer knows what changed since a revision: everything must be read again."""
 
 
--- a/tinrudder/platform/documents.py
+++ b/tinrudder/platform/documents.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta
 
+from tinrudder.gateway.entry_rules import check_entry
 from tinrudder.gateway.model import (
     Address,
     BackendEntry,
@@ -30,8 +31,9 @@
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 REPEATABLE_KIND = "safe"
-LEAVING_STATE = "draining"
 MILLISECONDS = 1000.0
+UNREADABLE = (msgspec.MsgspecError, ValueError, RecursionError)
+"""What bytes of any kind raise: text that is none and fields nested without end included."""
 
 Milliseconds = Annotated[float, Meta(ge=0)]
 
@@ -87,10 +89,13 @@
 class _Backend(msgspec.Struct):
     service: str
     addr: str
-    zone: str = ""
-    slots: int = 1
-    state: str = "ready"
+    zone: str
+    slots: int
+    state: Literal["ready", "draining"]
     cold_left_ms: Milliseconds = 0
+    seq: Annotated[int, Meta(ge=0)] = 0
+    # Back ends of older software do not say it.
+    born: int = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -121,7 +126,7 @@
     """
     try:
         document = _configuration_decoder.decode(value)
-    except msgspec.MsgspecError as error:
+    except UNREADABLE as error:
         raise UnreadableValueError(f"{CONFIGURATION_KEY}: {error}") from error
     services = {
         spec.name: ServiceSpec(spec.name, spec.max_conns, spec.cold_per_s)
@@ -171,15 +176,18 @@
     try:
         document = _backend_decoder.decode(value)
         address = Address.parse(document.addr)
-    except (msgspec.MsgspecError, ValueError) as error:
+        entry = BackendEntry(
+            backend_id=key.removeprefix(BACKENDS_PREFIX),
+            service=document.service,
+            host=address.host,
+            port=address.port,
+            zone=document.zone,
+            slots=document.slots,
+            leaving=document.state == "draining",
+            cold_left_s=document.cold_left_ms / MILLISECONDS,
+            started_ms=document.born,
+        )
+        check_entry(entry)
+    except UNREADABLE as error:
         raise UnreadableValueError(f"{key}: {error}") from error
-    return BackendEntry(
-        backend_id=key.removeprefix(BACKENDS_PREFIX),
-        service=document.service,
-        host=address.host,
-        port=address.port,
-        zone=document.zone,
-        slots=document.slots,
-        leaving=document.state == LEAVING_STATE,
-        cold_left_s=document.cold_left_ms / MILLISECONDS,
-    )
+    return entry
--- a/tinrudder/platform/settings_file.py
+++ b/tinrudder/platform/settings_file.py
@@ -86,7 +86,9 @@
         zone=document.zone,
         clients=_address("listen.front", document.listen.front),
         health=_address("listen.ready", document.listen.ready),
-        peers=_optional_address("listen.control", document.listen.control),
+        peers=_address("listen.control", document.listen.control)
+        if document.listen.control
+        else None,
         seeds=tuple(_address("seeds", text) for text in document.seeds),
         store=_address("platform.addr", document.platform.addr),
         capacity=limits.cpu_share * limits.cores,
@@ -105,8 +107,3 @@
         return Address.parse(text)
     except ValueError as error:
         raise SettingsFileError(f"{field}: {error}") from error
-
-
-def _optional_address(field: str, text: str) -> Address | None:
-    """Read an address that may be absent."""
-    return _address(field, text) if text else None
--- a/tinrudder/platform/store_client.py
+++ b/tinrudder/platform/store_client.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-import base64
-import binascii
 from collections.abc import Callable
-from typing import TypeVar
+from typing import Annotated, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
 
 from tinrudder.gateway.fetch import FetchError, fetch
-from tinrudder.gateway.messages import HttpAnswer
 from tinrudder.gateway.model import Address
 from tinrudder.gateway.stored_values import (
     HistoryForgottenError,
@@ -22,7 +19,7 @@
 )
 from tinrudder.gateway.upstream_connection import accept_any_answer
 from tinrudder.gateway.upstream_pool import UpstreamPool
-from tinrudder.platform.documents import BACKENDS_PREFIX, OPERATOR_PREFIX
+from tinrudder.platform.documents import BACKENDS_PREFIX, OPERATOR_PREFIX, UNREADABLE
 
 RANGE_PATH = "/v1/kv-range"
 WATCH_PATH = "/v1/kv-watch"
@@ -36,28 +33,37 @@
 MILLISECONDS = 1000
 
 
-class _Item(msgspec.Struct):
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+Document = TypeVar("Document")
+
+
+class _Place(msgspec.Struct):
     key: str
-    rev: int
-    value: str = ""
+    rev: Revision
+
+
+class _Item(_Place):
+    value: bytes = b""
     gone: bool = False
 
 
 class _RangeAnswer(msgspec.Struct):
-    items: list[_Item]
-    at: int
+    items: list[msgspec.Raw]
+    at: Revision
     more: bool = False
 
 
 class _WatchAnswer(msgspec.Struct):
-    events: list[_Item]
-    at: int
+    events: list[msgspec.Raw]
+    at: Revision
 
 
 PREFIXES = {Topic.OPERATOR: OPERATOR_PREFIX, Topic.BACKENDS: BACKENDS_PREFIX}
 
 _range_decoder = msgspec.json.Decoder(_RangeAnswer)
 _watch_decoder = msgspec.json.Decoder(_WatchAnswer)
+_place_decoder = msgspec.json.Decoder(_Place)
+_item_decoder = msgspec.json.Decoder(_Item)
 
 
 class StoreClient:
@@ -86,64 +92,51 @@
             if after:
                 parameters["after"] = after
             path = f"{RANGE_PATH}?{urlencode(parameters)}"
-            answer = await self._call(topic, path, READ_TIMEOUT_S)
-            _check_status(answer)
-            document = _decode(_range_decoder, answer.body)
-            values.extend(_values(document.items))
+            document = await self._call(topic, path, READ_TIMEOUT_S, _range_decoder)
+            page = [_value(item) for item in document.items]
+            values.extend(page)
             revision = revision or document.at
-            if not document.more or not document.items:
+            after = max((value.key for value in page), default="")
+            if not document.more or not after:
                 return Reading(tuple(values), revision)
-            after = document.items[-1].key
         raise StoreUnavailableError(f"more than {MAX_PAGES} pages")
 
     async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
         """Wait for changes; see :class:`MetadataStore`."""
         wait_ms = int(wait_s * MILLISECONDS)
         query = urlencode({"path_prefix": PREFIXES[topic], "after": after, "wait_ms": wait_ms})
-        answer = await self._call(topic, f"{WATCH_PATH}?{query}", wait_s + WATCH_SLACK_S)
-        if answer.status == HISTORY_FORGOTTEN:
-            raise HistoryForgottenError(f"after {after}")
-        _check_status(answer)
-        document = _decode(_watch_decoder, answer.body)
-        return Reading(_values(document.events), document.at)
-
-    async def _call(self, topic: Topic, target: str, timeout_s: float) -> HttpAnswer:
-        """Send one GET."""
+        target = f"{WATCH_PATH}?{query}"
+        document = await self._call(topic, target, wait_s + WATCH_SLACK_S, _watch_decoder)
+        return Reading(tuple(_value(event) for event in document.events), document.at)
+
+    async def _call(
+        self, topic: Topic, target: str, timeout_s: float, decoder: msgspec.json.Decoder[Document]
+    ) -> Document:
+        """Send one GET and decode its answer."""
         self._count_call()
         request = f"GET {target} HTTP/1.1\r\nHost: {self._address}\r\n\r\n".encode()
         try:
-            return await fetch(self._pools[topic], request, timeout_s)
+            answer = await fetch(self._pools[topic], request, timeout_s)
         except FetchError as error:
             raise StoreUnavailableError(str(error)) from error
+        if answer.status == HISTORY_FORGOTTEN:
+            raise HistoryForgottenError(target)
+        if answer.status != OK:
+            raise StoreUnavailableError(f"status {answer.status}")
+        try:
+            return decoder.decode(answer.body)
+        except UNREADABLE as error:
+            raise StoreUnavailableError(f"unreadable answer: {error}") from error
 
 
-def _check_status(answer: HttpAnswer) -> None:
-    """Refuse whatever is not a plain answer."""
-    if answer.status != OK:
-        raise StoreUnavailableError(f"status {answer.status}")
-
-
-Document = TypeVar("Document")
-
-
-def _decode(decoder: msgspec.json.Decoder[Document], body: bytes) -> Document:
-    """Decode an answer's body."""
+def _value(raw: msgspec.Raw) -> StoredValue:
+    """Turn one item into a value; whatever of it cannot be read is left empty."""
     try:
-        return decoder.decode(body)
-    except msgspec.MsgspecError as error:
-        raise StoreUnavailableError(f"unreadable answer: {error}") from error
-
-
-def _values(items: list[_Item]) -> tuple[StoredValue, ...]:
-    """Turn items and events into values."""
-    return tuple(StoredValue(item.key, item.rev, _value_of(item)) for item in items)
-
-
-def _value_of(item: _Item) -> bytes | None:
-    """Decode a value; ``None`` for a removal."""
-    if item.gone:
-        return None
+        place = _place_decoder.decode(raw)
+    except UNREADABLE:
+        return StoredValue("", 0, b"")
     try:
-        return base64.b64decode(item.value, validate=True)
-    except binascii.Error as error:
-        raise StoreUnavailableError(f"{item.key}: {error}") from error
+        item = _item_decoder.decode(raw)
+    except UNREADABLE:
+        return StoredValue(place.key, place.rev, b"")
+    return StoredValue(item.key, item.rev, None if item.gone else item.value)
--- /dev/null
+++ b/tinrudder_lab/emulator/foreign_entries.py
@@ -0,0 +1,77 @@
+"""Back ends' entries as another writer might leave them: none of them names a back end to use."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+FIELDS = ("service", "addr", "zone", "slots", "state")
+"""What no entry may lack."""
+NESTED_LEVELS = 20_000
+"""More than a parser that calls itself for each level bears."""
+OTHER_TYPES: tuple[object, ...] = (None, True, -1, 1.5, [], {}, [1], {"a": 1})
+
+ForeignValue = Callable[[dict[str, object], random.Random], bytes]
+
+
+def _lacks_a_field(entry: dict[str, object], source: random.Random) -> bytes:
+    missing = source.choice(FIELDS)
+    return msgspec.json.encode({name: value for name, value in entry.items() if name != missing})
+
+
+def _has_another_type(entry: dict[str, object], source: random.Random) -> bytes:
+    field = source.choice((*FIELDS, "cold_left_ms", "seq", "born"))
+    types = [value for value in OTHER_TYPES if not (field == "cold_left_ms" and value == 1.5)]
+    return msgspec.json.encode(entry | {field: source.choice(types)})
+
+
+def _has_another_state(entry: dict[str, object], source: random.Random) -> bytes:
+    state = source.choice(("", "READY", "ready ", "paused", "gone"))
+    return msgspec.json.encode(entry | {"state": state})
+
+
+def _has_absurd_figures(entry: dict[str, object], source: random.Random) -> bytes:
+    changes: tuple[dict[str, object], ...] = (
+        {"slots": 0},
+        {"slots": 10**9},
+        {"cold_left_ms": 1e15},
+        {"born": 2**60},
+        {"addr": "10.0.0.1:0"},
+        {"addr": "10.0.0.1:70000"},
+        {"addr": "10.0.0.1: 80"},
+        {"addr": "nowhere..example:80"},
+        {"addr": "10.0.0.1"},
+        {"service": ""},
+    )
+    return msgspec.json.encode(entry | source.choice(changes))
+
+
+def _is_cut_short(entry: dict[str, object], source: random.Random) -> bytes:
+    value = msgspec.json.encode(entry)
+    return value[: source.randrange(len(value))]
+
+
+def _is_no_text(entry: dict[str, object], source: random.Random) -> bytes:
+    return b"\xff" + source.randbytes(40)
+
+
+def _is_nested(entry: dict[str, object], source: random.Random) -> bytes:
+    return b'{"x":' + b"[" * NESTED_LEVELS
+
+
+FOREIGN_VALUES: tuple[ForeignValue, ...] = (
+    _lacks_a_field,
+    _has_another_type,
+    _has_another_state,
+    _has_absurd_figures,
+    _is_cut_short,
+    _is_no_text,
+    _is_nested,
+)
+
+
+def foreign_value(entry: dict[str, object], source: random.Random) -> bytes:
+    """Return an entry as another writer might leave it."""
+    return source.choice(FOREIGN_VALUES)(entry, source)
