--- /dev/null
+++ b/tests/functional/test_gateway_restarted_back_ends.py
@@ -0,0 +1,209 @@
+"""Back ends that start again under their id, and entries by other writers, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tinrudder_lab.emulator.backend import Fault
+from tinrudder_lab.emulator.foreign_entries import FOREIGN_VALUES, ForeignValue
+from tinrudder_lab.emulator.http_server import ServedRequest
+from tinrudder_lab.emulator.site import EmulatedSite, run_site
+
+ALL_ROUTES = ("scatter", "single", "once")
+LEARNED_S = 0.7
+"""Within this time every gateway knows what the store says: a watch, a digest and a pull."""
+MANY = 12
+"""More gateways than read the store: some learn from peers alone."""
+
+
+def arrivals_at(site: EmulatedSite, backend_id: str, since: float) -> int:
+    return sum(
+        1 for one in site.ledger.arrivals if one.backend_id == backend_id and one.at >= since
+    )
+
+
+def entry_of(site: EmulatedSite, backend_id: str) -> dict[str, object]:
+    service, address, zone = site.entry(backend_id)
+    return {
+        "service": service,
+        "addr": address,
+        "zone": zone,
+        "slots": 2,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": 1,
+        "born": site.unix_ms(),
+    }
+
+
+@pytest.mark.parametrize("moves", [False, True])
+@pytest.mark.parametrize("down_s", [0.2, 3.0])
+def test_a_back_end_that_starts_again_is_used_at_once(moves: bool, down_s: float) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await site.traffic(1.0, 30.0, ALL_ROUTES)
+        restarting = asyncio.create_task(site.restart_backend("shard-0-0", down_s, moves=moves))
+        await site.traffic(down_s, 30.0, ALL_ROUTES)
+        await restarting
+        await asyncio.sleep(LEARNED_S)
+        since = site.loop.time()
+        await site.traffic(2.0, 30.0, ("scatter",))
+        assert arrivals_at(site, "shard-0-0", since) >= 10
+        assert site.broken_promises() == []
+
+    run_site(scenario)
+
+
+def test_failures_of_one_start_are_not_held_against_the_next() -> None:
+    """Calls that fail push a back end back for up to two seconds; the next start is another."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        site.backends["shard-0-0"].choose_fault = lambda: Fault.ERROR
+        await site.traffic(3.0, 40.0, ("scatter",))
+        await site.restart_backend("shard-0-0", 0.1)
+        await asyncio.sleep(0.1)
+        for node in site.nodes:
+            assert node.gateway is not None
+            backends = {one.backend_id: one for one in node.gateway.directory.usable("shard-0")}
+            restarted = backends["shard-0-0"]
+            assert restarted.entry.started_ms == site.backends["shard-0-0"].started_ms
+            assert restarted.observations.failures == 0
+            assert not restarted.observations.is_suspect(site.loop.time())
+
+    run_site(scenario)
+
+
+def test_what_may_not_be_repeated_is_not_sent_to_the_next_start() -> None:
+    """Both have the id that the call names; only the connection tells them apart."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        sends = [asyncio.create_task(site.send("once", number % 3)) for number in range(30)]
+        await asyncio.sleep(0.3)
+        for copy in range(site.singles):
+            await site.restart_backend(f"single-{copy}", 0.01)
+        results = await asyncio.gather(*sends)
+        lost = [result for result in results if result.status in (502, 504)]
+        assert lost
+        assert site.broken_promises() == []
+
+    run_site(scenario, work_s=1.0)
+
+
+def test_a_back_end_that_left_and_starts_again_gets_work() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.drain("single-0")
+        await asyncio.sleep(1.0)
+        await site.restart_backend("single-0", 0.1, moves=True)
+        for copy in range(1, site.singles):
+            site.drain(f"single-{copy}")
+        await asyncio.sleep(4.0)
+        result = await site.send("single")
+        assert result.status == 200
+        assert site.broken_promises() == []
+
+    run_site(scenario)
+
+
+@pytest.mark.parametrize(
+    ("make", "node_count"),
+    [*((make, 3) for make in FOREIGN_VALUES), (FOREIGN_VALUES[0], MANY)],
+)
+def test_an_entry_that_becomes_unreadable_names_none_and_the_others_hold(
+    make: ForeignValue, node_count: int
+) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await site.traffic(1.0, 30.0, ALL_ROUTES)
+        taken = ("shard-0-0", "single-1")
+        for backend_id in taken:
+            site.write_foreign(backend_id, make(entry_of(site, backend_id), site.random))
+        # A writer of its own, and a change behind it that must not be hidden.
+        site.write_foreign("foreign-0", make(entry_of(site, "shard-0-0"), site.random))
+        await site.add_backend("shard-0-2", "shard-0", "zone-a")
+        await asyncio.sleep(LEARNED_S)
+        since = site.loop.time()
+        await site.traffic(2.0, 30.0, ALL_ROUTES)
+        assert [arrivals_at(site, backend_id, since) for backend_id in taken] == [0, 0]
+        assert arrivals_at(site, "shard-0-2", since) > 0
+        for node in site.nodes:
+            assert node.gateway is not None
+            assert node.gateway.unreadable_values.count >= 3
+        for backend_id in taken:
+            site.rewrite_entry(backend_id)
+        await asyncio.sleep(LEARNED_S)
+        since = site.loop.time()
+        await site.traffic(2.0, 30.0, ALL_ROUTES)
+        assert all(arrivals_at(site, backend_id, since) for backend_id in taken)
+        assert site.served_share() == 1.0
+        assert site.broken_promises() == []
+
+    run_site(scenario, node_count=node_count)
+
+
+def test_what_a_back_end_works_on_is_finished_although_its_entry_cannot_be_read() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        sends = [asyncio.create_task(site.send("once", number % 3)) for number in range(6)]
+        await asyncio.sleep(0.1)
+        for copy in range(site.singles):
+            site.write_foreign(f"single-{copy}", b"?")
+        assert {result.status for result in await asyncio.gather(*sends)} == {200}
+        refused = await site.send("once")
+        assert refused.status == 503
+        assert site.broken_promises() == []
+
+    run_site(scenario, work_s=0.6)
+
+
+SPOILED_ITEMS: tuple[dict[str, object], ...] = (
+    {"value": "no base64"},
+    {"value": 5},
+    {"rev": None},
+    {"rev": "seven"},
+    {"rev": 2**80},
+    {"key": None},
+    {"key": 3},
+)
+
+
+@pytest.mark.parametrize("shown", SPOILED_ITEMS)
+def test_an_item_that_the_store_spoils_hides_no_other(shown: dict[str, object]) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.store.put_spoiled("servers/aaa", shown)
+        site.store.put_spoiled("servers/zzz", shown)
+        await asyncio.sleep(LEARNED_S)
+        assert [(await site.send("scatter", node)).status for node in range(3)] == [200] * 3
+        for node in site.nodes:
+            site.kill_node(node)
+        await asyncio.sleep(0.1)
+        for node in site.nodes:
+            site.start_node(node)
+        await asyncio.sleep(2.0)
+        assert [(await site.send("scatter", node)).status for node in range(3)] == [200] * 3
+        site.drain("shard-0-0")
+        await asyncio.sleep(LEARNED_S)
+        for node in site.nodes:
+            assert node.gateway is not None
+            assert node.gateway.state.backends["servers/shard-0-0"].leaving
+            assert node.gateway.unreadable_values.count > 0
+
+    run_site(scenario, shards=26)
+
+
+def test_a_request_that_ends_a_back_end_is_seen_over_its_starts() -> None:
+    """The emulated site as a whole, where back ends come back under their ids."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        def ends(request: ServedRequest) -> bool:
+            return request.target.endswith("ends-back-ends")
+
+        site.keeps_ids = True
+        site.ends_under = ends
+        beside = asyncio.create_task(site.traffic(20.0, 10.0, ALL_ROUTES))
+        for turn in range(10):
+            await site.send("scatter", turn % 3, target="/all/ends-back-ends")
+            await asyncio.sleep(2.0)
+        await beside
+        assert set(site.backends) >= {"shard-0-0", "shard-0-1", "single-0"}
+        assert site.broken_promises() == []
+
+    run_site(scenario)
--- a/tinrudder_lab/emulator/backend.py
+++ b/tinrudder_lab/emulator/backend.py
@@ -11,7 +11,7 @@
 
 from tinrudder_lab.emulator.http_server import ServedRequest, ServerConnection, encode_response
 from tinrudder_lab.emulator.ledger import Ledger
-from tinrudder_lab.emulator.records import Arrival
+from tinrudder_lab.emulator.records import Arrival, life_of
 
 RECORD_BYTES = 16
 QUEUE_PLACES = 12
@@ -60,9 +60,11 @@
         random_source: random.Random,
         work_s: Callable[[], float],
         slots: int = 2,
+        started_ms: int = 0,
     ) -> None:
         """Sign answers into ``ledger``; each takes ``work_s()`` of a slot."""
         self.backend_id = backend_id
+        self.started_ms = started_ms
         self.service = service
         self.choose_fault: Callable[[], Fault] = lambda: Fault.NONE
         self.ends_under: Callable[[ServedRequest], bool] = lambda request: False
@@ -94,6 +96,11 @@
         for connection in tuple(self.open_connections):
             connection.abort()
 
+    @property
+    def life(self) -> str:
+        """Return what names this start of it."""
+        return life_of(self.backend_id, self.started_ms)
+
     def pause(self, seconds: float) -> None:
         """Stand still for a while."""
         self._paused_until = self._loop.time() + seconds
@@ -238,5 +245,6 @@
                 ran=ran,
                 tenant=request.headers.get("tinrudder-tenant", ""),
                 credentials="authorization" in request.headers,
+                started_ms=self.started_ms,
             )
         )
--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -38,6 +38,7 @@
     issued: dict[str, IssuedAnswer] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
     results: list[ClientResult] = field(default_factory=list)
+    # By the life of the back end: what one start said does not bind the next.
     leaving_at: dict[str, float] = field(default_factory=dict)
     zones: dict[str, str] = field(default_factory=dict)
     evacuations: list[EvacuatedZone] = field(default_factory=list)
@@ -287,7 +288,7 @@
         return [
             BrokenPromise("leaving", f"{arrival.request_id} reached {arrival.backend_id}")
             for arrival in self.arrivals
-            if arrival.ran and arrival.at > known_at.get(arrival.backend_id, float("inf")) + drain_s
+            if arrival.ran and arrival.at > known_at.get(arrival.life, float("inf")) + drain_s
             if not self._was_disturbed(arrival)
         ]
 
--- a/tinrudder_lab/emulator/records.py
+++ b/tinrudder_lab/emulator/records.py
@@ -21,6 +21,7 @@
     :param ran: the back end began to work on it.
     :param tenant: on whose behalf it was asked, as it was told; empty: nobody's.
     :param credentials: a client's key came with it.
+    :param started_ms: when the back end's process started, Unix milliseconds.
     """
 
     at: float
@@ -32,6 +33,17 @@
     ran: bool
     tenant: str = ""
     credentials: bool = False
+    started_ms: int = 0
+
+    @property
+    def life(self) -> str:
+        """Return what names this start of the back end."""
+        return life_of(self.backend_id, self.started_ms)
+
+
+def life_of(backend_id: str, started_ms: int) -> str:
+    """Return what names one start of a back end that may keep its id."""
+    return f"{backend_id}@{started_ms}" if started_ms else backend_id
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -26,6 +26,7 @@
     EndedBackend,
     EvacuatedZone,
     HeldKey,
+    life_of,
 )
 from tinrudder_lab.emulator.store import EmulatedStore
 from tinrudder_lab.sim.loop import Machine
@@ -46,6 +47,8 @@
 COLD_NOTICE_S = 1.0
 """How long it takes until every gateway knows that a back end has turned cold."""
 MILLISECONDS = 1000.0
+CLOCK_BEGAN_MS = 1_764_720_000_000
+"""Unix milliseconds at which the loop's clock showed zero."""
 EVACUATION_S = 5.0
 """How long after the store has taken an evacuation calls may still reach the zone."""
 GRACE_S = 6.0
@@ -110,6 +113,7 @@
     :param work_s: time that a back end's slot is held by one request.
     :param cold_calls_per_s: what the configuration says that a cold back end bears.
     :param tenants: of the configuration, each with its keys, as :class:`SiteTenant`.
+    :param keeps_ids: back ends that crash start again under their ids.
     :param revocation_s: the bound within which an ended key stops working everywhere.
     """
 
@@ -126,6 +130,7 @@
     work_s: float = 0.02
     cold_calls_per_s: float = 0.0
     tenants: tuple[SiteTenant, ...] = ()
+    keeps_ids: bool = False
     revocation_s: float | None = None
     ledger: Ledger = field(default_factory=Ledger)
     nodes: list[EmulatedNode] = field(default_factory=list)
@@ -135,6 +140,7 @@
     ends_under: Callable[[ServedRequest], bool] = lambda request: False
     _serial: int = 0
     _entries: dict[str, tuple[str, str, str]] = field(default_factory=dict)
+    _started_ms: dict[str, int] = field(default_factory=dict)
 
     async def start(self) -> None:
         """Start the store, the back ends and the gateways, and wait until they serve."""
@@ -165,18 +171,30 @@
 
     async def add_backend(self, backend_id: str, service: str, zone: str) -> EmulatedBackend:
         """Start a back end and let it record itself."""
-        number = self.backends_added
-        self.backends_added += 1
-        host = f"{self.network}.128.{number // 250}.{number % 250 + 1}"
         backend = self._run_backend(backend_id, service)
+        host = self._next_host()
         await backend.start(host, BACKEND_PORT)
         address = await self.reachable_at(backend_id, Address(host, BACKEND_PORT))
         self.write_entry(backend_id, service, str(address), zone)
         return backend
 
+    def _next_host(self) -> str:
+        """Return an address that no back end has had."""
+        number = self.backends_added
+        self.backends_added += 1
+        return f"{self.network}.128.{number // 250}.{number % 250 + 1}"
+
+    def unix_ms(self) -> int:
+        """Return the time of day, Unix milliseconds."""
+        return CLOCK_BEGAN_MS + int(self.loop.time() * MILLISECONDS)
+
     def _run_backend(self, backend_id: str, service: str) -> EmulatedBackend:
         """Make the process of a back end."""
-        backend = EmulatedBackend(backend_id, service, self.ledger, self.random, self._work_time)
+        started_ms = self.unix_ms()
+        self._started_ms[backend_id] = started_ms
+        backend = EmulatedBackend(
+            backend_id, service, self.ledger, self.random, self._work_time, started_ms=started_ms
+        )
         backend.ends_under = lambda request: self.ends_under(request)
         backend.on_end = lambda request: self._on_end(backend, request)
         self.backends[backend_id] = backend
@@ -190,7 +208,10 @@
         self.end_backend(backend.backend_id)
 
     def end_backend(self, backend_id: str) -> None:
-        """Crash a back end; its entry lapses, and it comes back under another id."""
+        """Crash a back end; its entry lapses, and it comes back, by default under another id."""
+        if self.keeps_ids:
+            self.loop.create_task(self.restart_backend(backend_id, BACK_S))
+            return
         backend = self.backends.pop(backend_id)
         backend.stop()
         self.loop.call_later(LAPSE_S, self.store.remove, BACKENDS_PREFIX + backend_id)
@@ -206,6 +227,27 @@
         self.came_back(backend_id, again)
         self.write_entry(again, backend.service, address, zone)
 
+    async def restart_backend(
+        self, backend_id: str, down_s: float, *, moves: bool = False, cold_left_s: float = 0.0
+    ) -> None:
+        """Crash a back end and start it again under its id.
+
+        :param down_s: until its process serves again; its entry lapses if that takes long.
+        :param moves: it starts at another address.
+        """
+        ended = self.backends.pop(backend_id)
+        ended.stop()
+        if down_s > LAPSE_S:
+            await asyncio.sleep(LAPSE_S)
+            self.store.remove(BACKENDS_PREFIX + backend_id)
+        await asyncio.sleep(down_s - LAPSE_S if down_s > LAPSE_S else down_s)
+        service, address, zone = self._entries[backend_id]
+        host, port = (self._next_host(), BACKEND_PORT) if moves else ended.listens_at
+        await self._run_backend(backend_id, service).start(host, port)
+        if moves:
+            address = str(await self.reachable_at(backend_id, Address(host, port)))
+        self.write_entry(backend_id, service, address, zone, cold_left_s=cold_left_s)
+
     def came_back(self, backend_id: str, again: str) -> None:
         """Take note that a back end has another id; nothing here depends on it."""
 
@@ -243,9 +285,18 @@
             "state": state,
             "cold_left_ms": cold_left_s * MILLISECONDS,
             "seq": 1,
+            "born": self._started_ms.get(backend_id, self.unix_ms()),
         }
         self.store.put(BACKENDS_PREFIX + backend_id, document)
 
+    def entry(self, backend_id: str) -> tuple[str, str, str]:
+        """Return service, address and zone of a back end."""
+        return self._entries[backend_id]
+
+    def write_foreign(self, backend_id: str, value: bytes) -> None:
+        """Let another writer write under a back end's key."""
+        self.store.put_bytes(BACKENDS_PREFIX + backend_id, value)
+
     def rewrite_entry(self, backend_id: str) -> None:
         """Let a back end record itself again after its entry has lapsed."""
         service, address, zone = self._entries[backend_id]
@@ -262,7 +313,8 @@
         """Let a back end say that it leaves."""
         service, address, zone = self._entries[backend_id]
         self.write_entry(backend_id, service, address, zone, state="draining")
-        self.ledger.leaving_at[backend_id] = self.loop.time()
+        life = life_of(backend_id, self._started_ms.get(backend_id, 0))
+        self.ledger.leaving_at[life] = self.loop.time()
 
     def evacuate(self, zone: str) -> None:
         """Ask that nothing go to the back ends of a zone."""
--- a/tinrudder_lab/emulator/store.py
+++ b/tinrudder_lab/emulator/store.py
@@ -36,6 +36,7 @@
 class _Item:
     value: bytes | None
     rev: int
+    shown_as: dict[str, object] | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -91,11 +92,24 @@
 
     def put(self, key: str, document: object) -> int:
         """Write a document; return its revision."""
+        return self.put_bytes(key, msgspec.json.encode(document))
+
+    def put_bytes(self, key: str, value: bytes) -> int:
+        """Write any bytes; return the revision."""
         self.revision += 1
-        self._items[key] = _Item(msgspec.json.encode(document), self.revision)
+        self._items[key] = _Item(value, self.revision)
         self._wake()
         return self.revision
 
+    def put_spoiled(self, key: str, shown: dict[str, object]) -> int:
+        """Write a value that the store itself shows with other fields; return its revision.
+
+        A field that is ``None`` is left out.
+        """
+        revision = self.put_bytes(key, b"{}")
+        self._items[key].shown_as = shown
+        return revision
+
     def remove(self, key: str) -> None:
         """Remove a key."""
         self.revision += 1
@@ -165,15 +179,15 @@
     def _answer_watch(self, watch: _Watch, at_end: bool) -> None:
         if watch.done or self.modes[watch.port] is StoreMode.SILENT:
             return
-        events = [
-            _document(key, item)
+        changed = [
+            (item.rev, key)
             for key, item in self._items.items()
             if key.startswith(watch.prefix) and item.rev > watch.after
         ]
+        events = [_document(key, self._items[key]) for _, key in sorted(changed)]
         if self.modes[watch.port] is StoreMode.DEAF:
             events = []
         if events or at_end:
-            events.sort(key=lambda event: int(str(event["rev"])))
             at = self.revision if self.modes[watch.port] is not StoreMode.DEAF else watch.after
             self._answer(watch, 200, {"events": events, "at": at})
 
@@ -189,4 +203,6 @@
     if item.value is None:
         return {"key": key, "rev": item.rev, "gone": True}
     value = base64.b64encode(item.value).decode()
-    return {"key": key, "value": value, "rev": item.rev, "made": item.rev, "lease": 0}
+    document = {"key": key, "value": value, "rev": item.rev, "made": item.rev, "lease": 0}
+    document |= item.shown_as or {}
+    return {name: field for name, field in document.items() if field is not None}
--- a/tinrudder_lab/soak/faults.py
+++ b/tinrudder_lab/soak/faults.py
@@ -170,7 +170,7 @@
     """Let a back end of the single service leave, after another one came."""
     alive = [name for name in site.backends if name.startswith("single")]
     old = site.random.choice(alive) if alive else ""
-    if not alive or old in site.ledger.leaving_at:
+    if not alive or site.backends[old].life in site.ledger.leaving_at:
         return "nothing replaced"
     await site.add_backend(f"single-{site.backends_added}", "single", "zone-a")
     await asyncio.sleep(0.5)
