Soak: back ends start again under their ids, and others spoil entries

The ledger checks that nothing reaches a back end whose entry cannot be read, with the time that gateways have for one that leaves.

--- a/tests/functional/test_gateway_restarted_back_ends.py
+++ b/tests/functional/test_gateway_restarted_back_ends.py
@@ -24,20 +24,6 @@
     )
 
 
-def entry_of(site: EmulatedSite, backend_id: str) -> dict[str, object]:
-    service, address, zone = site.entry(backend_id)
-    return {
-        "service": service,
-        "addr": address,
-        "zone": zone,
-        "slots": 2,
-        "state": "ready",
-        "cold_left_ms": 0,
-        "seq": 1,
-        "born": site.unix_ms(),
-    }
-
-
 @pytest.mark.parametrize("moves", [False, True])
 @pytest.mark.parametrize("down_s", [0.2, 3.0])
 def test_a_back_end_that_starts_again_is_used_at_once(moves: bool, down_s: float) -> None:
@@ -116,9 +102,9 @@
         await site.traffic(1.0, 30.0, ALL_ROUTES)
         taken = ("shard-0-0", "single-1")
         for backend_id in taken:
-            site.write_foreign(backend_id, make(entry_of(site, backend_id), site.random))
+            site.write_foreign(backend_id, make(site.entry_document(backend_id), site.random))
         # A writer of its own, and a change behind it that must not be hidden.
-        site.write_foreign("foreign-0", make(entry_of(site, "shard-0-0"), site.random))
+        site.write_foreign("foreign-0", make(site.entry_document("shard-0-0"), site.random))
         await site.add_backend("shard-0-2", "shard-0", "zone-a")
         await asyncio.sleep(LEARNED_S)
         since = site.loop.time()
--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -19,6 +19,7 @@
     IssuedAnswer,
     SentRequest,
     StoreOutage,
+    UnreadableSpan,
 )
 
 KNOWN_AFTER_ENDS = 3
@@ -40,6 +41,7 @@
     results: list[ClientResult] = field(default_factory=list)
     # By the life of the back end: what one start said does not bind the next.
     leaving_at: dict[str, float] = field(default_factory=dict)
+    unreadable: list[UnreadableSpan] = field(default_factory=list)
     zones: dict[str, str] = field(default_factory=dict)
     evacuations: list[EvacuatedZone] = field(default_factory=list)
     store_outages: list[StoreOutage] = field(default_factory=list)
@@ -66,6 +68,7 @@
             *self._refused_but_ran(),
             *self._over_budget(ratio, extra, window_s),
             *self._after_leaving(drain_s),
+            *self._while_unreadable(drain_s),
             *self._too_many_back_ends(),
             *self._in_evacuated_zones(evacuation_s),
             *self._keys_passed_on(),
@@ -292,6 +295,30 @@
             if not self._was_disturbed(arrival)
         ]
 
+    def unreadable_now(self) -> set[str]:
+        """Return the back ends whose entries cannot be read."""
+        return {span.backend_id for span in self.unreadable if span.until == float("inf")}
+
+    def note_readable(self, backend_id: str, now: float) -> None:
+        """Note that a back end's entry is good again, or gone."""
+        for span in self.unreadable:
+            if span.backend_id == backend_id:
+                span.until = min(span.until, now)
+
+    def _while_unreadable(self, drain_s: float) -> list[BrokenPromise]:
+        """Check that nothing reaches a back end long after its entry became unreadable.
+
+        Gateways have as long to learn of it as of a back end that leaves.
+        """
+        return [
+            BrokenPromise("unreadable", f"{arrival.request_id} reached {arrival.backend_id}")
+            for arrival in self.arrivals
+            for span in self.unreadable
+            if arrival.ran and arrival.backend_id == span.backend_id
+            if self._known_at(span.since) + drain_s < arrival.at < span.until
+            if not self._was_disturbed(arrival)
+        ]
+
 
 def _greatest(parts: list[IssuedAnswer], count: int) -> bytes:
     """Merge the plain way: sort everything."""
--- a/tinrudder_lab/emulator/records.py
+++ b/tinrudder_lab/emulator/records.py
@@ -124,6 +124,15 @@
     until: float = float("inf")
 
 
+@dataclass(slots=True)
+class UnreadableSpan:
+    """A time in which a back end's entry could not be read."""
+
+    backend_id: str
+    since: float
+    until: float = float("inf")
+
+
 @dataclass(slots=True)
 class StoreOutage:
     """A time in which no gateway could learn anything from the store.
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -26,6 +26,7 @@
     EndedBackend,
     EvacuatedZone,
     HeldKey,
+    UnreadableSpan,
     life_of,
 )
 from tinrudder_lab.emulator.store import EmulatedStore
@@ -214,7 +215,7 @@
             return
         backend = self.backends.pop(backend_id)
         backend.stop()
-        self.loop.call_later(LAPSE_S, self.store.remove, BACKENDS_PREFIX + backend_id)
+        self.loop.call_later(LAPSE_S, self.remove_entry, backend_id)
         self.loop.create_task(self._come_back(backend_id, backend))
 
     async def _come_back(self, backend_id: str, backend: EmulatedBackend) -> None:
@@ -239,7 +240,7 @@
         ended.stop()
         if down_s > LAPSE_S:
             await asyncio.sleep(LAPSE_S)
-            self.store.remove(BACKENDS_PREFIX + backend_id)
+            self.remove_entry(backend_id)
         await asyncio.sleep(down_s - LAPSE_S if down_s > LAPSE_S else down_s)
         service, address, zone = self._entries[backend_id]
         host, port = (self._next_host(), BACKEND_PORT) if moves else ended.listens_at
@@ -276,7 +277,14 @@
         """Write a back end's entry."""
         self._entries[backend_id] = (service, address, zone)
         self.ledger.zones[backend_id] = zone
-        document = {
+        self.put_document(backend_id, self.entry_document(backend_id, state, cold_left_s))
+
+    def entry_document(
+        self, backend_id: str, state: str = "ready", cold_left_s: float = 0.0
+    ) -> dict[str, object]:
+        """Return a back end's entry as it writes it."""
+        service, address, zone = self._entries[backend_id]
+        return {
             "service": service,
             "addr": address,
             "zone": zone,
@@ -287,20 +295,28 @@
             "seq": 1,
             "born": self._started_ms.get(backend_id, self.unix_ms()),
         }
-        self.store.put(BACKENDS_PREFIX + backend_id, document)
 
-    def entry(self, backend_id: str) -> tuple[str, str, str]:
-        """Return service, address and zone of a back end."""
-        return self._entries[backend_id]
+    def put_document(self, backend_id: str, document: dict[str, object]) -> None:
+        """Write an entry as it is."""
+        self.ledger.note_readable(backend_id, self.loop.time())
+        self.store.put(BACKENDS_PREFIX + backend_id, document)
 
     def write_foreign(self, backend_id: str, value: bytes) -> None:
-        """Let another writer write under a back end's key."""
+        """Let another writer write what nobody can read under a back end's key."""
+        self.ledger.unreadable.append(UnreadableSpan(backend_id, self.loop.time()))
         self.store.put_bytes(BACKENDS_PREFIX + backend_id, value)
 
+    def remove_entry(self, backend_id: str) -> None:
+        """Remove an entry."""
+        self.ledger.note_readable(backend_id, self.loop.time())
+        self.store.remove(BACKENDS_PREFIX + backend_id)
+
     def rewrite_entry(self, backend_id: str) -> None:
         """Let a back end record itself again after its entry has lapsed."""
         service, address, zone = self._entries[backend_id]
-        self.write_entry(backend_id, service, address, zone)
+        life = life_of(backend_id, self._started_ms.get(backend_id, 0))
+        state = "draining" if life in self.ledger.leaving_at else "ready"
+        self.write_entry(backend_id, service, address, zone, state)
 
     def turn_cold(self, backend_id: str, seconds: float) -> ColdSpan:
         """Let a back end say that it bears few requests for some time from now on."""
--- /dev/null
+++ b/tinrudder_lab/soak/entry_faults.py
@@ -0,0 +1,65 @@
+"""Back ends that start again under their ids and entries by other writers, beside all else.
+
+Their moments come from randomness of their own: a seed's other faults stay what they were.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from tinrudder_lab.emulator.foreign_entries import foreign_value
+from tinrudder_lab.soak.process_site import ProcessSite
+
+PAUSE_S = (0.3, 1.5)
+DOWN_S = (0.05, 3.0)
+"""A back end that starts again soon is back before its entry lapses, another one after it."""
+UNREADABLE_S = (0.2, 6.0)
+"""Until the next heartbeat of the back end itself; longer ones let a call that should not come."""
+
+
+async def change_entries(site: ProcessSite, seconds: float) -> list[str]:
+    """Restart back ends and spoil entries for a while; return what was done."""
+    source = random.Random(f"entries {site.seed}")
+    told: list[str] = []
+    running: set[asyncio.Task[None]] = set()
+    end = site.loop.time() + seconds
+    while site.loop.time() < end:
+        await asyncio.sleep(source.uniform(*PAUSE_S))
+        whole = sorted(site.backends.keys() - site.ledger.unreadable_now())
+        if not whole:
+            continue
+        backend_id = source.choice(whole)
+        if source.random() < 0.5:
+            moves = source.random() < 0.5
+            restart = site.restart_backend(backend_id, source.uniform(*DOWN_S), moves=moves)
+            running.add(asyncio.create_task(restart))
+            told.append(f"{backend_id} starts again{' elsewhere' if moves else ''}")
+        else:
+            running.add(asyncio.create_task(_spoil(site, backend_id, source)))
+            told.append(f"entry of {backend_id} unreadable")
+        _add_stranger(site, source)
+    await asyncio.gather(*running)
+    return told
+
+
+async def _spoil(site: ProcessSite, backend_id: str, source: random.Random) -> None:
+    """Let another writer overwrite an entry until its back end writes again, if it lives."""
+    backend = site.backends[backend_id]
+    site.write_foreign(backend_id, foreign_value(site.entry_document(backend_id), source))
+    await asyncio.sleep(source.uniform(*UNREADABLE_S))
+    if site.backends.get(backend_id) is backend:
+        site.rewrite_entry(backend_id)
+
+
+def _add_stranger(site: ProcessSite, source: random.Random) -> None:
+    """Let another writer write, or take away, an entry under an id of its own."""
+    stranger = f"stranger-{source.randrange(5)}"
+    entry = site.entry_document(source.choice(sorted(site.backends) or ["single-0"]))
+    kind = source.randrange(3)
+    if kind == 0:
+        site.remove_entry(stranger)
+    elif kind == 1:
+        site.put_document(stranger, entry | {"service": "unheard-of"})
+    else:
+        site.write_foreign(stranger, foreign_value(entry, source))
--- a/tinrudder_lab/soak/regressions.py
+++ b/tinrudder_lab/soak/regressions.py
@@ -12,6 +12,7 @@
     :param gateways: how many there were.
     :param cause: what it was traced to, or that it is open.
     :param poison: a client asked what crashes back ends.
+    :param entries: back ends started again under their ids, and entries were spoiled.
     """
 
     seed: int
@@ -19,6 +20,7 @@
     gateways: int
     cause: str
     poison: bool = False
+    entries: bool = False
 
 
 REGRESSIONS = (
--- a/tinrudder_lab/soak/run.py
+++ b/tinrudder_lab/soak/run.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from tinrudder_lab.soak.entry_faults import change_entries
 from tinrudder_lab.soak.faults import FAULTS, LIMITED, TENANTS, SoakFault
 from tinrudder_lab.soak.process_site import QUOTAS, REVOCATION_S, ProcessSite
 
@@ -40,12 +41,19 @@
 
 
 async def soak(
-    seed: int, seconds: float, folder: Path, gateways: int = 3, *, poison: bool = True
+    seed: int,
+    seconds: float,
+    folder: Path,
+    gateways: int = 3,
+    *,
+    poison: bool = True,
+    entries: bool = True,
 ) -> SoakResult:
     """Run one soak; settings and logs of the gateways are left in ``folder``.
 
     :param gateways: above eleven, scatters go through coordinators and some follow no store.
     :param poison: a client asks again and again what crashes the back ends that run it.
+    :param entries: back ends start again under their ids, and others spoil entries.
     """
     loop = asyncio.get_running_loop()
     site = ProcessSite(
@@ -61,23 +69,25 @@
     # Whoever ends the soak must not leave its gateways behind.
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
     try:
-        return await _run(site, seconds, poison)
+        return await _run(site, seconds, seconds if poison else 0.0, seconds if entries else 0.0)
     finally:
         await site.close()
 
 
-async def _run(site: ProcessSite, seconds: float, poison: bool) -> SoakResult:
+async def _run(site: ProcessSite, seconds: float, poison_s: float, entries_s: float) -> SoakResult:
     """Drive traffic and faults, let everything heal, and check."""
     await site.start()
     await asyncio.sleep(START_S)
     told: list[str] = []
     faults = asyncio.create_task(_inject(site, seconds, told))
+    entries = asyncio.create_task(change_entries(site, entries_s))
     await asyncio.gather(
         site.traffic(seconds, REQUESTS_PER_SECOND, ROUTES),
         ask_too_much(site, seconds),
         ask_with_any_key(site, seconds),
-        ask_poison(site, seconds if poison else 0.0),
+        ask_poison(site, poison_s),
     )
+    told.extend(await entries)
     await faults
     await asyncio.sleep(SETTLE_S)
     before = len(site.ledger.results)
