--- a/tinrudder/gateway/run_guard.py
+++ b/tinrudder/gateway/run_guard.py
@@ -34,14 +34,18 @@
     def judge(self, fingerprint: bytes, origin: bytes) -> Judgement:
         """Decide what may be done with a request now."""
 
-    def note_crash(
-        self, fingerprint: bytes, origin: bytes, backend_id: str, *, trial: bool
-    ) -> None:
+    def note_crash(self, fingerprint: bytes, origin: bytes, life: str, *, trial: bool) -> None:
         """Hold a back end that was lost against the request that it ran."""
 
+    def note_survivor(self, fingerprint: bytes, life: str) -> None:
+        """Hold a back end no longer against a request: it has not crashed after all."""
+
     def note_answer(self, fingerprint: bytes) -> None:
         """Clear a request that a back end has answered."""
 
+    def note_alive(self, life: str, sent_at: float) -> None:
+        """Take it that a back end has answered what was sent at a moment."""
+
     def begin_trial(self, fingerprint: bytes) -> None:
         """Keep other gateways from a trial while one begins here."""
 
@@ -109,12 +113,17 @@
         self._evidence.begin_trial(self._request.fingerprint)
         return True
 
-    def note_answered(self) -> None:
-        """Take an answer, whatever it says: the back end has survived the request."""
+    def note_answered(self, life: str, sent_at: float) -> None:
+        """Take an answer, whatever it says: the back end has survived the request.
+
+        :param life: names the start of the back end.
+        :param sent_at: when it was asked.
+        """
         self._in_progress -= 1
         self.answered = True
         if not self._evidence.is_calm:
             self._evidence.note_answer(self._request.fingerprint)
+            self._evidence.note_alive(life, sent_at)
 
     def note_answered_elsewhere(self) -> None:
         """Take it that other gateways' back ends have answered; these gateways tell all others."""
@@ -124,19 +133,22 @@
         """Take the end of a call that says nothing of the request."""
         self._in_progress -= 1
 
-    def note_crash(self, backend_id: str, *, canary: bool) -> None:
-        """Take a call that was lost with its connection.
+    def note_crash(self, life: str, *, canary: bool) -> bool:
+        """Take a call that was lost with its connection; tell whether it counts as a crash.
 
         Where a back end has answered in this run, the request is not what crashed this one.
+
+        :param life: names the start of the back end.
         """
         self._in_progress -= 1
         if self.answered:
-            return
+            return False
         self._lost_here = True
         # A canary that is lost ends the run: the next try is another run's, if there is one.
         self._stopped |= canary
         request = self._request
-        self._evidence.note_crash(request.fingerprint, self._origin, backend_id, trial=canary)
+        self._evidence.note_crash(request.fingerprint, self._origin, life, trial=canary)
+        return True
 
     @property
     def barred_s(self) -> float:
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -41,6 +41,10 @@
 MAX_HEDGE_WAIT = 1.5
 """How long a hedge may have to wait for a slot, in usual latencies, a choice: it would come later
 than what it is to replace."""
+SURVIVAL_S = 0.04
+"""When to look whether a back end that was lost with a call keeps other connections.  A process
+that ends loses all of them at once.  This is several ways there and back between zones, and early
+enough that no other gateway has been told yet."""
 NEVER = float("inf")
 
 
@@ -340,17 +344,33 @@
         """Tell what the end of a call that left says of the request."""
         match outcome:
             case Answered():
-                self._guard.note_answered()
+                assert attempt.running is not None
+                life = attempt.backend.entry.life
+                self._guard.note_answered(life, attempt.running.sent_at)
             case Broken(detail=detail, unanswered=True):
                 backend_id = attempt.backend.backend_id
                 request = self._request
                 log_call_lost(
                     request.request_id, request.fingerprint, self.service, backend_id, detail
                 )
-                self._guard.note_crash(backend_id, canary=attempt.canary)
+                self._suspect_crash(attempt)
             case _:
                 self._guard.note_unanswered()
 
+    def _suspect_crash(self, attempt: Attempt) -> None:
+        """Hold a lost call against the request, unless its back end turns out to be alive."""
+        backend = attempt.backend
+        if self._guard.note_crash(backend.entry.life, canary=attempt.canary):
+            loop = self._forwarding.loop
+            lost_at = loop.time()
+            loop.call_later(SURVIVAL_S, self._look_for_survivor, backend, lost_at)
+
+    def _look_for_survivor(self, backend: Backend, lost_at: float) -> None:
+        """Take a crash back where only one connection has ended."""
+        if backend.pool.has_connection_from_before(lost_at):
+            evidence = self._forwarding.evidence
+            evidence.note_survivor(self._request.fingerprint, backend.entry.life)
+
     def _take_back(self, backend: Backend) -> None:
         """Note that one call has not run; an earlier one to the same back end still may have."""
         self._offered[backend.backend_id] -= 1
--- a/tinrudder/wire/poison_report_codec.py
+++ b/tinrudder/wire/poison_report_codec.py
@@ -27,15 +27,21 @@
 
 def _evidence_message(told: ToldEvidence) -> pb.Evidence:
     crashes = [
-        pb.Crash(backend=crash.backend, age_ms=_age_ms(crash.age_s), trial=crash.trial)
+        pb.Crash(
+            backend=crash.backend,
+            age_ms=_age_ms(crash.age_s),
+            trial=crash.trial,
+            survived=crash.survived,
+        )
         for crash in told.crashes
     ]
     return pb.Evidence(
         fingerprint=told.fingerprint,
         origin=told.origin,
         crashes=crashes,
-        answered_age_ms=_optional_age_ms(told.answered_age_s),
+        cleared_age_ms=_optional_age_ms(told.cleared_age_s),
         trial_age_ms=_optional_age_ms(told.trial_age_s),
+        cleared=told.cleared,
     )
 
 
@@ -44,14 +50,15 @@
         if len(value) != FINGERPRINT_BYTES:
             raise ValueError(f"poison report: {name} must have {FINGERPRINT_BYTES} bytes")
     crashes = tuple(
-        ToldCrash(crash.backend, crash.age_ms / MILLISECONDS, crash.trial)
+        ToldCrash(crash.backend, crash.age_ms / MILLISECONDS, crash.trial, crash.survived)
         for crash in message.crashes
     )
     return ToldEvidence(
         message.fingerprint,
         message.origin,
         crashes,
-        age_of(message, "answered_age_ms"),
+        message.cleared,
+        age_of(message, "cleared_age_ms"),
         age_of(message, "trial_age_ms"),
     )
 
