--- a/tests/unit/test_backend_entries.py
+++ b/tests/unit/test_backend_entries.py
@@ -65,6 +65,11 @@
         decode_backend("servers/i-1", msgspec.json.encode(ENTRY | changes))
 
 
+def test_an_entry_of_absurd_length_is_refused() -> None:
+    with pytest.raises(UnreadableValueError, match="bytes"):
+        decode_backend("servers/i-1", msgspec.json.encode(ENTRY | {"new": "x" * 70_000}))
+
+
 @pytest.mark.parametrize("backend_id", ["", "a b", "a\r\nx: y", "\u00e9", "a\x00"])
 def test_an_id_that_is_no_header_is_refused(backend_id: str) -> None:
     with pytest.raises(UnreadableValueError, match="id"):
@@ -135,6 +140,16 @@
         assert standing(one, "a") is EntryStanding.IN_FORCE
 
 
+def test_long_values_that_cannot_be_read_weigh_nothing_in_snapshots() -> None:
+    state, peer = new_state(), new_state()
+    values = [StoredValue(f"servers/{n}", n, b"?" * 65_536) for n in range(1, 400)]
+    state.apply(Topic.BACKENDS, (*values, value_of("a", 400)))
+    assert sum(len(value.value or b"") for value in state.snapshot()) < 1000
+    peer.apply(Topic.BACKENDS, state.snapshot())
+    assert peer.revision(Topic.BACKENDS) == 400
+    assert set(peer.backends) == {"servers/a"}
+
+
 def test_an_entry_that_was_never_good_and_is_removed_is_forgotten() -> None:
     state = new_state()
     state.apply(Topic.BACKENDS, (StoredValue("servers/a", 5, b"?"),))
--- a/tinrudder/gateway/entry_rules.py
+++ b/tinrudder/gateway/entry_rules.py
@@ -6,6 +6,9 @@
 
 from tinrudder.gateway.model import BackendEntry
 
+MOST_BYTES = 65_536
+"""Of an entry, a choice: two hundred times what one has.  Gateways pass entries on to each other,
+hundreds in one message."""
 MOST_SLOTS = 10_000
 """Slots of one back end, a choice: far more than a machine works on at once.  Replicas are chosen
 by free slots, so one absurd figure would draw every call."""
@@ -16,15 +19,18 @@
 PORTS = range(1, 65_536)
 
 
-def check_entry(entry: BackendEntry) -> None:
+def check_entry(entry: BackendEntry, length: int) -> None:
     """Refuse an entry whose fields have the right types and no usable meaning.
 
     The id becomes a header of every call, so that nothing but visible ASCII may stand in it.  A
     host must be an IP address: a name would be looked up for every connection, and some names
     raise errors where they are.
 
+    :param length: of the entry's bytes.
     :raises ValueError: the text names the field.
     """
+    if length > MOST_BYTES:
+        raise ValueError(f"entry: {length} bytes, at most {MOST_BYTES} are read")
     if not _is_visible_ascii(entry.backend_id):
         raise ValueError("id: must be visible ASCII")
     if not entry.service:
--- a/tinrudder/gateway/shared_state.py
+++ b/tinrudder/gateway/shared_state.py
@@ -32,6 +32,12 @@
 without a write, 3.6 s; what stands longer was written by a live process whose clock went back."""
 
 
+UNREADABLE_KEPT_BYTES = 4096
+"""Of a value that cannot be read: longer ones are kept and told to peers as empty, which cannot be
+read either.  A usable entry has some 250 bytes, a value of the store up to a megabyte: sixteen of
+these would exceed what a peer accepts as a snapshot, and hide every other entry."""
+
+
 class EntryStanding(enum.Enum):
     """What the newest value of a back end's key says of the entry that was in force last."""
 
@@ -265,11 +271,13 @@
         newest = self._newest.get(value.key)
         if newest is not None and value.revision <= newest.value.revision:
             return False
+        entry = self._read_entry(value)
+        if entry is None and len(value.value or b"") > UNREADABLE_KEPT_BYTES:
+            value = StoredValue(value.key, value.revision, b"")
         self._newest[value.key] = _Newest(value, self._clock())
         self._backends_revision = max(self._backends_revision, value.revision)
         if value.value is None:
             return self._withdraw(value, EntryStanding.REMOVED)
-        entry = self._read_entry(value)
         if entry is None:
             return self._withdraw(value, EntryStanding.UNREADABLE)
         known = self.backends.get(value.key)
@@ -279,8 +287,9 @@
         return True
 
     def _read_entry(self, value: StoredValue) -> BackendEntry | None:
-        """Decode an entry; ``None`` if it cannot be read."""
-        assert value.value is not None
+        """Decode an entry; ``None`` if it is removed or cannot be read."""
+        if value.value is None:
+            return None
         try:
             return self._decoders.backend(value.key, value.value)
         except UnreadableValueError as error:
--- a/tinrudder/platform/documents.py
+++ b/tinrudder/platform/documents.py
@@ -187,7 +187,7 @@
             cold_left_s=document.cold_left_ms / MILLISECONDS,
             started_ms=document.born,
         )
-        check_entry(entry)
+        check_entry(entry, len(value))
     except UNREADABLE as error:
         raise UnreadableValueError(f"{key}: {error}") from error
     return entry
