Decide on services of few back ends by all that is known of them, with a bench

Cause: a service of four back ends that 113 gateways call is judged by what one gateway saw itself, a few answers a second, dead after 0.8 s; and one that has seen fewer than 20 calls without a queue judges nothing at all, which is all of them at 0.05 calls a second each.

Reports now hold by their own moment, whoever heard them (BackendObservations.reported, age_s), and only calls sent since count on top. Admission goes by the wait that the better of two back ends would have, each by its own time of work, weighed by freshness; leaves room in queues that shed lately; and lets callers whose objective has passed have what is left free. News is bounded by bytes.

--- /dev/null
+++ b/bench/shared_service.py
@@ -0,0 +1,437 @@
+"""A service of four back ends that 113 gateways call, at loads up to four times what it can do.
+
+    python -m bench.shared_service [--seeds 3] [--seconds 20]
+
+Virtual time on a plain model of back ends, network and clients; what gateways know, tell, admit and
+choose is the product's own code.  Prints a table, then one JSON object.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import random
+import statistics
+from collections import Counter, deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from functools import partial
+
+from bench.fair_queue import VirtualTime
+from tinrudder.routing.backend_observations import BackendObservations, RunningCall
+from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS, usual_latency_s
+from tinrudder.routing.latency_window import LatencyWindow
+from tinrudder.routing.load_forecast import admission_share
+from tinrudder.routing.load_news import (
+    DATAGRAM_BYTES,
+    GATHER_S,
+    LOAD_BYTES,
+    MOST_AGE_S,
+    NEXT_S,
+    Noted,
+    PendingNews,
+    ToldLoad,
+    is_long,
+    take_load,
+    tell_load,
+)
+from tinrudder.routing.repeat_budget import RepeatBudget
+from tinrudder.routing.return_moment import return_after_s
+from tinrudder.routing.shared_service import (
+    Judgement,
+    extra_cost,
+    has_room,
+    judge,
+    least_work_s,
+    two_of,
+    work_s_of,
+)
+
+BACKENDS = 4
+SLOTS = 4
+QUEUE_PLACES = 12
+WORK_S = 0.251
+WORK_SIGMA = 0.5
+OBJECTIVE_S = 0.908
+DEADLINE_S = 15.0
+ONE_WAY_S = 0.001
+QUIET_S = 20.0
+QUIET_LOAD = 0.08
+CAPACITY = BACKENDS * SLOTS / WORK_S
+LOADS = (0.08, 0.5, 1.0, 1.4, 2.0, 4.0)
+MOST_SENDS = 4
+RETRY_PAUSE_S = 0.03
+OWN_RETRY_AFTER_SHARE = 0.3
+OWN_RETRY_AFTER_S = 0.1
+ANSWER_MARGIN_S = 0.015
+
+
+@dataclass(frozen=True)
+class Way:
+    """How gateways decide.
+
+    :param judges: they judge by all back ends, else by the least wait that is known, and only after
+        twenty calls of their own that left no queue.
+    :param news: they tell each other of long queues.
+    :param passes_on: a datagram has all that its sender knows of the service, with ages.
+    :param of_two: they choose the better of two back ends drawn by chance, under pressure.
+    """
+
+    name: str
+    judges: bool = True
+    news: bool = True
+    passes_on: bool = False
+    of_two: bool = True
+
+
+WAYS = (
+    Way("standing", judges=False, news=False, of_two=False),
+    Way("own", news=False),
+    Way("least wait", judges=False),
+    Way("best of all", of_two=False),
+    Way("news"),
+    Way("passed on", passes_on=True),
+)
+
+
+@dataclass(eq=False)
+class Request:
+    """One request of a client, over both of its tries."""
+
+    sent_at: float
+    counted: bool
+    tries: int = 0
+
+
+@dataclass(eq=False)
+class ModelBackend:
+    """Slots and a queue, first in, first out."""
+
+    clock: VirtualTime
+    source: random.Random
+    slowdown: float = 1.0
+    running: int = 0
+    queue: deque[Callable[[], None]] = field(default_factory=deque)
+
+    def arrive(self, answer: Callable[[tuple[int, int] | None], None]) -> bool:
+        """Run, queue or shed a call; ``answer`` gets running and waiting, ``None`` if shed."""
+        if len(self.queue) >= QUEUE_PLACES:
+            answer(None)
+            return False
+
+        def begin() -> None:
+            self.running += 1
+            spread = self.source.lognormvariate(-(WORK_SIGMA**2) / 2, WORK_SIGMA)
+            work_s = WORK_S * self.slowdown * spread
+            self.clock.call_at(self.clock.now + work_s, lambda: self._finish(answer))
+
+        self.queue.append(begin)
+        self._run()
+        return True
+
+    def _finish(self, answer: Callable[[tuple[int, int] | None], None]) -> None:
+        self.running -= 1
+        answer((self.running, len(self.queue)))
+        self._run()
+
+    def _run(self) -> None:
+        while self.queue and self.running < SLOTS:
+            self.queue.popleft()()
+
+
+@dataclass(eq=False)
+class ModelGateway:
+    """What one gateway knows, with the product's code for every decision."""
+
+    fleet: Fleet
+    budget: RepeatBudget
+    pending: PendingNews
+    unloaded: LatencyWindow = field(default_factory=LatencyWindow)
+    pressed_at: float = -MOST_AGE_S
+    timer_set: bool = False
+
+    def __post_init__(self) -> None:
+        """Know every back end, and nothing of its load."""
+        self.known = [BackendObservations(slots=SLOTS) for _ in range(BACKENDS)]
+        self.order = self.fleet.source.sample(range(BACKENDS), BACKENDS)
+
+    def usual_s(self) -> float:
+        """Return how long calls work."""
+        if len(self.unloaded) >= MINIMUM_OBSERVATIONS:
+            return self.unloaded.quantile(0.5)
+        guess_s = usual_latency_s(LatencyWindow(), self.fleet.objective_s)
+        return work_s_of(self.known) or guess_s
+
+    def judge(self, now: float, left_s: float, *, returning: bool, late: bool) -> Judgement:
+        """Judge a request."""
+        usual_s = self.usual_s()
+        if self.fleet.way.judges:
+            return judge(
+                self.known,
+                now,
+                usual_s,
+                left_s,
+                priority_steps=0,
+                returning=returning,
+                late=late,
+            )
+        if len(self.unloaded) < MINIMUM_OBSERVATIONS and not self.fleet.way.news:
+            return Judgement(1.0, 0.0)
+        wait_s = min(one.wait_s(now, usual_s) for one in self.known)
+        share = admission_share(wait_s, usual_s, left_s, priority_steps=0, returning=returning)
+        return Judgement(share, wait_s)
+
+    def choose(self, now: float, avoided: set[int]) -> int:
+        """Choose a back end."""
+        fresh = [index for index in range(BACKENDS) if index not in avoided]
+        candidates: Sequence[int] = fresh or list(range(BACKENDS))
+        if self.fleet.way.of_two:
+            candidates = two_of(candidates, self.known.__getitem__, now, self.fleet.source)
+        extra = {index: 0.0 for index in candidates}
+        if self.fleet.way.judges and len(candidates) == 2:
+            least_s = least_work_s(self.known)
+            extra = {index: extra_cost(self.known[index], least_s, now) for index in candidates}
+        return min(
+            candidates,
+            key=lambda index: (self.known[index].cost(now) + extra[index], self.order[index]),
+        )
+
+    def heard(self, index: int, waiting: int, *, shed: bool) -> None:
+        """Tell others of a back end that has just been heard, while there is pressure."""
+        now = self.fleet.clock.now
+        if shed or is_long(waiting, SLOTS):
+            self.pressed_at = now
+        if self.fleet.way.news and now - self.pressed_at < MOST_AGE_S:
+            self.pending.note(Noted(index, shed, self.unloaded.quantile(0.5)))
+            self._tell_after(GATHER_S)
+
+    def _tell_after(self, seconds: float) -> None:
+        if not self.timer_set:
+            self.timer_set = True
+            self.fleet.clock.call_at(self.fleet.clock.now + seconds, self._tell)
+
+    def _tell(self) -> None:
+        self.timer_set = False
+        now = self.fleet.clock.now
+        peers = [one for one in self.fleet.gateways if one is not self]
+        told, copies = self.pending.take(now, len(peers))
+        if self.fleet.way.passes_on and copies:
+            named = {one.backend for one in told}
+            told += [Noted(index, False, 0.0) for index in range(BACKENDS) if index not in named]
+        news = tuple(tell_load(one, self.known[one.backend], now) for one in told)
+        self.fleet.count["copies"] += copies
+        self.fleet.count["bytes"] += copies * (DATAGRAM_BYTES + LOAD_BYTES * len(news))
+        for peer in self.fleet.source.sample(peers, copies):
+            self.fleet.clock.call_at(now + ONE_WAY_S, partial(peer.take, news))
+        if self.pending:
+            self._tell_after(NEXT_S)
+
+    def take(self, news: tuple[ToldLoad, ...]) -> None:
+        """Take what another gateway tells."""
+        now = self.fleet.clock.now
+        for one in news:
+            if one.is_credible:
+                take_load(one, self.known[one.backend], now)
+                if one.is_long:
+                    self.pressed_at = max(self.pressed_at, now - one.age_s)
+
+
+@dataclass(eq=False)
+class Fleet:
+    """Gateways, back ends and clients."""
+
+    way: Way
+    load: float
+    seconds: float
+    seed: int
+    size: int = 113
+    objective_s: float = OBJECTIVE_S
+    slowdown: float = 1.0
+    clock: VirtualTime = field(default_factory=VirtualTime)
+    count: Counter[str] = field(default_factory=Counter)
+    latencies: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Make everything."""
+        self.source = random.Random(self.seed)
+        self.backends = [ModelBackend(self.clock, self.source) for _ in range(BACKENDS)]
+        self.backends[0].slowdown = self.slowdown
+        self.gateways = [
+            ModelGateway(self, RepeatBudget(0.2, 290.0, 10.0, 0.0), PendingNews(0.0))
+            for _ in range(self.size)
+        ]
+
+    def run(self) -> dict[str, float]:
+        """Run a quiet time and the load, and return figures of the load."""
+        self._next_arrival()
+        self.clock.run_until(QUIET_S + self.seconds + DEADLINE_S)
+        asked = max(1, self.count["asked"])
+        arrivals = max(1, self.count["arrivals"])
+        gateway_s = self.size * self.seconds
+        return {
+            "in_time_per_s": self.count["in time"] / self.seconds,
+            "in_time": self.count["in time"] / asked,
+            "late": self.count["late"] / asked,
+            "refused": self.count["refused"] / asked,
+            "refused_twice": self.count["refused twice"] / asked,
+            "shed": self.count["shed"] / arrivals,
+            "repeats": self.count["repeats"] / asked,
+            "median_s": statistics.median(self.latencies) if self.latencies else 0.0,
+            "copies_per_s": self.count["copies"] / gateway_s,
+            "bytes_per_s": self.count["bytes"] / gateway_s,
+        }
+
+    def _next_arrival(self) -> None:
+        now = self.clock.now
+        load = self.load if now >= QUIET_S else QUIET_LOAD
+        when = now + self.source.expovariate(load * CAPACITY)
+        if when < QUIET_S + self.seconds:
+            self.clock.call_at(when, self._arrive)
+
+    def _arrive(self) -> None:
+        now = self.clock.now
+        request = Request(now, counted=now >= QUIET_S)
+        self.count["asked"] += request.counted
+        self._enter(request)
+        self._next_arrival()
+
+    def _enter(self, request: Request) -> None:
+        """Let a client try, at any gateway."""
+        now = self.clock.now
+        request.tries += 1
+        gateway = self.source.choice(self.gateways)
+        left_s = request.sent_at + self.objective_s - ANSWER_MARGIN_S - now
+        late = left_s <= 0.0
+        if late:
+            left_s = self.objective_s - ANSWER_MARGIN_S
+        judgement = gateway.judge(now, left_s, returning=request.tries > 1, late=late)
+        if self.source.random() >= judgement.share:
+            self.refuse(request, judgement)
+            return
+        gateway.budget.note_request(now)
+        Call(self, gateway, request, now + left_s).send()
+
+    def refuse(self, request: Request, judgement: Judgement) -> None:
+        """Answer that a request has not run; its client comes back once."""
+        now = self.clock.now
+        left_s = request.sent_at + DEADLINE_S - now
+        self.count["refused"] += request.counted
+        if request.tries > 1:
+            self.count["refused twice"] += request.counted
+            return
+        if self.way.judges:
+            chance = self.source.random()
+            pause_s = return_after_s(judgement.wait_s, judgement.share, left_s, chance)
+        else:
+            pause_s = left_s * OWN_RETRY_AFTER_SHARE * self.source.uniform(0.5, 1.0)
+        self.clock.call_at(now + min(pause_s, left_s / 3), lambda: self._enter(request))
+
+    def served(self, request: Request) -> None:
+        """Count an answer."""
+        took_s = self.clock.now - request.sent_at
+        kind = "in time" if took_s <= self.objective_s else "late"
+        self.count[kind] += request.counted
+        if request.counted:
+            self.latencies.append(took_s)
+
+
+@dataclass(eq=False)
+class Call:
+    """The tries of one request at one gateway."""
+
+    fleet: Fleet
+    gateway: ModelGateway
+    request: Request
+    objective_at: float
+    avoided: set[int] = field(default_factory=set)
+    tries: int = 0
+
+    def send(self) -> None:
+        """Send it to one back end."""
+        fleet, gateway = self.fleet, self.gateway
+        now = fleet.clock.now
+        if self.tries and not gateway.budget.may_repeat(now, fleet.size, hedge=False):
+            fleet.refuse(self.request, Judgement(0.0, OWN_RETRY_AFTER_S))
+            return
+        fleet.count["repeats"] += self.request.counted and self.tries > 0
+        self.tries += 1
+        index = gateway.choose(now, self.avoided)
+        self.avoided.add(index)
+        running = gateway.known[index].begin(now, gateway.usual_s())
+
+        def answer(load: tuple[int, int] | None) -> None:
+            fleet.clock.call_at(
+                fleet.clock.now + ONE_WAY_S, lambda: self._end(index, running, load)
+            )
+
+        def arrive() -> None:
+            fleet.count["arrivals"] += self.request.counted
+            fleet.backends[index].arrive(answer)
+
+        fleet.clock.call_at(now + ONE_WAY_S, arrive)
+
+    def _end(self, index: int, running: RunningCall, load: tuple[int, int] | None) -> None:
+        fleet, gateway = self.fleet, self.gateway
+        now = fleet.clock.now
+        known = gateway.known[index]
+        if load is None:
+            fleet.count["shed"] += self.request.counted
+            known.failed(running, now)
+            if fleet.way.judges:
+                known.shed(now)
+                gateway.heard(index, 0, shed=True)
+            self._rejected(now)
+            return
+        busy, waiting = load
+        latency_s = now - running.sent_at
+        known.reported(busy, waiting, SLOTS, now)
+        if not waiting:
+            gateway.unloaded.observe(latency_s)
+            known.worked(latency_s)
+        known.answered(running, now)
+        gateway.heard(index, waiting, shed=False)
+        fleet.served(self.request)
+
+    def _rejected(self, now: float) -> None:
+        fleet, gateway = self.fleet, self.gateway
+        usual_s = gateway.usual_s()
+        left_s = self.objective_at - now
+        room = not fleet.way.judges or has_room(gateway.known, now, usual_s, left_s)
+        if not room or self.tries >= MOST_SENDS:
+            judgement = gateway.judge(now, left_s, returning=True, late=False)
+            fleet.refuse(self.request, judgement)
+        elif self.tries < 2:
+            self.send()
+        else:
+            fleet.clock.call_at(now + RETRY_PAUSE_S * self.tries, self.send)
+
+
+def main() -> None:
+    """Run all ways at all loads."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=3)
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--size", type=int, default=113)
+    parser.add_argument("--objective", type=float, default=OBJECTIVE_S)
+    parser.add_argument("--slowdown", type=float, default=1.0, help="of the first back end")
+    parser.add_argument("--ways", default="")
+    arguments = parser.parse_args()
+    results = []
+    print(f"{arguments.size} gateways, {CAPACITY:.1f} requests a second can be done")
+    for way in WAYS:
+        if arguments.ways and way.name not in arguments.ways.split("|"):
+            continue
+        for load in LOADS:
+            runs = [
+                Fleet(way, load, arguments.seconds, seed, arguments.size, arguments.objective).run()
+                for seed in range(arguments.seeds)
+            ]
+            mean = {key: statistics.mean(run[key] for run in runs) for key in runs[0]}
+            results.append({"way": way.name, "load": load} | mean)
+            shown = " ".join(f"{key} {value:.3f}" for key, value in mean.items())
+            print(f"{way.name:14} {load:4} {shown}", flush=True)
+    print(json.dumps(results))
+
+
+if __name__ == "__main__":
+    main()
--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from msgspec import Struct, field
 
 LATENCY_GAIN = 0.25
@@ -26,6 +28,20 @@
 """Weight of one report in what is typical of a back end: momentary ones, a few in a hundred,
 hardly move it."""
 
+WORK_GAIN = 0.1
+"""Weight of one answer in how long calls hold a slot, a choice: times of work spread by half of
+their mean, and a mean of some ten of them is within a fifth of the true one."""
+FULL_QUEUE = 2.0
+"""What a back end that sheds holds at least, in calls for each slot, where it has not reported
+more, a choice: one that runs and one that waits."""
+FULL_FOR_S = 10.0
+"""How long a back end's latest shed tells how many calls it queues, seconds, a choice: longer than
+it takes to fill its queue again, and it may have been a moment of its own."""
+
+MOST_SENT = 256
+"""Moments of calls that are remembered until the next report, a choice: many times what a back end
+queues."""
+
 
 class RunningCall(Struct, eq=False):
     """A call that was sent and has not ended.
@@ -44,6 +60,10 @@
     :param suspect_until: monotonic time until which other back ends go first.
     :param reported_slowdown: how long work takes there by its latest report, 1 is usual.
     :param typical_slowdown: the same in the mean of its reports; 0 before the first.
+    :param reported_at: the moment of the newest report, own or told by other gateways.
+    :param most_backlog: the most calls that it has reported at once.
+    :param full_backlog: the calls that it held when it last turned one away, at ``full_at``.
+    :param work_s: how long calls hold a slot there in the mean, by ``work_seen``; 0: not known.
     """
 
     slots: int = 1
@@ -58,12 +78,20 @@
     reported_slowdown: float = 1.0
     typical_slowdown: float = 0.0
     running: set[RunningCall] = field(default_factory=set)
+    most_backlog: int = 0
+    full_backlog: int = 0
+    full_at: float = -FULL_FOR_S
+    work_s: float = 0.0
+    work_seen: int = 0
+    # Moments of calls that the newest report does not count.
+    _sent: deque[float] = field(default_factory=lambda: deque(maxlen=MOST_SENT))
 
     def begin(self, now: float, usual_s: float) -> RunningCall:
         """Note a call that is sent now."""
         call = RunningCall(now, usual_s)
         self.running.add(call)
         self.sent_since_report += 1
+        self._sent.append(now)
         return call
 
     def forget(self, call: RunningCall) -> None:
@@ -92,17 +120,66 @@
         self.suspect_until = now + pause
 
     def reported(
-        self, running: int, waiting: int, slots: int, now: float, slowdown: float = 1.0
-    ) -> None:
-        """Note what the back end says of its own load, and how long work takes there now."""
+        self,
+        running: int,
+        waiting: int,
+        slots: int,
+        now: float,
+        slowdown: float = 1.0,
+        age_s: float = 0.0,
+    ) -> bool:
+        """Note what the back end says of its own load, and how long work takes there now.
+
+        The newest report holds, whoever heard it and in whatever order: then those of other
+        gateways may come late, twice or never.
+
+        :param age_s: how old the report is.
+        :return: whether it is newer than what was known.
+        """
+        moment = now - age_s
+        if moment < self.reported_at or (age_s and moment == self.reported_at):
+            return False
         typical = self.typical_slowdown or slowdown
         self.typical_slowdown = typical + TYPICAL_SLOWDOWN_GAIN * (slowdown - typical)
         self.reported_slowdown = slowdown
         self.reported_backlog = running + waiting
-        self.reported_at = now
-        self.sent_since_report = 0
+        self.most_backlog = max(self.most_backlog, self.reported_backlog)
+        self.reported_at = moment
+        if age_s:
+            while self._sent and self._sent[0] <= moment:
+                self._sent.popleft()
+        else:
+            self._sent.clear()
+        self.sent_since_report = len(self._sent)
         if slots > 0:
             self.slots = slots
+        return True
+
+    def shed(self, now: float, age_s: float = 0.0, backlog: int = 0) -> bool:
+        """Note that the back end turned a call away, since its queue is as long as it may be.
+
+        :param backlog: the calls that it held, if it said so; else they are as many as ever.
+        :return: whether this is newer than what was known.
+        """
+        slots = max(1, self.slots)
+        most = max(self.most_backlog, int(FULL_QUEUE * slots))
+        backlog = backlog or most
+        if now - age_s > self.full_at:
+            self.full_backlog = backlog
+            self.full_at = now - age_s
+        return self.reported(slots, backlog - slots, slots, now, self.reported_slowdown, age_s)
+
+    def sheds_above(self, now: float) -> int:
+        """Return how many calls wait where it turns others away; 0: it has not done so lately."""
+        if now - self.full_at >= FULL_FOR_S:
+            return 0
+        return max(1, self.full_backlog - self.slots)
+
+    def worked(self, seconds: float) -> None:
+        """Note how long a call held a slot, as seen here or by another gateway."""
+        self.work_seen += 1
+        gain = max(WORK_GAIN, 1.0 / self.work_seen)
+        self.work_s += gain * (seconds - self.work_s)
 
     def expected_relative_latency(self, now: float) -> float:
         """Return how long the next call may run, relative to what is usual for its route."""
