Tell other gateways of long queues while there are any, and refuse or go elsewhere by it

Cause: a shed arrival is repeated into the same queue within 30 ms, though other gateways know that the whole service is full. What one gateway learns of a full back end, others now know before they send: LoadNews by datagram, 900 bytes a second a gateway at most, headers counted, none while no call waits as long as calls take. It is told by who heard the back end and not passed on, so it ends with the queues. A rejected call of a single request is tried again only where known waits leave time; else it is refused at once, NotRun, with a pause by the wait and the share admitted, spread. Single requests choose the better of two back ends by chance while calls wait; gateways that know nothing of any no longer prefer the first of the list.

--- /dev/null
+++ b/tests/functional/test_gateway_shared_service.py
@@ -0,0 +1,123 @@
+"""A service of three back ends that twelve gateways call, on the emulated platform."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from tinrudder.gateway.load_news import number_of
+from tinrudder.gateway.peer_messages import LoadNews
+from tinrudder.routing.load_news import (
+    BYTES_PER_S,
+    DATAGRAM_BYTES,
+    LOAD_BYTES,
+    MOST_BYTES,
+    ToldLoad,
+)
+from tinrudder_lab.emulator.records import Arrival, ClientResult
+from tinrudder_lab.emulator.site import EmulatedSite, run_site
+
+GATEWAYS = 12
+WORK_S = 0.1
+CAPACITY_PER_S = 3 * 2 / (WORK_S * 1.063)
+"""Three back ends of two slots; work spreads so that its mean is 1.063 of its median."""
+OBJECTIVE_S = 0.4
+
+
+def run_shared(scenario: Callable[[EmulatedSite], Coroutine[Any, Any, None]]) -> None:
+    run_site(scenario, node_count=GATEWAYS, shards=1, work_s=WORK_S)
+
+
+async def load(
+    site: EmulatedSite, times: float, seconds: float, route: str = "single"
+) -> tuple[list[ClientResult], list[Arrival]]:
+    """Send at a multiple of what the back ends can do; return results and arrivals of it."""
+    first_result, first_arrival = len(site.ledger.results), len(site.ledger.arrivals)
+    await site.traffic(seconds, times * CAPACITY_PER_S, (route,))
+    return site.ledger.results[first_result:], site.ledger.arrivals[first_arrival:]
+
+
+def told(site: EmulatedSite, kind: str) -> list[int]:
+    gateways = [node.gateway for node in site.nodes if node.gateway is not None]
+    return [getattr(one.load_watch, kind) for one in gateways]
+
+
+def in_time(results: list[ClientResult]) -> int:
+    return sum(
+        1 for one in results if one.status == 200 and one.ended_at - one.sent_at <= OBJECTIVE_S
+    )
+
+
+@pytest.mark.parametrize("route", ["single", "once"])
+def test_what_can_be_served_is_served_and_the_rest_refused_at_once(route: str) -> None:
+    """Without news, 0.14 of the arrivals are shed, and 10 requests a second are in time."""
+
+    async def scenario(site: EmulatedSite) -> None:
+        await load(site, 0.2, 5.0)
+        results, arrivals = await load(site, 1.4, 5.0, route)
+        shed = sum(1 for arrival in arrivals if not arrival.ran)
+        assert shed <= 0.03 * len(arrivals)
+        assert in_time(results) >= 0.6 * CAPACITY_PER_S * 5.0
+        refused = [one for one in results if one.status == 503]
+        assert all(one.ended_at - one.sent_at < 0.05 for one in refused)
+        pauses = {float(one.headers["retry-after"]) for one in refused}
+        assert len(pauses) > len(refused) / 3
+        assert {one.status for one in results} == {200, 503}
+        most_bytes = MOST_BYTES + BYTES_PER_S * 12.0
+        assert max(told(site, "sent")) <= most_bytes / (DATAGRAM_BYTES + LOAD_BYTES)
+        assert sum(told(site, "ignored")) == 0
+        assert site.broken_promises() == []
+
+    run_shared(scenario)
+
+
+def test_news_ends_with_the_queues_and_leaves_no_refusals_behind() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await load(site, 4.0, 2.0)
+        await asyncio.sleep(1.0)
+        sent = sum(told(site, "sent"))
+        results, _ = await load(site, 0.05, 10.0)
+        assert in_time(results) == len(results)
+        assert sum(told(site, "sent")) == sent
+
+    run_shared(scenario)
+
+
+def test_a_quiet_day_has_no_news() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await load(site, 0.05, 10.0)
+        await site.traffic(3.0, 10.0, ("scatter",))
+        assert sum(told(site, "sent")) == 0
+
+    run_shared(scenario)
+
+
+def test_news_of_an_earlier_start_or_that_cannot_be_true_changes_nothing() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        teller, hearer = (node.gateway for node in site.nodes[:2])
+        assert teller is not None
+        assert hearer is not None
+        known = next(one for one in hearer.directory if one.entry.service == "single")
+        number = number_of(known.entry)
+        absurd = [
+            ToldLoad(number + 1, 14, 2, 1.0, 0.1),
+            ToldLoad(number, 2_000_000, 2, 1.0, 0.1),
+            ToldLoad(number, 14, 0, 1.0, 0.1),
+            ToldLoad(number, 14, 2, 0.0, 0.1),
+            ToldLoad(number, 14, 2, 1.0, 0.9),
+            ToldLoad(number, 14, 2, 1.0, 0.1, work_s=10_000.0),
+        ]
+        before = known.observations.reported_at
+        teller.datagrams.send(LoadNews(tuple(absurd)), hearer.settings.peers)
+        await asyncio.sleep(0.1)
+        assert known.observations.reported_at == before
+        assert hearer.load_watch.ignored == len(absurd)
+        teller.datagrams.send(LoadNews((ToldLoad(number, 14, 2, 1.0, 0.1),)), hearer.settings.peers)
+        await asyncio.sleep(0.1)
+        assert known.observations.reported_backlog == 14
+        assert hearer.load_watch.taken == 1
+
+    run_shared(scenario)
--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from msgspec import Struct, field
 
@@ -104,6 +104,10 @@
         """Return how many back ends are known and not gone."""
         return len(self._backends)
 
+    def __iter__(self) -> Iterator[Backend]:
+        """Return the back ends that are known and not gone."""
+        return iter(self._backends.values())
+
     def refresh(self) -> None:
         """Take over what the shared state says now."""
         evacuated = self._state.evacuations.zones
@@ -255,7 +259,7 @@
         if answer.status == WRONG_BACKEND_STATUS:
             return Rejected(answer.status, wrong_backend=True)
         if header_value(answer.headers, names.not_run) is not None:
-            return Rejected(answer.status)
+            return Rejected(answer.status, load=header_value(answer.headers, names.load))
         if answer.successful:
             if header_value(answer.headers, names.stamp) is None:
                 return Broken("a success without a signature")
--- a/tinrudder/gateway/call_observation.py
+++ b/tinrudder/gateway/call_observation.py
@@ -18,6 +18,10 @@
 
 SERVER_ERROR = 500
 """The first status that says that the back end failed, rather than the request."""
+SHED_STATUSES = frozenset((429, 503))
+"""Rejections for load; others say that the request cannot be run there at all."""
+
+MEDIAN = 0.5
 
 
 def observe_end(
@@ -38,10 +42,12 @@
     match outcome:
         case Answered(answer=answer):
             _observe_answer(forwarding, route, backend, running, answer, now)
-        case Rejected(wrong_backend=wrong_backend):
+        case Rejected(status=status, wrong_backend=wrong_backend, load=load):
             forwarding.counters.rejections += 1
             backend.readdressed |= wrong_backend
             observations.failed(running, now)
+            if status in SHED_STATUSES and not route.shards:
+                _observe_shed(forwarding, route, backend, load, now)
         case NotSent():
             observations.failed(running, now)
         case Broken():
@@ -88,3 +94,19 @@
     observations.reported(report.running, report.waiting, report.slots, now, report.slowdown)
     if report.waiting == 0 and latency_s is not None:
         forwarding.unloaded_latency(route).observe(latency_s)
+        if not route.shards:
+            observations.worked(latency_s)
+    if not route.shards:
+        work_s = forwarding.unloaded_latency(route).quantile(MEDIAN)
+        forwarding.load_watch.heard(backend, shed=False, work_s=work_s)
+
+
+def _observe_shed(
+    forwarding: Forwarding, route: Route, backend: Backend, load: bytes | None, now: float
+) -> None:
+    """Learn that a back end which many gateways may call has no place left in its queue."""
+    report = forwarding.load_reports.read(load, backend.backend_id) if load is not None else None
+    calls = report.running + report.waiting if report is not None else 0
+    backend.observations.shed(now, backlog=calls)
+    work_s = forwarding.unloaded_latency(route).quantile(MEDIAN)
+    forwarding.load_watch.heard(backend, shed=True, work_s=work_s)
--- a/tinrudder/gateway/client_moments.py
+++ b/tinrudder/gateway/client_moments.py
@@ -23,12 +23,14 @@
     :param objective_at: when an answer must leave to be worth most.
     :param deadline_at: when a final answer must leave.
     :param returning: the client has been waiting since an earlier attempt.
+    :param late: the objective passed meanwhile; ``objective_at`` is that of a new request.
     """
 
     received_at: float
     objective_at: float
     deadline_at: float
     returning: bool = False
+    late: bool = False
 
 
 class ClientMoments:
@@ -60,6 +62,7 @@
             objective_at=started_at + route.objective_s - ANSWER_MARGIN_S,
             deadline_at=received_at + limit_s - min(DEADLINE_MARGIN_S, limit_s / 4),
             returning=already_s > RETURNING_AFTER_S,
+            late=already_s >= route.objective_s,
         )
 
     def forget_unused(self, routes: Set[str]) -> None:
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable, Sequence
+from typing import Protocol
 
 from msgspec import Struct, field
 
@@ -11,10 +13,23 @@
 from tinrudder.gateway.load_reports import LoadReports
 from tinrudder.gateway.model import HeaderNames, RepeatBounds, Route
 from tinrudder.gateway.run_guard import CrashEvidence
-from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
+from tinrudder.routing.backend_observations import BackendObservations
+from tinrudder.routing.hedge_delay import (
+    MINIMUM_OBSERVATIONS,
+    hedge_delay_s,
+    usual_latency_s,
+)
 from tinrudder.routing.latency_window import LatencyWindow
+from tinrudder.routing.rendezvous import rendezvous_score
 from tinrudder.routing.repeat_budget import RepeatBudget
 from tinrudder.routing.scatter_place import ScatterSizes
+from tinrudder.routing.shared_service import (
+    extra_cost,
+    has_room,
+    least_work_s,
+    two_of,
+    work_s_of,
+)
 from tinrudder.routing.zone_preference import LEAST_ADVANTAGE, is_slow, zone_advantage
 
 SIZE_GAIN = 0.1
@@ -41,11 +56,27 @@
     delegations_run_here: int = 0
 
 
+class LoadListener(Protocol):
+    """Is told of the load of back ends that many gateways may call."""
+
+    def heard(self, backend: Backend, *, shed: bool, work_s: float) -> None:
+        """Take note that a back end has answered, and what it reported is known."""
+
+
+class NoLoadListener:
+    """Tells nobody."""
+
+    def heard(self, backend: Backend, *, shed: bool, work_s: float) -> None:
+        """Do nothing."""
+
+
 class Forwarding(Struct):
     """Everything a request needs besides its own state.
 
     :param sharers: tells in how many equal parts the fleet's repeats of a service are divided.
     :param evidence: what is held against requests since back ends were lost under them.
+    :param own_name: differs between gateways, so that they do not all prefer the same back end.
+    :param load_watch: is told of long queues.
     :param zone_answered: is told of each answer from a zone.
     :param zone_doubted: is told of a call to a zone that is overdue, and when it was sent.
     """
@@ -60,6 +91,9 @@
     load_reports: LoadReports
     evidence: CrashEvidence
     counters: ForwardingCounters = field(default_factory=ForwardingCounters)
+    own_name: str = ""
+    load_watch: LoadListener = field(default_factory=NoLoadListener)
+    random: random.Random = field(default_factory=lambda: random.Random(0))
     zone_answered: Callable[[str], None] = lambda zone: None
     zone_doubted: Callable[[str, float], None] = lambda zone, sent_at: None
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
@@ -126,10 +160,32 @@
         waits = (backend.observations.wait_s(now, service_s) for backend in backends)
         return min(waits, default=0.0)
 
-    def choose(self, candidates: list[Backend], route: Route, now: float) -> Backend:
+    def observations(self, service: str) -> list[BackendObservations]:
+        """Return what is known of the back ends of a service that may get new work."""
+        return [backend.observations for backend in self.directory.usable(service)]
+
+    def usual_s(self, route: Route, backends: Sequence[BackendObservations]) -> float:
+        """Return how long a call of a route takes without waiting.
+
+        A gateway that sees a call in twenty seconds goes by what others saw: with its own calls
+        alone, it would know after minutes, and admit everything until then.
+        """
+        unloaded = self.unloaded_latency(route)
+        if len(unloaded) >= MINIMUM_OBSERVATIONS:
+            return unloaded.quantile(0.5)
+        return work_s_of(backends) or usual_latency_s(self.latency(route), route.objective_s)
+
+    def has_room(self, service: str, route: Route, left_s: float, now: float) -> bool:
+        """Tell whether some back end of a service would answer a call in time."""
+        backends = self.observations(service)
+        return has_room(backends, now, self.usual_s(route, backends), left_s)
+
+    def choose(self, candidates: Sequence[Backend], route: Route, now: float) -> Backend:
         """Return the most promising back end, one in the own zone where that is soon enough."""
         if len(candidates) == 1:
             return candidates[0]
+        if not route.shards:
+            return self._choose_single(candidates, route, now)
         advantage = self._zone_advantage(candidates, route, now)
 
         def cost(backend: Backend) -> float:
@@ -138,7 +194,27 @@
 
         return min(candidates, key=cost)
 
-    def _zone_advantage(self, candidates: list[Backend], route: Route, now: float) -> float:
+    def _choose_single(self, candidates: Sequence[Backend], route: Route, now: float) -> Backend:
+        """Return a back end for a call of which many gateways make a few each.
+
+        Most know nothing of any back end, so that the first of equal ones would get the calls of
+        all: with half of the load that four back ends bear, 0.02 of the arrivals were shed.
+        """
+        advantage = self._zone_advantage(candidates, route, now)
+        drawn = two_of(candidates, lambda one: one.observations, now, self.random)
+        least_s = 0.0
+        if drawn is not candidates:
+            least_s = least_work_s([one.observations for one in candidates])
+
+        def cost(backend: Backend) -> tuple[float, int]:
+            local = backend.entry.zone == self.zone
+            cost = backend.observations.cost(now) + (0.0 if local else advantage)
+            cost += extra_cost(backend.observations, least_s, now)
+            return cost, -rendezvous_score(self.own_name, backend.backend_id)
+
+        return min(drawn, key=cost)
+
+    def _zone_advantage(self, candidates: Sequence[Backend], route: Route, now: float) -> float:
         """Return by how much back ends elsewhere must be faster, in usual latencies."""
         for backend in candidates:
             local = backend.entry.zone == self.zone
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -89,6 +89,21 @@
                 "Requests refused since back ends crash under them.",
                 lambda: node.poison.refused,
             ),
+            Figure(
+                f"{PREFIX}_load_news_sent",
+                "Datagrams that told other gateways of long queues, each receiver counted.",
+                lambda: node.load_watch.sent,
+            ),
+            Figure(
+                f"{PREFIX}_load_news_taken",
+                "Loads of back ends told by other gateways and newer than what was known.",
+                lambda: node.load_watch.taken,
+            ),
+            Figure(
+                f"{PREFIX}_load_news_ignored",
+                "Loads told of back ends that are not known, or that cannot be true.",
+                lambda: node.load_watch.ignored,
+            ),
             Figure(
                 f"{PREFIX}_missing_shards",
                 "Shards left out of merged answers.",
--- a/tinrudder/gateway/messages.py
+++ b/tinrudder/gateway/messages.py
@@ -113,10 +113,12 @@
     """The back end says that it did not run the call.
 
     :param wrong_backend: another back end has the address now.
+    :param load: its load report, if the answer has one.
     """
 
     status: int
     wrong_backend: bool = False
+    load: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -15,6 +15,7 @@
 from tinrudder.gateway.gateway_metrics import GatewayMetrics
 from tinrudder.gateway.knowledge import Knowledge
 from tinrudder.gateway.knowledge_keeper import KnowledgeKeeper
+from tinrudder.gateway.load_news import LoadWatch
 from tinrudder.gateway.load_reports import LoadReports
 from tinrudder.gateway.model import Address, GatewaySettings, HeaderNames
 from tinrudder.gateway.node_log import (
@@ -119,6 +120,8 @@
         self.poison = PoisonWatch(
             self.peers, self.datagrams, loop.time, names, random.Random(f"poison {settings.name}")
         )
+        self.load_watch = LoadWatch(self.peers, self.datagrams, loop, lambda: self.directory)
+        self.state.subscribe(self.load_watch.refresh)
         self.forwarding = Forwarding(
             loop=loop,
             names=names,
@@ -130,6 +133,9 @@
             load_reports=LoadReports(decoders.load_report, loop.time),
             evidence=self.poison,
             counters=self.counters,
+            own_name=str(self._own),
+            load_watch=self.load_watch,
+            random=random.Random(f"forwarding {settings.name}"),
             zone_answered=self.watch.answered,
             zone_doubted=self.watch.doubt,
         )
--- a/tinrudder/gateway/peer_messages.py
+++ b/tinrudder/gateway/peer_messages.py
@@ -10,6 +10,7 @@
 from tinrudder.gateway.model import Address
 from tinrudder.gateway.outcomes import RequestOutcome
 from tinrudder.gateway.stored_values import StoredValue
+from tinrudder.routing.load_news import ToldLoad
 from tinrudder.routing.quota_home import HeldTokens
 
 
@@ -148,7 +149,13 @@
     asks: bool = False
 
 
-PeerDatagram = Digest | Probe | ProbeAnswer | QuotaReport | QuotaVerdict | PoisonReport
+class LoadNews(Struct, frozen=True):
+    """Tells peers of back ends whose queues are long."""
+
+    loads: tuple[ToldLoad, ...]
+
+
+PeerDatagram = Digest | Probe | ProbeAnswer | QuotaReport | QuotaVerdict | PoisonReport | LoadNews
 
 
 class SnapshotRequest(Struct, frozen=True):
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -33,6 +33,7 @@
 from tinrudder.gateway.request_run import RequestRun
 from tinrudder.gateway.routes_in_force import RoutesInForce
 from tinrudder.gateway.scatter_planner import ScatterPlanner
+from tinrudder.gateway.service_admission import ServiceAdmission
 from tinrudder.gateway.shared_state import SharedState
 
 RETRY_AFTER_START_S = 0.3
@@ -102,6 +103,7 @@
         self._routes: RoutesInForce | None = None
         self._moments = ClientMoments(forwarding.names)
         self.admission = Admission(forwarding, random_source)
+        self._service_admission = ServiceAdmission(forwarding)
         state.subscribe(self._refresh)
 
     @property
@@ -283,13 +285,26 @@
         steps: int,
     ) -> Run | NotRun:
         """Run a request at one back end of the service chosen, or refuse it at once."""
-        services = (routes.choose_service(route, self._random),)
-        refusal = self.admission.refusal(route, services, moments, steps, admitted.tenant_name)
+        service = routes.choose_service(route, self._random)
+        admission = self._service_admission
+        refusal = admission.refusal(route, service, moments, steps, admitted.tenant_name)
         if refusal is not None:
             return refusal
         names = self.forwarding.names
         encoded = RequestBytes(admitted.request, serving.request_id, moments.deadline_at, names)
-        return RequestRun(route, services, encoded, moments, self.forwarding, serving.end)
+
+        def turned_away(detail: str, least_s: float) -> NotRun:
+            return admission.after_rejections(detail, route, service, moments, least_s)
+
+        return RequestRun(
+            route,
+            (service,),
+            encoded,
+            moments,
+            self.forwarding,
+            serving.end,
+            turned_away=turned_away,
+        )
 
     def _refresh(self) -> None:
         """Index a configuration that has just come into force."""
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -56,13 +56,16 @@
         *,
         minimum_share: float | None = None,
         delegated: Sequence[DelegatedShards] = (),
+        turned_away: Callable[[str, float], NotRun] = NotRun,
     ) -> None:
         """Prepare calls to ``services``: shards of the route, or the one service chosen.
 
         :param minimum_share: the least share that makes an answer; by the route if ``None``.
         :param delegated: the other shards of the scatter, asked by other gateways.
+        :param turned_away: makes the outcome where nothing has run, of why and a shortest pause.
         """
         self._route = route
+        self._turned_away = turned_away
         self._request = request
         self._moments = moments
         self._forwarding = forwarding
@@ -355,10 +358,11 @@
             sorted({shard.last_problem for shard in self.shards if shard.last_problem})
         )
         if not self._may_have_run:
+            detail = detail or "no back end is left"
             none_listens = any(shard.is_dead for shard in self.shards)
-            usual_s = RETRY_DEAD_S if none_listens else RETRY_AFTER_S
-            retry_after_s = self._guard.barred_s or usual_s
-            return NotRun(detail or "no back end is left", retry_after_s)
+            if self._guard.barred_s or none_listens:
+                return NotRun(detail, self._guard.barred_s or RETRY_DEAD_S)
+            return self._turned_away(detail, RETRY_AFTER_S)
         failure = None if self._scatter else self.shards[0].failure
         if failure is not None:
             return Relayed(failure)
--- /dev/null
+++ b/tinrudder/gateway/service_admission.py
@@ -0,0 +1,83 @@
+"""Refuses at once what the back ends of one service can probably not answer in time."""
+
+from __future__ import annotations
+
+from tinrudder.gateway.client_moments import Moments
+from tinrudder.gateway.forwarding import Forwarding
+from tinrudder.gateway.model import Route
+from tinrudder.gateway.outcomes import NotRun
+from tinrudder.routing.return_moment import return_after_s
+from tinrudder.routing.shared_service import Judgement, judge
+from tinrudder.routing.tenant_shares import TenantShares
+
+
+class ServiceAdmission:
+    """Judges requests that one of a service's back ends may run.
+
+    See :mod:`tinrudder.routing.shared_service`; what is known of the queues comes from own calls
+    and from other gateways.
+    """
+
+    def __init__(self, forwarding: Forwarding) -> None:
+        """Read the queues through ``forwarding``."""
+        self._forwarding = forwarding
+        self._tenants = TenantShares()
+
+    def refusal(
+        self,
+        route: Route,
+        service: str,
+        moments: Moments,
+        priority_steps: int,
+        tenant: str = "",
+    ) -> NotRun | None:
+        """Refuse a request, with what decided it; ``None`` admits it.
+
+        :param priority_steps: how many priorities in use are more urgent than the request's.
+        :param tenant: on whose behalf it comes; empty for nobody's.
+        """
+        now = moments.received_at
+        if tenant:
+            self._tenants.note(tenant, now)
+        judgement = self._judge(route, service, moments, priority_steps, now)
+        share = judgement.share
+        if tenant:
+            share = self._tenants.share_of(tenant, share, now)
+        if share >= 1.0 or self._forwarding.random.random() < share:
+            return None
+        left_s = moments.objective_at - now
+        detail = f"overload: wait {judgement.wait_s:.3f} s, share {share:.2f}, left {left_s:.3f} s"
+        return self._not_run(detail, Judgement(share, judgement.wait_s), moments, now)
+
+    def after_rejections(
+        self, detail: str, route: Route, service: str, moments: Moments, least_s: float
+    ) -> NotRun:
+        """Return the refusal of a request that back ends turned away.
+
+        :param least_s: the shortest pause, where no queue explains it.
+        """
+        now = self._forwarding.loop.time()
+        judgement = self._judge(route, service, moments, 0, now)
+        refusal = self._not_run(detail, judgement, moments, now)
+        return NotRun(detail, max(least_s, refusal.retry_after_s))
+
+    def _judge(
+        self, route: Route, service: str, moments: Moments, priority_steps: int, now: float
+    ) -> Judgement:
+        """Judge by what is known now."""
+        backends = self._forwarding.observations(service)
+        return judge(
+            backends,
+            now,
+            self._forwarding.usual_s(route, backends),
+            moments.objective_at - now,
+            priority_steps=priority_steps,
+            returning=moments.returning,
+            late=moments.late,
+        )
+
+    def _not_run(self, detail: str, judgement: Judgement, moments: Moments, now: float) -> NotRun:
+        """Say when to come back."""
+        left_s = moments.deadline_at - now
+        chance = self._forwarding.random.random()
+        return NotRun(detail, return_after_s(judgement.wait_s, judgement.share, left_s, chance))
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -325,7 +325,7 @@
                 self._on_answer(attempt, answer, now)
             case Rejected(status=status):
                 self._take_back(attempt.backend)
-                self._on_failure(f"rejected with {status}", now, at_once=len(self._avoided) < 2)
+                self._on_rejection(f"rejected with {status}", now)
             case NotSent(detail=detail, refused=refused):
                 if refused:
                     self._dead.add(attempt.backend.backend_id)
@@ -370,6 +370,20 @@
         self.failure = answer
         self._on_failure(f"answered with {answer.status}", now, at_once=True)
 
+    def _on_rejection(self, problem: str, now: float) -> None:
+        """Try elsewhere, unless it is known that the service has no room in time.
+
+        Each try takes a place in a queue or is turned away too, and is taken from the budget of
+        the whole fleet: at 1.4 times of what four back ends can do, 0.4 of the calls were such.
+        """
+        left_s = min(self._request.deadline_at - now, self._route.objective_s)
+        if self._route.shards or self._forwarding.has_room(self.service, self._route, left_s, now):
+            self._on_failure(problem, now, at_once=len(self._avoided) < 2)
+        else:
+            self.last_problem = problem
+            if not self._attempts:
+                self.next_at = NEVER
+
     def _on_failure(
         self, problem: str, now: float, *, at_once: bool, is_dead: bool = False
     ) -> None:
--- /dev/null
+++ b/tinrudder/wire/load_news_codec.py
@@ -0,0 +1,46 @@
+"""Turns news of long queues into protobuf and back."""
+
+from __future__ import annotations
+
+from tinrudder.gateway.peer_messages import LoadNews
+from tinrudder.routing.load_news import ToldLoad
+from tinrudder.wire import peer_datagram_pb2 as pb
+from tinrudder.wire.snapshot_codec import MILLISECONDS, milliseconds_above
+
+PERCENT = 100.0
+LARGEST = 2**32 - 1
+"""What a field holds; a figure beyond it is none that a receiver believes."""
+
+
+def load_news_message(news: LoadNews) -> pb.LoadNews:
+    """Return the message of some news."""
+    return pb.LoadNews(loads=[_load_message(told) for told in news.loads])
+
+
+def load_news_of_message(message: pb.LoadNews) -> LoadNews:
+    """Read the message of some news."""
+    return LoadNews(tuple(_load_of(load) for load in message.loads))
+
+
+def _load_message(told: ToldLoad) -> pb.ToldLoad:
+    return pb.ToldLoad(
+        backend=told.backend,
+        calls=min(LARGEST, told.calls),
+        slots=min(LARGEST, told.slots),
+        slowdown_percent=min(LARGEST, round(told.slowdown * PERCENT)),
+        age_ms=min(LARGEST, milliseconds_above(told.age_s)),
+        shed=told.shed,
+        work_ms=min(LARGEST, round(told.work_s * MILLISECONDS)),
+    )
+
+
+def _load_of(message: pb.ToldLoad) -> ToldLoad:
+    return ToldLoad(
+        message.backend,
+        message.calls,
+        message.slots,
+        message.slowdown_percent / PERCENT,
+        message.age_ms / MILLISECONDS,
+        message.shed,
+        message.work_ms / MILLISECONDS,
+    )
--- a/tinrudder/wire/peer_datagram_codec.py
+++ b/tinrudder/wire/peer_datagram_codec.py
@@ -8,6 +8,7 @@
 
 from tinrudder.gateway.peer_messages import (
     Digest,
+    LoadNews,
     PeerDatagram,
     PoisonReport,
     Probe,
@@ -17,6 +18,7 @@
 )
 from tinrudder.routing.quota_home import HeldTokens
 from tinrudder.wire import peer_datagram_pb2 as pb
+from tinrudder.wire.load_news_codec import load_news_message, load_news_of_message
 from tinrudder.wire.poison_report_codec import poison_report_message, poison_report_of_message
 from tinrudder.wire.snapshot_codec import (
     MILLISECONDS,
@@ -81,6 +83,8 @@
             return pb.Datagram(quota_verdict=verdict)
         case PoisonReport():
             return pb.Datagram(poison_report=poison_report_message(datagram))
+        case LoadNews():
+            return pb.Datagram(load_news=load_news_message(datagram))
 
 
 def _content(message: pb.Datagram) -> PeerDatagram:
@@ -110,6 +114,8 @@
             )
         case "poison_report":
             return poison_report_of_message(message.poison_report)
+        case "load_news":
+            return load_news_of_message(message.load_news)
         case _:
             raise MalformedPeerMessageError("datagram: none of the kinds known")
 
