--- a/tests/unit/test_emulator_ledger.py
+++ b/tests/unit/test_emulator_ledger.py
@@ -11,6 +11,7 @@
     EndedBackend,
     SentRequest,
     StoreOutage,
+    UnreadableSpan,
 )
 
 DRAIN_S = 3.0
@@ -90,3 +91,25 @@
     assert ledger.requests_after_three_ends("/poison") == []
     ledger.disturbances[0].until = 0.9
     assert len(ledger.requests_after_three_ends("/poison")) == 4
+
+
+@pytest.mark.parametrize(
+    ("arrival_at", "until", "broken"),
+    [(12.9, 20.0, False), (13.1, 20.0, True), (13.1, 13.0, False)],
+)
+def test_nothing_may_reach_a_back_end_long_after_its_entry_became_unreadable(
+    arrival_at: float, until: float, broken: bool
+) -> None:
+    ledger = Ledger(unreadable=[UnreadableSpan("b", 10.0, until)], zones={"b": "z"})
+    ledger.arrivals.append(Arrival(arrival_at, "r", "s", "b", "/", None, ran=True))
+    found = ledger.broken_promises(0.2, 50.0, 10.0, DRAIN_S, 5.0)
+    assert [one.promise for one in found] == (["unreadable"] if broken else [])
+
+
+def test_what_one_start_said_of_leaving_does_not_bind_the_next() -> None:
+    ledger = Ledger(leaving_at={"b@1": 10.0}, zones={"b": "z"})
+    for started_ms in (1, 2):
+        arrival = Arrival(20.0, "r", "s", "b", "/", None, ran=True, started_ms=started_ms)
+        ledger.arrivals.append(arrival)
+    broken = ledger.broken_promises(0.2, 50.0, 10.0, DRAIN_S, 5.0)
+    assert [one.promise for one in broken] == ["leaving"]
