--- /dev/null
+++ b/tests/unit/test_load_watch.py
@@ -0,0 +1,66 @@
+"""What one gateway sends and logs of queues, however many services are under load."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+
+from tests.support.fakes import ManualTimers
+from tinrudder.gateway import load_news
+from tinrudder.gateway.load_news import LOG_PAUSE_S, LoadWatch
+from tinrudder.gateway.model import Address, BackendEntry
+from tinrudder.gateway.peer_list import PeerList
+from tinrudder.gateway.peer_messages import LoadNews, Member
+from tinrudder.routing.backend_observations import BackendObservations
+from tinrudder.routing.load_news import BYTES_PER_S, MOST_BYTES
+from tinrudder.wire.peer_datagram_codec import encode_datagram
+
+IP_AND_UDP_BYTES = 28
+SERVICES = 50
+SECONDS = 30
+PEERS = 112
+
+
+class Wire:
+    """Counts bytes in place of a socket."""
+
+    def __init__(self) -> None:
+        self.bytes = 0
+
+    def handle(self, kind: type[LoadNews], handler: Any) -> None:
+        self.handler = handler
+
+    def send(self, news: LoadNews, *peers: Address) -> None:
+        self.bytes += len(peers) * (len(encode_datagram(news)) + IP_AND_UDP_BYTES)
+
+
+def backend(number: int) -> Any:
+    entry = BackendEntry(f"b{number}", f"service-{number}", "10.0.0.1", 1, "z", 4, False)
+    return SimpleNamespace(
+        entry=entry, backend_id=entry.backend_id, observations=BackendObservations(slots=4)
+    )
+
+
+@pytest.mark.parametrize("peers", [0, 6, PEERS])
+def test_bytes_and_lines_are_bounded_in_the_worst_overload(
+    peers: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[str] = []
+    monkeypatch.setattr(load_news, "log_event", lambda event, fields: lines.append(event))
+    timers, wire = ManualTimers(now=100.0), Wire()
+    known = PeerList(Address("10.0.0.9", 1), random.Random(1), 0.0)
+    for number in range(peers):
+        known.heard_from(Member(Address(f"10.0.1.{number}", 1)), 100.0)
+    backends = [backend(number) for number in range(SERVICES)]
+    watch = LoadWatch(known, wire, timers, lambda: backends)  # type: ignore[arg-type]
+    for _ in range(SECONDS * 10):
+        for one in backends:
+            one.observations.reported(4, 12, 4, timers.now)
+            watch.heard(one, shed=False, work_s=0.25)
+        timers.advance(0.1)
+    assert wire.bytes <= MOST_BYTES + BYTES_PER_S * SECONDS
+    assert (wire.bytes > 0) == (peers > 0)
+    assert 0 < len(lines) <= SECONDS / LOG_PAUSE_S + 1
--- a/tinrudder/gateway/call_observation.py
+++ b/tinrudder/gateway/call_observation.py
@@ -22,6 +22,7 @@
 """Rejections for load; others say that the request cannot be run there at all."""
 
 MEDIAN = 0.5
+"""How long calls without a queue take is told by the quantile that admission goes by too."""
 
 
 def observe_end(
