--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -65,6 +65,8 @@
 [bounds]
 drain_ms = 2000
 budget_ratio = 0.3
+[limits]
+memory_mb = 300
 """
 
 
@@ -128,6 +130,7 @@
     assert settings.seeds == (Address("10.0.0.2", 81),)
     assert settings.drain_s == 2.0
     assert settings.repeats.ratio == 0.3
+    assert settings.memory_mb == 300.0
 
 
 @pytest.mark.parametrize(
--- a/tinrudder/gateway/model.py
+++ b/tinrudder/gateway/model.py
@@ -224,6 +224,7 @@
     :param seeds: peer addresses of some gateways, perhaps stale.
     :param store: the platform's metadata store.
     :param capacity: processor cores that this machine gives to the process.
+    :param memory_mb: what the process may take, megabytes; ``None``: nothing is said of it.
     :param drain_s: how long a leaving back end still serves.
     :param stop_grace_s: time between the request to stop and the forced end.
     :param revocation_s: after this time no request with an ended key may begin, whatever this
@@ -244,6 +245,7 @@
     cold: ColdBounds = field(default_factory=ColdBounds)
     quotas: QuotaBounds = field(default_factory=QuotaBounds)
     revocation_s: float | None = None
+    memory_mb: float | None = None
 
 
 class SettingsFileError(Exception):
--- a/tinrudder/platform/settings_file.py
+++ b/tinrudder/platform/settings_file.py
@@ -52,6 +52,7 @@
 class _Limits(msgspec.Struct):
     cpu_share: Positive = 1.0
     cores: Positive = 1.0
+    memory_mb: Positive | None = None
 
 
 class _Store(msgspec.Struct):
@@ -79,14 +80,15 @@
         raise SettingsFileError(f"{path}: {error.strerror}") from error
     except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.MsgspecError) as error:
         raise SettingsFileError(f"{path}: {error}") from error
+    listen = document.listen
     bounds = document.bounds
     limits = document.limits
     return GatewaySettings(
         name=document.node,
         zone=document.zone,
-        clients=_address("listen.front", document.listen.front),
-        health=_address("listen.ready", document.listen.ready),
-        peers=_optional_address("listen.control", document.listen.control),
+        clients=_address("listen.front", listen.front),
+        health=_address("listen.ready", listen.ready),
+        peers=_address("listen.control", listen.control) if listen.control else None,
         seeds=tuple(_address("seeds", text) for text in document.seeds),
         store=_address("platform.addr", document.platform.addr),
         capacity=limits.cpu_share * limits.cores,
@@ -96,6 +98,7 @@
         cold=ColdBounds(bounds.cold_excess, bounds.cold_slack),
         quotas=QuotaBounds(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack),
         revocation_s=bounds.revoke_ms / MILLISECONDS if bounds.strict_revoke else None,
+        memory_mb=limits.memory_mb,
     )
 
 
@@ -105,8 +108,3 @@
         return Address.parse(text)
     except ValueError as error:
         raise SettingsFileError(f"{field}: {error}") from error
-
-
-def _optional_address(field: str, text: str) -> Address | None:
-    """Read an address that may be absent."""
-    return _address(field, text) if text else None
