--- a/bench/scatter_cost.py
+++ b/bench/scatter_cost.py
@@ -60,6 +60,9 @@
     def abort(self) -> None:
         """Do nothing."""
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Take every byte at once."""
+
     def get_extra_info(self, name: str, default: object = None) -> object:
         """Know nothing."""
         return default
--- a/tests/functional/test_gateway_site.py
+++ b/tests/functional/test_gateway_site.py
@@ -582,7 +582,7 @@
     """Send a request over a connection that the kernel has accepted."""
     gateway = site.nodes[0].gateway
     assert gateway is not None
-    connection = ClientConnection(gateway.handler, gateway._connections)
+    connection = ClientConnection(gateway.handler, gateway._connections, gateway.memory)
     request = site.request("single")
     client, accepted = async_solipsism.socketpair()
     loop = asyncio.get_running_loop()
--- /dev/null
+++ b/tests/functional/test_gateway_slow_readers.py
@@ -0,0 +1,275 @@
+"""Clients that read slowly or not at all, requests that find no memory, cut connections."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+
+import pytest
+
+from tests.support.slow_clients import connect, connect_paced, run_served
+from tinrudder.gateway.answer_reader import AnswerReader, ReadState
+from tinrudder.gateway.client_connection import (
+    PAUSED_S,
+    UNREAD_CLOSING_S,
+    UNREAD_S,
+    WATCH_S,
+    ClientConnection,
+)
+from tinrudder.gateway.memory_account import MemoryAccount
+from tinrudder.gateway.messages import HttpRequest
+from tinrudder.gateway.model import ClientLimits
+from tinrudder.gateway.outcomes import FinalAnswer
+from tinrudder.gateway.plain_answers import PlainHandler, text_answer
+from tinrudder.gateway.shard_calls import ShardCalls
+from tinrudder_lab.emulator.backend import Fault
+from tinrudder_lab.emulator.site import CLIENT_PORT, GRACE_S, EmulatedSite, run_site
+
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+LARGE = 400_000
+SOCKETS_TAKE = 2 * 65536
+"""What the connection in memory and the client's own buffer take without anybody reading."""
+PAUSE_S = 0.01
+
+
+class CountingHandler(PlainHandler):
+    """Answers at once and counts."""
+
+    def __init__(self, size: int) -> None:
+        super().__init__(lambda: text_answer(b"x" * size))
+        self.served = 0
+
+    def handle(self, request: HttpRequest, connection: ClientConnection) -> PlainHandler:
+        self.served += 1
+        return super().handle(request, connection)
+
+
+class HoldingHandler(PlainHandler):
+    """Answers when it is told to."""
+
+    def __init__(self) -> None:
+        super().__init__(lambda: text_answer(b""))
+        self.limits = ClientLimits(header_timeout_s=2.0)
+        self.waiting: list[ClientConnection] = []
+
+    def handle(self, request: HttpRequest, connection: ClientConnection) -> PlainHandler:
+        self.waiting.append(connection)
+        return self
+
+    def abandon(self) -> None:
+        self.waiting.clear()
+
+
+def test_a_client_that_reads_nothing_loses_its_connection_and_nobody_notices() -> None:
+    async def scenario(account: MemoryAccount, connections: set[ClientConnection]) -> None:
+        silent = await connect(GET)
+        await asyncio.sleep(UNREAD_S - WATCH_S)
+        assert LARGE - SOCKETS_TAKE <= account.clients <= LARGE
+        reader, other = await connect(GET)
+        assert (await reader.readexactly(LARGE))[:12] == b"HTTP/1.1 200"
+        other.close()
+        await asyncio.sleep(3 * WATCH_S)
+        assert account.clients == 0
+        assert account.ended_unread == 1
+        assert not connections
+        silent[1].close()
+
+    run_served(PlainHandler(lambda: text_answer(b"x" * LARGE)), scenario)
+
+
+def test_a_slow_but_steady_reader_gets_its_whole_answer() -> None:
+    async def scenario(account: MemoryAccount, _: set[ClientConnection]) -> None:
+        client = await connect_paced(GET, 1024, 1.0)
+        while len(client.got) < LARGE and not client.ended:
+            await asyncio.sleep(10.0)
+        assert len(client.got) > LARGE
+        assert account.clients == 0
+        assert account.ended_unread == 0
+
+    run_served(PlainHandler(lambda: text_answer(b"x" * LARGE)), scenario)
+
+
+def test_nothing_more_is_served_or_read_for_who_does_not_read() -> None:
+    async def scenario(account: MemoryAccount, connections: set[ClientConnection]) -> None:
+        _reader, writer = await connect(GET * 4)
+        for _ in range(20):
+            await asyncio.sleep(PAUSE_S)
+            writer.write(GET)
+        assert handler.served == 1
+        assert account.clients <= LARGE + 4 * len(GET)
+        assert len(connections) == 1
+
+    handler = CountingHandler(LARGE)
+    run_served(handler, scenario)
+
+
+def test_what_was_left_unread_is_served_on_once_it_is_read() -> None:
+    async def scenario(account: MemoryAccount, _: set[ClientConnection]) -> None:
+        reader, _writer = await connect(GET * 8)
+        await asyncio.sleep(UNREAD_S / 2)
+        for _ in range(8):
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            await reader.readexactly(LARGE)
+        assert account.clients == 0
+
+    run_served(PlainHandler(lambda: text_answer(b"x" * LARGE)), scenario)
+
+
+def test_a_planned_stop_is_not_held_up_by_a_client_that_does_not_read() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.records_of = lambda request: LARGE // 16
+        request = site.request("single")
+        _reader, writer = await asyncio.open_connection(site.nodes[0].host, CLIENT_PORT, limit=1024)
+        writer.write(request.encode())
+        await asyncio.sleep(0.5)
+        gateway = site.nodes[0].gateway
+        assert gateway is not None
+        assert gateway.memory.clients > LARGE - SOCKETS_TAKE
+        gateway.request_stop()
+        await asyncio.sleep(max(UNREAD_CLOSING_S, GRACE_S / 2) + 1.0)
+        assert gateway.lifecycle.state == "stopped"
+        assert gateway.memory.ended_unread == 1
+
+    run_site(scenario)
+
+
+def test_near_the_bound_the_less_urgent_is_refused_first_and_has_not_run() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        gateway = site.nodes[0].gateway
+        assert gateway is not None
+        gateway.memory.bound = 1_000_000.0
+        gateway.memory._near = 1.0
+        statuses: dict[str, list[int]] = {"scatter": [], "single": []}
+        for held in (0, 800_000, 900_000, 1_000_000, 0):
+            gateway.memory.clients += held
+            for route, seen in statuses.items():
+                result = await site.send(route)
+                seen.append(result.status)
+                if result.status == 503:
+                    assert 0.1 <= float(result.headers["retry-after"]) <= 1.0
+            gateway.memory.clients -= held
+        # The scatter's priority is the more urgent one.
+        assert statuses == {
+            "scatter": [200, 200, 200, 503, 200],
+            "single": [200, 200, 503, 503, 200],
+        }
+        assert gateway.memory.refused == 3
+        assert gateway.memory.clients == 0
+        assert site.broken_promises() == []
+
+    run_site(scenario, node_count=1)
+
+
+@pytest.mark.parametrize("room_after_s", [PAUSED_S / 2, None])
+def test_a_body_without_room_waits_a_little_and_is_refused(room_after_s: float | None) -> None:
+    async def scenario(account: MemoryAccount, connections: set[ClientConnection]) -> None:
+        account.backends = 80_000
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"
+        reader, writer = await connect(head + b"x" * 50_000)
+        if room_after_s is not None:
+            await asyncio.sleep(room_after_s)
+            account.backends = 0
+            writer.write(b"x" * 50_000)
+        else:
+            await asyncio.sleep(PAUSED_S + 2 * WATCH_S)
+        answer = await reader.readuntil(b"\r\n\r\n")
+        if room_after_s is not None:
+            assert answer.startswith(b"HTTP/1.1 200")
+        else:
+            assert answer.startswith(b"HTTP/1.1 503")
+            assert b"retry-after: 0.3" in answer
+            assert account.refused == 1
+        writer.close()
+        await asyncio.sleep(2.0)
+        assert account.clients == 0
+        assert not connections
+
+    run_served(PlainHandler(lambda: text_answer(b"ok")), scenario, bound=150_000.0)
+
+
+def test_time_in_which_this_side_did_not_read_is_not_the_clients() -> None:
+    async def scenario(account: MemoryAccount, _: set[ClientConnection]) -> None:
+        # The first request is at work, the body of the second has no room for longer than a
+        # client may take for a whole request.
+        head = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20000\r\n\r\n"
+        reader, writer = await connect(GET)
+        await asyncio.sleep(PAUSE_S)
+        account.backends = 99_000
+        writer.write(head + b"x" * 10_000)
+        await asyncio.sleep(handler.limits.header_timeout_s + 1.0)
+        account.backends = 0
+        handler.waiting.pop().answer(FinalAnswer(200, b"OK", (), b""))
+        await asyncio.sleep(1.0)
+        writer.write(b"x" * 10_000)
+        await asyncio.sleep(PAUSE_S)
+        handler.waiting.pop().answer(FinalAnswer(200, b"OK", (), b""))
+        for _ in range(2):
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        assert account.clients == 0
+
+    handler = HoldingHandler()
+    run_served(handler, scenario, bound=100_000.0)
+
+
+def test_every_account_is_empty_after_troubled_traffic() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        site.records_of = lambda request: site.random.choice((6, 3_000, 20_000))
+        traffic = asyncio.create_task(site.traffic(4.0, 40.0, ("scatter", "single", "once")))
+        for leaves_after_s in (0.01, 0.02, 0.05, 0.1):
+            for node in range(3):
+                await site.send("scatter", node, leaves_after_s=leaves_after_s)
+        await asyncio.sleep(1.0)
+        site.end_backend("single-0")
+        await traffic
+        await asyncio.sleep(2.0)
+        for node in site.nodes:
+            assert node.gateway is not None
+            account = node.gateway.memory
+            assert (account.clients, account.backends) == (0, 0)
+
+    run_site(scenario)
+
+
+@pytest.mark.parametrize("stood_still_s", [0.0, 3.0])
+def test_connections_cut_while_this_process_stood_still_are_held_against_nobody(
+    stood_still_s: float,
+) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        gateway = site.nodes[0].gateway
+        assert gateway is not None
+        for backend in site.backends.values():
+            backend.choose_fault = lambda: Fault.CLOSED
+        sending = asyncio.create_task(site.send("single"))
+        await asyncio.sleep(PAUSE_S)
+        # As if the process had not run for some time up to now.
+        gateway.still._noted_at -= stood_still_s
+        await sending
+        backends = gateway.directory.usable("single")
+        assert any(one.observations.failures for one in backends) == (not stood_still_s)
+        assert (len(gateway.poison.requests) > 0) == (not stood_still_s)
+        assert not any(one.observations.running for one in backends)
+
+    run_site(scenario, node_count=1)
+
+
+@pytest.mark.parametrize("route", ["single", "scatter"])
+def test_what_a_request_held_goes_with_it_and_waits_for_no_collection(route: str) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        gc.collect()
+        gc.disable()
+        try:
+            for _ in range(5):
+                assert (await site.send(route)).status == 200
+            await asyncio.sleep(1.0)
+            objects = gc.get_objects()
+            readers = [one for one in objects if isinstance(one, AnswerReader)]
+            left: list[object] = [one for one in readers if one.state is not ReadState.READING]
+            # The emulator's timers may keep a run, which keeps no answer then.
+            shards = [one for one in objects if isinstance(one, ShardCalls)]
+            left += [one for one in shards if one.part is not None and one.part.body]
+        finally:
+            gc.enable()
+        assert left == []
+
+    run_site(scenario)
--- a/tests/functional/test_upstream_pool.py
+++ b/tests/functional/test_upstream_pool.py
@@ -120,3 +120,68 @@
         return server
 
     assert asyncio.run(run()).opened == 1
+
+
+class HoldingServer(FakeServer):
+    """Answers nothing before it is told to."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.answers = asyncio.Event()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await self.answers.wait()
+        await super()._serve(reader, writer)
+
+
+class LargeCalls:
+    """Calls to a pool, what of them has been sent and what has ended."""
+
+    def __init__(self, pool: UpstreamPool) -> None:
+        self.pool = pool
+        self.sent: list[str] = []
+        self.ended: list[str] = []
+
+    def start(self, name: str, body_bytes: int) -> UpstreamCall:
+        def leave() -> bytes:
+            self.sent.append(name)
+            return b"GET / HTTP/1.1\r\n\r\n"
+
+        end_at = asyncio.get_running_loop().time() + 60.0
+        call = UpstreamCall(
+            leave, b"r", lambda outcome: self.ended.append(name), end_at, body_bytes=body_bytes
+        )
+        self.pool.start(call)
+        return call
+
+    async def until_sent(self, count: int) -> None:
+        async with asyncio.timeout(5.0):
+            while len(self.sent) < count:
+                await asyncio.sleep(0.001)
+
+
+def test_a_large_body_waits_until_those_on_the_way_leave_room() -> None:
+    async def run() -> None:
+        server = HoldingServer()
+        pool = UpstreamPool(await server.start(), accept_any_answer, lambda: None)
+        pool.max_connections = 8
+        pool.max_body_bytes = 250.0
+        calls = LargeCalls(pool)
+        first, *_ = [calls.start(f"large-{number}", 100) for number in range(4)]
+        calls.start("small", 0)
+        await calls.until_sent(3)
+        assert sorted(calls.sent) == ["large-0", "large-1", "small"]
+        pool.cancel(first)
+        await calls.until_sent(4)
+        assert calls.sent[3] == "large-2"
+        server.answers.set()
+        await calls.until_sent(5)
+        assert calls.sent[4] == "large-3"
+        async with asyncio.timeout(5.0):
+            while len(calls.ended) < 4:
+                await asyncio.sleep(0.001)
+        assert pool._body_bytes == 0
+        calls.start("larger than all room", 300)
+        await calls.until_sent(6)
+
+    asyncio.run(run())
--- a/tests/unit/test_gateway_metrics.py
+++ b/tests/unit/test_gateway_metrics.py
@@ -39,6 +39,8 @@
     assert "tinrudder_gateway_missing_shards_total 2.0" in lines
     assert "tinrudder_gateway_requests_total 1.0" in lines
     assert "tinrudder_gateway_backends 19.0" in lines
+    assert "tinrudder_gateway_held_clients_bytes 0.0" in lines
+    assert "tinrudder_gateway_clients_ended_unread_total 0.0" in lines
 
 
 def test_tenants_limits_knowledge_and_reach_are_shown() -> None:
--- a/tests/unit/test_upstream_connection.py
+++ b/tests/unit/test_upstream_connection.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from tinrudder.gateway.memory_account import MemoryAccount
 from tinrudder.gateway.messages import Answered, Broken, CallOutcome, UpstreamCall
 from tinrudder.gateway.upstream_connection import UpstreamConnection, accept_any_answer
 
@@ -34,6 +35,9 @@
     def get_write_buffer_size(self) -> int:
         return self.unsent
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        assert high == 0
+
 
 class Bench:
     """A connection, its transport and the outcomes of its calls."""
@@ -42,8 +46,14 @@
         self.freed: list[UpstreamConnection] = []
         self.closed: list[UpstreamConnection] = []
         self.outcomes: list[CallOutcome] = []
+        self.memory = MemoryAccount()
+        self.stood_still = False
         self.connection = UpstreamConnection(
-            accept_any_answer, self.freed.append, self.closed.append
+            accept_any_answer,
+            self.freed.append,
+            self.closed.append,
+            self.memory,
+            lambda since: self.stood_still,
         )
         self.transport = FakeTransport()
         self.connection.connection_made(self.transport)
@@ -175,3 +185,44 @@
         assert bench.outcomes == [Broken("the connection ended inside the answer", unanswered)]
 
     in_loop(check)
+
+
+def test_what_is_cut_while_this_process_stood_still_is_held_against_nobody() -> None:
+    def check(bench: Bench) -> None:
+        bench.stood_still = True
+        bench.send()
+        bench.connection.connection_lost(ConnectionResetError("reset by peer"))
+        [outcome] = bench.outcomes
+        assert isinstance(outcome, Broken)
+        assert outcome.stood_still
+        assert not outcome.unanswered
+
+    in_loop(check)
+
+
+def test_a_request_that_was_not_sent_whole_is_not_what_ended_the_back_end() -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        bench.transport.unsent = 10
+        bench.connection.pause_writing()
+        assert bench.memory.backends == 10
+        bench.transport.unsent = 0
+        bench.connection.connection_lost(ConnectionResetError("reset by peer"))
+        [outcome] = bench.outcomes
+        assert isinstance(outcome, Broken)
+        assert not outcome.unanswered
+        assert bench.memory.backends == 0
+
+    in_loop(check)
+
+
+def test_an_answer_that_comes_in_parts_is_counted_until_it_is_whole() -> None:
+    def check(bench: Bench) -> None:
+        bench.send()
+        bench.connection.data_received(ANSWER[:-1])
+        assert bench.memory.backends == 1
+        bench.connection.data_received(ANSWER[-1:])
+        assert isinstance(bench.outcomes[0], Answered)
+        assert bench.memory.backends == 0
+
+    in_loop(check)
--- a/tinrudder/gateway/answer_reader.py
+++ b/tinrudder/gateway/answer_reader.py
@@ -31,6 +31,8 @@
 
     Use a new one for each answer; its cost is one parser object.
 
+    :ivar body_bytes: how much of the body has come.
+
     >>> reader = AnswerReader(body_expected=True)
     >>> reader.feed(b"HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nok")
     <ReadState.COMPLETE: 'complete'>
@@ -38,8 +40,14 @@
     (b'ok', True)
     """
 
-    def __init__(self, *, body_expected: bool) -> None:
-        """Begin; ``body_expected`` is false for an answer to HEAD."""
+    def __init__(self, *, body_expected: bool, most_bytes: float = MAX_ANSWER_BYTES) -> None:
+        """Begin.
+
+        :param body_expected: false for an answer to HEAD.
+        :param most_bytes: a larger body is not read to its end.
+        """
+        self.body_bytes = 0
+        self._most_bytes = min(most_bytes, MAX_ANSWER_BYTES)
         self.state = ReadState.READING
         self.reusable = False
         self.detail = ""
@@ -50,7 +58,6 @@
         self._body: list[bytes] = []
         self._status = 0
         self._head_bytes = 0
-        self._body_bytes = 0
         self._head_complete = False
         self._message_complete = False
         self._framed = False
@@ -69,6 +76,9 @@
 
     def feed(self, data: bytes) -> ReadState:
         """Take bytes as they arrive."""
+        if self.state is not ReadState.READING:
+            self.reusable = False
+            return self.state
         self._begun = True
         if not self._head_complete:
             self._head_bytes += len(data)
@@ -82,8 +92,8 @@
             return self._complete()
         if not self._head_complete and self._head_bytes > MAX_HEAD_BYTES:
             return self._fail("head of the answer larger than MAX_HEAD_BYTES")
-        if self._body_bytes > MAX_ANSWER_BYTES:
-            return self._fail("answer larger than MAX_ANSWER_BYTES")
+        if self.body_bytes > self._most_bytes:
+            return self._fail(f"answer larger than {self._most_bytes:.0f} bytes")
         return self.state
 
     def end_of_stream(self) -> ReadState:
@@ -91,8 +101,7 @@
         if self.state is not ReadState.READING:
             return self.state
         if self._head_complete and not self._framed:
-            self.state = ReadState.COMPLETE
-            return self.state
+            return self._complete()
         return self._fail("the connection ended inside the answer")
 
     def on_message_begin(self) -> None:
@@ -131,7 +140,7 @@
         if self._message_complete:
             return
         self._body.append(body)
-        self._body_bytes += len(body)
+        self.body_bytes += len(body)
 
     def on_message_complete(self) -> None:
         """Note the end of the answer; interim answers are passed over (called by the parser)."""
@@ -158,6 +167,7 @@
         if self._excess:
             self.reusable = False
         self.state = ReadState.COMPLETE
+        self._forget_parser()
         return self.state
 
     def _fail(self, detail: str) -> ReadState:
@@ -165,4 +175,9 @@
         self.reusable = False
         self.detail = detail
         self.state = ReadState.UNREADABLE
+        self._forget_parser()
         return self.state
+
+    def _forget_parser(self) -> None:
+        """End the cycle of the two, which would keep the body until the collector's next run."""
+        del self._parser
--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -7,6 +7,7 @@
 
 from msgspec import Struct, field
 
+from tinrudder.gateway.held_bytes import HeldBytes
 from tinrudder.gateway.messages import (
     Answered,
     Broken,
@@ -16,12 +17,14 @@
     UpstreamCall,
     header_value,
 )
-from tinrudder.gateway.model import Address, BackendEntry, ColdBounds, HeaderNames
+from tinrudder.gateway.model import Address, BackendEntry, ClientLimits, ColdBounds, HeaderNames
 from tinrudder.gateway.shared_state import KnownBackend, SharedState
+from tinrudder.gateway.upstream_connection import never_stood_still
 from tinrudder.gateway.upstream_pool import UpstreamPool
 from tinrudder.routing.backend_observations import BackendObservations
 from tinrudder.routing.cold_pace import Callers, ColdPace, own_part
 from tinrudder.routing.coordinator_choice import CONNECTION_SAFETY
+from tinrudder.routing.memory_bound import body_bytes_on_the_way
 from tinrudder.routing.rendezvous import rendezvous_score
 
 WRONG_BACKEND_STATUS = 421
@@ -78,13 +81,19 @@
         own_name: str,
         cold: ColdBounds,
         is_closed: Callable[[str], bool],
+        memory: HeldBytes | None = None,
+        stood_still: Callable[[float], bool] = never_stood_still,
     ) -> None:
         """Follow ``state``.
 
         :param callers: tells which gateways call the back ends of a service.
         :param own_name: differs between gateways, so that they do not all pick the same replicas.
         :param is_closed: tells whether calls to a zone would only hang.
+        :param memory: counts what is held for back ends; without it, nobody asks for that.
+        :param stood_still: tells whether this process did not run for a while since a moment.
         """
+        self._memory = memory
+        self._stood_still = stood_still
         self._is_closed = is_closed
         self._state = state
         self._headers = headers
@@ -273,7 +282,9 @@
     def _add(self, key: str, entry: BackendEntry) -> Backend:
         """Begin with a back end that was not known."""
         address = Address(entry.host, entry.port)
-        pool = UpstreamPool(address, self.check_answer, self._count_connection)
+        pool = UpstreamPool(
+            address, self.check_answer, self._count_connection, self._memory, self._stood_still
+        )
         observations = BackendObservations(slots=entry.slots)
         backend = Backend(entry, pool, observations)
         self._backends[key] = backend
@@ -294,9 +305,15 @@
 
     def _set_connection_limits(self) -> None:
         """Divide what each back end accepts among the gateways that call it."""
+        accepted = self._state.accepted
+        limits = accepted.configuration.limits if accepted is not None else ClientLimits()
         for service, backends in self._services.items():
             share = self._connection_share(service)
             self._shares[service] = share
             limit = max(1, int(share))
+            callers = self._callers(service).count
             for backend in backends:
                 backend.pool.max_connections = limit
+                backend.pool.max_body_bytes = body_bytes_on_the_way(
+                    backend.observations.slots, callers, limits.max_body_bytes
+                )
--- a/tinrudder/gateway/call_observation.py
+++ b/tinrudder/gateway/call_observation.py
@@ -44,6 +44,10 @@
             observations.failed(running, now)
         case NotSent():
             observations.failed(running, now)
+        case Broken(stood_still=True):
+            forwarding.counters.broken += 1
+            if running is not None:
+                observations.forget(running)
         case Broken():
             forwarding.counters.broken += 1
             observations.failed(running, now)
--- a/tinrudder/gateway/client_connection.py
+++ b/tinrudder/gateway/client_connection.py
@@ -8,8 +8,9 @@
 
 import httptools
 
-from tinrudder.gateway.answers import encode_answer
-from tinrudder.gateway.messages import Header, HttpRequest
+from tinrudder.gateway.answers import RETRY_AFTER, encode_answer
+from tinrudder.gateway.memory_account import MemoryAccount
+from tinrudder.gateway.messages import Header, Headers, HttpRequest
 from tinrudder.gateway.model import ClientLimits
 from tinrudder.gateway.outcomes import (
     REASONS,
@@ -17,14 +18,33 @@
     STATUS_BODY_TOO_LARGE,
     STATUS_HEADER_TOO_LARGE,
     STATUS_TIMEOUT,
+    STATUS_UNAVAILABLE,
     FinalAnswer,
 )
+from tinrudder.gateway.tcp_progress import acknowledged_bytes
+from tinrudder.routing.memory_bound import RETRY_AFTER_S
 from tinrudder.timers import TimerHandle
 
 HTTP_1_1 = "1.1"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 MAX_WAITING_REQUESTS = 16
 LINGER_S = 1.0
+WATCH_S = 0.25
+"""How often a connection is looked at while its client does not read or reading from it has
+stopped, a choice; no other connection has such a timer."""
+UNREAD_S = 10.0
+"""How long a client may take nothing of its answer: 1 KB a second shows every 1.5 s on Ethernet,
+one segment at a time, and the kernel repeats a lost segment five times within 6.2 s.  Over
+loopback, whose segments are 64 KB, such a client shows every 6 s with 4 KB of buffer, every 24 s
+with 16 KB (``tcp_info`` read every 0.1 s for 60 s and 100 s)."""
+UNREAD_CLOSING_S = 2.0
+"""The same on a planned stop, a choice: a third of the grace seen, 6 s, which bounds the rest."""
+UNREAD_FULL_S = 1.0
+"""The same while there is no room for anybody's requests, a choice: those who take nothing then
+go first."""
+PAUSED_S = 1.0
+"""How long a body may wait half read for room, a choice: its request is refused while its client
+still has time to ask elsewhere."""
 
 
 class RequestInProgress(Protocol):
@@ -52,11 +72,27 @@
 class ClientConnection(asyncio.Protocol):
     """Speaks HTTP/1.1 with one client.
 
-    A request that breaks the protocol or a limit is answered and the connection closed.
+    A request that breaks the protocol or a limit is answered and the connection closed.  What a
+    client does not read is bounded: no other request of its is served or read meanwhile, and one
+    that takes nothing for a while loses its connection.  Whatever is held for it stands in
+    ``memory``.
     """
 
-    def __init__(self, handler: RequestHandler, open_connections: set[ClientConnection]) -> None:
+    def __init__(
+        self,
+        handler: RequestHandler,
+        open_connections: set[ClientConnection],
+        memory: MemoryAccount,
+    ) -> None:
         """Pass requests to ``handler``; stand in ``open_connections`` while open."""
+        self._memory = memory
+        self._held = 0
+        self._unread = 0
+        self._progress = (0, 0)
+        self._progress_at = 0.0
+        self._paused_at: float | None = None
+        self._paused_for_memory = False
+        self._watch: TimerHandle | None = None
         self._handler = handler
         self._open_connections = open_connections
         self._loop = asyncio.get_running_loop()
@@ -69,10 +105,14 @@
         self._in_progress: RequestInProgress | None = None
         self._answered_early = False
         self._waiting: deque[HttpRequest] = deque()
+        self._waiting_bytes: deque[int] = deque()
+        self._current_bytes = 0
         self._refused = False
         self._target = b""
         self._headers: list[Header] = []
         self._header_bytes = 0
+        self._head_bytes = 0
+        self._part_of_head = 0
         self._head_complete = False
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -80,12 +120,19 @@
     @property
     def busy(self) -> bool:
         """Tell whether a request is read in part or being served."""
-        return self._current is not None or self._reading_since is not None or bool(self._waiting)
+        return self.busy_with_whole or self._reading_since is not None
+
+    @property
+    def busy_with_whole(self) -> bool:
+        """Tell whether a request that was read whole is being served or waits."""
+        return self._current is not None or bool(self._waiting)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begin to wait for a request."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        # So that the transport tells of every byte that the socket does not take at once.
+        transport.set_write_buffer_limits(high=0)
         self._open_connections.add(self)
         self._arm()
 
@@ -95,7 +142,15 @@
         self._open_connections.discard(self)
         if self._timer is not None:
             self._timer.cancel()
+        if self._watch is not None:
+            self._watch.cancel()
         self._waiting.clear()
+        self._waiting_bytes.clear()
+        self._current_bytes = 0
+        # The cycle of the two would keep a body until the collector's next run.
+        del self._parser
+        self._hold(-self._held)
+        self._note_unread(0)
         if self._in_progress is not None:
             in_progress, self._in_progress = self._in_progress, None
             in_progress.abandon()
@@ -104,6 +159,22 @@
         """Treat the end of what a client sends as its leave."""
         return False
 
+    def pause_writing(self) -> None:
+        """Count what the client does not read, and serve and read nothing more of it meanwhile."""
+        assert self._transport is not None
+        self._note_unread(self._transport.get_write_buffer_size())
+        self._progress = self._progress_now()
+        self._progress_at = self._loop.time()
+        self._pause()
+
+    def resume_writing(self) -> None:
+        """Go on: the socket has taken everything."""
+        self._note_unread(0)
+        self._resting_since = self._loop.time()
+        self._resume()
+        if self._waiting:
+            self._loop.call_soon(self._serve_next)
+
     def data_received(self, data: bytes) -> None:
         """Read what arrived."""
         if self._refused:
@@ -122,7 +193,18 @@
                 self.refuse(STATUS_BAD_REQUEST)
         if self._refused:
             return
-        if not self._head_complete and self._header_bytes > self._handler.limits.max_header_bytes:
+        if not self._head_complete and self._reading_since is not None:
+            self._take_part_of_head(len(data))
+        elif self._held > self._current_bytes and self._memory.is_near:
+            self._paused_for_memory = True
+            self._memory.pauses += 1
+            self._pause()
+
+    def _take_part_of_head(self, size: int) -> None:
+        """Count a head that has not come whole, and refuse one that is too large."""
+        self._part_of_head += size
+        self._hold(size)
+        if self._header_bytes > self._handler.limits.max_header_bytes:
             self.refuse(STATUS_HEADER_TOO_LARGE)
 
     def answer(self, answer: FinalAnswer) -> None:
@@ -131,6 +213,8 @@
         self._current = None
         self._in_progress = None
         self._answered_early = True
+        self._hold(-self._current_bytes)
+        self._current_bytes = 0
         if self._transport is None or request is None:
             return
         close = not request.keep_alive or self._handler.closing
@@ -145,13 +229,15 @@
         if self._waiting:
             self._loop.call_soon(self._serve_next)
 
-    def refuse(self, status: int) -> None:
+    def refuse(self, status: int, headers: Headers = ()) -> None:
         """Answer what cannot be served, and close."""
         self._refused = True
-        if self._transport is None or self._current is not None:
+        self._body = []
+        if self._transport is None or self.busy_with_whole:
             self._abort()
             return
-        answer = FinalAnswer(status, REASONS[status], (), b"")
+        self._hold(-self._held)
+        answer = FinalAnswer(status, REASONS[status], headers, b"")
         self._transport.write(encode_answer(answer, close=True, head_only=False))
         self._transport.write_eof()
         self._loop.call_later(LINGER_S, self._abort)
@@ -182,6 +268,9 @@
             len(name) + len(value) for name, value in self._headers
         )
         self._head_complete = True
+        self._head_bytes = head_bytes
+        self._hold(head_bytes - self._part_of_head)
+        self._part_of_head = 0
         if head_bytes > self._handler.limits.max_header_bytes:
             self.refuse(STATUS_HEADER_TOO_LARGE)
             return
@@ -195,9 +284,12 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect the body (called by the parser)."""
+        if self._refused:
+            return
         self._body.append(body)
         self._body_bytes += len(body)
-        if self._body_bytes > self._handler.limits.max_body_bytes and not self._refused:
+        self._hold(len(body))
+        if self._body_bytes > self._handler.limits.max_body_bytes:
             self.refuse(STATUS_BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
@@ -218,6 +310,7 @@
         )
         self._body = []
         self._waiting.append(request)
+        self._waiting_bytes.append(self._head_bytes + self._body_bytes)
         if len(self._waiting) > MAX_WAITING_REQUESTS:
             self._refused = True
             self._abort()
@@ -228,8 +321,11 @@
         """Serve the oldest request that was read."""
         if self._current is not None or not self._waiting or self._transport is None:
             return
+        if self._unread:
+            return
         request = self._waiting.popleft()
         self._current = request
+        self._current_bytes = self._waiting_bytes.popleft()
         self._answered_early = False
         in_progress = self._handler.handle(request, self)
         if not self._answered_early:
@@ -249,6 +345,10 @@
         limits = self._handler.limits
         if self._transport is None or self._refused:
             return
+        if self._paused_at is not None:
+            # Neither the client's rest nor its slowness: it is this gateway that does not read.
+            self._arm()
+            return
         if self._reading_since is not None and self._current is None:
             if now - self._reading_since >= limits.header_timeout_s:
                 self.refuse(STATUS_TIMEOUT)
@@ -262,3 +362,85 @@
         """Drop the connection."""
         if self._transport is not None:
             self._transport.abort()
+
+    def _hold(self, size: int) -> None:
+        """Count bytes of requests that are held, or are not any more."""
+        self._held += size
+        self._memory.clients += size
+
+    def _note_unread(self, size: int) -> None:
+        """Count the bytes of answers that the socket has not taken."""
+        self._memory.clients += size - self._unread
+        self._unread = size
+
+    def _pause(self) -> None:
+        """Stop reading, and look again and again until that may end."""
+        assert self._transport is not None
+        self._transport.pause_reading()
+        if self._paused_at is None:
+            self._paused_at = self._loop.time()
+        if self._watch is None:
+            self._watch = self._loop.call_later(WATCH_S, self._look)
+
+    def _resume(self) -> None:
+        """Read on if nothing stands against it; the time without reading was not the client's."""
+        if self._paused_at is None or self._unread or self._paused_for_memory:
+            return
+        paused_s = self._loop.time() - self._paused_at
+        self._paused_at = None
+        self._resting_since += paused_s
+        if self._reading_since is not None:
+            self._reading_since += paused_s
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+    def _look(self) -> None:
+        """Decide what becomes of a client that does not read, or whose requests have no room."""
+        self._watch = None
+        if self._transport is None or self._paused_at is None or self._refused:
+            return
+        now = self._loop.time()
+        if self._unread:
+            self._look_at_unread(now)
+        elif self._paused_for_memory:
+            self._look_for_room(now)
+        if self._paused_at is not None:
+            self._watch = self._loop.call_later(WATCH_S, self._look)
+
+    def _look_at_unread(self, now: float) -> None:
+        """End the connection if its client takes nothing for too long."""
+        assert self._transport is not None
+        self._note_unread(self._transport.get_write_buffer_size())
+        progress = self._progress_now()
+        if progress != self._progress:
+            self._progress = progress
+            self._progress_at = now
+            return
+        idle_s = now - self._progress_at
+        if idle_s >= self._longest_unread_s():
+            self._memory.note_ended_unread(self._unread, idle_s)
+            self._abort()
+
+    def _longest_unread_s(self) -> float:
+        """Return how long this client may take nothing now."""
+        if self._memory.is_full:
+            return UNREAD_FULL_S
+        return UNREAD_CLOSING_S if self._handler.closing else UNREAD_S
+
+    def _look_for_room(self, now: float) -> None:
+        """Read on when there is room; refuse what has waited for it too long."""
+        if not self._memory.is_near:
+            self._paused_for_memory = False
+            self._resume()
+            return
+        assert self._paused_at is not None
+        too_long = now - self._paused_at >= PAUSED_S or self._memory.is_full
+        if too_long and self._held and not self.busy_with_whole:
+            self._memory.note_refused_body()
+            retry_after = b"%.3f" % RETRY_AFTER_S
+            self.refuse(STATUS_UNAVAILABLE, ((RETRY_AFTER, retry_after),))
+
+    def _progress_now(self) -> tuple[int, int]:
+        """Return two figures of which one changes whenever the client takes anything."""
+        assert self._transport is not None
+        return (self._transport.get_write_buffer_size(), acknowledged_bytes(self._transport))
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -9,6 +9,7 @@
 
 from tinrudder.gateway.backend_directory import Backend, BackendDirectory
 from tinrudder.gateway.load_reports import LoadReports
+from tinrudder.gateway.memory_account import MemoryAccount
 from tinrudder.gateway.model import HeaderNames, RepeatBounds, Route
 from tinrudder.gateway.run_guard import CrashEvidence
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
@@ -46,6 +47,7 @@
 
     :param sharers: tells in how many equal parts the fleet's repeats of a service are divided.
     :param evidence: what is held against requests since back ends were lost under them.
+    :param memory: counts what is held for others, and says who finds no room.
     :param zone_answered: is told of each answer from a zone.
     :param zone_doubted: is told of a call to a zone that is overdue, and when it was sent.
     """
@@ -60,6 +62,7 @@
     load_reports: LoadReports
     evidence: CrashEvidence
     counters: ForwardingCounters = field(default_factory=ForwardingCounters)
+    memory: MemoryAccount = field(default_factory=MemoryAccount)
     zone_answered: Callable[[str], None] = lambda zone: None
     zone_doubted: Callable[[str, float], None] = lambda zone, sent_at: None
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -13,6 +13,7 @@
 
 from msgspec import Struct
 
+from tinrudder.gateway.memory_account import MemoryAccount
 from tinrudder.gateway.request_latencies import LatencyCounts, LatencyLabels
 from tinrudder.gateway.request_log import FinishedRequest
 
@@ -89,6 +90,7 @@
                 "Requests refused since back ends crash under them.",
                 lambda: node.poison.refused,
             ),
+            *_memory_figures(node.memory),
             Figure(
                 f"{PREFIX}_missing_shards",
                 "Shards left out of merged answers.",
@@ -149,6 +151,35 @@
 }
 
 
+def _memory_figures(account: MemoryAccount) -> list[Figure]:
+    """Return what is held for others, and who found no room."""
+    counted = {
+        "memory_refused": ("refused", "Requests refused since there was no room in memory."),
+        "clients_ended_unread": ("ended_unread", "Connections ended since nobody read answers."),
+        "reading_paused": ("pauses", "Times that reading from a client was stopped."),
+    }
+    held = {
+        "clients": "Bytes held for clients: requests, and answers that they have not taken.",
+        "backends": "Bytes held of back ends: requests not taken, answers until they are merged.",
+        "peers": "Bytes held for other gateways, at the latest look, one a second.",
+        "bound": "Bytes that may be held for all together.",
+    }
+    figures = [
+        Figure(f"{PREFIX}_{name}", text, functools.partial(getattr, account, field))
+        for name, (field, text) in counted.items()
+    ]
+    figures += [
+        Figure(
+            f"{PREFIX}_held_{name}_bytes",
+            text,
+            functools.partial(getattr, account, name),
+            is_counter=False,
+        )
+        for name, text in held.items()
+    ]
+    return figures
+
+
 def _gauges(node: GatewayNode) -> list[Figure]:
     """Return what is as it is now."""
     return [
--- a/tinrudder/gateway/messages.py
+++ b/tinrudder/gateway/messages.py
@@ -140,17 +140,29 @@
     """Bytes may have left and no usable answer came: the back end may have run the call.
 
     :param unanswered: the connection ended before a byte of the answer came, as it does when the
-        back end's process ends.
+        back end's process ends; the back end had been sent the whole request.
+    :param stood_still: this gateway did not read for so long that the other side may have ended the
+        connection for that; it says nothing of the back end nor of the request.
     """
 
     detail: str = ""
     unanswered: bool = False
+    stood_still: bool = False
 
 
 CallOutcome = Answered | Rejected | NotSent | Withdrawn | Broken
 AnswerListener = Callable[[CallOutcome], None]
 
 
+def _nobody_listens(outcome: CallOutcome) -> None:
+    """Take no notice: the call has ended."""
+
+
+def _nothing_leaves() -> bytes | None:
+    """Withdraw a call that has ended."""
+    return None
+
+
 class UpstreamCall(Struct, eq=False):
     """One call on its way to a back end.
 
@@ -160,6 +172,7 @@
     :param deadline: monotonic time after which the answer is of no use.
     :param repeatable: another may be sent if this one gets no answer; one that may not is sent
         only over a connection that has just been heard.
+    :param body_bytes: size of a body that must find room at the back end; 0: it is too small.
     :param sent_at: monotonic time at which bytes left, ``None`` before.
     """
 
@@ -169,6 +182,7 @@
     deadline: float
     body_expected: bool = True
     repeatable: bool = True
+    body_bytes: int = 0
     sent_at: float | None = None
     finished: bool = False
     carrier: object = None
@@ -177,6 +191,13 @@
         """Report the outcome, once."""
         if self.finished:
             return
+        listener = self.listener
+        self.forget()
+        listener(outcome)
+
+    def forget(self) -> None:
+        """Report nothing any more; let go of those who made the call, who know it too."""
         self.finished = True
         self.carrier = None
-        self.listener(outcome)
+        self.listener = _nobody_listens
+        self.make_bytes = _nothing_leaves
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 from collections.abc import Callable
 
 from tinrudder.gateway.access import Access
@@ -16,6 +17,7 @@
 from tinrudder.gateway.knowledge import Knowledge
 from tinrudder.gateway.knowledge_keeper import KnowledgeKeeper
 from tinrudder.gateway.load_reports import LoadReports
+from tinrudder.gateway.memory_account import MemoryAccount
 from tinrudder.gateway.model import Address, GatewaySettings, HeaderNames
 from tinrudder.gateway.node_log import (
     log_configuration,
@@ -45,15 +47,21 @@
 from tinrudder.gateway.zone_watch import ZoneWatch
 from tinrudder.lifecycle import NodeLifecycle
 from tinrudder.logs import log_event
+from tinrudder.routing.memory_bound import account_bytes
+from tinrudder.routing.stand_still import LOOK_S, StandStill
 from tinrudder.wire.peer_client import PeerClient
 
-HOUSEKEEPING_S = 1.0
+HOUSEKEEPING_S = LOOK_S
 LEAVE_S = 2.6
 EXIT_MARGIN_S = 0.4
 LAST_LOOK_S = 0.05
 QUIET_LOOKS = 2
 FAREWELL_S = 0.2
 LISTEN_BACKLOG = 1024
+SEND_BUFFER_BYTES = 128 * 1024
+"""What the kernel may hold of answers that a client has not taken, per connection; it takes twice
+that for its own.  Left to itself it took 3 to 3.9 MB for one client at 1 KB a second, on loopback,
+where no account counts it; 128 KB within 10 ms are 13 MB a second for one client."""
 NEWS_S = 2.0
 UNACKNOWLEDGED_S = 1.0
 STALE_AFTER_S = 6.0
@@ -88,6 +96,10 @@
         self.peers.set_seeds(settings.seeds)
         self.datagrams = PeerDatagrams()
         self.probes = Probes(self.datagrams, self._answer_probe, loop.time)
+        self.client = PeerClient(lambda: None, UNACKNOWLEDGED_S)
+        bound = account_bytes(settings.memory_mb)
+        self.memory = MemoryAccount(bound, loop.time, self._count_peer_bytes)
+        self.still = StandStill(loop.time())
         self.watch = ZoneWatch(
             settings.zone, self.peers, self.probes, self._random, self._on_reach_change
         )
@@ -115,6 +127,8 @@
             str(self._own),
             settings.cold,
             self.watch.is_closed,
+            self.memory,
+            lambda since: self.still.covers(since, loop.time()),
         )
         self.poison = PoisonWatch(
             self.peers, self.datagrams, loop.time, names, random.Random(f"poison {settings.name}")
@@ -130,6 +144,7 @@
             load_reports=LoadReports(decoders.load_report, loop.time),
             evidence=self.poison,
             counters=self.counters,
+            memory=self.memory,
             zone_answered=self.watch.answered,
             zone_doubted=self.watch.doubt,
         )
@@ -144,7 +159,7 @@
         )
         self.metrics = GatewayMetrics(self)
         relaying = Relaying(
-            client=PeerClient(lambda: None, UNACKNOWLEDGED_S),
+            client=self.client,
             coordinators=self.coordinators,
             forwarding=self.forwarding,
             watch=self.watch,
@@ -323,12 +338,15 @@
     ) -> None:
         """Accept connections for a handler."""
         server = await self._loop.create_server(
-            lambda: ClientConnection(handler, connections),
+            lambda: ClientConnection(handler, connections, self.memory),
             address.host,
             address.port,
             backlog=LISTEN_BACKLOG,
             reuse_address=True,
         )
+        for listening in server.sockets:
+            # Connections that it accepts have the same.
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         self._servers.append(server)
 
     async def _stop(self) -> None:
@@ -371,6 +389,8 @@
         """Drop what has become useless."""
         while True:
             await asyncio.sleep(HOUSEKEEPING_S)
+            self.still.note(self._loop.time())
+            self.memory.look()
             self.state.forget_old_removals()
             self.directory.trim()
 
@@ -397,6 +417,11 @@
         """Log what a peer taught."""
         log_pull(peer, result, self.state.configuration_revision)
 
+    def _count_peer_bytes(self) -> int:
+        """Return the bytes of frames that peers have not taken, and of their requests at work."""
+        served = self._exchange.held_bytes if self._exchange is not None else 0
+        return served + self.client.held_bytes
+
     def _count_connection(self) -> None:
         """Count a connection opened to a back end."""
         self.counters.connections_opened += 1
--- a/tinrudder/gateway/peer_exchange.py
+++ b/tinrudder/gateway/peer_exchange.py
@@ -116,6 +116,11 @@
         await self._peer_server.close()
         await self._client.close()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes held for peers that ask."""
+        return self._peer_server.held_bytes
+
     def send_digests(self, *, zone_only: bool = False) -> None:
         """Tell peers how far this gateway's knowledge goes.
 
--- a/tinrudder/gateway/request_bytes.py
+++ b/tinrudder/gateway/request_bytes.py
@@ -43,6 +43,11 @@
             self._fingerprint = fingerprint_of(self._request, self._names)
         return self._fingerprint
 
+    @property
+    def body_bytes(self) -> int:
+        """Return the size of the body."""
+        return len(self._body)
+
     def origin(self, route: str) -> bytes:
         """Return what all requests of this caller on a route share."""
         if self._origin is None:
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -194,6 +194,7 @@
         moments = self._moments.of(route, admitted.request, serving.received_at)
         plan = (
             self._reach.refusal(route)
+            or self._memory_refusal(routes, route, admitted)
             or self._poison.refusal(route, admitted.request)
             or self._plan(routes, route, admitted, moments, serving)
         )
@@ -205,6 +206,15 @@
         serving.run = plan
         plan.start()
 
+    def _memory_refusal(
+        self, routes: RoutesInForce, route: Route, admitted: Admitted
+    ) -> NotRun | None:
+        """Return why there is no room for a request; the less urgent are refused first."""
+        memory = self.forwarding.memory
+        if not memory.may_be_near:
+            return None
+        return memory.refusal(routes.steps_below_urgent(admitted.priority(route)))
+
     def give_back(self, serving: _Serving) -> None:
         """Let a tenant ask again for what was granted and has not run."""
         if serving.granted and serving.tenant is not None:
@@ -343,6 +353,8 @@
         answer = build_answer(outcome, forwarding.names, self.request_id or None)
         self._connection.answer(answer)
         handler.finished(self._finished(outcome))
+        # Else the cycle of the two keeps the request until the collector's next run.
+        self.run = None
 
     def abandon(self) -> None:
         """Stop for a client that has left."""
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -74,6 +74,7 @@
         self._timer_at = NEVER
         self.decided_at = 0.0
         self._included = 0
+        self._part_bytes = 0
         self._ended: set[ShardCalls] = set()
         self._hopeless: set[ShardCalls] = set()
         self._unheard_may_run = False
@@ -264,11 +265,17 @@
         if shard.part is not None:
             self._ended.add(shard)
             self._included += 1
+            self._hold(len(shard.part.body))
         if shard.hopeful or shard.part is not None:
             self._hopeless.discard(shard)
         else:
             self._hopeless.add(shard)
 
+    def _hold(self, size: int) -> None:
+        """Count bytes of answers that wait for the others, or do not any more."""
+        self._part_bytes += size
+        self._forwarding.memory.backends += size
+
     def _act(self, now: float) -> None:
         """Wait, answer or fail, as decided now."""
         self.decided_at = now
@@ -381,13 +388,14 @@
     def _stop(self) -> None:
         """Stop sending; what still runs is awaited a little, since closing costs a connection."""
         self._finished = True
+        self._hold(-self._part_bytes)
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         for group in self._delegated:
             group.cancel()
         for shard in self.shards:
-            shard.withdraw_unsent()
+            shard.end()
         if any(shard.running for shard in self.shards):
             self._forwarding.loop.call_later(ABSORB_S, self._cancel_running)
 
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -65,6 +65,9 @@
             return Declined("no scatter by the configuration here")
         if not set(scatter.shards) <= set(route.shards):
             return Declined("other shards by the configuration here")
+        if self._forwarding.memory.refusal(routes.steps_below_urgent(scatter.priority)):
+            # The entry may ask another coordinator.
+            return Declined("no room in memory")
         moments = self._moments(scatter)
         version = routes.configuration.version
         refusal = self._refusal(routes, route, scatter, moments)
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -26,6 +26,7 @@
 from tinrudder.gateway.run_guard import POISON, Permission, RunGuard
 from tinrudder.routing.backend_observations import RunningCall
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
+from tinrudder.routing.memory_bound import large_body_bytes
 
 MAX_SENDS = 4
 """How many calls of one shard may leave for one request, a choice: two replicas, each twice."""
@@ -42,6 +43,8 @@
 """How long a hedge may have to wait for a slot, in usual latencies, a choice: it would come later
 than what it is to replace."""
 NEVER = float("inf")
+FORGOTTEN = HttpAnswer(200, b"", (), b"")
+"""Stands for an answer that has been given away."""
 
 
 class Attempt(Struct, eq=False):
@@ -58,6 +61,10 @@
     running: RunningCall | None = None
 
 
+def _ignore_change(shard: ShardCalls) -> None:
+    """Take no notice: the run has ended."""
+
+
 class ShardCalls:
     """Runs one shard's calls until one is answered or nothing more can be tried.
 
@@ -98,6 +105,7 @@
         self._guard = guard
         self._relay_failures = relay_failures
         self._asked_before = asked_before
+        self._ended = False
         self._attempts: list[Attempt] = []
         self._tries = 0
         self._offered: Counter[str] = Counter()
@@ -159,6 +167,17 @@
                 self._attempts.remove(attempt)
                 attempt.backend.pool.cancel(attempt.call)
 
+    def end(self) -> None:
+        """Send nothing more and keep no answer; what runs only tells of its back end from now on.
+
+        Without this, answers stay until the collector's next run, a hundred requests later.
+        """
+        self._ended = True
+        self._on_change = _ignore_change
+        if self.part is not None:
+            self.part = FORGOTTEN
+        self.withdraw_unsent()
+
     def cancel_running(self, now: float) -> None:
         """Close the connections of calls that nobody waits for any more."""
         for attempt in self._attempts:
@@ -291,6 +310,7 @@
             deadline=self._request.deadline_at,
             body_expected=self._request.body_expected,
             repeatable=self._route.repeatable,
+            body_bytes=large_body_bytes(self._request.body_bytes),
         )
 
     def _leave(self, attempt: Attempt) -> bytes | None:
@@ -318,7 +338,7 @@
         observe_end(self._forwarding, self._route, attempt.backend, attempt.running, outcome, now)
         if attempt.running is not None:
             self._tell_guard(attempt, outcome)
-        if self.part is not None:
+        if self._ended or self.part is not None:
             return
         match outcome:
             case Answered(answer=answer):
--- a/tinrudder/gateway/upstream_connection.py
+++ b/tinrudder/gateway/upstream_connection.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from tinrudder.gateway.answer_reader import AnswerReader, ReadState
+from tinrudder.gateway.held_bytes import HeldBytes
 from tinrudder.gateway.messages import (
     Answered,
     Broken,
@@ -26,6 +27,12 @@
 NEVER = float("inf")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
+
+def never_stood_still(since: float) -> bool:
+    """Take this process for one that always ran."""
+    return False
+
+
 AnswerCheck = Callable[[UpstreamCall, HttpAnswer], CallOutcome]
 
 
@@ -35,7 +42,7 @@
     :ivar heard_at: when anything came over it, at first its opening.
 
     Whatever arrives while no call is waiting closes the connection: those bytes belong to no
-    request.
+    request.  Answers are read as they arrive, whatever the client does who waits for them.
     """
 
     def __init__(
@@ -43,9 +50,18 @@
         check: AnswerCheck,
         on_free: Callable[[UpstreamConnection], None],
         on_closed: Callable[[UpstreamConnection], None],
+        memory: HeldBytes,
+        stood_still: Callable[[float], bool] = never_stood_still,
     ) -> None:
-        """Judge whole answers with ``check``; report to the pool."""
+        """Judge whole answers with ``check``; report to the pool.
+
+        :param stood_still: tells whether this process did not run for a while since a moment.
+        """
         self.usable_until = NEVER
+        self._memory = memory
+        self._stood_still = stood_still
+        self._untaken = 0
+        self._counted = 0
         self._check = check
         self._on_free = on_free
         self._on_closed = on_closed
@@ -59,6 +75,8 @@
         """Keep the transport, and let the kernel give up on a silent machine."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        # So that the transport tells of every byte that the socket does not take at once.
+        transport.set_write_buffer_limits(high=0)
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is not None:
             tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
@@ -79,7 +97,9 @@
         if data is None:
             return False
         self._call = call
-        self._reader = AnswerReader(body_expected=call.body_expected)
+        self._reader = AnswerReader(
+            body_expected=call.body_expected, most_bytes=self._memory.largest_answer
+        )
         call.carrier = self
         call.sent_at = self._loop.time()
         self._transport.write(data)
@@ -91,6 +111,15 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def pause_writing(self) -> None:
+        """Count what the back end does not take."""
+        assert self._transport is not None
+        self._note_untaken(self._transport.get_write_buffer_size())
+
+    def resume_writing(self) -> None:
+        """Count nothing more: the socket has taken everything."""
+        self._note_untaken(0)
+
     def data_received(self, data: bytes) -> None:
         """Read the answer of the call in progress."""
         reader = self._reader
@@ -99,7 +128,9 @@
             return
         self.heard_at = self._loop.time()
         state = reader.feed(data)
-        if state is ReadState.COMPLETE:
+        if state is ReadState.READING:
+            self._count(reader.body_bytes)
+        elif state is ReadState.COMPLETE:
             self._end_with_answer(reader)
         elif state is ReadState.UNREADABLE:
             self._end(Broken(reader.detail), reusable=False)
@@ -111,24 +142,40 @@
             if reader.end_of_stream() is ReadState.COMPLETE:
                 self._end_with_answer(reader)
             else:
-                self._end(Broken(reader.detail, not reader.begun), reusable=False)
+                self._end(self._broken(reader.detail, None), reusable=False)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Without its whole answer, a call that was sent may have run."""
         self._transport = None
         if self._call is not None:
-            detail = f"connection lost: {exc}"
-            self._end(Broken(detail, self._ended_unanswered(exc)), reusable=False)
+            self._end(self._broken(f"connection lost: {exc}", exc), reusable=False)
+        self._note_untaken(0)
+        self._count(0)
         self._on_closed(self)
 
-    def _ended_unanswered(self, exc: Exception | None) -> bool:
-        """Tell whether the other side ended the connection before it answered.
+    def _broken(self, detail: str, exc: Exception | None) -> Broken:
+        """Say what the end of the connection tells, if the other side ended it.
 
-        Where the kernel gave up waiting, the way there is what failed.
+        Where the kernel gave up waiting, the way there is what failed; where the back end had not
+        been sent the whole request, or cut off what this process left unread, the request is not.
         """
+        assert self._call is not None and self._call.sent_at is not None
+        if self._stood_still(self._call.sent_at):
+            return Broken(detail, stood_still=True)
         begun = self._reader is not None and self._reader.begun
-        return not begun and not isinstance(exc, TimeoutError)
+        unanswered = not begun and not self._untaken and not isinstance(exc, TimeoutError)
+        return Broken(detail, unanswered)
+
+    def _note_untaken(self, size: int) -> None:
+        """Count the bytes of a request that the socket has not taken."""
+        self._memory.backends += size - self._untaken
+        self._untaken = size
+
+    def _count(self, size: int) -> None:
+        """Count the bytes of an answer that has come in part."""
+        self._memory.backends += size - self._counted
+        self._counted = size
 
     def _end_with_answer(self, reader: AnswerReader) -> None:
         """End the call with a whole answer."""
@@ -160,6 +207,8 @@
         assert call is not None
         self._call = None
         self._reader = None
+        if self._counted:
+            self._count(0)
         if not reusable:
             self.abort()
         call.finish(outcome)
--- a/tinrudder/gateway/upstream_pool.py
+++ b/tinrudder/gateway/upstream_pool.py
@@ -7,12 +7,18 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import Callable
 
-from tinrudder.gateway.messages import NotSent, UpstreamCall, Withdrawn
+from tinrudder.gateway.held_bytes import HeldBytes
+from tinrudder.gateway.messages import CallOutcome, NotSent, UpstreamCall, Withdrawn
 from tinrudder.gateway.model import Address
-from tinrudder.gateway.upstream_connection import AnswerCheck, UpstreamConnection
+from tinrudder.gateway.upstream_connection import (
+    AnswerCheck,
+    UpstreamConnection,
+    never_stood_still,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 """How long a connection may take to open, a choice: a hundred times the way between zones, and less
@@ -26,9 +32,26 @@
 class UpstreamPool:
     """All connections to one address."""
 
-    def __init__(self, address: Address, check: AnswerCheck, on_opened: Callable[[], None]) -> None:
-        """Open connections as calls need them; ``on_opened`` counts them."""
+    def __init__(
+        self,
+        address: Address,
+        check: AnswerCheck,
+        on_opened: Callable[[], None],
+        memory: HeldBytes | None = None,
+        stood_still: Callable[[float], bool] = never_stood_still,
+    ) -> None:
+        """Open connections as calls need them; ``on_opened`` counts them.
+
+        :param memory: counts what is held for the server; without it, nobody asks for that.
+        :param stood_still: tells whether this process did not run for a while since a moment.
+        """
         self.max_connections = 1
+        self.max_body_bytes = math.inf
+        self._memory = memory if memory is not None else HeldBytes()
+        self._stood_still = stood_still
+        self._body_bytes = 0
+        self._with_body: set[UpstreamCall] = set()
+        self._held: deque[UpstreamCall] = deque()
         self._address = address
         self._check = check
         self._on_opened = on_opened
@@ -45,6 +68,17 @@
         return len(self._open) + len(self._connecting)
 
     def start(self, call: UpstreamCall) -> None:
+        """Send a call over an idle connection, or let it wait for one.
+
+        A large body waits until those on the way to the server leave room for it there.
+        """
+        if call.body_bytes and not self._take_room(call):
+            call.carrier = self
+            self._held.append(call)
+            return
+        self._start(call)
+
+    def _start(self, call: UpstreamCall) -> None:
         """Send a call over an idle connection, or let it wait for one."""
         connection = self._take_idle() if call.repeatable else self._take_trusted()
         if connection is not None:
@@ -56,9 +90,42 @@
 
     def cancel(self, call: UpstreamCall) -> None:
         """Take back a waiting call; close the connection of one that was sent."""
-        call.finished = True
-        if isinstance(call.carrier, UpstreamConnection):
-            call.carrier.abort()
+        carrier = call.carrier
+        call.forget()
+        if isinstance(carrier, UpstreamConnection):
+            carrier.abort()
+        self._give_room(call)
+
+    def _take_room(self, call: UpstreamCall) -> bool:
+        """Count a large body as on its way, if there is room for it; the first one always has."""
+        if self._with_body and self._body_bytes + call.body_bytes > self.max_body_bytes:
+            return False
+        self._with_body.add(call)
+        self._body_bytes += call.body_bytes
+        listener = call.listener
+
+        def end(outcome: CallOutcome) -> None:
+            self._give_room(call)
+            listener(outcome)
+
+        call.listener = end
+        return True
+
+    def _give_room(self, call: UpstreamCall) -> None:
+        """Count a body no more, and start calls that waited for that."""
+        if call not in self._with_body:
+            return
+        self._with_body.remove(call)
+        self._body_bytes -= call.body_bytes
+        while self._held:
+            held = self._held[0]
+            if not held.finished and not self._take_room(held):
+                return
+            self._held.popleft()
+            if held.deadline <= self._loop.time():
+                held.finish(NotSent("no room for the body before the deadline"))
+            elif not held.finished:
+                self._start(held)
 
     def close(self) -> None:
         """Close what is idle now and the rest when its call has ended."""
@@ -162,7 +229,9 @@
 
     def _new_connection(self) -> UpstreamConnection:
         """Make the protocol of a connection that reports here."""
-        return UpstreamConnection(self._check, self._on_free, self._on_closed)
+        return UpstreamConnection(
+            self._check, self._on_free, self._on_closed, self._memory, self._stood_still
+        )
 
     def _forget_connecting(self) -> None:
         """Take the current task off the list of those that connect."""
--- /dev/null
+++ b/tinrudder/routing/stand_still.py
@@ -0,0 +1,47 @@
+"""Whether this process itself stood still: then silence and cut connections are its own doing.
+
+It answers a process that is paused, or whose machine is: what it left unread meanwhile, others cut
+off, and it would take that for their failure.
+"""
+
+from __future__ import annotations
+
+LOOK_S = 1.0
+"""How often the process notes that it runs; its housekeeping does, so that this costs nothing."""
+STOOD_STILL_S = 0.5
+"""How much later than due a note must be, a choice: a pause of 1.5 s is always found, and back ends
+give an answer that is not read some seconds."""
+
+
+class StandStill:
+    """Remembers when the process was last seen running, and when it woke.
+
+    >>> still = StandStill(0.0)
+    >>> still.note(1.0)
+    >>> still.covers(0.5, now=1.2), still.covers(0.5, now=4.0)
+    (False, True)
+    >>> still.note(4.0)
+    >>> still.covers(0.5, now=4.1), still.covers(4.05, now=4.1)
+    (True, False)
+    """
+
+    def __init__(self, now: float) -> None:
+        """Begin to run."""
+        self._noted_at = now
+        self._woke_at = float("-inf")
+
+    def note(self, now: float) -> None:
+        """Note that the process runs; to be called every :data:`LOOK_S`."""
+        if self._is_late(now):
+            self._woke_at = now
+        self._noted_at = now
+
+    def covers(self, since: float, now: float) -> bool:
+        """Tell whether the process stood still at some time since a moment.
+
+        What woke it may be asked about before the next note.
+        """
+        return self._woke_at > since or self._is_late(now)
+
+    def _is_late(self, now: float) -> bool:
+        return now - self._noted_at >= LOOK_S + STOOD_STILL_S
--- a/tinrudder/wire/peer_client.py
+++ b/tinrudder/wire/peer_client.py
@@ -24,7 +24,9 @@
 CONNECT_SHARE = 0.5
 IDLE_CLOSE_S = 60.0
 LONGEST_SILENCE_S = 0.25
-MAX_UNSENT_BYTES = 32 * 1024 * 1024
+MAX_UNSENT_BYTES = MAX_FRAME_BYTES
+"""What one peer may leave unread: as much as the largest request; the rest of a small process's
+memory, 108 MB, bears six such peers."""
 
 ClientContext = Callable[[], ssl.SSLContext | None]
 
@@ -128,6 +130,12 @@
                 _write(connection, Frame(FrameType.CANCEL, request_id))
             self._close_when_idle(destination, connection)
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of frames that peers have not taken."""
+        connections = self._connections.values()
+        return sum(one.writer.transport.get_write_buffer_size() for one in connections)
+
     async def close(self) -> None:
         """Close every connection once what was written to it has left."""
         for task in tuple(self._connecting.values()):
--- a/tinrudder/wire/peer_server.py
+++ b/tinrudder/wire/peer_server.py
@@ -23,7 +23,9 @@
 )
 
 MAX_REQUESTS_IN_FLIGHT = 1024
-MAX_UNREAD_BYTES = 32 * 1024 * 1024
+MAX_UNREAD_BYTES = MAX_FRAME_BYTES
+"""What one peer may leave unread: as much as the largest answer; the rest of a small process's
+memory, 108 MB, bears six such peers."""
 IDLE_TIMEOUT_S = 300.0
 CLOSE_TIMEOUT_S = 2.0
 PROGRESS_INTERVAL_S = 0.1
@@ -34,12 +36,14 @@
     """One accepted connection and the requests that run for it.
 
     :param unconfirmed: requests that wait for their sender's word before they begin.
+    :param request_bytes: size of the requests that run.
     """
 
     source: PeerAddress
     writer: asyncio.StreamWriter
     running: dict[int, asyncio.Task[None]] = field(default_factory=dict)
     unconfirmed: dict[int, asyncio.Event] = field(default_factory=dict)
+    request_bytes: int = 0
 
 
 class PeerServer:
@@ -69,6 +73,14 @@
                 task.cancel()
             writer.close()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of requests at work, and of frames that peers have not taken."""
+        at_work = sum(accepted.request_bytes for accepted in self._accepted)
+        return at_work + sum(
+            accepted.writer.transport.get_write_buffer_size() for accepted in self._accepted
+        )
+
     async def close(self) -> None:
         """Close every connection once the answers written to it have left."""
         writers = [accepted.writer for accepted in self._accepted]
@@ -117,9 +129,10 @@
             return
         task = asyncio.create_task(_answer(accepted, handler, frame, confirmed))
         accepted.running[frame.request_id] = task
+        accepted.request_bytes += len(frame.payload)
         if confirmed is not None:
             accepted.unconfirmed[frame.request_id] = confirmed
-        task.add_done_callback(partial(_forget, accepted, frame.request_id))
+        task.add_done_callback(partial(_forget, accepted, frame.request_id, len(frame.payload)))
 
 
 async def _next_header(reader: asyncio.StreamReader, accepted: _Accepted) -> FrameHeader:
@@ -183,8 +196,11 @@
     accepted.writer.write(encode_frame(frame))
 
 
-def _forget(accepted: _Accepted, request_id: int, task: asyncio.Task[None]) -> None:
+def _forget(
+    accepted: _Accepted, request_id: int, request_bytes: int, task: asyncio.Task[None]
+) -> None:
     """Drop an ended request."""
+    accepted.request_bytes -= request_bytes
     if accepted.running.get(request_id) is task:
         del accepted.running[request_id]
         accepted.unconfirmed.pop(request_id, None)
--- a/tinrudder_lab/emulator/backend.py
+++ b/tinrudder_lab/emulator/backend.py
@@ -14,6 +14,7 @@
 from tinrudder_lab.emulator.records import Arrival
 
 RECORD_BYTES = 16
+ANSWER_RECORDS = 6
 QUEUE_PLACES = 12
 CLOCK_STEP_S = 0.001
 
@@ -68,6 +69,7 @@
         self.ends_under: Callable[[ServedRequest], bool] = lambda request: False
         self.on_end: Callable[[ServedRequest], None] = lambda request: None
         self.slots = slots
+        self.records_of: Callable[[ServedRequest], int] = lambda request: ANSWER_RECORDS
         self.open_connections: set[ServerConnection] = set()
         self.peak_connections = 0
         self._ledger = ledger
@@ -168,7 +170,7 @@
         request, connection = job.request, job.connection
         fault = self.choose_fault()
         request_id = request.headers["tinrudder-request-id"]
-        body = self._random.randbytes(RECORD_BYTES * 6)
+        body = self._random.randbytes(RECORD_BYTES * self.records_of(request))
         headers = {
             "Tinrudder-Request-Id": request_id,
             "Tinrudder-Backend-Load": self.tell_load(),
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -15,7 +15,7 @@
 from tinrudder.platform.documents import BACKENDS_PREFIX, CONFIGURATION_KEY, EVACUATION_PREFIX
 from tinrudder.platform.headers import HEADERS
 from tinrudder.platform.store_client import StoreClient
-from tinrudder_lab.emulator.backend import EmulatedBackend
+from tinrudder_lab.emulator.backend import ANSWER_RECORDS, EmulatedBackend
 from tinrudder_lab.emulator.client import PlannedRequest, send_request
 from tinrudder_lab.emulator.http_server import ServedRequest
 from tinrudder_lab.emulator.ledger import ROUTE_ATTEMPTS, Ledger
@@ -133,6 +133,7 @@
     version: int = 0
     backends_added: int = 0
     ends_under: Callable[[ServedRequest], bool] = lambda request: False
+    records_of: Callable[[ServedRequest], int] = lambda request: ANSWER_RECORDS
     _serial: int = 0
     _entries: dict[str, tuple[str, str, str]] = field(default_factory=dict)
 
@@ -178,6 +179,7 @@
         """Make the process of a back end."""
         backend = EmulatedBackend(backend_id, service, self.ledger, self.random, self._work_time)
         backend.ends_under = lambda request: self.ends_under(request)
+        backend.records_of = lambda request: self.records_of(request)
         backend.on_end = lambda request: self._on_end(backend, request)
         self.backends[backend_id] = backend
         return backend
