The soak has clients that read slowly or not at all

They ask for three answers of 480 KB at once and read 1 KB/s or nothing, about a tenth of all clients; the soak tells the most memory that any gateway took, and is broken if that is above the settings' 152 MB.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -18,3 +18,4 @@
     result = asyncio.run(soak(SEED, SECONDS, tmp_path))
     assert result.broken == []
     assert result.ended_back_ends > 0
+    assert result.slow_readers > 0
--- a/tinrudder_lab/main.py
+++ b/tinrudder_lab/main.py
@@ -243,14 +243,19 @@
     folder.mkdir(parents=True, exist_ok=True)
     print(f"logs: {folder}", file=sys.stderr)
     cause = "given on the command line"
-    runs = [RegressionSeed(parsed.seed, parsed.seconds, parsed.gateways, cause, poison=True)]
+    runs = [
+        RegressionSeed(parsed.seed, parsed.seconds, parsed.gateways, cause, poison=True, slow=True)
+    ]
     if parsed.regressions:
         runs = [*REGRESSIONS]
     broken = False
     for one in runs:
         of_seed = folder / str(one.seed)
         of_seed.mkdir(exist_ok=True)
-        result = asyncio.run(soak(one.seed, one.seconds, of_seed, one.gateways, poison=one.poison))
+        running = soak(
+            one.seed, one.seconds, of_seed, one.gateways, poison=one.poison, slow=one.slow
+        )
+        result = asyncio.run(running)
         print(msgspec.json.encode(result).decode(), flush=True)
         broken |= bool(result.broken)
     return EXIT_VIOLATIONS if broken else 0
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -33,6 +33,8 @@
 STOP_TIMEOUT_S = GRACE_S + 4.0
 REVOCATION_S = 5.0
 QUOTAS = QuotaBounds()
+MEMORY_MB = 152
+"""What a gateway's process may take: the smallest setting seen."""
 
 
 @dataclass
@@ -41,6 +43,7 @@
 
     :param folder: for settings files and logs.
     :param problems: what faults found that no client or back end can see.
+    :param peak_mb: the most that any gateway's process took, megabytes.
     """
 
     folder: Path = field(default_factory=Path)
@@ -48,6 +51,7 @@
     links: dict[str, LinkProxy] = field(default_factory=dict)
     processes: dict[str, asyncio.subprocess.Process] = field(default_factory=dict)
     problems: list[str] = field(default_factory=list)
+    peak_mb: float = 0.0
     _locks: dict[str, asyncio.Lock] = field(default_factory=dict)
 
     async def reachable_at(self, backend_id: str, address: Address) -> Address:
@@ -176,4 +180,6 @@
 quota_window_s = {QUOTAS.window_s}
 quota_excess = {QUOTAS.excess}
 quota_slack = {QUOTAS.slack}
+[limits]
+memory_mb = {MEMORY_MB}
 """
--- a/tinrudder_lab/soak/regressions.py
+++ b/tinrudder_lab/soak/regressions.py
@@ -12,6 +12,7 @@
     :param gateways: how many there were.
     :param cause: what it was traced to, or that it is open.
     :param poison: a client asked what crashes back ends.
+    :param slow: clients read slowly or not at all.
     """
 
     seed: int
@@ -19,6 +20,7 @@
     gateways: int
     cause: str
     poison: bool = False
+    slow: bool = False
 
 
 REGRESSIONS = (
--- a/tinrudder_lab/soak/run.py
+++ b/tinrudder_lab/soak/run.py
@@ -12,6 +12,7 @@
 
 from tinrudder_lab.soak.faults import FAULTS, LIMITED, TENANTS, SoakFault
 from tinrudder_lab.soak.process_site import QUOTAS, REVOCATION_S, ProcessSite
+from tinrudder_lab.soak.slow_readers import over_memory, read_slowly, watch_memory
 
 START_S = 2.5
 SETTLE_S = 6.0
@@ -27,6 +28,8 @@
     """What a soak found.
 
     :param served_after: share of requests served once every fault had healed.
+    :param slow_readers: clients that read slowly or not at all.
+    :param peak_mb: the most that any gateway's process took, megabytes.
     """
 
     seed: int
@@ -37,15 +40,24 @@
     faults: list[str]
     broken: list[str]
     ended_back_ends: int = 0
+    slow_readers: int = 0
+    peak_mb: float = 0.0
 
 
 async def soak(
-    seed: int, seconds: float, folder: Path, gateways: int = 3, *, poison: bool = True
+    seed: int,
+    seconds: float,
+    folder: Path,
+    gateways: int = 3,
+    *,
+    poison: bool = True,
+    slow: bool = True,
 ) -> SoakResult:
     """Run one soak; settings and logs of the gateways are left in ``folder``.
 
     :param gateways: above eleven, scatters go through coordinators and some follow no store.
     :param poison: a client asks again and again what crashes the back ends that run it.
+    :param slow: clients come who read slowly or not at all.
     """
     loop = asyncio.get_running_loop()
     site = ProcessSite(
@@ -61,22 +73,24 @@
     # Whoever ends the soak must not leave its gateways behind.
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
     try:
-        return await _run(site, seconds, poison)
+        return await _run(site, seconds, poison=poison, slow=slow)
     finally:
         await site.close()
 
 
-async def _run(site: ProcessSite, seconds: float, poison: bool) -> SoakResult:
+async def _run(site: ProcessSite, seconds: float, *, poison: bool, slow: bool) -> SoakResult:
     """Drive traffic and faults, let everything heal, and check."""
     await site.start()
     await asyncio.sleep(START_S)
     told: list[str] = []
     faults = asyncio.create_task(_inject(site, seconds, told))
-    await asyncio.gather(
+    memory = asyncio.create_task(watch_memory(site))
+    *_, slow_readers = await asyncio.gather(
         site.traffic(seconds, REQUESTS_PER_SECOND, ROUTES),
         ask_too_much(site, seconds),
         ask_with_any_key(site, seconds),
         ask_poison(site, seconds if poison else 0.0),
+        read_slowly(site, seconds if slow else 0.0),
     )
     await faults
     await asyncio.sleep(SETTLE_S)
@@ -84,10 +98,12 @@
     await site.traffic(3.0, REQUESTS_PER_SECOND, ROUTES)
     after = site.ledger.results[before:]
     served_after = sum(1 for result in after if result.status == 200) / max(1, len(after))
+    memory.cancel()
     texts = site.broken_promises()
     texts.extend(site.problems)
     texts.extend(site.ended_by_themselves())
     texts.extend(over_limit(site))
+    texts.extend(over_memory(site))
     if served_after < MINIMUM_SERVED_AFTER:
         texts.append(f"recovery: {served_after:.3f} served after everything had healed")
     statuses = Counter(str(result.status) for result in site.ledger.results)
@@ -100,6 +116,8 @@
         told,
         texts,
         len(site.ledger.ended),
+        slow_readers,
+        site.peak_mb,
     )
 
 
