--- a/tests/unit/test_platform_adapter.py
+++ b/tests/unit/test_platform_adapter.py
@@ -131,6 +131,8 @@
     assert settings.drain_s == 2.0
     assert settings.repeats.ratio == 0.3
     assert settings.memory_mb == 300.0
+    unbounded = SETTINGS.replace("memory_mb = 300", "memory_mb = 0")
+    assert load_gateway_settings(write(tmp_path, unbounded)).memory_mb is None
 
 
 @pytest.mark.parametrize(
--- a/tinrudder/platform/settings_file.py
+++ b/tinrudder/platform/settings_file.py
@@ -52,7 +52,7 @@
 class _Limits(msgspec.Struct):
     cpu_share: Positive = 1.0
     cores: Positive = 1.0
-    memory_mb: Positive | None = None
+    memory_mb: NotNegative = 0
 
 
 class _Store(msgspec.Struct):
@@ -98,7 +98,7 @@
         cold=ColdBounds(bounds.cold_excess, bounds.cold_slack),
         quotas=QuotaBounds(bounds.quota_window_s, bounds.quota_excess, bounds.quota_slack),
         revocation_s=bounds.revoke_ms / MILLISECONDS if bounds.strict_revoke else None,
-        memory_mb=limits.memory_mb,
+        memory_mb=limits.memory_mb or None,
     )
 
 
--- a/tinrudder/routing/memory_bound.py
+++ b/tinrudder/routing/memory_bound.py
@@ -16,6 +16,9 @@
 USABLE_SHARE = 0.4
 """Part of the rest that may be counted: a body is copied when it is joined, merged, encoded and
 queued for a socket, each time for a moment, and the allocator does not return all of it."""
+LEAST_ACCOUNT_BYTES = 8 * BYTES_PER_MB
+"""What may be held however little memory is left, a choice: the platform's figure may be meant
+otherwise, and who refuses everything serves nobody.  Thirty of the largest bodies fit in."""
 URGENT_FILL = 0.95
 """Fill from which the most urgent requests are refused: what is in progress grows on."""
 FILL_STEP = 0.1
@@ -47,7 +50,8 @@
     """
     if memory_mb is None:
         return math.inf
-    return max(0.0, memory_mb * BYTES_PER_MB - BARE_PROCESS_BYTES) * USABLE_SHARE
+    usable = (memory_mb * BYTES_PER_MB - BARE_PROCESS_BYTES) * USABLE_SHARE
+    return max(LEAST_ACCOUNT_BYTES, usable)
 
 
 def refused_from(priority_steps: int) -> float:
