--- a/tinrudder_lab/main.py
+++ b/tinrudder_lab/main.py
@@ -244,7 +244,13 @@
     print(f"logs: {folder}", file=sys.stderr)
     cause = "given on the command line"
     given = RegressionSeed(
-        parsed.seed, parsed.seconds, parsed.gateways, cause, poison=True, entries=True
+        parsed.seed,
+        parsed.seconds,
+        parsed.gateways,
+        cause,
+        poison=True,
+        entries=True,
+        slow=True,
     )
     runs = [given]
     if parsed.regressions:
@@ -254,7 +260,13 @@
         of_seed = folder / str(one.seed)
         of_seed.mkdir(exist_ok=True)
         soaking = soak(
-            one.seed, one.seconds, of_seed, one.gateways, poison=one.poison, entries=one.entries
+            one.seed,
+            one.seconds,
+            of_seed,
+            one.gateways,
+            poison=one.poison,
+            entries=one.entries,
+            slow=one.slow,
         )
         result = asyncio.run(soaking)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/tinrudder_lab/soak/regressions.py
+++ b/tinrudder_lab/soak/regressions.py
@@ -13,6 +13,7 @@
     :param cause: what it was traced to, or that it is open.
     :param poison: a client asked what crashes back ends.
     :param entries: back ends started again under their ids, and entries were spoiled.
+    :param slow: clients read slowly or not at all.
     """
 
     seed: int
@@ -21,6 +22,7 @@
     cause: str
     poison: bool = False
     entries: bool = False
+    slow: bool = False
 
 
 REGRESSIONS = (
