--- a/tinrudder/gateway/call_observation.py
+++ b/tinrudder/gateway/call_observation.py
@@ -22,6 +22,7 @@
 """Rejections for load; others say that the request cannot be run there at all."""
 
 MEDIAN = 0.5
+"""How long calls without a queue take is told by the quantile that admission goes by too."""
 
 
 def observe_end(
@@ -50,6 +51,10 @@
                 _observe_shed(forwarding, route, backend, load, now)
         case NotSent():
             observations.failed(running, now)
+        case Broken(stood_still=True):
+            forwarding.counters.broken += 1
+            if running is not None:
+                observations.forget(running)
         case Broken():
             forwarding.counters.broken += 1
             observations.failed(running, now)
@@ -107,6 +112,6 @@
     """Learn that a back end which many gateways may call has no place left in its queue."""
     report = forwarding.load_reports.read(load, backend.backend_id) if load is not None else None
     calls = report.running + report.waiting if report is not None else 0
-    backend.observations.shed(now, backlog=calls)
-    work_s = forwarding.unloaded_latency(route).quantile(MEDIAN)
-    forwarding.load_watch.heard(backend, shed=True, work_s=work_s)
+    if backend.observations.shed(now, backlog=calls):
+        work_s = forwarding.unloaded_latency(route).quantile(MEDIAN)
+        forwarding.load_watch.heard(backend, shed=True, work_s=work_s)
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -11,6 +11,7 @@
 
 from tinrudder.gateway.backend_directory import Backend, BackendDirectory
 from tinrudder.gateway.load_reports import LoadReports
+from tinrudder.gateway.memory_account import MemoryAccount
 from tinrudder.gateway.model import HeaderNames, RepeatBounds, Route
 from tinrudder.gateway.run_guard import CrashEvidence
 from tinrudder.routing.backend_observations import BackendObservations
@@ -77,6 +78,7 @@
     :param evidence: what is held against requests since back ends were lost under them.
     :param own_name: differs between gateways, so that they do not all prefer the same back end.
     :param load_watch: is told of long queues.
+    :param memory: counts what is held for others, and says who finds no room.
     :param zone_answered: is told of each answer from a zone.
     :param zone_doubted: is told of a call to a zone that is overdue, and when it was sent.
     """
@@ -94,6 +96,7 @@
     own_name: str = ""
     load_watch: LoadListener = field(default_factory=NoLoadListener)
     random: random.Random = field(default_factory=lambda: random.Random(0))
+    memory: MemoryAccount = field(default_factory=MemoryAccount)
     zone_answered: Callable[[str], None] = lambda zone: None
     zone_doubted: Callable[[str, float], None] = lambda zone, sent_at: None
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
