--- a/tests/functional/test_gateway_slow_readers.py
+++ b/tests/functional/test_gateway_slow_readers.py
@@ -291,3 +291,17 @@
         assert left == []
 
     run_site(scenario)
+
+
+def test_a_call_that_fails_after_its_request_has_ended_is_not_sent_again() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        late = site.backends["shard-0-0"]
+        late.pause(0.35)
+        late.choose_fault = lambda: Fault.CLOSED
+        result = await site.send("scatter")
+        assert result.status == 200
+        assert result.headers["tinrudder-missing-parts"] == "1"
+        await asyncio.sleep(1.0)
+        assert len([one for one in site.ledger.arrivals if one.service == "shard-0"]) == 1
+
+    run_site(scenario, node_count=1, copies=1)
