Scatters wait whole at the gateway that runs them, before anything has left

Every scatter started all its calls at once, so that calls queued and were shed at the back ends, and each shed call made the others of its scatter worthless.

--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,230 @@
+"""Goodput over offered load: what callers get in time when more comes than back ends can do.
+
+Plays the emulator (real gateways, virtual time, emulated back ends): a site of several gateways and
+one index.  Less urgent scatters make up the load, a few urgent ones come beside them.  Three ways
+on the same seeds: ``standing``, refusals by chance from reported queues; ``none``, no admission;
+``gate``, scatters wait whole at the gateway.
+
+Run as ``python -m bench.overload [--ways gate,none] [--loads 1,2] [--seed 1]``.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import random
+import statistics
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from tinrudder.gateway.admission import Admission
+from tinrudder.gateway.outcomes import NotRun
+from tinrudder.gateway.scatter_gate import ScatterGate, Ticket
+from tinrudder_lab.emulator.records import ClientResult
+from tinrudder_lab.emulator.site import EmulatedSite, run_site
+
+SHARDS = 6
+COPIES = 2
+SLOTS = 2
+WORK_S = 0.03
+SPREAD = 0.35
+GATEWAYS = 3
+MEAN_WORK_S = WORK_S * 1.063
+"""The mean of a log-normal distribution with this spread."""
+CAPACITY_PER_S = COPIES * SLOTS / MEAN_WORK_S
+LOADS = (0.5, 0.8, 1.0, 1.5, 2.0, 4.0, 8.0)
+URGENT_SHARE = 0.1
+"""Urgent scatters, as a part of what the back ends can do; they come beside the load."""
+WARM_S = 1.0
+LOAD_S = 2.0
+OBJECTIVE_S = 0.2
+DEADLINE_MS = 2000
+URGENT, USUAL = 0, 1
+URGENT_ROUTE = {"name": "urgent", "path_prefix": "/urgent/", "priority": URGENT}
+
+
+@dataclass
+class Asked:
+    """One request of a caller, with the tries that it took."""
+
+    priority: int
+    begun_at: float
+    tries: int = 0
+    result: ClientResult | None = None
+
+    @property
+    def served(self) -> bool:
+        """Tell whether the last try was answered."""
+        return self.result is not None and self.result.status == 200
+
+    @property
+    def took_s(self) -> float:
+        """Return how long the last try took."""
+        assert self.result is not None
+        return self.result.ended_at - self.result.sent_at
+
+    @property
+    def in_time(self) -> bool:
+        """Tell whether the last try was answered within the objective."""
+        return self.served and self.took_s <= OBJECTIVE_S
+
+
+@dataclass(frozen=True)
+class Row:
+    """What one way made of one load."""
+
+    way: str
+    load: float
+    goodput: float
+    urgent: float
+    median_s: float
+    refused_tries: float
+    other: int
+
+    def __str__(self) -> str:
+        """Return one line of the table."""
+        return (
+            f"{self.way:9} {self.load:5.1f} {self.goodput:9.3f} {self.urgent:8.3f} "
+            f"{self.median_s * 1000:8.1f} {self.refused_tries:8.2f} {self.other:6d}"
+        )
+
+
+async def ask(site: EmulatedSite, priority: int, source: random.Random, asked: list[Asked]) -> None:
+    """Ask once, and again as long as refusals leave time for it."""
+    one = Asked(priority, site.loop.time())
+    asked.append(one)
+    left_ms = DEADLINE_MS
+    while left_ms > 50:
+        one.tries += 1
+        prefix = "urgent" if priority == URGENT else "all"
+        node = source.randrange(len(site.nodes))
+        one.result = await site.send(
+            "scatter", node, target=f"/{prefix}/{source.random()}", deadline_ms=left_ms
+        )
+        if one.result.status != 503:
+            return
+        pause_s = float(one.result.headers["retry-after"])
+        left_ms = DEADLINE_MS - int((site.loop.time() - one.begun_at) * 1000)
+        if pause_s > left_ms / 3000:
+            return
+        await asyncio.sleep(pause_s)
+        left_ms = DEADLINE_MS - int((site.loop.time() - one.begun_at) * 1000)
+
+
+async def traffic(
+    site: EmulatedSite, seconds: float, rates: dict[int, float], source: random.Random
+) -> list[Asked]:
+    """Ask at random moments, each priority at its rate."""
+    asked: list[Asked] = []
+    tasks = []
+    end = site.loop.time() + seconds
+    total = sum(rates.values())
+    while site.loop.time() < end:
+        await asyncio.sleep(source.expovariate(total))
+        urgent = source.random() * total < rates[URGENT]
+        priority = URGENT if urgent else USUAL
+        tasks.append(site.loop.create_task(ask(site, priority, source, asked)))
+    await asyncio.gather(*tasks)
+    return asked
+
+
+def admit_all(gate: ScatterGate, ticket: Ticket) -> None:
+    """Start every scatter at once: no admission."""
+    gate._start(ticket)
+
+
+def by_chance(gate: ScatterGate, ticket: Ticket) -> None:
+    """Refuse by chance from reported queues, as single requests are."""
+    entrance = ticket.entrance
+    admission: Admission = gate.__dict__.setdefault(
+        "admission", Admission(gate._forwarding, gate._random)
+    )
+    coordination = gate._relaying.coordinators.of_route(entrance.route)
+    shards = coordination.own_shards(gate._index)
+    refusal: NotRun | None = admission.refusal(
+        entrance.route, shards, entrance.moments, entrance.priority, entrance.tenant
+    )
+    if refusal is None:
+        gate._start(ticket)
+    else:
+        entrance.refuse(refusal, entrance.moments.received_at)
+
+
+WAYS: dict[str, Callable[[ScatterGate, Ticket], None]] = {
+    "standing": by_chance,
+    "none": admit_all,
+    "gate": ScatterGate.enter,
+}
+
+
+def play(way: str, load: float, seed: int) -> Row:
+    """Play one load."""
+
+    async def scenario(site: EmulatedSite) -> Row:
+        source = random.Random(seed)
+        urgent = URGENT_SHARE * CAPACITY_PER_S
+        calm = {URGENT: urgent, USUAL: 0.2 * CAPACITY_PER_S}
+        await traffic(site, WARM_S, calm, source)
+        begun_at = site.loop.time()
+        asked = await traffic(site, LOAD_S, {URGENT: urgent, USUAL: load * CAPACITY_PER_S}, source)
+        return summarize(way, load, asked, begun_at + LOAD_S)
+
+    kept = ScatterGate.enter
+    ScatterGate.enter = WAYS[way]  # type: ignore[method-assign]
+    try:
+        row: Row = run_site(
+            scenario,
+            seed=seed,
+            node_count=GATEWAYS,
+            shards=SHARDS,
+            copies=COPIES,
+            work_s=WORK_S,
+            variants=(URGENT_ROUTE,),
+        )
+        return row
+    finally:
+        ScatterGate.enter = kept  # type: ignore[method-assign]
+
+
+def summarize(way: str, load: float, asked: list[Asked], end: float) -> Row:
+    """Count what was in time, all of it as a part of what the back ends can do.
+
+    Of what came back after the end of the load nothing counts as goodput.
+    """
+    in_time = [
+        one for one in asked if one.in_time and one.result is not None and one.result.ended_at < end
+    ]
+    urgent = [one for one in asked if one.priority == URGENT]
+    served = [one.took_s for one in asked if one.served]
+    ends = [one.result.status for one in asked if one.result is not None]
+    other = sum(1 for status in ends if status not in (200, 503))
+    refused = sum(one.tries - one.served for one in asked) / max(1, len(asked))
+    return Row(
+        way,
+        load,
+        len(in_time) / (CAPACITY_PER_S * LOAD_S),
+        sum(1 for one in urgent if one.in_time) / max(1, len(urgent)),
+        statistics.median(served) if served else 0.0,
+        refused,
+        other,
+    )
+
+
+def main(arguments: Any = None) -> None:
+    """Print the table."""
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0] if __doc__ else "")
+    parser.add_argument("--ways", default=",".join(WAYS))
+    parser.add_argument("--loads", default=",".join(str(load) for load in LOADS))
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args(arguments)
+    print(f"capacity {CAPACITY_PER_S:.0f} scatters a second, {GATEWAYS} gateways, {SHARDS} shards")
+    print("way        load   goodput   urgent  median  refused  other")
+    print("                (of cap.) in time     (ms)  a query  errors")
+    for load in options.loads.split(","):
+        for way in options.ways.split(","):
+            print(play(way, float(load), options.seed), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/tinrudder/gateway/backend_directory.py
+++ b/tinrudder/gateway/backend_directory.py
@@ -166,9 +166,13 @@
         """Tell whether calls to a back end are neither forbidden nor vain."""
         return not backend.evacuated and not self._is_closed(backend.entry.zone)
 
+    def staying(self, service: str) -> list[Backend]:
+        """Return the back ends of a service that take new work for longer."""
+        return [one for one in self._staying(service) if not one.evacuated]
+
     def replica_zones(self, service: str) -> tuple[str, ...]:
         """Return the zone of each back end of a service that takes new work for longer."""
-        return tuple(one.entry.zone for one in self._staying(service) if not one.evacuated)
+        return tuple(one.entry.zone for one in self.staying(service))
 
     def fits_attempts(self, service: str, attempts: int) -> bool:
         """Tell whether two gateways may ask the back ends of a service for the same request.
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -36,6 +36,7 @@
 from tinrudder.gateway.relaying import Relaying
 from tinrudder.gateway.request_handler import RequestHandler as ForwardingHandler
 from tinrudder.gateway.request_log import FinishedRequest, log_request
+from tinrudder.gateway.scatter_gate import ScatterGates
 from tinrudder.gateway.scatter_planner import ScatterPlanner
 from tinrudder.gateway.scatter_service import ScatterService
 from tinrudder.gateway.shared_state import SharedState
@@ -151,6 +152,7 @@
             configuration_revision=lambda: self.state.configuration_revision,
         )
         planner = ScatterPlanner(self.forwarding, relaying, self._random)
+        self.gates = ScatterGates(relaying, self._random)
         self.handler = ForwardingHandler(
             self.forwarding,
             self.state,
@@ -163,11 +165,12 @@
             self.quotas,
             self.reach,
             self.poison,
+            self.gates,
         )
         self.scatters = ScatterService(
             self.forwarding,
             self.state,
-            self.handler.admission,
+            self.gates,
             planner,
             lambda: self.handler.routes,
             self.reach,
--- a/tinrudder/gateway/relayed_run.py
+++ b/tinrudder/gateway/relayed_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from tinrudder.gateway.client_moments import Moments
 from tinrudder.gateway.hand_over import (
@@ -18,8 +19,8 @@
 from tinrudder.gateway.outcomes import Merged, NoAnswer, NotRun, RequestOutcome, TimedOut
 from tinrudder.gateway.peer_messages import MissingShard, ScatterEnd, ScatterRequest
 from tinrudder.gateway.relaying import Relaying
-from tinrudder.gateway.request_run import OutcomeListener, RequestRun
-from tinrudder.gateway.scatter_planner import ScatterPlanner
+from tinrudder.gateway.request_run import OutcomeListener
+from tinrudder.gateway.scatter_gate import GatedScatter
 
 
 class RelayedRun:
@@ -38,11 +39,11 @@
         moments: Moments,
         relaying: Relaying,
         asked: tuple[Address, ...],
-        planner: ScatterPlanner,
+        run_here: Callable[[OutcomeListener], GatedScatter],
         on_outcome: OutcomeListener,
         priority: int,
     ) -> None:
-        """Prepare; ``planner`` makes the run of the last resort."""
+        """Prepare; ``run_here`` makes the run of the last resort."""
         self._priority = priority
         self.repeats = 0
         self.missing_shards: tuple[MissingShard, ...] = ()
@@ -52,13 +53,13 @@
         self._moments = moments
         self._relaying = relaying
         self._asked = asked
-        self._planner = planner
+        self._run_here = run_here
         self._on_outcome = on_outcome
         self._lost = False
         self._may_have_run = False
         self._problems: list[str] = []
         self._task: asyncio.Task[None] | None = None
-        self._local: RequestRun | None = None
+        self._local: GatedScatter | None = None
 
     def start(self) -> None:
         """Ask the first coordinator."""
@@ -155,13 +156,7 @@
     def _run_local(self) -> None:
         """Run the scatter here."""
         self._relaying.forwarding.counters.relays_run_here += 1
-        self._local = self._planner.run(
-            self._route,
-            self._request,
-            self._request_id,
-            self._moments,
-            self._end_local,
-        )
+        self._local = self._run_here(self._end_local)
         self._local.start()
 
     def _end_local(self, outcome: RequestOutcome) -> None:
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -30,8 +30,9 @@
 from tinrudder.gateway.relaying import Relaying
 from tinrudder.gateway.request_bytes import RequestBytes
 from tinrudder.gateway.request_log import FinishedRequest, RequestObserver
-from tinrudder.gateway.request_run import RequestRun
+from tinrudder.gateway.request_run import OutcomeListener, RequestRun
 from tinrudder.gateway.routes_in_force import RoutesInForce
+from tinrudder.gateway.scatter_gate import GatedScatter, ScatterGates
 from tinrudder.gateway.scatter_planner import ScatterPlanner
 from tinrudder.gateway.shared_state import SharedState
 
@@ -78,6 +79,7 @@
         quotas: Quotas,
         reach: Reach,
         poison: PoisonWatch,
+        gates: ScatterGates,
     ) -> None:
         """Report every finished request to ``observer``.
 
@@ -85,7 +87,9 @@
         :param access: decides on whose behalf requests run; ``quotas``: how many of these do.
         :param reach: tells what cannot be had from here.
         :param poison: knows the requests that crash the back ends that run them.
+        :param gates: where scatters wait that this gateway runs.
         """
+        self._gates = gates
         self._poison = poison
         self._access = access
         self._quotas = quotas
@@ -251,9 +255,21 @@
         """
         request = admitted.request
         priority = admitted.priority(route)
-        steps = routes.steps_below_urgent(priority)
         if not route.shards:
+            steps = routes.steps_below_urgent(priority)
             return self._plan_single(routes, route, admitted, moments, serving, steps)
+
+        def run_here(on_outcome: OutcomeListener) -> GatedScatter:
+            return GatedScatter(
+                self._gates.of_route(route),
+                route,
+                moments,
+                priority,
+                admitted.tenant_name,
+                lambda end: self._planner.run(route, request, serving.request_id, moments, end),
+                on_outcome,
+            )
+
         coordination = self._relaying.coordinators.of_route(route)
         if not coordination.own:
             return RelayedRun(
@@ -263,15 +279,11 @@
                 moments,
                 self._relaying,
                 coordination.asked,
-                self._planner,
+                run_here,
                 serving.end,
                 priority,
             )
-        shards = coordination.own_shards(route.shards)
-        refusal = self.admission.refusal(route, shards, moments, steps, admitted.tenant_name)
-        if refusal is not None:
-            return refusal
-        return self._planner.run(route, request, serving.request_id, moments, serving.end)
+        return run_here(serving.end)
 
     def _plan_single(
         self,
@@ -303,6 +315,7 @@
         names = frozenset(route.name for route in configuration.routes)
         self.forwarding.forget_unused(frozenset(configuration.services), names)
         self._moments.forget_unused(names)
+        self._gates.forget_unused(frozenset(route.shards for route in configuration.routes))
         self._quotas.forget_unused(frozenset(self._routes.tenants))
 
 
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -43,6 +43,7 @@
     """One request; its outcome is reported exactly once, unless the client leaves before.
 
     :ivar decided_at: monotonic time of the latest decision; merging comes after the last one.
+    :ivar on_progress: is told whenever shards have ended and the request goes on.
     """
 
     def __init__(
@@ -73,6 +74,9 @@
         self._timer: TimerHandle | None = None
         self._timer_at = NEVER
         self.decided_at = 0.0
+        self.on_progress: Callable[[], None] = lambda: None
+        self._started_at = 0.0
+        self._answered_after_s = 0.0
         self._included = 0
         self._ended: set[ShardCalls] = set()
         self._hopeless: set[ShardCalls] = set()
@@ -113,6 +117,11 @@
         """Return the part of the shards that has not answered, 0 to 1."""
         return 1.0 - self.included / self._total
 
+    def hold_s(self, now: float) -> float:
+        """Return for how long it has held the room of a shard so far, in the mean of all."""
+        elapsed_s = now - self._started_at
+        return self._answered_after_s / self._total + self.unanswered_share * elapsed_s
+
     @property
     def repeats(self) -> int:
         """Return how many calls were sent beyond the first of each shard."""
@@ -134,6 +143,7 @@
     def start(self) -> None:
         """Send the first calls."""
         now = self._forwarding.loop.time()
+        self._started_at = now
         self._was_free = self._guard.is_free
         for group in self._delegated:
             group.on_end = self._on_group_end
@@ -200,12 +210,15 @@
         """Decide anew after a change of one shard."""
         if self._finished or self._starting:
             return
-        self._count(shard)
         now = self._forwarding.loop.time()
+        before = self._included
+        self._count(shard)
+        self._answered_after_s += (self._included - before) * (now - self._started_at)
         self._follow_guard(now)
         self._act(now)
         if not self._finished:
             self._arm(shard.next_at)
+            self.on_progress()
 
     def _on_group_end(self, group: DelegatedShards) -> None:
         """Take what another gateway got, or ask here for what it did not."""
@@ -216,9 +229,12 @@
             self._take_over(group, now)
         if group.included:
             self._guard.note_answered_elsewhere()
+            self._answered_after_s += group.included * (now - self._started_at)
         self._follow_guard(now)
         self._act(now)
         self._arm_for_shards()
+        if not self._finished:
+            self.on_progress()
 
     def _take_over(self, group: DelegatedShards, now: float) -> None:
         """Ask a group's shards from here."""
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable
 
-from tinrudder.gateway.admission import Admission
 from tinrudder.gateway.client_moments import Moments
 from tinrudder.gateway.forwarding import Forwarding
 from tinrudder.gateway.messages import header_value
@@ -18,6 +17,7 @@
 from tinrudder.gateway.request_log import log_coordinated
 from tinrudder.gateway.request_run import OutcomeListener, RequestRun
 from tinrudder.gateway.routes_in_force import RoutesInForce
+from tinrudder.gateway.scatter_gate import GatedScatter, ScatterGates
 from tinrudder.gateway.scatter_planner import ScatterPlanner
 from tinrudder.gateway.shared_state import SharedState
 
@@ -33,20 +33,23 @@
         self,
         forwarding: Forwarding,
         state: SharedState,
-        admission: Admission,
+        gates: ScatterGates,
         planner: ScatterPlanner,
         routes: Callable[[], RoutesInForce | None],
         reach: Reach,
         poison: PoisonWatch,
     ) -> None:
-        """Find routes by what ``routes`` returns at that moment."""
+        """Find routes by what ``routes`` returns at that moment.
+
+        :param gates: where whole scatters wait for room.
+        """
         self._poison = poison
         self._reach = reach
         self.in_progress = 0
         self.closing = False
         self._forwarding = forwarding
         self._state = state
-        self._admission = admission
+        self._gates = gates
         self._planner = planner
         self._routes = routes
 
@@ -67,7 +70,7 @@
             return Declined("other shards by the configuration here")
         moments = self._moments(scatter)
         version = routes.configuration.version
-        refusal = self._refusal(routes, route, scatter, moments)
+        refusal = self._refusal(route, scatter)
         if refusal is not None:
             self._forwarding.counters.refused += 1
             return ScatterEnd(refusal, version)
@@ -85,23 +88,12 @@
         log_coordinated(scatter, route, end)
         return end
 
-    def _refusal(
-        self, routes: RoutesInForce, route: Route, scatter: ScatterRequest, moments: Moments
-    ) -> NotRun | None:
-        """Refuse what crashes back ends, and a whole scatter that cannot be in time.
-
-        Of a part, the entry has judged whether it can be in time.
-        """
+    def _refusal(self, route: Route, scatter: ScatterRequest) -> NotRun | None:
+        """Refuse what crashes back ends, and a whole scatter of which too little is in reach."""
         poison = self._poison.refusal(route, scatter.request)
         if poison is not None or scatter.shards:
             return poison
-        out_of_reach = self._reach.refusal(route)
-        if out_of_reach is not None:
-            return out_of_reach
-        steps = routes.steps_below_urgent(scatter.priority)
-        tenant = header_value(scatter.request.headers, self._forwarding.names.tenant) or b""
-        shards = self._planner.own_shards(route)
-        return self._admission.refusal(route, shards, moments, steps, tenant.decode())
+        return self._reach.refusal(route)
 
     def _run(
         self,
@@ -109,14 +101,22 @@
         scatter: ScatterRequest,
         moments: Moments,
         on_outcome: OutcomeListener,
-    ) -> RequestRun:
-        """Prepare what is asked for: a whole scatter, or some of its shards."""
+    ) -> GatedScatter | RequestRun:
+        """Prepare what is asked for: a whole scatter, or some of its shards.
+
+        Of a part, the gateway that hands it over has let it through its own gate.
+        """
         if not scatter.shards:
-            return self._planner.run(
+            tenant = header_value(scatter.request.headers, self._forwarding.names.tenant) or b""
+            return GatedScatter(
+                self._gates.of_route(route),
                 route,
-                scatter.request,
-                scatter.request_id,
                 moments,
+                scatter.priority,
+                tenant.decode(),
+                lambda end: self._planner.run(
+                    route, scatter.request, scatter.request_id, moments, end
+                ),
                 on_outcome,
             )
         return RequestRun(
@@ -130,7 +130,7 @@
         )
 
     async def _finish(
-        self, run: RequestRun, ended: asyncio.Future[RequestOutcome]
+        self, run: GatedScatter | RequestRun, ended: asyncio.Future[RequestOutcome]
     ) -> RequestOutcome:
         """Run to the outcome; abandon the run if the entry gives it up."""
         self.in_progress += 1
--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -140,6 +140,17 @@
         """
         return self._services_ahead(now) * service_s
 
+    def reported_queue(self, now: float) -> float | None:
+        """Return the wait for a slot by the latest report alone, in calls' times.
+
+        It fades with the report's age; ``None`` where that tells nothing any more.
+        """
+        age = now - self.reported_at
+        if age >= BACKLOG_LIFETIME_S:
+            return None
+        slots = max(1, self.slots)
+        return max(0, self.reported_backlog + 1 - slots) / slots * (1.0 - age / BACKLOG_LIFETIME_S)
+
     def _services_ahead(self, now: float) -> float:
         """Return the wait for a slot as a multiple of the time that a call holds one."""
         age = now - self.reported_at
--- /dev/null
+++ b/tinrudder/routing/scatter_queue.py
@@ -0,0 +1,267 @@
+"""Which scatters of one index start, wait or are refused at one gateway.
+
+A scatter waits as a whole before any of its calls has left, so that a refusal is true: nothing has
+run.  Calls that wait in back ends' queues make all scatters late together; calls that are shed
+there make the other calls of their scatters worthless.
+"""
+
+from __future__ import annotations
+
+import bisect
+from collections.abc import Iterator
+
+from msgspec import Struct, field
+
+from tinrudder.routing.scatter_room import ScatterRoom
+
+STANDING_S = 0.1
+"""A queue that has not been empty for this long is no burst: what waits in it longer than
+:data:`SHORT_WAIT` only makes every answer late, since more comes than can be served."""
+OVERLOAD_S = 1.0
+"""How long after a scatter that would have waited too long a queue still counts as standing: under
+four times the load it is empty for a moment several times a second."""
+SHORT_WAIT = 0.3
+"""How long a scatter may wait in a standing queue, in usual times of one: the median of what is
+served stays within 1.3 of what it is without load."""
+LATE_WAIT_SHARE = 1.0 / 3.0
+"""Part of its time left that a scatter waits which cannot meet its objective any more, a choice:
+two thirds are left for another try."""
+MOST_IDLE_LANES = 64
+"""Tenants that are remembered without a scatter that waits."""
+
+
+class QueuedScatter(Struct, eq=False):
+    """One scatter, and what decides on its place.
+
+    :param priority: 0 is the most urgent.
+    :param usual_s: how long such a scatter takes without waiting.
+    :param returning: its caller was refused before.
+    :param tenant: on whose behalf it comes; empty for nobody's.
+    :param late: it could not meet its objective when it came.
+    :param turn: its place among the tenants' scatters: one that asks for much gets later turns.
+    """
+
+    priority: int
+    objective_at: float
+    deadline_at: float
+    usual_s: float
+    returning: bool = False
+    tenant: str = ""
+    late: bool = False
+    latest_start_at: float = 0.0
+    turn: int = 0
+    number: int = 0
+
+    @property
+    def order(self) -> tuple[bool, int, int, bool, float, int]:
+        """Return the sort key; the smallest goes first.
+
+        What cannot be in time any more is worth a tenth, whatever its priority, and goes last.
+        """
+        return (
+            self.late,
+            self.priority,
+            self.turn,
+            not self.returning,
+            self.objective_at,
+            self.number,
+        )
+
+
+class ScatterRefusal(Struct, frozen=True):
+    """Why a scatter is refused, by the figures of that moment.
+
+    :param ahead: how many others wait before it.
+    :param expected_s: until it could start.
+    :param bearable_s: for how long it may wait.
+    :param held: room that is held; ``limit``: how much may be.
+    :param waiting: how many scatters wait.
+    """
+
+    priority: int
+    ahead: int
+    expected_s: float
+    bearable_s: float
+    held: float
+    limit: float
+    waiting: int
+
+    def __str__(self) -> str:
+        """Return the line that logs and callers get."""
+        return (
+            f"overload: place {self.ahead + 1} of {self.waiting + 1}, "
+            f"wait {self.expected_s:.3f} s, bearable {self.bearable_s:.3f} s, room {self.held:.1f} of {self.limit:.1f}, "
+            f"priority {self.priority}"
+        )
+
+
+class ScatterQueue(Struct):
+    """The scatters of one index that wait at one gateway.
+
+    Order: priority; then tenants by turns, so that one that asks for much waits behind those that
+    ask for little; then callers that come back after a refusal; then the earliest objective.
+
+    :param room: how much may run.
+    """
+
+    room: ScatterRoom = field(default_factory=ScatterRoom)
+    _waiting: list[QueuedScatter] = field(default_factory=list)
+    _standing_since: float = 0.0
+    _overload_until: float = 0.0
+    _turns: dict[int, int] = field(default_factory=dict)
+    _next_turn: dict[tuple[int, str], int] = field(default_factory=dict)
+    _count: int = 0
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return len(self._waiting)
+
+    def __iter__(self) -> Iterator[QueuedScatter]:
+        """Yield those that wait, the next one first."""
+        return iter(self._waiting)
+
+    def arrive(self, scatter: QueuedScatter, held: float, now: float) -> ScatterRefusal | bool:
+        """Take a scatter: ``True`` starts it now, ``False`` lets it wait.
+
+        :param held: room that running scatters hold.
+        """
+        self._prepare(scatter, now)
+        ahead = bisect.bisect(self._waiting, scatter.order, key=_order)
+        if not ahead and self.room.bears_another(held):
+            self._take_turn(scatter)
+            self._started(scatter)
+            return True
+        refusal = self._judge(scatter, ahead, held, now)
+        if refusal is not None:
+            return refusal
+        if not self._waiting:
+            self._standing_since = now
+        self._take_turn(scatter)
+        self._waiting.insert(ahead, scatter)
+        return False
+
+    def next_ready(self, held: float) -> QueuedScatter | None:
+        """Return the scatter that starts now, ``None`` if there is none or no room."""
+        if not self._waiting or not self.room.bears_another(held):
+            return None
+        scatter = self._waiting.pop(0)
+        self._started(scatter)
+        return scatter
+
+    def refuse_hopeless(
+        self, held: float, now: float
+    ) -> list[tuple[QueuedScatter, ScatterRefusal]]:
+        """Take out what cannot start in time any more: overtaken, or its moment has passed."""
+        refused: list[tuple[QueuedScatter, ScatterRefusal]] = []
+        kept: list[QueuedScatter] = []
+        for scatter in self._waiting:
+            refusal = self._overtaken(scatter, len(kept), held, now)
+            if refusal is None:
+                kept.append(scatter)
+            else:
+                refused.append((scatter, refusal))
+        if refused:
+            self._waiting[:] = kept
+            for scatter, _ in reversed(refused):
+                self._give_turn_back(scatter)
+        return refused
+
+    def leave(self, scatter: QueuedScatter) -> None:
+        """Forget a scatter whose caller has gone, if it still waits."""
+        if scatter in self._waiting:
+            self._waiting.remove(scatter)
+            self._give_turn_back(scatter)
+
+    @property
+    def next_end_at(self) -> float | None:
+        """Return when the first of those that wait can not start in time any more."""
+        return min((one.latest_start_at for one in self._waiting), default=None)
+
+    def _prepare(self, scatter: QueuedScatter, now: float) -> None:
+        """Give a scatter its latest useful start and its place."""
+        scatter.latest_start_at = scatter.objective_at - scatter.usual_s
+        scatter.late = scatter.latest_start_at <= now
+        if scatter.late:
+            left_s = max(0.0, scatter.deadline_at - now)
+            scatter.latest_start_at = now + left_s * LATE_WAIT_SHARE
+        self._count += 1
+        scatter.number = self._count
+        if scatter.tenant:
+            lane = scatter.priority, scatter.tenant
+            scatter.turn = max(self._turn(scatter), self._next_turn.get(lane, 0))
+        else:
+            scatter.turn = self._turn(scatter)
+
+    def _judge(
+        self, scatter: QueuedScatter, ahead: int, held: float, now: float
+    ) -> ScatterRefusal | None:
+        """Refuse a newcomer that would wait too long."""
+        bearable_s = scatter.latest_start_at - now
+        short_s = min(bearable_s, SHORT_WAIT * scatter.usual_s)
+        if ahead and self._stands(now) and self.room.wait_s(held, ahead) > short_s:
+            self._overload_until = now + OVERLOAD_S
+            bearable_s = short_s
+        return self._refusal(scatter, ahead, held, bearable_s)
+
+    def _stands(self, now: float) -> bool:
+        """Tell whether more comes than can be served, and not for a moment only."""
+        if now < self._overload_until:
+            return True
+        return bool(self._waiting) and now - self._standing_since >= STANDING_S
+
+    def _overtaken(
+        self, scatter: QueuedScatter, ahead: int, held: float, now: float
+    ) -> ScatterRefusal | None:
+        """Refuse one that waits and would start too late now; the first in line is still served."""
+        bearable_s = scatter.latest_start_at - now
+        if bearable_s > 0.0 and not ahead:
+            return None
+        return self._refusal(scatter, ahead, held, bearable_s)
+
+    def _refusal(
+        self, scatter: QueuedScatter, ahead: int, held: float, bearable_s: float
+    ) -> ScatterRefusal | None:
+        """Compare the wait that is expected with the one that is bearable."""
+        expected_s = self.room.wait_s(held, ahead)
+        if bearable_s > 0.0 and expected_s <= bearable_s:
+            return None
+        return ScatterRefusal(
+            scatter.priority,
+            ahead,
+            expected_s,
+            max(0.0, bearable_s),
+            held,
+            self.room.limit,
+            len(self._waiting),
+        )
+
+    def _turn(self, scatter: QueuedScatter) -> int:
+        """Return whose turn it is among the scatters of a priority."""
+        return self._turns.get(scatter.priority, 0)
+
+    def _take_turn(self, scatter: QueuedScatter) -> None:
+        """Let the tenant's next scatter come a turn later."""
+        if not scatter.tenant:
+            return
+        self._next_turn[scatter.priority, scatter.tenant] = scatter.turn + 1
+        if len(self._next_turn) > MOST_IDLE_LANES + len(self._waiting):
+            self._forget_idle()
+
+    def _give_turn_back(self, scatter: QueuedScatter) -> None:
+        """Let the tenant's next scatter have the turn of one that has not run."""
+        lane = scatter.priority, scatter.tenant
+        if self._next_turn.get(lane) == scatter.turn + 1:
+            self._next_turn[lane] = scatter.turn
+
+    def _started(self, scatter: QueuedScatter) -> None:
+        """Move on to the turn of a scatter that starts."""
+        self._turns[scatter.priority] = max(self._turn(scatter), scatter.turn)
+
+    def _forget_idle(self) -> None:
+        """Drop tenants whose next turn would be the current one anyway, or is the one after it."""
+        waiting = {(one.priority, one.tenant) for one in self._waiting}
+        self._next_turn = {lane: turn for lane, turn in self._next_turn.items() if lane in waiting}
+
+
+def _order(scatter: QueuedScatter) -> tuple[bool, int, int, bool, float, int]:
+    return scatter.order
--- /dev/null
+++ b/tinrudder/routing/scatter_room.py
@@ -0,0 +1,112 @@
+"""How many scatters of one index a gateway may have running.
+
+Every scatter asks every shard, so one slot at the typical shard is the room for one scatter.  A
+gateway begins with its part of the slots, and follows what the back ends report of their queues:
+it takes more while others leave their parts unused, and gives back as soon as calls wait.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+OVER_COMMITMENT = 2.0
+"""How many times its part of the slots a gateway uses before it hears of queues.  A scatter waits
+for its slowest shard while most of its slots are free again; and on calm days a second scatter in
+the same 50 ms must not wait for the first.  Back ends' queues take the surplus of a burst's first
+moment: at most one call's time."""
+LEAST_SCATTERS = 1.0
+"""A gateway whose part is less than one slot still runs one scatter."""
+FIRST_SCATTERS = 2.0
+"""And two while it hears of no queue."""
+QUEUE_LOW = 0.2
+"""Below this wait at the typical back end, in calls' times, there is room for more, a choice."""
+QUEUE_HIGH = 0.4
+"""Above it the room shrinks: less than half of a call's own time, which callers bear (see
+:data:`tinrudder.routing.load_forecast.HARMLESS_WAIT`)."""
+INCREASE = 0.1
+"""Growth in one call's time of full use, as a part of the gateway's part of the slots: unused room
+of others is taken over in half a second."""
+DECREASE = 0.85
+"""What is left of the room after one call's time with a queue: a surplus of two is gone after four
+calls' times."""
+HOLD_GAIN = 0.1
+"""Weight of one scatter in the usual time for which scatters hold their slots."""
+RETURN_GAIN = 0.1
+"""How fast an unused limit goes back to where it began, for each call's time."""
+
+UNCHANGED = 0.05
+"""A limit that is this near to where it began needs no reports."""
+
+
+class ScatterRoom(Struct):
+    """The room of one index at one gateway, in scatters' worth of slots.
+
+    :param part: this gateway's part of the slots of the typical shard.
+    :param limit: how much of it may be held now.
+    :param hold_s: for how long a scatter holds a shard's slot, in the mean; 0: not known.
+    """
+
+    part: float = LEAST_SCATTERS
+    limit: float = FIRST_SCATTERS
+    hold_s: float = 0.0
+    _judged_at: float = 0.0
+
+    @property
+    def first_limit(self) -> float:
+        """Return the limit while nothing is known of queues."""
+        return max(FIRST_SCATTERS, self.part * OVER_COMMITMENT)
+
+    @property
+    def floor(self) -> float:
+        """Return what the limit never falls below."""
+        return max(LEAST_SCATTERS, self.part)
+
+    @property
+    def has_changed(self) -> bool:
+        """Tell whether the limit is not where it began."""
+        return abs(self.limit - self.first_limit) > UNCHANGED * self.first_limit
+
+    def set_part(self, part: float) -> None:
+        """Take another part of the slots; what was learned of the limit stays in proportion."""
+        if part == self.part:
+            return
+        learned = self.limit / self.first_limit
+        self.part = part
+        self.limit = max(self.floor, learned * self.first_limit)
+
+    def bears_another(self, held: float) -> bool:
+        """Tell whether one more scatter may start; nothing that holds room always lets one."""
+        return held <= 0.0 or held + 1.0 <= self.limit
+
+    def wait_s(self, held: float, ahead: int) -> float:
+        """Return how long a scatter behind ``ahead`` others waits until it may start.
+
+        >>> ScatterRoom(limit=2.0, hold_s=0.05).wait_s(held=2.0, ahead=3)
+        0.1
+        """
+        excess = held + ahead + 1.0 - self.limit
+        return max(0.0, excess) * self.hold_s / self.limit
+
+    def note_hold(self, seconds: float) -> None:
+        """Learn for how long a scatter that has ended held the slot of a shard, in the mean."""
+        if not self.hold_s:
+            self.hold_s = seconds
+        self.hold_s += HOLD_GAIN * (seconds - self.hold_s)
+
+    def may_judge(self, now: float) -> bool:
+        """Tell whether reports may have changed since the limit did: one call's time later."""
+        return now - self._judged_at >= self.hold_s
+
+    def judge(self, queue: float, now: float, *, in_use: bool) -> None:
+        """Change the limit by what back ends report.
+
+        :param queue: the wait for a slot at the typical shard, in calls' times.
+        :param in_use: whether scatters wait for room.
+        """
+        self._judged_at = now
+        if queue > QUEUE_HIGH:
+            self.limit = max(self.floor, self.limit * DECREASE)
+        elif in_use and queue < QUEUE_LOW:
+            self.limit += INCREASE * max(LEAST_SCATTERS, self.part)
+        elif not in_use:
+            self.limit += RETURN_GAIN * (self.first_limit - self.limit)
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -110,6 +110,7 @@
     :param work_s: time that a back end's slot is held by one request.
     :param cold_calls_per_s: what the configuration says that a cold back end bears.
     :param tenants: of the configuration, each with its keys, as :class:`SiteTenant`.
+    :param variants: further scatter routes of the same index, each as its changes to the first.
     :param revocation_s: the bound within which an ended key stops working everywhere.
     """
 
@@ -126,6 +127,7 @@
     work_s: float = 0.02
     cold_calls_per_s: float = 0.0
     tenants: tuple[SiteTenant, ...] = ()
+    variants: tuple[dict[str, Any], ...] = ()
     revocation_s: float | None = None
     ledger: Ledger = field(default_factory=Ledger)
     nodes: list[EmulatedNode] = field(default_factory=list)
@@ -293,6 +295,7 @@
             "oldest_version": 0.75,
         } | changes
         routes = [scatter, _single("single", "safe"), _single("once", "unsafe")]
+        routes.extend(scatter | changed for changed in self.variants)
         names = {*self.shard_services, "single", *scatter["gather"]}
         services = [
             {"name": name, "max_conns": 26, "cold_per_s": self.cold_calls_per_s}
