--- a/tinrudder/gateway/admission.py
+++ b/tinrudder/gateway/admission.py
@@ -10,10 +10,9 @@
 from tinrudder.gateway.outcomes import NotRun
 from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
 from tinrudder.routing.load_forecast import admission_share, wait_of_shards
+from tinrudder.routing.return_time import HONOURED_SHARE, SPREAD_BY_CHANCE, retry_after_s
 from tinrudder.routing.tenant_shares import TenantShares
 
-RETRY_AFTER_SHARE = 0.3
-
 
 class Admission:
     """Judges requests by the queues that back ends report.
@@ -68,6 +67,10 @@
         return NotRun(detail, self._retry_after_s(moments))
 
     def _retry_after_s(self, moments: Moments) -> float:
-        """Return when a refused client should come back: spread, and early enough to be served."""
+        """Return when a refused client should come back: as late as it does come back, spread.
+
+        Reports of queues say who waits now, not when there will be room.
+        """
         left_s = moments.deadline_at - moments.received_at
-        return left_s * RETRY_AFTER_SHARE * self._random.uniform(0.5, 1.0)
+        room_in_s = left_s * HONOURED_SHARE / SPREAD_BY_CHANCE
+        return retry_after_s(room_in_s, left_s, self._random.random(), SPREAD_BY_CHANCE)
--- a/tinrudder/gateway/scatter_gate.py
+++ b/tinrudder/gateway/scatter_gate.py
@@ -19,7 +19,7 @@
 from tinrudder.gateway.request_run import OutcomeListener, RequestRun
 from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
 from tinrudder.routing.load_forecast import USUAL_FACTOR
-from tinrudder.routing.return_time import HONOURED_SHARE, retry_after_s
+from tinrudder.routing.return_time import may_come_back, retry_after_s
 from tinrudder.routing.scatter_queue import QueuedScatter, ScatterQueue, ScatterRefusal
 from tinrudder.timers import TimerHandle
 
@@ -223,14 +223,14 @@
     def _retry_after_s(self, scatter: QueuedScatter, refusal: ScatterRefusal, now: float) -> float:
         """Return when there will be room for a refused caller, behind those refused before it.
 
-        Where it could not be served before its deadline even then, that is what it is told.
+        Only who would wait so long has a place there; others are told the truth, once.
         """
         left_s = max(0.0, scatter.deadline_at - now)
         until = max(now + refusal.expected_s, self._returns_until.get(refusal.priority, 0.0))
         room_in_s = until - now
         if room_in_s + scatter.usual_s > left_s:
             return left_s
-        if room_in_s <= HONOURED_SHARE * left_s:
+        if may_come_back(room_in_s, left_s):
             room = self.queue.room
             self._returns_until[refusal.priority] = until + room.hold_s / room.limit
         return retry_after_s(room_in_s, left_s, self._random.random())
--- a/tinrudder/routing/scatter_queue.py
+++ b/tinrudder/routing/scatter_queue.py
@@ -90,8 +90,8 @@
         """Return the line that logs and callers get."""
         return (
             f"overload: place {self.ahead + 1} of {self.waiting + 1}, "
-            f"wait {self.expected_s:.3f} s, bearable {self.bearable_s:.3f} s, room {self.held:.1f} of {self.limit:.1f}, "
-            f"priority {self.priority}"
+            f"wait {self.expected_s:.3f} s, bearable {self.bearable_s:.3f} s, "
+            f"room {self.held:.1f} of {self.limit:.1f}, priority {self.priority}"
         )
 
 
