--- a/tinrudder/gateway/scatter_gate.py
+++ b/tinrudder/gateway/scatter_gate.py
@@ -231,8 +231,8 @@
         if room_in_s + scatter.usual_s > left_s:
             return left_s
         if may_come_back(room_in_s, left_s):
-            room = self.queue.room
-            self._returns_until[refusal.priority] = until + room.hold_s / room.limit
+            pace = self.queue.room.pace
+            self._returns_until[refusal.priority] = until + (1.0 / pace if pace else 0.0)
         return retry_after_s(room_in_s, left_s, self._random.random())
 
     def _describe(self, entrance: GatedScatter) -> QueuedScatter:
--- a/tinrudder/routing/scatter_queue.py
+++ b/tinrudder/routing/scatter_queue.py
@@ -20,9 +20,16 @@
 OVERLOAD_S = 1.0
 """How long after a scatter that would have waited too long a queue still counts as standing: under
 four times the load it is empty for a moment several times a second."""
+BEARABLE_SHARE = 0.5
+"""Part of the time until its latest useful start that a newcomer may have to wait, by what is
+expected: more urgent ones and others that come back overtake it, and none of those that wait is
+to be refused late for that."""
 SHORT_WAIT = 0.3
 """How long a scatter may wait in a standing queue, in usual times of one: the median of what is
 served stays within 1.3 of what it is without load."""
+OVERTAKEN_WAIT = 2.0 * SHORT_WAIT
+"""The same for one that others have overtaken: callers that come back go first, and the queue would
+grow by all of them."""
 LATE_WAIT_SHARE = 1.0 / 3.0
 """Part of its time left that a scatter waits which cannot meet its objective any more, a choice:
 two thirds are left for another try."""
@@ -196,7 +203,7 @@
         self, scatter: QueuedScatter, ahead: int, held: float, now: float
     ) -> ScatterRefusal | None:
         """Refuse a newcomer that would wait too long."""
-        bearable_s = scatter.latest_start_at - now
+        bearable_s = BEARABLE_SHARE * (scatter.latest_start_at - now)
         short_s = min(bearable_s, SHORT_WAIT * scatter.usual_s)
         if ahead and self._stands(now) and self.room.wait_s(held, ahead) > short_s:
             self._overload_until = now + OVERLOAD_S
@@ -216,6 +223,8 @@
         bearable_s = scatter.latest_start_at - now
         if bearable_s > 0.0 and not ahead:
             return None
+        if now < self._overload_until:
+            bearable_s = min(bearable_s, OVERTAKEN_WAIT * scatter.usual_s)
         return self._refusal(scatter, ahead, held, bearable_s)
 
     def _refusal(
--- a/tinrudder/routing/scatter_room.py
+++ b/tinrudder/routing/scatter_room.py
@@ -78,14 +78,27 @@
         """Tell whether one more scatter may start; nothing that holds room always lets one."""
         return held <= 0.0 or held + 1.0 <= self.limit
 
+    @property
+    def pace(self) -> float:
+        """Return how many scatters can start in a second; 0: not known.
+
+        What is held beyond the part only waits at the back ends where all gateways do the same, so
+        only half of it counts.
+        """
+        if not self.hold_s:
+            return 0.0
+        return max(self.floor, self.limit / OVER_COMMITMENT) / self.hold_s
+
     def wait_s(self, held: float, ahead: int) -> float:
         """Return how long a scatter behind ``ahead`` others waits until it may start.
 
-        >>> ScatterRoom(limit=2.0, hold_s=0.05).wait_s(held=2.0, ahead=3)
+        >>> ScatterRoom(part=2.0, limit=2.0, hold_s=0.05).wait_s(held=2.0, ahead=3)
         0.1
         """
         excess = held + ahead + 1.0 - self.limit
-        return max(0.0, excess) * self.hold_s / self.limit
+        if excess <= 0.0 or not self.hold_s:
+            return 0.0
+        return excess / self.pace
 
     def note_hold(self, seconds: float) -> None:
         """Learn for how long a scatter that has ended held the slot of a shard, in the mean."""
