--- a/tinrudder/routing/scatter_queue.py
+++ b/tinrudder/routing/scatter_queue.py
@@ -30,9 +30,12 @@
 OVERTAKEN_WAIT = 2.0 * SHORT_WAIT
 """The same for one that others have overtaken: callers that come back go first, and the queue would
 grow by all of them."""
-LATE_WAIT_SHARE = 1.0 / 3.0
+LATE_WAIT_SHARE = 0.5
 """Part of its time left that a scatter waits which cannot meet its objective any more, a choice:
-two thirds are left for another try."""
+half of the time is left for another try."""
+EARLY_SHARE = 0.25
+"""Part of the time until its objective within which a refusal is worth something to a caller, which
+can be served in time by another try.  Who has waited longer is better served late."""
 MOST_IDLE_LANES = 64
 """Tenants that are remembered without a scatter that waits."""
 
@@ -44,7 +47,9 @@
     :param usual_s: how long such a scatter takes without waiting.
     :param returning: its caller was refused before.
     :param tenant: on whose behalf it comes; empty for nobody's.
-    :param late: it could not meet its objective when it came.
+    :param late: it cannot meet its objective any more.
+    :param refusable_until: when a refusal stops being better than a late answer.
+    :param latest_start_at: when it is refused all the same.
     :param turn: its place among the tenants' scatters: one that asks for much gets later turns.
     """
 
@@ -55,6 +60,7 @@
     returning: bool = False
     tenant: str = ""
     late: bool = False
+    refusable_until: float = 0.0
     latest_start_at: float = 0.0
     turn: int = 0
     number: int = 0
@@ -139,6 +145,10 @@
             self._started(scatter)
             return True
         refusal = self._judge(scatter, ahead, held, now)
+        if refusal is not None and now >= scatter.refusable_until and not scatter.late:
+            self._put_off(scatter, now)
+            ahead = bisect.bisect(self._waiting, scatter.order, key=_order)
+            refusal = self._judge(scatter, ahead, held, now)
         if refusal is not None:
             return refusal
         if not self._waiting:
@@ -163,16 +173,24 @@
         kept: list[QueuedScatter] = []
         for scatter in self._waiting:
             refusal = self._overtaken(scatter, len(kept), held, now)
+            if refusal is not None and now >= scatter.refusable_until and not scatter.late:
+                self._put_off(scatter, now)
+                refusal = None
             if refusal is None:
                 kept.append(scatter)
             else:
                 refused.append((scatter, refusal))
-        if refused:
-            self._waiting[:] = kept
-            for scatter, _ in reversed(refused):
-                self._give_turn_back(scatter)
+        self._waiting[:] = sorted(kept, key=_order)
+        for scatter, _ in reversed(refused):
+            self._give_turn_back(scatter)
         return refused
 
+    def _put_off(self, scatter: QueuedScatter, now: float) -> None:
+        """Let a scatter that cannot be in time any more wait behind all that can."""
+        scatter.late = True
+        left_s = max(0.0, scatter.deadline_at - now)
+        scatter.latest_start_at = now + left_s * LATE_WAIT_SHARE
+
     def leave(self, scatter: QueuedScatter) -> None:
         """Forget a scatter whose caller has gone, if it still waits."""
         if scatter in self._waiting:
@@ -187,10 +205,10 @@
     def _prepare(self, scatter: QueuedScatter, now: float) -> None:
         """Give a scatter its latest useful start and its place."""
         scatter.latest_start_at = scatter.objective_at - scatter.usual_s
-        scatter.late = scatter.latest_start_at <= now
-        if scatter.late:
-            left_s = max(0.0, scatter.deadline_at - now)
-            scatter.latest_start_at = now + left_s * LATE_WAIT_SHARE
+        early_s = 0.0 if scatter.returning else EARLY_SHARE * (scatter.objective_at - now)
+        scatter.refusable_until = now + early_s
+        if scatter.latest_start_at <= now:
+            self._put_off(scatter, now)
         self._count += 1
         scatter.number = self._count
         if scatter.tenant:
@@ -205,7 +223,12 @@
         """Refuse a newcomer that would wait too long."""
         bearable_s = BEARABLE_SHARE * (scatter.latest_start_at - now)
         short_s = min(bearable_s, SHORT_WAIT * scatter.usual_s)
-        if ahead and self._stands(now) and self.room.wait_s(held, ahead) > short_s:
+        if (
+            not scatter.late
+            and ahead
+            and self._stands(now)
+            and self.room.wait_s(held, ahead) > short_s
+        ):
             self._overload_until = now + OVERLOAD_S
             bearable_s = short_s
         return self._refusal(scatter, ahead, held, bearable_s)
@@ -223,7 +246,7 @@
         bearable_s = scatter.latest_start_at - now
         if bearable_s > 0.0 and not ahead:
             return None
-        if now < self._overload_until:
+        if now < self._overload_until and not scatter.late:
             bearable_s = min(bearable_s, OVERTAKEN_WAIT * scatter.usual_s)
         return self._refusal(scatter, ahead, held, bearable_s)
 
