--- a/tinrudder/routing/backend_observations.py
+++ b/tinrudder/routing/backend_observations.py
@@ -149,7 +149,7 @@
         if age >= BACKLOG_LIFETIME_S:
             return None
         slots = max(1, self.slots)
-        return max(0, self.reported_backlog + 1 - slots) / slots * (1.0 - age / BACKLOG_LIFETIME_S)
+        return max(0, self.reported_backlog - slots) / slots * (1.0 - age / BACKLOG_LIFETIME_S)
 
     def _services_ahead(self, now: float) -> float:
         """Return the wait for a slot as a multiple of the time that a call holds one."""
--- a/tinrudder/routing/scatter_room.py
+++ b/tinrudder/routing/scatter_room.py
@@ -9,18 +9,22 @@
 
 from msgspec import Struct
 
-OVER_COMMITMENT = 2.0
+OVER_COMMITMENT = 1.5
 """How many times its part of the slots a gateway uses before it hears of queues.  A scatter waits
 for its slowest shard while most of its slots are free again; and on calm days a second scatter in
 the same 50 ms must not wait for the first.  Back ends' queues take the surplus of a burst's first
 moment: at most one call's time."""
-LEAST_SCATTERS = 1.0
+LEAST_FREE = 0.5
+"""Room that must be free for another scatter: a few slow shards of one that runs hold none of it
+back; where a whole scatter's room had to be free, gateways with one slot each stood idle while one
+back end of 20 paused."""
+LEAST_SCATTERS = 0.6
 """A gateway whose part is less than one slot still runs one scatter."""
-FIRST_SCATTERS = 2.0
+FIRST_SCATTERS = 1.5
 """And two while it hears of no queue."""
-QUEUE_LOW = 0.2
+QUEUE_LOW = 0.1
 """Below this wait at the typical back end, in calls' times, there is room for more, a choice."""
-QUEUE_HIGH = 0.4
+QUEUE_HIGH = 0.25
 """Above it the room shrinks: less than half of a call's own time, which callers bear (see
 :data:`tinrudder.routing.load_forecast.HARMLESS_WAIT`)."""
 INCREASE = 0.1
@@ -75,8 +79,8 @@
         self.limit = max(self.floor, learned * self.first_limit)
 
     def bears_another(self, held: float) -> bool:
-        """Tell whether one more scatter may start; nothing that holds room always lets one."""
-        return held <= 0.0 or held + 1.0 <= self.limit
+        """Tell whether one more scatter may start; where nothing runs, one always may."""
+        return held <= 0.0 or held + LEAST_FREE <= self.limit
 
     @property
     def pace(self) -> float:
@@ -95,7 +99,7 @@
         >>> ScatterRoom(part=2.0, limit=2.0, hold_s=0.05).wait_s(held=2.0, ahead=3)
         0.1
         """
-        excess = held + ahead + 1.0 - self.limit
+        excess = held + ahead + LEAST_FREE - self.limit
         if excess <= 0.0 or not self.hold_s:
             return 0.0
         return excess / self.pace
