--- a/tinrudder/routing/scatter_queue.py
+++ b/tinrudder/routing/scatter_queue.py
@@ -75,7 +75,7 @@
             self.late,
             self.priority,
             self.turn,
-            not self.returning,
+            self.returning,
             self.objective_at,
             self.number,
         )
