--- a/tinrudder/routing/scatter_room.py
+++ b/tinrudder/routing/scatter_room.py
@@ -22,9 +22,9 @@
 """A gateway whose part is less than one slot still runs one scatter."""
 FIRST_SCATTERS = 1.5
 """And two while it hears of no queue."""
-QUEUE_LOW = 0.1
+QUEUE_LOW = 0.3
 """Below this wait at the typical back end, in calls' times, there is room for more, a choice."""
-QUEUE_HIGH = 0.25
+QUEUE_HIGH = 0.6
 """Above it the room shrinks: less than half of a call's own time, which callers bear (see
 :data:`tinrudder.routing.load_forecast.HARMLESS_WAIT`)."""
 INCREASE = 0.1
