--- a/tinrudder/cli/story.py
+++ b/tinrudder/cli/story.py
@@ -22,6 +22,7 @@
 CLEARED_EVENT = "request_cleared"
 POISON_EVENTS = frozenset((CALL_LOST_EVENT, BARRED_EVENT, CLEARED_EVENT, "request_on_trial"))
 ZONE_PATH_EVENT = "zone_path"
+OVERLOAD_DETAIL = "overload: place"
 QUOTA_EVENTS = frozenset(("quota_pressed", "quota_home_silent"))
 MEANINGS = {
     "Merged": "answered from the shards that were in",
@@ -148,10 +149,21 @@
     told.extend(_coverage_lines(line))
     if line.detail:
         told.append(f"  decided by: {line.detail}")
+        told.extend(_overload_lines(line))
     told.append(f"  calls beyond the first of each shard: {line.repeats}")
     return told
 
 
+def _overload_lines(line: LogLine) -> list[str]:
+    """Explain the refusal of a scatter that would have waited too long."""
+    if not line.detail.startswith(OVERLOAD_DETAIL):
+        return []
+    return [
+        "  that is: nothing of it had left; with this many scatters before it, by the pace at which",
+        "    room became free lately, it would have begun after more than it could bear to wait",
+    ]
+
+
 def _lost_line(line: LogLine) -> str:
     """Tell of a back end that was lost under a request."""
     return (
--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -138,7 +138,7 @@
     "rejections": "Calls that back ends rejected.",
     "broken": "Calls without a usable answer.",
     "connections_opened": "Connections opened to back ends.",
-    "refused": "Requests refused because queues at the back ends were too long.",
+    "refused": "Requests refused since they could not have been served in time.",
     "relayed": "Scatters handed to coordinators.",
     "delegated": "Groups of shards handed to gateways beside their replicas.",
     "delegations_run_here": "Groups of shards asked from here since the other gateway did not.",
@@ -212,6 +212,24 @@
             lambda: len(node.state.evacuations.zones),
             is_counter=False,
         ),
+        Figure(
+            f"{PREFIX}_scatters_waiting",
+            "Scatters that wait here for room at the back ends.",
+            lambda: node.gates.waiting,
+            is_counter=False,
+        ),
+        Figure(
+            f"{PREFIX}_scatter_room_held",
+            "Slots of a typical shard that running scatters hold.",
+            lambda: node.gates.held,
+            is_counter=False,
+        ),
+        Figure(
+            f"{PREFIX}_scatter_room_limit",
+            "Slots of a typical shard that scatters of this gateway may hold now.",
+            lambda: node.gates.limit,
+            is_counter=False,
+        ),
         Figure(
             f"{PREFIX}_in_progress",
             "Requests being served.",
--- a/tinrudder/gateway/scatter_gate.py
+++ b/tinrudder/gateway/scatter_gate.py
@@ -134,7 +134,6 @@
     ) -> None:
         """Learn of back ends, callers and reports through ``relaying``."""
         self.queue = ScatterQueue()
-        self.refused: dict[int, int] = {}
         self._index = index
         self._relaying = relaying
         self._forwarding = relaying.forwarding
@@ -213,8 +212,6 @@
 
     def _refuse(self, ticket: Ticket, refusal: ScatterRefusal, now: float) -> None:
         """Refuse one, with what decided it and a moment to come back at."""
-        priority = refusal.priority
-        self.refused[priority] = self.refused.get(priority, 0) + 1
         self._forwarding.counters.refused += 1
         assert ticket.scatter is not None
         retry_s = self._retry_after_s(ticket.scatter, refusal, now)
@@ -326,6 +323,21 @@
         """Return all gates."""
         return tuple(self._gates.values())
 
+    @property
+    def waiting(self) -> int:
+        """Return how many scatters wait."""
+        return sum(len(gate.queue) for gate in self._gates.values())
+
+    @property
+    def held(self) -> float:
+        """Return the room that running scatters hold."""
+        return sum(gate.held for gate in self._gates.values())
+
+    @property
+    def limit(self) -> float:
+        """Return the room that they may hold."""
+        return sum(gate.queue.room.limit for gate in self._gates.values())
+
 
 def _nothing() -> None:
     """Take no note."""
