--- a/tinrudder/cli/story.py
+++ b/tinrudder/cli/story.py
@@ -159,8 +159,8 @@
     if not line.detail.startswith(OVERLOAD_DETAIL):
         return []
     return [
-        "  that is: nothing of it had left; with this many scatters before it, by the pace at which",
-        "    room became free lately, it would have begun after more than it could bear to wait",
+        "  that is: nothing of it had left; with those before it, by the pace at which room became",
+        "    free lately, it would have waited for longer than it could bear",
     ]
 
 
