--- a/tinrudder/routing/scatter_queue.py
+++ b/tinrudder/routing/scatter_queue.py
@@ -24,10 +24,10 @@
 """Part of the time until its latest useful start that a newcomer may have to wait, by what is
 expected: more urgent ones and others that come back overtake it, and none of those that wait is
 to be refused late for that."""
-SHORT_WAIT = 0.3
+SHORT_WAIT = 0.6
 """How long a scatter may wait in a standing queue, in usual times of one: the median of what is
 served stays within 1.3 of what it is without load."""
-OVERTAKEN_WAIT = 2.0 * SHORT_WAIT
+OVERTAKEN_WAIT = 1.5 * SHORT_WAIT
 """The same for one that others have overtaken, which would make the queue as long again."""
 LATE_WAIT_SHARE = 0.5
 """Part of its time left that a scatter waits which cannot meet its objective any more, a choice:
