--- a/tinrudder/routing/scatter_room.py
+++ b/tinrudder/routing/scatter_room.py
@@ -84,14 +84,8 @@
 
     @property
     def pace(self) -> float:
-        """Return how many scatters can start in a second; 0: not known.
-
-        What is held beyond the part only waits at the back ends where all gateways do the same, so
-        it counts in part.
-        """
-        if not self.hold_s:
-            return 0.0
-        return max(self.floor, self.limit / OVER_COMMITMENT) / self.hold_s
+        """Return how many scatters can start in a second; 0: not known."""
+        return self.limit / self.hold_s if self.hold_s else 0.0
 
     def wait_s(self, held: float, ahead: int) -> float:
         """Return how long a scatter behind ``ahead`` others waits until it may start.
