--- a/tests/unit/test_scatter_queue.py
+++ b/tests/unit/test_scatter_queue.py
@@ -29,6 +29,7 @@
 
 HOLD_S = 0.05
 FULL = 2.0
+USUAL_S = 0.05
 
 
 def queue(limit: float = FULL) -> ScatterQueue:
@@ -174,17 +175,17 @@
 def test_a_standing_queue_is_kept_short_until_the_overload_is_over() -> None:
     line = queue()
     for _ in range(4):
-        assert line.arrive(scatter(), FULL, 0.0) is False
-    verdict = line.arrive(scatter(), FULL, STANDING_S)
+        assert line.arrive(scatter(usual_s=USUAL_S), FULL, 0.0) is False
+    verdict = line.arrive(scatter(usual_s=USUAL_S), FULL, STANDING_S)
     assert isinstance(verdict, ScatterRefusal)
-    assert verdict.bearable_s == pytest.approx(SHORT_WAIT * 0.08)
+    assert verdict.bearable_s == pytest.approx(SHORT_WAIT * USUAL_S)
     started(line)
     # Empty for a moment, it still stands; a second later it does not.
-    assert line.arrive(scatter(), FULL, STANDING_S + 0.1) is False
-    assert isinstance(line.arrive(scatter(), FULL, STANDING_S + 0.1), ScatterRefusal)
+    assert line.arrive(scatter(usual_s=USUAL_S), FULL, STANDING_S + 0.1) is False
+    assert isinstance(line.arrive(scatter(usual_s=USUAL_S), FULL, STANDING_S + 0.1), ScatterRefusal)
     started(line)
     calm = STANDING_S + 0.1 + OVERLOAD_S
-    assert [line.arrive(scatter(), FULL, calm) for _ in range(3)] == [False] * 3
+    assert [line.arrive(scatter(usual_s=USUAL_S), FULL, calm) for _ in range(3)] == [False] * 3
 
 
 def test_a_caller_that_leaves_takes_its_place_and_its_turn_with_it() -> None:
--- a/tinrudder/routing/scatter_queue.py
+++ b/tinrudder/routing/scatter_queue.py
@@ -25,8 +25,8 @@
 expected: more urgent ones and others that come back overtake it, and none of those that wait is
 to be refused late for that."""
 SHORT_WAIT = 0.6
-"""How long a scatter may wait in a standing queue, in usual times of one: the median of what is
-served stays within 1.3 of what it is without load."""
+"""How long a scatter may wait in a standing queue behind others, in usual times of one, a choice: a
+longer one serves no more, and all of it later."""
 OVERTAKEN_WAIT = 1.5 * SHORT_WAIT
 """The same for one that others have overtaken, which would make the queue as long again."""
 LATE_WAIT_SHARE = 0.5
