The gateway's refusal by chance moves to the bench; a test refuses where coordinators do

Cause: scatters wait at the gate and single requests are judged by all that is known of their service, so nothing of the product asked gateway/admission any more; the test of refusals beside a silent coordinator set a method that nobody called. Ruled out: leaving it as dead code. Conclusion: the way that stood is the bench's baseline; the test refuses in the coordinator's own service, as strict as it was.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from tinrudder.gateway.admission import Admission
+from bench.share_admission import Admission
 from tinrudder.gateway.outcomes import NotRun
 from tinrudder.gateway.scatter_gate import ScatterGate, Ticket
 from tinrudder_lab.emulator.records import ClientResult
--- a/tinrudder/gateway/admission.py
+++ b/bench/share_admission.py
@@ -1,4 +1,4 @@
-"""Refuses at once what can probably not be answered in time."""
+"""The baseline of the overload bench: scatters are refused by chance, by the queues reported."""
 
 from __future__ import annotations
 
--- a/tests/functional/test_gateway_coordinators.py
+++ b/tests/functional/test_gateway_coordinators.py
@@ -162,7 +162,7 @@
             others = [node for node in site.nodes if node is not coordinator]
             for node in others:
                 assert node.gateway is not None
-                node.gateway.handler.admission.refusal = lambda *_: refusal  # type: ignore[method-assign]
+                node.gateway.scatters._refusal = lambda *_: refusal  # type: ignore[method-assign]
             coordinator.machine.pause()
             first = len(site.ledger.results)
             for node in others:
--- a/tinrudder/gateway/request_handler.py
+++ b/tinrudder/gateway/request_handler.py
@@ -7,7 +7,6 @@
 from typing import Protocol
 
 from tinrudder.gateway.access import Access, Admitted
-from tinrudder.gateway.admission import Admission
 from tinrudder.gateway.answers import build_answer
 from tinrudder.gateway.client_connection import ClientConnection, RequestInProgress
 from tinrudder.gateway.client_moments import ClientMoments, Moments
@@ -106,7 +105,6 @@
         self._random = random_source
         self._routes: RoutesInForce | None = None
         self._moments = ClientMoments(forwarding.names)
-        self.admission = Admission(forwarding, random_source)
         self._service_admission = ServiceAdmission(forwarding)
         state.subscribe(self._refresh)
 
