Test of a refusal beside an unheard coordinator: refused at the gate, where scatters are now

It replaced Admission.refusal, which scatters don't ask any more, so it had become empty. It now also asserts that something was refused. On a scratch copy without the correction in RelayedRun._report it passes all the same: that it can catch this fault isn't shown.

--- a/tests/functional/test_gateway_coordinators.py
+++ b/tests/functional/test_gateway_coordinators.py
@@ -17,6 +17,7 @@
     run_many,
 )
 from tinrudder.gateway.outcomes import NotRun
+from tinrudder.gateway.scatter_gate import Ticket
 from tinrudder.wire.peer_client import PeerClient
 from tinrudder_lab.emulator.backend import Fault
 from tinrudder_lab.emulator.loop import EmulatorLoop
@@ -150,19 +151,34 @@
     run_many(scenario, copies=copies)
 
 
+class RefusingGate:
+    """Lets no scatter begin."""
+
+    def __init__(self, site: EmulatedSite) -> None:
+        self.refused = 0
+        self._site = site
+
+    def enter(self, ticket: Ticket) -> None:
+        self.refused += 1
+        ticket.entrance.refuse(NotRun("queues", 0.1), self._site.loop.time())
+
+    def leave(self, ticket: Ticket) -> None:
+        pass
+
+
 def test_a_refusal_says_nothing_of_having_run_where_an_unheard_coordinator_may_have() -> None:
     """With two replicas coordinators begin at once, so a silent one may run what it was handed."""
 
     async def scenario(site: EmulatedSite) -> None:
         await asyncio.sleep(SETTLED_S + 8.0)
         await site.traffic(2.0, 40.0, ("scatter",))
-        refusal = NotRun("queues", 0.1)
+        gate = RefusingGate(site)
         for _ in range(6):
             coordinator = busiest_coordinator(site)
             others = [node for node in site.nodes if node is not coordinator]
             for node in others:
                 assert node.gateway is not None
-                node.gateway.handler.admission.refusal = lambda *_: refusal  # type: ignore[method-assign]
+                node.gateway.gates.of_route = lambda route: gate  # type: ignore[method-assign, assignment, return-value]
             coordinator.machine.pause()
             first = len(site.ledger.results)
             for node in others:
@@ -172,6 +188,7 @@
             refused = [one for one in site.ledger.results[first:] if one.status in (429, 503)]
             ran = {arrival.request_id for arrival in site.ledger.arrivals if arrival.ran}
             assert not {one.request_id for one in refused} & ran
+        assert gate.refused > 0
         assert site.broken_promises() == []
 
     run_many(scenario, copies=2)
--- a/tinrudder/routing/scatter_queue.py
+++ b/tinrudder/routing/scatter_queue.py
@@ -291,7 +291,7 @@
         self._turns[scatter.priority] = max(self._turn(scatter), scatter.turn)
 
     def _forget_idle(self) -> None:
-        """Drop tenants whose next turn would be the current one anyway, or is the one after it."""
+        """Forget the turns of tenants of which nothing waits."""
         waiting = {(one.priority, one.tenant) for one in self._waiting}
         self._next_turn = {lane: turn for lane, turn in self._next_turn.items() if lane in waiting}
 
