--- a/tests/unit/test_shard_calls_machine.py
+++ b/tests/unit/test_shard_calls_machine.py
@@ -169,6 +169,7 @@
             forwarding,
             lambda shard: None,
             RunGuard(forwarding.evidence, encoded, route),
+            self.loop.now + 0.085,
             relay_failures=False,
         )
         self.shard.start(self.loop.now)
--- a/tinrudder/gateway/forwarding.py
+++ b/tinrudder/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from tinrudder.gateway.model import HeaderNames, RepeatBounds, Route
 from tinrudder.gateway.run_guard import CrashEvidence
 from tinrudder.routing.hedge_delay import hedge_delay_s, usual_latency_s
+from tinrudder.routing.hedge_moment import HedgeMoments
 from tinrudder.routing.latency_window import LatencyWindow
 from tinrudder.routing.repeat_budget import RepeatBudget
 from tinrudder.routing.scatter_place import ScatterSizes
@@ -65,6 +66,7 @@
     _budgets: dict[str, RepeatBudget] = field(default_factory=dict)
     _latencies: dict[str, LatencyWindow] = field(default_factory=dict)
     _unloaded: dict[str, LatencyWindow] = field(default_factory=dict)
+    _hedges: dict[str, HedgeMoments] = field(default_factory=dict)
     _sizes: dict[tuple[str, ...], ScatterSizes] = field(default_factory=dict)
     # The same for all shards that one scatter asks at one moment.
     _advantage: float = 0.0
@@ -88,6 +90,14 @@
             self._latencies[route.name] = window
         return window
 
+    def hedge_moments(self, route: Route) -> HedgeMoments:
+        """Return when calls of a route are hedged."""
+        moments = self._hedges.get(route.name)
+        if moments is None:
+            moments = HedgeMoments(self.latency(route))
+            self._hedges[route.name] = moments
+        return moments
+
     def unloaded_latency(self, route: Route) -> LatencyWindow:
         """Return the latencies of a route's calls that left no queue behind."""
         window = self._unloaded.get(route.name)
@@ -117,6 +127,7 @@
             del self._budgets[service]
         for route in self._latencies.keys() - routes:
             del self._latencies[route]
+            self._hedges.pop(route, None)
         for route in self._unloaded.keys() - routes:
             del self._unloaded[route]
 
--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -97,6 +97,7 @@
                 self._forwarding,
                 self._review,
                 self._guard,
+                self._moments.objective_at,
                 relay_failures=not self._scatter,
                 asked_before=asked_before,
             )
@@ -133,7 +134,6 @@
 
     def start(self) -> None:
         """Hand over what others ask, then send the first calls."""
-        now = self._forwarding.loop.time()
         self._was_free = self._guard.is_free
         for group in self._delegated:
             group.on_end = self._on_group_end
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -74,6 +74,7 @@
         forwarding: Forwarding,
         on_change: Callable[[ShardCalls], None],
         guard: RunGuard,
+        objective_at: float,
         *,
         relay_failures: bool,
         asked_before: bool = False,
@@ -81,6 +82,7 @@
         """Prepare.
 
         :param guard: decides for the whole run what may be sent after back ends were lost.
+        :param objective_at: when the answer leaves, if it suffices then.
         :param relay_failures: a back end's own refusal is an answer.
         :param asked_before: another gateway has called the shard's back ends for this request.
         """
@@ -96,6 +98,7 @@
         self._forwarding = forwarding
         self._on_change = on_change
         self._guard = guard
+        self._objective_at = objective_at
         self._relay_failures = relay_failures
         self._asked_before = asked_before
         self._attempts: list[Attempt] = []
@@ -106,6 +109,9 @@
         self._dead: set[str] = set()
         self._budget = forwarding.budget(service)
         self._latency = forwarding.latency(route)
+        self._hedge_at = NEVER
+        # When the call that was sent first is overdue, which says something of the way to it.
+        self._overdue_at = NEVER
 
     @property
     def running(self) -> bool:
@@ -198,12 +204,15 @@
         self._send(self._forwarding.choose(candidates, self._route, now), now, paid=paid)
 
     def _hedge(self, now: float) -> None:
-        """Send a second call beside one that is overdue."""
-        for attempt in self._attempts:
-            if attempt.running is not None:
-                zone = attempt.backend.entry.zone
-                self._forwarding.zone_doubted(zone, attempt.running.sent_at)
-        if not self._route.repeatable or self.sends >= MAX_SENDS or self._is_held_back(now):
+        """Send a second call beside one that may be late."""
+        if now >= self._overdue_at:
+            self._doubt_zones()
+        if not self._route.repeatable or self.sends >= MAX_SENDS:
+            return
+        if now < self._hedge_at:
+            self.next_at = self._hedge_at
+            return
+        if self._is_held_back(now):
             return
         busy = {attempt.backend.backend_id for attempt in self._attempts}
         candidates = [backend for backend in self._candidates() if backend.backend_id not in busy]
@@ -223,6 +232,13 @@
         self._forwarding.counters.hedges += 1
         self._send(self._forwarding.choose(candidates, self._route, now), now, paid=paid)
 
+    def _doubt_zones(self) -> None:
+        """Tell that calls are overdue."""
+        for attempt in self._attempts:
+            if attempt.running is not None:
+                zone = attempt.backend.entry.zone
+                self._forwarding.zone_doubted(zone, attempt.running.sent_at)
+
     def _is_held_back(self, now: float) -> bool:
         """Tell whether the run may not send now, and note when to look again, if ever."""
         permission = self._guard.permission(now)
@@ -278,10 +294,30 @@
         attempt.call.listener = lambda outcome: self._on_outcome(attempt, outcome)
         attempt.call.make_bytes = lambda: self._leave(attempt)
         self._attempts.append(attempt)
-        fill = self._budget.fill(now, self._forwarding.sharers(self.service))
-        self.next_at = now + hedge_delay_s(self._latency, self._route.objective_s, fill)
+        self._arm(now)
         backend.pool.start(attempt.call)
 
+    def _arm(self, now: float) -> None:
+        """Note when a call that is sent now is overdue, and when another one is sent beside it."""
+        fill = self._budget.fill(now, self._forwarding.sharers(self.service))
+        overdue_at = now + hedge_delay_s(self._latency, self._route.objective_s, fill)
+        if not now < self._overdue_at < overdue_at:
+            self._overdue_at = overdue_at
+        self._hedge_at = self._moment_of_hedge(now, fill, overdue_at)
+        self.next_at = min(self._overdue_at, self._hedge_at)
+
+    def _moment_of_hedge(self, now: float, fill: float, overdue_at: float) -> float:
+        """Return when another call is worth sending beside one that is sent now."""
+        moments = self._forwarding.hedge_moments(self._route)
+        left_s = self._objective_at - now
+        if left_s <= 0.0 or not moments.is_known:
+            return overdue_at
+        age_s = moments.age_s(left_s, fill)
+        if age_s is not None:
+            return now + age_s
+        # None would be in time; what is lacking when the answer should leave is still needed.
+        return max(overdue_at, self._objective_at)
+
     def _new_call(self) -> UpstreamCall:
         """Make a call whose parts are filled in by :meth:`_send`."""
         return UpstreamCall(
--- a/tinrudder/routing/latency_window.py
+++ b/tinrudder/routing/latency_window.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import itertools
 import math
+from collections.abc import Sequence
 
 SMALLEST_S = 1e-4
 BUCKET_RATIO = 1.07
@@ -64,6 +66,22 @@
             self._cached[fraction] = cached
         return cached
 
+    def shares_above(self, times: Sequence[float]) -> tuple[float, ...]:
+        """Return which share of the calls took longer than each of some times, seconds.
+
+        >>> window = LatencyWindow()
+        >>> for latency_ms in range(1, 101):
+        ...     window.observe(latency_ms / 1000)
+        >>> [round(share, 1) for share in window.shares_above([0.0, 0.020, 0.080, 0.2])]
+        [1.0, 0.8, 0.2, 0.0]
+        """
+        total = len(self)
+        if not total:
+            return (0.0,) * len(times)
+        counts = (now + before for now, before in zip(self._counts, self._former, strict=True))
+        up_to = [0, *itertools.accumulate(counts)]
+        return tuple(1.0 - _counted(up_to, seconds) / total for seconds in times)
+
     def _compute_quantile(self, fraction: float) -> float:
         """Walk the buckets up to the wanted rank."""
         total = len(self)
@@ -86,6 +104,17 @@
         self._stale_after = REFRESH_CALLS
 
 
+def _counted(up_to: Sequence[int], seconds: float) -> float:
+    """Return how many calls took no longer, those of one bucket evenly spread within it."""
+    if seconds <= SMALLEST_S:
+        return 0.0
+    place = (math.log(seconds) - _LOG_SMALLEST) / _LOG_RATIO
+    bucket = int(place)
+    if bucket >= BUCKETS:
+        return up_to[BUCKETS]
+    return up_to[bucket] + (place - bucket) * (up_to[bucket + 1] - up_to[bucket])
+
+
 def _latency_of(bucket: int) -> float:
     """Return the middle of a bucket, in the sense of ratios."""
     return SMALLEST_S * math.exp((bucket + 0.5) * _LOG_RATIO)
