--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -133,32 +133,18 @@
         return here + tuple(one for one in elsewhere if one.service not in asked_here)
 
     def start(self) -> None:
-        """Hand over what others ask, then send the first calls."""
+        """Send the first calls."""
         self._was_free = self._guard.is_free
         for group in self._delegated:
             group.on_end = self._on_group_end
         self._held_groups = list(self._delegated)
         if self._was_free:
             self._start_held_groups()
-        own = tuple(self.shards)
-        if self._delegated and not self._held_groups:
-            # What was handed over leaves in tasks, which run in their order before this.  Behind
-            # the calls it waited for their burst: 11 of the 48 ms that an urgent scatter over 90
-            # shards has, on machines with an eighth of a core (their logs).
-            self._forwarding.loop.call_soon(self._start_own, own)
-        else:
-            self._start_own(own)
-
-    def _start_own(self, own: Sequence[ShardCalls]) -> None:
-        """Send the first calls of the shards that are asked from here."""
-        if self._finished:
-            return
         now = self._forwarding.loop.time()
-        self._starting = True
-        for shard in own:
+        for shard in self.shards:
             shard.start(now)
         self._starting = False
-        for shard in own:
+        for shard in self.shards:
             self._count(shard)
         self._follow_guard(now)
         self._act(now)
