--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -134,13 +134,13 @@
 
     def start(self) -> None:
         """Send the first calls."""
+        now = self._forwarding.loop.time()
         self._was_free = self._guard.is_free
         for group in self._delegated:
             group.on_end = self._on_group_end
         self._held_groups = list(self._delegated)
         if self._was_free:
             self._start_held_groups()
-        now = self._forwarding.loop.time()
         for shard in self.shards:
             shard.start(now)
         self._starting = False
