--- a/tinrudder/routing/hedge_moment.py
+++ b/tinrudder/routing/hedge_moment.py
@@ -57,7 +57,7 @@
     @property
     def is_known(self) -> bool:
         """Tell whether enough calls were seen to tell how many are late."""
-        return len(self._latency) >= LEAST_OBSERVATIONS * 1000000
+        return len(self._latency) >= LEAST_OBSERVATIONS
 
     def age_s(self, left_s: float, budget_fill: float) -> float | None:
         """Return the age at which a call that is sent now is hedged, seconds.
--- a/tinrudder/routing/scatter_place.py
+++ b/tinrudder/routing/scatter_place.py
@@ -23,7 +23,7 @@
 """Handing over must cross so many times fewer bytes: it also costs a hop and another gateway."""
 
 
-MOST_LATE_BY_PATH = 0.1
+MOST_LATE_BY_PATH = 0.25
 """Part of the calls that may be late for having been handed over.  Of 23 shards among 90 these
 are one, and an answer that lacks one is worth 2% less."""
 
