--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -110,7 +110,7 @@
         self._budget = forwarding.budget(service)
         self._latency = forwarding.latency(route)
         self._hedge_at = NEVER
-        # When the call that was sent first is overdue, which says something of the way to it.
+        # When the call that was sent last is overdue, which says something of the way to it.
         self._overdue_at = NEVER
 
     @property
@@ -300,10 +300,8 @@
     def _arm(self, now: float) -> None:
         """Note when a call that is sent now is overdue, and when another one is sent beside it."""
         fill = self._budget.fill(now, self._forwarding.sharers(self.service))
-        overdue_at = now + hedge_delay_s(self._latency, self._route.objective_s, fill)
-        if not now < self._overdue_at < overdue_at:
-            self._overdue_at = overdue_at
-        self._hedge_at = self._moment_of_hedge(now, fill, overdue_at)
+        self._overdue_at = now + hedge_delay_s(self._latency, self._route.objective_s, fill)
+        self._hedge_at = self._moment_of_hedge(now, fill, self._overdue_at)
         self.next_at = min(self._overdue_at, self._hedge_at)
 
     def _moment_of_hedge(self, now: float, fill: float, overdue_at: float) -> float:
