--- a/tinrudder/gateway/request_run.py
+++ b/tinrudder/gateway/request_run.py
@@ -105,6 +105,7 @@
                 self._forwarding,
                 self._review,
                 self._guard,
+                self._moments.objective_at,
                 relay_failures=not self._scatter,
                 asked_before=asked_before,
             )
