Another gateway's doubt ends no trial of a closed way

Cause: a way that was closed for long is tried by calls, but each digest of a gateway that still has it closed was taken like an own call that hung, and closed it again for twice the time. Digests come several times a second, so that a zone without gateways, whose back ends live, got its trials ended before a call; and what was only heard of was told on as seen here.

Before: the new test of zone_paths fails, the way is closed by hearsay. Now it stays on trial until a call from here is overdue or answered.

--- a/tests/unit/test_zone_paths.py
+++ b/tests/unit/test_zone_paths.py
@@ -123,3 +123,14 @@
             assert rounds >= LEAST_ROUNDS
             assert now - doubted_at >= CLOSED_AFTER_S
             assert paths.path(ZONE).answered_at < doubted_at
+
+
+def test_another_gateways_doubt_ends_no_trial() -> None:
+    """Others tell of the closed way in each digest: calls here would never find out."""
+    paths = closed()
+    trial_at = paths.path(ZONE).trial_at
+    assert paths.review(ZONE, trial_at)
+    assert not paths.doubt(ZONE, trial_at, trial_at + 0.1, by_hearsay=True)
+    assert paths.path(ZONE).state is PathState.TRIAL
+    assert paths.doubt(ZONE, trial_at, trial_at + 0.1)
+    assert paths.is_closed(ZONE)
--- a/tinrudder/routing/zone_paths.py
+++ b/tinrudder/routing/zone_paths.py
@@ -125,14 +125,15 @@
     def doubt(self, zone: str, sent_at: float, now: float, *, by_hearsay: bool = False) -> bool:
         """Note that what was sent has no answer yet; tell whether that makes the way suspect.
 
-        It does not where anything else from the zone was answered since.
+        It does not where anything else from the zone was answered since.  Only own calls end a
+        trial: others, who have the way closed, tell of it in each digest.
 
         :param by_hearsay: another gateway sent it.
         """
         path = self.path(zone)
         if path.answered_at >= sent_at:
             return False
-        if path.state is PathState.TRIAL:
+        if path.state is PathState.TRIAL and not by_hearsay:
             self._close(path, now)
         elif path.state is PathState.OPEN:
             self._suspect(path, now, by_hearsay=by_hearsay)
