Take no evidence of poison requests that is forgotten everywhere soon

Cause: each gateway forgets evidence KEPT_S after the last crash by its own clock. Who had forgotten it took it back from one that would a moment later; that changed the request's standing, so it was passed on to eight at once, with an age that does not grow on the way.

Before: ten requests that lost a call and were never answered, 113 gateways, ways of 0.05 to 0.5 s, virtual time: from 600 s on up to 87 datagrams a second from each, then 24 without end (the bucket), and the requests suspect without end (trial). The new test fails: 113 gateways still know a request whose ages differ by 1 s. Now what is not known is not taken in the last 60 s of its time. Ruled out: to forget later than to take needs no message, so nothing is asked or counted anew.

--- a/tests/unit/test_poison_news_ends.py
+++ b/tests/unit/test_poison_news_ends.py
@@ -22,6 +22,7 @@
 from tinrudder.gateway.poison_watch import PoisonWatch
 from tinrudder.gateway.request_fingerprint import FINGERPRINT_BYTES
 from tinrudder.platform.headers import HEADERS
+from tinrudder.routing.poison_requests import KEPT_S, Crash, Evidence
 
 ORIGIN = b"o" * FINGERPRINT_BYTES
 REQUESTS = 10
@@ -114,3 +115,31 @@
     assert held == 0
     assert a_second <= 1.25 * REPEATED_TO[size]
     assert in_all <= REQUESTS * MOST_SENT_FOR_A_REQUEST
+
+
+async def play_forgetting() -> tuple[int, int]:
+    """Return what 113 gateways send in a second, and on how many of them a request is known, after
+    they have forgotten it at moments that differ by the time that news took."""
+    network = SlowNetwork(113)
+    tasks = [asyncio.create_task(watch.run()) for watch in network.watches.values()]
+    await asyncio.sleep(3.0)
+    now = network.loop.time()
+    ages = random.Random(7)
+    for watch in network.watches.values():
+        crash = Crash(1, now - KEPT_S + ages.uniform(2.0, 3.0), False)
+        watch.requests.merge(b"f" * FINGERPRINT_BYTES, Evidence(ORIGIN, (crash,)))
+    await asyncio.sleep(6.0)
+    before = network.sent
+    await asyncio.sleep(1.0)
+    for task in tasks:
+        task.cancel()
+    return network.sent - before, sum(len(watch.requests) for watch in network.watches.values())
+
+
+def test_what_some_have_forgotten_is_not_taken_from_those_who_have_not() -> None:
+    loop = async_solipsism.EventLoop()
+    try:
+        sent, known = loop.run_until_complete(play_forgetting())
+    finally:
+        loop.close()
+    assert (sent, known) == (0, 0)
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -257,8 +257,11 @@
     def _take(self, told: ToldEvidence) -> None:
         """Take what is known elsewhere of one request; pass it on if it decides something here."""
         now = self._clock()
+        evidence = _evidence_of(told, now)
+        if not self.requests.is_worth_taking(told.fingerprint, evidence, now):
+            return
         before = self.requests.judge(told.fingerprint, told.origin, now)
-        self.requests.merge(told.fingerprint, _evidence_of(told, now))
+        self.requests.merge(told.fingerprint, evidence)
         after = self.requests.judge(told.fingerprint, told.origin, now)
         if after.standing is not before.standing and self._peers.heard_of_in_all > TOLD_DIRECTLY:
             self._passing.add(told.fingerprint)
--- a/tinrudder/routing/poison_requests.py
+++ b/tinrudder/routing/poison_requests.py
@@ -43,6 +43,13 @@
 KEPT_S = 600.0
 """How long evidence is kept after its last crash, and after the end of a bar, a choice: 37 times
 the longest pause seen between two tries of one client, 16 s."""
+LEAST_LEFT_S = 60.0
+"""How much longer evidence must be kept to be taken where nothing is known of the request: each
+gateway forgets by its own clock, and would take back from others what they forget a moment later,
+and pass it on.  Twice a pause of 30 s in which news is not read, a choice.  Without this, ten
+requests that lost a call and were never answered made each of 113 gateways, whose datagrams took
+0.05 to 0.5 s, send 24 datagrams a second, all that its bucket allows, from 600 s on and without end
+(virtual time)."""
 CLEARED_KEPT_S = 30.0
 """How long an answer is kept: until every gateway has heard that it clears the request."""
 ALERT_S = 60.0
@@ -327,6 +334,12 @@
         self.merge(fingerprint, replace(evidence, trial_at=now))
         return True
 
+    def is_worth_taking(self, fingerprint: bytes, told: Evidence, now: float) -> bool:
+        """Tell whether another gateway's word is more than what is forgotten everywhere soon."""
+        if fingerprint in self._evidence or not told.held:
+            return True
+        return told.kept_until - now >= LEAST_LEFT_S
+
     def merge(self, fingerprint: bytes, told: Evidence) -> Evidence:
         """Take evidence from here or from another gateway; return all there is now."""
         known = self._evidence.pop(fingerprint, None)
