Tell others what is cleared if they know of an earlier crash; keep other crashes' news

Now a gateway remembers of which requests nobody has heard. Two new tests fail before (others: still suspect; still free), a third holds before and after: what is cleared before others hear of it is not told. SURVIVAL_S: its reason was wrong for canaries, whose loss is told at once.

--- a/tests/unit/test_poison_watch.py
+++ b/tests/unit/test_poison_watch.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections import Counter
+from collections.abc import Coroutine
+from typing import Any
 
+import async_solipsism
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,7 +17,7 @@
 from tinrudder.gateway.peer_datagrams import PeerDatagrams
 from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.peer_messages import Member, PoisonReport, ToldCrash, ToldEvidence
-from tinrudder.gateway.poison_watch import MOST_IN_A_REPORT, PoisonWatch
+from tinrudder.gateway.poison_watch import GATHER_S, MOST_IN_A_REPORT, PoisonWatch
 from tinrudder.gateway.request_fingerprint import FINGERPRINT_BYTES
 from tinrudder.platform.headers import HEADERS
 from tinrudder.routing.poison_requests import ENOUGH_CRASHES, Standing
@@ -127,6 +131,14 @@
         return sum(barred) / len(barred)
 
 
+def run_in_virtual_time(play: Coroutine[Any, Any, Any]) -> Any:
+    loop = async_solipsism.EventLoop()
+    try:
+        return loop.run_until_complete(play)
+    finally:
+        loop.close()
+
+
 def convict(watch: PoisonWatch) -> None:
     for number in range(ENOUGH_CRASHES):
         last = number == ENOUGH_CRASHES - 1
@@ -174,3 +186,43 @@
     third._on_report(PoisonReport(asks=True), Address("10.0.0.1", 2))
     network.deliver()
     assert second.requests.find(FINGERPRINT) is not None
+
+
+def test_others_are_told_that_a_request_is_cleared_of_which_they_know_an_earlier_crash() -> None:
+    async def play() -> Standing:
+        network = Network(3)
+        first, second, _ = network.watches.values()
+        first.note_crash(FINGERPRINT, ORIGIN, "back-end-1", trial=True)
+        network.deliver()
+        first.note_crash(FINGERPRINT, ORIGIN, "back-end-2", trial=False)
+        first.note_answer(FINGERPRINT)
+        network.deliver()
+        return second.judge(FINGERPRINT, ORIGIN).standing
+
+    assert run_in_virtual_time(play()) is Standing.FREE
+
+
+def test_a_back_end_that_survived_keeps_no_news_of_others_back() -> None:
+    async def play() -> Standing:
+        network = Network(3)
+        first, second, _ = network.watches.values()
+        first.note_crash(FINGERPRINT, ORIGIN, "back-end-1", trial=False)
+        first.note_crash(FINGERPRINT, ORIGIN, "back-end-2", trial=False)
+        first.note_survivor(FINGERPRINT, "back-end-1")
+        await asyncio.sleep(2 * GATHER_S)
+        network.deliver()
+        return second.judge(FINGERPRINT, ORIGIN).standing
+
+    assert run_in_virtual_time(play()) is Standing.SUSPECT
+
+
+def test_what_is_cleared_before_others_hear_of_it_is_not_told() -> None:
+    async def play() -> int:
+        network = Network(3)
+        first, *_ = network.watches.values()
+        first.note_crash(FINGERPRINT, ORIGIN, "back-end-1", trial=False)
+        first.note_answer(FINGERPRINT)
+        await asyncio.sleep(2 * GATHER_S)
+        return len(network.waiting)
+
+    assert run_in_virtual_time(play()) == 0
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -85,6 +85,8 @@
         self._random = random_source
         self._news: set[bytes] = set()
         self._passing: set[bytes] = set()
+        # Requests of which no other gateway has heard, as far as is known here.
+        self._untold: set[bytes] = set()
         self._telling: asyncio.TimerHandle | None = None
         # Until then, that nothing is known here says nothing of the others.
         self._told_everything = False
@@ -129,6 +131,8 @@
         """
         now = self._clock()
         backend = crc32(life.encode())
+        if self.requests.find(fingerprint) is None:
+            self._untold.add(fingerprint)
         evidence = self.requests.note_crash(fingerprint, origin, backend, now, trial=trial)
         if evidence.barred_until > now:
             fields: dict[str, LogValue] = {
@@ -167,12 +171,12 @@
 
     def _tell_dropped(self, fingerprint: bytes) -> None:
         """Tell others that something is held against a request no longer, if they know of it."""
-        if fingerprint in self._news:
-            # Nobody else holds anything against it, as far as is known here.
-            self._news.discard(fingerprint)
-        else:
+        evidence = self.requests.find(fingerprint)
+        if fingerprint not in self._untold:
             self._news.add(fingerprint)
             self._tell_news()
+        elif evidence is not None and not evidence.held:
+            self._news.discard(fingerprint)
 
     def begin_trial(self, fingerprint: bytes) -> None:
         """Keep other gateways from a trial while one begins here."""
@@ -196,6 +200,7 @@
             if self._clock() - due_at >= STOOD_STILL_S:
                 self._ask()
             self.requests.forget(self._clock())
+            self._untold = {one for one in self._untold if self.requests.find(one) is not None}
             self._repeat()
 
     def _ask(self) -> None:
@@ -237,6 +242,7 @@
         """Send evidence in as many reports as it takes."""
         found = ((one, self.requests.find(one)) for one in fingerprints)
         told = [self._told(one, evidence) for one, evidence in found if evidence is not None]
+        self._untold.difference_update(one.fingerprint for one in told)
         for first in range(0, len(told), MOST_IN_A_REPORT):
             allowed = self._budget.take(len(peers), self._clock())
             self.unsent += len(peers) - allowed
@@ -260,6 +266,7 @@
         evidence = _evidence_of(told, now)
         if not self.requests.is_worth_taking(told.fingerprint, evidence, now):
             return
+        self._untold.discard(told.fingerprint)
         before = self.requests.judge(told.fingerprint, told.origin, now)
         self.requests.merge(told.fingerprint, evidence)
         after = self.requests.judge(told.fingerprint, told.origin, now)
--- a/tinrudder/gateway/shard_calls.py
+++ b/tinrudder/gateway/shard_calls.py
@@ -44,8 +44,8 @@
 than what it is to replace."""
 SURVIVAL_S = 0.04
 """When to look whether a back end that was lost with a call keeps other connections.  A process
-that ends loses all of them at once.  This is several ways there and back between zones, and early
-enough that no other gateway has been told yet."""
+that ends loses all of them at once.  This is several ways there and back between zones, and before
+others are told of the loss, unless the call was a canary: that is told at once, and taken back."""
 NEVER = float("inf")
 FORGOTTEN = HttpAnswer(200, b"", (), b"")
 """Stands for an answer that has been given away."""
