A rejected call goes elsewhere where nobody waits, however long calls take

Cause: has_room compared the time of a call with what is left of the objective also where no queue is known. On a route whose calls usually take longer than its objective, one rejection, such as that of a back end that is leaving, ended the request as refused, though others were free and late answers are delivered.

--- a/tests/unit/test_load_news.py
+++ b/tests/unit/test_load_news.py
@@ -218,3 +218,8 @@
 ) -> None:
     pause_s = return_after_s(wait_s, admitted, left_s, chance)
     assert 0.0 <= pause_s <= max(0.0, left_s) * HONOURED_SHARE
+
+
+def test_a_rejected_call_goes_elsewhere_where_nobody_waits_however_long_calls_take() -> None:
+    """A back end that is leaving rejects as well, and a late answer is worth something."""
+    assert has_room(service(0, 0), NOW, usual_s=1.5, left_s=0.9)
--- a/tinrudder/routing/shared_service.py
+++ b/tinrudder/routing/shared_service.py
@@ -119,10 +119,15 @@
 def has_room(
     backends: Sequence[BackendObservations], now: float, usual_s: float, left_s: float
 ) -> bool:
-    """Tell whether some back end would answer a call in time, by what is known of its queue."""
+    """Tell whether some back end would answer a call in time, by what is known of its queue.
+
+    One without a queue has room, however long calls of the route take: answers are delivered late
+    too, and back ends that are leaving reject calls as well.
+    """
     work_s = work_s_of(backends) or usual_s
     return any(
-        one.wait_s(now, _work_s(one, work_s)) + max(usual_s, _work_s(one, 0.0)) <= left_s
+        not (wait_s := one.wait_s(now, _work_s(one, work_s)))
+        or wait_s + max(usual_s, _work_s(one, 0.0)) <= left_s
         for one in backends
     )
 
