Load news: a report that others told meanwhile is not passed on

Cause: a back end was noted when it answered, and its newest report was told 20 ms or more later.

Before: the new test of the load watch fails, a report of a peer is sent.

--- a/bench/shared_service.py
+++ b/bench/shared_service.py
@@ -202,7 +202,8 @@
         if shed or is_long(waiting, SLOTS):
             self.pressed_at = now
         if self.fleet.way.news and now - self.pressed_at < MOST_AGE_S:
-            self.pending.note(Noted(index, shed, self.unloaded.quantile(0.5)))
+            heard_at = self.known[index].reported_at
+            self.pending.note(Noted(index, shed, self.unloaded.quantile(0.5), heard_at))
             self._tell_after(GATHER_S)
 
     def _tell_after(self, seconds: float) -> None:
@@ -217,8 +218,13 @@
         told, copies = self.pending.take(now, len(peers))
         if self.fleet.way.passes_on and copies:
             named = {one.backend for one in told}
-            told += [Noted(index, False, 0.0) for index in range(BACKENDS) if index not in named]
-        news = tuple(tell_load(one, self.known[one.backend], now) for one in told)
+            told += [
+                Noted(index, False, 0.0, self.known[index].reported_at)
+                for index in range(BACKENDS)
+                if index not in named
+            ]
+        loads = (tell_load(one, self.known[one.backend], now) for one in told)
+        news = tuple(one for one in loads if one is not None)
         self.fleet.count["copies"] += copies
         self.fleet.count["bytes"] += copies * (DATAGRAM_BYTES + LOAD_BYTES * len(news))
         for peer in self.fleet.source.sample(peers, copies):
--- a/tests/unit/test_load_news.py
+++ b/tests/unit/test_load_news.py
@@ -69,7 +69,7 @@
     for pause in pauses:
         now += pause
         for backend in range(noted):
-            pending.note(Noted(backend, False, 0.0))
+            pending.note(Noted(backend, False, 0.0, NOW))
         assert len(pending) <= noted
         told, copies = pending.take(now, wanted)
         assert len(told) <= MOST_IN_A_DATAGRAM
@@ -82,7 +82,7 @@
 
 def test_nothing_is_held_for_peers_that_there_are_not() -> None:
     pending = PendingNews(0.0)
-    pending.note(Noted(1, True, 0.0))
+    pending.note(Noted(1, True, 0.0, NOW))
     assert pending.take(0.0, 0) == ([], 0)
     assert len(pending) == 0
 
--- a/tests/unit/test_load_watch.py
+++ b/tests/unit/test_load_watch.py
@@ -10,12 +10,12 @@
 
 from tests.support.fakes import ManualTimers
 from tinrudder.gateway import load_news
-from tinrudder.gateway.load_news import LOG_PAUSE_S, LoadWatch
+from tinrudder.gateway.load_news import LOG_PAUSE_S, LoadWatch, number_of
 from tinrudder.gateway.model import Address, BackendEntry
 from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.peer_messages import LoadNews, Member
 from tinrudder.routing.backend_observations import BackendObservations
-from tinrudder.routing.load_news import BYTES_PER_S, MOST_BYTES
+from tinrudder.routing.load_news import BYTES_PER_S, GATHER_S, MOST_BYTES, ToldLoad
 from tinrudder.wire.peer_datagram_codec import encode_datagram
 
 IP_AND_UDP_BYTES = 28
@@ -64,3 +64,19 @@
     assert wire.bytes <= MOST_BYTES + BYTES_PER_S * SECONDS
     assert (wire.bytes > 0) == (peers > 0)
     assert 0 < len(lines) <= SECONDS / LOG_PAUSE_S + 1
+
+
+def test_what_others_told_meanwhile_is_not_passed_on() -> None:
+    timers, wire = ManualTimers(now=100.0), Wire()
+    known = PeerList(Address("10.0.0.9", 1), random.Random(1), 0.0)
+    known.heard_from(Member(Address("10.0.1.1", 1)), 100.0)
+    one = backend(1)
+    watch = LoadWatch(known, wire, timers, lambda: [one])  # type: ignore[arg-type]
+    one.observations.reported(4, 12, 4, timers.now)
+    watch.heard(one, shed=False, work_s=0.25)
+    timers.advance(GATHER_S / 2)
+    told = ToldLoad(number_of(one.entry), 7, 4, 1.0, 0.001)
+    wire.handler(LoadNews((told,)), Address("10.0.1.1", 1))
+    timers.advance(GATHER_S)
+    assert one.observations.reported_backlog == 7
+    assert wire.bytes == 0
--- a/tinrudder/gateway/load_news.py
+++ b/tinrudder/gateway/load_news.py
@@ -90,7 +90,8 @@
             self._note_pressure(backend, observations.reported_at, "")
         elif not self._is_pressed(backend.entry.service):
             return
-        self._pending.note(Noted(number_of(backend.entry), shed, work_s))
+        number = number_of(backend.entry)
+        self._pending.note(Noted(number, shed, work_s, observations.reported_at))
         self._tell_after(GATHER_S)
 
     def _is_pressed(self, service: str) -> bool:
@@ -146,7 +147,7 @@
             self._tell_after(NEXT_S)
 
     def _told(self, noted: Noted, now: float) -> ToldLoad | None:
-        """Return what is told of a back end; ``None`` if it is gone."""
+        """Return what is told of a back end; ``None`` if it is gone, or others told more."""
         backend = self._find(noted.backend)
         return tell_load(noted, backend.observations, now) if backend is not None else None
 
--- a/tinrudder/routing/load_news.py
+++ b/tinrudder/routing/load_news.py
@@ -75,11 +75,15 @@
 
 
 class Noted(Struct, frozen=True):
-    """A back end that others are to hear of, see :class:`ToldLoad`."""
+    """A back end that others are to hear of, see :class:`ToldLoad`.
+
+    :param heard_at: moment of the report that an answer to this gateway brought.
+    """
 
     backend: int
     shed: bool
     work_s: float
+    heard_at: float
 
 
 def is_long(waiting: int, slots: int) -> bool:
@@ -91,8 +95,13 @@
     return waiting > 0 and waiting >= TOLD_FROM * slots
 
 
-def tell_load(noted: Noted, known: BackendObservations, now: float) -> ToldLoad:
-    """Return the newest report of a back end as it is told now."""
+def tell_load(noted: Noted, known: BackendObservations, now: float) -> ToldLoad | None:
+    """Return a report as it is told now; ``None`` if others have told a newer one meanwhile.
+
+    That is theirs to tell: passed on, it would look younger by each way that it took.
+    """
+    if known.reported_at != noted.heard_at:
+        return None
     return ToldLoad(
         noted.backend,
         known.reported_backlog,
