--- a/bench/shared_service.py
+++ b/bench/shared_service.py
@@ -263,7 +263,7 @@
         self.backends = [ModelBackend(self.clock, self.source) for _ in range(BACKENDS)]
         self.backends[0].slowdown = self.slowdown
         self.gateways = [
-            ModelGateway(self, RepeatBudget(0.2, 290.0, 10.0, 0.0), PendingNews(0.0))
+            ModelGateway(self, RepeatBudget(0.2, 290.0, 10.0, 0.0), PendingNews())
             for _ in range(self.size)
         ]
 
--- a/tests/unit/test_load_news.py
+++ b/tests/unit/test_load_news.py
@@ -63,7 +63,7 @@
     noted=st.integers(1, 8),
 )
 def test_what_leaves_in_any_time_is_bounded(pauses: list[float], wanted: int, noted: int) -> None:
-    pending = PendingNews(0.0)
+    pending = PendingNews()
     now = 0.0
     sent: list[tuple[float, int]] = []  # moments and bytes
     for pause in pauses:
@@ -81,7 +81,7 @@
 
 
 def test_nothing_is_held_for_peers_that_there_are_not() -> None:
-    pending = PendingNews(0.0)
+    pending = PendingNews()
     pending.note(Noted(1, True, 0.0, NOW))
     assert pending.take(0.0, 0) == ([], 0)
     assert len(pending) == 0
--- a/tinrudder/gateway/load_news.py
+++ b/tinrudder/gateway/load_news.py
@@ -1,7 +1,7 @@
 """Tells other gateways of long queues at back ends that all of them call, and takes their word.
 
 Only what an answer to this gateway said is told, so nothing is passed on, and news ends with the
-queues.  What is sent is bounded by :class:`~tinrudder.routing.load_news.NewsBudget`.
+queues.  What is sent is bounded by :class:`~tinrudder.routing.load_news.PendingNews`.
 """
 
 from __future__ import annotations
@@ -64,7 +64,7 @@
         self._datagrams = datagrams
         self._timers = timers
         self._backends = backends
-        self._pending = PendingNews(timers.time())
+        self._pending = PendingNews()
         self._pressed_at: dict[str, float] = {}
         self._by_number: dict[int, Backend] | None = None
         self._timer_set = False
--- a/tinrudder/routing/load_news.py
+++ b/tinrudder/routing/load_news.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from tinrudder.routing.backend_observations import BackendObservations
+from tinrudder.routing.send_budget import SendBudget
 
 TOLD_FROM = 1.0
 """Waiting calls for each slot from which a queue is told: a call waits there for as long as calls
@@ -131,30 +132,12 @@
     return newer
 
 
-class NewsBudget:
-    """Bounds the bytes that one gateway sends, whatever happens."""
-
-    def __init__(self, now: float) -> None:
-        """Begin full."""
-        self._bytes = MOST_BYTES
-        self._filled_at = now
-
-    def take(self, now: float, wanted: int, size: int) -> int:
-        """Return how many datagrams of a size may leave now of those wanted, and count them."""
-        elapsed_s = max(0.0, now - self._filled_at)
-        self._bytes = min(MOST_BYTES, self._bytes + elapsed_s * BYTES_PER_S)
-        self._filled_at = now
-        granted = min(wanted, int(self._bytes / size))
-        self._bytes -= granted * size
-        return granted
-
-
 class PendingNews:
     """Back ends that others are to hear of, the latest of each once, however often it is noted."""
 
-    def __init__(self, now: float) -> None:
+    def __init__(self) -> None:
         """Hold nothing."""
-        self._budget = NewsBudget(now)
+        self._budget = SendBudget(MOST_BYTES, BYTES_PER_S)
         self._noted: dict[int, Noted] = {}
 
     def __len__(self) -> int:
@@ -171,7 +154,7 @@
         if not peers:
             self._noted.clear()
         most = min(MOST_IN_A_DATAGRAM, len(self._noted))
-        copies = self._budget.take(now, peers, DATAGRAM_BYTES + LOAD_BYTES * most)
+        copies = self._budget.take(peers, now, DATAGRAM_BYTES + LOAD_BYTES * most)
         if not copies:
             return [], 0
         return [self._noted.popitem()[1] for _ in range(most)], copies
--- a/tinrudder/routing/send_budget.py
+++ b/tinrudder/routing/send_budget.py
@@ -1,4 +1,4 @@
-"""How many messages a gateway may send in a while, whatever gives it reason to."""
+"""How much a gateway may send in a while, whatever gives it reason to."""
 
 from __future__ import annotations
 
@@ -6,25 +6,28 @@
 
 
 class SendBudget(Struct):
-    """A token bucket of messages, full at first.
+    """A token bucket of messages or bytes, full at first.
 
-    :param burst: how many may be sent at once.
-    :param rate_per_s: how many a second after those.
+    :param burst: how much may be sent at once.
+    :param rate_per_s: how much a second after that.
 
     >>> budget = SendBudget(burst=3, rate_per_s=1.0)
     >>> budget.take(2, now=0.0), budget.take(2, now=0.0), budget.take(2, now=1.0)
     (2, 1, 1)
     """
 
-    burst: int
+    burst: float
     rate_per_s: float
     _used: float = 0.0
     _used_at: float = 0.0
 
-    def take(self, wanted: int, now: float) -> int:
-        """Return how many of the messages wanted may be sent, and count them."""
+    def take(self, wanted: int, now: float, size: int = 1) -> int:
+        """Return how many of the messages wanted may be sent, and count them.
+
+        :param size: what each takes of the budget.
+        """
         used = max(0.0, self._used - (now - self._used_at) * self.rate_per_s)
-        allowed = min(wanted, int(self.burst - used))
-        self._used = used + allowed
+        allowed = min(wanted, int((self.burst - used) / size))
+        self._used = used + allowed * size
         self._used_at = now
         return allowed
