An older start that writes again while it is set aside does not wait anew

Cause: a process whose clock is behind counts after its entry stood for 5 s, and each write of its began that time again. One that writes more often, as a cold one that tells what is left, would never have been used.

Before: the new test of the starts fails, nothing is in force after 5 s of writes 1 s apart. A word of another start, a removal and an unreadable value in between begin the time anew, as before.

--- a/tests/unit/test_backend_starts.py
+++ b/tests/unit/test_backend_starts.py
@@ -6,6 +6,7 @@
 import random
 
 import msgspec
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -119,6 +120,32 @@
     assert told.state.backends[KEY].entry.slots == 3
 
 
+def test_a_start_by_a_clock_that_went_back_counts_also_where_it_writes_often() -> None:
+    told = Told()
+    told.hear(said(1, 200))
+    writes = 5
+    for number in range(writes):
+        told.now = number * OLDER_START_S / writes
+        told.hear(said(2 + number, 100, cold_left_ms=100 * (writes - number)))
+    told.now = OLDER_START_S - 0.1
+    told.state.accept_older_starts()
+    assert told.started_ms is None
+    told.now = OLDER_START_S
+    told.state.accept_older_starts()
+    assert told.started_ms == 100
+
+
+@pytest.mark.parametrize("between", [GONE, UNREADABLE, 150, 200])
+def test_what_another_wrote_in_between_begins_the_wait_anew(between: Said) -> None:
+    told = Told()
+    told.hear(said(1, 200), said(2, 100))
+    told.now = OLDER_START_S / 2
+    told.hear(said(3, between), said(4, 100))
+    told.now = OLDER_START_S
+    told.state.accept_older_starts()
+    assert told.started_ms is None
+
+
 def test_what_one_start_said_of_leaving_does_not_bind_the_next() -> None:
     told = Told()
     told.hear(said(1, 100, state="draining"))
--- a/tinrudder/gateway/shared_state.py
+++ b/tinrudder/gateway/shared_state.py
@@ -274,7 +274,10 @@
         entry = self._read_entry(value)
         if entry is None and len(value.value or b"") > UNREADABLE_KEPT_BYTES:
             value = StoredValue(value.key, value.revision, b"")
-        self._newest[value.key] = _Newest(value, self._clock())
+        since = self._clock()
+        if newest is not None and self._is_set_aside(value.key, entry):
+            since = newest.since
+        self._newest[value.key] = _Newest(value, since)
         self._backends_revision = max(self._backends_revision, value.revision)
         if value.value is None:
             return self._withdraw(value, EntryStanding.REMOVED)
@@ -286,6 +289,17 @@
         self._put_in_force(entry, value)
         return True
 
+    def _is_set_aside(self, key: str, entry: BackendEntry | None) -> bool:
+        """Tell whether the newest value of a key is of the same start, and waits to count.
+
+        Who writes again within that time does not wait anew.
+        """
+        known = self.backends.get(key)
+        if entry is None or known is None or known.standing is not EntryStanding.OLDER_START:
+            return False
+        waiting = self._read_entry(known.value)
+        return waiting is not None and waiting.is_same_start(entry)
+
     def _read_entry(self, value: StoredValue) -> BackendEntry | None:
         """Decode an entry; ``None`` if it is removed or cannot be read."""
         if value.value is None:
