Late answers take back a crash only while entries of new starts are known

Cause: an answer to a call sent 4 s after a loss was taken for one of the same process, since a new one would be known by its entry. While the store is away it is not: a back end that has started again at its address answers under its old entry, so that each of its crashes was taken back 4 s later, and a request that ends back ends was not barred for as long as the store was away.

Now such an answer counts only if the store has said as late that it holds no other entry; one within 0.5 s counts as before. Before: lost_under gave the request whatever was known of the store; the new test of it needs the new parameter. Not played with a store that is away.

--- a/tests/unit/test_poison_requests.py
+++ b/tests/unit/test_poison_requests.py
@@ -239,3 +239,13 @@
             convicted(table, float(number))
     assert len(table) == MOST_REQUESTS
     assert table.find(ASKED) is not None
+
+
+def test_while_the_store_is_away_a_late_answer_does_not_show_that_a_back_end_has_lived_on() -> None:
+    """It may have started again at the same address, and its entry is not known."""
+    table = PoisonRequests()
+    table.note_crash(ASKED, ORIGIN, 1, 10.0, trial=True)
+    late = 10.0 + 2 * RESTART_KNOWN_S
+    assert table.lost_under(1, late, starts_known_at=10.0) == ()
+    assert table.lost_under(1, late, starts_known_at=10.0 + RESTART_KNOWN_S) == (ASKED,)
+    assert table.lost_under(1, 10.0 + SOONEST_RESTART_S, starts_known_at=0.0) == (ASKED,)
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -133,7 +133,12 @@
             lambda since: self.still.covers(since, loop.time()),
         )
         self.poison = PoisonWatch(
-            self.peers, self.datagrams, loop.time, names, random.Random(f"poison {settings.name}")
+            self.peers,
+            self.datagrams,
+            loop.time,
+            names,
+            random.Random(f"poison {settings.name}"),
+            lambda: loop.time() - self.state.unconfirmed_s(Topic.BACKENDS),
         )
         self.load_watch = LoadWatch(self.peers, self.datagrams, loop, lambda: self.directory)
         self.state.subscribe(self.load_watch.refresh)
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterable
 from zlib import crc32
@@ -72,8 +73,12 @@
         clock: Callable[[], float],
         names: HeaderNames,
         random_source: random.Random,
+        starts_known_at: Callable[[], float] = lambda: math.inf,
     ) -> None:
-        """Tell ``peers`` whatever is found here."""
+        """Tell ``peers`` whatever is found here.
+
+        :param starts_known_at: tells up to when all entries of back ends are known.
+        """
         self.requests = PoisonRequests()
         self.refused = 0
         self.unsent = 0
@@ -81,6 +86,7 @@
         self._peers = peers
         self._datagrams = datagrams
         self._clock = clock
+        self._starts_known_at = starts_known_at
         self._names = names
         self._random = random_source
         self._news: set[bytes] = set()
@@ -166,7 +172,8 @@
 
     def note_alive(self, life: str, sent_at: float) -> None:
         """Hold a back end no longer against requests after which it still answers."""
-        for fingerprint in self.requests.lost_under(crc32(life.encode()), sent_at):
+        known_at = self._starts_known_at()
+        for fingerprint in self.requests.lost_under(crc32(life.encode()), sent_at, known_at):
             self.note_survivor(fingerprint, life)
 
     def _tell_dropped(self, fingerprint: bytes) -> None:
--- a/tinrudder/routing/poison_requests.py
+++ b/tinrudder/routing/poison_requests.py
@@ -19,6 +19,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 from enum import Enum, auto
 
@@ -180,8 +181,9 @@
     return tuple(trials + others)
 
 
-def _shows_same_process(later_s: float) -> bool:
-    return 0.0 <= later_s <= SOONEST_RESTART_S or later_s >= RESTART_KNOWN_S
+def _shows_same_process(lost_at: float, sent_at: float, starts_known_at: float) -> bool:
+    soon = 0.0 <= sent_at - lost_at <= SOONEST_RESTART_S
+    return soon or min(sent_at, starts_known_at) - lost_at >= RESTART_KNOWN_S
 
 
 class Standing(Enum):
@@ -311,19 +313,23 @@
         self.merge(fingerprint, replace(evidence, crashes=(replace(crash, survived=True),)))
         return True
 
-    def lost_under(self, backend: int, sent_at: float) -> tuple[bytes, ...]:
+    def lost_under(
+        self, backend: int, sent_at: float, starts_known_at: float = math.inf
+    ) -> tuple[bytes, ...]:
         """Return the requests that a back end cannot have crashed under, since it answers.
 
         An answer shows that it has not if it comes before a crashed process could have started
         again, or so late that the new process would be known as another back end.
 
         :param sent_at: when the call left that it has answered.
+        :param starts_known_at: up to when all entries of back ends are known; while the store is
+            away, one that has started again at the same address answers under its old entry.
         """
         return tuple(
             fingerprint
             for fingerprint in self._lost_under.get(backend, ())
             for crash in self._evidence[fingerprint].held
-            if crash.backend == backend and _shows_same_process(sent_at - crash.at)
+            if crash.backend == backend and _shows_same_process(crash.at, sent_at, starts_known_at)
         )
 
     def begin_trial(self, fingerprint: bytes, now: float) -> bool:
