Who asks for all evidence of poison requests keeps no news of it back

Cause: answers to gateways that start or stood still came out of the bucket of the news; 1,024 requests take 171 datagrams of its 192, so that after a second one asks nothing is left, and news of a request that has just been barred waits for what repeats.

Before: the new test fails, another gateway does not know of the bar. Now answers have a bucket of their own of the same size, so a gateway sends twice 24 datagrams a second at most.

--- a/tests/unit/test_poison_watch.py
+++ b/tests/unit/test_poison_watch.py
@@ -17,10 +17,15 @@
 from tinrudder.gateway.peer_datagrams import PeerDatagrams
 from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.peer_messages import Member, PoisonReport, ToldCrash, ToldEvidence
-from tinrudder.gateway.poison_watch import GATHER_S, MOST_IN_A_REPORT, PoisonWatch
+from tinrudder.gateway.poison_watch import (
+    GATHER_S,
+    MOST_DATAGRAMS_AT_ONCE,
+    MOST_IN_A_REPORT,
+    PoisonWatch,
+)
 from tinrudder.gateway.request_fingerprint import FINGERPRINT_BYTES
 from tinrudder.platform.headers import HEADERS
-from tinrudder.routing.poison_requests import ENOUGH_CRASHES, Standing
+from tinrudder.routing.poison_requests import ENOUGH_CRASHES, MOST_REQUESTS, Standing
 from tinrudder.wire.peer_datagram_codec import decode_datagram, encode_datagram
 from tinrudder.wire.snapshot_codec import MalformedPeerMessageError
 
@@ -226,3 +231,17 @@
         return len(network.waiting)
 
     assert run_in_virtual_time(play()) == 0
+
+
+def test_who_asks_for_everything_keeps_no_news_back() -> None:
+    network = Network(3)
+    first, second, _ = network.watches.values()
+    for number in range(MOST_REQUESTS):
+        fingerprint = number.to_bytes(FINGERPRINT_BYTES, "little")
+        first.requests.note_crash(fingerprint, ORIGIN, number, 99.0, trial=False)
+    for _ in range(2):
+        first._on_report(PoisonReport(asks=True), Address("10.0.0.1", 3))
+    assert network.sent.total() <= MOST_DATAGRAMS_AT_ONCE
+    convict(first)
+    network.deliver()
+    assert second.judge(FINGERPRINT, ORIGIN).standing is Standing.BARRED
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -45,7 +45,8 @@
 MOST_IN_A_REPORT = 6
 """Evidence in one datagram: 200 bytes each at most, and 1,200 pass every network whole."""
 MOST_DATAGRAMS_AT_ONCE = 192
-"""Of reports, by one gateway: three pieces of news to all whom it tells directly."""
+"""Of reports, by one gateway: three pieces of news to all whom it tells directly.  As many again
+may go to those who ask."""
 MOST_DATAGRAMS_A_SECOND = 24.0
 """Of reports, by one gateway, after those: 5 KB a second at 200 bytes, below what a weak machine's
 link of 7 Mbit/s and its processor notice.  What is over it is left to the reports that repeat."""
@@ -83,6 +84,8 @@
         self.refused = 0
         self.unsent = 0
         self._budget = SendBudget(MOST_DATAGRAMS_AT_ONCE, MOST_DATAGRAMS_A_SECOND)
+        # All that is known takes up to 171 datagrams: who asks for it must not keep news back.
+        self._answer_budget = SendBudget(MOST_DATAGRAMS_AT_ONCE, MOST_DATAGRAMS_A_SECOND)
         self._peers = peers
         self._datagrams = datagrams
         self._clock = clock
@@ -221,7 +224,8 @@
         if not known:
             return
         drawn = self._random.sample(known, min(MOST_IN_A_REPORT, len(known)))
-        self._send([one for one, _ in drawn], self._peers.receivers(self._clock()))
+        peers = self._peers.receivers(self._clock())
+        self._send([one for one, _ in drawn], peers, self._budget)
 
     def _tell_within(self, seconds: float) -> None:
         """Tell what has changed after some time at most, with what else changes meanwhile."""
@@ -241,17 +245,19 @@
         news, self._news = self._news, set()
         passing, self._passing = self._passing - news, set()
         now = self._clock()
-        self._send(news, self._peers.everybody(now, TOLD_DIRECTLY))
+        self._send(news, self._peers.everybody(now, TOLD_DIRECTLY), self._budget)
         if passing:
-            self._send(passing, self._peers.everybody(now, PASSED_TO))
+            self._send(passing, self._peers.everybody(now, PASSED_TO), self._budget)
 
-    def _send(self, fingerprints: Iterable[bytes], peers: list[Address]) -> None:
-        """Send evidence in as many reports as it takes."""
+    def _send(
+        self, fingerprints: Iterable[bytes], peers: list[Address], budget: SendBudget
+    ) -> None:
+        """Send evidence in as many reports as it takes, as far as the budget goes."""
         found = ((one, self.requests.find(one)) for one in fingerprints)
         told = [self._told(one, evidence) for one, evidence in found if evidence is not None]
         self._untold.difference_update(one.fingerprint for one in told)
         for first in range(0, len(told), MOST_IN_A_REPORT):
-            allowed = self._budget.take(len(peers), self._clock())
+            allowed = budget.take(len(peers), self._clock())
             self.unsent += len(peers) - allowed
             report = PoisonReport(tuple(told[first : first + MOST_IN_A_REPORT]))
             self._datagrams.send(report, *peers[:allowed])
@@ -283,7 +289,8 @@
     def _answer(self, peer: Address) -> None:
         """Tell one peer everything, also that there is nothing."""
         if len(self.requests):
-            self._send([one for one, _ in self.requests.all()], [peer])
+            known = [one for one, _ in self.requests.all()]
+            self._send(known, [peer], self._answer_budget)
         elif self._told_everything:
             self._datagrams.send(PoisonReport(), peer)
 
