--- a/bench/uneven.py
+++ b/bench/uneven.py
@@ -406,6 +406,13 @@
 )
 
 
+def _tell(
+    seen: BackendObservations, report: tuple[int, int, int], now: float, slowdown: float
+) -> None:
+    """Let a caller hear of a report."""
+    seen.reported(*report, now, slowdown)
+
+
 class World:
     """All of one play.
 
@@ -523,7 +530,7 @@
             if caller is not call.shard.scatter.caller:
                 seen = caller.seen[call.shard.number][call.replica]
                 told_at = self.now + self.way.shared_s
-                self.at(told_at, partial(seen.reported, *report, told_at, slowdown))
+                self.at(told_at, partial(_tell, seen, report, told_at, slowdown))
 
     def _leave(self, scatter: Scatter) -> None:
         """Let an answer leave with what is in."""
