One module on when refused callers come back

Cause: two modules with one subject and names that differ by a word, each with a share of the time that clients wait. Ruled out: one function: a queue whose pace is known gives each caller its place, a service of which only the admitted share is known can not.

--- a/bench/share_admission.py
+++ b/bench/share_admission.py
@@ -10,9 +10,13 @@
 from tinrudder.gateway.outcomes import NotRun
 from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
 from tinrudder.routing.load_forecast import admission_share, wait_of_shards
-from tinrudder.routing.return_time import HONOURED_SHARE, SPREAD_BY_CHANCE, retry_after_s
+from tinrudder.routing.return_moment import HONOURED_SHARE, retry_after_s
 from tinrudder.routing.tenant_shares import TenantShares
 
+SPREAD_BY_CHANCE = 2.0
+"""Callers come back between the moment told and this many times as late, a choice: refused by
+chance, none has a moment of its own."""
+
 
 class Admission:
     """Judges requests by the queues that back ends report.
--- a/tests/unit/test_scatter_queue.py
+++ b/tests/unit/test_scatter_queue.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tinrudder.routing.return_time import HONOURED_SHARE, may_come_back, retry_after_s
+from tinrudder.routing.return_moment import HONOURED_SHARE, may_come_back, retry_after_s
 from tinrudder.routing.scatter_queue import (
     BEARABLE_SHARE,
     LATE_WAIT_SHARE,
--- a/tinrudder/gateway/scatter_gate.py
+++ b/tinrudder/gateway/scatter_gate.py
@@ -19,7 +19,7 @@
 from tinrudder.gateway.request_run import OutcomeListener, RequestRun
 from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
 from tinrudder.routing.load_forecast import USUAL_FACTOR
-from tinrudder.routing.return_time import may_come_back, retry_after_s
+from tinrudder.routing.return_moment import may_come_back, retry_after_s
 from tinrudder.routing.scatter_queue import QueuedScatter, ScatterQueue, ScatterRefusal
 from tinrudder.timers import TimerHandle
 
--- a/tinrudder/routing/return_moment.py
+++ b/tinrudder/routing/return_moment.py
@@ -1,14 +1,20 @@
 """When a caller that was refused for load should come back, so that it is served then.
 
-The load answered: more is asked than can be done, for seconds.  Whoever comes back meanwhile takes
-the place of one who comes anew, or is refused again: nothing is gained for anybody.  So the pause
-reaches beyond the queue of now, as far as clients wait at all.
+Two cases.  Where places are known (a scatter's queue, whose pace is counted), each refused caller
+gets the moment of its own place.  Where only the share that is admitted is known (a service that
+all gateways call), whoever comes back during the burst takes the place of one who comes anew, or is
+refused again: there the pause reaches beyond the queue of now, as far as clients wait at all.
 """
 
 from __future__ import annotations
 
-HONOURED_SHARE = 1.0 / 3.0
+WAITED_SHARE = 1.0 / 3.0
 """Part of the time that they have left that clients wait at most, by the platform's protocol."""
+HONOURED_SHARE = 0.9 * WAITED_SHARE
+"""The same for a place that is kept for a caller: the way there takes some of it."""
+PLACE_SPREAD = 1.25
+"""Callers come back between the moment told and this many times as late, a choice: each has a
+moment of its own anyway, and what is told late is a place that stays empty."""
 LEAST_S = 0.05
 """Shortest wait that is reckoned with, a choice: reports are replaced within this time."""
 LEAST_SHARE = 0.1
@@ -17,11 +23,39 @@
 """How many waits for a slot a burst lasts, a choice.  Of the clients of 15 s that were refused in
 3 s of 1.4 and 2 times of what four back ends can do, 0.94 and 0.92 were served when they came
 back; with 1 in place of this 0.54 and 0.42, with 4 0.83 and 0.82.  As many were in time."""
-SPREAD = 0.5
+PAUSE_SPREAD = 0.5
 """Pauses are up to this part shorter or longer, a choice: who is refused at one moment must not
 come back at one moment."""
 
 
+def may_come_back(room_in_s: float, left_s: float) -> bool:
+    """Tell whether a caller would wait for a moment.
+
+    >>> may_come_back(0.4, 2.0), may_come_back(0.7, 2.0)
+    (True, False)
+    """
+    return room_in_s * PLACE_SPREAD <= left_s * HONOURED_SHARE
+
+
+def retry_after_s(
+    room_in_s: float, left_s: float, draw: float, spread: float = PLACE_SPREAD
+) -> float:
+    """Return when to come back, seconds from now.
+
+    A moment beyond what callers wait for is told as it is: they need not come back.
+
+    :param room_in_s: when there will be room for this caller, by what is known now.
+    :param left_s: until its deadline.
+    :param draw: by chance, 0 to 1, so that callers do not come back together.
+
+    >>> retry_after_s(0.2, 2.0, draw=0.0), retry_after_s(0.2, 2.0, draw=1.0)
+    (0.2, 0.25)
+    >>> retry_after_s(0.9, 2.0, draw=1.0), retry_after_s(9.0, 2.0, draw=1.0)
+    (1.125, 2.0)
+    """
+    return min(max(0.0, left_s), room_in_s * (1.0 + (spread - 1.0) * draw))
+
+
 def return_after_s(wait_s: float, share: float, left_s: float, chance: float) -> float:
     """Return the pause, seconds: longer, the longer the queue and the fewer are admitted.
 
@@ -35,6 +69,6 @@
     >>> return_after_s(0.1, 1.0, 12.0, 0.5)
     0.8
     """
-    longest_s = max(0.0, left_s) * HONOURED_SHARE / (1.0 + SPREAD)
+    longest_s = max(0.0, left_s) * WAITED_SHARE / (1.0 + PAUSE_SPREAD)
     pause_s = min(longest_s, WAITS * max(LEAST_S, wait_s) / max(LEAST_SHARE, share))
-    return pause_s * (1.0 + SPREAD * (2.0 * chance - 1.0))
+    return pause_s * (1.0 + PAUSE_SPREAD * (2.0 * chance - 1.0))
