--- a/tinrudder/routing/hedge_moment.py
+++ b/tinrudder/routing/hedge_moment.py
@@ -29,7 +29,7 @@
 """What a second call must raise the chance of its part by, while the whole budget is there.  On
 moments of slowness (15% of the time, 2.5 times) 0.01, 0.03 and 0.06 leave 0.25%, 0.43% and 0.66%
 of the worth of an objective of 98 ms, at 0.19, 0.14 and 0.13 second calls a call; the rule by
-medians left 1.08% at 0.14 (``python -m bench.uneven``)."""
+medians left 1.08% at 0.14 (trials in the world of ``bench.uneven``, two seeds)."""
 LEAST_FILL = 0.05
 """A budget that is emptier than this is one that is as good as gone."""
 
