--- a/tests/functional/test_gateway_overload.py
+++ b/tests/functional/test_gateway_overload.py
@@ -45,7 +45,8 @@
 
 
 def test_a_burst_of_four_times_the_capacity_is_served_as_far_as_back_ends_can() -> None:
-    """Before, 9% of what the back ends could do was in time, since all calls left at once."""
+    """Where all calls leave at once, 0.07 of what back ends can do is in time at 4 times the load;
+    where scatters wait, 0.88 (``python -m bench.overload``, seed 1)."""
 
     async def scenario(site: EmulatedSite) -> None:
         await ask(site, 1.0, 0.3 * CAPACITY_PER_S)
