Two types called Judgement get names that say what they hold

What stopped me: routing/poison_requests.py and routing/shared_service.py each had a Judgement, with nothing in common. Before: Judgement twice; after: RequestStanding (what may be done with a request, for how long it is barred) and AdmittedShare (which share is admitted, how long a call waits). Names only; the test's change is the name in an import and an annotation.

--- a/bench/shared_service.py
+++ b/bench/shared_service.py
@@ -38,7 +38,7 @@
 from tinrudder.routing.repeat_budget import RepeatBudget
 from tinrudder.routing.return_moment import return_after_s
 from tinrudder.routing.shared_service import (
-    Judgement,
+    AdmittedShare,
     extra_cost,
     has_room,
     judge,
@@ -162,7 +162,7 @@
         guess_s = usual_latency_s(LatencyWindow(), self.fleet.objective_s)
         return work_s_of(self.known) or guess_s
 
-    def judge(self, now: float, left_s: float, *, returning: bool, late: bool) -> Judgement:
+    def judge(self, now: float, left_s: float, *, returning: bool, late: bool) -> AdmittedShare:
         """Judge a request."""
         usual_s = self.usual_s()
         if self.fleet.way.judges:
@@ -176,10 +176,10 @@
                 late=late,
             )
         if len(self.unloaded) < MINIMUM_OBSERVATIONS and not self.fleet.way.news:
-            return Judgement(1.0, 0.0)
+            return AdmittedShare(1.0, 0.0)
         wait_s = min(one.wait_s(now, usual_s) for one in self.known)
         share = admission_share(wait_s, usual_s, left_s, priority_steps=0, returning=returning)
-        return Judgement(share, wait_s)
+        return AdmittedShare(share, wait_s)
 
     def choose(self, now: float, avoided: set[int]) -> int:
         """Choose a back end."""
@@ -317,7 +317,7 @@
         gateway.budget.note_request(now)
         Call(self, gateway, request, now + left_s).send()
 
-    def refuse(self, request: Request, judgement: Judgement) -> None:
+    def refuse(self, request: Request, judgement: AdmittedShare) -> None:
         """Answer that a request has not run; its client comes back once."""
         now = self.clock.now
         left_s = request.sent_at + DEADLINE_S - now
@@ -357,7 +357,7 @@
         fleet, gateway = self.fleet, self.gateway
         now = fleet.clock.now
         if self.tries and not gateway.budget.may_repeat(now, fleet.size, hedge=False):
-            fleet.refuse(self.request, Judgement(0.0, OWN_RETRY_AFTER_S))
+            fleet.refuse(self.request, AdmittedShare(0.0, OWN_RETRY_AFTER_S))
             return
         fleet.count["repeats"] += self.request.counted and self.tries > 0
         self.tries += 1
--- a/tests/unit/test_shard_calls_machine.py
+++ b/tests/unit/test_shard_calls_machine.py
@@ -32,7 +32,7 @@
 from tinrudder.gateway.run_guard import RunGuard
 from tinrudder.gateway.shard_calls import MAX_SENDS, NEVER, ShardCalls
 from tinrudder.platform.load_header import decode_load_report
-from tinrudder.routing.poison_requests import Judgement, PoisonRequests
+from tinrudder.routing.poison_requests import PoisonRequests, RequestStanding
 
 SERVICE = "shard-0"
 NAMES = HeaderNames(
@@ -118,7 +118,7 @@
     def is_calm(self) -> bool:
         return not len(self.requests)
 
-    def judge(self, fingerprint: bytes, origin: bytes) -> Judgement:
+    def judge(self, fingerprint: bytes, origin: bytes) -> RequestStanding:
         return self.requests.judge(fingerprint, origin, self.loop.now)
 
     def note_crash(self, fingerprint: bytes, origin: bytes, life: str, *, trial: bool) -> None:
--- a/tinrudder/gateway/poison_watch.py
+++ b/tinrudder/gateway/poison_watch.py
@@ -26,8 +26,8 @@
     NEVER,
     Crash,
     Evidence,
-    Judgement,
     PoisonRequests,
+    RequestStanding,
     Standing,
 )
 from tinrudder.routing.send_budget import SendBudget
@@ -114,7 +114,7 @@
         """Return for how many routes and callers all requests begin as canaries now."""
         return self.requests.alerts(self._clock())
 
-    def judge(self, fingerprint: bytes, origin: bytes) -> Judgement:
+    def judge(self, fingerprint: bytes, origin: bytes) -> RequestStanding:
         """Decide what may be done with a request now."""
         return self.requests.judge(fingerprint, origin, self._clock())
 
--- a/tinrudder/gateway/run_guard.py
+++ b/tinrudder/gateway/run_guard.py
@@ -7,7 +7,7 @@
 
 from tinrudder.gateway.model import Route
 from tinrudder.gateway.request_bytes import RequestBytes
-from tinrudder.routing.poison_requests import Judgement, Standing
+from tinrudder.routing.poison_requests import RequestStanding, Standing
 
 CANARY_PATIENCE = 0.3
 """After this part of the route's objective a second canary leaves beside the first, which may stand
@@ -31,7 +31,7 @@
     def is_calm(self) -> bool:
         """Tell whether nothing is held against any request."""
 
-    def judge(self, fingerprint: bytes, origin: bytes) -> Judgement:
+    def judge(self, fingerprint: bytes, origin: bytes) -> RequestStanding:
         """Decide what may be done with a request now."""
 
     def note_crash(self, fingerprint: bytes, origin: bytes, life: str, *, trial: bool) -> None:
--- a/tinrudder/gateway/service_admission.py
+++ b/tinrudder/gateway/service_admission.py
@@ -7,7 +7,7 @@
 from tinrudder.gateway.model import Route
 from tinrudder.gateway.outcomes import NotRun
 from tinrudder.routing.return_moment import return_after_s
-from tinrudder.routing.shared_service import Judgement, judge
+from tinrudder.routing.shared_service import AdmittedShare, judge
 from tinrudder.routing.tenant_shares import TenantShares
 
 
@@ -39,15 +39,15 @@
         now = moments.received_at
         if tenant:
             self._tenants.note(tenant, now)
-        judgement = self._judge(route, service, moments, priority_steps, now)
-        share = judgement.share
+        admitted = self._judge(route, service, moments, priority_steps, now)
+        share = admitted.share
         if tenant:
             share = self._tenants.share_of(tenant, share, now)
         if share >= 1.0 or self._forwarding.random.random() < share:
             return None
         left_s = moments.objective_at - now
-        detail = f"overload: wait {judgement.wait_s:.3f} s, share {share:.2f}, left {left_s:.3f} s"
-        return self._not_run(detail, Judgement(share, judgement.wait_s), moments, now)
+        detail = f"overload: wait {admitted.wait_s:.3f} s, share {share:.2f}, left {left_s:.3f} s"
+        return self._not_run(detail, AdmittedShare(share, admitted.wait_s), moments, now)
 
     def after_rejections(
         self, detail: str, route: Route, service: str, moments: Moments, least_s: float
@@ -57,13 +57,13 @@
         :param least_s: the shortest pause, where no queue explains it.
         """
         now = self._forwarding.loop.time()
-        judgement = self._judge(route, service, moments, 0, now)
-        refusal = self._not_run(detail, judgement, moments, now)
+        admitted = self._judge(route, service, moments, 0, now)
+        refusal = self._not_run(detail, admitted, moments, now)
         return NotRun(detail, max(least_s, refusal.retry_after_s))
 
     def _judge(
         self, route: Route, service: str, moments: Moments, priority_steps: int, now: float
-    ) -> Judgement:
+    ) -> AdmittedShare:
         """Judge by what is known now."""
         backends = self._forwarding.observations(service)
         return judge(
@@ -76,8 +76,10 @@
             late=moments.late,
         )
 
-    def _not_run(self, detail: str, judgement: Judgement, moments: Moments, now: float) -> NotRun:
+    def _not_run(
+        self, detail: str, admitted: AdmittedShare, moments: Moments, now: float
+    ) -> NotRun:
         """Say when to come back."""
         left_s = moments.deadline_at - now
         chance = self._forwarding.random.random()
-        return NotRun(detail, return_after_s(judgement.wait_s, judgement.share, left_s, chance))
+        return NotRun(detail, return_after_s(admitted.wait_s, admitted.share, left_s, chance))
--- a/tinrudder/routing/poison_requests.py
+++ b/tinrudder/routing/poison_requests.py
@@ -199,16 +199,16 @@
     BARRED = auto()
 
 
-class Judgement(Struct, frozen=True):
+class RequestStanding(Struct, frozen=True):
     """The standing of a request, and for a barred one how long it stays so, seconds."""
 
     standing: Standing
     barred_s: float = 0.0
 
 
-FREE = Judgement(Standing.FREE)
-SUSPECT = Judgement(Standing.SUSPECT)
-ON_TRIAL = Judgement(Standing.ON_TRIAL)
+FREE = RequestStanding(Standing.FREE)
+SUSPECT = RequestStanding(Standing.SUSPECT)
+ON_TRIAL = RequestStanding(Standing.ON_TRIAL)
 
 
 class PoisonRequests:
@@ -257,7 +257,7 @@
         """Return everything, what was lost latest last."""
         return list(self._evidence.items())
 
-    def judge(self, fingerprint: bytes, origin: bytes, now: float) -> Judgement:
+    def judge(self, fingerprint: bytes, origin: bytes, now: float) -> RequestStanding:
         """Decide what may be done with a request.
 
         :param origin: its route and caller, all whose requests are suspect for a while after two
@@ -267,7 +267,7 @@
         if evidence is None or not evidence.held:
             return SUSPECT if self.is_alert(origin, now) and evidence is None else FREE
         if now < evidence.barred_until:
-            return Judgement(Standing.BARRED, evidence.barred_until - now)
+            return RequestStanding(Standing.BARRED, evidence.barred_until - now)
         if len(evidence.held) < ENOUGH_CRASHES:
             return SUSPECT
         under_way = evidence.trial_at > evidence.last_crash_at
--- a/tinrudder/routing/shared_service.py
+++ b/tinrudder/routing/shared_service.py
@@ -42,7 +42,7 @@
 times the load 52 a second were served in time, with 1 in place of this 32."""
 
 
-class Judgement(Struct, frozen=True):
+class AdmittedShare(Struct, frozen=True):
     """Which share of such requests to admit, and how long a call waits for a slot, seconds."""
 
     share: float
@@ -93,7 +93,7 @@
     priority_steps: int,
     returning: bool,
     late: bool,
-) -> Judgement:
+) -> AdmittedShare:
     """Decide on a request that one of some back ends may run.
 
     :param usual_s: how long a call of its route takes without waiting.
@@ -104,7 +104,7 @@
     """
     # The rest costs ten times as much, and queues are rare.
     if not any(one.wait_s(now, 1.0) for one in backends):
-        return Judgement(1.0, 0.0)
+        return AdmittedShare(1.0, 0.0)
     wait_s = expected_wait_s(backends, now, usual_s)
     share = admission_share(
         wait_s,
@@ -113,7 +113,7 @@
         priority_steps=priority_steps,
         returning=returning and not late,
     )
-    return Judgement(min(share, _share_by_room(backends, now)), wait_s)
+    return AdmittedShare(min(share, _share_by_room(backends, now)), wait_s)
 
 
 def has_room(
