The gateway's module on news of queues is called load_watch, as its class and its test are

What stopped me: tinrudder/routing/load_news.py and tinrudder/gateway/load_news.py, imported side by side in the tests. Before: two modules of one name; after: gateway/load_watch.py (LoadWatch, tests/unit/ test_load_watch.py) and routing/load_news.py (the decisions). Names only; the test's change is its imports.

--- a/tests/functional/test_gateway_shared_service.py
+++ b/tests/functional/test_gateway_shared_service.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tinrudder.gateway.load_news import number_of
+from tinrudder.gateway.load_watch import number_of
 from tinrudder.gateway.peer_messages import LoadNews
 from tinrudder.routing.load_news import (
     BYTES_PER_S,
--- a/tests/unit/test_load_watch.py
+++ b/tests/unit/test_load_watch.py
@@ -9,8 +9,8 @@
 import pytest
 
 from tests.support.fakes import ManualTimers
-from tinrudder.gateway import load_news
-from tinrudder.gateway.load_news import LOG_PAUSE_S, LoadWatch, number_of
+from tinrudder.gateway import load_watch
+from tinrudder.gateway.load_watch import LOG_PAUSE_S, LoadWatch, number_of
 from tinrudder.gateway.model import Address, BackendEntry
 from tinrudder.gateway.peer_list import PeerList
 from tinrudder.gateway.peer_messages import LoadNews, Member
@@ -49,7 +49,7 @@
     peers: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     lines: list[str] = []
-    monkeypatch.setattr(load_news, "log_event", lambda event, fields: lines.append(event))
+    monkeypatch.setattr(load_watch, "log_event", lambda event, fields: lines.append(event))
     timers, wire = ManualTimers(now=100.0), Wire()
     known = PeerList(Address("10.0.0.9", 1), random.Random(1), 0.0)
     for number in range(peers):
--- a/tinrudder/gateway/node.py
+++ b/tinrudder/gateway/node.py
@@ -16,8 +16,8 @@
 from tinrudder.gateway.gateway_metrics import GatewayMetrics
 from tinrudder.gateway.knowledge import Knowledge
 from tinrudder.gateway.knowledge_keeper import KnowledgeKeeper
-from tinrudder.gateway.load_news import LoadWatch
 from tinrudder.gateway.load_reports import LoadReports
+from tinrudder.gateway.load_watch import LoadWatch
 from tinrudder.gateway.memory_account import MemoryAccount
 from tinrudder.gateway.model import Address, GatewaySettings, HeaderNames
 from tinrudder.gateway.node_log import (
