--- a/tinrudder/routing/load_forecast.py
+++ b/tinrudder/routing/load_forecast.py
@@ -22,8 +22,8 @@
 """Usual times without a queue that are kept free for the call itself, a choice: above the median,
 since most calls, and not half of them, should be in."""
 HARMLESS_WAIT = 0.5
-"""Wait, in usual times of a call, up to which nobody is refused, a choice: by chance alone calls wait
-so long where back ends are not full."""
+"""Wait, in usual times of a call, up to which nobody is refused, a choice: by chance alone calls
+wait so long where back ends are not full."""
 
 
 def admission_share(
