--- a/tinrudder_lab/ablation.py
+++ b/tinrudder_lab/ablation.py
@@ -252,11 +252,18 @@
     ),
     _one(
         "tenant-shares",
-        "under overload all tenants are refused alike",
-        GATEWAY + "admission.py",
+        "under overload all tenants' single requests are refused alike",
+        GATEWAY + "service_admission.py",
         "share = self._tenants.share_of(tenant, share, now)",
         "share = min(share, 1.0)",
     ),
+    _one(
+        "scatters-wait",
+        "scatters start at once, whatever runs",
+        ROUTING + "scatter_room.py",
+        "return held <= 0.0 or held + LEAST_FREE <= self.limit",
+        "return True",
+    ),
     _one(
         "zone-paths",
         "no zone is ever taken for out of reach",
