Metrics are listed by the part that keeps them

Before: one list; after: a function for what was read, for poison requests and for news of queues, as for memory. Names, texts and readers are the same; in the scrape poison_refused now stands beside the other poison figures. A stray gap between the constants of scatter_place is gone.

--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -65,64 +65,15 @@
             for name, text in _COUNTED.items()
         ]
         self.figures += [
-            Figure(f"{PREFIX}_store_calls", "Calls to the store.", lambda: node.store_calls),
-            Figure(
-                f"{PREFIX}_unreadable_values",
-                "Values in the store that do not have the form agreed on.",
-                lambda: node.unreadable_values.count,
-            ),
-            Figure(
-                f"{PREFIX}_unreadable_load_reports",
-                "Load reports of back ends that do not have the form agreed on.",
-                lambda: node.forwarding.load_reports.unreadable,
-            ),
-            Figure(
-                f"{PREFIX}_unreadable_datagrams",
-                "Datagrams that are none of the kinds that gateways send each other.",
-                lambda: node.datagrams.unreadable,
-            ),
-            Figure(
-                f"{PREFIX}_knowledge_reads",
-                "Calls to the store to know that nothing newer is there.",
-                lambda: node.keeper.reads,
-            ),
+            *_read_figures(node),
             Figure(
                 f"{PREFIX}_zone_closings",
                 "Times that a zone went out of reach.",
                 lambda: node.watch.closings,
             ),
-            Figure(
-                f"{PREFIX}_poison_refused",
-                "Requests refused since back ends crash under them.",
-                lambda: node.poison.refused,
-            ),
             *_memory_figures(node.memory),
-            Figure(
-                f"{PREFIX}_poison_reports_unsent",
-                "Reports of poison requests kept back by the bound on them.",
-                lambda: node.poison.unsent,
-            ),
-            Figure(
-                f"{PREFIX}_poison_alerts",
-                "Routes and callers all whose requests begin as canaries now.",
-                node.poison.alerts,
-                is_counter=False,
-            ),
-            Figure(
-                f"{PREFIX}_load_news_sent",
-                "Datagrams that told other gateways of long queues, each receiver counted.",
-                lambda: node.load_watch.sent,
-            ),
-            Figure(
-                f"{PREFIX}_load_news_taken",
-                "Loads of back ends told by other gateways and newer than what was known.",
-                lambda: node.load_watch.taken,
-            ),
-            Figure(
-                f"{PREFIX}_load_news_ignored",
-                "Loads told of back ends that are not known, or that cannot be true.",
-                lambda: node.load_watch.ignored,
-            ),
+            *_poison_figures(node),
+            *_load_news_figures(node),
             Figure(
                 f"{PREFIX}_missing_shards",
                 "Shards left out of merged answers.",
@@ -183,6 +134,33 @@
 }
 
 
+def _read_figures(node: GatewayNode) -> list[Figure]:
+    """Return what was read, and what of it nobody can use."""
+    return [
+        Figure(f"{PREFIX}_store_calls", "Calls to the store.", lambda: node.store_calls),
+        Figure(
+            f"{PREFIX}_unreadable_values",
+            "Values in the store that do not have the form agreed on.",
+            lambda: node.unreadable_values.count,
+        ),
+        Figure(
+            f"{PREFIX}_unreadable_load_reports",
+            "Load reports of back ends that do not have the form agreed on.",
+            lambda: node.forwarding.load_reports.unreadable,
+        ),
+        Figure(
+            f"{PREFIX}_unreadable_datagrams",
+            "Datagrams that are none of the kinds that gateways send each other.",
+            lambda: node.datagrams.unreadable,
+        ),
+        Figure(
+            f"{PREFIX}_knowledge_reads",
+            "Calls to the store to know that nothing newer is there.",
+            lambda: node.keeper.reads,
+        ),
+    ]
+
+
 def _memory_figures(account: MemoryAccount) -> list[Figure]:
     """Return what is held for others, and who found no room."""
     counted = {
@@ -212,6 +190,49 @@
     return figures
 
 
+def _poison_figures(node: GatewayNode) -> list[Figure]:
+    """Return what is done about requests under which back ends crash."""
+    return [
+        Figure(
+            f"{PREFIX}_poison_refused",
+            "Requests refused since back ends crash under them.",
+            lambda: node.poison.refused,
+        ),
+        Figure(
+            f"{PREFIX}_poison_reports_unsent",
+            "Reports of poison requests kept back by the bound on them.",
+            lambda: node.poison.unsent,
+        ),
+        Figure(
+            f"{PREFIX}_poison_alerts",
+            "Routes and callers all whose requests begin as canaries now.",
+            node.poison.alerts,
+            is_counter=False,
+        ),
+    ]
+
+
+def _load_news_figures(node: GatewayNode) -> list[Figure]:
+    """Return how much gateways tell each other of long queues."""
+    return [
+        Figure(
+            f"{PREFIX}_load_news_sent",
+            "Datagrams that told other gateways of long queues, each receiver counted.",
+            lambda: node.load_watch.sent,
+        ),
+        Figure(
+            f"{PREFIX}_load_news_taken",
+            "Loads of back ends told by other gateways and newer than what was known.",
+            lambda: node.load_watch.taken,
+        ),
+        Figure(
+            f"{PREFIX}_load_news_ignored",
+            "Loads told of back ends that are not known, or that cannot be true.",
+            lambda: node.load_watch.ignored,
+        ),
+    ]
+
+
 def _gauges(node: GatewayNode) -> list[Figure]:
     """Return what is as it is now."""
     return [
--- a/tinrudder/routing/scatter_place.py
+++ b/tinrudder/routing/scatter_place.py
@@ -21,8 +21,6 @@
 """A shard's name in the request and its part's signature in the answer."""
 LEAST_GAIN = 2.0
 """Handing over must cross so many times fewer bytes: it also costs a hop and another gateway."""
-
-
 MOST_LATE_BY_PATH = 0.25
 """Part of the calls that may be late for having been handed over, before second calls, which bring
 most of it back.  A choice between the two ends seen on a small fleet with little processor time: a
