The two ways to say when to come back say in their names what they go by

Before: those names; after: retry_after_by_place_s and retry_after_by_share_s, with one name (draw) for the number by chance. The tests' changes are the two names.

--- a/bench/share_admission.py
+++ b/bench/share_admission.py
@@ -12,7 +12,7 @@
 from tinrudder.gateway.outcomes import NotRun
 from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
 from tinrudder.routing.load_forecast import admission_share
-from tinrudder.routing.return_moment import HONOURED_SHARE, retry_after_s
+from tinrudder.routing.return_moment import HONOURED_SHARE, retry_after_by_place_s
 from tinrudder.routing.tenant_shares import TenantShares
 
 SPREAD_BY_CHANCE = 2.0
@@ -94,4 +94,4 @@
         """
         left_s = moments.deadline_at - moments.received_at
         room_in_s = left_s * HONOURED_SHARE / SPREAD_BY_CHANCE
-        return retry_after_s(room_in_s, left_s, self._random.random(), SPREAD_BY_CHANCE)
+        return retry_after_by_place_s(room_in_s, left_s, self._random.random(), SPREAD_BY_CHANCE)
--- a/bench/shared_service.py
+++ b/bench/shared_service.py
@@ -36,7 +36,7 @@
     tell_load,
 )
 from tinrudder.routing.repeat_budget import RepeatBudget
-from tinrudder.routing.return_moment import return_after_s
+from tinrudder.routing.return_moment import retry_after_by_share_s
 from tinrudder.routing.shared_service import (
     AdmittedShare,
     extra_cost,
@@ -327,7 +327,7 @@
             return
         if self.way.judges:
             chance = self.source.random()
-            pause_s = return_after_s(judgement.wait_s, judgement.share, left_s, chance)
+            pause_s = retry_after_by_share_s(judgement.wait_s, judgement.share, left_s, chance)
         else:
             pause_s = left_s * OWN_RETRY_AFTER_SHARE * self.source.uniform(0.5, 1.0)
         self.clock.call_at(now + min(pause_s, left_s / 3), lambda: self._enter(request))
--- a/tests/unit/test_load_news.py
+++ b/tests/unit/test_load_news.py
@@ -21,7 +21,7 @@
     ToldLoad,
     take_load,
 )
-from tinrudder.routing.return_moment import WAITED_SHARE, return_after_s
+from tinrudder.routing.return_moment import WAITED_SHARE, retry_after_by_share_s
 from tinrudder.routing.shared_service import has_room, judge, two_of
 from tinrudder.wire.peer_datagram_codec import decode_datagram, encode_datagram
 
@@ -216,7 +216,7 @@
 def test_a_pause_is_never_longer_than_clients_honour(
     wait_s: float, admitted: float, left_s: float, chance: float
 ) -> None:
-    pause_s = return_after_s(wait_s, admitted, left_s, chance)
+    pause_s = retry_after_by_share_s(wait_s, admitted, left_s, chance)
     assert 0.0 <= pause_s <= max(0.0, left_s) * WAITED_SHARE
 
 
--- a/tests/unit/test_scatter_queue.py
+++ b/tests/unit/test_scatter_queue.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tinrudder.routing.return_moment import HONOURED_SHARE, may_come_back, retry_after_s
+from tinrudder.routing.return_moment import HONOURED_SHARE, may_come_back, retry_after_by_place_s
 from tinrudder.routing.scatter_queue import (
     BEARABLE_SHARE,
     LATE_WAIT_SHARE,
@@ -220,7 +220,7 @@
 def test_who_may_come_back_is_told_a_moment_that_it_waits_for(
     room_in_s: float, left_s: float, draw: float
 ) -> None:
-    told = retry_after_s(room_in_s, left_s, draw)
+    told = retry_after_by_place_s(room_in_s, left_s, draw)
     assert 0.0 <= told <= left_s
     if may_come_back(room_in_s, left_s):
         assert room_in_s <= told <= HONOURED_SHARE * left_s + 1e-9
--- a/tinrudder/gateway/scatter_gate.py
+++ b/tinrudder/gateway/scatter_gate.py
@@ -19,7 +19,7 @@
 from tinrudder.gateway.request_run import OutcomeListener, RequestRun
 from tinrudder.routing.hedge_delay import MINIMUM_OBSERVATIONS
 from tinrudder.routing.load_forecast import USUAL_FACTOR
-from tinrudder.routing.return_moment import may_come_back, retry_after_s
+from tinrudder.routing.return_moment import may_come_back, retry_after_by_place_s
 from tinrudder.routing.scatter_queue import QueuedScatter, ScatterQueue, ScatterRefusal
 from tinrudder.timers import TimerHandle
 
@@ -230,7 +230,7 @@
         if may_come_back(room_in_s, left_s):
             pace = self.queue.room.pace
             self._returns_until[refusal.priority] = until + (1.0 / pace if pace else 0.0)
-        return retry_after_s(room_in_s, left_s, self._random.random())
+        return retry_after_by_place_s(room_in_s, left_s, self._random.random())
 
     def _describe(self, entrance: GatedScatter) -> QueuedScatter:
         """Return what decides on a scatter's place."""
--- a/tinrudder/gateway/service_admission.py
+++ b/tinrudder/gateway/service_admission.py
@@ -6,7 +6,7 @@
 from tinrudder.gateway.forwarding import Forwarding
 from tinrudder.gateway.model import Route
 from tinrudder.gateway.outcomes import NotRun
-from tinrudder.routing.return_moment import return_after_s
+from tinrudder.routing.return_moment import retry_after_by_share_s
 from tinrudder.routing.shared_service import AdmittedShare, judge
 from tinrudder.routing.tenant_shares import TenantShares
 
@@ -82,4 +82,6 @@
         """Say when to come back."""
         left_s = moments.deadline_at - now
         chance = self._forwarding.random.random()
-        return NotRun(detail, return_after_s(admitted.wait_s, admitted.share, left_s, chance))
+        return NotRun(
+            detail, retry_after_by_share_s(admitted.wait_s, admitted.share, left_s, chance)
+        )
--- a/tinrudder/routing/return_moment.py
+++ b/tinrudder/routing/return_moment.py
@@ -37,10 +37,10 @@
     return room_in_s * PLACE_SPREAD <= left_s * HONOURED_SHARE
 
 
-def retry_after_s(
+def retry_after_by_place_s(
     room_in_s: float, left_s: float, draw: float, spread: float = PLACE_SPREAD
 ) -> float:
-    """Return when to come back, seconds from now.
+    """Return when to come back, seconds from now, where the moment of room is known.
 
     A moment beyond what callers wait for is told as it is: they need not come back.
 
@@ -48,27 +48,29 @@
     :param left_s: until its deadline.
     :param draw: by chance, 0 to 1, so that callers do not come back together.
 
-    >>> retry_after_s(0.2, 2.0, draw=0.0), retry_after_s(0.2, 2.0, draw=1.0)
+    >>> retry_after_by_place_s(0.2, 2.0, draw=0.0), retry_after_by_place_s(0.2, 2.0, draw=1.0)
     (0.2, 0.25)
-    >>> retry_after_s(0.9, 2.0, draw=1.0), retry_after_s(9.0, 2.0, draw=1.0)
+    >>> retry_after_by_place_s(0.9, 2.0, draw=1.0), retry_after_by_place_s(9.0, 2.0, draw=1.0)
     (1.125, 2.0)
     """
     return min(max(0.0, left_s), room_in_s * (1.0 + (spread - 1.0) * draw))
 
 
-def return_after_s(wait_s: float, share: float, left_s: float, chance: float) -> float:
-    """Return the pause, seconds: longer, the longer the queue and the fewer are admitted.
+def retry_after_by_share_s(wait_s: float, share: float, left_s: float, draw: float) -> float:
+    """Return when to come back, seconds from now, where the share that is admitted is known.
+
+    It is the later, the longer the queue and the fewer are admitted.
 
     :param wait_s: how long a call would wait for a slot.
     :param share: which part of such requests is admitted now.
     :param left_s: how long the caller will wait in all.
-    :param chance: an even random number from 0 to 1.
+    :param draw: by chance, 0 to 1, so that callers do not come back together.
 
-    >>> return_after_s(0.3, 0.8, 12.0, 0.5), return_after_s(0.3, 0.8, 12.0, 1.0)
+    >>> retry_after_by_share_s(0.3, 0.8, 12.0, 0.5), retry_after_by_share_s(0.3, 0.8, 12.0, 1.0)
     (2.6666666666666665, 4.0)
-    >>> return_after_s(0.1, 1.0, 12.0, 0.5)
+    >>> retry_after_by_share_s(0.1, 1.0, 12.0, 0.5)
     0.8
     """
     longest_s = max(0.0, left_s) * WAITED_SHARE / (1.0 + PAUSE_SPREAD)
     pause_s = min(longest_s, WAITS * max(LEAST_S, wait_s) / max(LEAST_SHARE, share))
-    return pause_s * (1.0 + PAUSE_SPREAD * (2.0 * chance - 1.0))
+    return pause_s * (1.0 + PAUSE_SPREAD * (2.0 * draw - 1.0))
