A coordinator's checks and the figures of scatter gates are functions of their own

Before: one function each; after: _find (route or Declined), then the run; _gate_figures. A first try gave _gate_figures the gates, which the node makes after its metrics: every gateway failed to start (test_gateway_coordinators); it takes the node, as the others do.

--- a/tinrudder/gateway/gateway_metrics.py
+++ b/tinrudder/gateway/gateway_metrics.py
@@ -296,6 +296,19 @@
             lambda: len(node.state.evacuations.zones),
             is_counter=False,
         ),
+        *_gate_figures(node),
+        Figure(
+            f"{PREFIX}_in_progress",
+            "Requests being served.",
+            lambda: node.handler.in_progress,
+            is_counter=False,
+        ),
+    ]
+
+
+def _gate_figures(node: GatewayNode) -> list[Figure]:
+    """Return what waits for room at the back ends, and how much room there is."""
+    return [
         Figure(
             f"{PREFIX}_scatters_waiting",
             "Scatters that wait here for room at the back ends.",
@@ -314,12 +327,6 @@
             lambda: node.gates.limit,
             is_counter=False,
         ),
-        Figure(
-            f"{PREFIX}_in_progress",
-            "Requests being served.",
-            lambda: node.handler.in_progress,
-            is_counter=False,
-        ),
     ]
 
 
--- a/tinrudder/gateway/scatter_service.py
+++ b/tinrudder/gateway/scatter_service.py
@@ -55,22 +55,10 @@
 
     async def serve(self, scatter: ScatterRequest) -> ScatterAnswer:
         """Run one scatter; cancelling this ends its calls."""
-        routes = self._routes()
-        if self.closing:
-            return Declined("stopping")
-        if routes is None or not self._state.complete:
-            return Declined("starting")
-        if self._state.configuration_revision < scatter.configuration_revision:
-            # The entry may have shown the newer one's effect already: nothing may go back.
-            return Declined("an older configuration")
-        route = routes.find(scatter.request)
-        if route is None or not route.shards:
-            return Declined("no scatter by the configuration here")
-        if not set(scatter.shards) <= set(route.shards):
-            return Declined("other shards by the configuration here")
-        if self._forwarding.memory.refusal(routes.steps_below_urgent(scatter.priority)):
-            # The entry may ask another coordinator.
-            return Declined("no room in memory")
+        found = self._find(scatter)
+        if isinstance(found, Declined):
+            return found
+        routes, route = found
         moments = self._moments(scatter)
         version = routes.configuration.version
         refusal = self._refusal(route, scatter)
@@ -91,6 +79,25 @@
         log_coordinated(scatter, route, end)
         return end
 
+    def _find(self, scatter: ScatterRequest) -> tuple[RoutesInForce, Route] | Declined:
+        """Find a scatter's route, or decline it: the entry may ask another coordinator."""
+        routes = self._routes()
+        if self.closing:
+            return Declined("stopping")
+        if routes is None or not self._state.complete:
+            return Declined("starting")
+        if self._state.configuration_revision < scatter.configuration_revision:
+            # The entry may have shown the newer one's effect already: nothing may go back.
+            return Declined("an older configuration")
+        route = routes.find(scatter.request)
+        if route is None or not route.shards:
+            return Declined("no scatter by the configuration here")
+        if not set(scatter.shards) <= set(route.shards):
+            return Declined("other shards by the configuration here")
+        if self._forwarding.memory.refusal(routes.steps_below_urgent(scatter.priority)):
+            return Declined("no room in memory")
+        return routes, route
+
     def _refusal(self, route: Route, scatter: ScatterRequest) -> NotRun | None:
         """Refuse what crashes back ends, and a whole scatter of which too little is in reach."""
         poison = self._poison.refusal(route, scatter.request)
