--- a/tests/unit/gateway/test_store_follower.py
+++ b/tests/unit/gateway/test_store_follower.py
@@ -68,7 +68,7 @@
             Topic.BACKENDS,
             store,  # type: ignore[arg-type]
             state,
-            StoreStatus(lambda topic, reachable, detail: None),
+            StoreStatus(lambda topic, reachable, detail: None, lambda shown: None, loop.time),
             lambda: nodes,
             AlwaysReads(),  # type: ignore[arg-type]
             random.Random(1),
--- a/tinrudder/gateway/observability/gateway_log.py
+++ b/tinrudder/gateway/observability/gateway_log.py
@@ -8,6 +8,7 @@
 from tinrudder.common.logs import LogValue, log_event, log_problem
 from tinrudder.gateway.scatters.coordination import Coordination
 from tinrudder.gateway.store.shared_state import AcceptedConfiguration
+from tinrudder.gateway.store.store_status import ShownRevision
 from tinrudder.gateway.store.stored_values import Topic
 
 
@@ -31,6 +32,23 @@
         log_problem("store_lost", fields)
 
 
+def log_store_history(shown: ShownRevision) -> None:
+    """Write the line of a store whose epoch changed, or that shows less than is known, or no more.
+
+    The store acknowledged what it shows no longer, so the operator should look.
+    """
+    fields: dict[str, LogValue] = {
+        "topic": shown.topic.value,
+        "epoch": shown.epoch,
+        "shown": shown.shown,
+        "known": shown.known,
+    }
+    if shown.is_behind:
+        log_problem("store_history", fields)
+    else:
+        log_event("store_history", fields)
+
+
 def log_coordination(coordination: Coordination, nodes: int) -> None:
     """Write the line of a change in who calls the back ends of an index."""
     fields: dict[str, LogValue] = {
--- a/tinrudder/gateway/observability/metric_figures.py
+++ b/tinrudder/gateway/observability/metric_figures.py
@@ -239,6 +239,16 @@
         "Revision of the configuration in force.",
         lambda sources: sources.state.configuration_revision,
     ),
+    FigureRow(
+        "store_epoch",
+        "The store's epoch, which rises whenever it comes back from an older copy; 0: not told.",
+        lambda sources: sources.store_status.epoch,
+    ),
+    FigureRow(
+        "store_behind_seconds",
+        "For how long the store has shown less than is known here.",
+        lambda sources: sources.store_status.behind_s,
+    ),
     FigureRow(
         "nodes",
         "Gateways that share budgets, this one included.",
--- a/tinrudder/gateway/store/store_follower.py
+++ b/tinrudder/gateway/store/store_follower.py
@@ -21,6 +21,7 @@
 from tinrudder.gateway.store.stored_values import (
     HistoryForgottenError,
     MetadataStore,
+    Reading,
     StoreUnavailableError,
     Topic,
 )
@@ -117,6 +118,7 @@
             # Before the values: whoever hears of these may ask how old they are.
             if reading.whole:
                 self._on_complete_read(self._topic, asked_at)
+            self._note_shown(reading)
             self._state.apply_complete(self._topic, reading)
             self._revision = reading.revision
             self._confirm()
@@ -127,6 +129,7 @@
             self._revision = None
             self._forgotten = True
             return
+        self._note_shown(reading)
         self._revision = max(self._revision, reading.revision)
         self._state.apply(self._topic, reading.values)
         self._confirm()
@@ -143,6 +146,10 @@
             return self._revision
         return max(self._revision or 0, self._state.revision(self._topic))
 
+    def _note_shown(self, reading: Reading) -> None:
+        """Note how far the store's history goes, beside what is known here."""
+        self._status.note_shown(self._topic, reading, self._state.revision(self._topic))
+
     def _confirm(self) -> None:
         """Note the store's word that nothing newer is there."""
         self._forgotten = False
--- a/tinrudder/gateway/store/stored_values.py
+++ b/tinrudder/gateway/store/stored_values.py
@@ -39,10 +39,14 @@
 
 
 class Reading(Struct, frozen=True):
-    """Values of a topic, complete or changed, as of a revision of the store."""
+    """Values of a topic, complete or changed, as of a revision of the store.
+
+    :param epoch: of the store, which rises whenever it comes back from an older copy; 0: not told.
+    """
 
     values: tuple[StoredValue, ...]
     revision: int
+    epoch: int = 0
 
     @property
     def whole(self) -> bool:
--- a/tinrudder/gateway/wiring.py
+++ b/tinrudder/gateway/wiring.py
@@ -32,6 +32,7 @@
     log_coordination,
     log_pull,
     log_reachability,
+    log_store_history,
 )
 from tinrudder.gateway.observability.request_figures import RequestFigures
 from tinrudder.gateway.observability.request_log import FinishedRequest, log_request
@@ -160,7 +161,7 @@
     settings = around.settings
     unreadable_values = UnreadableValues(clock)
     state = SharedState(around.decoders, clock, unreadable_values.note)
-    status = StoreStatus(log_reachability)
+    status = StoreStatus(log_reachability, log_store_history, clock)
     return KnowledgeParts(
         unreadable_values,
         state,
--- a/tinrudder/platform/headers.py
+++ b/tinrudder/platform/headers.py
@@ -7,6 +7,9 @@
 
 from tinrudder.gateway.model.configuration import HeaderNames
 
+STORE_EPOCH = b"store-era"
+"""In every answer of the store: rises by one whenever it comes back from an older copy."""
+
 HEADERS = HeaderNames(
     request_id=b"tinrudder-request-id",
     # A time that is left, not a moment.
--- a/tinrudder/platform/store_client.py
+++ b/tinrudder/platform/store_client.py
@@ -15,6 +15,7 @@
 from tinrudder.gateway.backends.http_fetch import FetchError, fetch
 from tinrudder.gateway.backends.upstream_connection import accept_any_answer
 from tinrudder.gateway.backends.upstream_pool import UpstreamPool
+from tinrudder.gateway.model.http_messages import Headers, header_value
 from tinrudder.gateway.store.stored_values import (
     HistoryForgottenError,
     Reading,
@@ -28,6 +29,7 @@
     OPERATOR_PREFIX,
     UNREADABLE,
 )
+from tinrudder.platform.headers import STORE_EPOCH
 
 RANGE_PATH = "/v1/kv-range"
 WATCH_PATH = "/v1/kv-watch"
@@ -44,6 +46,9 @@
 """For each topic: a watch holds one for seconds, during which a read may be needed."""
 OK = 200
 """HTTP status of an answer that is one."""
+MAX_EPOCH = 2**31 - 1
+"""Largest epoch that is believed. Chosen, not measured: one that rises with each restoration never
+comes near it."""
 HISTORY_FORGOTTEN = 410
 """HTTP status of a watch from before what the store remembers; everything must be read anew."""
 
@@ -110,13 +115,13 @@
             if after:
                 parameters["after"] = after
             path = f"{RANGE_PATH}?{urlencode(parameters)}"
-            document = await self._call(topic, path, READ_TIMEOUT_S, _range_decoder)
+            document, epoch = await self._call(topic, path, READ_TIMEOUT_S, _range_decoder)
             page = [_value(item) for item in document.items]
             values.extend(page)
             revision = revision or document.at
             after = max((value.key for value in page), default="")
             if not document.more or not after:
-                return Reading(tuple(values), revision)
+                return Reading(tuple(values), revision, epoch)
         raise StoreUnavailableError(f"more than {MAX_PAGES} pages")
 
     async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
@@ -124,13 +129,13 @@
         wait_ms = int(wait_s * MILLISECONDS)
         query = urlencode({"path_prefix": PREFIXES[topic], "after": after, "wait_ms": wait_ms})
         target = f"{WATCH_PATH}?{query}"
-        document = await self._call(topic, target, wait_s + WATCH_SLACK_S, _watch_decoder)
-        return Reading(tuple(_value(event) for event in document.events), document.at)
+        document, epoch = await self._call(topic, target, wait_s + WATCH_SLACK_S, _watch_decoder)
+        return Reading(tuple(_value(event) for event in document.events), document.at, epoch)
 
     async def _call(
         self, topic: Topic, target: str, timeout_s: float, decoder: msgspec.json.Decoder[Document]
-    ) -> Document:
-        """Send one GET and decode its answer."""
+    ) -> tuple[Document, int]:
+        """Send one GET; return its answer decoded, and the store's epoch."""
         self._count_call()
         request = f"GET {target} HTTP/1.1\r\nHost: {self._address}\r\n\r\n".encode()
         try:
@@ -142,11 +147,23 @@
         if answer.status != OK:
             raise StoreUnavailableError(f"status {answer.status}")
         try:
-            return decoder.decode(answer.body)
+            return decoder.decode(answer.body), _epoch(answer.headers)
         except UNREADABLE as error:
             raise StoreUnavailableError(f"unreadable answer: {error}") from error
 
 
+def _epoch(headers: Headers) -> int:
+    """Return the store's epoch; 0 if it tells none that can be read.
+
+    >>> _epoch(((b"store-era", b"3"),)), _epoch(()), _epoch(((b"store-era", b"-1"),))
+    (3, 0, 0)
+    """
+    told = header_value(headers, STORE_EPOCH)
+    if told is None or not told.isdigit() or int(told) > MAX_EPOCH:
+        return 0
+    return int(told)
+
+
 def _value(raw: msgspec.Raw) -> StoredValue:
     """Turn one item into a value; whatever of it cannot be read is left empty."""
     try:
