--- a/tinrudder_lab/emulator/store.py
+++ b/tinrudder_lab/emulator/store.py
@@ -1,4 +1,7 @@
-"""The platform's metadata store: keys with revisions, ranges in pages, watches, and outages."""
+"""The platform's metadata store: keys with revisions, ranges in pages, watches, and outages.
+
+It may come back from an older copy: then its revisions go back and are given out again.
+"""
 
 from __future__ import annotations
 
@@ -10,6 +13,7 @@
 
 import msgspec
 
+from tinrudder.platform.headers import STORE_EPOCH
 from tinrudder.platform.store_client import RANGE_PATH, WATCH_PATH
 from tinrudder_lab.emulator.http_server import ServedRequest, ServerConnection, encode_response
 
@@ -39,6 +43,15 @@
     shown_as: dict[str, object] | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class _Write:
+    """One write, kept so that the store can go back to the moment before it."""
+
+    at: float
+    key: str
+    item: _Item
+
+
 @dataclass(slots=True, eq=False)
 class _Watch:
     prefix: str
@@ -53,6 +66,7 @@
 
     :ivar calls: how often it was asked anything.
     :ivar reads: how many of these calls were not watches.
+    :ivar epoch: how often it came back from an older copy; in every answer, unless ``None``.
     """
 
     def __init__(self, host: str) -> None:
@@ -62,6 +76,8 @@
         self.calls = 0
         self.reads = 0
         self.revision = 0
+        self.epoch: int | None = 0
+        self._writes: list[_Write] = []
         self._forgotten = 0
         self._items: dict[str, _Item] = {}
         self._watches: list[_Watch] = []
@@ -102,9 +118,7 @@
 
     def put_bytes(self, key: str, value: bytes) -> int:
         """Write any bytes; return the revision."""
-        self.revision += 1
-        self._items[key] = _Item(value, self.revision)
-        self._wake()
+        self._write(key, value)
         return self.revision
 
     def put_spoiled(self, key: str, shown: dict[str, object]) -> int:
@@ -118,9 +132,31 @@
 
     def remove(self, key: str) -> None:
         """Remove a key."""
-        self.revision += 1
-        self._items[key] = _Item(None, self.revision)
-        self._wake()
+        self._write(key, None)
+
+    def value(self, key: str) -> bytes | None:
+        """Return what stands under a key; ``None``: nothing."""
+        item = self._items.get(key)
+        return item.value if item is not None else None
+
+    def revision_of(self, key: str) -> int:
+        """Return the revision of a key's newest write; 0: it was never written."""
+        item = self._items.get(key)
+        return item.rev if item is not None else 0
+
+    def values(self) -> dict[str, bytes]:
+        """Return what stands under every key."""
+        return {key: item.value for key, item in self._items.items() if item.value is not None}
+
+    def restore(self, age_s: float) -> None:
+        """Go back to what stood here some time ago; whoever watches is told nothing of it."""
+        copied_at = self._loop.time() - age_s
+        self._writes = [write for write in self._writes if write.at <= copied_at]
+        self._items = {write.key: write.item for write in self._writes}
+        self.revision = max((write.item.rev for write in self._writes), default=0)
+        self._forgotten = min(self._forgotten, self.revision)
+        if self.epoch is not None:
+            self.epoch += 1
 
     def forget_history(self) -> None:
         """Drop history and cut every watch."""
@@ -128,6 +164,18 @@
         for watch in tuple(self._watches):
             self._answer(watch, 410, {"error": "compacted"})
 
+    def _write(self, key: str, value: bytes | None) -> None:
+        """Give a key another value, or none, at the next revision."""
+        self.revision += 1
+        item = _Item(value, self.revision)
+        self._items[key] = item
+        self._writes.append(_Write(self._loop.time(), key, item))
+        self._wake()
+
+    def _headers(self) -> dict[str, str]:
+        """Return the headers of every answer."""
+        return {} if self.epoch is None else {STORE_EPOCH.decode(): str(self.epoch)}
+
     def _serve(self, request: ServedRequest, connection: ServerConnection, port: int) -> None:
         """Answer one call by the machine's mode."""
         self.calls += 1
@@ -141,7 +189,7 @@
             return
         if mode in (StoreMode.REFUSING, StoreMode.THROTTLING):
             status = 503 if mode is StoreMode.REFUSING else 429
-            connection.write(encode_response(status, {}, b"{}"))
+            connection.write(encode_response(status, self._headers(), b"{}"))
             return
         delay = ANSWER_S * (SLOW_FACTOR if mode is StoreMode.SLOW else 1)
         self._loop.call_later(delay, self._answer_call, request, connection, port)
@@ -155,7 +203,7 @@
         elif parts.path == WATCH_PATH:
             self._watch(query, connection, port)
         else:
-            connection.write(encode_response(404, {}, b"{}"))
+            connection.write(encode_response(404, self._headers(), b"{}"))
 
     def _answer_range(self, query: dict[str, str], connection: ServerConnection) -> None:
         prefix, after = query["path_prefix"], query.get("after", "")
@@ -166,11 +214,11 @@
         )
         items = [_document(key, self._items[key]) for key in keys[:PAGE_ITEMS]]
         answer = {"items": items, "more": len(keys) > PAGE_ITEMS, "at": self.revision}
-        connection.write(encode_response(200, {}, msgspec.json.encode(answer)))
+        connection.write(encode_response(200, self._headers(), msgspec.json.encode(answer)))
 
     def _watch(self, query: dict[str, str], connection: ServerConnection, port: int) -> None:
         watch = _Watch(query["path_prefix"], int(query["after"]), connection, port)
-        if watch.after < self._forgotten:
+        if not self._forgotten <= watch.after <= self.revision:
             self._answer(watch, 410, {"error": "compacted"})
             return
         self._watches.append(watch)
@@ -201,7 +249,8 @@
         watch.done = True
         if watch in self._watches:
             self._watches.remove(watch)
-        watch.connection.write(encode_response(status, {}, msgspec.json.encode(document)))
+        body = msgspec.json.encode(document)
+        watch.connection.write(encode_response(status, self._headers(), body))
 
 
 def _document(key: str, item: _Item) -> dict[str, object]:
