--- a/tests/functional/gateway/test_restored_store.py
+++ b/tests/functional/gateway/test_restored_store.py
@@ -102,7 +102,12 @@
 
 
 def test_a_store_that_came_back_is_not_called_again_and_again() -> None:
-    """The same order of events; what the store saw from its return until the next change."""
+    """The same order of events; what the store saw from its return until the next change.
+
+    The cause: a refused watch led to a read of everything, and that at once to a watch from the
+    highest revision ever known, which the store refused again.  The evidence: of the calls that the
+    store counted, half were refused, and they ended with the change that reached that revision.
+    """
 
     async def scenario(site: EmulatedSite) -> None:
         await lose_changes(site)
--- a/tests/unit/gateway/test_store_follower.py
+++ b/tests/unit/gateway/test_store_follower.py
@@ -13,6 +13,7 @@
 from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.store_follower import (
     LONGEST_REST_S,
+    LONGEST_RETRY_S,
     LONGEST_WAIT_S,
     REST_SPREAD,
     SHORTEST_WAIT_S,
@@ -20,7 +21,12 @@
     StoreFollower,
 )
 from tinrudder.gateway.store.store_status import StoreStatus
-from tinrudder.gateway.store.stored_values import Reading, StoredValue, Topic
+from tinrudder.gateway.store.stored_values import (
+    HistoryForgottenError,
+    Reading,
+    StoredValue,
+    Topic,
+)
 
 FIRST_REVISION = 10
 
@@ -55,11 +61,35 @@
     def must_read(self, topic: Topic) -> bool:
         return True
 
+    def retry_pause_s(self, own_pause_s: float) -> float:
+        return own_pause_s
+
+
+class RefusingStore(ScriptedStore):
+    """Refuses every watch that begins in a span of time."""
+
+    def __init__(self, clock: Callable[[], float], refuses: tuple[float, float]) -> None:
+        super().__init__(clock)
+        self._refuses = refuses
 
-def follow(seconds: float, nodes: int, taught: int | None = None) -> ScriptedStore:
+    async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
+        first, last = self._refuses
+        if first <= self._clock() < last:
+            self.watched_at.append(self._clock())
+            await asyncio.sleep(0.004)
+            raise HistoryForgottenError
+        return await super().watch(topic, after, wait_s)
+
+
+def follow(
+    seconds: float,
+    nodes: int,
+    taught: int | None = None,
+    refuses: tuple[float, float] | None = None,
+) -> ScriptedStore:
     """Follow back ends for a while; peers teach a revision after the first change."""
     loop = async_solipsism.EventLoop()
-    store = ScriptedStore(loop.time)
+    store = RefusingStore(loop.time, refuses) if refuses else ScriptedStore(loop.time)
 
     async def run() -> None:
         state = SharedState(DECODERS, loop.time, lambda problem: None)
@@ -111,3 +141,13 @@
     assert max(waits) <= LONGEST_WAIT_S * (1.0 + WAIT_SPREAD)
     if nodes >= 8:
         assert min(waits) >= LONGEST_WAIT_S * (1.0 - WAIT_SPREAD)
+
+
+def test_the_first_refused_watch_costs_no_rest_and_further_ones_do() -> None:
+    watched = follow(20.0, nodes=8, refuses=(0.0, 10.0)).watched_at
+    refused = [at for at in watched if at < 10.0]
+    assert refused[1] - refused[0] < 0.01
+    assert refused[-1] - refused[-2] >= LONGEST_RETRY_S
+    assert len(refused) <= 4 + 10.0 / LONGEST_RETRY_S
+    answered = [at for at in watched if at >= 10.0]
+    assert answered[0] <= 10.0 + LONGEST_RETRY_S + 0.02
--- a/tinrudder/gateway/store/store_follower.py
+++ b/tinrudder/gateway/store/store_follower.py
@@ -90,6 +90,8 @@
         self._revision: int | None = None
         self._forgotten = False
         self._retry_s = FIRST_RETRY_S
+        # Seconds until everything is read again after a watch was refused; 0: at once.
+        self._reread_s = 0.0
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -128,7 +130,9 @@
         except HistoryForgottenError:
             self._revision = None
             self._forgotten = True
+            await self._rest_before_reread()
             return
+        self._reread_s = 0.0
         self._note_shown(reading)
         self._revision = max(self._revision, reading.revision)
         self._state.apply(self._topic, reading.values)
@@ -146,6 +150,16 @@
             return self._revision
         return max(self._revision or 0, self._state.revision(self._topic))
 
+    async def _rest_before_reread(self) -> None:
+        """Rest before everything is read again, unless this is the first watch refused in a row.
+
+        A store may refuse the watch that follows a whole read too, and both are answered within
+        milliseconds: without rest, one gateway called it 500 times a second.
+        """
+        if self._reread_s:
+            await asyncio.sleep(self._readers.retry_pause_s(self._reread_s))
+        self._reread_s = min(LONGEST_RETRY_S, max(FIRST_RETRY_S, self._reread_s * 2))
+
     def _note_shown(self, reading: Reading) -> None:
         """Note how far the store's history goes, beside what is known here."""
         self._status.note_shown(self._topic, reading, self._state.revision(self._topic))
