--- a/bench/scatter_cost.py
+++ b/bench/scatter_cost.py
@@ -38,6 +38,7 @@
 from tinrudder.gateway.runs.request_run import RequestRun
 from tinrudder.gateway.runs.run_context import RunContext
 from tinrudder.gateway.store.shared_state import SharedState
+from tinrudder.gateway.store.store_revision import StoreRevision
 from tinrudder.gateway.store.stored_values import StoredValue, Topic
 from tinrudder.platform.headers import HEADERS
 
@@ -132,7 +133,7 @@
         }
         services = [{"name": name, "max_conns": 59} for name in shards]
         document = {"version": 1, "routes": [route], "services": services}
-        value = StoredValue("op/config", 1, json.dumps(document).encode())
+        value = StoredValue("op/config", StoreRevision(0, 1), json.dumps(document).encode())
         self.state.apply(Topic.OPERATOR, [value])
         entries: list[StoredValue] = []
         for number, name in enumerate(shards):
@@ -145,7 +146,8 @@
                     "state": "ready",
                 }
                 key = f"servers/i-{name}-{copy}"
-                entries.append(StoredValue(key, len(entries) + 2, json.dumps(entry).encode()))
+                revision = StoreRevision(0, len(entries) + 2)
+                entries.append(StoredValue(key, revision, json.dumps(entry).encode()))
         self.state.apply(Topic.BACKENDS, entries)
 
     def scatter(self, number: int) -> tuple[float, float]:
--- a/tests/functional/gateway/test_store_readers.py
+++ b/tests/functional/gateway/test_store_readers.py
@@ -12,6 +12,7 @@
     SETTLED_S,
     run_many,
 )
+from tests.support.store_revisions import told
 from tinrudder.gateway.store.stored_values import Topic
 from tinrudder_lab.emulator.loop import EmulatorLoop
 from tinrudder_lab.emulator.site import EmulatedSite, run_site
@@ -30,7 +31,7 @@
         revisions = {
             (
                 node.gateway.knowledge.state.configuration_revision,
-                node.gateway.knowledge.state.backends_revision,
+                node.gateway.knowledge.state.revision(Topic.BACKENDS),
             )
             for node in site.nodes
             if node.gateway is not None
@@ -102,9 +103,9 @@
         known = gateway.knowledge.state.revision(Topic.BACKENDS)
         site.drain("single-0")
         await asyncio.sleep(1.0)
-        changes = gateway.knowledge.state.snapshot(known)
+        changes = told(gateway.knowledge.state, known)
         assert [value.key.rpartition("/")[2] for value in changes] == ["single-0"]
-        assert len(gateway.knowledge.state.snapshot()) == len(site.backends)
+        assert len(told(gateway.knowledge.state)) == len(site.backends)
 
     run_site(scenario)
 
--- a/tests/unit/gateway/test_backend_entries.py
+++ b/tests/unit/gateway/test_backend_entries.py
@@ -11,8 +11,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.support.store_revisions import at, told
 from tests.unit.gateway.test_shared_state import new_state
-from tinrudder.gateway.store.shared_state import EntryStanding, SharedState
+from tinrudder.gateway.store.backend_entries import EntryStanding
+from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.stored_values import Reading, StoredValue, Topic, UnreadableValueError
 from tinrudder.gateway.store.unreadable_values import LINES, UnreadableValues
 from tinrudder.platform.documents import decode_backend
@@ -33,7 +35,7 @@
 
 
 def value_of(key: str, revision: int, **changes: object) -> StoredValue:
-    return StoredValue(f"servers/{key}", revision, msgspec.json.encode(ENTRY | changes))
+    return StoredValue(f"servers/{key}", at(revision), msgspec.json.encode(ENTRY | changes))
 
 
 @pytest.mark.parametrize("make", FOREIGN_VALUES)
@@ -96,7 +98,7 @@
     for foreign in (noise, bytes(mutated)):
         problems: list[str] = []
         state = new_state(problems)
-        values = (value_of("a", 1), StoredValue("servers/b", 2, foreign), value_of("c", 3))
+        values = (value_of("a", 1), StoredValue("servers/b", at(2), foreign), value_of("c", 3))
         state.apply(Topic.BACKENDS, values)
         readable = False
         with contextlib.suppress(UnreadableValueError):
@@ -119,19 +121,19 @@
     state, peer, late_peer = new_state(), new_state(), new_state()
     late_peer.apply(Topic.BACKENDS, (value_of("a", 1), value_of("b", 3)))
     state.apply(Topic.BACKENDS, (value_of("a", 1), value_of("b", 3)))
-    foreign = StoredValue("servers/a", 5, foreign_value(ENTRY, random.Random(seed)))
+    foreign = StoredValue("servers/a", at(5), foreign_value(ENTRY, random.Random(seed)))
     assert state.apply(Topic.BACKENDS, (foreign,))
     assert standing(state, "a") is EntryStanding.UNREADABLE
     assert state.backends["servers/a"].leaving
     assert standing(state, "b") is EntryStanding.IN_FORCE
 
     # Whoever learns of it through peers holds the same, and older word brings nothing back.
-    peer.apply(Topic.BACKENDS, state.snapshot())
-    late_peer.apply(Topic.BACKENDS, state.snapshot(late_peer.revision(Topic.BACKENDS)))
+    peer.apply(Topic.BACKENDS, told(state))
+    late_peer.apply(Topic.BACKENDS, told(state, late_peer.revision(Topic.BACKENDS)))
     for one in (state, peer, late_peer):
         one.apply(Topic.BACKENDS, (value_of("a", 1), value_of("a", 4)))
-        one.apply_complete(Topic.BACKENDS, Reading((foreign, value_of("b", 3)), 6))
-        assert one.revision(Topic.BACKENDS) == 5
+        one.apply_complete(Topic.BACKENDS, Reading((foreign, value_of("b", 3)), at(6)))
+        assert one.revision(Topic.BACKENDS) == at(5)
     assert "servers/a" not in peer.backends
     assert standing(late_peer, "a") is EntryStanding.UNREADABLE
 
@@ -142,30 +144,30 @@
 
 def test_long_values_that_cannot_be_read_weigh_nothing_in_snapshots() -> None:
     state, peer = new_state(), new_state()
-    values = [StoredValue(f"servers/{n}", n, b"?" * 65_536) for n in range(1, 400)]
+    values = [StoredValue(f"servers/{n}", at(n), b"?" * 65_536) for n in range(1, 400)]
     state.apply(Topic.BACKENDS, (*values, value_of("a", 400)))
-    assert sum(len(value.value or b"") for value in state.snapshot()) < 1000
-    peer.apply(Topic.BACKENDS, state.snapshot())
-    assert peer.revision(Topic.BACKENDS) == 400
+    assert sum(len(value.value or b"") for value in told(state)) < 1000
+    peer.apply(Topic.BACKENDS, told(state))
+    assert peer.revision(Topic.BACKENDS) == at(400)
     assert set(peer.backends) == {"servers/a"}
 
 
 def test_an_entry_that_was_never_good_and_is_removed_is_forgotten() -> None:
     state = new_state()
-    state.apply(Topic.BACKENDS, (StoredValue("servers/a", 5, b"?"),))
-    state.apply_complete(Topic.BACKENDS, Reading((value_of("b", 3),), 8))
-    assert StoredValue("servers/a", 8, None) in state.snapshot()
+    state.apply(Topic.BACKENDS, (StoredValue("servers/a", at(5), b"?"),))
+    state.apply_complete(Topic.BACKENDS, Reading((value_of("b", 3),), at(8)))
+    assert StoredValue("servers/a", at(8), None) in told(state)
 
 
 def test_a_page_with_an_item_without_key_removes_nothing() -> None:
     problems: list[str] = []
     state = new_state(problems)
     state.apply(Topic.BACKENDS, (value_of("a", 1), value_of("b", 2)))
-    without_key = StoredValue("", 0, b"")
-    state.apply_complete(Topic.BACKENDS, Reading((without_key, value_of("c", 3)), 9))
+    without_key = StoredValue("", at(0), b"")
+    state.apply_complete(Topic.BACKENDS, Reading((without_key, value_of("c", 3)), at(9)))
     assert {standing(state, key) for key in "abc"} == {EntryStanding.IN_FORCE}
     assert len(problems) == 1
-    state.apply_complete(Topic.BACKENDS, Reading((value_of("c", 3),), 9))
+    state.apply_complete(Topic.BACKENDS, Reading((value_of("c", 3),), at(9)))
     assert {standing(state, key) for key in "ab"} == {EntryStanding.REMOVED}
 
 
--- a/tests/unit/gateway/test_backend_starts.py
+++ b/tests/unit/gateway/test_backend_starts.py
@@ -10,6 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.support.store_revisions import at
+from tests.support.store_revisions import told as told_by
 from tests.unit.gateway.test_shared_state import DECODERS
 from tinrudder.gateway.backends.backend_directory import (
     BackendDirectory,
@@ -19,7 +21,8 @@
 from tinrudder.gateway.decisions.placement.cold_start_rate import Callers
 from tinrudder.gateway.model.configuration import ColdBounds
 from tinrudder.gateway.model.http_messages import CallOutcome, UpstreamCall, Withdrawn
-from tinrudder.gateway.store.shared_state import OLDER_START_S, EntryStanding, SharedState
+from tinrudder.gateway.store.backend_entries import OLDER_START_S, EntryStanding
+from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.stored_values import Reading, StoredValue, Topic
 from tinrudder.platform.headers import HEADERS
 
@@ -48,11 +51,11 @@
 
 def said(revision: int, what: Said, **changes: object) -> StoredValue:
     if what == GONE:
-        return StoredValue(KEY, revision, None)
+        return StoredValue(KEY, at(revision), None)
     if what == UNREADABLE:
-        return StoredValue(KEY, revision, b"?")
+        return StoredValue(KEY, at(revision), b"?")
     entry = {"service": "s", "addr": "10.0.0.1:80", "zone": "z", "slots": 2, "state": "ready"}
-    return StoredValue(KEY, revision, msgspec.json.encode(entry | {"born": what} | changes))
+    return StoredValue(KEY, at(revision), msgspec.json.encode(entry | {"born": what} | changes))
 
 
 WORDS = st.one_of(st.integers(1, 4), st.sampled_from([GONE, UNREADABLE]))
@@ -72,10 +75,10 @@
         teller = told if source.random() < 0.5 else peer
         teller.hear(value)
         if source.random() < 0.3:
-            told.hear(*peer.state.snapshot())
-    told.hear(*peer.state.snapshot())
-    newest = words[max(value.revision for value in heard) - 1]
-    known = [words[value.revision - 1] for value in heard]
+            told.hear(*told_by(peer.state))
+    told.hear(*told_by(peer.state))
+    newest = words[max(value.revision.number for value in heard) - 1]
+    known = [words[value.revision.number - 1] for value in heard]
     starts = [one for one in known if isinstance(one, int)]
     if not isinstance(newest, int):
         assert told.started_ms is None
@@ -85,7 +88,7 @@
         assert told.started_ms in (newest, None)
     # What stands for long holds, and every gateway that heard the newest word agrees on it.
     told.now = OLDER_START_S
-    told.state.accept_older_starts()
+    told.state.settle()
     assert told.started_ms == (newest if isinstance(newest, int) else None)
 
 
@@ -106,11 +109,11 @@
     assert told.started_ms is None
     assert told.state.backends[KEY].entry.started_ms == 200
     told.now = OLDER_START_S - 0.1
-    told.state.accept_older_starts()
+    told.state.settle()
     assert told.started_ms is None
     told.hear(said(4, 200))
     told.now = 2 * OLDER_START_S
-    told.state.accept_older_starts()
+    told.state.settle()
     assert told.started_ms == 200
 
 
@@ -118,7 +121,7 @@
     told = Told()
     told.hear(said(1, 200), said(2, 100))
     told.now = OLDER_START_S
-    told.state.accept_older_starts()
+    told.state.settle()
     assert told.started_ms == 100
     told.hear(said(3, 100, slots=3))
     assert told.state.backends[KEY].entry.slots == 3
@@ -132,10 +135,10 @@
         told.now = number * OLDER_START_S / writes
         told.hear(said(2 + number, 100, cold_left_ms=100 * (writes - number)))
     told.now = OLDER_START_S - 0.1
-    told.state.accept_older_starts()
+    told.state.settle()
     assert told.started_ms is None
     told.now = OLDER_START_S
-    told.state.accept_older_starts()
+    told.state.settle()
     assert told.started_ms == 100
 
 
@@ -146,7 +149,7 @@
     told.now = OLDER_START_S / 2
     told.hear(said(3, between), said(4, 100))
     told.now = OLDER_START_S
-    told.state.accept_older_starts()
+    told.state.settle()
     assert told.started_ms is None
 
 
@@ -163,9 +166,9 @@
 def test_a_complete_reading_ends_an_older_start_too() -> None:
     told = Told()
     told.hear(said(1, 200), said(2, 100))
-    told.state.apply_complete(Topic.BACKENDS, Reading((), 9))
+    told.state.apply_complete(Topic.BACKENDS, Reading((), at(9)))
     told.now = OLDER_START_S
-    told.state.accept_older_starts()
+    told.state.settle()
     assert told.state.backends[KEY].standing is EntryStanding.REMOVED
 
 
@@ -230,7 +233,7 @@
         assert len(directory.usable("t")) == 1
         told.hear(said(4, GONE))
         told.now = 200.0
-        told.state.forget_old_removals()
+        told.state.settle()
         told.hear(said(5, 100, service="s"))
         assert len(directory) == 1
 
--- a/tests/unit/gateway/test_gateway_relay_codec.py
+++ b/tests/unit/gateway/test_gateway_relay_codec.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from msgspec.structs import replace
 
+from tests.support.store_revisions import position
 from tinrudder.common.address import Address
 from tinrudder.gateway.model.http_messages import HttpRequest
 from tinrudder.gateway.model.outcomes import (
@@ -30,6 +31,8 @@
     ScatterRequest,
     SnapshotRequest,
 )
+from tinrudder.gateway.store.store_revision import EpochBegin, StoreRevision, TopicPosition
+from tinrudder.gateway.wire import gateway_relay_pb2, snapshot_pb2
 from tinrudder.gateway.wire.gateway_relay_codec import (
     decode_answer,
     decode_request,
@@ -39,11 +42,16 @@
 from tinrudder.gateway.wire.peer_datagram_codec import decode_datagram, encode_datagram
 from tinrudder.gateway.wire.snapshot_codec import (
     MalformedPeerMessageError,
+    digest_message,
+    digest_of_message,
 )
 
 MICROSECOND = 1e-6
 TEXT = st.text(max_size=20)
 REVISION = st.integers(0, 2**63)
+PLACES = st.builds(StoreRevision, st.integers(0, 2**31 - 1), REVISION)
+BEGINS = st.builds(EpochBegin, st.integers(0, 120).map(float), REVISION)
+POSITIONS = st.builds(TopicPosition, PLACES, PLACES, st.none() | BEGINS)
 SECONDS = st.floats(0, 100).map(lambda value: round(value, 3))
 HEADERS = st.lists(st.tuples(st.binary(max_size=8), st.binary(max_size=8)), max_size=4).map(tuple)
 REQUESTS = st.builds(
@@ -59,6 +67,7 @@
     configuration_revision=REVISION,
     shards=st.lists(TEXT, max_size=4).map(tuple),
     minimum_share=st.floats(0, 1),
+    configuration_version=st.none() | REVISION,
 )
 OUTCOMES = st.one_of(
     st.builds(
@@ -92,8 +101,9 @@
 DIGESTS = st.builds(
     Digest,
     sender=MEMBERS,
-    operator_revision=REVISION,
-    backends_revision=REVISION,
+    operator=POSITIONS,
+    backends=POSITIONS,
+    configuration_version=REVISION,
     members=st.lists(st.builds(ReportedMember, MEMBERS, SECONDS), max_size=8).map(tuple),
     operator_unconfirmed_s=st.none() | SECONDS,
     backends_unconfirmed_s=st.none() | SECONDS,
@@ -110,12 +120,40 @@
     assert same == replace(scatter, objective_left_s=0.0, deadline_left_s=0.0)
 
 
-@given(REVISION, REVISION)
-def test_a_request_for_a_snapshot_is_read_as_it_was_written(first: int, second: int) -> None:
-    request = SnapshotRequest(first, second)
+@given(POSITIONS, POSITIONS, st.booleans(), REVISION)
+def test_a_request_for_a_snapshot_is_read_as_it_was_written(
+    operator: TopicPosition, backends: TopicPosition, members_wanted: bool, version: int
+) -> None:
+    request = SnapshotRequest(operator, backends, members_wanted, version)
     assert decode_request(encode_request(request)) == request
 
 
+def test_gateways_of_older_software_tell_and_hear_numbers_without_epochs() -> None:
+    """During an upgrade both run side by side; the older know the first fields alone."""
+    older = snapshot_pb2.SnapshotRequest(operator_revision=40, backends_revision=57)
+    payload = gateway_relay_pb2.PeerRequest(snapshot=older).SerializeToString()
+    assert decode_request(payload) == SnapshotRequest(position(40), position(57))
+    request = SnapshotRequest(position(60, 2), position(57, 2))
+    heard = gateway_relay_pb2.PeerRequest.FromString(encode_request(request)).snapshot
+    assert (heard.operator_revision, heard.backends_revision) == (60, 57)
+
+    sender = snapshot_pb2.Member(address="10.0.0.1:81")
+    told = snapshot_pb2.Digest(sender=sender, operator_revision=40, backends_revision=57)
+    digest = digest_of_message(told)
+    assert (digest.operator, digest.backends) == (position(40), position(57))
+    message = digest_message(Digest(digest.sender, position(60, 2), position(57, 2)))
+    assert (message.operator_revision, message.backends_revision) == (60, 57)
+
+
+def test_an_entry_of_older_software_tells_no_version() -> None:
+    payload = gateway_relay_pb2.PeerRequest(
+        scatter=gateway_relay_pb2.ScatterRequest(configuration_revision=63)
+    ).SerializeToString()
+    scatter = decode_request(payload)
+    assert isinstance(scatter, ScatterRequest)
+    assert (scatter.configuration_version, scatter.configuration_revision) == (None, 63)
+
+
 @given(ANSWERS)
 def test_an_answer_is_read_as_it_was_written(answer: ScatterAnswer) -> None:
     assert decode_answer(encode_answer(answer)) == answer
@@ -125,6 +163,8 @@
 def test_a_digest_is_read_as_it_was_written(digest: Digest) -> None:
     read = decode_datagram(encode_datagram(digest))
     assert read.sender == digest.sender
+    assert (read.operator, read.backends) == (digest.operator, digest.backends)
+    assert read.configuration_version == digest.configuration_version
     assert [told.member for told in read.members] == [told.member for told in digest.members]
     for ours, theirs in zip(read.members, digest.members, strict=True):
         assert abs(ours.age_s - theirs.age_s) <= 0.001
--- a/tests/unit/gateway/test_probes.py
+++ b/tests/unit/gateway/test_probes.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from tests.support.store_revisions import at
 from tinrudder.common.address import Address
 from tinrudder.gateway.peers.peer_messages import Probe, ProbeAnswer
 from tinrudder.gateway.peers.probes import REMEMBERED_S, Probes, SentProbe
@@ -33,7 +34,7 @@
     heard: list[tuple[SentProbe, ProbeAnswer]] = []
     probes = Probes(
         datagrams,  # type: ignore[arg-type]
-        lambda number: ProbeAnswer(number, 7, 0.5),
+        lambda number: ProbeAnswer(number, at(7), 0.5),
         lambda: now[0],
     )
     probes.subscribe(lambda sent, answer: heard.append((sent, answer)))
@@ -45,7 +46,7 @@
     probes.ask(PEER)
     (question, _) = datagrams.sent[0]
     now[0] += 4.0
-    answer = ProbeAnswer(question.number, 7, 0.5)
+    answer = ProbeAnswer(question.number, at(7), 0.5)
     datagrams.arrive(answer)
     assert heard == [(SentProbe(PEER, 100.0), answer)]
 
@@ -55,7 +56,7 @@
     probes.ask(PEER)
     (question, _) = datagrams.sent[0]
     for number in (question.number, question.number, question.number + 1):
-        datagrams.arrive(ProbeAnswer(number, 7, 0.5))
+        datagrams.arrive(ProbeAnswer(number, at(7), 0.5))
     assert len(heard) == 1
 
 
@@ -66,7 +67,7 @@
     probes_before.ask(PEER)
     probes.ask(PEER)
     (question, _) = before.sent[0]
-    datagrams.arrive(ProbeAnswer(question.number, 7, 0.5))
+    datagrams.arrive(ProbeAnswer(question.number, at(7), 0.5))
     assert heard == []
 
 
@@ -76,11 +77,11 @@
     (question, _) = datagrams.sent[0]
     now[0] += REMEMBERED_S
     probes.ask(PEER)
-    datagrams.arrive(ProbeAnswer(question.number, 7, 0.5))
+    datagrams.arrive(ProbeAnswer(question.number, at(7), 0.5))
     assert heard == []
 
 
 def test_a_question_is_answered_with_its_number() -> None:
     datagrams, _, _, _ = prepared()
     datagrams.arrive(Probe(42))
-    assert datagrams.sent == [(ProbeAnswer(42, 7, 0.5), PEER)]
+    assert datagrams.sent == [(ProbeAnswer(42, at(7), 0.5), PEER)]
--- a/tests/unit/gateway/test_shared_state.py
+++ b/tests/unit/gateway/test_shared_state.py
@@ -8,11 +8,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.support.store_revisions import at, told
 from tinrudder.common.address import Address
 from tinrudder.gateway.peers.peer_exchange import DIGEST_INTERVAL_S
 from tinrudder.gateway.peers.peer_list import PeerList
 from tinrudder.gateway.peers.peer_messages import Digest, Member, ReportedMember
-from tinrudder.gateway.store.shared_state import EntryStanding, KnownBackend, SharedState
+from tinrudder.gateway.store.backend_entries import EntryStanding, KnownBackend
+from tinrudder.gateway.store.shared_state import SharedState
+from tinrudder.gateway.store.store_revision import EpochBegin, TopicPosition
 from tinrudder.gateway.store.stored_values import Reading, StoredValue, Topic, ValueDecoders
 from tinrudder.gateway.wire.peer_datagram_codec import encode_datagram
 from tinrudder.platform.documents import (
@@ -36,20 +39,20 @@
 
 def backend(key: str, revision: int, state: str = "ready") -> StoredValue:
     document = {"service": "s", "addr": "10.0.0.1:80", "zone": "z", "slots": 2, "state": state}
-    return StoredValue(f"servers/{key}", revision, msgspec.json.encode(document))
+    return StoredValue(f"servers/{key}", at(revision), msgspec.json.encode(document))
 
 
 def removed(key: str, revision: int) -> StoredValue:
-    return StoredValue(f"servers/{key}", revision, None)
+    return StoredValue(f"servers/{key}", at(revision), None)
 
 
 def configuration(version: int, revision: int) -> StoredValue:
     document = {"version": version, "routes": []}
-    return StoredValue("op/config", revision, msgspec.json.encode(document))
+    return StoredValue("op/config", at(revision), msgspec.json.encode(document))
 
 
 def evacuation(zone: str, revision: int, *, in_force: bool = True) -> StoredValue:
-    return StoredValue(f"op/evacuate/{zone}", revision, b"{}" if in_force else None)
+    return StoredValue(f"op/evacuate/{zone}", at(revision), b"{}" if in_force else None)
 
 
 def is_removed(known: KnownBackend) -> bool:
@@ -58,7 +61,7 @@
 
 def seen(state: SharedState) -> dict[str, tuple[int, bool, bool]]:
     return {
-        key: (known.value.revision, known.leaving, is_removed(known))
+        key: (known.value.revision.number, known.leaving, is_removed(known))
         for key, known in state.backends.items()
         if not is_removed(known)
     }
@@ -85,7 +88,7 @@
     for value in mixed:
         shuffled.apply(Topic.BACKENDS, (value,))
     assert seen(in_order) == seen(shuffled)
-    assert in_order.backends_revision == shuffled.backends_revision
+    assert in_order.revision(Topic.BACKENDS) == shuffled.revision(Topic.BACKENDS)
 
 
 def test_a_configuration_never_goes_back() -> None:
@@ -101,16 +104,16 @@
     problems: list[str] = []
     state = new_state(problems)
     state.apply(Topic.OPERATOR, (configuration(4, 40),))
-    broken = StoredValue("op/config", 41, b'{"version": "x", "routes": []}')
+    broken = StoredValue("op/config", at(41), b'{"version": "x", "routes": []}')
     assert not state.apply(Topic.OPERATOR, (broken,))
-    assert state.configuration_revision == 40
+    assert state.configuration_revision == at(40)
     assert "version" in problems[0]
 
 
 def test_a_complete_reading_removes_what_it_lacks_but_not_what_is_newer() -> None:
     state = new_state()
     state.apply(Topic.BACKENDS, (backend("old", 5), backend("newer", 50)))
-    state.apply_complete(Topic.BACKENDS, Reading((backend("kept", 7),), 20))
+    state.apply_complete(Topic.BACKENDS, Reading((backend("kept", 7),), at(20)))
     assert set(seen(state)) == {"servers/kept", "servers/newer"}
 
 
@@ -127,15 +130,15 @@
     teacher, pupil = new_state(), new_state()
     teacher.apply(Topic.BACKENDS, (backend("a", 5), backend("b", 6), removed("b", 8)))
     pupil.apply(Topic.BACKENDS, (backend("b", 6),))
-    pupil.apply(Topic.BACKENDS, teacher.snapshot())
+    pupil.apply(Topic.BACKENDS, told(teacher))
     assert seen(pupil) == seen(teacher)
 
 
 def test_a_value_newer_than_a_readings_first_page_waits_for_the_watch() -> None:
     """Taken at once, it would claim knowledge of a change that an earlier page missed."""
     state = new_state()
-    state.apply_complete(Topic.BACKENDS, Reading((backend("a", 5), backend("b", 9)), 7))
-    assert state.revision(Topic.BACKENDS) == 5
+    state.apply_complete(Topic.BACKENDS, Reading((backend("a", 5), backend("b", 9)), at(7)))
+    assert state.revision(Topic.BACKENDS) == at(5)
     assert set(seen(state)) == {"servers/a"}
     state.apply(Topic.BACKENDS, (removed("a", 8), backend("b", 9)))
     assert set(seen(state)) == {"servers/b"}
@@ -144,7 +147,7 @@
 def test_a_known_back_end_that_changed_during_a_reading_is_not_taken_for_gone() -> None:
     state = new_state()
     state.apply(Topic.BACKENDS, (backend("b", 3),))
-    state.apply_complete(Topic.BACKENDS, Reading((backend("a", 5), backend("b", 9)), 7))
+    state.apply_complete(Topic.BACKENDS, Reading((backend("a", 5), backend("b", 9)), at(7)))
     assert seen(state)["servers/b"] == (3, False, False)
 
 
@@ -162,7 +165,7 @@
     teacher, pupil = new_state(), new_state()
     teacher.apply(Topic.BACKENDS, values)
     pupil.apply(Topic.BACKENDS, values[:known])
-    pupil.apply(Topic.BACKENDS, teacher.snapshot(pupil.revision(Topic.BACKENDS)))
+    pupil.apply(Topic.BACKENDS, told(teacher, pupil.revision(Topic.BACKENDS)))
     assert seen(pupil) == seen(teacher)
 
 
@@ -171,9 +174,9 @@
     state = SharedState(DECODERS, lambda: now[0], lambda _: None)
     state.apply(Topic.BACKENDS, (backend("a", 5), removed("a", 8)))
     now[0] = 121.0
-    state.forget_old_removals()
-    assert state.snapshot() == ()
-    assert state.forgotten_up_to == 8
+    state.settle()
+    assert told(state) == ()
+    assert state.forgotten_up_to == at(8)
 
 
 def test_the_age_of_the_stores_word_is_the_youngest_that_was_told() -> None:
@@ -263,7 +266,8 @@
         host = f"10.{index // 250}.250.{index % 250}"
         peers.heard_from(Member(Address(host, 65000), "a-zone-of-length", 0.516), 10.0)
     own = Member(Address("10.250.250.250", 65000), "a-zone-of-length", 0.516)
-    digest = Digest(own, 10**9, 10**9, peers.to_tell(30.0), 9.9, 9.9)
+    reached = TopicPosition(at(10**9, 9), at(10**9, 8), EpochBegin(99.9, 10**9))
+    digest = Digest(own, reached, reached, peers.to_tell(30.0), 9.9, 9.9)
     datagram = len(encode_datagram(digest)) + IP_AND_UDP_HEADER_BYTES
     receivers = len(peers.receivers(30.0))
     assert datagram * receivers / DIGEST_INTERVAL_S <= 3000
@@ -286,7 +290,8 @@
     for value in values + values[:3]:
         shuffled.apply(Topic.OPERATOR, (value,), "a peer")
     assert in_order.evacuations.zones == shuffled.evacuations.zones
-    assert in_order.operator_revision == shuffled.operator_revision == len(changes)
+    revisions = [one.revision(Topic.OPERATOR) for one in (in_order, shuffled)]
+    assert revisions == [at(len(changes))] * 2
 
 
 @given(
@@ -303,14 +308,14 @@
     teacher, pupil = new_state(), new_state()
     teacher.apply(Topic.OPERATOR, values)
     pupil.apply(Topic.OPERATOR, values[:known])
-    pupil.apply(Topic.OPERATOR, teacher.evacuations.snapshot(pupil.operator_revision))
+    pupil.apply(Topic.OPERATOR, told(teacher, pupil.revision(Topic.OPERATOR), Topic.OPERATOR))
     assert pupil.evacuations.zones == teacher.evacuations.zones
 
 
 def test_an_evacuation_that_a_complete_reading_lacks_has_ended() -> None:
     state = new_state()
     state.apply(Topic.OPERATOR, (evacuation("a", 5), evacuation("b", 50)))
-    state.apply_complete(Topic.OPERATOR, Reading((configuration(2, 7),), 20))
+    state.apply_complete(Topic.OPERATOR, Reading((configuration(2, 7),), at(20)))
     assert state.evacuations.zones == frozenset("b")
     assert not state.apply(Topic.OPERATOR, (evacuation("a", 6),))
 
@@ -318,7 +323,7 @@
 def test_an_evacuation_is_newer_than_the_configuration_before_it() -> None:
     state = new_state()
     state.apply(Topic.OPERATOR, (configuration(2, 7), evacuation("a", 9)))
-    assert (state.configuration_revision, state.operator_revision) == (7, 9)
+    assert (state.configuration_revision, state.revision(Topic.OPERATOR)) == (at(7), at(9))
 
 
 def test_a_key_that_names_no_zone_is_told_and_changes_nothing() -> None:
--- a/tests/unit/gateway/test_snapshot_codec.py
+++ b/tests/unit/gateway/test_snapshot_codec.py
@@ -9,8 +9,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from tests.support.store_revisions import told
 from tinrudder.common.address import Address
 from tinrudder.gateway.peers.peer_messages import Member, ReportedMember, Snapshot
+from tinrudder.gateway.store.store_revision import StoreRevision, TopicPosition
 from tinrudder.gateway.store.stored_values import StoredValue
 from tinrudder.gateway.wire.snapshot_codec import (
     MAX_SNAPSHOT_BYTES,
@@ -20,7 +22,9 @@
 )
 from tinrudder_lab.emulator.site import EmulatedSite, run_site
 
-values = st.builds(StoredValue, st.text(), st.integers(0, 2**60), st.none() | st.binary())
+revisions = st.builds(StoreRevision, st.integers(0, 2**31 - 1), st.integers(0, 2**60))
+values = st.builds(StoredValue, st.text(), revisions, st.none() | st.binary())
+positions = st.none() | st.builds(TopicPosition, revisions, revisions)
 members = st.builds(
     ReportedMember,
     st.builds(Member, st.builds(Address, st.just("10.0.0.1"), st.integers(1, 65535)), st.text()),
@@ -34,6 +38,9 @@
     st.booleans(),
     st.lists(members, max_size=5).map(tuple),
     st.lists(values, max_size=3).map(tuple),
+    st.none(),
+    positions,
+    positions,
 )
 
 
@@ -66,7 +73,7 @@
     async def scenario(site: EmulatedSite) -> tuple[int, int]:
         gateway = site.nodes[0].gateway
         assert gateway is not None and gateway.knowledge.state.accepted is not None
-        known = gateway.knowledge.state.snapshot()
+        known = told(gateway.knowledge.state)
         snapshot = Snapshot(gateway.knowledge.state.accepted.value, known, True)
         plain = sum(len(value.key) + len(value.value or b"") for value in known)
         plain += len(gateway.knowledge.state.accepted.value.value or b"")
--- a/tests/unit/gateway/test_staleness_bound.py
+++ b/tests/unit/gateway/test_staleness_bound.py
@@ -8,24 +8,31 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from tests.support.store_revisions import at
 from tinrudder.gateway.store.staleness_bound import StalenessBound
+from tinrudder.gateway.store.store_revision import NO_REVISION, StoreRevision, TopicHistory
+from tinrudder.gateway.store.stored_values import Topic
 
 NODES = st.integers(0, 2)
 
 
 @dataclass
 class FakeState:
-    """The one figure of the shared state that counts here."""
+    """The little of the shared state that counts here."""
 
-    operator_revision: int = 0
+    known: TopicHistory = field(default_factory=lambda: TopicHistory(lambda: 0.0))
+    may_lack_lost_words: bool = False
     listeners: list[object] = field(default_factory=list)
 
+    def history(self, topic: Topic) -> TopicHistory:
+        return self.known
+
     def subscribe(self, listener: object) -> None:
         self.listeners.append(listener)
 
-    def learn(self, revision: int) -> None:
-        if revision > self.operator_revision:
-            self.operator_revision = revision
+    def learn(self, revision: StoreRevision) -> None:
+        if revision > self.known.revision:
+            self.known.hear(revision)
             for listener in self.listeners:
                 listener()  # type: ignore[operator]
 
@@ -37,7 +44,7 @@
     asker: int
     sent_at: float
     answered: bool = False
-    revision: int = 0
+    revision: StoreRevision = NO_REVISION
     age_s: float | None = None
 
 
@@ -74,7 +81,7 @@
         if waiting:
             read = waiting[which % len(waiting)]
             read.answered = True
-            read.revision = len(self.changes)
+            read.revision = at(len(self.changes))
 
     @rule(which=st.integers(0, 5))
     def store_answer_arrives(self, which: int) -> None:
@@ -94,7 +101,7 @@
         if waiting:
             probe, peer = waiting[which % len(waiting)]
             probe.answered = True
-            probe.revision = self.states[peer].operator_revision
+            probe.revision = self.states[peer].known.revision
             probe.age_s = self.known[peer].told_age_s
 
     @rule(which=st.integers(0, 5))
@@ -109,14 +116,14 @@
     @rule(learner=NODES, teacher=NODES)
     def news_arrives_early(self, learner: int, teacher: int) -> None:
         """A digest, a watch or a snapshot brings changes, and proves nothing."""
-        self.states[learner].learn(self.states[teacher].operator_revision)
+        self.states[learner].learn(self.states[teacher].known.revision)
 
     @invariant()
     def nothing_is_missed(self) -> None:
         for state, known in zip(self.states, self.known, strict=True):
             reaches = self.now - known.age_s
             acknowledged = sum(1 for at in self.changes if at < reaches)
-            assert state.operator_revision >= acknowledged
+            assert state.known.revision >= at(acknowledged)
 
 
 KnowledgeMachine.TestCase.settings = settings(max_examples=200, stateful_step_count=40)
@@ -125,11 +132,12 @@
 
 def test_a_proof_for_what_is_not_known_here_counts_once_it_is() -> None:
     now = [10.0]
-    state = FakeState(operator_revision=4)
+    state = FakeState()
+    state.learn(at(4))
     known = StalenessBound(state, lambda: now[0])  # type: ignore[arg-type]
-    known.prove(9.0, revision=7)
+    known.prove(9.0, revision=at(7))
     assert known.told_age_s is None
-    state.learn(7)
+    state.learn(at(7))
     assert known.age_s == 1.0
 
 
@@ -139,3 +147,17 @@
     known.prove(9.0)
     known.prove(3.0)
     assert known.age_s == 1.0
+
+
+def test_a_store_that_came_back_from_a_copy_proves_nothing_until_all_is_written_again() -> None:
+    now = [10.0]
+    state = FakeState()
+    known = StalenessBound(state, lambda: now[0])  # type: ignore[arg-type]
+    known.prove(9.0)
+    now[0] = 14.0
+    state.may_lack_lost_words = True
+    known.prove(13.9)
+    assert known.age_s == 5.0
+    state.may_lack_lost_words = False
+    known.prove(13.9)
+    assert known.age_s < 0.2
--- a/tests/unit/gateway/test_store_follower.py
+++ b/tests/unit/gateway/test_store_follower.py
@@ -9,6 +9,7 @@
 import async_solipsism
 import pytest
 
+from tests.support.store_revisions import at
 from tests.unit.gateway.test_shared_state import DECODERS, backend, configuration
 from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.store_follower import (
@@ -20,6 +21,7 @@
     WAIT_SPREAD,
     StoreFollower,
 )
+from tinrudder.gateway.store.store_revision import StoreRevision
 from tinrudder.gateway.store.store_status import StoreStatus
 from tinrudder.gateway.store.stored_values import (
     HistoryForgottenError,
@@ -29,13 +31,19 @@
 )
 
 FIRST_REVISION = 10
+EPOCH = 1
+
+
+def in_epoch(value: StoredValue) -> StoredValue:
+    """Return the same of the epoch of these tests."""
+    return StoredValue(value.key, at(value.revision.number, EPOCH), value.value)
 
 
 class ScriptedStore:
     """Gives one change to every watch, and remembers from where each one began."""
 
     def __init__(self, clock: Callable[[], float]) -> None:
-        self.watched_after: list[int] = []
+        self.watched_after: list[StoreRevision] = []
         self.watched_at: list[float] = []
         self.waits_s: list[float] = []
         self._clock = clock
@@ -44,15 +52,15 @@
         value = configuration(1, FIRST_REVISION)
         if topic is Topic.BACKENDS:
             value = backend("a", FIRST_REVISION)
-        return Reading((value,), FIRST_REVISION)
+        return Reading((in_epoch(value),), at(FIRST_REVISION, EPOCH))
 
-    async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
+    async def watch(self, topic: Topic, after: StoreRevision, wait_s: float) -> Reading:
         self.watched_after.append(after)
         self.watched_at.append(self._clock())
         self.waits_s.append(wait_s)
         await asyncio.sleep(0.01)
-        values: tuple[StoredValue, ...] = (backend(f"b{after}", after + 1),)
-        return Reading(values, after + 1)
+        value = in_epoch(backend(f"b{after.number}", after.number + 1))
+        return Reading((value,), value.revision)
 
 
 class AlwaysReads:
@@ -72,7 +80,7 @@
         super().__init__(clock)
         self._refuses = refuses
 
-    async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
+    async def watch(self, topic: Topic, after: StoreRevision, wait_s: float) -> Reading:
         first, last = self._refuses
         if first <= self._clock() < last:
             self.watched_at.append(self._clock())
@@ -93,12 +101,13 @@
 
     async def run() -> None:
         state = SharedState(DECODERS, loop.time, lambda problem: None)
-        state.apply(Topic.OPERATOR, [configuration(1, FIRST_REVISION)])
+        operators = in_epoch(configuration(1, FIRST_REVISION))
+        state.apply_complete(Topic.OPERATOR, Reading((operators,), operators.revision))
         follower = StoreFollower(
             Topic.BACKENDS,
             store,  # type: ignore[arg-type]
             state,
-            StoreStatus(lambda topic, reachable, detail: None, lambda shown: None, loop.time),
+            StoreStatus(lambda topic, reachable, detail: None),
             lambda: nodes,
             AlwaysReads(),  # type: ignore[arg-type]
             random.Random(1),
@@ -107,7 +116,7 @@
         task = loop.create_task(follower.run())
         await asyncio.sleep(0.02)
         if taught is not None:
-            state.apply(Topic.BACKENDS, [backend("c", taught)])
+            state.apply(Topic.BACKENDS, [in_epoch(backend("c", taught))])
         await asyncio.sleep(seconds)
         task.cancel()
 
@@ -120,8 +129,8 @@
 
 def test_the_next_watch_begins_after_what_peers_told_meanwhile() -> None:
     store = follow(1.0, nodes=1, taught=50)
-    assert store.watched_after[0] == FIRST_REVISION
-    assert store.watched_after[1] == 50
+    assert store.watched_after[0] == at(FIRST_REVISION, EPOCH)
+    assert store.watched_after[1] == at(50, EPOCH)
 
 
 @pytest.mark.parametrize("nodes", [1, 8, 60])
--- a/tests/unit/gateway/test_zone_doubts_end.py
+++ b/tests/unit/gateway/test_zone_doubts_end.py
@@ -14,6 +14,7 @@
 import async_solipsism
 import pytest
 
+from tests.support.store_revisions import at, position
 from tinrudder.common.address import Address
 from tinrudder.gateway.peers.peer_datagrams import PeerDatagrams
 from tinrudder.gateway.peers.peer_list import PeerList
@@ -41,7 +42,7 @@
         for member in members:
             self.peers.heard_from(member, loop.time())
         datagrams = network.socket(own.address)
-        self.probes = Probes(datagrams, lambda number: ProbeAnswer(number, 1), loop.time)
+        self.probes = Probes(datagrams, lambda number: ProbeAnswer(number, at(1)), loop.time)
         self.watch = ZoneMonitor(own.zone, self.peers, self.probes, source)
         datagrams.handle(Digest, lambda digest, _: self.watch.heard(digest))
         self.datagrams = datagrams
@@ -50,7 +51,9 @@
         """Send digests for ever."""
         while True:
             await asyncio.sleep(DIGEST_S * random.Random(self.own.address.port).uniform(0.8, 1.2))
-            digest = Digest(self.own, 1, 1, silent_zones=self.watch.paths.told_doubts)
+            digest = Digest(
+                self.own, position(1), position(1), silent_zones=self.watch.paths.told_doubts
+            )
             self.datagrams.send(digest, *self.peers.receivers(self.network.loop.time()))
 
 
--- a/tinrudder/gateway/backends/backend.py
+++ b/tinrudder/gateway/backends/backend.py
@@ -21,7 +21,7 @@
     before says anything of it.
 
     :param cold_start_rate: this gateway's calls to it while it is cold.
-    :param entry_revision: of the store, at which it wrote ``entry``.
+    :param entry_said_at: when this process learned that it wrote ``entry``.
     :param leaving_since: when this process learned that it takes no new work; ``None`` before.
     :param lapsed: its entry is gone although it never said that it leaves.
     :param unreadable: its entry cannot be read any more, so that it is no last resort either.
@@ -34,7 +34,7 @@
     pool: UpstreamPool
     observations: BackendObservations = field(default_factory=BackendObservations)
     cold_start_rate: ColdStartRate = field(default_factory=ColdStartRate)
-    entry_revision: int = 0
+    entry_said_at: float | None = None
     leaving_since: float | None = None
     lapsed: bool = False
     unreadable: bool = False
--- a/tinrudder/gateway/backends/backend_directory.py
+++ b/tinrudder/gateway/backends/backend_directory.py
@@ -29,7 +29,8 @@
     ColdBounds,
     HeaderNames,
 )
-from tinrudder.gateway.store.shared_state import EntryStanding, KnownBackend, SharedState
+from tinrudder.gateway.store.backend_entries import EntryStanding, KnownBackend
+from tinrudder.gateway.store.shared_state import SharedState
 
 FEWEST_REPLICAS = 2
 """Replicas of a service that a gateway calls at least. With fewer it could neither hedge nor
@@ -243,9 +244,9 @@
     def _take_entry(self, backend: Backend, known: KnownBackend) -> None:
         """Take what a back end says of itself; it may say anew that it is cold at any time."""
         backend.entry = known.entry
-        if known.value.revision != backend.entry_revision and known.in_force:
-            backend.entry_revision = known.value.revision
-            backend.observations.cold_until = self._clock() + known.entry.cold_left_s
+        if known.said_at != backend.entry_said_at and known.in_force:
+            backend.entry_said_at = known.said_at
+            backend.observations.cold_until = known.said_at + known.entry.cold_left_s
 
     def _of_this_start(self, key: str, known: KnownBackend) -> Backend | None:
         """Return the back end of an entry, anew for another start; ``None`` if none may be used."""
--- a/tinrudder/gateway/gateway.py
+++ b/tinrudder/gateway/gateway.py
@@ -210,8 +210,7 @@
             await asyncio.sleep(HOUSEKEEPING_S)
             self.process.pause.note(self._loop.time())
             self.process.memory.look()
-            self.knowledge.state.forget_old_removals()
-            self.knowledge.state.accept_older_starts()
+            self.knowledge.state.settle()
             self.backends.directory.trim()
 
     def _on_state_change(self) -> None:
--- a/tinrudder/gateway/observability/gateway_log.py
+++ b/tinrudder/gateway/observability/gateway_log.py
@@ -7,16 +7,21 @@
 
 from tinrudder.common.logs import LogValue, log_event, log_problem
 from tinrudder.gateway.scatters.coordination import Coordination
-from tinrudder.gateway.store.shared_state import AcceptedConfiguration
-from tinrudder.gateway.store.store_status import ShownRevision
+from tinrudder.gateway.store.epoch_rules import Word
+from tinrudder.gateway.store.shared_state import AcceptedConfiguration, EpochChange
+from tinrudder.gateway.store.store_revision import StoreRevision
 from tinrudder.gateway.store.stored_values import Topic
 
+KEYS_NAMED = 20
+"""Keys that the lines of one change of epoch name at most: it may concern every back end."""
+
 
 def log_configuration(accepted: AcceptedConfiguration) -> None:
     """Write the line of a configuration that has come into force."""
     fields: dict[str, LogValue] = {
         "version": accepted.configuration.version,
-        "revision": accepted.value.revision,
+        "epoch": accepted.value.revision.epoch,
+        "revision": accepted.value.revision.number,
         "routes": len(accepted.configuration.routes),
         "tenants": len(accepted.configuration.tenants),
     }
@@ -32,21 +37,34 @@
         log_problem("store_lost", fields)
 
 
-def log_store_history(shown: ShownRevision) -> None:
-    """Write the line of a store whose epoch changed, or that shows less than is known, or no more.
+def log_epoch(change: EpochChange) -> None:
+    """Write the line of a store that came back from an older copy.
 
-    The store acknowledged what it shows no longer, so the operator should look.
+    It lost what it had acknowledged, so the operator should look.
     """
     fields: dict[str, LogValue] = {
-        "topic": shown.topic.value,
-        "epoch": shown.epoch,
-        "shown": shown.shown,
-        "known": shown.known,
+        "topic": change.topic.value,
+        "epoch": change.shown.epoch,
+        "epoch_before": change.known.epoch,
+        "shown": change.shown.number,
+        "known": change.known.number,
+        "kept": len(change.kept),
+        "detail": " ".join(change.kept[:KEYS_NAMED]),
     }
-    if shown.is_behind:
-        log_problem("store_history", fields)
-    else:
-        log_event("store_history", fields)
+    log_problem("store_restored", fields)
+
+
+def log_settled(words: list[Word]) -> None:
+    """Write the lines of what the store is believed on, since nothing else was written again."""
+    for word in words[:KEYS_NAMED]:
+        fields: dict[str, LogValue] = {
+            "key": word.value.key,
+            "epoch": word.revision.epoch,
+            "revision": word.revision.number,
+            "removed": word.is_removal,
+            "of": len(words),
+        }
+        log_event("store_believed", fields)
 
 
 def log_coordination(coordination: Coordination, nodes: int) -> None:
@@ -61,7 +79,12 @@
     log_event("coordination_changed", fields)
 
 
-def log_pull(peer: str, result: str, revision: int) -> None:
+def log_pull(peer: str, result: str, revision: StoreRevision) -> None:
     """Write the line of what a peer taught."""
-    fields: dict[str, LogValue] = {"peer": peer, "result": result, "revision": revision}
+    fields: dict[str, LogValue] = {
+        "peer": peer,
+        "result": result,
+        "epoch": revision.epoch,
+        "revision": revision.number,
+    }
     log_event("pulled_from_peer", fields)
--- a/tinrudder/gateway/observability/metric_figures.py
+++ b/tinrudder/gateway/observability/metric_figures.py
@@ -237,17 +237,27 @@
     FigureRow(
         "configuration_revision",
         "Revision of the configuration in force.",
-        lambda sources: sources.state.configuration_revision,
+        lambda sources: sources.state.configuration_revision.number,
     ),
     FigureRow(
         "store_epoch",
         "The store's epoch, which rises whenever it comes back from an older copy; 0: not told.",
-        lambda sources: sources.store_status.epoch,
+        lambda sources: sources.state.epoch,
     ),
     FigureRow(
         "store_behind_seconds",
-        "For how long the store has shown less than is known here.",
-        lambda sources: sources.store_status.behind_s,
+        "For how long the store, back from an older copy, has shown less than is known here.",
+        lambda sources: sources.state.kept_s,
+    ),
+    FigureRow(
+        "store_kept_keys",
+        "Keys on which what is known here stands against what the store shows.",
+        lambda sources: len(sources.state.kept),
+    ),
+    FigureRow(
+        "configuration_version",
+        "The operator's version of the configuration in force.",
+        lambda sources: sources.state.configuration_version,
     ),
     FigureRow(
         "nodes",
--- a/tinrudder/gateway/peers/peer_exchange.py
+++ b/tinrudder/gateway/peers/peer_exchange.py
@@ -19,6 +19,7 @@
 from tinrudder.gateway.peers.snapshot_pulls import SnapshotPulls
 from tinrudder.gateway.peers.zone_monitor import ZoneMonitor
 from tinrudder.gateway.store.shared_state import SharedState
+from tinrudder.gateway.store.store_revision import StoreRevision
 from tinrudder.gateway.store.stored_values import Topic
 
 DIGEST_INTERVAL_S = 0.5
@@ -68,7 +69,7 @@
         self._service = service
         self._random = random_source
         self._loop = asyncio.get_running_loop()
-        self._announced_revisions = (0, 0)
+        self._announced_positions = self._positions()
         self._ticking: asyncio.Task[None] | None = None
         self._waiting_to_learn: set[Address] = set()
         datagrams.handle(Digest, self._on_digest)
@@ -98,8 +99,7 @@
         """
         if not self._datagrams.is_open:
             return
-        state = self._state
-        self._announced_revisions = (state.operator_revision, state.backends_revision)
+        self._announced_positions = self._positions()
         receivers = self._peers.receivers(self._loop.time(), zone_only=zone_only)
         elsewhere = [peer for peer in receivers if self._peers.is_elsewhere(peer)]
         beside = [peer for peer in receivers if peer not in elsewhere]
@@ -141,14 +141,20 @@
         state = self._state
         return Digest(
             sender=self._own_member.describe(),
-            operator_revision=state.operator_revision,
-            backends_revision=state.backends_revision,
+            operator=state.history(Topic.OPERATOR).position(),
+            backends=state.history(Topic.BACKENDS).position(),
             members=self._peers.to_tell(self._loop.time(), elsewhere=elsewhere),
             operator_unconfirmed_s=self._unconfirmed_s(Topic.OPERATOR),
             backends_unconfirmed_s=self._unconfirmed_s(Topic.BACKENDS),
             silent_zones=self._zone_monitor.paths.told_doubts,
+            configuration_version=state.configuration_version,
         )
 
+    def _positions(self) -> tuple[StoreRevision, ...]:
+        """Return how far this gateway's knowledge goes, as its digests tell it."""
+        histories = (self._state.history(topic) for topic in Topic)
+        return tuple(one for history in histories for one in (history.revision, history.older))
+
     def _unconfirmed_s(self, topic: Topic) -> float | None:
         """Return the age of the store's last word on a topic, as far as known."""
         age_s = self._state.unconfirmed_s(topic)
@@ -157,8 +163,7 @@
     def _on_state_change(self) -> None:
         """Tell peers of a change at once."""
         self._answer_starting()
-        state = self._state
-        if (state.operator_revision, state.backends_revision) != self._announced_revisions:
+        if self._positions() != self._announced_positions:
             self.send_digests()
 
     async def _tick(self) -> None:
--- a/tinrudder/gateway/peers/peer_messages.py
+++ b/tinrudder/gateway/peers/peer_messages.py
@@ -14,6 +14,7 @@
 from tinrudder.gateway.decisions.fleet.load_news import ReportedLoad
 from tinrudder.gateway.model.http_messages import HttpRequest
 from tinrudder.gateway.model.outcomes import RequestOutcome
+from tinrudder.gateway.store.store_revision import StoreRevision, TopicPosition
 from tinrudder.gateway.store.stored_values import StoredValue
 
 
@@ -49,22 +50,26 @@
 class Digest(Struct, frozen=True):
     """How far a gateway's knowledge of the store goes; sent by datagram.
 
-    :param operator_revision: of the newest thing that the operator asked for: a configuration,
-        the evacuation of a zone, or the end of one.
+    :param operator: how far the sender knows what the operator asks for: the configuration,
+        evacuations of zones, and ends of these.
+    :param backends: how far it knows the list of back ends.
     :param members: some other gateways.
     :param operator_unconfirmed_s: how long ago the store said, to the sender or to somebody whom
         it heard, that nothing newer was there; ``None``: never.
     :param backends_unconfirmed_s: the same for the list of back ends.
     :param silent_zones: zones from which the sender hears nothing any more.
+    :param configuration_version: of the configuration in force; 0: none, or the sender's software
+        is too old to say.  It orders configurations where a store that lost history does not.
     """
 
     sender: Member
-    operator_revision: int
-    backends_revision: int
+    operator: TopicPosition
+    backends: TopicPosition
     members: tuple[ReportedMember, ...] = ()
     operator_unconfirmed_s: float | None = None
     backends_unconfirmed_s: float | None = None
     silent_zones: tuple[str, ...] = ()
+    configuration_version: int = 0
 
 
 class Probe(Struct, frozen=True):
@@ -84,7 +89,7 @@
     """
 
     number: int
-    operator_revision: int
+    operator_revision: StoreRevision
     knowledge_age_s: float | None = None
 
 
@@ -165,21 +170,26 @@
 
 
 class SnapshotRequest(Struct, frozen=True):
-    """Asks for what a peer knows beyond these revisions.
+    """Asks for what a peer knows beyond these positions.
 
+    :param configuration_version: see :class:`Digest`.
     :param members_wanted: the asker has just started and knows few other gateways.
     """
 
-    operator_revision: int
-    backends_revision: int
+    operator: TopicPosition
+    backends: TopicPosition
     members_wanted: bool = False
+    configuration_version: int = 0
 
 
 class Snapshot(Struct, frozen=True):
     """A gateway's state.
 
     :param backends_read: the sender has had a complete list of back ends.
-    :param changes_only: only back ends' changes since the asker's revision.
+    :param changes_only: only back ends' changes since the asker's position.
+    :param operator_position: how far the sender knows what the operator asks for; ``None``: its
+        software is too old to say.
+    :param backends_position: the same for back ends.
     :param members: all gateways that the sender counts, itself included, where asked for.
     :param evacuations: of zones, and ends of these, that are newer than what the asker knows.
     :param knowledge_age_s: how old the sender's knowledge of the operator's word was when it
@@ -193,6 +203,8 @@
     members: tuple[ReportedMember, ...] = ()
     evacuations: tuple[StoredValue, ...] = ()
     knowledge_age_s: float | None = None
+    operator_position: TopicPosition | None = None
+    backends_position: TopicPosition | None = None
 
 
 class ScatterRequest(Struct, frozen=True):
@@ -202,7 +214,9 @@
 
     :param objective_left_s: may be negative: the objective has passed.
     :param returning: the client has been waiting since an earlier attempt.
-    :param configuration_revision: the entry's; an older configuration must not answer.
+    :param configuration_revision: the entry's, within the store's epoch; for coordinators of older
+        software, which go by it.
+    :param configuration_version: the entry's; an older configuration must not answer.
     :param shards: only these shards of the route are asked for; empty: all of them.
     :param minimum_share: the least share of ``shards`` that is of use.
     :param priority: 0 is the most urgent; the tenant's if it has one, else the route's.
@@ -217,6 +231,7 @@
     shards: tuple[str, ...] = ()
     minimum_share: float = 0.0
     priority: int = 0
+    configuration_version: int | None = None
 
 
 PeerRequest = SnapshotRequest | ScatterRequest
--- a/tinrudder/gateway/peers/peer_service.py
+++ b/tinrudder/gateway/peers/peer_service.py
@@ -9,6 +9,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from msgspec import structs
+
 from tinrudder.common.address import Address
 from tinrudder.common.transport.peer_server import PeerServer
 from tinrudder.gateway.peers.own_member import OwnMember
@@ -21,6 +23,7 @@
     SnapshotRequest,
 )
 from tinrudder.gateway.peers.peer_traffic import PeerTraffic
+from tinrudder.gateway.peers.snapshots import snapshot_for
 from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.staleness_bound import StalenessBound
 from tinrudder.gateway.wire.gateway_relay_codec import decode_request, encode_answer
@@ -89,26 +92,11 @@
         return payload
 
     def _snapshot(self, request: SnapshotRequest) -> Snapshot:
-        """Return this gateway's state."""
-        accepted = self._state.accepted
-        configuration = None
-        if accepted is not None and accepted.value.revision > request.operator_revision:
-            configuration = accepted.value
-        # Removals are forgotten after a while: what is older can be told only as a whole.
-        after = request.backends_revision
-        if after < self._state.forgotten_up_to:
-            after = 0
-        members: tuple[ReportedMember, ...] = ()
-        if request.members_wanted:
-            own = ReportedMember(self._own_member.describe(), 0.0)
-            members = (own, *self._peers.all_told(self._loop.time()))
-        backends = self._state.snapshot(after)
-        return Snapshot(
-            configuration=configuration,
-            backends=backends,
-            backends_read=self._state.backends_read,
-            changes_only=after > 0,
-            members=members,
-            evacuations=self._state.evacuations.snapshot(request.operator_revision),
-            knowledge_age_s=self._staleness_bound.told_age_s,
-        )
+        """Return what an asker may not know, and who else there is if it wants to know that."""
+        told_age_s = self._staleness_bound.told_age_s
+        snapshot = snapshot_for(self._state, request, told_age_s)
+        if not request.members_wanted:
+            return snapshot
+        own = ReportedMember(self._own_member.describe(), 0.0)
+        members = (own, *self._peers.all_told(self._loop.time()))
+        return structs.replace(snapshot, members=members)
--- a/tinrudder/gateway/peers/snapshot_pulls.py
+++ b/tinrudder/gateway/peers/snapshot_pulls.py
@@ -12,12 +12,17 @@
 from tinrudder.common.address import Address
 from tinrudder.common.transport.peer_client import PeerClient
 from tinrudder.gateway.peers.peer_list import PeerList
-from tinrudder.gateway.peers.peer_messages import Digest, Snapshot, SnapshotRequest
+from tinrudder.gateway.peers.peer_messages import Digest, Snapshot
 from tinrudder.gateway.peers.peer_traffic import PeerTraffic
+from tinrudder.gateway.peers.snapshots import (
+    is_behind,
+    snapshot_request,
+    take_confirmations,
+    take_snapshot,
+)
 from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.staleness_bound import StalenessBound
 from tinrudder.gateway.store.store_readers import StoreReaders
-from tinrudder.gateway.store.stored_values import Reading, Topic
 from tinrudder.gateway.wire.gateway_relay_codec import encode_request
 from tinrudder.gateway.wire.snapshot_codec import MalformedPeerMessageError, decode_snapshot
 from tinrudder.peers import PeerLostError, PeerNotSentError
@@ -75,8 +80,8 @@
 
     def compare(self, digest: Digest, now: float) -> None:
         """Pull from a peer that knows more, unless the store brings it soon anyway."""
-        self._take_confirmations(digest)
-        if not self._is_behind(digest):
+        take_confirmations(self._state, digest)
+        if not is_behind(self._state, digest):
             return
         if self._behind_since is None:
             self._behind_since = now
@@ -93,31 +98,13 @@
             self._introductions.add(task)
             task.add_done_callback(self._introductions.discard)
 
-    def _take_confirmations(self, digest: Digest) -> None:
-        """Learn that the store had nothing newer, where this gateway knows as much."""
-        state = self._state
-        age_s = digest.operator_unconfirmed_s
-        if age_s is not None and digest.operator_revision <= state.operator_revision:
-            state.confirm(Topic.OPERATOR, age_s)
-        age_s = digest.backends_unconfirmed_s
-        if age_s is not None and digest.backends_revision <= state.backends_revision:
-            state.confirm(Topic.BACKENDS, age_s)
-
     def _pull_if_behind(self, digest: Digest) -> None:
         """Start a pull if the store has not brought what the digest promised."""
-        if self._is_behind(digest):
+        if is_behind(self._state, digest):
             self.catch_up(digest.sender.address)
         else:
             self._behind_since = None
 
-    def _is_behind(self, digest: Digest) -> bool:
-        """Tell whether a peer knows something newer."""
-        state = self._state
-        return (
-            digest.operator_revision > state.operator_revision
-            or digest.backends_revision > state.backends_revision
-        )
-
     async def _pull(self, peer: Address) -> None:
         """Fetch a peer's snapshot and take what is newer."""
         try:
@@ -136,31 +123,19 @@
         """Take a peer's snapshot, and how far its knowledge reached when this was asked for."""
         asked_at = self._loop.time()
         snapshot = await self._request_snapshot(peer)
-        self._apply(snapshot, peer)
+        self._peers.heard_of(snapshot.members, self._loop.time())
+        take_snapshot(self._state, snapshot, str(peer))
         if snapshot.knowledge_age_s is not None:
             self._staleness_bound.prove(asked_at - snapshot.knowledge_age_s)
 
     async def _request_snapshot(self, peer: Address) -> Snapshot:
         """Ask one peer."""
-        state = self._state
-        known = state.backends_revision if state.backends_read else 0
         settling = self._peers.is_settling(self._loop.time())
-        request = SnapshotRequest(state.operator_revision, known, settling)
+        request = snapshot_request(self._state, members_wanted=settling)
         payload = encode_request(request)
         self._traffic.note(request, len(payload))
         return decode_snapshot(await self._client.request(peer, payload, PULL_TIMEOUT_S))
 
-    def _apply(self, snapshot: Snapshot, peer: Address) -> None:
-        """Take what is newer."""
-        self._peers.heard_of(snapshot.members, self._loop.time())
-        configuration = () if snapshot.configuration is None else (snapshot.configuration,)
-        self._state.apply(Topic.OPERATOR, configuration + snapshot.evacuations, str(peer))
-        if snapshot.backends_read and not snapshot.changes_only:
-            revision = max((value.revision for value in snapshot.backends), default=0)
-            self._state.apply_complete(Topic.BACKENDS, Reading(snapshot.backends, revision))
-        else:
-            self._state.apply(Topic.BACKENDS, snapshot.backends)
-
     async def _introduce(self, teacher: Address) -> None:
         """Learn from one peer; one that fails is no reason to doubt the others."""
         try:
--- a/tinrudder/gateway/scatters/delegation.py
+++ b/tinrudder/gateway/scatters/delegation.py
@@ -71,6 +71,7 @@
 ) -> ScatterRequest:
     """Return what is asked of a gateway, with the time that is left to it now: all shards."""
     now = delegation_context.call_context.loop.time()
+    accepted = delegation_context.configuration()
     path_s = delegation_context.path_time(coordinator).allowance_s
     return ScatterRequest(
         request=request,
@@ -78,7 +79,8 @@
         objective_left_s=deadlines.objective_at - now - path_s,
         deadline_left_s=deadlines.deadline_at - now - ANSWER_MARGIN_S,
         returning=deadlines.returning,
-        configuration_revision=delegation_context.configuration_revision(),
+        configuration_revision=accepted.value.revision.number if accepted else 0,
+        configuration_version=accepted.configuration.version if accepted else None,
     )
 
 
--- a/tinrudder/gateway/scatters/delegation_context.py
+++ b/tinrudder/gateway/scatters/delegation_context.py
@@ -16,13 +16,14 @@
 from tinrudder.gateway.peers.zone_monitor import ZoneMonitor
 from tinrudder.gateway.runs.call_context import CallContext
 from tinrudder.gateway.scatters.coordinators import Coordinators
+from tinrudder.gateway.store.shared_state import AcceptedConfiguration
 
 
 class DelegationContext(Struct, frozen=True):
     """The connections to other gateways, and who they are.
 
     :param watch: learns which ways to other gateways are open.
-    :param configuration_revision: returns the revision in force.
+    :param configuration: returns the one in force.
     :param traffic: counts what is sent.
     """
 
@@ -30,7 +31,7 @@
     coordinators: Coordinators
     call_context: CallContext
     watch: ZoneMonitor
-    configuration_revision: Callable[[], int]
+    configuration: Callable[[], AcceptedConfiguration | None]
     traffic: PeerTraffic
     _path_beside: PeerRoundTrip = field(default_factory=PeerRoundTrip)
     _path_elsewhere: PeerRoundTrip = field(default_factory=PeerRoundTrip)
--- a/tinrudder/gateway/scatters/delegation_service.py
+++ b/tinrudder/gateway/scatters/delegation_service.py
@@ -97,7 +97,7 @@
             return Declined("stopping")
         if routes is None or not self._state.complete:
             return Declined("starting")
-        if self._state.configuration_revision < scatter.configuration_revision:
+        if self._is_older_than(scatter):
             # The entry may have shown the newer one's effect already: nothing may go back.
             return Declined("an older configuration")
         route = routes.find(scatter.request)
@@ -109,6 +109,16 @@
             return Declined("no room in memory")
         return routes, route
 
+    def _is_older_than(self, scatter: ScatterRequest) -> bool:
+        """Tell whether the configuration here is older than the entry's.
+
+        The operator's versions tell; revisions may go back with the store.  An entry of older
+        software tells its revision alone.
+        """
+        if scatter.configuration_version is not None:
+            return self._state.configuration_version < scatter.configuration_version
+        return self._state.configuration_revision.number < scatter.configuration_revision
+
     def _refusal(self, route: Route, scatter: ScatterRequest) -> NotRun | None:
         """Refuse what crashes back ends, and a whole scatter of which too little is in reach."""
         poison = self._poison.refusal(route, scatter.request)
--- /dev/null
+++ b/tinrudder/gateway/store/backend_entries.py
@@ -0,0 +1,203 @@
+"""What gateways know of the back ends' entries: for each key the word that holds, whoever told it.
+
+Removals are kept for a while, and values that cannot be read as long as they stand, or an older
+value from a peer would bring a back end back.
+
+Owns the newest words of each key, and the entry that is in force; relies on the decoder of the
+platform's entries, and on the history of the topic for what is older than what.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Callable
+
+from msgspec import Struct
+
+from tinrudder.gateway.model.configuration import BackendEntry
+from tinrudder.gateway.store.epoch_merge import EpochMerge
+from tinrudder.gateway.store.epoch_rules import WRITTEN_AGAIN_S, Word, backend_word_stands_s
+from tinrudder.gateway.store.store_revision import NO_REVISION, TopicHistory
+from tinrudder.gateway.store.stored_values import StoredValue, UnreadableValueError
+
+REMOVAL_MEMORY_S = 120.0
+"""Seconds for which a removal is kept, so that a peer's older value cannot bring a back end back.
+Chosen, not measured: it must stay above the 90 s after which peers are forgotten."""
+OLDER_START_S = 5.0
+"""How long an entry of an older start must stand before it counts.  A late write of a process that
+has ended is replaced at the next heartbeat of the one in its place, or goes after three heartbeats
+without a write, 3.6 s; what stands longer was written by a live process whose clock went back."""
+UNREADABLE_KEPT_BYTES = 4096
+"""Of a value that cannot be read: longer ones are kept and told to peers as empty, which cannot be
+read either.  A usable entry has some 250 bytes, a value of the store up to a megabyte: sixteen of
+these would exceed what a peer accepts as a snapshot, and hide every other entry."""
+
+
+class EntryStanding(enum.Enum):
+    """What the word that holds on a back end's key says of the entry that was in force last."""
+
+    IN_FORCE = "in force"
+    REMOVED = "removed"
+    UNREADABLE = "unreadable"
+    OLDER_START = "older start"
+
+
+class KnownBackend(Struct, frozen=True):
+    """A back end's entry with the time this process learned of its present state.
+
+    :param entry: the newest one that was in force.
+    :param value: what holds of its key, whatever that says.
+    :param said_at: when this process learned that the back end wrote ``entry``.  It stays where a
+        store that is back from a copy only shows the same entry again.
+    """
+
+    entry: BackendEntry
+    value: StoredValue
+    since: float
+    said_at: float
+    standing: EntryStanding = EntryStanding.IN_FORCE
+
+    @property
+    def in_force(self) -> bool:
+        """Tell whether ``entry`` is what holds now."""
+        return self.standing is EntryStanding.IN_FORCE
+
+    @property
+    def is_set_aside(self) -> bool:
+        """Tell whether what holds is of an older start, and must stand for long to count."""
+        return self.standing is EntryStanding.OLDER_START
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether it takes no new work."""
+        return not self.in_force or self.entry.leaving
+
+
+class BackendEntries:
+    """The back ends as this process knows them.
+
+    :ivar known: by their keys, those that have ever been in force.
+    """
+
+    def __init__(
+        self,
+        history: TopicHistory,
+        decode: Callable[[str, bytes], BackendEntry],
+        clock: Callable[[], float],
+        on_unreadable: Callable[[str], None],
+    ) -> None:
+        """Start knowing none."""
+        self.known: dict[str, KnownBackend] = {}
+        self.forgotten_up_to = NO_REVISION
+        self.words = EpochMerge(history, backend_word_stands_s, clock)
+        self._history = history
+        self._decode = decode
+        self._clock = clock
+        self._on_unreadable = on_unreadable
+
+    def apply(self, value: StoredValue) -> bool:
+        """Take a word on a key; tell whether it changed what a back end may get."""
+        if not self.words.is_news(value):
+            return False
+        word = Word(value, self._clock(), self._read_entry(value))
+        if word.entry is None and len(value.value or b"") > UNREADABLE_KEPT_BYTES:
+            word = Word(StoredValue(value.key, value.revision, b""), word.since)
+        if self._waits_already(word):
+            # Who writes again while its older start waits to count does not wait anew.
+            before = self.words.holds(value.key)
+            assert before is not None
+            word = Word(word.value, before.since, word.entry)
+        return self.words.take(word) and self._put(word.value.key)
+
+    def settle(self) -> list[Word]:
+        """Let words count that had to stand for long; return those that hold since."""
+        settled = self.words.settle()
+        for word in settled:
+            self._put(word.value.key)
+        return settled
+
+    def forget_old_removals(self) -> None:
+        """Drop removals that no peer can contradict any more."""
+        horizon = self._clock() - REMOVAL_MEMORY_S
+        for word in self.words:
+            if word.is_removal and word.since < horizon:
+                self.forgotten_up_to = max(self.forgotten_up_to, word.revision)
+                self.words.forget(word.value.key)
+                self.known.pop(word.value.key, None)
+
+    def accept_older_starts(self) -> bool:
+        """Put entries in force that stood for long, although a younger start was known.
+
+        Tell whether there were any.
+        """
+        horizon = self._clock() - OLDER_START_S
+        waiting = [key for key, one in self.known.items() if one.is_set_aside]
+        words = [word for key in waiting if (word := self.words.holds(key)) is not None]
+        settled = [word for word in words if word.since <= horizon]
+        for word in settled:
+            assert word.entry is not None
+            self._put_in_force(word.entry, word.value)
+        return bool(settled)
+
+    def _put(self, key: str) -> bool:
+        """Take over the word that holds now; tell whether an entry is or was in force."""
+        word = self.words.holds(key)
+        assert word is not None
+        if word.is_removal:
+            return self._withdraw(word.value, EntryStanding.REMOVED)
+        if word.entry is None:
+            return self._withdraw(word.value, EntryStanding.UNREADABLE)
+        known = self.known.get(key)
+        if known is not None and word.entry.started_before(known.entry):
+            return self._withdraw(word.value, EntryStanding.OLDER_START)
+        self._put_in_force(word.entry, word.value)
+        return True
+
+    def _waits_already(self, word: Word) -> bool:
+        """Tell whether a word is of the same start as the one that waits to count."""
+        known = self.known.get(word.value.key)
+        if word.entry is None or known is None or not known.is_set_aside:
+            return False
+        waiting = self.words.holds(word.value.key)
+        return (
+            waiting is not None
+            and waiting.entry is not None
+            and waiting.entry.is_same_start(word.entry)
+        )
+
+    def _read_entry(self, value: StoredValue) -> BackendEntry | None:
+        """Decode an entry; ``None`` if it is removed or cannot be read."""
+        if value.value is None:
+            return None
+        try:
+            return self._decode(value.key, value.value)
+        except UnreadableValueError as error:
+            self._on_unreadable(str(error))
+            return None
+
+    def _put_in_force(self, entry: BackendEntry, value: StoredValue) -> None:
+        """Take a back end's word; what it said of leaving dates from when it said so first."""
+        known = self.known.get(value.key)
+        now = self._clock()
+        since = said_at = now
+        if known is not None and known.in_force and known.entry.is_same_start(entry):
+            since = known.since if known.entry.leaving == entry.leaving else now
+            said_at = known.said_at if self._is_shown_again(known, entry) else now
+        self.known[value.key] = KnownBackend(entry, value, since, said_at)
+
+    def _is_shown_again(self, known: KnownBackend, entry: BackendEntry) -> bool:
+        """Tell whether an entry is the one that is known, shown by a store back from a copy.
+
+        A back end that says the same again is cold from then on; one that is only shown, or written
+        again since the store lost it, is not: else all would be cold at once.
+        """
+        return known.entry == entry and self._history.restored_s < WRITTEN_AGAIN_S
+
+    def _withdraw(self, value: StoredValue, standing: EntryStanding) -> bool:
+        """Note that no entry of a key is in force; tell whether one has ever been."""
+        known = self.known.get(value.key)
+        if known is None:
+            return False
+        since = known.since if known.leaving else self._clock()
+        self.known[value.key] = KnownBackend(known.entry, value, since, known.said_at, standing)
+        return True
--- a/tinrudder/gateway/store/configuration_freshness.py
+++ b/tinrudder/gateway/store/configuration_freshness.py
@@ -27,6 +27,8 @@
 
     :param bound_s: seconds that the configuration may be old; ``None``: its age is not kept.
     :param is_needed: tells whether the configuration in force asks for the bound, as it has keys.
+    :param may_lack_lost_words: tells whether the store lost what it acknowledged, and has not
+        been given it again yet, as far as is known.
     :param clock: returns the time of the event loop, seconds.
     """
 
@@ -35,6 +37,7 @@
     is_needed: Callable[[], bool]
     peers: PeerList
     store_status: StoreStatus
+    may_lack_lost_words: Callable[[], bool]
     clock: Callable[[], float]
 
     def is_too_old(self) -> bool:
@@ -45,6 +48,8 @@
         """Tell whether a newer configuration would be known here: by peers, else by the store."""
         if self.bound_s is not None and self.is_needed():
             return self.staleness_bound.age_s <= self.bound_s * FRESH_SHARE
+        if self.may_lack_lost_words():
+            return False
         if self.peers.has_peers:
             return self.peers.silent_s(self.clock()) <= NEWS_S
         return self.store_status.is_reachable
--- a/tinrudder/gateway/store/evacuations.py
+++ b/tinrudder/gateway/store/evacuations.py
@@ -1,82 +1,72 @@
 """Zones whose back ends the operator wants to get nothing, as this process knows them.
 
 Like everything that gateways teach each other, the highest revision of a key wins, whoever told
-it.  Removals are kept for the life of the process: there is at most one for each zone that was
-ever named, and without it an older word of a peer would bring the evacuation back.
+it; a store that is back from a copy is believed by the rule for words of two epochs.  Removals are
+kept for the life of the process: there is at most one for each zone that was ever named, and
+without it an older word of a peer would bring the evacuation back.
 
-Owns the newest value of each key; relies on the shared state to hand it values.
+Owns the newest words of each key; relies on the shared state to hand it values.
 """
 
 from __future__ import annotations
 
-from msgspec import Struct
+from collections.abc import Callable
 
 from tinrudder.common.logs import LogValue, log_event
+from tinrudder.gateway.store.epoch_merge import EpochMerge
+from tinrudder.gateway.store.epoch_rules import Word, evacuation_word_stands_s
+from tinrudder.gateway.store.store_revision import TopicHistory
 from tinrudder.gateway.store.stored_values import StoredValue
 
 STORE = "store"
 """Where what a gateway read itself comes from; else the address of the peer that told it."""
 
 
-class Evacuation(Struct, frozen=True):
-    """The newest word on one zone.
-
-    :param source: from whom: :data:`STORE`, or a peer's address.
-    """
-
-    zone: str
-    value: StoredValue
-    source: str
-
-    @property
-    def in_force(self) -> bool:
-        """Tell whether the zone is evacuated, rather than taken back."""
-        return self.value.value is not None
-
-
 class Evacuations:
     """The newest word on each zone that was ever evacuated."""
 
-    def __init__(self) -> None:
+    def __init__(self, history: TopicHistory, clock: Callable[[], float]) -> None:
         """Start knowing of none."""
-        self._by_key: dict[str, Evacuation] = {}
-
-    @property
-    def revision(self) -> int:
-        """Return the highest revision of any evacuation or its end; 0 for none."""
-        return max((one.value.revision for one in self._by_key.values()), default=0)
-
-    @property
-    def keys(self) -> tuple[str, ...]:
-        """Return the stored keys of the evacuations in force."""
-        return tuple(key for key, one in self._by_key.items() if one.in_force)
+        self.words = EpochMerge(history, evacuation_word_stands_s, clock)
+        self._clock = clock
+        self._zone_of_key: dict[str, str] = {}
 
     @property
     def zones(self) -> frozenset[str]:
         """Return the zones whose back ends get nothing."""
-        return frozenset(one.zone for one in self._by_key.values() if one.in_force)
+        in_force = (word.value.key for word in self.words if not word.is_removal)
+        return frozenset(self._zone_of_key[key] for key in in_force)
 
     def apply(self, zone: str, value: StoredValue, source: str) -> bool:
         """Take an evacuation or its end; tell whether that was new."""
-        known = self._by_key.get(value.key)
-        if known is not None and value.revision <= known.value.revision:
+        self._zone_of_key[value.key] = zone
+        before = self.words.holds(value.key)
+        if not self.words.take(Word(value, self._clock())):
             return False
-        evacuation = Evacuation(zone, value, source)
-        self._by_key[value.key] = evacuation
-        log_evacuation(evacuation)
+        holds = self.words.holds(value.key)
+        assert holds is not None
+        if before is None or before.is_removal != holds.is_removal:
+            _log(zone, holds, source)
         return True
 
-    def snapshot(self, after: int = 0) -> tuple[StoredValue, ...]:
-        """Return what is newer than a revision, ends of evacuations included, for a peer."""
-        return tuple(one.value for one in self._by_key.values() if one.value.revision > after)
+    def settle(self) -> list[Word]:
+        """Let words count that had to stand for long; return those that hold since."""
+        before = self.zones
+        settled = self.words.settle()
+        for word in settled:
+            zone = self._zone_of_key[word.value.key]
+            if (zone in before) == word.is_removal:
+                _log(zone, word, STORE)
+        return settled
 
 
-def log_evacuation(evacuation: Evacuation) -> None:
+def _log(zone: str, word: Word, source: str) -> None:
     """Write the line of a zone that was evacuated or taken back, and how that became known."""
     fields: dict[str, LogValue] = {
-        "zone": evacuation.zone,
-        "revision": evacuation.value.revision,
-        "source": evacuation.source,
-        "detail": f"{evacuation.zone}, learned from {evacuation.source}",
+        "zone": zone,
+        "epoch": word.revision.epoch,
+        "revision": word.revision.number,
+        "source": source,
+        "detail": f"{zone}, learned from {source}",
     }
-    log_event("zone_evacuated" if evacuation.in_force else "zone_taken_back", fields)
+    log_event("zone_taken_back" if word.is_removal else "zone_evacuated", fields)
--- a/tinrudder/gateway/store/staleness_keeper.py
+++ b/tinrudder/gateway/store/staleness_keeper.py
@@ -141,6 +141,9 @@
             self._reading = None
         self._read_again_at = 0.0
         self._state.apply_complete(Topic.OPERATOR, reading)
+        if reading.revision.epoch < self._state.epoch:
+            # An answer from before the store came back from a copy: it may be as old as that.
+            return
         self._state.confirm(Topic.OPERATOR, self._loop.time() - asked_at)
         if reading.whole:
             self._staleness_bound.prove(asked_at)
@@ -150,7 +153,7 @@
         if answer.knowledge_age_s is not None:
             at = sent.sent_at - answer.knowledge_age_s
             self._staleness_bound.prove(at, answer.operator_revision)
-        if answer.operator_revision > self._state.operator_revision:
+        if not self._state.history(Topic.OPERATOR).covers(answer.operator_revision):
             for listener in self._on_newer:
                 listener(sent.peer)
 
--- a/tinrudder/gateway/store/store_follower.py
+++ b/tinrudder/gateway/store/store_follower.py
@@ -1,9 +1,10 @@
 """Keeps the shared state up with the metadata store, whatever the store does.
 
 One follower for each topic: read everything, then watch; forgotten history leads back to a full
-read.  A watch that was silently cut is noticed when its wait ends.  Calls are priced, so of many
-gateways only a few readers follow the store, and digests tell the others.  Digests also tell how
-old the store's last word is: where no reader gets through, everybody tries.
+read, and so does another epoch of the store, whoever heard of it.  A watch that was silently cut is
+noticed when its wait ends.  Calls are priced, so of many gateways only a few readers follow the
+store, and digests tell the others.  Digests also tell how old the store's last word is: where no
+reader gets through, everybody tries.
 
 Owns its place in the store's history; relies on the choice of readers to tell whether it has to
 follow, and hands what it reads to the shared state.
@@ -15,10 +16,13 @@
 import random
 from collections.abc import Callable
 
+from tinrudder.gateway.store.epoch_rules import WRITTEN_AGAIN_S
 from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.store_readers import READERS, StoreReaders
+from tinrudder.gateway.store.store_revision import NO_REVISION, StoreRevision
 from tinrudder.gateway.store.store_status import StoreStatus
 from tinrudder.gateway.store.stored_values import (
+    EarlierEpochError,
     HistoryForgottenError,
     MetadataStore,
     Reading,
@@ -56,6 +60,10 @@
 """Part of a rest by which it differs by chance: wide, so that some readers are awake at any moment.
 Chosen, not measured."""
 
+UNSETTLED_WAIT_S = 1.0
+"""Seconds that a watch waits just after the store came back from a copy: what is kept against the
+store ends by its word, and must end in time."""
+
 CompleteReadListener = Callable[[Topic, float], None]
 
 
@@ -87,11 +95,14 @@
         self._store = store
         self._state = state
         self._status = status
-        self._revision: int | None = None
-        self._forgotten = False
+        self._revision: StoreRevision | None = None
+        self._must_reread = False
+        self._watching: asyncio.Task[Reading] | None = None
+        self._abandoned = False
         self._retry_s = FIRST_RETRY_S
         # Seconds until everything is read again after a watch was refused; 0: at once.
         self._reread_s = 0.0
+        state.subscribe(self._on_state_change)
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -115,40 +126,87 @@
         """Read everything, or what has changed."""
         self._revision = self._known_revision()
         if self._revision is None:
-            asked_at = asyncio.get_running_loop().time()
-            reading = await self._store.read(self._topic)
-            # Before the values: whoever hears of these may ask how old they are.
-            if reading.whole:
-                self._on_complete_read(self._topic, asked_at)
-            self._note_shown(reading)
-            self._state.apply_complete(self._topic, reading)
-            self._revision = reading.revision
-            self._confirm()
+            await self._read()
             return
         try:
-            reading = await self._store.watch(self._topic, self._revision, self._wait_s())
+            reading = await self._watch(self._revision)
         except HistoryForgottenError:
-            self._revision = None
-            self._forgotten = True
+            self._forget_place()
             await self._rest_before_reread()
             return
+        if reading is None or reading.revision.epoch != self._revision.epoch:
+            # The number asked for means another change in that epoch: what was told may not be all.
+            self._forget_place()
+            return
         self._reread_s = 0.0
-        self._note_shown(reading)
         self._revision = max(self._revision, reading.revision)
         self._state.apply(self._topic, reading.values)
         self._confirm()
         if reading.values:
             await asyncio.sleep(self._rest_s())
 
-    def _known_revision(self) -> int | None:
+    async def _read(self) -> None:
+        """Read everything.
+
+        :raises EarlierEpochError: it shows the store as it was before it came back from a copy.
+        """
+        asked_at = asyncio.get_running_loop().time()
+        reading = await self._store.read(self._topic)
+        if reading.revision.epoch < self._state.epoch:
+            self._state.apply_complete(self._topic, reading)
+            told = f"epoch {reading.revision.epoch} after {self._state.epoch}"
+            raise EarlierEpochError(told)
+        # Before the values: whoever hears of these may ask how old they are.  What a copy lacks was
+        # there, so the first reading of a later epoch proves nothing.
+        is_copy = self._state.history(self._topic).is_later_epoch(reading.revision)
+        if reading.whole and not is_copy:
+            self._on_complete_read(self._topic, asked_at)
+        self._state.apply_complete(self._topic, reading)
+        self._revision = reading.revision
+        self._confirm()
+
+    async def _watch(self, after: StoreRevision) -> Reading | None:
+        """Watch for changes; ``None`` if a later epoch was heard of elsewhere meanwhile.
+
+        The store may keep such a watch waiting to its end, as long as nothing changes behind a
+        number that meant another place when it was asked for.
+        """
+        watch = self._store.watch(self._topic, after, self._wait_s())
+        self._watching = asyncio.get_running_loop().create_task(watch)
+        try:
+            return await self._watching
+        except asyncio.CancelledError:
+            current = asyncio.current_task()
+            if not self._abandoned or (current is not None and current.cancelling()):
+                raise
+            return None
+        finally:
+            self._watching = None
+            self._abandoned = False
+
+    def _on_state_change(self) -> None:
+        """Give a watch up that waits in an epoch which is over."""
+        is_over = self._revision is not None and self._revision.epoch < self._state.epoch
+        if is_over and self._watching is not None and not self._abandoned:
+            self._abandoned = True
+            self._watching.cancel()
+
+    def _forget_place(self) -> None:
+        """Read everything next."""
+        self._revision = None
+        self._must_reread = True
+
+    def _known_revision(self) -> StoreRevision | None:
         """Return the revision up to which everything is known; ``None``: read it all.
 
         Every gateway's knowledge is complete up to its highest revision, since the store tells
         changes in their order, and so is what two of them know together.
         """
-        if self._forgotten or not self._state.complete:
-            return self._revision
-        return max(self._revision or 0, self._state.revision(self._topic))
+        revision = self._revision
+        if not self._must_reread and self._state.complete:
+            revision = max(revision or NO_REVISION, self._state.revision(self._topic))
+        is_over = revision is not None and revision.epoch < self._state.epoch
+        return None if is_over else revision
 
     async def _rest_before_reread(self) -> None:
         """Rest before everything is read again, unless this is the first watch refused in a row.
@@ -160,17 +218,16 @@
             await asyncio.sleep(self._readers.retry_pause_s(self._reread_s))
         self._reread_s = min(LONGEST_RETRY_S, max(FIRST_RETRY_S, self._reread_s * 2))
 
-    def _note_shown(self, reading: Reading) -> None:
-        """Note how far the store's history goes, beside what is known here."""
-        self._status.note_shown(self._topic, reading, self._state.revision(self._topic))
-
     def _confirm(self) -> None:
         """Note the store's word that nothing newer is there."""
-        self._forgotten = False
+        self._must_reread = False
         self._state.confirm(self._topic)
 
     def _wait_s(self) -> float:
         """Return how long the next watch waits; not the same on all gateways."""
+        history = self._state.history(self._topic)
+        if history.is_restored and history.seen_s < WRITTEN_AGAIN_S:
+            return UNSETTLED_WAIT_S
         wait_s = min(LONGEST_WAIT_S, max(SHORTEST_WAIT_S, self._reader_count * WAIT_PER_NODE_S))
         return wait_s * self._random.uniform(1.0 - WAIT_SPREAD, 1.0 + WAIT_SPREAD)
 
--- a/tinrudder/gateway/store/stored_values.py
+++ b/tinrudder/gateway/store/stored_values.py
@@ -13,6 +13,7 @@
 
 from tinrudder.gateway.model.configuration import BackendEntry, GatewayConfiguration
 from tinrudder.gateway.model.http_messages import LoadReport
+from tinrudder.gateway.store.store_revision import StoreRevision
 
 
 class Topic(enum.Enum):
@@ -29,24 +30,20 @@
 class StoredValue(Struct, frozen=True):
     """One key at one revision.
 
-    :param key: empty, with revision 0, if the store's item names none that can be read.
+    :param key: empty, without a revision, if the store's item names none that can be read.
     :param value: ``None`` once it is removed; empty if the item's value cannot be read.
     """
 
     key: str
-    revision: int
+    revision: StoreRevision
     value: bytes | None
 
 
 class Reading(Struct, frozen=True):
-    """Values of a topic, complete or changed, as of a revision of the store.
-
-    :param epoch: of the store, which rises whenever it comes back from an older copy; 0: not told.
-    """
+    """Values of a topic, complete or changed, as of a revision of the store."""
 
     values: tuple[StoredValue, ...]
-    revision: int
-    epoch: int = 0
+    revision: StoreRevision
 
     @property
     def whole(self) -> bool:
@@ -62,6 +59,10 @@
     """The store no longer knows what changed since a revision: everything must be read again."""
 
 
+class EarlierEpochError(StoreUnavailableError):
+    """The store answered from an epoch before the one that is followed; it proves nothing."""
+
+
 class UnreadableValueError(Exception):
     """A value does not have the form agreed on; the text names key or header, and field."""
 
@@ -75,9 +76,12 @@
         :raises StoreUnavailableError: there was no usable answer.
         """
 
-    async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
+    async def watch(self, topic: Topic, after: StoreRevision, wait_s: float) -> Reading:
         """Wait for changes behind a revision; no values when there were none in time.
 
+        The answer may be of a later epoch than the revision asked for, which may mean another
+        change there: then more than these values may have changed.
+
         :raises StoreUnavailableError: there was no usable answer.
         :raises HistoryForgottenError: :meth:`read` is needed.
         """
--- a/tinrudder/gateway/wire/gateway_relay_codec.py
+++ b/tinrudder/gateway/wire/gateway_relay_codec.py
@@ -20,7 +20,11 @@
 )
 from tinrudder.gateway.wire import gateway_relay_pb2 as pb
 from tinrudder.gateway.wire import snapshot_pb2
-from tinrudder.gateway.wire.snapshot_codec import MalformedPeerMessageError
+from tinrudder.gateway.wire.snapshot_codec import (
+    MalformedPeerMessageError,
+    position_message,
+    position_of,
+)
 
 MICROSECONDS = 1e6
 """In a second: durations travel in microseconds."""
@@ -30,9 +34,12 @@
     """Return the payload of a request to a peer."""
     if isinstance(request, SnapshotRequest):
         snapshot = snapshot_pb2.SnapshotRequest(
-            operator_revision=request.operator_revision,
-            backends_revision=request.backends_revision,
+            operator_revision=request.operator.revision.number,
+            backends_revision=request.backends.revision.number,
             members_wanted=request.members_wanted,
+            operator=position_message(request.operator),
+            backends=position_message(request.backends),
+            configuration_version=request.configuration_version,
         )
         return pb.PeerRequest(snapshot=snapshot).SerializeToString()
     return pb.PeerRequest(scatter=_encode_scatter(request)).SerializeToString()
@@ -51,9 +58,10 @@
         case "snapshot":
             snapshot = message.snapshot
             return SnapshotRequest(
-                snapshot.operator_revision,
-                snapshot.backends_revision,
+                position_of(snapshot, "operator", snapshot.operator_revision),
+                position_of(snapshot, "backends", snapshot.backends_revision),
                 snapshot.members_wanted,
+                snapshot.configuration_version,
             )
         case "scatter":
             return _decode_scatter(message.scatter)
@@ -114,6 +122,7 @@
         shards=scatter.shards,
         minimum_share=scatter.minimum_share,
         priority=max(0, scatter.priority),
+        configuration_version=scatter.configuration_version,
     )
 
 
@@ -129,9 +138,15 @@
         shards=tuple(message.shards),
         minimum_share=message.minimum_share,
         priority=message.priority,
+        configuration_version=_optional_version(message),
     )
 
 
+def _optional_version(message: pb.ScatterRequest) -> int | None:
+    """Return the entry's version; ``None``: its software is too old to say."""
+    return message.configuration_version if message.HasField("configuration_version") else None
+
+
 def _encode_outcome(outcome: RequestOutcome, message: pb.ScatterAnswer) -> None:
     match outcome:
         case Merged():
--- a/tinrudder/gateway/wire/peer_datagram_codec.py
+++ b/tinrudder/gateway/wire/peer_datagram_codec.py
@@ -20,6 +20,7 @@
     QuotaReport,
     QuotaVerdict,
 )
+from tinrudder.gateway.store.store_revision import StoreRevision
 from tinrudder.gateway.wire import peer_datagram_pb2 as pb
 from tinrudder.gateway.wire.load_news_codec import load_news_message, load_news_of_message
 from tinrudder.gateway.wire.poison_report_codec import (
@@ -63,7 +64,8 @@
         case ProbeAnswer():
             answer = pb.ProbeAnswer(
                 number=datagram.number,
-                operator_revision=datagram.operator_revision,
+                operator_revision=datagram.operator_revision.number,
+                operator_epoch=datagram.operator_revision.epoch,
                 knowledge_age_ms=optional_milliseconds_above(datagram.knowledge_age_s),
             )
             return pb.Datagram(probe_answer=answer)
@@ -102,7 +104,8 @@
         case "probe_answer":
             answer = message.probe_answer
             age_s = age_of(answer, "knowledge_age_ms")
-            return ProbeAnswer(answer.number, answer.operator_revision, age_s)
+            revision = StoreRevision(answer.operator_epoch, answer.operator_revision)
+            return ProbeAnswer(answer.number, revision, age_s)
         case "quota_report":
             report = message.quota_report
             return QuotaReport(
--- a/tinrudder/gateway/wire/snapshot_codec.py
+++ b/tinrudder/gateway/wire/snapshot_codec.py
@@ -12,6 +12,7 @@
 
 from tinrudder.common.address import Address
 from tinrudder.gateway.peers.peer_messages import Digest, Member, ReportedMember, Snapshot
+from tinrudder.gateway.store.store_revision import EpochBegin, StoreRevision, TopicPosition
 from tinrudder.gateway.store.stored_values import StoredValue
 from tinrudder.gateway.wire import snapshot_pb2 as pb
 
@@ -32,12 +33,15 @@
     """Return a digest's message."""
     return pb.Digest(
         sender=_encode_member(digest.sender, 0.0),
-        operator_revision=digest.operator_revision,
-        backends_revision=digest.backends_revision,
+        operator_revision=digest.operator.revision.number,
+        backends_revision=digest.backends.revision.number,
         members=[_encode_member(told.member, told.age_s) for told in digest.members],
         operator_unconfirmed_ms=_milliseconds(digest.operator_unconfirmed_s),
         backends_unconfirmed_ms=_milliseconds(digest.backends_unconfirmed_s),
         silent_zones=digest.silent_zones,
+        operator=position_message(digest.operator),
+        backends=position_message(digest.backends),
+        configuration_version=digest.configuration_version,
     )
 
 
@@ -48,12 +52,13 @@
     """
     return Digest(
         sender=_decode_member(message.sender),
-        operator_revision=message.operator_revision,
-        backends_revision=message.backends_revision,
+        operator=position_of(message, "operator", message.operator_revision),
+        backends=position_of(message, "backends", message.backends_revision),
         members=tuple(_decode_told(member) for member in message.members),
         operator_unconfirmed_s=age_of(message, "operator_unconfirmed_ms"),
         backends_unconfirmed_s=age_of(message, "backends_unconfirmed_ms"),
         silent_zones=tuple(message.silent_zones),
+        configuration_version=message.configuration_version,
     )
 
 
@@ -67,6 +72,10 @@
         evacuations=[_encode_value(value) for value in snapshot.evacuations],
         knowledge_age_ms=optional_milliseconds_above(snapshot.knowledge_age_s),
     )
+    if snapshot.operator_position is not None:
+        message.operator_position.CopyFrom(position_message(snapshot.operator_position))
+    if snapshot.backends_position is not None:
+        message.backends_position.CopyFrom(position_message(snapshot.backends_position))
     if snapshot.configuration is not None:
         message.configuration.CopyFrom(_encode_value(snapshot.configuration))
     return zlib.compress(message.SerializeToString(), COMPRESSION_LEVEL)
@@ -94,6 +103,40 @@
         members=members,
         evacuations=tuple(_decode_value(value) for value in message.evacuations),
         knowledge_age_s=age_of(message, "knowledge_age_ms"),
+        operator_position=_optional_position(message, "operator_position"),
+        backends_position=_optional_position(message, "backends_position"),
+    )
+
+
+def position_message(position: TopicPosition) -> pb.TopicPosition:
+    """Return a position's message."""
+    begin = position.restored
+    return pb.TopicPosition(
+        epoch=position.revision.epoch,
+        number=position.revision.number,
+        older_epoch=position.older.epoch,
+        older_number=position.older.number,
+        epoch_age_ms=None if begin is None else _milliseconds(begin.age_s),
+        copy_up_to=0 if begin is None else begin.copy_up_to,
+    )
+
+
+def position_of(message: Message, field: str, number: int) -> TopicPosition:
+    """Return a message's position; where it has none, its sender knows no epochs, but a number."""
+    position = _optional_position(message, field)
+    return TopicPosition(StoreRevision(0, number)) if position is None else position
+
+
+def _optional_position(message: Message, field: str) -> TopicPosition | None:
+    """Return a position that may be absent."""
+    if not message.HasField(field):
+        return None
+    position: pb.TopicPosition = getattr(message, field)
+    age_s = age_of(position, "epoch_age_ms")
+    return TopicPosition(
+        StoreRevision(position.epoch, position.number),
+        StoreRevision(position.older_epoch, position.older_number),
+        None if age_s is None else EpochBegin(age_s, position.copy_up_to),
     )
 
 
@@ -159,9 +202,12 @@
 
 
 def _encode_value(value: StoredValue) -> pb.Value:
-    return pb.Value(key=value.key, revision=value.revision, value=value.value)
+    revision = value.revision
+    return pb.Value(
+        key=value.key, revision=revision.number, value=value.value, epoch=revision.epoch
+    )
 
 
 def _decode_value(message: pb.Value) -> StoredValue:
     value = message.value if message.HasField("value") else None
-    return StoredValue(message.key, message.revision, value)
+    return StoredValue(message.key, StoreRevision(message.epoch, message.revision), value)
--- a/tinrudder/gateway/wiring.py
+++ b/tinrudder/gateway/wiring.py
@@ -30,9 +30,10 @@
 from tinrudder.gateway.model.configuration import GatewaySettings, HeaderNames
 from tinrudder.gateway.observability.gateway_log import (
     log_coordination,
+    log_epoch,
     log_pull,
     log_reachability,
-    log_store_history,
+    log_settled,
 )
 from tinrudder.gateway.observability.request_figures import RequestFigures
 from tinrudder.gateway.observability.request_log import FinishedRequest, log_request
@@ -72,7 +73,7 @@
 from tinrudder.gateway.scatters.scatter_admission import ScatterAdmissions
 from tinrudder.gateway.scatters.scatter_planner import ScatterPlanner
 from tinrudder.gateway.store.configuration_freshness import ConfigurationFreshness
-from tinrudder.gateway.store.shared_state import SharedState
+from tinrudder.gateway.store.shared_state import HistoryListener, SharedState
 from tinrudder.gateway.store.staleness_bound import StalenessBound
 from tinrudder.gateway.store.staleness_keeper import StalenessKeeper
 from tinrudder.gateway.store.store_follower import StoreFollower
@@ -160,8 +161,9 @@
     clock = around.loop.time
     settings = around.settings
     unreadable_values = UnreadableValues(clock)
-    state = SharedState(around.decoders, clock, unreadable_values.note)
-    status = StoreStatus(log_reachability, log_store_history, clock)
+    listener = HistoryListener(log_epoch, log_settled)
+    state = SharedState(around.decoders, clock, unreadable_values.note, listener)
+    status = StoreStatus(log_reachability)
     return KnowledgeParts(
         unreadable_values,
         state,
@@ -182,7 +184,7 @@
 
     def answer_probe(number: int) -> ProbeAnswer:
         age_s = knowledge.staleness_bound.told_age_s
-        return ProbeAnswer(number, knowledge.state.operator_revision, age_s)
+        return ProbeAnswer(number, knowledge.state.revision(Topic.OPERATOR), age_s)
 
     probes = Probes(datagrams, answer_probe, clock)
     client = PeerClient(lambda: None, UNACKNOWLEDGED_S)
@@ -294,7 +296,7 @@
         coordinators=backends.coordinators,
         call_context=call_context,
         watch=fleet.zone_monitor,
-        configuration_revision=lambda: state.configuration_revision,
+        configuration=lambda: state.accepted,
         traffic=fleet.datagrams.traffic,
     )
     tenants = TenantsInForce(state)
@@ -356,6 +358,7 @@
         tenants.are_there_any,
         fleet.peers,
         knowledge.store_status,
+        lambda: knowledge.state.may_lack_lost_words,
         around.loop.time,
     )
 
--- a/tinrudder/platform/store_client.py
+++ b/tinrudder/platform/store_client.py
@@ -1,6 +1,7 @@
 """Calls to the platform's metadata store.
 
 Owns the connections to it and the names of its answers; decodes keys and revisions, not values.
+The platform calls an epoch of the store its era.
 """
 
 from __future__ import annotations
@@ -16,6 +17,7 @@
 from tinrudder.gateway.backends.upstream_connection import accept_any_answer
 from tinrudder.gateway.backends.upstream_pool import UpstreamPool
 from tinrudder.gateway.model.http_messages import Headers, header_value
+from tinrudder.gateway.store.store_revision import NO_REVISION, StoreRevision
 from tinrudder.gateway.store.stored_values import (
     HistoryForgottenError,
     Reading,
@@ -47,19 +49,18 @@
 OK = 200
 """HTTP status of an answer that is one."""
 MAX_EPOCH = 2**31 - 1
-"""Largest epoch that is believed. Chosen, not measured: one that rises with each restoration never
-comes near it."""
+"""Largest epoch that is believed. Chosen: one that rises with each restoration stays far below."""
 HISTORY_FORGOTTEN = 410
 """HTTP status of a watch from before what the store remembers; everything must be read anew."""
 
 
-Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+RevisionNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Document = TypeVar("Document")
 
 
 class _Place(msgspec.Struct):
     key: str
-    rev: Revision
+    rev: RevisionNumber
 
 
 class _Item(_Place):
@@ -71,14 +72,14 @@
 class _RangeAnswer(msgspec.Struct):
     items: list[msgspec.Raw]
     # The store's revision when the page was read.
-    at: Revision
+    at: RevisionNumber
     more: bool = False
 
 
 class _WatchAnswer(msgspec.Struct):
     events: list[msgspec.Raw]
     # The revision up to which all changes are told; the next watch begins there.
-    at: Revision
+    at: RevisionNumber
 
 
 PREFIXES = {Topic.OPERATOR: OPERATOR_PREFIX, Topic.BACKENDS: BACKENDS_PREFIX}
@@ -108,7 +109,7 @@
         Changes between pages lie behind the first page's revision.
         """
         values: list[StoredValue] = []
-        revision = 0
+        revision: StoreRevision | None = None
         after = ""
         for _ in range(MAX_PAGES):
             parameters = {"path_prefix": PREFIXES[topic]}
@@ -116,21 +117,24 @@
                 parameters["after"] = after
             path = f"{RANGE_PATH}?{urlencode(parameters)}"
             document, epoch = await self._call(topic, path, READ_TIMEOUT_S, _range_decoder)
-            page = [_value(item) for item in document.items]
+            revision = revision or StoreRevision(epoch, document.at)
+            if epoch != revision.epoch:
+                raise StoreUnavailableError(f"pages of epochs {revision.epoch} and {epoch}")
+            page = [_value(item, epoch) for item in document.items]
             values.extend(page)
-            revision = revision or document.at
             after = max((value.key for value in page), default="")
             if not document.more or not after:
-                return Reading(tuple(values), revision, epoch)
+                return Reading(tuple(values), revision)
         raise StoreUnavailableError(f"more than {MAX_PAGES} pages")
 
-    async def watch(self, topic: Topic, after: int, wait_s: float) -> Reading:
+    async def watch(self, topic: Topic, after: StoreRevision, wait_s: float) -> Reading:
         """Wait for changes; see :class:`MetadataStore`."""
         wait_ms = int(wait_s * MILLISECONDS)
-        query = urlencode({"path_prefix": PREFIXES[topic], "after": after, "wait_ms": wait_ms})
-        target = f"{WATCH_PATH}?{query}"
+        parameters = {"path_prefix": PREFIXES[topic], "after": after.number, "wait_ms": wait_ms}
+        target = f"{WATCH_PATH}?{urlencode(parameters)}"
         document, epoch = await self._call(topic, target, wait_s + WATCH_SLACK_S, _watch_decoder)
-        return Reading(tuple(_value(event) for event in document.events), document.at, epoch)
+        values = tuple(_value(event, epoch) for event in document.events)
+        return Reading(values, StoreRevision(epoch, document.at))
 
     async def _call(
         self, topic: Topic, target: str, timeout_s: float, decoder: msgspec.json.Decoder[Document]
@@ -158,20 +162,19 @@
     >>> _epoch(((b"store-era", b"3"),)), _epoch(()), _epoch(((b"store-era", b"-1"),))
     (3, 0, 0)
     """
-    told = header_value(headers, STORE_EPOCH)
-    if told is None or not told.isdigit() or int(told) > MAX_EPOCH:
-        return 0
-    return int(told)
+    told = header_value(headers, STORE_EPOCH) or b""
+    return int(told) if told.isdigit() and int(told) <= MAX_EPOCH else 0
 
 
-def _value(raw: msgspec.Raw) -> StoredValue:
-    """Turn one item into a value; whatever of it cannot be read is left empty."""
+def _value(raw: msgspec.Raw, epoch: int) -> StoredValue:
+    """Turn one item of an epoch into a value; whatever of it cannot be read is left empty."""
     try:
         place = _place_decoder.decode(raw)
     except UNREADABLE:
-        return StoredValue("", 0, b"")
+        return StoredValue("", NO_REVISION, b"")
+    revision = StoreRevision(epoch, place.rev)
     try:
         item = _item_decoder.decode(raw)
     except UNREADABLE:
-        return StoredValue(place.key, place.rev, b"")
-    return StoredValue(item.key, item.rev, None if item.gone else item.value)
+        return StoredValue(place.key, revision, b"")
+    return StoredValue(item.key, revision, None if item.gone else item.value)
--- a/tinrudder_lab/emulator/store_restore.py
+++ b/tinrudder_lab/emulator/store_restore.py
@@ -18,6 +18,8 @@
 class StoreRestore:
     """How one drill goes.
 
+    What the operator writes while the store is away stands in it when it is back.
+
     :param age_s: how old the copy is when the store goes away.
     :param away_s: for how long the store answers nobody.
     :param operator_after_s: how long after its return the operator has written again all that the
@@ -36,28 +38,29 @@
     lost = site.store.values()
     site.store.set_mode(StoreMode.RESETTING)
     site.store.restore(drill.age_s)
+    copied = _operators_values(site.store.values())
     await asyncio.sleep(drill.away_s)
     site.store.set_mode(StoreMode.SERVING)
     await asyncio.gather(
         _lapse(site),
-        _write_again(site, lost, drill),
+        _write_again(site, _operators_values(lost), copied, drill),
         _record_again(site, lost, drill),
     )
 
 
-async def _write_again(site: EmulatedSite, lost: dict[str, bytes], drill: StoreRestore) -> None:
+async def _write_again(
+    site: EmulatedSite, lost: dict[str, bytes], copied: dict[str, bytes], drill: StoreRestore
+) -> None:
     """Let the operator write what the copy lacks, unless something newer stands there."""
     if drill.operator_after_s is None:
         return
-    shown = _operators_values(site.store.values())
-    written_before = site.store.revision
     await asyncio.sleep(drill.operator_after_s)
-    wanted = _operators_values(lost)
-    for key in sorted({*wanted, *shown}):
-        if site.store.revision_of(key) > written_before or wanted.get(key) == shown.get(key):
+    for key in sorted({*lost, *copied}):
+        is_copied = site.store.value(key) == copied.get(key)
+        if not is_copied or lost.get(key) == copied.get(key):
             continue
-        if key in wanted:
-            site.store.put_bytes(key, wanted[key])
+        if key in lost:
+            site.store.put_bytes(key, lost[key])
         else:
             site.store.remove(key)
 
