--- a/tinrudder/gateway/decisions/attempts/peer_round_trip.py
+++ b/tinrudder/gateway/decisions/attempts/peer_round_trip.py
@@ -28,8 +28,13 @@
 allowance is twice the assumed mean."""
 GAIN = 0.125
 """Weight of a new value in the mean, that of TCP's retransmission timer (RFC 6298)."""
-DEVIATION_GAIN = 0.25
-"""Weight of a new value in the deviation, that of TCP's retransmission timer (RFC 6298)."""
+RISING_DEVIATION_GAIN = 0.25
+"""Weight of a new value above the deviation, that of TCP's retransmission timer (RFC 6298)."""
+FALLING_DEVIATION_GAIN = 0.125
+"""Weight of one below it.  With that timer's 0.25, eight like values by chance led to an allowance
+that up to 26 of the next 100 answers exceeded, where all differ by a fifth at most; 18 of 6,006
+seeded runs had over 5 such answers.  With 0.125 none had over one, and the allowance is 1.49
+instead of 1.41 times what is usual, in the mean.  Lower ones remember a single stall too long."""
 DEVIATIONS = 4.0
 """Deviations on top of the mean, as in that timer. An answer that comes too late loses nine tenths
 of its worth, one that leaves early a few parts."""
@@ -61,4 +66,6 @@
         seen_s = min(LONGEST_SEEN_S, max(0.0, seconds))
         error_s = seen_s - self.mean_s
         self.mean_s += GAIN * error_s
-        self.deviation_s += DEVIATION_GAIN * (abs(error_s) - self.deviation_s)
+        change_s = abs(error_s) - self.deviation_s
+        gain = RISING_DEVIATION_GAIN if change_s > 0.0 else FALLING_DEVIATION_GAIN
+        self.deviation_s += gain * change_s
