--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -89,13 +89,17 @@
         late = (one for one in self.arrivals if one.target == target and one.at > known_at)
         return sorted({one.request_id for one in late if not self._was_disturbed(one)})
 
+    def is_disturbed(self, host: str, at: float) -> bool:
+        """Tell whether a gateway could not be told of anything lately."""
+        return any(
+            one.host == host and one.since <= at <= one.until + TELLING_S
+            for one in self.disturbances
+        )
+
     def _was_disturbed(self, arrival: Arrival) -> bool:
         """Tell whether the gateway that took a request could not be told of anything lately."""
         sent = self.sent.get(arrival.request_id)
-        return sent is not None and any(
-            one.host == sent.host and one.since <= arrival.at <= one.until + TELLING_S
-            for one in self.disturbances
-        )
+        return sent is not None and self.is_disturbed(sent.host, arrival.at)
 
     def _came_again_to_end_back_ends(self) -> list[BrokenPromise]:
         """Check that a request which ends back ends is not sent to one again and again."""
@@ -275,7 +279,7 @@
         """Return when clients sent requests for a service."""
         return [result.sent_at for result in self.results if service in result.services]
 
-    def _known_at(self, written_at: float) -> float:
+    def known_at(self, written_at: float) -> float:
         """Return from when gateways must know of what was written to the store at a moment."""
         ends = [one.until for one in self.store_outages if one.since <= written_at < one.until]
         return max([written_at, *ends])
@@ -287,7 +291,7 @@
         that has just started learns only then that it leaves, and from when on it cannot tell;
         those that were disturbed lately are left out, as the users' rule leaves them out.
         """
-        known_at = {name: self._known_at(at) for name, at in self.leaving_at.items()}
+        known_at = {name: self.known_at(at) for name, at in self.leaving_at.items()}
         return [
             BrokenPromise("leaving", f"{arrival.request_id} reached {arrival.backend_id}")
             for arrival in self.arrivals
@@ -315,7 +319,7 @@
             for arrival in self.arrivals
             for span in self.unreadable
             if arrival.ran and arrival.backend_id == span.backend_id
-            if self._known_at(span.since) + drain_s < arrival.at < span.until
+            if self.known_at(span.since) + drain_s < arrival.at < span.until
             if not self._was_disturbed(arrival)
         ]
 
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -367,6 +367,7 @@
         } | changes
         routes = [scatter, _single("single", "safe"), _single("once", "unsafe")]
         routes.extend(scatter | changed for changed in self.variants)
+        routes.extend(_single(name, "safe") for name in self.further_routes())
         names = {*self.shard_services, "single", *scatter["gather"]}
         services = [
             {"name": name, "max_conns": 26, "cold_per_s": self.cold_calls_per_s}
@@ -383,6 +384,10 @@
         self._note_keys()
         self.store.put(CONFIGURATION_KEY, document)
 
+    def further_routes(self) -> list[str]:
+        """Return the names of more routes to the single service in the version to be written."""
+        return []
+
     def _note_keys(self) -> None:
         """Note which keys end with the configuration that is about to be written, and begin."""
         now = self.loop.time()
--- a/tinrudder_lab/main.py
+++ b/tinrudder_lab/main.py
@@ -124,6 +124,7 @@
         poison=True,
         entries=True,
         slow=True,
+        restores=True,
     )
     runs = [given]
     if parsed.regressions:
@@ -140,6 +141,7 @@
             poison=one.poison,
             entries=one.entries,
             slow=one.slow,
+            restores=one.restores,
         )
         result = asyncio.run(soaking)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -38,6 +38,11 @@
 """What a gateway's process may take: the smallest setting seen."""
 
 
+def version_route(version: int) -> str:
+    """Return the name of the route that one version of the configuration has, and no other."""
+    return f"version-{version}"
+
+
 @dataclass
 class ProcessSite(EmulatedSite):
     """Gateways run as processes; store and back ends stay in this one, behind proxies.
@@ -45,6 +50,7 @@
     :param folder: for settings files and logs.
     :param problems: what faults found that no client or back end can see.
     :param peak_mb: the most that any gateway's process took, megabytes.
+    :param versions: when the operator wrote each version of the configuration.
     """
 
     folder: Path = field(default_factory=Path)
@@ -53,6 +59,7 @@
     processes: ProcessGroup = field(init=False)
     problems: list[str] = field(default_factory=list)
     peak_mb: float = 0.0
+    versions: dict[int, float] = field(default_factory=dict)
     _locks: dict[str, asyncio.Lock] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -93,6 +100,11 @@
         except TimeoutError:
             self.problems.append(f"start: {node.name} wrote nothing in {START_TIMEOUT_S} s")
 
+    def further_routes(self) -> list[str]:
+        """Return a route that this version alone has, so that it shows which one is in force."""
+        self.versions[self.version] = self.loop.time()
+        return [version_route(self.version)]
+
     @contextlib.asynccontextmanager
     async def one_node(self) -> AsyncIterator[EmulatedNode]:
         """Draw a gateway and keep other faults of processes away from it."""
--- a/tinrudder_lab/soak/regressions.py
+++ b/tinrudder_lab/soak/regressions.py
@@ -14,6 +14,7 @@
     :param poison: a client asked what crashes back ends.
     :param entries: back ends started again under their ids, and entries were spoiled.
     :param slow: clients read slowly or not at all.
+    :param restores: the store came back from older copies.
     """
 
     seed: int
@@ -23,6 +24,7 @@
     poison: bool = False
     entries: bool = False
     slow: bool = False
+    restores: bool = False
 
 
 REGRESSIONS = (
--- a/tinrudder_lab/soak/run.py
+++ b/tinrudder_lab/soak/run.py
@@ -13,7 +13,9 @@
 from tinrudder_lab.soak.entry_faults import change_entries
 from tinrudder_lab.soak.faults import FAULTS, LIMITED, TENANTS, SoakFault
 from tinrudder_lab.soak.process_site import QUOTAS, REVOCATION_S, ProcessSite
+from tinrudder_lab.soak.restores import restore_again_and_again
 from tinrudder_lab.soak.slow_readers import over_memory, read_slowly, watch_memory
+from tinrudder_lab.soak.versions import ask_versions
 
 START_S = 2.5
 SETTLE_S = 6.0
@@ -45,6 +47,15 @@
     peak_mb: float = 0.0
 
 
+class SoakSpans(msgspec.Struct, frozen=True):
+    """For how long each trouble that has randomness of its own goes on, seconds; 0: not at all."""
+
+    poison: float
+    entries: float
+    slow: float
+    restores: float
+
+
 async def soak(
     seed: int,
     seconds: float,
@@ -54,6 +65,7 @@
     poison: bool = True,
     entries: bool = True,
     slow: bool = True,
+    restores: bool = True,
 ) -> SoakResult:
     """Run one soak; settings and logs of the gateways are left in ``folder``.
 
@@ -61,6 +73,7 @@
     :param poison: a client asks again and again what crashes the back ends that run it.
     :param entries: back ends start again under their ids, and others spoil entries.
     :param slow: clients come who read slowly or not at all.
+    :param restores: the store comes back from older copies.
     """
     loop = asyncio.get_running_loop()
     site = ProcessSite(
@@ -76,29 +89,36 @@
     # Whoever ends the soak must not leave its gateways behind.
     loop.add_signal_handler(signal.SIGTERM, task.cancel)
     try:
-        return await _run(site, seconds, poison=poison, entries=entries, slow=slow)
+        spans = SoakSpans(
+            seconds if poison else 0.0,
+            seconds if entries else 0.0,
+            seconds if slow else 0.0,
+            seconds if restores else 0.0,
+        )
+        return await _run(site, seconds, spans)
     finally:
         await site.close()
 
 
-async def _run(
-    site: ProcessSite, seconds: float, *, poison: bool, entries: bool, slow: bool
-) -> SoakResult:
+async def _run(site: ProcessSite, seconds: float, spans: SoakSpans) -> SoakResult:
     """Drive traffic and faults, let everything heal, and check."""
     await site.start()
     await asyncio.sleep(START_S)
     told: list[str] = []
     faults = asyncio.create_task(_inject(site, seconds, told))
-    changes = asyncio.create_task(change_entries(site, seconds if entries else 0.0))
+    changes = asyncio.create_task(change_entries(site, spans.entries))
+    restores = asyncio.create_task(restore_again_and_again(site, spans.restores))
     memory = asyncio.create_task(watch_memory(site))
     *_, slow_readers = await asyncio.gather(
         site.traffic(seconds, REQUESTS_PER_SECOND, ROUTES),
         ask_too_much(site, seconds),
         ask_with_any_key(site, seconds),
-        ask_poison(site, seconds if poison else 0.0),
-        read_slowly(site, seconds if slow else 0.0),
+        ask_poison(site, spans.poison),
+        ask_versions(site, seconds),
+        read_slowly(site, spans.slow),
     )
     told.extend(await changes)
+    told.extend(await restores)
     await faults
     await asyncio.sleep(SETTLE_S)
     before = len(site.ledger.results)
