--- a/tests/unit/cli/test_gateway_commands.py
+++ b/tests/unit/cli/test_gateway_commands.py
@@ -72,6 +72,23 @@
     assert "other" not in told
 
 
+def test_a_story_names_where_the_version_that_decided_stood_in_the_stores_history(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "log"
+    lines = [
+        line("configuration_in_force", 60.0, version=21, epoch=1, revision=63),
+        line("store_restored", 90.0, topic="operator", epoch=2, shown=60, known=63, kept=1),
+        line("request", 100.0, request="r4", version=21, outcome="Relayed", status=200),
+    ]
+    path.write_text("\n".join(lines))
+    assert main(["story", str(path), "r4"]) == ExitCode.OK
+    told = capsys.readouterr().out
+    assert "version 21 in force for 40.0 s, from revision 63 of the store's epoch 1" in told
+    assert "10.0 s before the store came back from a copy, operator: epoch 2 shows" in told
+    assert "known was 63, 1 keys kept" in told
+
+
 def test_a_story_names_the_tenant_and_why_its_limit_or_a_cut_refused_it(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
--- a/tinrudder/cli/story.py
+++ b/tinrudder/cli/story.py
@@ -24,6 +24,8 @@
 CLEARED_EVENT = "request_cleared"
 POISON_EVENTS = frozenset((CALL_LOST_EVENT, BARRED_EVENT, CLEARED_EVENT, "request_on_trial"))
 ZONE_PATH_EVENT = "zone_path"
+CONFIGURATION_EVENT = "configuration_in_force"
+RESTORED_EVENT = "store_restored"
 OVERLOAD_DETAIL = "overload: place"
 QUOTA_EVENTS = frozenset(("quota_pressed", "quota_home_silent"))
 MEANINGS = {
@@ -49,6 +51,11 @@
     request: str = ""
     route: str = ""
     version: int = 0
+    epoch: int = 0
+    revision: int = 0
+    shown: int = 0
+    known: int = 0
+    kept: int = 0
     outcome: str = ""
     status: int = 0
     elapsed_ms: float = 0.0
@@ -124,6 +131,7 @@
             continue
         if line.event == REQUEST_EVENT:
             story.extend(_request_lines(line))
+            story.extend(_version_lines(lines, line))
             story.extend(_poison_lines(lines, line))
             story.extend(_context_lines(lines, line))
         elif line.event == COORDINATED_EVENT:
@@ -156,6 +164,28 @@
     return told
 
 
+def _version_lines(lines: list[LogLine], request: LogLine) -> list[str]:
+    """Tell since when the version that decided was in force, and where the store held it."""
+    before = [one for one in lines if one.node == request.node and one.time <= request.time]
+    versions = [one for one in before if one.event == CONFIGURATION_EVENT]
+    of_request = [one for one in versions if one.version == request.version]
+    if not of_request:
+        return []
+    since = of_request[-1]
+    told = [
+        f"  version {since.version} in force for {request.time - since.time:.1f} s, "
+        f"from revision {since.revision} of the store's epoch {since.epoch}"
+    ]
+    for one in before:
+        if one.event == RESTORED_EVENT and one.time >= since.time:
+            told.append(
+                f"  {request.time - one.time:.1f} s before the store came back from a copy, "
+                f"{one.topic}: epoch {one.epoch} shows revision {one.shown}, known was "
+                f"{one.known}, {one.kept} keys kept"
+            )
+    return told
+
+
 def _overload_lines(line: LogLine) -> list[str]:
     """Explain the refusal of a scatter that would have waited too long."""
     if not line.detail.startswith(OVERLOAD_DETAIL):
