--- a/tests/unit/gateway/test_store_follower.py
+++ b/tests/unit/gateway/test_store_follower.py
@@ -19,6 +19,7 @@
     REST_SPREAD,
     SHORTEST_WAIT_S,
     WAIT_SPREAD,
+    FollowerParts,
     StoreFollower,
 )
 from tinrudder.gateway.store.store_revision import StoreRevision
@@ -103,16 +104,16 @@
         state = SharedState(DECODERS, loop.time, lambda problem: None)
         operators = in_epoch(configuration(1, FIRST_REVISION))
         state.apply_complete(Topic.OPERATOR, Reading((operators,), operators.revision))
-        follower = StoreFollower(
-            Topic.BACKENDS,
+        parts = FollowerParts(
             store,  # type: ignore[arg-type]
             state,
             StoreStatus(lambda topic, reachable, detail: None),
-            lambda: nodes,
             AlwaysReads(),  # type: ignore[arg-type]
+            lambda: nodes,
             random.Random(1),
             lambda topic, asked_at: None,
         )
+        follower = StoreFollower(Topic.BACKENDS, parts)
         task = loop.create_task(follower.run())
         await asyncio.sleep(0.02)
         if taught is not None:
--- a/tinrudder/gateway/observability/gateway_log.py
+++ b/tinrudder/gateway/observability/gateway_log.py
@@ -7,8 +7,9 @@
 
 from tinrudder.common.logs import LogValue, log_event, log_problem
 from tinrudder.gateway.scatters.coordination import Coordination
+from tinrudder.gateway.store.configuration_in_force import AcceptedConfiguration
+from tinrudder.gateway.store.epoch_change import EpochChange
 from tinrudder.gateway.store.epoch_rules import Word
-from tinrudder.gateway.store.shared_state import AcceptedConfiguration, EpochChange
 from tinrudder.gateway.store.store_revision import StoreRevision
 from tinrudder.gateway.store.stored_values import Topic
 
--- a/tinrudder/gateway/scatters/delegation.py
+++ b/tinrudder/gateway/scatters/delegation.py
@@ -100,9 +100,9 @@
     outcome = await _ask(delegation_context, coordinator, scatter, deadlines, begin_at_once)
     if isinstance(outcome, ScatterEnd):
         delegation_context.coordinators.succeeded(coordinator)
-        delegation_context.watch.answered_by(coordinator)
+        delegation_context.zone_monitor.answered_by(coordinator)
         return outcome
-    delegation_context.watch.doubt_way_to(coordinator, asked_at)
+    delegation_context.zone_monitor.doubt_way_to(coordinator, asked_at)
     log_coordinator_failed(scatter.request_id, coordinator, outcome.detail)
     delegation_context.call_context.counters.relays_failed += 1
     delegation_context.coordinators.failed(coordinator)
--- a/tinrudder/gateway/scatters/delegation_context.py
+++ b/tinrudder/gateway/scatters/delegation_context.py
@@ -16,13 +16,13 @@
 from tinrudder.gateway.peers.zone_monitor import ZoneMonitor
 from tinrudder.gateway.runs.call_context import CallContext
 from tinrudder.gateway.scatters.coordinators import Coordinators
-from tinrudder.gateway.store.shared_state import AcceptedConfiguration
+from tinrudder.gateway.store.configuration_in_force import AcceptedConfiguration
 
 
 class DelegationContext(Struct, frozen=True):
     """The connections to other gateways, and who they are.
 
-    :param watch: learns which ways to other gateways are open.
+    :param zone_monitor: learns which ways to other gateways are open.
     :param configuration: returns the one in force.
     :param traffic: counts what is sent.
     """
@@ -30,7 +30,7 @@
     client: PeerClient
     coordinators: Coordinators
     call_context: CallContext
-    watch: ZoneMonitor
+    zone_monitor: ZoneMonitor
     configuration: Callable[[], AcceptedConfiguration | None]
     traffic: PeerTraffic
     _path_beside: PeerRoundTrip = field(default_factory=PeerRoundTrip)
--- a/tinrudder/gateway/store/shared_state.py
+++ b/tinrudder/gateway/store/shared_state.py
@@ -13,12 +13,14 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from msgspec import Struct
-
-from tinrudder.gateway.model.configuration import GatewayConfiguration
 from tinrudder.gateway.store.backend_entries import BackendEntries, KnownBackend
+from tinrudder.gateway.store.configuration_in_force import (
+    AcceptedConfiguration,
+    ConfigurationInForce,
+)
+from tinrudder.gateway.store.epoch_change import NOBODY, EpochChange, HistoryListener
 from tinrudder.gateway.store.epoch_merge import EpochMerge
-from tinrudder.gateway.store.epoch_rules import WRITTEN_AGAIN_S, Word
+from tinrudder.gateway.store.epoch_rules import WRITTEN_AGAIN_S
 from tinrudder.gateway.store.evacuations import STORE, Evacuations
 from tinrudder.gateway.store.store_revision import (
     NO_REVISION,
@@ -37,43 +39,6 @@
 )
 
 
-class AcceptedConfiguration(Struct, frozen=True):
-    """The configuration in force, and the newest place at which the store held it."""
-
-    configuration: GatewayConfiguration
-    value: StoredValue
-
-
-class EpochChange(Struct, frozen=True):
-    """The store came back from an older copy, as this process found.
-
-    :param known: how far this process knew the epoch before.
-    :param shown: how far the new epoch goes.
-    :param kept: keys on which what is known stands against what the store shows, or does not show.
-    """
-
-    topic: Topic
-    known: StoreRevision
-    shown: StoreRevision
-    kept: tuple[str, ...]
-
-
-class HistoryListener(Struct, frozen=True):
-    """Who is told of the store's history.
-
-    :param on_epoch: of every later epoch.
-    :param on_settled: of the words that hold after others stood against them for long enough, or
-        after nothing was written again.
-    """
-
-    on_epoch: Callable[[EpochChange], None] = lambda change: None
-    on_settled: Callable[[list[Word]], None] = lambda words: None
-
-
-NOBODY = HistoryListener()
-"""Is told of the store's history where nobody wants to know."""
-
-
 class SharedState:
     """What the operator asks for and the back ends, as this process knows them.
 
@@ -91,7 +56,7 @@
         history_listener: HistoryListener = NOBODY,
     ) -> None:
         """Start knowing nothing."""
-        self.accepted: AcceptedConfiguration | None = None
+        self._configuration = ConfigurationInForce(decoders.configuration)
         self.backends_read = False
         self._histories = {topic: TopicHistory(clock) for topic in Topic}
         self.evacuations = Evacuations(self._histories[Topic.OPERATOR], clock)
@@ -109,15 +74,20 @@
         """Return the back ends that have ever been in force, by their keys."""
         return self._entries.known
 
+    @property
+    def accepted(self) -> AcceptedConfiguration | None:
+        """Return the configuration in force; ``None`` while none was heard."""
+        return self._configuration.accepted
+
     @property
     def configuration_revision(self) -> StoreRevision:
         """Return where the store held the configuration in force; before everything for none."""
-        return self.accepted.value.revision if self.accepted is not None else NO_REVISION
+        return self._configuration.revision
 
     @property
     def configuration_version(self) -> int:
         """Return the operator's version of the configuration in force; 0 for none."""
-        return self.accepted.configuration.version if self.accepted is not None else 0
+        return self._configuration.version
 
     @property
     def forgotten_up_to(self) -> StoreRevision:
@@ -150,13 +120,7 @@
     @property
     def kept(self) -> list[str]:
         """Return the keys on which what is known stands against the store's latest epoch."""
-        words = [*self.evacuations.words.kept(), *self._entries.words.kept()]
-        keys = [word.value.key for word in words]
-        if self.accepted is not None:
-            value = self.accepted.value
-            is_older = value.revision.epoch < self._histories[Topic.OPERATOR].epoch
-            keys += [value.key] if is_older else []
-        return keys
+        return [key for topic in Topic for key in self._kept_of(topic)]
 
     @property
     def kept_s(self) -> float:
@@ -265,6 +229,15 @@
         """Return the words on a topic's keys, but for the configuration."""
         return self.evacuations.words if topic is Topic.OPERATOR else self._entries.words
 
+    def _kept_of(self, topic: Topic) -> list[str]:
+        """Return a topic's keys on which what is known stands against the store's epoch."""
+        keys = [word.value.key for word in self._words(topic).kept()]
+        accepted = self.accepted
+        is_older = self.configuration_revision.epoch < self._histories[topic].epoch
+        if topic is Topic.OPERATOR and accepted is not None and is_older:
+            keys.append(accepted.value.key)
+        return keys
+
     def _missing(self, topic: Topic, reading: Reading) -> list[StoredValue]:
         """Return the removals of what this epoch had shown and a whole reading of it lacks."""
         present = {value.key for value in reading.values}
@@ -274,10 +247,7 @@
 
     def _tell_epoch(self, topic: Topic, known: StoreRevision, shown: StoreRevision) -> None:
         """Tell that a later epoch is followed: peers must hear of it even if nothing changed."""
-        kept = tuple(word.value.key for word in self._words(topic).kept())
-        accepted = self.accepted
-        if topic is Topic.OPERATOR and accepted and accepted.value.revision.epoch < shown.epoch:
-            kept += (accepted.value.key,)
+        kept = tuple(self._kept_of(topic))
         self._history_listener.on_epoch(EpochChange(topic, known, shown, kept))
         self._announce()
 
@@ -287,7 +257,7 @@
             key = self._decoders.operator_key(value.key)
             match key:
                 case ConfigurationKey():
-                    changed = self._apply_configuration(value)
+                    changed = self._configuration.apply(value)
                 case EvacuationKey(zone=zone):
                     changed = self.evacuations.apply(zone, value, source)
                 case _:
@@ -300,28 +270,6 @@
         self._histories[Topic.OPERATOR].hear(value.revision)
         return changed
 
-    def _apply_configuration(self, value: StoredValue) -> bool:
-        """Put a newer configuration in force: the operator's versions order it over all epochs.
-
-        :raises UnreadableValueError: it breaks the platform's form.
-        """
-        accepted = self.accepted
-        if value.value is None or value.revision == self.configuration_revision:
-            return False
-        configuration = self._decoders.configuration(value.value)
-        if accepted is None or configuration.version > accepted.configuration.version:
-            self.accepted = AcceptedConfiguration(configuration, value)
-            return True
-        is_older = configuration.version < accepted.configuration.version
-        if is_older or value.revision <= accepted.value.revision:
-            return False
-        if value.value == accepted.value.value:
-            # Written again, or shown at another place: nothing changes for requests.
-            self.accepted = AcceptedConfiguration(accepted.configuration, value)
-            return False
-        self.accepted = AcceptedConfiguration(configuration, value)
-        return True
-
     def _announce(self) -> None:
         """Tell everybody who asked."""
         for listener in self._listeners:
--- a/tinrudder/gateway/store/store_follower.py
+++ b/tinrudder/gateway/store/store_follower.py
@@ -16,6 +16,8 @@
 import random
 from collections.abc import Callable
 
+from msgspec import Struct
+
 from tinrudder.gateway.store.epoch_rules import WRITTEN_AGAIN_S
 from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.store_readers import READERS, StoreReaders
@@ -67,34 +69,37 @@
 CompleteReadListener = Callable[[Topic, float], None]
 
 
+class FollowerParts(Struct, frozen=True):
+    """What the followers of all topics rely on.
+
+    :param status: takes note whether the store answers.
+    :param readers: tells whether this gateway follows the store at all.
+    :param nodes: tells how many gateways teach each other.
+    :param on_complete_read: is told when all was read that was there at a moment.
+    """
+
+    store: MetadataStore
+    state: SharedState
+    status: StoreStatus
+    readers: StoreReaders
+    nodes: Callable[[], int]
+    random: random.Random
+    on_complete_read: CompleteReadListener
+
+
 class StoreFollower:
     """Follows one topic until it is cancelled."""
 
-    def __init__(
-        self,
-        topic: Topic,
-        store: MetadataStore,
-        state: SharedState,
-        status: StoreStatus,
-        nodes: Callable[[], int],
-        readers: StoreReaders,
-        random_source: random.Random,
-        on_complete_read: CompleteReadListener,
-    ) -> None:
-        """Note in ``status`` whether the store answers.
-
-        :param nodes: tells how many gateways teach each other.
-        :param readers: tells whether this gateway follows the store at all.
-        :param on_complete_read: is told when all was read that was there at a moment.
-        """
-        self._on_complete_read = on_complete_read
-        self._nodes = nodes
-        self._readers = readers
-        self._random = random_source
+    def __init__(self, topic: Topic, parts: FollowerParts) -> None:
+        """Begin with a reading of everything."""
         self._topic = topic
-        self._store = store
-        self._state = state
-        self._status = status
+        self._store = parts.store
+        self._state = parts.state
+        self._status = parts.status
+        self._readers = parts.readers
+        self._nodes = parts.nodes
+        self._random = parts.random
+        self._on_complete_read = parts.on_complete_read
         self._revision: StoreRevision | None = None
         self._must_reread = False
         self._watching: asyncio.Task[Reading] | None = None
@@ -102,7 +107,7 @@
         self._retry_s = FIRST_RETRY_S
         # Seconds until everything is read again after a watch was refused; 0: at once.
         self._reread_s = 0.0
-        state.subscribe(self._on_state_change)
+        self._state.subscribe(self._on_state_change)
 
     async def run(self) -> None:
         """Follow for ever."""
--- a/tinrudder/gateway/wiring.py
+++ b/tinrudder/gateway/wiring.py
@@ -73,10 +73,11 @@
 from tinrudder.gateway.scatters.scatter_admission import ScatterAdmissions
 from tinrudder.gateway.scatters.scatter_planner import ScatterPlanner
 from tinrudder.gateway.store.configuration_freshness import ConfigurationFreshness
-from tinrudder.gateway.store.shared_state import HistoryListener, SharedState
+from tinrudder.gateway.store.epoch_change import HistoryListener
+from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.staleness_bound import StalenessBound
 from tinrudder.gateway.store.staleness_keeper import StalenessKeeper
-from tinrudder.gateway.store.store_follower import StoreFollower
+from tinrudder.gateway.store.store_follower import FollowerParts, StoreFollower
 from tinrudder.gateway.store.store_readers import StoreReaders
 from tinrudder.gateway.store.store_status import StoreStatus
 from tinrudder.gateway.store.stored_values import MetadataStore, Topic, ValueDecoders
@@ -295,7 +296,7 @@
         client=fleet.client,
         coordinators=backends.coordinators,
         call_context=call_context,
-        watch=fleet.zone_monitor,
+        zone_monitor=fleet.zone_monitor,
         configuration=lambda: state.accepted,
         traffic=fleet.datagrams.traffic,
     )
@@ -368,9 +369,8 @@
 ) -> StoreParts:
     store = around.make_store(around.settings.store, knowledge.store_status.count_call)
     readers = _build_readers(around, knowledge, fleet)
-    followers = tuple(
-        _build_follower(around, topic, store, knowledge, fleet, readers) for topic in Topic
-    )
+    follower_parts = _follower_parts(around, store, knowledge, fleet, readers)
+    followers = tuple(StoreFollower(topic, follower_parts) for topic in Topic)
     keeper = StalenessKeeper(
         requests.freshness,
         knowledge.state,
@@ -402,26 +402,24 @@
     )
 
 
-def _build_follower(
+def _follower_parts(
     around: Surroundings,
-    topic: Topic,
     store: MetadataStore,
     knowledge: KnowledgeParts,
     fleet: FleetParts,
     readers: StoreReaders,
-) -> StoreFollower:
+) -> FollowerParts:
     def prove(topic: Topic, asked_at: float) -> None:
         # A start serves keyed requests by what its first reading proves, without another one.
         if topic is Topic.OPERATOR:
             knowledge.staleness_bound.prove(asked_at)
 
-    return StoreFollower(
-        topic,
+    return FollowerParts(
         store,
         knowledge.state,
         knowledge.store_status,
-        lambda: fleet.peers.nodes(around.loop.time()),
         readers,
+        lambda: fleet.peers.nodes(around.loop.time()),
         around.random,
         prove,
     )
