--- a/tests/unit/gateway/test_epoch_merge.py
+++ b/tests/unit/gateway/test_epoch_merge.py
@@ -27,8 +27,9 @@
     backend_word_stands_s,
 )
 from tinrudder.gateway.store.shared_state import SharedState
-from tinrudder.gateway.store.store_revision import StoreRevision, TopicHistory
+from tinrudder.gateway.store.store_revision import StoreRevision
 from tinrudder.gateway.store.stored_values import Reading, StoredValue, Topic
+from tinrudder.gateway.store.topic_history import TopicHistory
 from tinrudder.platform.documents import (
     BACKENDS_PREFIX,
     CONFIGURATION_KEY,
--- a/tests/unit/gateway/test_staleness_bound.py
+++ b/tests/unit/gateway/test_staleness_bound.py
@@ -10,8 +10,9 @@
 
 from tests.support.store_revisions import at
 from tinrudder.gateway.store.staleness_bound import StalenessBound
-from tinrudder.gateway.store.store_revision import NO_REVISION, StoreRevision, TopicHistory
+from tinrudder.gateway.store.store_revision import NO_REVISION, StoreRevision
 from tinrudder.gateway.store.stored_values import Topic
+from tinrudder.gateway.store.topic_history import TopicHistory
 
 NODES = st.integers(0, 2)
 
--- a/tests/unit/gateway/test_store_follower.py
+++ b/tests/unit/gateway/test_store_follower.py
@@ -95,10 +95,11 @@
     nodes: int,
     taught: int | None = None,
     refuses: tuple[float, float] | None = None,
+    store_type: type[ScriptedStore] = ScriptedStore,
 ) -> ScriptedStore:
     """Follow back ends for a while; peers teach a revision after the first change."""
     loop = async_solipsism.EventLoop()
-    store = RefusingStore(loop.time, refuses) if refuses else ScriptedStore(loop.time)
+    store = RefusingStore(loop.time, refuses) if refuses else store_type(loop.time)
 
     async def run() -> None:
         state = SharedState(DECODERS, loop.time, lambda problem: None)
@@ -161,3 +162,18 @@
     assert len(refused) <= 4 + 10.0 / LONGEST_RETRY_S
     answered = [at for at in watched if at >= 10.0]
     assert answered[0] <= 10.0 + LONGEST_RETRY_S + 0.02
+
+
+class ForgetfulStore(ScriptedStore):
+    """Tells its epoch on readings alone: every watch seems to be of another one."""
+
+    async def watch(self, topic: Topic, after: StoreRevision, wait_s: float) -> Reading:
+        self.watched_at.append(self._clock())
+        await asyncio.sleep(0.004)
+        return Reading((), at(after.number))
+
+
+def test_watches_that_another_epoch_answers_lead_to_readings_with_rests() -> None:
+    watched = follow(10.0, nodes=8, store_type=ForgetfulStore).watched_at
+    assert watched[1] - watched[0] < 0.01
+    assert len(watched) <= 5 + 10.0 / LONGEST_RETRY_S
--- a/tinrudder/gateway/store/backend_entries.py
+++ b/tinrudder/gateway/store/backend_entries.py
@@ -17,8 +17,9 @@
 from tinrudder.gateway.model.configuration import BackendEntry
 from tinrudder.gateway.store.epoch_merge import EpochMerge
 from tinrudder.gateway.store.epoch_rules import WRITTEN_AGAIN_S, Word, backend_word_stands_s
-from tinrudder.gateway.store.store_revision import NO_REVISION, TopicHistory
+from tinrudder.gateway.store.store_revision import NO_REVISION
 from tinrudder.gateway.store.stored_values import StoredValue, UnreadableValueError
+from tinrudder.gateway.store.topic_history import TopicHistory
 
 REMOVAL_MEMORY_S = 120.0
 """Seconds for which a removal is kept, so that a peer's older value cannot bring a back end back.
--- a/tinrudder/gateway/store/epoch_merge.py
+++ b/tinrudder/gateway/store/epoch_merge.py
@@ -11,8 +11,9 @@
 from typing import Protocol
 
 from tinrudder.gateway.store.epoch_rules import WRITTEN_AGAIN_S, Word
-from tinrudder.gateway.store.store_revision import StoreRevision, TopicHistory
+from tinrudder.gateway.store.store_revision import StoreRevision
 from tinrudder.gateway.store.stored_values import StoredValue
+from tinrudder.gateway.store.topic_history import TopicHistory
 
 Words = tuple[Word, ...]
 """Of one key, in the order of their epochs; one each."""
--- a/tinrudder/gateway/store/shared_state.py
+++ b/tinrudder/gateway/store/shared_state.py
@@ -22,12 +22,7 @@
 from tinrudder.gateway.store.epoch_merge import EpochMerge
 from tinrudder.gateway.store.epoch_rules import WRITTEN_AGAIN_S
 from tinrudder.gateway.store.evacuations import STORE, Evacuations
-from tinrudder.gateway.store.store_revision import (
-    NO_REVISION,
-    StoreRevision,
-    TopicHistory,
-    TopicPosition,
-)
+from tinrudder.gateway.store.store_revision import NO_REVISION, StoreRevision, TopicPosition
 from tinrudder.gateway.store.stored_values import (
     ConfigurationKey,
     EvacuationKey,
@@ -37,6 +32,7 @@
     UnreadableValueError,
     ValueDecoders,
 )
+from tinrudder.gateway.store.topic_history import TopicHistory
 
 
 class SharedState:
--- a/tinrudder/gateway/store/store_follower.py
+++ b/tinrudder/gateway/store/store_follower.py
@@ -72,6 +72,7 @@
 class FollowerParts(Struct, frozen=True):
     """What the followers of all topics rely on.
 
+    :param store: is read and watched; ``state`` takes what it says.
     :param status: takes note whether the store answers.
     :param readers: tells whether this gateway follows the store at all.
     :param nodes: tells how many gateways teach each other.
@@ -83,7 +84,7 @@
     status: StoreStatus
     readers: StoreReaders
     nodes: Callable[[], int]
-    random: random.Random
+    random_source: random.Random
     on_complete_read: CompleteReadListener
 
 
@@ -98,7 +99,7 @@
         self._status = parts.status
         self._readers = parts.readers
         self._nodes = parts.nodes
-        self._random = parts.random
+        self._random = parts.random_source
         self._on_complete_read = parts.on_complete_read
         self._revision: StoreRevision | None = None
         self._must_reread = False
@@ -142,6 +143,7 @@
         if reading is None or reading.revision.epoch != self._revision.epoch:
             # The number asked for means another change in that epoch: what was told may not be all.
             self._forget_place()
+            await self._rest_before_reread()
             return
         self._reread_s = 0.0
         self._revision = max(self._revision, reading.revision)
@@ -214,10 +216,11 @@
         return None if is_over else revision
 
     async def _rest_before_reread(self) -> None:
-        """Rest before everything is read again, unless this is the first watch refused in a row.
+        """Rest before everything is read again, unless this is the first useless watch in a row.
 
-        A store may refuse the watch that follows a whole read too, and both are answered within
-        milliseconds: without rest, one gateway called it 500 times a second.
+        A store may refuse the watch that follows a whole read too, or answer it from another epoch,
+        and both are answered within milliseconds: without rest, one gateway called it 500 times a
+        second.
         """
         if self._reread_s:
             await asyncio.sleep(self._readers.retry_pause_s(self._reread_s))
--- a/tinrudder/platform/store_client.py
+++ b/tinrudder/platform/store_client.py
@@ -48,8 +48,8 @@
 """For each topic: a watch holds one for seconds, during which a read may be needed."""
 OK = 200
 """HTTP status of an answer that is one."""
-MAX_EPOCH = 2**31 - 1
-"""Largest epoch that is believed. Chosen: one that rises with each restoration stays far below."""
+MAX_EPOCH_DIGITS = 9
+"""Longer epochs are not believed. Chosen: one that rises with each restoration stays far below."""
 HISTORY_FORGOTTEN = 410
 """HTTP status of a watch from before what the store remembers; everything must be read anew."""
 
@@ -163,7 +163,7 @@
     (3, 0, 0)
     """
     told = header_value(headers, STORE_EPOCH) or b""
-    return int(told) if told.isdigit() and int(told) <= MAX_EPOCH else 0
+    return int(told) if told.isdigit() and len(told) <= MAX_EPOCH_DIGITS else 0
 
 
 def _value(raw: msgspec.Raw, epoch: int) -> StoredValue:
