--- a/tinrudder_lab/soak/run.py
+++ b/tinrudder_lab/soak/run.py
@@ -104,11 +104,32 @@
     """Drive traffic and faults, let everything heal, and check."""
     await site.start()
     await asyncio.sleep(START_S)
+    memory = asyncio.create_task(watch_memory(site))
+    told, slow_readers = await _disturb(site, seconds, spans)
+    await asyncio.sleep(SETTLE_S)
+    served_after = await _served_calmly(site)
+    memory.cancel()
+    statuses = Counter(str(result.status) for result in site.ledger.results)
+    return SoakResult(
+        site.seed,
+        seconds,
+        len(site.ledger.results),
+        dict(statuses),
+        served_after,
+        told,
+        _broken(site, served_after),
+        len(site.ledger.ended),
+        slow_readers,
+        site.peak_mb,
+    )
+
+
+async def _disturb(site: ProcessSite, seconds: float, spans: SoakSpans) -> tuple[list[str], int]:
+    """Drive traffic and faults; return what was done, and how many clients read slowly."""
     told: list[str] = []
     faults = asyncio.create_task(_inject(site, seconds, told))
     changes = asyncio.create_task(change_entries(site, spans.entries))
     restores = asyncio.create_task(restore_again_and_again(site, spans.restores))
-    memory = asyncio.create_task(watch_memory(site))
     *_, slow_readers = await asyncio.gather(
         site.traffic(seconds, REQUESTS_PER_SECOND, ROUTES),
         ask_too_much(site, seconds),
@@ -120,12 +141,19 @@
     told.extend(await changes)
     told.extend(await restores)
     await faults
-    await asyncio.sleep(SETTLE_S)
+    return told, slow_readers
+
+
+async def _served_calmly(site: ProcessSite) -> float:
+    """Send requests once every fault has healed; return the share that was served."""
     before = len(site.ledger.results)
     await site.traffic(3.0, REQUESTS_PER_SECOND, ROUTES)
     after = site.ledger.results[before:]
-    served_after = sum(1 for result in after if result.status == 200) / max(1, len(after))
-    memory.cancel()
+    return sum(1 for result in after if result.status == 200) / max(1, len(after))
+
+
+def _broken(site: ProcessSite, served_after: float) -> list[str]:
+    """Return everything that must not have happened."""
     texts = site.broken_promises()
     texts.extend(site.problems)
     texts.extend(site.ended_by_themselves())
@@ -133,19 +161,7 @@
     texts.extend(over_memory(site))
     if served_after < MINIMUM_SERVED_AFTER:
         texts.append(f"recovery: {served_after:.3f} served after everything had healed")
-    statuses = Counter(str(result.status) for result in site.ledger.results)
-    return SoakResult(
-        site.seed,
-        seconds,
-        len(site.ledger.results),
-        dict(statuses),
-        served_after,
-        told,
-        texts,
-        len(site.ledger.ended),
-        slow_readers,
-        site.peak_mb,
-    )
+    return texts
 
 
 async def ask_poison(site: ProcessSite, seconds: float) -> None:
