--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextvars
+import inspect
 import random
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
@@ -513,6 +514,11 @@
     }
 
 
+def _has_not_begun(coroutine: Coroutine[Any, Any, Any]) -> bool:
+    """Tell whether a coroutine was made in the very moment in which a run ended."""
+    return inspect.getcoroutinestate(coroutine) == inspect.CORO_CREATED
+
+
 def run_site(
     scenario: Callable[[EmulatedSite], Coroutine[Any, Any, Result]], **options: Any
 ) -> Result:
@@ -532,5 +538,8 @@
         for task in asyncio.all_tasks(loop):
             # Gateways run until they are told to stop; that they are still there is no mistake.
             task._log_destroy_pending = False  # type: ignore[attr-defined]
+            coroutine = task.get_coro()
+            if inspect.iscoroutine(coroutine) and _has_not_begun(coroutine):
+                coroutine.close()
         asyncio.set_event_loop(None)
         loop.close()
