Tests close the servers and connections that they open

What developers saw: `make test` red on arm64 with Python 3.11.6, the same 4 of 1,569 tests alone and beside other work, each with `StreamWriter.__del__` raising `RuntimeError: Event loop is closed`, blamed on tests that had opened nothing (test_soak, test_zone_cut, test_node_configuration).

Cause: stand-in servers of test_upstream_pool, test_link_proxy, test_connection_pool and the soak's proxy left handlers waiting when their event loop ended. Their stream writers were garbage-collected later, in another test of the same worker; this Python's writer closes itself then, on the closed loop.

Ruled out: the product (no writer of its own was named) and load.

The check on unraisable exceptions is unchanged.

--- a/tests/functional/common/test_peer_transport.py
+++ b/tests/functional/common/test_peer_transport.py
@@ -414,7 +414,7 @@
                 await client.request(proxied, b"lost", 1.0)
             answer = await client.request(proxied, b"second", 1.0)
             await client.close()
-            link.close()
+            await link.close()
             return answer, len(handler.started)
 
     assert asyncio.run(scenario()) == (b"second", 2)
--- a/tests/functional/gateway/test_upstream_pool.py
+++ b/tests/functional/gateway/test_upstream_pool.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 
 import pytest
 
+from tests.support.loopback_server import loopback_server
 from tinrudder.common.address import Address
 from tinrudder.gateway.backends import upstream_pool
 from tinrudder.gateway.backends.upstream_connection import accept_any_answer
@@ -46,9 +49,13 @@
         self.opened = 0
         self.served = 0
 
-    async def start(self) -> Address:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return Address(*server.sockets[0].getsockname()[:2])
+    @contextlib.asynccontextmanager
+    async def pool(self) -> AsyncIterator[UpstreamPool]:
+        """Serve, and open a pool of connections to this server."""
+        async with loopback_server(self._serve) as address:
+            pool = UpstreamPool(address, accept_any_answer, lambda: None)
+            yield pool
+            pool.close()
 
     def go_silent(self) -> None:
         """Stop answering on the connections that are open; new connections still work."""
@@ -89,12 +96,12 @@
 
     async def run() -> FakeServer:
         server = FakeServer()
-        pool = UpstreamPool(await server.start(), accept_any_answer, lambda: None)
-        pool.max_connections = most
-        assert isinstance(await call(pool, repeatable=True), Answered)
-        server.go_silent()
-        assert isinstance(await call(pool, repeatable=False), Answered)
-        assert pool.connections <= most
+        async with server.pool() as pool:
+            pool.max_connections = most
+            assert isinstance(await call(pool, repeatable=True), Answered)
+            server.go_silent()
+            assert isinstance(await call(pool, repeatable=False), Answered)
+            assert pool.connections <= most
         return server
 
     server = asyncio.run(run())
@@ -105,9 +112,9 @@
 def test_a_repeatable_call_uses_an_open_connection() -> None:
     async def run() -> FakeServer:
         server = FakeServer()
-        pool = UpstreamPool(await server.start(), accept_any_answer, lambda: None)
-        for _ in range(5):
-            assert isinstance(await call(pool, repeatable=True), Answered)
+        async with server.pool() as pool:
+            for _ in range(5):
+                assert isinstance(await call(pool, repeatable=True), Answered)
         return server
 
     assert asyncio.run(run()).opened == 1
@@ -118,9 +125,9 @@
 
     async def run() -> FakeServer:
         server = FakeServer()
-        pool = UpstreamPool(await server.start(), accept_any_answer, lambda: None)
-        for _ in range(5):
-            assert isinstance(await call(pool, repeatable=False), Answered)
+        async with server.pool() as pool:
+            for _ in range(5):
+                assert isinstance(await call(pool, repeatable=False), Answered)
         return server
 
     assert asyncio.run(run()).opened == 1
@@ -171,25 +178,25 @@
 def test_a_large_body_waits_until_bodies_in_flight_leave_room() -> None:
     async def run() -> None:
         server = HoldingServer()
-        pool = UpstreamPool(await server.start(), accept_any_answer, lambda: None)
-        pool.max_connections = 8
-        pool.max_body_bytes = 250.0
-        calls = LargeCalls(pool)
-        first, *_ = [calls.start(f"large-{number}", 100) for number in range(4)]
-        calls.start("small", 0)
-        await calls.until_sent(3)
-        assert sorted(calls.sent) == ["large-0", "large-1", "small"]
-        pool.cancel(first)
-        await calls.until_sent(4)
-        assert calls.sent[3] == "large-2"
-        server.answers.set()
-        await calls.until_sent(5)
-        assert calls.sent[4] == "large-3"
-        async with asyncio.timeout(5.0):
-            while len(calls.ended) < 4:
-                await asyncio.sleep(0.001)
-        assert pool._body_bytes == 0
-        calls.start("larger than all room", 300)
-        await calls.until_sent(6)
+        async with server.pool() as pool:
+            pool.max_connections = 8
+            pool.max_body_bytes = 250.0
+            calls = LargeCalls(pool)
+            first, *_ = [calls.start(f"large-{number}", 100) for number in range(4)]
+            calls.start("small", 0)
+            await calls.until_sent(3)
+            assert sorted(calls.sent) == ["large-0", "large-1", "small"]
+            pool.cancel(first)
+            await calls.until_sent(4)
+            assert calls.sent[3] == "large-2"
+            server.answers.set()
+            await calls.until_sent(5)
+            assert calls.sent[4] == "large-3"
+            async with asyncio.timeout(5.0):
+                while len(calls.ended) < 4:
+                    await asyncio.sleep(0.001)
+            assert pool._body_bytes == 0
+            calls.start("larger than all room", 300)
+            await calls.until_sent(6)
 
     asyncio.run(run())
--- a/tests/functional/lab/test_link_proxy.py
+++ b/tests/functional/lab/test_link_proxy.py
@@ -7,10 +7,10 @@
 
 import pytest
 
+from tests.support.loopback_server import HOST, loopback_server
 from tinrudder.common.address import Address
 from tinrudder_lab.soak.proxy import LinkMode, LinkProxy
 
-HOST = "127.0.0.1"
 Check = Callable[[LinkProxy, Address, list[bytes]], Awaitable[None]]
 
 
@@ -22,17 +22,14 @@
             while data := await reader.read(100):
                 received.append(data)
                 writer.write(data)
-            writer.close()
-
-        server = await asyncio.start_server(echo, HOST, 0)
-        target = Address(HOST, server.sockets[0].getsockname()[1])
-        link = LinkProxy(target)
-        await link.listen(Address(HOST, 0))
-        assert link._server is not None
-        address = Address(HOST, link._server.sockets[0].getsockname()[1])
-        await check(link, address, received)
-        link.close()
-        server.close()
+
+        async with loopback_server(echo) as target:
+            link = LinkProxy(target)
+            await link.listen(Address(HOST, 0))
+            assert link._server is not None
+            address = Address(HOST, link._server.sockets[0].getsockname()[1])
+            await check(link, address, received)
+            await link.close()
 
     asyncio.run(run())
 
--- a/tests/functional/node/test_connection_pool.py
+++ b/tests/functional/node/test_connection_pool.py
@@ -13,6 +13,7 @@
 import trustme
 
 from tests.functional.node.test_backend_http import HOST, call_to, exchange, with_backend
+from tests.support.loopback_server import loopback_server
 from tinrudder.node.backends import connection_pool
 from tinrudder.node.backends.connection import READ_BUFFER_BYTES
 from tinrudder.node.backends.http_transport import HttpBackendTransport
@@ -113,16 +114,13 @@
                     break
                 body = b'{"call_id":1,"version":1,"shards":[]}'
                 writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-            writer.close()
 
-        server = await asyncio.start_server(answer_once, HOST, 0)
-        port = server.sockets[0].getsockname()[1]
-        transport = HttpBackendTransport()
-        assert isinstance(await exchange(transport, call_to(port)), Answered)
-        assert isinstance(await exchange(transport, call_to(port)), Broken)
-        assert answers == 2
-        await transport.close()
-        server.close()
+        async with loopback_server(answer_once) as address:
+            transport = HttpBackendTransport()
+            assert isinstance(await exchange(transport, call_to(address.port)), Answered)
+            assert isinstance(await exchange(transport, call_to(address.port)), Broken)
+            assert answers == 2
+            await transport.close()
 
     asyncio.run(scenario())
 
@@ -166,22 +164,23 @@
             writer.write(b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
 
     async def scenario(context: ssl.SSLContext | None) -> None:
-        server = await asyncio.start_server(answer, HOST, 0, ssl=context)
-        port = server.sockets[0].getsockname()[1]
-        transport = HttpBackendTransport(TrustedContexts(authority))
-        for _ in range(2):
-            call = call_to(port)
-            call.tls = context is not None
-            reply = await exchange(transport, call)
-            assert isinstance(reply, Answered)
-            assert filler.encode() in bytes(reply.answer.shards[0].rows[0].payload)
-        assert transport.connections(HOST, port) == 1
-        monkeypatch.setattr(connection_pool, "CONNECT_TIMEOUT_S", 0.02 if context is None else 1.0)
-        wrong = call_to(port)
-        wrong.tls = context is None
-        assert isinstance(await exchange(transport, wrong), NotSent if wrong.tls else Broken)
-        await transport.close()
-        server.close()
+        async with loopback_server(answer, context) as address:
+            port = address.port
+            transport = HttpBackendTransport(TrustedContexts(authority))
+            for _ in range(2):
+                call = call_to(port)
+                call.tls = context is not None
+                reply = await exchange(transport, call)
+                assert isinstance(reply, Answered)
+                assert filler.encode() in bytes(reply.answer.shards[0].rows[0].payload)
+            assert transport.connections(HOST, port) == 1
+            monkeypatch.setattr(
+                connection_pool, "CONNECT_TIMEOUT_S", 0.02 if context is None else 1.0
+            )
+            wrong = call_to(port)
+            wrong.tls = context is None
+            assert isinstance(await exchange(transport, wrong), NotSent if wrong.tls else Broken)
+            await transport.close()
 
     asyncio.run(scenario(listening))
     asyncio.run(scenario(None))
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -138,7 +138,7 @@
         """End every process that this soak started, and close all sockets."""
         await self.processes.kill_all()
         for link in self.links.values():
-            link.close()
+            await link.close()
         for backend in self.backends.values():
             backend.stop()
         self.store.close()
--- a/tinrudder_lab/soak/proxy.py
+++ b/tinrudder_lab/soak/proxy.py
@@ -37,6 +37,7 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         # Connections of an earlier generation forward nothing any more.
         self._generation = 0
 
@@ -55,15 +56,33 @@
         """Drop all further bytes of the connections that are open now; new connections work."""
         self._generation += 1
 
-    def close(self) -> None:
+    async def close(self) -> None:
         """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
+        running = tuple(self._tasks)
+        for task in running:
+            task.cancel()
+        await asyncio.gather(*running)
         for writer in tuple(self._writers):
             writer.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        """Forward one connection."""
+        """Forward one connection until it ends or the proxy is closed."""
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            # asyncio's own callback of this task does not expect a cancellation.
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._forward_connection(reader, writer)
+        finally:
+            self._tasks.discard(task)
+
+    async def _forward_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Connect to the target and forward in both directions."""
         if self.mode is LinkMode.RESETTING:
             _reset(writer)
             return
