--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextvars
+import enum
 import inspect
 import random
 from collections.abc import Callable, Coroutine
@@ -56,10 +57,21 @@
 """Seconds after an evacuation is written in which calls may still reach the zone."""
 GRACE_S = 6.0
 ZONES = ("zone-a", "zone-b")
+HOSTS_PER_SUBNET = 250
 
 Result = TypeVar("Result")
 
 
+class AddressBlock(enum.IntEnum):
+    """The addresses of one kind of machine."""
+
+    GATEWAYS = 1
+    BACKENDS = 128
+    BACKEND_PROXIES = 160
+    STORE = 200
+    STORE_PROXIES = 201
+
+
 @dataclass
 class EmulatedNode:
     """One machine with its gateway process."""
@@ -67,14 +79,9 @@
     name: str
     index: int
     machine: Machine
-    network: int
+    host: str
     gateway: Gateway | None = None
 
-    @property
-    def host(self) -> str:
-        """Return the machine's IP address."""
-        return f"{self.network}.1.0.{self.index + 1}"
-
     @property
     def store_port(self) -> int:
         """Return the port at which this machine reaches the store."""
@@ -113,7 +120,6 @@
     :param spread: place the copies of a shard in successive zones from the shard's own number on,
         so that every zone lacks some shards; otherwise the copies of all shards are in the same
         first zones.
-    :param network: first octet of every address.
     :param work_s: median time for which a request holds a slot of a back end.
     :param cold_calls_per_s: configured rate limit of a cold back end.
     :param tenants: tenants of the configuration, with their keys.
@@ -124,7 +130,6 @@
 
     loop: asyncio.AbstractEventLoop
     seed: int = 1
-    network: int = 10
     node_count: int = 3
     shards: int = 8
     copies: int = 2
@@ -152,11 +157,12 @@
     async def start(self) -> None:
         """Start the store, the back ends and the gateways, and give them 2 s to become ready."""
         self.random = random.Random(self.seed)
-        self.store = EmulatedStore(f"{self.network}.200.0.1")
+        self.store = EmulatedStore(self.host(AddressBlock.STORE, 0))
         for index in range(self.node_count):
             name = f"gateway-{index}"
             machine = Machine(name, self.zones[index % len(self.zones)], "region")
-            self.nodes.append(EmulatedNode(name, index, machine, self.network))
+            host = self.host(AddressBlock.GATEWAYS, index)
+            self.nodes.append(EmulatedNode(name, index, machine, host))
         for node in self.nodes:
             await self.store.listen(node.store_port)
         for number, shard in enumerate(self.shard_services):
@@ -189,7 +195,11 @@
         """Return an IP address that no back end has used."""
         number = self.backends_added
         self.backends_added += 1
-        return f"{self.network}.128.{number // 250}.{number % 250 + 1}"
+        return self.host(AddressBlock.BACKENDS, number)
+
+    def host(self, block: AddressBlock, number: int) -> str:
+        """Return the IP address of one of the machines in a block."""
+        return f"10.{block}.{number // HOSTS_PER_SUBNET}.{number % HOSTS_PER_SUBNET + 1}"
 
     def unix_ms(self) -> int:
         """Return the virtual time of day, Unix milliseconds."""
--- a/tinrudder_lab/processes.py
+++ b/tinrudder_lab/processes.py
@@ -9,6 +9,7 @@
 import asyncio
 import signal
 import sys
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -33,10 +34,23 @@
 
     async def start(self, name: str, module: str, *arguments: str) -> None:
         """Run ``python -m module`` with its output in its log file."""
-        command = (sys.executable, "-m", module, *arguments)
+        await self.start_command(name, (sys.executable, "-m", module, *arguments))
+
+    async def start_command(
+        self,
+        name: str,
+        command: tuple[str, ...],
+        environment: Mapping[str, str] | None = None,
+        prepare: Callable[[], None] | None = None,
+    ) -> None:
+        """Run a command with its output in its log file.
+
+        :param environment: the variables of the process; ``None``: those of this one.
+        :param prepare: called in the new process before the command runs.
+        """
         with self.log_of(name).open("ab") as log:
             self._processes[name] = await asyncio.create_subprocess_exec(
-                *command, stdout=log, stderr=log
+                *command, stdout=log, stderr=log, env=environment, preexec_fn=prepare
             )
 
     def pid_of(self, name: str) -> int | None:
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -4,13 +4,17 @@
 
 import asyncio
 import contextlib
+import os
 import signal
-from collections.abc import AsyncIterator
+import sys
+import tomllib
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 
 from tinrudder.common.address import Address
 from tinrudder.gateway.model.configuration import QuotaBounds
+from tinrudder.platform.settings_file import SETTINGS_VARIABLE
 from tinrudder_lab.emulator.records import Disturbance
 from tinrudder_lab.emulator.site import (
     BACKEND_PORT,
@@ -20,15 +24,18 @@
     HEALTH_PORT,
     PEER_PORT,
     REPEATS,
+    AddressBlock,
     EmulatedNode,
     EmulatedSite,
 )
 from tinrudder_lab.processes import ProcessGroup
+from tinrudder_lab.soak.loopback_network import LoopbackNetwork, reserve_network
 from tinrudder_lab.soak.proxy import LinkProxy
 
-LOOPBACK = 127
-STORE_PROXY_HOST = "127.201.0.1"
 MS_PER_SECOND = 1000
+ROOT = Path(__file__).parents[2]
+DEPLOY_FILE = ROOT / "deploy" / "system.toml"
+PASSED_VARIABLES = ("PATH", "HOME", "LANG")
 START_TIMEOUT_S = 20.0
 POLL_INTERVAL_S = 0.02
 STOP_TIMEOUT_S = GRACE_S + 4.0
@@ -38,6 +45,20 @@
 """Memory limit in a gateway's settings, megabytes: the smallest setting in use."""
 
 
+def _deployed_command() -> tuple[str, ...]:
+    """Return the command that the deploy file runs on each machine, with this interpreter."""
+    deployment = tomllib.loads(DEPLOY_FILE.read_text())
+    (role,) = deployment["roles"].values()
+    _, *arguments = role["run"].split(" ")
+    return (sys.executable, *arguments)
+
+
+def _environment(settings: Path) -> dict[str, str]:
+    """Return the variables that a deployed process gets."""
+    passed = {name: os.environ[name] for name in PASSED_VARIABLES if name in os.environ}
+    return {**passed, "PYTHONPATH": str(ROOT), SETTINGS_VARIABLE: str(settings)}
+
+
 def version_route(version: int) -> str:
     """Return the name of the route that exists only in this version of the configuration."""
     return f"version-{version}"
@@ -48,18 +69,23 @@
     """Gateways run as processes; store and back ends run in this process, behind proxies.
 
     :param folder: directory for settings files and logs.
+    :param network: the loopback addresses of this site.
     :param problems: failures that fault injection found, beyond what clients and back ends see.
     :param peak_mb: highest memory use of any gateway's process, megabytes.
+    :param memory_mb: memory limit in the gateways' settings, megabytes.
+    :param prepare_process: called in each new process of a gateway before its program runs.
     :param versions: time at which each version of the configuration was written.
     """
 
     folder: Path = field(default_factory=Path)
-    network: int = LOOPBACK
+    network: LoopbackNetwork = field(default_factory=reserve_network)
     links: dict[str, LinkProxy] = field(default_factory=dict)
     processes: ProcessGroup = field(init=False)
     problems: list[str] = field(default_factory=list)
     peak_mb: float = 0.0
     versions: dict[int, float] = field(default_factory=dict)
+    memory_mb: float = MEMORY_MB
+    prepare_process: Callable[[], None] | None = None
     _locks: dict[str, asyncio.Lock] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
@@ -68,10 +94,25 @@
 
     async def expose_backend(self, backend_id: str, address: Address) -> Address:
         """Start a proxy in front of a back end; return the proxy's address."""
-        proxied = Address(address.host.replace("127.128.", "127.129."), BACKEND_PORT)
+        proxied = Address(self._proxy_host(address.host), BACKEND_PORT)
         await self._add_link(backend_id, address, proxied)
         return proxied
 
+    def host(self, block: AddressBlock, number: int) -> str:
+        """Return an IP address in this site's own network."""
+        return self.network.host(block, number)
+
+    def _proxy_host(self, backend_host: str) -> str:
+        """Return the address of the proxy in front of a back end."""
+        return self.network.host_beside(
+            backend_host, AddressBlock.BACKENDS, AddressBlock.BACKEND_PROXIES
+        )
+
+    @property
+    def _store_proxy_host(self) -> str:
+        """Return the address at which gateways reach the store."""
+        return self.host(AddressBlock.STORE_PROXIES, 0)
+
     def start_node(self, node: EmulatedNode) -> None:
         """Start or restart a gateway's process."""
         self.loop.create_task(self.launch(node))
@@ -87,8 +128,9 @@
         settings.write_text(self._settings_text(node))
         log = self.processes.log_of(node.name)
         before = log.stat().st_size if log.exists() else 0
-        arguments = ("--settings", str(settings))
-        await self.processes.start(node.name, "tinrudder.cli.gateway_process", *arguments)
+        await self.processes.start_command(
+            node.name, _deployed_command(), _environment(settings), self.prepare_process
+        )
         await self._wait_for_first_line(node, log, before)
 
     async def _wait_for_first_line(self, node: EmulatedNode, path: Path, before: int) -> None:
@@ -139,6 +181,7 @@
         await self.processes.kill_all()
         for link in self.links.values():
             await link.close()
+        self.network.release()
         for backend in self.backends.values():
             backend.stop()
         self.store.close()
@@ -151,7 +194,9 @@
         """Start the proxy between a gateway and the store, unless it runs already."""
         if node.name not in self.links:
             target = Address(self.store.host, node.store_port)
-            await self._add_link(node.name, target, Address(STORE_PROXY_HOST, node.store_port))
+            await self._add_link(
+                node.name, target, Address(self._store_proxy_host, node.store_port)
+            )
 
     async def _add_link(self, name: str, target: Address, address: Address) -> None:
         link = LinkProxy(target)
@@ -169,7 +214,7 @@
 ready = "{node.host}:{HEALTH_PORT}"
 control = "{node.host}:{PEER_PORT}"
 [platform]
-addr = "{STORE_PROXY_HOST}:{node.store_port}"
+addr = "{self._store_proxy_host}:{node.store_port}"
 [bounds]
 drain_ms = {DRAIN_S * MS_PER_SECOND}
 grace_s = {GRACE_S}
@@ -182,5 +227,5 @@
 quota_excess = {QUOTAS.excess}
 quota_slack = {QUOTAS.slack}
 [limits]
-memory_mb = {MEMORY_MB}
+memory_mb = {self.memory_mb}
 """
--- a/tinrudder_lab/soak/proxy.py
+++ b/tinrudder_lab/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A loopback proxy that delays, resets or silences connections, or drops one direction."""
+"""A loopback proxy that delays, resets or silences connections, drops one direction, or answers."""
 
 from __future__ import annotations
 
@@ -9,6 +9,7 @@
 import struct
 
 from tinrudder.common.address import Address
+from tinrudder_lab.emulator.endless_answers import EndlessAnswer
 
 CHUNK_BYTES = 65536
 SLOW_S = 0.15
@@ -34,6 +35,7 @@
     def __init__(self, target: Address) -> None:
         """Forward connections to ``target``."""
         self.mode = LinkMode.PASSING
+        self._endless_answer: EndlessAnswer | None = None
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -52,6 +54,12 @@
             for writer in tuple(self._writers):
                 _reset(writer)
 
+    def answer_endlessly(self, answer: EndlessAnswer | None) -> None:
+        """Answer every further request endlessly in place of the target; ``None`` ends that."""
+        self._endless_answer = answer
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
     def silence_open_connections(self) -> None:
         """Drop all further bytes of the connections that are open now; new connections work."""
         self._generation += 1
@@ -75,7 +83,10 @@
         try:
             # asyncio's own callback of this task does not expect a cancellation.
             with contextlib.suppress(asyncio.CancelledError):
-                await self._forward_connection(reader, writer)
+                if self._endless_answer is None:
+                    await self._forward_connection(reader, writer)
+                else:
+                    await self._write_endlessly(self._endless_answer, reader, writer)
         finally:
             self._tasks.discard(task)
 
@@ -102,6 +113,21 @@
         )
         self._writers -= {writer, target_writer}
 
+    async def _write_endlessly(
+        self, answer: EndlessAnswer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer a request until the caller closes."""
+        self._writers.add(writer)
+        with contextlib.suppress(OSError):
+            await reader.read(CHUNK_BYTES)
+            writer.write(answer.first)
+            while not writer.is_closing():
+                writer.write(answer.block)
+                await writer.drain()
+                await asyncio.sleep(0)
+        self._writers.discard(writer)
+        writer.close()
+
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, *, answers: bool
     ) -> None:
