Listening is a state of a gateway that is regained, and its tasks are supervised

What callers saw: a gateway whose front, readiness, control or metrics address was in use when it started ended with exit code 1 and a traceback; so did each of its restarts for as long as that lasted. A long-lived task that raised ended unseen, and the gateway served on without it.

Cause: starting was a list of calls, each of which had to succeed.

Ruled out: environment (no HOME, LANG, passwd entry), output to nowhere, address space, few descriptors (drills in docs/incidents/processes-that-end.md): no exit.

Why it works: listeners are opened in order (peers, clients, readiness), none before all earlier ones are its own, so no half-open gateway answers; whatever is unavailable is logged with its address, counted, and tried again each 0.2 s by a supervised task. The supervisor restarts every long-lived task after 0.1 to 5 s, also after a cancellation that nobody asked it for.

--- a/tinrudder/cli/gateway.py
+++ b/tinrudder/cli/gateway.py
@@ -11,6 +11,7 @@
 import os
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 
 from tinrudder.cli.exit_codes import ExitCode
@@ -96,10 +97,9 @@
     loop.add_signal_handler(signal.SIGTERM, gateway.request_stop)
     loop.add_signal_handler(signal.SIGINT, gateway.request_stop)
     loop.add_signal_handler(signal.SIGHUP, _reload, gateway, path)
-    settings_poller = loop.create_task(_poll_settings_file(gateway, path, modified_ns))
+    gateway.supervisor.start("settings", partial(_poll_settings_file, gateway, path, modified_ns))
     tune_garbage_collection()
     await gateway.run()
-    settings_poller.cancel()
 
 
 def _reload(gateway: Gateway, path: Path) -> None:
--- a/tinrudder/common/logs.py
+++ b/tinrudder/common/logs.py
@@ -59,6 +59,13 @@
     absl_logging.get_absl_logger().info(event, extra={"fields": dict(fields or {})})
 
 
-def log_problem(event: str, fields: Mapping[str, LogValue] | None = None) -> None:
-    """Log an event that an operator should look at, with its fields, at level WARNING."""
-    absl_logging.get_absl_logger().warning(event, extra={"fields": dict(fields or {})})
+def log_problem(
+    event: str, fields: Mapping[str, LogValue] | None = None, error: BaseException | None = None
+) -> None:
+    """Log an event that an operator should look at, with its fields, at level WARNING.
+
+    :param error: an unexpected error, whose traceback is added to the line.
+    """
+    absl_logging.get_absl_logger().warning(
+        event, exc_info=error, extra={"fields": dict(fields or {})}
+    )
--- a/tinrudder/gateway/gateway.py
+++ b/tinrudder/gateway/gateway.py
@@ -9,11 +9,14 @@
 import asyncio
 import contextlib
 import socket
-from functools import cached_property
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Coroutine
+from functools import cached_property, partial
+from typing import TYPE_CHECKING, Any
 
 from tinrudder.common.address import Address
+from tinrudder.common.listening import Listener, Listeners
 from tinrudder.common.logs import log_event
+from tinrudder.common.supervisor import Supervisor
 from tinrudder.gateway.clients.client_connection import ClientConnection, HttpRequestHandler
 from tinrudder.gateway.clients.plain_answers import (
     FixedAnswerHandler,
@@ -51,6 +54,9 @@
 LISTEN_BACKLOG = 1024
 """Connections that the kernel may queue for ``accept``: it must not drop the attempts that clients
 make while the process is paused for a second."""
+LISTENING = "listen"
+METRICS_LISTENING = "listen for metrics"
+"""Names of the tasks that retry to listen."""
 SEND_BUFFER_BYTES = 128 * 1024
 """Send buffer of each client connection in bytes, which the kernel doubles for its bookkeeping.
 With its default size, the kernel held 3 to 3.9 MB for one client that read 1 KB a second over
@@ -86,11 +92,13 @@
         self._peer_exchange = parts.peer_exchange
         self._loop = asyncio.get_running_loop()
         self._metrics_address = metrics_address
+        self.supervisor = Supervisor()
         self._stop_requested = asyncio.Event()
         self._connections: set[ClientConnection] = set()
         self._servers: list[asyncio.Server] = []
-        self._tasks: list[asyncio.Task[None]] = []
         self._logged_version = 0
+        self.listeners = Listeners(self._required_listeners(), self._become_ready)
+        self._metrics_listeners = Listeners(self._optional_listeners(), lambda: None)
         self.knowledge.state.subscribe(self._on_state_change)
 
     def nodes(self) -> int:
@@ -112,42 +120,70 @@
         log_event("reloaded", {"seeds": len(settings.seeds)})
 
     async def run(self) -> None:
-        """Serve until a stop is requested, then finish the requests in progress.
-
-        :raises OSError: an address in the settings is already in use.
-        """
+        """Serve until a stop is requested, then finish the requests in progress."""
         await self._start()
         await self._stop_requested.wait()
         await self._stop()
 
     async def _start(self) -> None:
-        """Listen on every address and start the background tasks."""
+        """Listen on every available address and start the background tasks."""
+        for listeners in (self.listeners, self._metrics_listeners):
+            await listeners.open_available()
+        tasks: dict[str, Callable[[], Coroutine[Any, Any, None]]] = {}
+        if self._peer_exchange is not None:
+            tasks["digests"] = self._peer_exchange.run
+        tasks |= {
+            **{f"follow {one.topic.value}": one.run for one in self.store.followers},
+            "housekeeping": self._run_housekeeping,
+            "staleness": self.store.staleness_keeper.run,
+            "zones": self.fleet.zone_monitor.run,
+            "poison": self.backends.poison_watch.run,
+            LISTENING: self.listeners.open_remaining,
+            METRICS_LISTENING: self._metrics_listeners.open_remaining,
+        }
+        for name, run in tasks.items():
+            self.supervisor.start(name, run)
+        fields = {"clients": str(self.settings.clients), "zone": self.settings.zone}
+        log_event("started", fields)
+
+    def _required_listeners(self) -> list[Listener]:
+        """Return the listeners without which this gateway is not ready.
+
+        Readiness is last: whoever asks for it gets an answer only once clients are served.
+        """
         settings = self.settings
         ready = FixedAnswerHandler(lambda: readiness_answer(self.is_ready()))
-        await self._listen(settings.health, ready, set())
-        await self._listen(settings.clients, self.requests.handler, self._connections)
-        if self._metrics_address is not None:
-            await self._listen(
-                self._metrics_address, FixedAnswerHandler(self._metrics_answer), set()
-            )
-        if self._peer_exchange is not None:
-            await self._peer_exchange.start()
-        coroutines = (
-            *(follower.run() for follower in self.store.followers),
-            self._run_housekeeping(),
-            self.store.staleness_keeper.run(),
-            self.fleet.zone_monitor.run(),
-            self.backends.poison_watch.run(),
-        )
-        self._tasks = [self._loop.create_task(coroutine) for coroutine in coroutines]
-        log_event("started", {"clients": str(settings.clients), "zone": settings.zone})
+        listeners = [
+            self._listener("clients", settings.clients, self.requests.handler, self._connections),
+            self._listener("health", settings.health, ready, set()),
+        ]
+        if self._peer_exchange is not None and settings.peers is not None:
+            listeners.insert(0, Listener("peers", settings.peers, self._peer_exchange.start))
+        return listeners
+
+    def _optional_listeners(self) -> list[Listener]:
+        """Return the listener for scrapes, if there is to be one."""
+        if self._metrics_address is None:
+            return []
+        handler = FixedAnswerHandler(self._metrics_answer)
+        return [self._listener("metrics", self._metrics_address, handler, set())]
+
+    def _listener(
+        self,
+        name: str,
+        address: Address,
+        handler: HttpRequestHandler,
+        connections: set[ClientConnection],
+    ) -> Listener:
+        """Return a listener whose connections are passed to ``handler``."""
+        return Listener(name, address, partial(self._listen, address, handler, connections))
 
     async def _listen(
         self, address: Address, handler: HttpRequestHandler, connections: set[ClientConnection]
     ) -> None:
         """Accept connections for a handler.
 
-        :raises OSError: the address is already in use.
+        :raises OSError: the address is unavailable.
         """
         memory = self.process.memory
         server = await self._loop.create_server(
@@ -168,6 +204,7 @@
         grace_s = self.settings.stop_grace_s
         lifecycle = self.process.lifecycle
         handler = self.requests.handler
+        self.supervisor.stop(LISTENING, METRICS_LISTENING)
         lifecycle.trigger("leave")
         handler.stop()
         self.requests.delegation_service.closing = True
@@ -179,8 +216,7 @@
         for server in self._servers:
             server.close()
         await self._finish_requests(stopped_at + grace_s - EXIT_MARGIN_S)
-        for task in self._tasks:
-            task.cancel()
+        self.supervisor.stop()
         await self._leave_peers()
         lifecycle.trigger("finish")
         log_event("stopped", {"cut_off": handler.in_progress})
@@ -219,14 +255,21 @@
             self.backends.directory.trim()
 
     def _on_state_change(self) -> None:
-        """Log a new configuration, and become ready once the state is complete."""
+        """Log a new configuration, and become ready if nothing else is missing."""
         state = self.knowledge.state
         accepted = state.accepted
         if accepted is not None and accepted.configuration.version != self._logged_version:
             self._logged_version = accepted.configuration.version
             log_configuration(accepted, state.unconfirmed_s(Topic.OPERATOR))
-        if state.complete and self.process.lifecycle.is_before_ready():
-            self.process.lifecycle.trigger("serve")
+        self._become_ready()
+
+    def _become_ready(self) -> None:
+        """Become ready, once the state is complete and every required listener is open."""
+        lifecycle = self.process.lifecycle
+        if not self.knowledge.state.complete or not self.listeners.is_complete:
+            return
+        if lifecycle.is_before_ready():
+            lifecycle.trigger("serve")
             log_event("ready", {"backends": len(self.backends.directory)})
 
     @cached_property
@@ -269,4 +312,6 @@
             quotas=self.requests.quotas,
             scatter_admissions=self.requests.scatter_admissions,
             staleness_keeper=self.store.staleness_keeper,
+            task_failures=lambda: self.supervisor.failures,
+            listen_failures=lambda: self.listeners.failures + self._metrics_listeners.failures,
         )
--- a/tinrudder/gateway/observability/gateway_metrics.py
+++ b/tinrudder/gateway/observability/gateway_metrics.py
@@ -74,6 +74,16 @@
         """Return the counts of traffic sent to other gateways."""
         return self._sources.datagrams.traffic
 
+    @property
+    def task_failures(self) -> Counter[str]:
+        """Return the failures of long-lived tasks, by the name of the task."""
+        return self._sources.task_failures()
+
+    @property
+    def listen_failures(self) -> Counter[str]:
+        """Return the failed attempts to listen, by the name of the listener."""
+        return self._sources.listen_failures()
+
     def tenant_requests(self) -> list[TenantSample]:
         """Return quota decisions per tenant: the busiest tenants, and all others added up."""
         counted = self._sources.quotas.counts.items()
--- a/tinrudder/gateway/observability/metric_definitions.py
+++ b/tinrudder/gateway/observability/metric_definitions.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable
 
 from msgspec import Struct
@@ -35,6 +36,8 @@
 
     :param nodes: returns how many gateways share budgets, including this one.
     :param is_ready: returns whether this gateway is ready for clients.
+    :param task_failures: returns the failures of long-lived tasks, by the name of the task.
+    :param listen_failures: returns the failed attempts to listen, by the name of the listener.
     """
 
     nodes: Callable[[], int]
@@ -56,6 +59,8 @@
     quotas: Quotas
     scatter_admissions: ScatterAdmissions
     staleness_keeper: StalenessKeeper
+    task_failures: Callable[[], Counter[str]]
+    listen_failures: Callable[[], Counter[str]]
 
 
 class MetricDefinition(Struct, frozen=True):
--- a/tinrudder/gateway/observability/metrics_text.py
+++ b/tinrudder/gateway/observability/metrics_text.py
@@ -43,9 +43,22 @@
         yield _latencies(metrics.latencies)
         yield _tenant_requests(metrics.tenant_requests())
         yield _tenant_tokens(metrics.tenant_tokens())
-        yield _by_kind("peer_bytes", "Bytes sent to other gateways.", metrics.traffic.bytes)
-        yield _by_kind(
-            "peer_messages", "Messages sent to other gateways.", metrics.traffic.messages
+        traffic = metrics.traffic
+        yield _by_label("peer_bytes", "Bytes sent to other gateways.", "kind", traffic.bytes)
+        yield _by_label(
+            "peer_messages", "Messages sent to other gateways.", "kind", traffic.messages
+        )
+        yield _by_label(
+            "task_failures",
+            "Failures of long-lived tasks, which are restarted.",
+            "task",
+            metrics.task_failures,
+        )
+        yield _by_label(
+            "listen_failures",
+            "Attempts to listen on an address that was unavailable.",
+            "listener",
+            metrics.listen_failures,
         )
 
 
@@ -93,11 +106,11 @@
     return family
 
 
-def _by_kind(name: str, text: str, counts: Mapping[str, int]) -> Metric:
-    """Return a counter labelled by kind of message."""
-    family = CounterMetricFamily(f"{PREFIX}_{name}", text, labels=["kind"])
-    for kind, count in counts.items():
-        family.add_metric([kind], count)
+def _by_label(name: str, text: str, label: str, counts: Mapping[str, int]) -> Metric:
+    """Return a counter with one label."""
+    family = CounterMetricFamily(f"{PREFIX}_{name}", text, labels=[label])
+    for value, count in counts.items():
+        family.add_metric([value], count)
     return family
 
 
--- a/tinrudder/gateway/peers/peer_exchange.py
+++ b/tinrudder/gateway/peers/peer_exchange.py
@@ -68,24 +68,24 @@
         self._random = random_source
         self._loop = asyncio.get_running_loop()
         self._announced_positions = self._positions()
-        self._digest_task: asyncio.Task[None] | None = None
         self._starting_peers: set[Address] = set()
         datagrams.handle(Digest, self._on_digest)
         state.subscribe(self._on_state_change)
 
     async def start(self) -> None:
-        """Listen for peers and start to send digests.
+        """Listen for peers.
 
-        :raises OSError: the address is in use.
+        :raises OSError: the address is unavailable; nothing is left open.
         """
         await self._datagrams.open(self._own_member.address)
-        await self._service.start(self._own_member.address)
-        self._digest_task = self._loop.create_task(self._send_periodically())
+        try:
+            await self._service.start(self._own_member.address)
+        except OSError:
+            self._datagrams.close()
+            raise
 
     async def stop(self) -> None:
         """Stop listening, and close every connection once its answers have been sent."""
-        if self._digest_task is not None:
-            self._digest_task.cancel()
         self._datagrams.close()
         await self._service.close()
         await self._pulls.close()
@@ -172,7 +172,7 @@
         if self._positions() != self._announced_positions:
             self.send_digests()
 
-    async def _send_periodically(self) -> None:
+    async def run(self) -> None:
         """Send digests at intervals with jitter, and more often after the start."""
         sent = 0
         incomplete = 0
