A gateway whose standard output is closed serves, and counts the lines that it drops

What callers saw: exit code 1 at once, `OSError: [Errno 9] Bad file descriptor` in BoundedLineStream, when the process was started with descriptor 1 closed.

Cause: the log stream took its descriptor for granted. Behind it was a second fault: the next socket that a process opens gets the number of a closed standard stream, and logs written to that number would have gone to the peer of that socket.

Lines that the descriptor does not take are counted now, which they were not.

Why it works: missing standard streams are replaced by the null device before the first socket, and the stream is told to drop.

--- a/tinrudder/cli/gateway.py
+++ b/tinrudder/cli/gateway.py
@@ -19,6 +19,7 @@
 from tinrudder.common.address import Address
 from tinrudder.common.garbage_collection import tune_garbage_collection
 from tinrudder.common.logs import configure_logs, log_problem
+from tinrudder.common.standard_streams import open_missing_standard_streams
 from tinrudder.gateway.gateway import Gateway
 from tinrudder.gateway.model.configuration import GatewaySettings, SettingsFileError
 from tinrudder.gateway.observability.log_stream import BoundedLineStream
@@ -77,10 +78,11 @@
     if arguments.check:
         print(f"{settings.name}: settings are valid")
         return ExitCode.OK
-    stream = BoundedLineStream(STANDARD_OUTPUT)
+    is_output_closed = STANDARD_OUTPUT in open_missing_standard_streams()
+    stream = BoundedLineStream(None if is_output_closed else STANDARD_OUTPUT)
     configure_logs(settings.name, arguments.log_level, stream)
     try:
-        event_loop.run(_serve(settings, path, modified_ns, arguments.metrics_port))
+        event_loop.run(_serve(settings, path, modified_ns, arguments.metrics_port, stream))
     except event_loop.NoSuspensionClockError as error:
         print(f"tinrudder gateway: {error}", file=sys.stderr)
         return ExitCode.USAGE
@@ -88,11 +90,15 @@
 
 
 async def _serve(
-    settings: GatewaySettings, path: Path, modified_ns: int, metrics_port: int
+    settings: GatewaySettings,
+    path: Path,
+    modified_ns: int,
+    metrics_port: int,
+    log_stream: BoundedLineStream,
 ) -> None:
     """Run the gateway; signals stop it or reload its settings."""
     metrics = Address(settings.clients.host, metrics_port) if metrics_port else None
-    gateway = Gateway(settings, HEADERS, DECODERS, StoreClient, metrics)
+    gateway = Gateway(settings, HEADERS, DECODERS, StoreClient, metrics, lambda: log_stream.dropped)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, gateway.request_stop)
     loop.add_signal_handler(signal.SIGINT, gateway.request_stop)
--- a/tinrudder/gateway/gateway.py
+++ b/tinrudder/gateway/gateway.py
@@ -74,12 +74,14 @@
         decoders: ValueDecoders,
         make_store: StoreFactory,
         metrics_address: Address | None = None,
+        dropped_log_lines: Callable[[], int] = lambda: 0,
     ) -> None:
         """Build all components; nothing runs before :meth:`run`.
 
         :param make_store: returns a client of the store at an address; the client invokes the given
             callback for each call to the store.
         :param metrics_address: address that serves metrics; ``None`` disables them.
+        :param dropped_log_lines: returns how many log lines were dropped.
         """
         parts = build_gateway(BuildContext.of(settings, names, decoders, make_store))
         self.settings = settings
@@ -92,6 +94,7 @@
         self._peer_exchange = parts.peer_exchange
         self._loop = asyncio.get_running_loop()
         self._metrics_address = metrics_address
+        self._dropped_log_lines = dropped_log_lines
         self.supervisor = Supervisor()
         self._stop_requested = asyncio.Event()
         self._connections: set[ClientConnection] = set()
@@ -312,6 +315,7 @@
             quotas=self.requests.quotas,
             scatter_admissions=self.requests.scatter_admissions,
             staleness_keeper=self.store.staleness_keeper,
+            dropped_log_lines=self._dropped_log_lines,
             task_failures=lambda: self.supervisor.failures,
             listen_failures=lambda: self.listeners.failures + self._metrics_listeners.failures,
         )
--- a/tinrudder/gateway/observability/log_stream.py
+++ b/tinrudder/gateway/observability/log_stream.py
@@ -35,14 +35,15 @@
 
     def __init__(
         self,
-        file_descriptor: int,
+        file_descriptor: int | None,
         lines_per_second: float = LINES_PER_SECOND,
         burst_lines: float = BURST_LINES,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        """Write to ``file_descriptor``, which is made non-blocking."""
+        """Write to ``file_descriptor``, which is made non-blocking; ``None`` drops all lines."""
         super().__init__()
-        os.set_blocking(file_descriptor, False)
+        if file_descriptor is not None:
+            os.set_blocking(file_descriptor, False)
         self.dropped = 0
         self._file_descriptor = file_descriptor
         self._rate = lines_per_second
@@ -86,13 +87,22 @@
         return True
 
     def _write_pending(self) -> None:
-        """Write buffered bytes without blocking; discard them when the descriptor has failed."""
+        """Write buffered bytes without blocking; drop them when the descriptor has failed."""
+        descriptor = self._file_descriptor
+        if descriptor is None:
+            self._drop_pending()
+            return
         while self._pending:
             try:
-                written = os.write(self._file_descriptor, self._pending)
+                written = os.write(descriptor, self._pending)
             except BlockingIOError:
                 return
             except OSError:
-                self._pending = b""
+                self._drop_pending()
                 return
             self._pending = self._pending[written:]
+
+    def _drop_pending(self) -> None:
+        """Drop the buffered lines and count them."""
+        self.dropped += self._pending.count(b"\n")
+        self._pending = b""
--- a/tinrudder/gateway/observability/metric_definitions.py
+++ b/tinrudder/gateway/observability/metric_definitions.py
@@ -36,6 +36,7 @@
 
     :param nodes: returns how many gateways share budgets, including this one.
     :param is_ready: returns whether this gateway is ready for clients.
+    :param dropped_log_lines: returns how many log lines were dropped.
     :param task_failures: returns the failures of long-lived tasks, by the name of the task.
     :param listen_failures: returns the failed attempts to listen, by the name of the listener.
     """
@@ -59,6 +60,7 @@
     quotas: Quotas
     scatter_admissions: ScatterAdmissions
     staleness_keeper: StalenessKeeper
+    dropped_log_lines: Callable[[], int]
     task_failures: Callable[[], Counter[str]]
     listen_failures: Callable[[], Counter[str]]
 
@@ -207,6 +209,11 @@
         "Shards left out of merged answers.",
         lambda sources: sources.requests.missing_shards,
     ),
+    MetricDefinition(
+        "log_lines_dropped",
+        "Log lines that nobody could take.",
+        lambda sources: sources.dropped_log_lines(),
+    ),
 )
 """Metrics that never decrease while the process runs."""
 
