Answers without end keep a gateway within its memory

What callers saw: a gateway that asked a back end or the store whose answer did not end passed its memory limit within seconds, and was ended by its machine with all that it had admitted; after its restart again, for as long as that server went on. With chunks, chunk sizes and extensions calls got no answer before their deadline.

Cause, a class: bytes that no request asked for were held without being counted. - Only a body and a head were bounded; chunk sizes, chunk extensions and trailers were not, and the parser buffers them. - A body of tiny chunks was a list of objects many times the size of their bytes. - Each answer was bounded, all together were not. - A reader and its parser hold each other: a connection that was lost, cancelled or cut inside a body left both to the garbage collector, which runs rarely by design.

Why it works: framing between two parts of a body is bounded like a head, trailers are discarded, parts are joined to 64 KB, the limit of one answer falls with the room that all answers leave (a dynamic threshold), and a reader is released wherever its call ends.

--- a/tests/unit/gateway/test_answer_reader.py
+++ b/tests/unit/gateway/test_answer_reader.py
@@ -10,7 +10,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tinrudder.gateway.backends.answer_reader import AnswerReader, ReadState
+from tinrudder.gateway.backends.answer_reader import (
+    MAX_ANSWER_BYTES,
+    MAX_HEAD_BYTES,
+    AnswerReader,
+    ReadState,
+)
+from tinrudder_lab.emulator.endless_answers import EndlessAnswer
 
 BODIES = st.binary(max_size=40)
 
@@ -117,3 +123,50 @@
     reader.feed(head)
     assert reader.state is ReadState.COMPLETE
     assert not reader.reusable
+
+
+@pytest.mark.parametrize("answer", EndlessAnswer)
+def test_an_endless_answer_is_refused_within_its_bound(answer: EndlessAnswer) -> None:
+    reader = AnswerReader(body_expected=True)
+    reader.feed(answer.first) if answer.first else None
+    received = 0
+    while reader.state is ReadState.READING:
+        assert received <= MAX_ANSWER_BYTES * 8
+        received += len(answer.block)
+        reader.feed(answer.block)
+    assert reader.state is ReadState.UNREADABLE
+    is_body = reader.body_bytes > 0
+    assert is_body or received <= MAX_HEAD_BYTES + len(answer.block)
+
+
+def test_a_trailer_changes_nothing_of_the_head() -> None:
+    reader = AnswerReader(body_expected=True)
+    reader.feed(
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Part: a\r\n\r\n1\r\nx\r\n0\r\n"
+    )
+    reader.feed(b"X-Part: b\r\nTinrudder-Not-Run: 1\r\n\r\n")
+    assert reader.state is ReadState.COMPLETE
+    assert reader.answer.headers == ((b"transfer-encoding", b"chunked"), (b"x-part", b"a"))
+
+
+@given(parts=st.lists(st.binary(min_size=1, max_size=40), max_size=60), repeats=st.integers(1, 300))
+def test_a_body_in_many_parts_is_whole(parts: list[bytes], repeats: int) -> None:
+    parts = parts * repeats
+    reader = AnswerReader(body_expected=True)
+    reader.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    reader.feed(b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n")
+    assert reader.answer.body == b"".join(parts)
+
+
+@pytest.mark.parametrize("interim", [b"", b"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n"])
+@pytest.mark.parametrize("length", [b"Content-Length: 0\r\n", b""])
+def test_an_answer_that_ends_inside_its_head_is_never_whole(interim: bytes, length: bytes) -> None:
+    head = b"HTTP/1.1 200 OK\r\nTinrudder-Server-Stamp: s\r\n" + length + b"\r\n"
+    for size in range(len(head)):
+        reader = AnswerReader(body_expected=True)
+        if interim:
+            reader.feed(interim)
+        if size:
+            reader.feed(head[:size])
+        assert reader.state is not ReadState.COMPLETE
+        assert reader.end_of_stream() is ReadState.UNREADABLE
--- a/tinrudder/gateway/backends/answer_reader.py
+++ b/tinrudder/gateway/backends/answer_reader.py
@@ -16,11 +16,15 @@
 from tinrudder.gateway.model.http_messages import Header, HttpAnswer
 
 MAX_HEAD_BYTES = 64 * 1024
-"""Largest head of an answer, bytes. The whole head is buffered; a server that sends more is
+"""Largest head of an answer, bytes, and most bytes of framing between two parts of its body: chunk
+sizes, chunk extensions and trailers. The parser buffers these, and a server that sends more is
 faulty."""
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest body of an answer, bytes. Bodies are buffered whole, so this bounds the memory that one
 call can use."""
+MIN_PART_BYTES = 64 * 1024
+"""Parts of a body are joined up to this size, bytes: a list of tiny parts would use many times the
+memory of their bytes, and repeated copies of a large one fragment the heap."""
 STATUSES_WITHOUT_BODY = (204, 304)
 HTTP_VERSION_WITH_KEEP_ALIVE = "1.1"
 
@@ -47,15 +51,12 @@
     (b'ok', True)
     """
 
-    def __init__(self, *, body_expected: bool, max_bytes: float = MAX_ANSWER_BYTES) -> None:
+    def __init__(self, *, body_expected: bool) -> None:
         """Start parsing an answer.
 
         :param body_expected: false for an answer to HEAD.
-        :param max_bytes: body size limit, at most :data:`MAX_ANSWER_BYTES`; a larger body makes
-            the answer unreadable.
         """
         self.body_bytes = 0
-        self._max_bytes = min(max_bytes, MAX_ANSWER_BYTES)
         self.state = ReadState.READING
         self.reusable = False
         self.detail = ""
@@ -63,9 +64,10 @@
         self._parser = httptools.HttpResponseParser(self)
         self._reason = b""
         self._headers: list[Header] = []
-        self._body: list[bytes] = []
+        self._body: list[bytes | bytearray] = []
         self._status = 0
-        self._head_bytes = 0
+        # Bytes since the start, or since the last part of the body.
+        self._framing_bytes = 0
         self._head_complete = False
         self._message_complete = False
         self._framed = False
@@ -88,8 +90,7 @@
             self.reusable = False
             return self.state
         self._has_begun = True
-        if not self._head_complete:
-            self._head_bytes += len(data)
+        body_bytes = self.body_bytes
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -98,10 +99,11 @@
                 return self._fail(f"unreadable answer: {error!r}")
         if self._message_complete:
             return self._complete()
-        if not self._head_complete and self._head_bytes > MAX_HEAD_BYTES:
-            return self._fail("head of the answer larger than MAX_HEAD_BYTES")
-        if self.body_bytes > self._max_bytes:
-            return self._fail(f"answer larger than {self._max_bytes:.0f} bytes")
+        self._framing_bytes = 0 if self.body_bytes > body_bytes else self._framing_bytes + len(data)
+        if self._framing_bytes > MAX_HEAD_BYTES:
+            return self._fail("head or framing of the answer larger than MAX_HEAD_BYTES")
+        if self.body_bytes > MAX_ANSWER_BYTES:
+            return self._fail(f"answer larger than {MAX_ANSWER_BYTES} bytes")
         return self.state
 
     def end_of_stream(self) -> ReadState:
@@ -112,6 +114,11 @@
             return self._complete()
         return self._fail("the connection ended inside the answer")
 
+    def close(self) -> None:
+        """Stop reading an answer that nobody waits for any more, and release its bytes."""
+        if self.state is ReadState.READING:
+            self._fail("closed")
+
     def on_message_begin(self) -> None:
         """Detect trailing bytes after a complete answer (parser callback)."""
         if self._message_complete:
@@ -123,8 +130,11 @@
             self._reason += status
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header (parser callback)."""
-        if not self._message_complete:
+        """Collect a header, and discard a trailer (parser callback).
+
+        A trailer could otherwise replace what the head says of the answer.
+        """
+        if not self._message_complete and not self._head_complete:
             self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
@@ -147,7 +157,13 @@
         """Collect part of the body (parser callback)."""
         if self._message_complete:
             return
-        self._body.append(body)
+        last = self._body[-1] if self._body else b""
+        if not self._body or len(last) >= MIN_PART_BYTES:
+            self._body.append(body)
+        elif isinstance(last, bytearray):
+            last += body
+        else:
+            self._body[-1] = bytearray(last) + body
         self.body_bytes += len(body)
 
     def on_message_complete(self) -> None:
@@ -183,6 +199,7 @@
         self.reusable = False
         self.detail = detail
         self.state = ReadState.UNREADABLE
+        self._body = []
         self._release_parser()
         return self.state
 
--- a/tinrudder/gateway/backends/upstream_connection.py
+++ b/tinrudder/gateway/backends/upstream_connection.py
@@ -105,9 +105,7 @@
         if data is None:
             return False
         self._call = call
-        self._reader = AnswerReader(
-            body_expected=call.body_expected, max_bytes=self._memory.largest_answer
-        )
+        self._reader = AnswerReader(body_expected=call.body_expected)
         call.carrier = self
         call.sent_at = self._loop.time()
         self._transport.write(data)
@@ -116,6 +114,7 @@
     def abort(self) -> None:
         """Close the connection and discard anything that still arrives on it."""
         self._call = None
+        self._close_reader()
         if self._transport is not None:
             self._transport.abort()
 
@@ -138,6 +137,8 @@
         state = reader.feed(data)
         if state is ReadState.READING:
             self._set_answer_bytes(reader.body_bytes)
+            if reader.body_bytes > self._memory.largest_answer:
+                self._end(Broken("answer larger than the memory left for it"), reusable=False)
         elif state is ReadState.COMPLETE:
             self._end_with_answer(reader)
         elif state is ReadState.UNREADABLE:
@@ -178,6 +179,14 @@
         unanswered = not begun and not self._unsent_bytes and not isinstance(exc, TimeoutError)
         return Broken(detail, unanswered)
 
+    def _close_reader(self) -> None:
+        """Release the answer that was being read."""
+        reader, self._reader = self._reader, None
+        if reader is not None:
+            reader.close()
+        if self._counted_answer_bytes:
+            self._set_answer_bytes(0)
+
     def _set_unsent_bytes(self, size: int) -> None:
         """Count the request bytes that the socket has not accepted."""
         self._memory.backends += size - self._unsent_bytes
@@ -185,7 +194,9 @@
 
     def _set_answer_bytes(self, size: int) -> None:
         """Count the bytes of a partly received answer."""
-        self._memory.backends += size - self._counted_answer_bytes
+        growth = size - self._counted_answer_bytes
+        self._memory.answers += growth
+        self._memory.backends += growth
         self._counted_answer_bytes = size
 
     def _end_with_answer(self, reader: AnswerReader) -> None:
@@ -217,9 +228,7 @@
         call = self._call
         assert call is not None
         self._call = None
-        self._reader = None
-        if self._counted_answer_bytes:
-            self._set_answer_bytes(0)
+        self._close_reader()
         if not reusable:
             self.abort()
         call.finish(outcome)
--- a/tinrudder/gateway/clients/memory_account.py
+++ b/tinrudder/gateway/clients/memory_account.py
@@ -14,7 +14,6 @@
 from tinrudder.common.logs import LogValue, log_problem
 from tinrudder.gateway.clients.held_bytes import HeldBytes
 from tinrudder.gateway.decisions.admission.memory_bound import (
-    MAX_ANSWER_SHARE,
     READ_PAUSE_FILL,
     refusal_fill,
     retry_after_s,
@@ -39,7 +38,6 @@
         "_count_peers",
         "_line_at",
         "_near",
-        "bound",
         "ended_unread",
         "pauses",
         "refused",
@@ -55,8 +53,7 @@
 
         :param count_peers: counts the bytes held for peers, by visiting each of their connections.
         """
-        super().__init__()
-        self.bound = bound
+        super().__init__(bound)
         self.refused = 0
         self.ended_unread = 0
         self.pauses = 0
@@ -88,11 +85,6 @@
         """Whether the bound is reached."""
         return self.may_be_near and self.fill >= 1.0
 
-    @property
-    def largest_answer(self) -> float:
-        """The size limit of one answer, bytes."""
-        return self.bound * MAX_ANSWER_SHARE
-
     def refresh_peers(self) -> None:
         """Refresh the count for peers; the node's housekeeping also calls this every second."""
         self.peers = self._count_peers()
--- a/tinrudder/gateway/decisions/admission/memory_bound.py
+++ b/tinrudder/gateway/decisions/admission/memory_bound.py
@@ -47,9 +47,15 @@
 """Fill level from which request bodies are no longer read, and the lowest level at which any
 request is refused. The requests in progress on a gateway at its normal load need a third of
 that."""
-MAX_ANSWER_SHARE = 0.25
-"""Fraction of the account that one answer may take: at least four answers fit at once, the minimum
-for requests to proceed concurrently."""
+ANSWERS_SHARE = 0.25
+"""Fraction of the account that answers being received may take together: servers that send without
+end must not use the memory that requests need, whose refusal begins at :data:`READ_PAUSE_FILL`."""
+ANSWER_GROWTH = 8.0
+"""Limit of one answer, as a multiple of the room that answers leave.  A lone answer may take eight
+ninths of their share, and the limit falls as more arrive, so that there is room for a small one
+beside any number of endless ones."""
+MIN_ANSWER_BYTES = 64 * 1024
+"""Size that any answer may reach, bytes: that of the largest head, and above all usual bodies."""
 RETRY_AFTER_S = 0.3
 """Retry delay, seconds: most requests in progress end within this time, and it is within a third of
 most deadlines seen, 0.8 to 8 s."""
@@ -76,6 +82,18 @@
     return max(MIN_ACCOUNT_BYTES, usable)
 
 
+def largest_answer_bytes(account: float, receiving: float) -> float:
+    """Return the size that an answer may reach while it is received.
+
+    :param receiving: bytes of all answers being received, this one included.
+
+    >>> largest_answer_bytes(72_000_000, 16_000_000), largest_answer_bytes(72_000_000, 18_000_000)
+    (16000000.0, 65536)
+    """
+    room = account * ANSWERS_SHARE - receiving
+    return max(MIN_ANSWER_BYTES, room * ANSWER_GROWTH)
+
+
 def refusal_fill(priority_steps: int) -> float:
     """Return the fill level of the account from which a request is refused.
 
--- a/tinrudder/gateway/observability/metric_definitions.py
+++ b/tinrudder/gateway/observability/metric_definitions.py
@@ -228,9 +228,14 @@
         "Bytes held of back ends: requests not taken, answers until they are merged.",
         lambda sources: sources.memory.backends,
     ),
+    MetricDefinition(
+        "held_answers_bytes",
+        "Bytes of answers of back ends that are being received; part of the bytes held of them.",
+        lambda sources: sources.memory.answers,
+    ),
     MetricDefinition(
         "held_peers_bytes",
-        "Bytes held for other gateways, at the latest look, one a second.",
+        "Bytes held for other gateways and of the store, at the latest look, one a second.",
         lambda sources: sources.memory.peers,
     ),
     MetricDefinition(
--- a/tinrudder/gateway/parts.py
+++ b/tinrudder/gateway/parts.py
@@ -12,6 +12,7 @@
 from tinrudder.common.transport.peer_client import PeerClient
 from tinrudder.gateway.backends.backend_directory import BackendDirectory
 from tinrudder.gateway.backends.load_report_exchange import LoadReportExchange
+from tinrudder.gateway.clients.held_bytes import HeldBytes
 from tinrudder.gateway.clients.memory_account import MemoryAccount
 from tinrudder.gateway.decisions.fleet.process_pause import ProcessPause
 from tinrudder.gateway.observability.request_metrics import RequestMetrics
@@ -46,6 +47,7 @@
     lifecycle: NodeLifecycle
     pause: ProcessPause
     peer_buffer_bytes: PeerBufferBytes
+    store_bytes: HeldBytes
     memory: MemoryAccount
     counters: CallCounters
 
--- a/tinrudder/gateway/wiring.py
+++ b/tinrudder/gateway/wiring.py
@@ -24,6 +24,7 @@
 )
 from tinrudder.gateway.backends.load_report_exchange import LoadReportExchange
 from tinrudder.gateway.backends.load_reports import LoadReports
+from tinrudder.gateway.clients.held_bytes import HeldBytes
 from tinrudder.gateway.clients.memory_account import MemoryAccount
 from tinrudder.gateway.decisions.admission.memory_bound import account_bytes
 from tinrudder.gateway.decisions.fleet.process_pause import ProcessPause
@@ -102,7 +103,7 @@
 """Largest factor on that wait: spreads gateways that start together over a period as long as the
 shortest wait, so that one of them reads the store first and sends its state to the others."""
 
-StoreFactory = Callable[[Address, Callable[[], None]], MetadataStore]
+StoreFactory = Callable[[Address, Callable[[], None], HeldBytes], MetadataStore]
 
 
 class BuildContext(Struct, frozen=True):
@@ -143,7 +144,7 @@
     fleet = _build_fleet(context, process, knowledge)
     backends = _build_backends(context, process, knowledge, fleet)
     requests = _build_requests(context, process, knowledge, fleet, backends)
-    store = _build_store(context, knowledge, fleet, requests)
+    store = _build_store(context, process, knowledge, fleet, requests)
     exchange = _build_exchange(context, process, knowledge, fleet, requests, store)
     return GatewayParts(process, knowledge, fleet, backends, requests, store, exchange)
 
@@ -151,13 +152,19 @@
 def _build_process(context: BuildContext) -> ProcessParts:
     clock = context.loop.time
     peer_buffer_bytes = PeerBufferBytes()
+    bound = account_bytes(context.settings.memory_mb)
+    # Apart from the back ends' answers, which must not keep the gateway from following the store.
+    store_bytes = HeldBytes(bound)
+
+    def count_others() -> int:
+        return peer_buffer_bytes.total() + store_bytes.backends
+
     return ProcessParts(
         lifecycle=NodeLifecycle(),
         pause=ProcessPause(clock()),
         peer_buffer_bytes=peer_buffer_bytes,
-        memory=MemoryAccount(
-            account_bytes(context.settings.memory_mb), clock, peer_buffer_bytes.total
-        ),
+        store_bytes=store_bytes,
+        memory=MemoryAccount(bound, clock, count_others),
         counters=CallCounters(),
     )
 
@@ -377,9 +384,15 @@
 
 
 def _build_store(
-    context: BuildContext, knowledge: KnowledgeParts, fleet: FleetParts, requests: RequestParts
+    context: BuildContext,
+    process: ProcessParts,
+    knowledge: KnowledgeParts,
+    fleet: FleetParts,
+    requests: RequestParts,
 ) -> StoreParts:
-    store = context.make_store(context.settings.store, knowledge.store_status.count_call)
+    store = context.make_store(
+        context.settings.store, knowledge.store_status.count_call, process.store_bytes
+    )
     readers = _build_readers(context, knowledge, fleet)
     followers: list[StoreFollower] = []
 
--- a/tinrudder/platform/store_client.py
+++ b/tinrudder/platform/store_client.py
@@ -16,6 +16,7 @@
 from tinrudder.gateway.backends.http_fetch import FetchError, fetch
 from tinrudder.gateway.backends.upstream_connection import accept_any_answer
 from tinrudder.gateway.backends.upstream_pool import UpstreamPool
+from tinrudder.gateway.clients.held_bytes import HeldBytes
 from tinrudder.gateway.model.http_messages import Headers, header_value
 from tinrudder.gateway.store.store_revision import NO_REVISION, StoreRevision
 from tinrudder.gateway.store.stored_values import (
@@ -50,7 +51,6 @@
 HISTORY_FORGOTTEN = 410
 """HTTP status of a watch from a revision whose history is gone; a complete read is needed."""
 
-
 RevisionNumber = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 Document = TypeVar("Document")
 
@@ -90,12 +90,12 @@
 class StoreClient:
     """Reads the store over one connection for each topic, and another while a watch waits."""
 
-    def __init__(self, address: Address, count_call: Callable[[], None]) -> None:
-        """Use the store at ``address``; ``count_call`` counts calls, which are charged for."""
+    def __init__(self, address: Address, count_call: Callable[[], None], memory: HeldBytes) -> None:
+        """Count calls, which are charged for, and bound answers being received by ``memory``."""
         self._address = address
         self._count_call = count_call
         self._pools = {
-            topic: UpstreamPool(address, accept_any_answer, lambda: None) for topic in Topic
+            topic: UpstreamPool(address, accept_any_answer, lambda: None, memory) for topic in Topic
         }
         for pool in self._pools.values():
             pool.max_connections = MAX_CONNECTIONS
