Requests without end keep a gateway within its memory, whoever sends them

What callers saw: one client that sent a chunked request whose trailers did not end took its gateway over the memory limit within 3 s, and with it the requests of all other tenants.

Cause: the same class as answers without end, found by looking for it elsewhere. Only the bytes before the end of a head and those of a body were bounded; trailers were kept as headers, and a trailer line in the parser, until the header timeout, or without any limit behind a request in progress. Bodies of tiny chunks were counted by their bytes and held as objects many times that size. That trailers became headers is a fault of its own: they could add what the head lacks.

Ruled out elsewhere by reading: the node's back-end connection counts all bytes received, a peer's frames have a bound.

Why it works: bytes between two parts of a body are bounded like a head (431), trailers are discarded, and one type holds the parts of a body for both readers.

--- a/tests/functional/gateway/test_process_survival.py
+++ b/tests/functional/gateway/test_process_survival.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import enum
 import os
 import re
 import socket
@@ -12,7 +14,13 @@
 import pytest
 
 from tinrudder_lab.emulator.endless_answers import EndlessAnswer
-from tinrudder_lab.emulator.site import CLIENT_PORT, HEALTH_PORT, PEER_PORT, AddressBlock
+from tinrudder_lab.emulator.site import (
+    CLIENT_PORT,
+    HEALTH_PORT,
+    PEER_PORT,
+    SITE_HOST,
+    AddressBlock,
+)
 from tinrudder_lab.soak.process_site import ProcessSite
 from tinrudder_lab.soak.slow_readers import MEMORY_POLL_S, peak_mb
 
@@ -169,3 +177,41 @@
         assert site.unexpected_exits() == []
 
     run_on_site(tmp_path, scenario, node_count=1)
+
+
+class EndlessBody(enum.Enum):
+    """The repeated block of a chunked request body that a client does not end."""
+
+    TRAILER_LINE = (b"0\r\nX-Filler: ", b"x" * 65536)
+    TRAILERS = (b"0\r\n", b"X-Filler: filler\r\n" * 4096)
+    CHUNK_SIZE = (b"", b"0" * 65536)
+    CHUNK_EXTENSION = (b"1;", b"x" * 65536)
+
+
+async def send_endlessly(host: str, body: EndlessBody) -> None:
+    """Send a request whose body never ends, until the gateway closes."""
+    first, block = body.value
+    head = f"POST /once/1 HTTP/1.1\r\nHost: {SITE_HOST}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    with contextlib.suppress(OSError):
+        _, writer = await asyncio.open_connection(host, CLIENT_PORT)
+        writer.write(head.encode() + first)
+        while not writer.is_closing():
+            writer.write(block)
+            await writer.drain()
+
+
+@pytest.mark.parametrize("body", EndlessBody)
+def test_endless_requests_of_clients_keep_a_gateway_within_its_memory(
+    tmp_path: Path, body: EndlessBody
+) -> None:
+    async def scenario(site: ProcessSite) -> None:
+        await site.start()
+        idle_mb = peak_mb(site, site.nodes[0])
+        clients = [asyncio.create_task(send_endlessly(site.nodes[0].host, body)) for _ in range(8)]
+        assert await measure_growth_mb(site, idle_mb) <= MAX_MEMORY_SHARE * site.memory_mb
+        assert (await site.send("single")).status == 200
+        assert site.unexpected_exits() == []
+        for client in clients:
+            client.cancel()
+
+    run_on_site(tmp_path, scenario, node_count=1)
--- a/tests/unit/gateway/test_answer_reader.py
+++ b/tests/unit/gateway/test_answer_reader.py
@@ -129,14 +129,14 @@
 def test_an_endless_answer_is_refused_within_its_bound(answer: EndlessAnswer) -> None:
     reader = AnswerReader(body_expected=True)
     reader.feed(answer.first) if answer.first else None
-    received = 0
+    received = body_bytes = 0
     while reader.state is ReadState.READING:
         assert received <= MAX_ANSWER_BYTES * 8
         received += len(answer.block)
+        body_bytes = max(body_bytes, reader.body_bytes)
         reader.feed(answer.block)
     assert reader.state is ReadState.UNREADABLE
-    is_body = reader.body_bytes > 0
-    assert is_body or received <= MAX_HEAD_BYTES + len(answer.block)
+    assert body_bytes > 0 or received <= MAX_HEAD_BYTES + len(answer.block)
 
 
 def test_a_trailer_changes_nothing_of_the_head() -> None:
--- a/tinrudder/gateway/backends/answer_reader.py
+++ b/tinrudder/gateway/backends/answer_reader.py
@@ -13,6 +13,7 @@
 
 import httptools
 
+from tinrudder.gateway.model.body_parts import BodyParts
 from tinrudder.gateway.model.http_messages import Header, HttpAnswer
 
 MAX_HEAD_BYTES = 64 * 1024
@@ -22,9 +23,6 @@
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Largest body of an answer, bytes. Bodies are buffered whole, so this bounds the memory that one
 call can use."""
-MIN_PART_BYTES = 64 * 1024
-"""Parts of a body are joined up to this size, bytes: a list of tiny parts would use many times the
-memory of their bytes, and repeated copies of a large one fragment the heap."""
 STATUSES_WITHOUT_BODY = (204, 304)
 HTTP_VERSION_WITH_KEEP_ALIVE = "1.1"
 
@@ -42,8 +40,6 @@
 
     Create a new reader for each answer; it costs one parser object.
 
-    :ivar body_bytes: bytes of the body received so far.
-
     >>> reader = AnswerReader(body_expected=True)
     >>> reader.feed(b"HTTP/1.1 200 OK\\r\\nContent-Length: 2\\r\\n\\r\\nok")
     <ReadState.COMPLETE: 'complete'>
@@ -56,7 +52,6 @@
 
         :param body_expected: false for an answer to HEAD.
         """
-        self.body_bytes = 0
         self.state = ReadState.READING
         self.reusable = False
         self.detail = ""
@@ -64,7 +59,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._reason = b""
         self._headers: list[Header] = []
-        self._body: list[bytes | bytearray] = []
+        self._body = BodyParts()
         self._status = 0
         # Bytes since the start, or since the last part of the body.
         self._framing_bytes = 0
@@ -74,6 +69,11 @@
         self._must_close = False
         self._has_begun = False
 
+    @property
+    def body_bytes(self) -> int:
+        """Bytes of the body received so far; 0 once the answer is unreadable."""
+        return self._body.size
+
     @property
     def begun(self) -> bool:
         """Whether any byte of an answer has arrived, including interim answers."""
@@ -82,7 +82,7 @@
     @property
     def answer(self) -> HttpAnswer:
         """The answer; valid only in state ``COMPLETE``."""
-        return HttpAnswer(self._status, self._reason, tuple(self._headers), b"".join(self._body))
+        return HttpAnswer(self._status, self._reason, tuple(self._headers), self._body.join())
 
     def feed(self, data: bytes) -> ReadState:
         """Parse the bytes that arrived."""
@@ -157,14 +157,7 @@
         """Collect part of the body (parser callback)."""
         if self._message_complete:
             return
-        last = self._body[-1] if self._body else b""
-        if not self._body or len(last) >= MIN_PART_BYTES:
-            self._body.append(body)
-        elif isinstance(last, bytearray):
-            last += body
-        else:
-            self._body[-1] = bytearray(last) + body
-        self.body_bytes += len(body)
+        self._body.add(body)
 
     def on_message_complete(self) -> None:
         """Mark the answer complete, or skip an interim answer (parser callback)."""
@@ -199,7 +192,7 @@
         self.reusable = False
         self.detail = detail
         self.state = ReadState.UNREADABLE
-        self._body = []
+        self._body = BodyParts()
         self._release_parser()
         return self.state
 
--- a/tinrudder/gateway/clients/client_connection.py
+++ b/tinrudder/gateway/clients/client_connection.py
@@ -16,6 +16,7 @@
 from tinrudder.gateway.clients.memory_account import MemoryAccount
 from tinrudder.gateway.clients.request_reader import RequestReader
 from tinrudder.gateway.decisions.admission.memory_bound import RETRY_AFTER_S
+from tinrudder.gateway.model.body_parts import BodyParts
 from tinrudder.gateway.model.configuration import ClientLimits
 from tinrudder.gateway.model.http_messages import Headers, HttpRequest
 from tinrudder.gateway.model.outcomes import (
@@ -201,7 +202,7 @@
     def refuse(self, status: int, headers: Headers = ()) -> None:
         """Answer a request that cannot be served with an error, and close."""
         self._refused = True
-        self._body = []
+        self._body = BodyParts()
         # The client would match an answer written now to the request that is still being served.
         if self._transport is None or self.has_complete_request:
             self._abort()
--- a/tinrudder/gateway/clients/request_reader.py
+++ b/tinrudder/gateway/clients/request_reader.py
@@ -15,6 +15,7 @@
 
 import httptools
 
+from tinrudder.gateway.model.body_parts import BodyParts
 from tinrudder.gateway.model.configuration import ClientLimits
 from tinrudder.gateway.model.http_messages import Header, Headers, HttpRequest
 from tinrudder.gateway.model.outcomes import (
@@ -45,15 +46,16 @@
         self._refused = False
         self._target = b""
         self._headers: list[Header] = []
-        # Bytes received since the last complete request, until the head is complete.
-        self._received_head_bytes = 0
+        # Bytes received since the last complete request or part of a body: a head, or the chunk
+        # sizes, chunk extensions and trailers of a body.
+        self._framing_bytes = 0
+        self._has_advanced = False
         # Bytes of the complete head, as stored.
         self._stored_head_bytes = 0
         # Bytes counted as held while the head is incomplete.
         self._partial_head_bytes = 0
         self._head_complete = False
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = BodyParts()
 
     @abstractmethod
     def refuse(self, status: int, headers: Headers = ()) -> None:
@@ -73,8 +75,7 @@
 
     def _feed(self, data: bytes) -> None:
         """Parse the bytes that arrived."""
-        if not self._head_complete:
-            self._received_head_bytes += len(data)
+        self._has_advanced = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -82,6 +83,9 @@
         except httptools.HttpParserError:
             if not self._refused:
                 self.refuse(STATUS_BAD_REQUEST)
+        self._framing_bytes = 0 if self._has_advanced else self._framing_bytes + len(data)
+        if not self._refused and self._framing_bytes > self._limit_source.limits.max_header_bytes:
+            self.refuse(STATUS_HEADER_TOO_LARGE)
 
     def _release_parser(self) -> None:
         """Drop the parser: the reference cycle with it would keep a body in memory until the next
@@ -90,33 +94,34 @@
         del self._parser
 
     def _count_partial_head(self, size: int) -> None:
-        """Count part of an incomplete head, and refuse a head that is too large."""
+        """Count part of an incomplete head as held."""
         self._partial_head_bytes += size
         self._add_held(size)
-        if self._received_head_bytes > self._limit_source.limits.max_header_bytes:
-            self.refuse(STATUS_HEADER_TOO_LARGE)
 
     def on_message_begin(self) -> None:
         """Start a request (parser callback)."""
         self._target = b""
         self._headers = []
-        self._body = []
-        self._body_bytes = 0
+        self._body = BodyParts()
 
     def on_url(self, url: bytes) -> None:
         """Collect the target (parser callback)."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header (parser callback)."""
-        self._headers.append((name.lower(), value))
+        """Collect a header, and discard a trailer (parser callback).
+
+        A trailer could otherwise take effect as a header that the head lacks.
+        """
+        if not self._head_complete:
+            self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Validate the head (parser callback)."""
         head_bytes = len(self._target) + sum(
             len(name) + len(value) for name, value in self._headers
         )
-        self._head_complete = True
+        self._head_complete = self._has_advanced = True
         self._stored_head_bytes = head_bytes
         self._add_held(head_bytes - self._partial_head_bytes)
         self._partial_head_bytes = 0
@@ -137,17 +142,17 @@
         """Collect part of the body (parser callback)."""
         if self._refused:
             return
-        self._body.append(body)
-        self._body_bytes += len(body)
+        self._body.add(body)
+        self._has_advanced = True
         self._add_held(len(body))
-        if self._body_bytes > self._limit_source.limits.max_body_bytes:
+        if self._body.size > self._limit_source.limits.max_body_bytes:
             self.refuse(STATUS_BODY_TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """Pass on a complete request (parser callback)."""
         if self._refused:
             return
-        self._received_head_bytes = 0
+        self._has_advanced = True
         self._head_complete = False
         keep_alive = self._parser.should_keep_alive()
         keep_alive = keep_alive and self._parser.get_http_version() == HTTP_1_1
@@ -155,8 +160,9 @@
             self._parser.get_method(),
             self._target,
             tuple(self._headers),
-            b"".join(self._body),
+            self._body.join(),
             keep_alive,
         )
-        self._body = []
-        self._on_request(request, self._stored_head_bytes + self._body_bytes)
+        size = self._stored_head_bytes + self._body.size
+        self._body = BodyParts()
+        self._on_request(request, size)
