A client's Connection header takes no header of the gateway out of its request

Cause: the headers that a client's Connection names were dropped when the request was encoded for a back end, after the gateway had added the tenant's name. The same held for the request's id, and for a back end's stamp in an answer.

Ruled out: a forged Tinrudder-Tenant that is not listed is replaced, before and now.

Why it works: the headers of a connection are dropped where the request arrives, before anything is added, and no Connection header can name a header that concerns every recipient; an oracle of a few lines agrees on any combination.

--- a/tinrudder/gateway/clients/answers.py
+++ b/tinrudder/gateway/clients/answers.py
@@ -30,7 +30,8 @@
     status = status_of(outcome)
     if isinstance(outcome, Relayed):
         answer = outcome.answer
-        return FinalAnswer(status, answer.reason, end_to_end_headers(answer.headers), answer.body)
+        relayed = end_to_end_headers(answer.headers, names.protected)
+        return FinalAnswer(status, answer.reason, relayed, answer.body)
     headers: list[Header] = []
     body = b""
     if request_id is not None:
--- a/tinrudder/gateway/model/configuration.py
+++ b/tinrudder/gateway/model/configuration.py
@@ -7,8 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from functools import cache
 
 from msgspec import Struct, field
+from msgspec.structs import astuple
 
 from tinrudder.common.address import Address
 
@@ -164,6 +166,16 @@
     missing_parts: bytes
     tenant: bytes
 
+    @property
+    def protected(self) -> frozenset[bytes]:
+        """Return the headers that no ``Connection`` header can drop."""
+        return _protected_headers(self)
+
+
+@cache
+def _protected_headers(names: HeaderNames) -> frozenset[bytes]:
+    return frozenset((b"host", b"authorization", *astuple(names)))
+
 
 class RepeatBounds(Struct, frozen=True):
     """Limit of retries and hedges that a service may get from all gateways together.
--- a/tinrudder/gateway/model/http_messages.py
+++ b/tinrudder/gateway/model/http_messages.py
@@ -42,18 +42,28 @@
     return None
 
 
-def end_to_end_headers(headers: Headers, excluded: frozenset[bytes] = frozenset()) -> Headers:
-    """Return the end-to-end headers, without the hop-by-hop ones and those in ``excluded``.
+def end_to_end_headers(headers: Headers, protected: frozenset[bytes]) -> Headers:
+    """Return the end-to-end headers of a message that was received.
 
-    >>> end_to_end_headers(((b"connection", b"x-hop"), (b"x-hop", b"1"), (b"x-end", b"2")))
-    ((b'x-end', b'2'),)
+    Call it before any header is added: the sender's ``Connection`` would drop the added one too.
+
+    :param protected: headers that concern every recipient, so that ``Connection`` cannot drop them.
+
+    >>> received = ((b"connection", b"x-hop, host"), (b"x-hop", b"1"), (b"host", b"h"))
+    >>> end_to_end_headers(received, frozenset((b"host",)))
+    ((b'host', b'h'),)
     """
-    dropped = CONNECTION_HEADERS | excluded
+    dropped = CONNECTION_HEADERS
     for name, value in headers:
         if name == b"connection":
             named = (part.strip().lower() for part in value.split(b","))
-            dropped = dropped | frozenset(named)
-    return tuple(header for header in headers if header[0] not in dropped)
+            dropped = dropped | (frozenset(named) - protected)
+    return without_headers(headers, dropped)
+
+
+def without_headers(headers: Headers, names: frozenset[bytes]) -> Headers:
+    """Return the headers whose name is none of ``names``."""
+    return tuple(header for header in headers if header[0] not in names)
 
 
 class HttpRequest(Struct, frozen=True):
--- a/tinrudder/gateway/requests/request_handler.py
+++ b/tinrudder/gateway/requests/request_handler.py
@@ -9,10 +9,12 @@
 
 from functools import partial
 
+from msgspec.structs import replace
+
 from tinrudder.gateway.clients.client_connection import ClientConnection, RequestInProgress
 from tinrudder.gateway.clients.client_deadlines import ClientDeadlines
 from tinrudder.gateway.model.configuration import ClientLimits, Tenant
-from tinrudder.gateway.model.http_messages import HttpRequest
+from tinrudder.gateway.model.http_messages import HttpRequest, end_to_end_headers
 from tinrudder.gateway.model.outcomes import NotRun, OverQuota
 from tinrudder.gateway.observability.request_log import FinishedRequest, RequestObserver
 from tinrudder.gateway.requests.client_request import ClientRequest
@@ -70,6 +72,9 @@
 
     def handle(self, request: HttpRequest, connection: ClientConnection) -> RequestInProgress:
         """Serve one request."""
+        names = self.call_context.names
+        headers = end_to_end_headers(request.headers, names.protected)
+        request = replace(request, headers=headers)
         client_request = ClientRequest(self, request, connection, self._routes)
         self.call_context.counters.requests += 1
         refusal = refusal_on_arrival(self._checks, client_request)
--- a/tinrudder/gateway/runs/request_bytes.py
+++ b/tinrudder/gateway/runs/request_bytes.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from tinrudder.gateway.model.configuration import HeaderNames
-from tinrudder.gateway.model.http_messages import HttpRequest, end_to_end_headers
+from tinrudder.gateway.model.http_messages import CONNECTION_HEADERS, HttpRequest, without_headers
 from tinrudder.gateway.runs.request_fingerprint import fingerprint_of, origin_of
 
 MILLISECONDS = 1000.0
@@ -32,9 +32,9 @@
         self._fingerprint: bytes | None = None
         self._origin: bytes | None = None
         self._names = names
-        excluded = frozenset((names.deadline_ms, names.expected_backend))
+        replaced = frozenset((names.deadline_ms, names.expected_backend))
         lines = [b"%b %b HTTP/1.1" % (request.method, request.target)]
-        headers = end_to_end_headers(request.headers, excluded)
+        headers = without_headers(request.headers, CONNECTION_HEADERS | replaced)
         lines.extend(b"%b: %b" % header for header in headers)
         if request.body or request.method in METHODS_WITH_BODY:
             lines.append(b"Content-Length: %d" % len(request.body))
