A request that offers to switch protocols is served, body and all

Cause: the parser reports an offered upgrade after it has passed the request on, and takes every byte behind the head for the other protocol. The gateway refused then, while the request was already running. A second fault behind it: a body was not read, so the request ran without it.

Ruled out: serving it as it was passed on (its body would have been parsed as the next request: smuggling).

CONNECT is refused before it runs.

Why it works: RFC 9110 lets a server ignore the offer. Another parser reads the head without it, and then whatever follows.

--- a/tests/functional/gateway/test_client_headers.py
+++ b/tests/functional/gateway/test_client_headers.py
@@ -78,6 +78,33 @@
     run_site(scenario, tenants=(TENANT,))
 
 
+UPGRADE = ("Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMAAABk")
+
+
+@pytest.mark.parametrize("body", ["", "abc"])
+def test_a_request_that_offers_another_protocol_is_answered_and_its_connection_kept(
+    body: str,
+) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        length = (f"Content-Length: {len(body)}",) if body else ()
+        offers = request_text(*UPGRADE, *length, body=body) * 3
+        answer = await exchange(site, offers + request_text("Connection: close"))
+        assert answer.count(b"HTTP/1.1 200 ") == 4
+        assert len(site.ledger.arrivals) == 4
+        assert {arrival.body for arrival in site.ledger.arrivals[:3]} == {body.encode()}
+
+    run_site(scenario, tenants=(TENANT,))
+
+
+def test_a_request_for_a_tunnel_is_refused_before_it_runs() -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        text = request_text("Connection: close").replace("GET /single/1", "CONNECT h:1")
+        assert (await exchange(site, text)).startswith(b"HTTP/1.1 400 ")
+        assert site.ledger.arrivals == []
+
+    run_site(scenario, tenants=(TENANT,))
+
+
 @given(headers=st.lists(st.tuples(NAMES, VALUES), max_size=8))
 def test_forwarded_headers_are_those_of_a_plain_oracle(
     headers: list[tuple[bytes, bytes]],
--- a/tinrudder/gateway/clients/request_reader.py
+++ b/tinrudder/gateway/clients/request_reader.py
@@ -17,13 +17,17 @@
 
 from tinrudder.gateway.model.body_parts import BodyParts
 from tinrudder.gateway.model.configuration import ClientLimits
-from tinrudder.gateway.model.http_messages import Header, Headers, HttpRequest
+from tinrudder.gateway.model.http_messages import Header, Headers, HttpRequest, without_headers
 from tinrudder.gateway.model.outcomes import (
     STATUS_BAD_REQUEST,
     STATUS_BODY_TOO_LARGE,
     STATUS_HEADER_TOO_LARGE,
 )
 
+CONNECT = b"CONNECT"
+"""Method that asks for a tunnel, which a gateway never opens."""
+UPGRADE = b"upgrade"
+"""Header that offers to switch to another protocol on this connection."""
 HTTP_1_1 = "1.1"
 """The version since which connections are persistent by default (RFC 9112)."""
 
@@ -76,10 +80,10 @@
     def _feed(self, data: bytes) -> None:
         """Parse the bytes that arrived."""
         self._has_advanced = False
+        rest = data
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.refuse(STATUS_BAD_REQUEST)
+            while rest and not self._refused:
+                rest = self._parse(rest)
         except httptools.HttpParserError:
             if not self._refused:
                 self.refuse(STATUS_BAD_REQUEST)
@@ -87,6 +91,30 @@
         if not self._refused and self._framing_bytes > self._limit_source.limits.max_header_bytes:
             self.refuse(STATUS_HEADER_TOO_LARGE)
 
+    def _parse(self, data: bytes) -> bytes:
+        """Parse bytes; return those that have to be parsed after a head with an ``Upgrade``.
+
+        The offer is declined, as HTTP allows.  The parser takes all bytes behind such a head for
+        the other protocol, a body among them, so another one gets the head without the offer.
+        """
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as upgrade:
+            (parsed_bytes,) = upgrade.args
+            return self._restart_without_upgrade() + data[parsed_bytes:]
+        return b""
+
+    def _restart_without_upgrade(self) -> bytes:
+        """Replace the parser; return the head that it has read, without the offer."""
+        parser, self._parser = self._parser, httptools.HttpRequestParser(self)
+        version = parser.get_http_version().encode()
+        lines = [b"%b %b HTTP/%b" % (parser.get_method(), self._target, version)]
+        headers = without_headers(tuple(self._headers), frozenset((UPGRADE,)))
+        lines.extend(b"%b: %b" % header for header in headers)
+        self._head_complete = False
+        self._add_held(-self._stored_head_bytes)
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def _release_parser(self) -> None:
         """Drop the parser: the reference cycle with it would keep a body in memory until the next
         garbage collection.
@@ -152,6 +180,11 @@
         """Pass on a complete request (parser callback)."""
         if self._refused:
             return
+        if self._parser.get_method() == CONNECT:
+            self.refuse(STATUS_BAD_REQUEST)
+            return
+        if self._parser.should_upgrade():
+            return
         self._has_advanced = True
         self._head_complete = False
         keep_alive = self._parser.should_keep_alive()
--- a/tinrudder_lab/emulator/backend.py
+++ b/tinrudder_lab/emulator/backend.py
@@ -248,5 +248,6 @@
                 tenant=request.headers.get("tinrudder-tenant", ""),
                 credentials="authorization" in request.headers,
                 started_ms=self.started_ms,
+                body=request.body,
             )
         )
--- a/tinrudder_lab/emulator/records.py
+++ b/tinrudder_lab/emulator/records.py
@@ -34,6 +34,7 @@
     tenant: str = ""
     credentials: bool = False
     started_ms: int = 0
+    body: bytes = b""
 
     @property
     def incarnation(self) -> str:
