A rejected request never goes over the same connection again

Cause: an answer was matched to a call by the request's id alone, which does not tell two calls of one request over one connection apart. A rejection that came a second time was taken for the answer to the second call, which the back end was running.

Ruled out: a second answer to another request (its id differs; the connection ends).

--- a/tests/functional/gateway/test_upstream_pool.py
+++ b/tests/functional/gateway/test_upstream_pool.py
@@ -71,14 +71,16 @@
         self.open.discard(writer)
 
 
-async def call(pool: UpstreamPool, *, repeatable: bool, wait_s: float = 5.0) -> CallOutcome:
+async def call(
+    pool: UpstreamPool, *, repeatable: bool, wait_s: float = 5.0, request_id: bytes = b"r"
+) -> CallOutcome:
     loop = asyncio.get_running_loop()
     outcome: asyncio.Future[CallOutcome] = loop.create_future()
     request = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
     pool.start(
         UpstreamCall(
             lambda: request,
-            b"r",
+            request_id,
             lambda result: None if outcome.done() else outcome.set_result(result),
             loop.time() + wait_s,
             repeatable=repeatable,
@@ -145,6 +147,52 @@
         await super()._serve(reader, writer)
 
 
+class RejectingServer(FakeServer):
+    """Rejects the first call on each connection, and repeats that rejection a moment later."""
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.opened += 1
+        await reader.readuntil(b"\r\n\r\n")
+        rejection = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"
+        writer.write(rejection)
+        await reader.readuntil(b"\r\n\r\n")
+        self.served += 1
+        writer.write(rejection)
+        await reader.read()
+
+
+@pytest.mark.parametrize("most", [1, 2])
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_a_rejected_request_never_goes_over_the_same_connection_again(
+    most: int, repeatable: bool
+) -> None:
+    """A surplus rejection was taken for the answer to the second call, which ran."""
+
+    async def run() -> FakeServer:
+        server = RejectingServer()
+        async with server.pool() as pool:
+            pool.max_connections = most
+            for number in range(3):
+                await call(pool, repeatable=repeatable)
+                assert server.opened == number + 1
+            assert pool.connections <= most
+        return server
+
+    assert asyncio.run(run()).served == 0
+
+
+def test_another_request_uses_the_connection_of_a_rejected_one() -> None:
+    async def run() -> FakeServer:
+        server = RejectingServer()
+        async with server.pool() as pool:
+            await call(pool, repeatable=True)
+            await call(pool, repeatable=True, request_id=b"other")
+        return server
+
+    server = asyncio.run(run())
+    assert (server.opened, server.served) == (1, 1)
+
+
 class LargeCalls:
     """Starts calls on a pool and records which were sent and which have ended."""
 
--- a/tinrudder/gateway/backends/upstream_connection.py
+++ b/tinrudder/gateway/backends/upstream_connection.py
@@ -29,6 +29,8 @@
 KEEP_ALIVE_MARGIN_S = 0.5
 """How long before the server's keep-alive timeout an idle connection is no longer used, seconds.
 The server counts in whole seconds and from a different moment."""
+MAX_UNSETTLED_REQUESTS = 64
+"""Requests that may be sent again, for which one connection may be kept: bounds the ids stored."""
 NEVER = float("inf")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -49,6 +51,10 @@
 
     Bytes that arrive while no call is in progress close the connection, since they belong to no
     request. Answers are read as they arrive, however slowly the client reads them.
+
+    An answer belongs to a call if it arrives while the call is in progress and carries the id of
+    its request. A request that was rejected here is therefore never sent here again: a surplus
+    copy of the rejection would be taken for the answer to the second call, which may be running.
     """
 
     def __init__(
@@ -78,6 +84,8 @@
         self._transport: asyncio.Transport | None = None
         self._call: UpstreamCall | None = None
         self._reader: AnswerReader | None = None
+        # Ids of requests that were not served here, and so may be sent again.
+        self._unsettled: set[bytes] = set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport, and let the kernel time out a silent peer."""
@@ -98,6 +106,10 @@
         """Whether another call may be sent."""
         return self.is_open and self._call is None and self._loop.time() < self.usable_until
 
+    def may_carry(self, call: UpstreamCall) -> bool:
+        """Whether an answer could not be mistaken for that to an earlier call of this request."""
+        return call.request_id not in self._unsettled
+
     def send(self, call: UpstreamCall) -> bool:
         """Write one call; return false if it was withdrawn and nothing was written."""
         assert self._transport is not None
@@ -212,7 +224,9 @@
         )
         if reusable:
             self._note_keep_alive(answer)
-        self._end(outcome, reusable=reusable)
+            if not answer.successful:
+                self._unsettled.add(call.request_id)
+        self._end(outcome, reusable=reusable and len(self._unsettled) <= MAX_UNSETTLED_REQUESTS)
 
     def _note_keep_alive(self, answer: HttpAnswer) -> None:
         """Read from an answer how long the server keeps an idle connection open."""
--- a/tinrudder/gateway/backends/upstream_pool.py
+++ b/tinrudder/gateway/backends/upstream_pool.py
@@ -93,12 +93,16 @@
 
     def _start(self, call: UpstreamCall) -> None:
         """Send a call over an idle connection, or queue it."""
-        connection = self._take_idle() if call.repeatable else self._take_recently_active()
+        take = self._take_idle if call.repeatable else self._take_recently_active
+        connection = take(call)
         if connection is not None:
             self._send(connection, call)
             return
         call.carrier = self
         self._waiting.append(call)
+        if self._idle and self.connections >= self.max_connections:
+            # None of the idle ones may carry this call, and there is no room for another.
+            self._idle.pop(0).abort()
         self._open_missing()
 
     def cancel(self, call: UpstreamCall) -> None:
@@ -160,21 +164,23 @@
                 self._idle.remove(connection)
                 connection.abort()
 
-    def _take_idle(self) -> UpstreamConnection | None:
-        """Return a usable idle connection, the most recently used first."""
-        while self._idle:
-            connection = self._idle.pop()
+    def _take_idle(self, call: UpstreamCall) -> UpstreamConnection | None:
+        """Return a usable idle connection that may carry a call, the most recently used first."""
+        for connection in tuple(reversed(self._idle)):
+            if connection.is_usable() and not connection.may_carry(call):
+                continue
+            self._idle.remove(connection)
             if connection.is_usable():
                 return connection
             connection.abort()
         return None
 
-    def _take_recently_active(self) -> UpstreamConnection | None:
+    def _take_recently_active(self, call: UpstreamCall) -> UpstreamConnection | None:
         """Return an idle connection that received bytes within :data:`MAX_UNREPEATABLE_IDLE_S`.
 
         If there is none, make room for a new one.
         """
-        connection = self._take_idle()
+        connection = self._take_idle(call)
         if connection is None:
             return None
         if self._loop.time() - connection.last_received_at <= MAX_UNREPEATABLE_IDLE_S:
@@ -196,10 +202,11 @@
         if not connection.is_usable():
             connection.abort()
             return
-        call = self._next_waiting()
+        call = self._next_waiting(connection)
         if call is not None:
             self._send(connection, call)
-        elif self._closed:
+        elif self._closed or (self._waiting and self.connections >= self.max_connections):
+            # Makes room for a connection that may carry the waiting calls.
             connection.abort()
         else:
             self._idle.append(connection)
@@ -265,14 +272,19 @@
         for _ in range(min(failed, len(self._waiting))):
             self._waiting.popleft().finish(NotSent(detail, refused))
 
-    def _next_waiting(self) -> UpstreamCall | None:
-        """Dequeue the oldest waiting call that has neither finished nor passed its deadline."""
-        while self._waiting:
+    def _next_waiting(self, connection: UpstreamConnection) -> UpstreamCall | None:
+        """Dequeue the oldest call that a connection may carry, and calls past their deadline."""
+        others: list[UpstreamCall] = []
+        found: UpstreamCall | None = None
+        while self._waiting and found is None:
             call = self._waiting.popleft()
             if call.finished:
                 continue
             if call.deadline <= self._loop.time():
                 call.finish(NotSent("no connection before the deadline"))
-                continue
-            return call
-        return None
+            elif connection.may_carry(call):
+                found = call
+            else:
+                others.append(call)
+        self._waiting.extendleft(reversed(others))
+        return found
