One owner of a tenant's bucket after a standstill, a kill or a return

Cause: the others left a silent owner for 3 s and asked the next one, and nothing told the first that they had. It took itself for the owner, and both granted the whole rate.

Why it works: whoever acts as the owner tells every gateway, each 0.5 s while the tenant is near its limit; the first by rendezvous that hears it claims the bucket, with no more tokens than the acting one has, and all that hear the claim turn to it. An owner that stood still finds that news in its socket when it wakes.

Not covered: an owner that reaches its clients and back ends but no gateway grants the whole rate until it knows that it hears less than half of them, as before.

--- a/tests/functional/gateway/test_quotas.py
+++ b/tests/functional/gateway/test_quotas.py
@@ -369,3 +369,45 @@
         assert isinstance(owners.pop(), Address)
 
     run_limited(scenario)
+
+
+FAST = SiteTenant("limited", ("key-l",), 100.0, 20.0)
+FAST_LIMIT = FAST.rate_per_s * BOUNDS.window_s + FAST.burst
+FAST_BOUND = FAST_LIMIT * (1.0 + BOUNDS.excess) + BOUNDS.slack
+
+
+async def lose(site: EmulatedSite, node: EmulatedNode, how: str, seconds: float) -> None:
+    """Pause a gateway, or kill it and start it anew, for some time."""
+    if how == "paused":
+        node.machine.pause()
+    else:
+        site.kill_node(node)
+    await asyncio.sleep(seconds)
+    if how == "paused":
+        node.machine.resume(site.loop)
+    else:
+        site.start_node(node)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+@pytest.mark.parametrize("how", ["paused", "killed"])
+@pytest.mark.parametrize(
+    "losses", [(0.1,), (0.3,), (0.5,), (1.0,), (2.5,), (0.3, 0.3), (0.1, 0.4, 0.2)]
+)
+def test_two_owners_never_grant_a_whole_rate_each(
+    losses: tuple[float, ...], how: str, seed: int
+) -> None:
+    async def scenario(site: EmulatedSite) -> None:
+        await asyncio.sleep(SETTLED_S)
+        await ask(site, 2.0, 60.0)
+        asking = asyncio.create_task(ask(site, 6.5, FAST.rate_per_s * 3.3))
+        await asyncio.sleep(1.0)
+        for seconds in losses:
+            await lose(site, owner_node_of(site), how, seconds)
+            await asyncio.sleep(0.5)
+        await asking
+        most = site.ledger.max_in_window(FAST.name, BOUNDS.window_s)
+        assert FAST_LIMIT * 0.7 <= most <= FAST_BOUND
+        assert site.contract_violations() == []
+
+    run_site(scenario, seed=seed, tenants=(FAST,), node_count=3, copies=3, singles=6)
--- a/tinrudder/gateway/quotas/bucket_owner.py
+++ b/tinrudder/gateway/quotas/bucket_owner.py
@@ -12,6 +12,7 @@
 from tinrudder.common.address import Address
 from tinrudder.common.logs import LogValue, log_event
 from tinrudder.gateway.decisions.admission.token_buckets import (
+    HeldTokens,
     QuotaLimit,
     TokenBuckets,
     grantable_share,
@@ -22,9 +23,11 @@
 from tinrudder.gateway.peers.peer_messages import QuotaReport, QuotaVerdict
 from tinrudder.gateway.peers.zone_monitor import ZoneMonitor
 
-BROADCAST_INTERVAL_S = 1.0
-"""Minimum interval between broadcasts that a tenant is near its limit, seconds: half of their
-validity."""
+BROADCAST_INTERVAL_S = 0.5
+"""Minimum interval between broadcasts that a tenant is near its limit, seconds: bounds the time for
+which two gateways may both grant a tenant's whole rate, well below the margin above its limit."""
+CLAIM_INTERVAL_S = 0.05
+"""Minimum interval between claims of a tenant's bucket, seconds: several round trips."""
 BROADCAST_NUMBER = 0
 """Report number of a broadcast verdict, which answers no report."""
 MAX_ISOLATED_SHARE = 0.49
@@ -67,7 +70,7 @@
         share = grantable_share(self._zone_monitor.heard_share, self._bounds.excess)
         verdict = self._grant(self.buckets, report, share)
         if verdict.pressed_s > 0.0:
-            self._broadcast_pressed(verdict)
+            self._broadcast(verdict, BROADCAST_INTERVAL_S)
         return verdict
 
     def answer_report_isolated(self, report: QuotaReport) -> QuotaVerdict:
@@ -79,6 +82,15 @@
         share = grantable_share(min(1.0 / nodes, MAX_ISOLATED_SHARE), self._bounds.excess)
         return self._grant(self._isolated_buckets, report, share)
 
+    def claim(self, tenant: str, held: HeldTokens) -> None:
+        """Broadcast that this gateway owns a tenant's bucket, unless that was done just before.
+
+        :param held: tokens in the bucket of the gateway that acted as the owner meanwhile.
+        """
+        share = grantable_share(self._zone_monitor.heard_share, self._bounds.excess)
+        verdict = self._grant(self.buckets, QuotaReport(BROADCAST_NUMBER, tenant, held=held), share)
+        self._broadcast(verdict, CLAIM_INTERVAL_S)
+
     def forget_unused(self, tenants: frozenset[str]) -> None:
         """Drop idle buckets, and the broadcasts on tenants that are no longer configured."""
         self._broadcast_at = {
@@ -119,11 +131,11 @@
             grant.tokens,
         )
 
-    def _broadcast_pressed(self, verdict: QuotaVerdict) -> None:
-        """Broadcast that a tenant is near its limit, unless that was done just before."""
+    def _broadcast(self, verdict: QuotaVerdict, min_interval_s: float) -> None:
+        """Broadcast how near a tenant is to its limit, unless that was done just before."""
         now = self._loop.time()
         tenant, pressed_s = verdict.tenant, verdict.pressed_s
-        if now - self._broadcast_at.get(tenant, float("-inf")) < BROADCAST_INTERVAL_S:
+        if now - self._broadcast_at.get(tenant, float("-inf")) < min_interval_s:
             return
         self._broadcast_at[tenant] = now
         peers = [member.address for member in self._peers.candidates(now)]
--- a/tinrudder/gateway/quotas/bucket_owner_choice.py
+++ b/tinrudder/gateway/quotas/bucket_owner_choice.py
@@ -31,8 +31,8 @@
 class BucketOwnerChoice(Struct):
     """Ranks the live gateways by rendezvous hashing of the tenant's name.
 
-    The views of two gateways may differ for seconds: then a bucket has two owners.  The margin
-    above the tenant's limit allows for that.
+    The views of two gateways may differ: then a bucket has two owners until the lower one of them
+    hears the other's broadcast.  The margin above the tenant's limit allows for that.
     """
 
     own: Address
@@ -58,6 +58,11 @@
             name: choice for name, choice in self._chosen.items() if choice.owner != owner
         }
 
+    def note_acting(self, owner: Address) -> None:
+        """Use a gateway again that is heard to act as an owner."""
+        if self._avoided.pop(owner, None) is not None:
+            self._chosen.clear()
+
     def forget_unused(self, tenants: Set[str]) -> None:
         """Drop the state of tenants that are no longer configured."""
         self._chosen = {name: choice for name, choice in self._chosen.items() if name in tenants}
--- a/tinrudder/gateway/quotas/quotas.py
+++ b/tinrudder/gateway/quotas/quotas.py
@@ -267,10 +267,11 @@
         else:
             pending.decide(_refusal(pending, verdict))
 
-    def _on_verdict(self, verdict: QuotaVerdict, _owner: Address) -> None:
+    def _on_verdict(self, verdict: QuotaVerdict, owner: Address) -> None:
         """Apply an owner's verdict."""
         if verdict.number == BROADCAST_NUMBER:
             self._apply_verdict(verdict)
+            self._resolve_ownership(verdict, owner)
             return
         pending = self._pending.pop(verdict.number, None)
         if pending is None:
@@ -283,6 +284,16 @@
         if pending.decide is not None:
             pending.decide(_refusal(pending, verdict))
 
+    def _resolve_ownership(self, verdict: QuotaVerdict, acting: Address) -> None:
+        """Leave a bucket with one owner after another gateway was heard to act as its owner.
+
+        An owner that was paused or restarted does not know that others have left it: it claims the
+        bucket, with no more tokens than the acting owner has, and all others turn to it again.
+        """
+        self._owner_choice.note_acting(acting)
+        if self.owner_of(verdict.tenant) == self._own and verdict.tokens is not None:
+            self.bucket_owner.claim(verdict.tenant, HeldTokens(verdict.tokens, 0.0))
+
     def _note_acknowledged(self, pending: _Pending) -> None:
         """Record that an owner has received a report."""
         name = pending.tenant.name
