--- a/tinrudder/gateway/clients/held_bytes.py
+++ b/tinrudder/gateway/clients/held_bytes.py
@@ -6,8 +6,12 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 
-from tinrudder.gateway.decisions.admission.memory_bound import largest_answer_bytes
+
+def unlimited(receiving: float) -> float:
+    """Default for ``answer_limit``: any size."""
+    return math.inf
 
 
 class HeldBytes:
@@ -18,7 +22,6 @@
     a call on a back-end connection (7.4 without it): the least of 45 alternating rounds of 20,000,
     by ``bench.connection_cost``.
 
-    :ivar bound: the account that the limit of one answer is derived from.
     :ivar answers: bytes of answers being received; included in ``backends``.
     :ivar clients: bytes of bodies being read, of requests waiting and in progress, and of answers
         that sockets have not accepted.
@@ -28,11 +31,15 @@
         progress, as of the latest refresh.
     """
 
-    __slots__ = ("answers", "backends", "bound", "clients", "peers")
+    __slots__ = ("_answer_limit", "answers", "backends", "clients", "peers")
+
+    def __init__(self, answer_limit: Callable[[float], float] = unlimited) -> None:
+        """Start with nothing held.
 
-    def __init__(self, bound: float = math.inf) -> None:
-        """Start with nothing held."""
-        self.bound = bound
+        :param answer_limit: returns the size that an answer may reach, by the bytes of all answers
+            being received.
+        """
+        self._answer_limit = answer_limit
         self.answers = 0
         self.clients = 0
         self.backends = 0
@@ -41,4 +48,4 @@
     @property
     def largest_answer(self) -> float:
         """The size that an answer may reach now, bytes."""
-        return largest_answer_bytes(self.bound, self.answers)
+        return self._answer_limit(self.answers)
--- a/tinrudder/gateway/clients/memory_account.py
+++ b/tinrudder/gateway/clients/memory_account.py
@@ -10,11 +10,13 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 
 from tinrudder.common.logs import LogValue, log_problem
 from tinrudder.gateway.clients.held_bytes import HeldBytes
 from tinrudder.gateway.decisions.admission.memory_bound import (
     READ_PAUSE_FILL,
+    largest_answer_bytes,
     refusal_fill,
     retry_after_s,
 )
@@ -38,6 +40,7 @@
         "_count_peers",
         "_line_at",
         "_near",
+        "bound",
         "ended_unread",
         "pauses",
         "refused",
@@ -53,7 +56,8 @@
 
         :param count_peers: counts the bytes held for peers, by visiting each of their connections.
         """
-        super().__init__(bound)
+        super().__init__(partial(largest_answer_bytes, bound))
+        self.bound = bound
         self.refused = 0
         self.ended_unread = 0
         self.pauses = 0
--- a/tinrudder/gateway/wiring.py
+++ b/tinrudder/gateway/wiring.py
@@ -11,6 +11,7 @@
 import asyncio
 import random
 from collections.abc import Callable
+from functools import partial
 
 from msgspec import Struct
 
@@ -26,7 +27,7 @@
 from tinrudder.gateway.backends.load_reports import LoadReports
 from tinrudder.gateway.clients.held_bytes import HeldBytes
 from tinrudder.gateway.clients.memory_account import MemoryAccount
-from tinrudder.gateway.decisions.admission.memory_bound import account_bytes
+from tinrudder.gateway.decisions.admission.memory_bound import account_bytes, largest_answer_bytes
 from tinrudder.gateway.decisions.fleet.process_pause import ProcessPause
 from tinrudder.gateway.model.configuration import GatewaySettings, HeaderNames
 from tinrudder.gateway.observability.gateway_log import (
@@ -154,7 +155,7 @@
     peer_buffer_bytes = PeerBufferBytes()
     bound = account_bytes(context.settings.memory_mb)
     # Apart from the back ends' answers, which must not keep the gateway from following the store.
-    store_bytes = HeldBytes(bound)
+    store_bytes = HeldBytes(partial(largest_answer_bytes, bound))
 
     def count_others() -> int:
         return peer_buffer_bytes.total() + store_bytes.backends
