The soak disturbs the surroundings of processes; settings may be half written at a start

Cause: the file is filled in place, and an invalid one was taken as final. An invalid file that was changed less than a second ago is read again now, for a second at most.

What developers did not see: the soak started every gateway in the same surroundings, and a process that ended by itself between two faults was restarted by the second and forgotten; it is recorded now. New kinds: an address held at the start, five outputs, few descriptors, no home, settings half written at a start and at a reload, answers without end, all processes started together.

--- a/tests/functional/gateway/test_process_survival.py
+++ b/tests/functional/gateway/test_process_survival.py
@@ -23,6 +23,7 @@
 )
 from tinrudder_lab.soak.process_site import ProcessSite
 from tinrudder_lab.soak.slow_readers import MEMORY_POLL_S, peak_mb
+from tinrudder_lab.soak.surroundings import Surroundings
 
 METRICS_PORT = 9464
 STANDARD_OUTPUT = 1
@@ -132,6 +133,18 @@
     run_on_site(tmp_path, scenario, node_count=1, prepare_process=lambda: os.close(STANDARD_OUTPUT))
 
 
+def test_settings_that_are_half_written_at_the_start_are_read_once_they_are_whole(
+    tmp_path: Path,
+) -> None:
+    async def scenario(site: ProcessSite) -> None:
+        site.draw_surroundings = lambda: Surroundings(half_written_s=0.7)
+        await site.start()
+        assert site.unexpected_exits() == []
+        await wait_until_ready(site, READY_WITHIN_S)
+
+    run_on_site(tmp_path, scenario, node_count=1)
+
+
 async def measure_growth_mb(site: ProcessSite, idle_mb: float) -> float:
     """Return by how much the gateway's memory exceeds its idle size at most."""
     growth_mb = 0.0
--- a/tests/functional/lab/test_soak.py
+++ b/tests/functional/lab/test_soak.py
@@ -21,3 +21,5 @@
     assert result.slow_readers > 0
     assert any("store back from" in one for one in result.faults)
     assert any("links silent" in one for one in result.faults)
+    assert any("endless" in one for one in result.faults)
+    assert any("started together" in one for one in result.faults)
--- a/tinrudder/cli/gateway.py
+++ b/tinrudder/cli/gateway.py
@@ -11,6 +11,7 @@
 import os
 import signal
 import sys
+import time
 from functools import partial
 from pathlib import Path
 
@@ -39,6 +40,12 @@
 SETTINGS_POLL_INTERVAL_S = 1.0
 """Seconds between two checks of the settings file's modification time: a change takes effect within
 about a second where no signal can be sent."""
+SETTINGS_SETTLE_S = 1.0
+"""Seconds since its last change for which an invalid settings file may still be being written: the
+platform fills it in place, also while a process starts."""
+NANOSECONDS_PER_S = 1e9
+SETTINGS_RETRY_S = 0.05
+"""Seconds between two attempts to read such a file."""
 DECODERS = ValueDecoders(
     decode_operator_key, decode_configuration, decode_backend, decode_load_report
 )
@@ -71,7 +78,7 @@
     # Read the modification time before the file, so that a change during the read is noticed.
     modified_ns = _modified_ns(path)
     try:
-        settings = load_gateway_settings(path)
+        settings = _load_written_settings(path, 0.0 if arguments.check else SETTINGS_SETTLE_S)
     except SettingsFileError as error:
         print(f"tinrudder gateway: {error}", file=sys.stderr)
         return ExitCode.USAGE
@@ -89,6 +96,24 @@
     return ExitCode.OK
 
 
+def _load_written_settings(path: Path, settle_s: float) -> GatewaySettings:
+    """Load the settings; wait for a file that may still be written.
+
+    :param settle_s: seconds after its last change until an invalid file is taken as written.
+    :raises SettingsFileError: the file is invalid.
+    """
+    deadline = time.monotonic() + settle_s
+    while True:
+        try:
+            return load_gateway_settings(path)
+        except SettingsFileError:
+            age_s = (time.time_ns() - _modified_ns(path)) / NANOSECONDS_PER_S
+            # The deadline bounds the wait where the time of day has jumped.
+            if not path.is_file() or age_s >= settle_s or time.monotonic() >= deadline:
+                raise
+        time.sleep(SETTINGS_RETRY_S)
+
+
 async def _serve(
     settings: GatewaySettings,
     path: Path,
--- a/tinrudder/platform/settings_file.py
+++ b/tinrudder/platform/settings_file.py
@@ -117,7 +117,7 @@
         return msgspec.convert(tomllib.loads(path.read_text()), _Settings, strict=False)
     except OSError as error:
         raise SettingsFileError(f"{path}: {error.strerror}") from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.MsgspecError) as error:
+    except (ValueError, RecursionError, msgspec.MsgspecError) as error:
         raise SettingsFileError(f"{path}: {error}") from error
 
 
--- a/tinrudder_lab/main.py
+++ b/tinrudder_lab/main.py
@@ -135,6 +135,7 @@
         slow=True,
         restores=not parsed.no_restores,
         silences=True,
+        surroundings=True,
     )
     runs = [from_arguments]
     if parsed.regressions:
@@ -153,6 +154,7 @@
             slow=one.slow,
             restores=one.restores,
             silences=one.silences,
+            surroundings=one.surroundings,
         )
         result = asyncio.run(soaking)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -31,6 +31,7 @@
 from tinrudder_lab.processes import ProcessGroup
 from tinrudder_lab.soak.loopback_network import LoopbackNetwork, reserve_network
 from tinrudder_lab.soak.proxy import LinkProxy
+from tinrudder_lab.soak.surroundings import Surroundings, hold_address, write_in_halves
 
 MS_PER_SECOND = 1000
 ROOT = Path(__file__).parents[2]
@@ -59,6 +60,16 @@
     return {**passed, "PYTHONPATH": str(ROOT), SETTINGS_VARIABLE: str(settings)}
 
 
+async def _is_listening(host: str, port: int) -> bool:
+    """Return whether connections to an address are accepted."""
+    try:
+        _, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        return False
+    writer.close()
+    return True
+
+
 def version_route(version: int) -> str:
     """Return the name of the route that exists only in this version of the configuration."""
     return f"version-{version}"
@@ -73,6 +84,7 @@
     :param problems: failures that fault injection found, beyond what clients and back ends see.
     :param peak_mb: highest memory use of any gateway's process, megabytes.
     :param memory_mb: memory limit in the gateways' settings, megabytes.
+    :param draw_surroundings: returns the surroundings of the next start of a gateway.
     :param prepare_process: called in each new process of a gateway before its program runs.
     :param versions: time at which each version of the configuration was written.
     """
@@ -85,6 +97,7 @@
     peak_mb: float = 0.0
     versions: dict[int, float] = field(default_factory=dict)
     memory_mb: float = MEMORY_MB
+    draw_surroundings: Callable[[], Surroundings] = Surroundings
     prepare_process: Callable[[], None] | None = None
     _locks: dict[str, asyncio.Lock] = field(default_factory=dict)
 
@@ -121,26 +134,42 @@
         """Start a gateway's process and wait until its own code runs.
 
         A signal during the start of the interpreter ends any program, so none is sent before the
-        first log line.  From then on the gateway must handle signals.
+        readiness address is served.  From then on the gateway must handle signals.
         """
         await self._link_to_store(node)
-        settings = self.folder / f"{node.name}.toml"
-        settings.write_text(self._settings_text(node))
-        log = self.processes.log_of(node.name)
-        before = log.stat().st_size if log.exists() else 0
-        await self.processes.start_command(
-            node.name, _deployed_command(), _environment(settings), self.prepare_process
+        around = self.draw_surroundings()
+        settings = self.settings_file(node)
+        holder = hold_address(node.host, *around.held) if around.held is not None else None
+        writing = asyncio.create_task(
+            write_in_halves(settings, self._settings_text(node), around.half_written_s)
         )
-        await self._wait_for_first_line(node, log, before)
-
-    async def _wait_for_first_line(self, node: EmulatedNode, path: Path, before: int) -> None:
-        """Wait until a process has written to its log; record a problem if it does not."""
+        await asyncio.sleep(0.0)
+        environment = _environment(settings)
+        if not around.has_home:
+            environment.pop("HOME", None)
+        prepare = self.prepare_process or around.prepare
+        await self.processes.start_command(node.name, _deployed_command(), environment, prepare)
+        await asyncio.sleep(around.held_s)
+        await writing
+        if holder is not None:
+            holder.close()
+        await self._wait_until_listening(node, around)
+
+    def settings_file(self, node: EmulatedNode) -> Path:
+        """Return the path of a gateway's settings."""
+        return self.folder / f"{node.name}.toml"
+
+    async def _wait_until_listening(self, node: EmulatedNode, around: Surroundings) -> None:
+        """Wait until a gateway serves its readiness address; record a problem if it does not."""
         try:
             async with asyncio.timeout(START_TIMEOUT_S):
-                while path.stat().st_size <= before:
+                while not await _is_listening(node.host, HEALTH_PORT):
+                    if self.processes.pid_of(node.name) is None:
+                        self.problems.append(f"start: {node.name} ended with {around}")
+                        return
                     await asyncio.sleep(POLL_INTERVAL_S)
         except TimeoutError:
-            self.problems.append(f"start: {node.name} wrote nothing in {START_TIMEOUT_S} s")
+            self.problems.append(f"start: {node.name} does not listen, {around}")
 
     def extra_routes(self) -> list[str]:
         """Return a route that only this version has, to show whether it is in force."""
@@ -149,9 +178,19 @@
 
     @contextlib.asynccontextmanager
     async def lock_random_node(self) -> AsyncIterator[EmulatedNode]:
-        """Draw a gateway and lock it against other process faults; record the disturbance."""
-        node = self.random.choice(self.nodes)
+        """Draw a gateway; see :meth:`locked`."""
+        async with self.locked(self.random.choice(self.nodes)) as node:
+            yield node
+
+    @contextlib.asynccontextmanager
+    async def locked(self, node: EmulatedNode) -> AsyncIterator[EmulatedNode]:
+        """Lock a gateway against other process faults; record the disturbance.
+
+        Also records a process that has ended by itself, which a restart would hide.
+        """
         async with self._locks.setdefault(node.name, asyncio.Lock()):
+            if self.processes.pid_of(node.name) is None:
+                self.problems.append(f"unexpected exit: {node.name}, before the next fault")
             disturbance = Disturbance(node.host, self.loop.time())
             self.ledger.disturbances.append(disturbance)
             yield node
@@ -161,6 +200,12 @@
         """Send a signal to a gateway's process, which this soak started."""
         self.processes.send_signal(node.name, number)
 
+    def signal_running(self, node: EmulatedNode, number: signal.Signals) -> None:
+        """Send a signal to a gateway's process, unless it is being stopped or started."""
+        lock = self._locks.get(node.name)
+        if lock is None or not lock.locked():
+            self.signal_node(node, number)
+
     def kill_node(self, node: EmulatedNode) -> None:
         """Kill a gateway's process."""
         self.signal_node(node, signal.SIGKILL)
--- a/tinrudder_lab/soak/regressions.py
+++ b/tinrudder_lab/soak/regressions.py
@@ -16,6 +16,7 @@
     :param slow: whether clients read slowly or not at all.
     :param restores: whether the store was restored from older copies.
     :param silences: whether open connections were silenced.
+    :param surroundings: whether gateways ran in odd surroundings.
     """
 
     seed: int
@@ -27,6 +28,7 @@
     slow: bool = False
     restores: bool = False
     silences: bool = False
+    surroundings: bool = False
 
 
 REGRESSIONS = (
--- a/tinrudder_lab/soak/run.py
+++ b/tinrudder_lab/soak/run.py
@@ -6,6 +6,7 @@
 import random
 import signal
 from collections import Counter
+from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -16,6 +17,7 @@
 from tinrudder_lab.soak.restores import restore_repeatedly
 from tinrudder_lab.soak.silences import silence_repeatedly
 from tinrudder_lab.soak.slow_readers import memory_violations, read_slowly, watch_memory
+from tinrudder_lab.soak.surroundings import disturb_surroundings, draw_surroundings
 from tinrudder_lab.soak.versions import probe_versions
 
 START_S = 2.5
@@ -56,6 +58,7 @@
     slow: float
     restores: float
     silences: float
+    surroundings: float
 
 
 async def soak(
@@ -69,6 +72,7 @@
     slow: bool = True,
     restores: bool = True,
     silences: bool = True,
+    surroundings: bool = True,
 ) -> SoakResult:
     """Run one soak; settings and logs of the gateways are left in ``folder``.
 
@@ -79,6 +83,7 @@
     :param slow: run clients that read slowly or not at all.
     :param restores: restore the store from older copies.
     :param silences: silence open connections, often just before a configuration change.
+    :param surroundings: start gateways in odd surroundings and disturb those of running ones.
     """
     loop = asyncio.get_running_loop()
     site = ProcessSite(
@@ -100,6 +105,7 @@
             seconds if slow else 0.0,
             seconds if restores else 0.0,
             seconds if silences else 0.0,
+            seconds if surroundings else 0.0,
         )
         return await _run(site, seconds, spans)
     finally:
@@ -108,6 +114,8 @@
 
 async def _run(site: ProcessSite, seconds: float, spans: SoakSpans) -> SoakResult:
     """Drive traffic and faults, wait for recovery, and check."""
+    if spans.surroundings:
+        site.draw_surroundings = partial(draw_surroundings, random.Random(f"starts {site.seed}"))
     await site.start()
     await asyncio.sleep(START_S)
     memory = asyncio.create_task(watch_memory(site))
@@ -139,6 +147,7 @@
     changes = asyncio.create_task(change_entries(site, spans.entries))
     restores = asyncio.create_task(restore_repeatedly(site, spans.restores))
     silences = asyncio.create_task(silence_repeatedly(site, spans.silences))
+    surroundings = asyncio.create_task(disturb_surroundings(site, spans.surroundings))
     *_, slow_readers = await asyncio.gather(
         site.traffic(seconds, REQUESTS_PER_SECOND, ROUTES),
         send_over_quota(site, seconds),
@@ -150,6 +159,7 @@
     descriptions.extend(await changes)
     descriptions.extend(await restores)
     descriptions.extend(await silences)
+    descriptions.extend(await surroundings)
     await faults
     return descriptions, slow_readers
 
--- /dev/null
+++ b/tinrudder_lab/soak/surroundings.py
@@ -0,0 +1,180 @@
+"""What a machine does to the processes on it, beside the faults of the network and of peers.
+
+A gateway starts with addresses in use, output that nobody takes, few descriptors or no home; its
+settings are half written when it reads them; what it reads does not end.  Uses random generators of
+its own, so it does not change the other faults of a seed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import os
+import random
+import resource
+import signal
+import socket
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from tinrudder_lab.emulator.endless_answers import EndlessAnswer
+from tinrudder_lab.emulator.site import CLIENT_PORT, HEALTH_PORT, PEER_PORT, EmulatedNode
+
+if TYPE_CHECKING:
+    from tinrudder_lab.soak.process_site import ProcessSite
+
+STANDARD_OUTPUT = 1
+METRICS_PORT = 9464
+FEW_DESCRIPTORS = 256
+ODD_SHARE = 0.5
+HELD_S = (0.3, 2.5)
+PAUSE_S = (0.5, 3.0)
+ENDLESS_S = (0.5, 3.0)
+HALF_WRITTEN_S = (0.05, 0.8)
+HELD_ADDRESSES = (
+    (CLIENT_PORT, socket.SOCK_STREAM),
+    (HEALTH_PORT, socket.SOCK_STREAM),
+    (PEER_PORT, socket.SOCK_STREAM),
+    (PEER_PORT, socket.SOCK_DGRAM),
+    (METRICS_PORT, socket.SOCK_STREAM),
+)
+
+
+class Output(enum.Enum):
+    """What standard output of a process is connected to."""
+
+    LOG = "its log"
+    CLOSED = "nothing"
+    UNREAD = "a pipe that nobody reads"
+    ABANDONED = "a pipe without a reader"
+    FULL = "a full device"
+
+
+@dataclass(frozen=True)
+class Surroundings:
+    """The surroundings of one start of a gateway.
+
+    :param held: an address of the gateway that another socket holds for ``held_s``.
+    """
+
+    output: Output = Output.LOG
+    has_home: bool = True
+    descriptors: int | None = None
+    held: tuple[int, socket.SocketKind] | None = None
+    held_s: float = 0.0
+    half_written_s: float = 0.0
+
+    def prepare(self) -> None:
+        """Change the new process before its program runs."""
+        if self.descriptors is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
+        if self.output is Output.CLOSED:
+            os.close(STANDARD_OUTPUT)
+        elif self.output is Output.FULL:
+            os.dup2(os.open("/dev/full", os.O_WRONLY), STANDARD_OUTPUT)
+        elif self.output is not Output.LOG:
+            reading, writing = os.pipe()
+            # Only an inherited end stays open in the program.
+            os.set_inheritable(reading, self.output is Output.UNREAD)
+            os.dup2(writing, STANDARD_OUTPUT)
+
+
+def draw_surroundings(source: random.Random) -> Surroundings:
+    """Draw the surroundings of a start; half of them are ordinary."""
+    if source.random() >= ODD_SHARE:
+        return Surroundings()
+    held = source.choice((None, *HELD_ADDRESSES))
+    return Surroundings(
+        source.choice((*Output, Output.LOG)),
+        source.random() < 0.5,
+        source.choice((None, FEW_DESCRIPTORS)),
+        held,
+        source.uniform(*HELD_S) if held else 0.0,
+        source.choice((0.0, source.uniform(*HALF_WRITTEN_S))),
+    )
+
+
+def hold_address(host: str, port: int, kind: socket.SocketKind) -> socket.socket | None:
+    """Occupy an address; ``None`` if something else does."""
+    holder = socket.socket(socket.AF_INET, kind)
+    try:
+        holder.bind((host, port))
+        if kind is socket.SOCK_STREAM:
+            holder.listen()
+    except OSError:
+        holder.close()
+        return None
+    return holder
+
+
+async def write_in_halves(path: Path, text: str, seconds: float) -> None:
+    """Write the first half of a file, and all of it some time later."""
+    path.write_text(text[: len(text) // 2])
+    await asyncio.sleep(seconds)
+    path.write_text(text)
+
+
+async def disturb_surroundings(site: ProcessSite, seconds: float) -> list[str]:
+    """Disturb the surroundings of running gateways; return a description of each disturbance."""
+    source = random.Random(f"surroundings {site.seed}")
+    descriptions: list[str] = []
+    end = site.loop.time() + seconds
+    # One start of all processes at once, when half of the time is over.
+    herd = asyncio.create_task(_restart_all(site, seconds / 2)) if seconds else None
+    while site.loop.time() < end:
+        await asyncio.sleep(source.uniform(*PAUSE_S))
+        disturb = source.choice(DISTURBANCES)
+        descriptions.append(f"{site.loop.time():.1f}: {await disturb(site, source)}")
+    if herd is not None:
+        descriptions.append(await herd)
+    return descriptions
+
+
+async def _answer_endlessly(site: ProcessSite, source: random.Random) -> str:
+    """Make a few back ends, or the store for one gateway, answer without end for a while."""
+    nodes = [node.name for node in site.nodes]
+    backends = sorted(set(site.links) - set(nodes))
+    names = [source.choice(nodes)] if source.random() < 0.3 else source.sample(backends, 3)
+    answer = source.choice(list(EndlessAnswer))
+    links = [site.links[name] for name in names if name in site.links]
+    for link in links:
+        link.answer_endlessly(answer)
+    await asyncio.sleep(source.uniform(*ENDLESS_S))
+    for link in links:
+        link.answer_endlessly(None)
+    return f"endless {answer.name} from {', '.join(names)}"
+
+
+async def _rewrite_settings(site: ProcessSite, source: random.Random) -> str:
+    """Write a gateway's settings in halves, with a signal to read them in between or afterwards."""
+    node = source.choice(site.nodes)
+    path = site.settings_file(node)
+    signals = source.choice((0, 1, 2))
+    writing = asyncio.create_task(
+        write_in_halves(path, path.read_text(), source.uniform(*HALF_WRITTEN_S))
+    )
+    await asyncio.sleep(0.0)
+    if signals:
+        site.signal_running(node, signal.SIGHUP)
+    await writing
+    if signals > 1:
+        site.signal_running(node, signal.SIGHUP)
+    return f"settings of {node.name} half written, {signals} signals"
+
+
+async def _restart_all(site: ProcessSite, after_s: float) -> str:
+    """Kill all gateways at the same moment and start them again together."""
+    await asyncio.sleep(after_s)
+
+    async def restart(node: EmulatedNode) -> None:
+        async with site.locked(node):
+            site.kill_node(node)
+            await site.wait_for_end(node)
+            await site.launch(node)
+
+    await asyncio.gather(*(restart(node) for node in site.nodes))
+    return "all gateways killed and started together"
+
+
+DISTURBANCES = (_answer_endlessly, _answer_endlessly, _rewrite_settings)
