--- a/tinrudder/cli/gateway.py
+++ b/tinrudder/cli/gateway.py
@@ -102,16 +102,16 @@
     :param settle_s: seconds after its last change until an invalid file is taken as written.
     :raises SettingsFileError: the file is invalid.
     """
-    deadline = time.monotonic() + settle_s
-    while True:
+    # The number of attempts bounds the wait where the time of day has jumped.
+    for _ in range(int(settle_s / SETTINGS_RETRY_S)):
         try:
             return load_gateway_settings(path)
         except SettingsFileError:
             age_s = (time.time_ns() - _modified_ns(path)) / NANOSECONDS_PER_S
-            # The deadline bounds the wait where the time of day has jumped.
-            if not path.is_file() or age_s >= settle_s or time.monotonic() >= deadline:
+            if not path.is_file() or age_s >= settle_s:
                 raise
         time.sleep(SETTINGS_RETRY_S)
+    return load_gateway_settings(path)
 
 
 async def _serve(
