Short tasks of a gateway log an unexpected error at once

What operators saw: a pull or a staleness read that raised something unforeseen ended unseen until its task was garbage-collected, which is rare by design. Cause: only the errors foreseen were handled, and nobody awaits these tasks. They are run by run_logged now, which logs task_failed with the cause; test_supervisor.

--- a/tests/unit/common/test_supervisor.py
+++ b/tests/unit/common/test_supervisor.py
@@ -7,7 +7,7 @@
 import pytest
 
 from tinrudder.common import supervisor
-from tinrudder.common.supervisor import Supervisor
+from tinrudder.common.supervisor import Supervisor, run_logged
 from tinrudder_lab.emulator.loop import EmulatorLoop
 
 
@@ -55,6 +55,15 @@
     assert task.cancelled
 
 
+def test_a_short_task_that_fails_is_logged(caplog: pytest.LogCaptureFixture) -> None:
+    loop = EmulatorLoop()
+    try:
+        loop.run_until_complete(run_logged("short", FailingTask(ValueError("odd")).run()))
+    finally:
+        loop.close()
+    assert [record.getMessage() for record in caplog.records] == ["task_failed"]
+
+
 def test_the_pause_before_a_restart_grows_up_to_a_bound() -> None:
     task = FailingTask(*(ValueError(str(number)) for number in range(12)))
     run_supervised(task, 60.0)
--- a/tinrudder/common/supervisor.py
+++ b/tinrudder/common/supervisor.py
@@ -1,4 +1,4 @@
-"""Runs the long-lived tasks of a process and restarts those that fail.
+"""Runs the tasks of a process: restarts long-lived ones that fail, and logs every failure.
 
 A task that ends with an exception would otherwise leave the process running without it: it would
 serve, but no longer follow the store, for instance.
@@ -10,7 +10,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
 from tinrudder.common.logs import LogValue, log_problem
@@ -23,6 +23,14 @@
 """Seconds after which a failure is no longer in a row with the previous one."""
 
 
+async def run_logged(name: str, work: Awaitable[None]) -> None:
+    """Run a short task to its end; log an unexpected error, which nothing else would see."""
+    try:
+        await work
+    except Exception as error:
+        log_problem("task_failed", {"task": name, "detail": repr(error)}, error)
+
+
 class Supervisor:
     """Restarts failed tasks until it is stopped.
 
--- a/tinrudder/gateway/peers/snapshot_pulls.py
+++ b/tinrudder/gateway/peers/snapshot_pulls.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from tinrudder.common.address import Address
+from tinrudder.common.supervisor import run_logged
 from tinrudder.common.transport.peer_client import PeerClient
 from tinrudder.gateway.peers.peer_list import PeerList
 from tinrudder.gateway.peers.peer_messages import Digest, Snapshot
@@ -75,7 +76,7 @@
     def start_pull(self, peer: Address) -> None:
         """Start a pull from a peer, unless one is in progress."""
         if self._pulling is None:
-            self._pulling = self._loop.create_task(self._pull(peer))
+            self._pulling = self._loop.create_task(run_logged("pull", self._pull(peer)))
 
     def compare(self, digest: Digest, now: float) -> None:
         """Pull from a peer with newer state, unless the store is expected to deliver it soon."""
@@ -93,7 +94,8 @@
         """Request the member list, with the state, from a random peer."""
         peer = self._peers.random_peer(seeds_only=seeds_only)
         if peer is not None:
-            task = self._loop.create_task(self._request_members(peer))
+            work = run_logged("member request", self._request_members(peer))
+            task = self._loop.create_task(work)
             self._member_requests.add(task)
             task.add_done_callback(self._member_requests.discard)
 
--- a/tinrudder/gateway/store/staleness_keeper.py
+++ b/tinrudder/gateway/store/staleness_keeper.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from tinrudder.common.address import Address
+from tinrudder.common.supervisor import run_logged
 from tinrudder.gateway.peers.peer_list import PeerList
 from tinrudder.gateway.peers.peer_messages import ProbeAnswer
 from tinrudder.gateway.peers.probes import Probes, SentProbe
@@ -131,7 +132,7 @@
             self._read_again_at = now + self._random.uniform(0.0, pause_s)
             return
         self._read_again_at = now + pause_s
-        self._reading = self._loop.create_task(self._read_once())
+        self._reading = self._loop.create_task(run_logged("staleness read", self._read_once()))
 
     async def _read_once(self) -> None:
         """Read all of the operator's settings; keys that the answer lacks did not exist."""
