Tests hold an address although earlier connections to it linger

test_an_address_in_use...[peers] failed once: 'Address already in use' in the test's own socket. Cause: a site takes a random loopback network, and one used within the last minute still had connections in TIME_WAIT at its gateways' addresses; the holder bound without SO_REUSEADDR, unlike a gateway. It holds as strictly: a listening socket still keeps every other from binding. A site that was not started closes now.

--- a/tests/functional/gateway/test_process_survival.py
+++ b/tests/functional/gateway/test_process_survival.py
@@ -23,7 +23,7 @@
 )
 from tinrudder_lab.soak.process_site import ProcessSite
 from tinrudder_lab.soak.slow_readers import MEMORY_POLL_S, peak_mb
-from tinrudder_lab.soak.surroundings import Surroundings
+from tinrudder_lab.soak.surroundings import Surroundings, hold_address
 
 METRICS_PORT = 9464
 STANDARD_OUTPUT = 1
@@ -55,12 +55,10 @@
     asyncio.run(run())
 
 
-def hold_address(site: ProcessSite, port: int, kind: socket.SocketKind) -> socket.socket:
+def hold_first(site: ProcessSite, port: int, kind: socket.SocketKind) -> socket.socket:
     """Occupy an address of the first gateway."""
-    holder = socket.socket(socket.AF_INET, kind)
-    holder.bind((site.host(AddressBlock.GATEWAYS, 0), port))
-    if kind is socket.SOCK_STREAM:
-        holder.listen()
+    holder = hold_address(site.host(AddressBlock.GATEWAYS, 0), port, kind)
+    assert holder is not None
     return holder
 
 
@@ -94,7 +92,7 @@
     port, kind = LISTENERS[listener]
 
     async def scenario(site: ProcessSite) -> None:
-        holder = hold_address(site, port, kind)
+        holder = hold_first(site, port, kind)
         await site.start()
         assert site.unexpected_exits() == []
         assert listener == "health" or not await is_ready(site)
@@ -107,7 +105,7 @@
 
 def test_a_metrics_port_in_use_leaves_the_gateway_serving_without_metrics(tmp_path: Path) -> None:
     async def scenario(site: ProcessSite) -> None:
-        holder = hold_address(site, METRICS_PORT, socket.SOCK_STREAM)
+        holder = hold_first(site, METRICS_PORT, socket.SOCK_STREAM)
         await site.start()
         assert site.unexpected_exits() == []
         await wait_until_ready(site, READY_WITHIN_S)
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -229,7 +229,8 @@
         self.network.release()
         for backend in self.backends.values():
             backend.stop()
-        self.store.close()
+        if self.nodes:
+            self.store.close()
 
     def on_replaced(self, backend_id: str, new_id: str) -> None:
         """Register a back end's link under its new id too."""
--- a/tinrudder_lab/soak/surroundings.py
+++ b/tinrudder_lab/soak/surroundings.py
@@ -99,6 +99,9 @@
     """Occupy an address; ``None`` if something else does."""
     holder = socket.socket(socket.AF_INET, kind)
     try:
+        if kind is socket.SOCK_STREAM:
+            # Connections of an earlier process may still be in TIME_WAIT.
+            holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         holder.bind((host, port))
         if kind is socket.SOCK_STREAM:
             holder.listen()
