A body of tiny chunks does not keep a gateway from its other work

Cause: each chunk costs a call from the parser. A megabyte of one-byte chunks is some 170,000 of them, and the limits on bytes let each answer go on for megabytes.

Why it works: parsing stops at the 1,025th part with a mean below 8 bytes, inside the parser's call, and the answer counts as unreadable; a request is refused.

--- a/tests/functional/gateway/test_process_survival.py
+++ b/tests/functional/gateway/test_process_survival.py
@@ -197,6 +197,7 @@
     TRAILERS = (b"0\r\n", b"X-Filler: filler\r\n" * 4096)
     CHUNK_SIZE = (b"", b"0" * 65536)
     CHUNK_EXTENSION = (b"1;", b"x" * 65536)
+    TINY_CHUNKS = (b"", b"1\r\nx\r\n" * 10922)
 
 
 async def send_endlessly(host: str, body: EndlessBody) -> None:
--- a/tinrudder/gateway/backends/answer_reader.py
+++ b/tinrudder/gateway/backends/answer_reader.py
@@ -27,6 +27,10 @@
 HTTP_VERSION_WITH_KEEP_ALIVE = "1.1"
 
 
+class FragmentedBodyError(Exception):
+    """The body arrives in too many parts; ends the parser's work on the bytes at hand."""
+
+
 class ReadState(enum.Enum):
     """Progress of parsing an answer."""
 
@@ -158,6 +162,8 @@
         if self._message_complete:
             return
         self._body.add(body)
+        if self._body.is_fragmented:
+            raise FragmentedBodyError
 
     def on_message_complete(self) -> None:
         """Mark the answer complete, or skip an interim answer (parser callback)."""
--- a/tinrudder/gateway/clients/request_reader.py
+++ b/tinrudder/gateway/clients/request_reader.py
@@ -175,6 +175,8 @@
         self._add_held(len(body))
         if self._body.size > self._limit_source.limits.max_body_bytes:
             self.refuse(STATUS_BODY_TOO_LARGE)
+        elif self._body.is_fragmented:
+            self.refuse(STATUS_BAD_REQUEST)
 
     def on_message_complete(self) -> None:
         """Pass on a complete request (parser callback)."""
