More client connections than descriptors leave a gateway serving

Cause, two: nothing bounded client connections below the descriptors, which back ends, the store, peers and readiness need too. And asyncio tries as often as the backlog is long, 1,024 times, where a connection cannot be accepted, and every failure was logged with its traceback, each second.

Ruled out: few descriptors without such clients (16 to 200, drills).

Why it works: a quarter of the descriptors, at least 64, is kept; beyond that a new connection takes the place of the oldest idle one, or is closed while all are busy. Errors that reach the event loop are logged once in 10 s for each message.

--- a/tests/functional/gateway/test_process_survival.py
+++ b/tests/functional/gateway/test_process_survival.py
@@ -7,8 +7,10 @@
 import enum
 import os
 import re
+import resource
 import socket
 from collections.abc import Awaitable, Callable
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -27,6 +29,7 @@
 
 METRICS_PORT = 9464
 STANDARD_OUTPUT = 1
+DESCRIPTORS = 200
 READY_WITHIN_S = 1.0
 SETTLE_S = 1.5
 ENDLESS_ANSWERS = 64
@@ -143,6 +146,33 @@
     run_on_site(tmp_path, scenario, node_count=1)
 
 
+def processor_s(site: ProcessSite) -> float:
+    """Return the processor time that the first gateway has used."""
+    process_id = site.processes.pid_of(site.nodes[0].name)
+    user, system = Path(f"/proc/{process_id}/stat").read_text().rsplit(")", 1)[1].split()[11:13]
+    return (int(user) + int(system)) / os.sysconf("SC_CLK_TCK")
+
+
+def test_more_idle_connections_than_descriptors_leave_a_gateway_serving(tmp_path: Path) -> None:
+    async def scenario(site: ProcessSite) -> None:
+        await site.start()
+        used_s = processor_s(site)
+        address = (site.nodes[0].host, CLIENT_PORT)
+        clients = [await asyncio.open_connection(*address) for _ in range(2 * DESCRIPTORS)]
+        for _ in range(3):
+            await asyncio.sleep(SETTLE_S)
+            assert await is_ready(site)
+            assert (await site.send("single")).status == 200
+        assert processor_s(site) - used_s < SETTLE_S
+        assert site.unexpected_exits() == []
+        for _, writer in clients:
+            writer.close()
+
+    limit = (resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
+    prepare = partial(resource.setrlimit, *limit)
+    run_on_site(tmp_path, scenario, node_count=1, prepare_process=prepare)
+
+
 async def measure_growth_mb(site: ProcessSite, idle_mb: float) -> float:
     """Return by how much the gateway's memory exceeds its idle size at most."""
     growth_mb = 0.0
--- a/tinrudder/cli/gateway.py
+++ b/tinrudder/cli/gateway.py
@@ -8,7 +8,9 @@
 
 import argparse
 import asyncio
+import math
 import os
+import resource
 import signal
 import sys
 import time
@@ -21,6 +23,7 @@
 from tinrudder.common.garbage_collection import tune_garbage_collection
 from tinrudder.common.logs import configure_logs, log_problem
 from tinrudder.common.standard_streams import open_missing_standard_streams
+from tinrudder.common.unhandled_errors import UnhandledErrors
 from tinrudder.gateway.gateway import Gateway
 from tinrudder.gateway.model.configuration import GatewaySettings, SettingsFileError
 from tinrudder.gateway.observability.log_stream import BoundedLineStream
@@ -123,8 +126,17 @@
 ) -> None:
     """Run the gateway; signals stop it or reload its settings."""
     metrics = Address(settings.clients.host, metrics_port) if metrics_port else None
-    gateway = Gateway(settings, HEADERS, DECODERS, StoreClient, metrics, lambda: log_stream.dropped)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(UnhandledErrors().handle)
+    gateway = Gateway(
+        settings,
+        HEADERS,
+        DECODERS,
+        StoreClient,
+        metrics,
+        lambda: log_stream.dropped,
+        _max_descriptors(),
+    )
     loop.add_signal_handler(signal.SIGTERM, gateway.request_stop)
     loop.add_signal_handler(signal.SIGINT, gateway.request_stop)
     loop.add_signal_handler(signal.SIGHUP, _reload, gateway, path)
@@ -133,6 +145,12 @@
     await gateway.run()
 
 
+def _max_descriptors() -> float:
+    """Return how many descriptors this process may have open."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return math.inf if limit == resource.RLIM_INFINITY else limit
+
+
 def _reload(gateway: Gateway, path: Path) -> None:
     """Reload the settings; invalid settings are logged and ignored."""
     try:
--- a/tinrudder/gateway/clients/client_connection.py
+++ b/tinrudder/gateway/clients/client_connection.py
@@ -13,6 +13,7 @@
 
 from tinrudder.gateway.clients.answer_progress import AnswerProgress, unread_timeout_s
 from tinrudder.gateway.clients.answers import RETRY_AFTER, encode_answer
+from tinrudder.gateway.clients.connection_limit import ConnectionLimit
 from tinrudder.gateway.clients.memory_account import MemoryAccount
 from tinrudder.gateway.clients.request_reader import RequestReader
 from tinrudder.gateway.decisions.admission.memory_bound import RETRY_AFTER_S
@@ -79,11 +80,16 @@
         handler: HttpRequestHandler,
         open_connections: set[ClientConnection],
         memory: MemoryAccount,
+        limit: ConnectionLimit | None = None,
     ) -> None:
-        """Pass requests to ``handler``; stay registered in ``open_connections`` while open."""
+        """Pass requests to ``handler``; stay registered in ``open_connections`` while open.
+
+        :param limit: bounds the connections that may be open; ``None``: nothing does.
+        """
         super().__init__(handler)
         self._handler = handler
         self._open_connections = open_connections
+        self._limit = limit
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._memory = memory
@@ -120,12 +126,17 @@
         # At 0 the transport reports every byte that the socket does not accept immediately.
         transport.set_write_buffer_limits(high=0)
         self._open_connections.add(self)
+        if self._limit is not None and not self._limit.admit(self):
+            transport.abort()
+            return
         self._start_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop all work for a client that has disconnected."""
         self._transport = None
         self._open_connections.discard(self)
+        if self._limit is not None:
+            self._limit.remove(self)
         if self._timer is not None:
             self._timer.cancel()
         if self._pause_timer is not None:
--- a/tinrudder/gateway/gateway.py
+++ b/tinrudder/gateway/gateway.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 from collections.abc import Callable, Coroutine
 from functools import cached_property, partial
@@ -18,11 +19,13 @@
 from tinrudder.common.logs import log_event
 from tinrudder.common.supervisor import Supervisor
 from tinrudder.gateway.clients.client_connection import ClientConnection, HttpRequestHandler
+from tinrudder.gateway.clients.connection_limit import ConnectionLimit
 from tinrudder.gateway.clients.plain_answers import (
     FixedAnswerHandler,
     readiness_answer,
     text_answer,
 )
+from tinrudder.gateway.decisions.admission.connection_bound import max_client_connections
 from tinrudder.gateway.decisions.fleet.process_pause import RECORD_INTERVAL_S
 from tinrudder.gateway.model.configuration import GatewaySettings, HeaderNames
 from tinrudder.gateway.model.outcomes import FinalAnswer
@@ -75,6 +78,7 @@
         make_store: StoreFactory,
         metrics_address: Address | None = None,
         dropped_log_lines: Callable[[], int] = lambda: 0,
+        max_descriptors: float = math.inf,
     ) -> None:
         """Build all components; nothing runs before :meth:`run`.
 
@@ -82,6 +86,7 @@
             callback for each call to the store.
         :param metrics_address: address that serves metrics; ``None`` disables them.
         :param dropped_log_lines: returns how many log lines were dropped.
+        :param max_descriptors: descriptors that the process may have open.
         """
         parts = build_gateway(BuildContext.of(settings, names, decoders, make_store))
         self.settings = settings
@@ -98,6 +103,7 @@
         self.supervisor = Supervisor()
         self._stop_requested = asyncio.Event()
         self._connections: set[ClientConnection] = set()
+        self.client_limit = ConnectionLimit(max_client_connections(max_descriptors))
         self._servers: list[asyncio.Server] = []
         self._logged_version = 0
         self.listeners = Listeners(self._required_listeners(), self._become_ready)
@@ -157,8 +163,8 @@
         settings = self.settings
         ready = FixedAnswerHandler(lambda: readiness_answer(self.is_ready()))
         listeners = [
-            self._listener("clients", settings.clients, self.requests.handler, self._connections),
-            self._listener("health", settings.health, ready, set()),
+            Listener("clients", settings.clients, self._listen_for_clients),
+            self._listener("health", settings.health, ready),
         ]
         if self._peer_exchange is not None and settings.peers is not None:
             listeners.insert(0, Listener("peers", settings.peers, self._peer_exchange.start))
@@ -169,28 +175,37 @@
         if self._metrics_address is None:
             return []
         handler = FixedAnswerHandler(self._metrics_answer)
-        return [self._listener("metrics", self._metrics_address, handler, set())]
+        return [self._listener("metrics", self._metrics_address, handler)]
 
-    def _listener(
-        self,
-        name: str,
-        address: Address,
-        handler: HttpRequestHandler,
-        connections: set[ClientConnection],
-    ) -> Listener:
-        """Return a listener whose connections are passed to ``handler``."""
-        return Listener(name, address, partial(self._listen, address, handler, connections))
+    def _listener(self, name: str, address: Address, handler: HttpRequestHandler) -> Listener:
+        """Return a listener for others than clients, whose requests go to ``handler``."""
+        memory = self.process.memory
+        return Listener(
+            name,
+            address,
+            partial(self._listen, address, lambda: ClientConnection(handler, set(), memory)),
+        )
+
+    async def _listen_for_clients(self) -> None:
+        """Accept connections of clients.
+
+        :raises OSError: the address is unavailable.
+        """
+        handler, memory = self.requests.handler, self.process.memory
+        await self._listen(
+            self.settings.clients,
+            lambda: ClientConnection(handler, self._connections, memory, self.client_limit),
+        )
 
     async def _listen(
-        self, address: Address, handler: HttpRequestHandler, connections: set[ClientConnection]
+        self, address: Address, make_connection: Callable[[], ClientConnection]
     ) -> None:
-        """Accept connections for a handler.
+        """Accept connections.
 
         :raises OSError: the address is unavailable.
         """
-        memory = self.process.memory
         server = await self._loop.create_server(
-            lambda: ClientConnection(handler, connections, memory),
+            make_connection,
             address.host,
             address.port,
             backlog=LISTEN_BACKLOG,
@@ -317,5 +332,6 @@
             staleness_keeper=self.store.staleness_keeper,
             dropped_log_lines=self._dropped_log_lines,
             task_failures=lambda: self.supervisor.failures,
+            client_limit=self.client_limit,
             listen_failures=lambda: self.listeners.failures + self._metrics_listeners.failures,
         )
--- a/tinrudder/gateway/observability/metric_definitions.py
+++ b/tinrudder/gateway/observability/metric_definitions.py
@@ -13,6 +13,7 @@
 from tinrudder.gateway.backends.backend_directory import BackendDirectory
 from tinrudder.gateway.backends.load_report_exchange import LoadReportExchange
 from tinrudder.gateway.backends.load_reports import LoadReports
+from tinrudder.gateway.clients.connection_limit import ConnectionLimit
 from tinrudder.gateway.clients.memory_account import MemoryAccount
 from tinrudder.gateway.observability.gateway_log import finite_age_s
 from tinrudder.gateway.observability.request_metrics import RequestMetrics
@@ -61,6 +62,7 @@
     scatter_admissions: ScatterAdmissions
     staleness_keeper: StalenessKeeper
     dropped_log_lines: Callable[[], int]
+    client_limit: ConnectionLimit
     task_failures: Callable[[], Counter[str]]
     listen_failures: Callable[[], Counter[str]]
 
@@ -209,6 +211,16 @@
         "Shards left out of merged answers.",
         lambda sources: sources.requests.missing_shards,
     ),
+    MetricDefinition(
+        "connections_evicted",
+        "Idle connections of clients closed since new ones needed their descriptors.",
+        lambda sources: sources.client_limit.evicted,
+    ),
+    MetricDefinition(
+        "connections_refused",
+        "New connections of clients closed since all others were busy.",
+        lambda sources: sources.client_limit.refused,
+    ),
     MetricDefinition(
         "log_lines_dropped",
         "Log lines that nobody could take.",
--- a/tinrudder_lab/decisions_page.py
+++ b/tinrudder_lab/decisions_page.py
@@ -156,6 +156,7 @@
             "admission/token_buckets",
             "fleet/zone_paths",
             "admission/memory_bound",
+            "admission/connection_bound",
             "admission/crash_evidence",
             "admission/poison_requests",
         ),
