--- a/tinrudder/gateway/backends/upstream_connection.py
+++ b/tinrudder/gateway/backends/upstream_connection.py
@@ -18,6 +18,7 @@
     Broken,
     CallOutcome,
     HttpAnswer,
+    Rejected,
     UpstreamCall,
     header_value,
 )
@@ -31,6 +32,8 @@
 The server counts in whole seconds and from a different moment."""
 MAX_UNSETTLED_REQUESTS = 64
 """Requests that may be sent again, for which one connection may be kept: bounds the ids stored."""
+FIRST_SERVER_ERROR = 500
+"""First of the statuses after which a request may be sent again."""
 NEVER = float("inf")
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
@@ -224,7 +227,7 @@
         )
         if reusable:
             self._note_keep_alive(answer)
-            if not answer.successful:
+            if isinstance(outcome, Rejected) or answer.status >= FIRST_SERVER_ERROR:
                 self._unsettled.add(call.request_id)
         self._end(outcome, reusable=reusable and len(self._unsettled) <= MAX_UNSETTLED_REQUESTS)
 
