The soak limits a process's descriptors last, so that it starts beside many others

The new process still had the soak's descriptors when its limit was set, so the pipe or device for its output got none.

--- a/tinrudder_lab/soak/surroundings.py
+++ b/tinrudder_lab/soak/surroundings.py
@@ -67,8 +67,6 @@
 
     def prepare(self) -> None:
         """Change the new process before its program runs."""
-        if self.descriptors is not None:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
         if self.output is Output.CLOSED:
             os.close(STANDARD_OUTPUT)
         elif self.output is Output.FULL:
@@ -78,6 +76,9 @@
             # Only an inherited end stays open in the program.
             os.set_inheritable(reading, self.output is Output.UNREAD)
             os.dup2(writing, STANDARD_OUTPUT)
+        # Last: the soak itself has more descriptors open, and so has this process until it starts.
+        if self.descriptors is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
 
 
 def draw_surroundings(source: random.Random) -> Surroundings:
