--- a/tests/functional/gateway/test_upstream_pool.py
+++ b/tests/functional/gateway/test_upstream_pool.py
@@ -166,7 +166,7 @@
 def test_a_rejected_request_never_goes_over_the_same_connection_again(
     most: int, repeatable: bool
 ) -> None:
-    """A surplus rejection was taken for the answer to the second call, which ran."""
+    """A surplus rejection would be taken for the answer to the second call, which is running."""
 
     async def run() -> FakeServer:
         server = RejectingServer()
--- a/tests/unit/gateway/test_answer_reader.py
+++ b/tests/unit/gateway/test_answer_reader.py
@@ -150,7 +150,7 @@
 
 
 def test_a_body_of_tiny_chunks_takes_little_of_the_processor() -> None:
-    """A megabyte of them kept a gateway from all other work for a second."""
+    """Each chunk costs a call from the parser, and parsing keeps the process from other work."""
     reader = AnswerReader(body_expected=True)
     reader.feed(EndlessAnswer.TINY_CHUNKS.first)
     assert reader.feed(EndlessAnswer.TINY_CHUNKS.block) is ReadState.UNREADABLE
