--- a/tinrudder/gateway/clients/held_bytes.py
+++ b/tinrudder/gateway/clients/held_bytes.py
@@ -27,8 +27,8 @@
         that sockets have not accepted.
     :ivar backends: bytes of requests that sockets have not accepted, of answers being read, and of
         parts waiting to be merged.
-    :ivar peers: bytes of frames that peers' sockets have not accepted and of peers' requests in
-        progress, as of the latest refresh.
+    :ivar peers: bytes of frames that peers' sockets have not accepted, of peers' requests in
+        progress and of the store's answers being received, as of the latest refresh.
     """
 
     __slots__ = ("_answer_limit", "answers", "backends", "clients", "peers")
--- a/tinrudder_lab/soak/process_site.py
+++ b/tinrudder_lab/soak/process_site.py
@@ -86,8 +86,8 @@
     :param memory_mb: memory limit in the gateways' settings, megabytes.
     :param draw_surroundings: returns the surroundings of the next start of a gateway.
     :param prepare_process: called in each new process of a gateway before its program runs.
-    :param store_is_whole: held by whatever may only happen while the store has lost nothing, and
-        while it has: processes that all start from a copy cannot know what the copy lacks.
+    :param restore_lock: held during a restore of the store, and during a start of all gateways:
+        processes that all start from a copy cannot know what it lacks.
     :param versions: time at which each version of the configuration was written.
     """
 
@@ -101,7 +101,7 @@
     memory_mb: float = MEMORY_MB
     draw_surroundings: Callable[[], Surroundings] = Surroundings
     prepare_process: Callable[[], None] | None = None
-    store_is_whole: asyncio.Lock = field(default_factory=asyncio.Lock)
+    restore_lock: asyncio.Lock = field(default_factory=asyncio.Lock)
     _locks: dict[str, asyncio.Lock] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/tinrudder_lab/soak/restores.py
+++ b/tinrudder_lab/soak/restores.py
@@ -43,7 +43,7 @@
             # The copy may hold the readable entry that was overwritten after it was made.
             site.ledger.record_readable(backend_id, site.loop.time())
         descriptions.append(f"{site.loop.time():.1f}: store back from {drill.age_s:.1f} s before")
-        async with site.store_is_whole:
+        async with site.restore_lock:
             await restore_store(site, drill)
         outage.until = site.loop.time() + PROPAGATION_S
     return descriptions
--- a/tinrudder_lab/soak/surroundings.py
+++ b/tinrudder_lab/soak/surroundings.py
@@ -28,6 +28,8 @@
 METRICS_PORT = 9464
 FEW_DESCRIPTORS = 256
 FEW_GATEWAYS = 8
+"""Most gateways of a site whose settings are half written: the starts of more keep the soak from
+writing the second half in time."""
 ODD_SHARE = 0.5
 HELD_S = (0.3, 2.5)
 PAUSE_S = (0.5, 3.0)
@@ -56,7 +58,9 @@
 class Surroundings:
     """The surroundings of one start of a gateway.
 
-    :param held: an address of the gateway that another socket holds for ``held_s``.
+    :param descriptors: most descriptors that the process may have open; ``None``: as usual.
+    :param held: an address of the gateway that another socket holds for ``held_s`` seconds.
+    :param half_written_s: seconds for which only half of the settings file is there; 0: none.
     """
 
     output: Output = Output.LOG
@@ -85,8 +89,7 @@
 def draw_surroundings(source: random.Random, gateways: int) -> Surroundings:
     """Draw the surroundings of a start; half of them are ordinary.
 
-    :param gateways: number of gateways; the starts of many keep this process from writing the
-        second half of a file in time.
+    :param gateways: number of gateways of the site.
     """
     if source.random() >= ODD_SHARE:
         return Surroundings()
@@ -183,7 +186,7 @@
             await site.wait_for_end(node)
             await site.launch(node)
 
-    async with site.store_is_whole:
+    async with site.restore_lock:
         await asyncio.gather(*(restart(node) for node in site.nodes))
     return "all gateways killed and started together"
 
