The end of the process is a deadline of every request in it

What callers saw: one of three gateways gets SIGTERM in calm (grace 6 s). Requests that it had read were cut with its connections at the end, unsafe ones among them; others waited in it until then and were never passed on, and heard nothing either; a second request pipelined behind one in progress was dropped.

Cause: a request had its client's deadline alone. Nothing that waits for it (body, quota, queue, connection, slot, retry, hedge, coordinator) knew when the process ends, so a stop passed on what could not come back and kept what could not be served.

Ruled out: refusing everything from the signal on (load balancers learn of the stop after two seconds); answering at the end alone (still passes on for 5 s what cannot end).

Why it works: `ProcessEnd` shortens the one `Deadlines` object that all waits of a request read, those in progress and those that come. Nothing is sent that could not be back; what was sent ends as timed out by the same timers as at its client's deadline.

--- a/bench/scatter_cost.py
+++ b/bench/scatter_cost.py
@@ -165,7 +165,7 @@
         request = HttpRequest(b"GET", b"/some/path", headers, b"")
         outcomes: list[RequestOutcome] = []
         started = time.perf_counter()
-        encoded = RequestBytes(request, request_id, deadlines.deadline_at, HEADERS)
+        encoded = RequestBytes(request, request_id, deadlines, HEADERS)
         context = RunContext.of(self.call_context, route, encoded, deadlines)
         run = RequestRun(context, route.shards, outcomes.append)
         run.start()
--- a/tests/functional/gateway/test_client_headers.py
+++ b/tests/functional/gateway/test_client_headers.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from msgspec.structs import astuple
 
+from tinrudder.gateway.clients.client_deadlines import Deadlines
 from tinrudder.gateway.model.configuration import Tenant
 from tinrudder.gateway.model.http_messages import (
     CONNECTION_HEADERS,
@@ -129,7 +130,8 @@
     stripped = end_to_end_headers(received.headers, HEADERS.protected)
     request = HttpRequest(b"GET", b"/", stripped, b"")
     tenant = Tenant("first", frozenset())
-    encoded = RequestBytes(without_credentials(request, tenant, HEADERS), b"r", 2.0, HEADERS)
+    deadlines = Deadlines(0.0, 2.0, 2.0)
+    encoded = RequestBytes(without_credentials(request, tenant, HEADERS), b"r", deadlines, HEADERS)
     _, *lines = encoded.encode("b-1", 1.0).removesuffix(b"\r\n\r\n").split(b"\r\n")
     forwarded = [tuple(line.split(b": ", 1)) for line in lines]
     own = [(HEADERS.deadline_ms, b"1000"), (HEADERS.expected_backend, b"b-1")]
--- a/tests/functional/lab/test_soak.py
+++ b/tests/functional/lab/test_soak.py
@@ -23,3 +23,4 @@
     assert any("links silent" in one for one in result.faults)
     assert any("endless" in one for one in result.faults)
     assert any("started together" in one for one in result.faults)
+    assert any("in use" in one for one in result.faults)
--- a/tests/unit/gateway/test_hedge_wiring.py
+++ b/tests/unit/gateway/test_hedge_wiring.py
@@ -39,8 +39,8 @@
     route = Route("r", "h", "/", True, 5.0, OBJECTIVE_S, 3, 0, shards=(SERVICE,))
     for latency_s in latencies_s:
         call_context.latency(route).observe(latency_s)
-    request = RequestBytes(HttpRequest(b"GET", b"/", (), b""), b"id", loop.now + 5.0, NAMES)
     deadlines = Deadlines(loop.now, loop.now + left_s, loop.now + 5.0)
+    request = RequestBytes(HttpRequest(b"GET", b"/", (), b""), b"id", deadlines, NAMES)
     run = RunContext.of(call_context, route, request, deadlines)
     shard = ShardCalls(SERVICE, run, lambda shard: None)
     shard.start(loop.now)
--- a/tests/unit/gateway/test_refusals.py
+++ b/tests/unit/gateway/test_refusals.py
@@ -5,10 +5,14 @@
 from types import SimpleNamespace
 from typing import Any
 
+import pytest
+
 from tests.unit.gateway.test_shard_calls_machine import NAMES
+from tinrudder.gateway.clients.client_deadlines import Deadlines
 from tinrudder.gateway.model.http_messages import HttpRequest
 from tinrudder.gateway.model.outcomes import Invalid, NotRun, UnknownRoute
 from tinrudder.gateway.requests.authentication import AuthenticatedRequest
+from tinrudder.gateway.requests.process_end import PROCESS_ENDS, RETRY_AFTER_S, ProcessEnd
 from tinrudder.gateway.requests.refusals import (
     RULES,
     STARTUP_RETRY_AFTER_S,
@@ -21,13 +25,21 @@
 
 def arrived(http_request: HttpRequest, routes: Any = None) -> Any:
     return SimpleNamespace(
-        http_request=http_request, routes=routes, request_id=b"", version=0, route=None
+        http_request=http_request,
+        routes=routes,
+        request_id=b"",
+        version=0,
+        route=None,
+        received_at=1.0,
     )
 
 
 def checks(**fields: Any) -> Any:
     memory = SimpleNamespace(may_be_near=False)
-    known = {"call_context": SimpleNamespace(names=NAMES, memory=memory)}
+    known = {
+        "call_context": SimpleNamespace(names=NAMES, memory=memory),
+        "process_end": ProcessEnd(),
+    }
     return SimpleNamespace(**{**known, **fields})
 
 
@@ -40,10 +52,12 @@
 def test_the_rules_stand_in_this_order() -> None:
     assert [rule.name for rule in RULES] == [
         "protocol",
+        "stopped",
         "configuration",
         "route",
         "key",
         "quota",
+        "stopping",
         "cut zone",
         "memory",
         "poison",
@@ -91,10 +105,41 @@
 
     poisoned = NotRun("poison", 1.0)
     request: Any = SimpleNamespace(
-        route=SimpleNamespace(shards=()), authenticated=AuthenticatedRequest(WELL_FORMED, None)
+        route=SimpleNamespace(shards=()),
+        authenticated=AuthenticatedRequest(WELL_FORMED, None),
+        deadlines=Deadlines(0.0, 1.0, 1.0),
     )
     refusal = refusal_at_start(
         checks(reachability=component("zone", None), poison=component("poison", poisoned)), request
     )
     assert refusal is poisoned
     assert asked == ["zone", "poison"]
+
+
+def test_a_request_that_arrives_at_the_end_of_the_process_is_refused_before_its_quota() -> None:
+    end = ProcessEnd()
+    end.announce(1.0)
+    refusal = refusal_on_arrival(checks(process_end=end), arrived(WELL_FORMED, routes_with(None)))
+    assert refusal == NotRun(PROCESS_ENDS, RETRY_AFTER_S)
+
+
+@pytest.mark.parametrize(("left_s", "passes"), [(2.9, False), (3.1, True)])
+def test_a_request_is_refused_that_no_back_end_answers_before_the_process_ends(
+    left_s: float, passes: bool
+) -> None:
+    deadlines = Deadlines(0.0, 9.0, 9.0)
+    deadlines.shorten(left_s)
+    context = SimpleNamespace(
+        loop=SimpleNamespace(time=lambda: 0.0), shortest_time_s=lambda route: 3.0
+    )
+    passing: Any = SimpleNamespace(refusal=lambda *_: None)
+    request: Any = SimpleNamespace(
+        route=SimpleNamespace(shards=("shard",)),
+        authenticated=AuthenticatedRequest(WELL_FORMED, None),
+        deadlines=deadlines,
+    )
+    context.memory = SimpleNamespace(may_be_near=False)
+    judged = checks(call_context=context, reachability=passing, poison=passing)
+    refusal = refusal_at_start(judged, request)
+    assert (refusal is None) is passes
+    assert passes or (refusal is not None and refusal.retry_after_s == RETRY_AFTER_S)
--- a/tinrudder/gateway/clients/client_connection.py
+++ b/tinrudder/gateway/clients/client_connection.py
@@ -114,6 +114,11 @@
         """Whether a request is being received or served."""
         return self.has_complete_request or self._receiving_since is not None
 
+    @property
+    def unread_bytes(self) -> int:
+        """Bytes of an answer that the client has not read."""
+        return self._unread_bytes
+
     @property
     def has_complete_request(self) -> bool:
         """Whether a completely received request is being served or waiting."""
@@ -198,7 +203,8 @@
         # The client may have disconnected while its request ran.
         if self._transport is None or request is None:
             return
-        close = not request.keep_alive or self._handler.closing
+        # Requests that were pipelined behind this one are answered before the connection closes.
+        close = not request.keep_alive or (self._handler.closing and not self._waiting)
         self._transport.write(
             encode_answer(answer, close=close, head_only=request.method == b"HEAD")
         )
@@ -229,6 +235,15 @@
         if not self.busy and self._transport is not None:
             self._transport.close()
 
+    def end_with_process(self, retry_after_s: float) -> None:
+        """Refuse a request that has not been received completely; close an idle connection."""
+        if self._refused or self.has_complete_request:
+            return
+        if self.busy:
+            self.refuse(STATUS_UNAVAILABLE, ((RETRY_AFTER, b"%.3f" % retry_after_s),))
+        else:
+            self.close_if_idle()
+
     def _send_continue(self) -> None:
         """Send ``100 Continue``, so that the client sends the body."""
         if self._transport is not None:
--- a/tinrudder/gateway/clients/client_deadlines.py
+++ b/tinrudder/gateway/clients/client_deadlines.py
@@ -30,14 +30,15 @@
 retry.  More than rounding causes, and less than clients wait after a refusal."""
 
 
-class Deadlines(Struct, frozen=True):
-    """Monotonic times of one request.
+class Deadlines(Struct):
+    """Monotonic times of one request, shared by everything that waits for it.
 
     :param objective_at: when an answer must be sent to meet the route's latency objective.
     :param deadline_at: when the final answer must be sent.
     :param returning: the request is a retry; the client has waited since an earlier attempt.
     :param late: the objective passed before this attempt; ``objective_at`` is that of a new
         request.
+    :param is_shortened: the process ends before the client's own deadline.
     """
 
     received_at: float
@@ -45,6 +46,16 @@
     deadline_at: float
     returning: bool = False
     late: bool = False
+    is_shortened: bool = False
+
+    def shorten(self, at: float) -> bool:
+        """Move the deadline to ``at`` if it is later; return whether it was."""
+        if at >= self.deadline_at:
+            return False
+        self.deadline_at = at
+        self.objective_at = min(self.objective_at, at)
+        self.is_shortened = True
+        return True
 
 
 class ClientDeadlines:
--- a/tinrudder/gateway/gateway.py
+++ b/tinrudder/gateway/gateway.py
@@ -16,7 +16,7 @@
 
 from tinrudder.common.address import Address
 from tinrudder.common.listening import Listener, Listeners
-from tinrudder.common.logs import log_event
+from tinrudder.common.logs import LogValue, log_event
 from tinrudder.common.supervisor import Supervisor
 from tinrudder.gateway.clients.client_connection import ClientConnection, HttpRequestHandler
 from tinrudder.gateway.clients.connection_limit import ConnectionLimit
@@ -30,6 +30,7 @@
 from tinrudder.gateway.model.configuration import GatewaySettings, HeaderNames
 from tinrudder.gateway.model.outcomes import FinalAnswer
 from tinrudder.gateway.observability.gateway_log import log_configuration
+from tinrudder.gateway.requests.process_end import RETRY_AFTER_S
 from tinrudder.gateway.store.stored_values import Topic, ValueDecoders
 from tinrudder.gateway.wiring import BuildContext, StoreFactory, build_gateway
 
@@ -43,9 +44,9 @@
 """Seconds for which a stopping gateway still accepts requests, at most half of the grace period.
 Load balancers that poll readiness once a second remove it after two failed polls, and requests sent
 before that are still in transit."""
-EXIT_MARGIN_S = 0.4
-"""Seconds of the grace period reserved for closing peer connections and exiting the process: at
-least :data:`PEER_CLOSE_TIMEOUT_S` and two polls for idle connections."""
+EXIT_MARGIN_S = 0.35
+"""Seconds of the grace period reserved for closing peer connections and exiting the process, after
+the last answers: at least :data:`PEER_CLOSE_TIMEOUT_S` and two polls for idle connections."""
 IDLE_POLL_INTERVAL_S = 0.05
 """Seconds between two polls for idle connections during the shutdown."""
 IDLE_POLLS_REQUIRED = 2
@@ -220,12 +221,12 @@
         """Announce the shutdown, serve late requests, drain, and close."""
         stopped_at = self._loop.time()
         grace_s = self.settings.stop_grace_s
+        ends_at = stopped_at + grace_s - EXIT_MARGIN_S
         lifecycle = self.process.lifecycle
         handler = self.requests.handler
         self.supervisor.stop(LISTENING, METRICS_LISTENING)
         lifecycle.trigger("leave")
-        handler.stop()
-        self.requests.delegation_service.closing = True
+        self.requests.process_end.announce(ends_at)
         if self._peer_exchange is not None:
             self._peer_exchange.send_digests()
         log_event("stopping", {"in_progress": handler.in_progress})
@@ -233,11 +234,12 @@
         lifecycle.trigger("drain")
         for server in self._servers:
             server.close()
-        await self._finish_requests(stopped_at + grace_s - EXIT_MARGIN_S)
+        await self._finish_requests(ends_at)
+        cut_off = await self._end_remaining()
         self.supervisor.stop()
         await self._leave_peers()
         lifecycle.trigger("finish")
-        log_event("stopped", {"cut_off": handler.in_progress})
+        log_event("stopped", cut_off)
 
     async def _finish_requests(self, deadline: float) -> None:
         """Wait until no connection is left, or until a deadline in event loop time."""
@@ -249,6 +251,20 @@
             busy = bool(self._connections) or self.requests.delegation_service.in_progress > 0
             idle_polls = 0 if busy else idle_polls + 1
 
+    async def _end_remaining(self) -> dict[str, LogValue]:
+        """Answer what is left at the end of the grace period; return what was cut off, to log."""
+        if not self._connections:
+            return {"cut_off": 0}
+        late = sum(one.has_complete_request for one in self._connections)
+        self.requests.process_end.end_remaining()
+        for connection in tuple(self._connections):
+            connection.end_with_process(RETRY_AFTER_S)
+        # Pipelined requests are refused one after the other, in further rounds of the loop.
+        await asyncio.sleep(IDLE_POLL_INTERVAL_S)
+        remaining = [one for one in self._connections if one.has_complete_request]
+        unread_bytes = sum(one.unread_bytes for one in self._connections)
+        return {"cut_off": len(remaining), "ended_late": late, "unread_bytes": unread_bytes}
+
     async def _leave_peers(self) -> None:
         """Close the connections to other gateways."""
         if self._peer_exchange is None:
--- a/tinrudder/gateway/parts.py
+++ b/tinrudder/gateway/parts.py
@@ -26,6 +26,7 @@
 from tinrudder.gateway.peers.reachability import Reachability
 from tinrudder.gateway.peers.zone_monitor import ZoneMonitor
 from tinrudder.gateway.quotas.quotas import Quotas
+from tinrudder.gateway.requests.process_end import ProcessEnd
 from tinrudder.gateway.requests.request_handler import RequestHandler
 from tinrudder.gateway.runs.call_context import CallContext, CallCounters
 from tinrudder.gateway.scatters.coordinators import Coordinators
@@ -92,6 +93,7 @@
     scatter_admissions: ScatterAdmissions
     handler: RequestHandler
     delegation_service: DelegationService
+    process_end: ProcessEnd
 
 
 class StoreParts(Struct, frozen=True):
--- a/tinrudder/gateway/requests/client_request.py
+++ b/tinrudder/gateway/requests/client_request.py
@@ -16,10 +16,11 @@
 from tinrudder.gateway.clients.client_deadlines import Deadlines
 from tinrudder.gateway.model.configuration import Route, Tenant
 from tinrudder.gateway.model.http_messages import HttpRequest
-from tinrudder.gateway.model.outcomes import NotRun, RequestOutcome
+from tinrudder.gateway.model.outcomes import NotRun, RequestOutcome, TimedOut
 from tinrudder.gateway.observability.request_log import FinishedRequest
 from tinrudder.gateway.peers.peer_messages import MissingShard
 from tinrudder.gateway.requests.authentication import AuthenticatedRequest
+from tinrudder.gateway.requests.process_end import PROCESS_ENDS, RETRY_AFTER_S, ProcessEnd
 from tinrudder.gateway.requests.routes_in_force import RoutesInForce
 from tinrudder.gateway.runs.call_context import CallContext
 
@@ -38,6 +39,9 @@
     def start(self) -> None:
         """Start the run."""
 
+    def on_deadline_shortened(self) -> None:
+        """Apply a deadline that a planned stop has brought forward."""
+
     def abandon(self) -> None:
         """End the run: the client has disconnected."""
 
@@ -46,10 +50,12 @@
     """Creates requests, and is notified when they end.
 
     :ivar in_progress: requests whose run has started and not ended.
+    :ivar process_end: when this process ends, and the requests that have not ended yet.
     """
 
     in_progress: int
     call_context: CallContext
+    process_end: ProcessEnd
 
     def refund_token(self, tenant: Tenant) -> None:
         """Refund the quota token of a granted request that has not run."""
@@ -90,6 +96,7 @@
     :ivar request_id: empty until it has been validated.
     :ivar version: the version of that configuration; 0 until it has been checked.
     :ivar route: ``None`` until the request has been routed.
+    :ivar deadlines: ``None`` until it starts.
     :ivar granted: it is counted against its tenant's quota.
     :ivar abandoned: its client has disconnected.
     """
@@ -108,12 +115,14 @@
         self.version = 0
         self.route: Route | None = None
         self.authenticated: AuthenticatedRequest | None = None
+        self.deadlines: Deadlines | None = None
         self.run: Run | None = None
         self.granted = False
         self.abandoned = False
         self.received_at = owner.call_context.loop.time()
         self._owner = owner
         self._connection = connection
+        owner.process_end.add(self)
 
     @property
     def tenant(self) -> Tenant | None:
@@ -122,6 +131,7 @@
 
     def authorized(self, deadlines: Deadlines) -> AuthorizedRequest:
         """Return the inputs of the start rules; the route and the tenant must be known."""
+        self.deadlines = deadlines
         assert self.routes is not None
         assert self.route is not None
         assert self.authenticated is not None
@@ -132,10 +142,12 @@
     def end(self, outcome: RequestOutcome) -> None:
         """Answer the client."""
         owner = self._owner
+        owner.process_end.remove(self)
         if self.run is not None:
             owner.in_progress -= 1
         if isinstance(outcome, NotRun):
             self.refund_token()
+            outcome = self._for_another_gateway(outcome)
         answer = build_answer(outcome, owner.call_context.names, self.request_id or None)
         self._connection.answer(answer)
         owner.finished(self._finished(outcome))
@@ -146,11 +158,34 @@
     def abandon(self) -> None:
         """Stop the run: the client has disconnected."""
         self.abandoned = True
+        self._owner.process_end.remove(self)
         if self.run is not None:
             self._owner.in_progress -= 1
             self.run.abandon()
             self._owner.finished(self._finished(None))
 
+    def end_by(self, at: float) -> None:
+        """Move its deadline to ``at``, unless it ends earlier anyway."""
+        if self.deadlines is not None and self.deadlines.shorten(at) and self.run is not None:
+            self.run.on_deadline_shortened()
+
+    def end_with_process(self) -> None:
+        """Answer the client at the end of the process, whatever the request still waits for."""
+        run = self.run
+        if run is None:
+            # The quota's decision is still awaited; it must not start the request.
+            self.abandoned = True
+            self.end(NotRun(PROCESS_ENDS, RETRY_AFTER_S))
+        else:
+            run.abandon()
+            self.end(TimedOut(PROCESS_ENDS))
+
+    def _for_another_gateway(self, refusal: NotRun) -> NotRun:
+        """Return a refusal whose ``Retry-After`` allows for other gateways if this one ends."""
+        if self.deadlines is None or not self.deadlines.is_shortened:
+            return refusal
+        return NotRun(refusal.detail, min(refusal.retry_after_s, RETRY_AFTER_S))
+
     def refund_token(self) -> None:
         """Refund the request's quota token, if it was counted against a quota."""
         if self.granted and self.tenant is not None:
--- a/tinrudder/gateway/requests/refusals.py
+++ b/tinrudder/gateway/requests/refusals.py
@@ -32,6 +32,7 @@
 from tinrudder.gateway.quotas.quotas import Quotas
 from tinrudder.gateway.requests.authentication import AuthenticatedRequest, Authentication
 from tinrudder.gateway.requests.client_request import AuthorizedRequest, ClientRequest
+from tinrudder.gateway.requests.process_end import PROCESS_ENDS, RETRY_AFTER_S, ProcessEnd
 from tinrudder.gateway.requests.service_admission import ServiceAdmission
 from tinrudder.gateway.runs.call_context import CallContext
 from tinrudder.gateway.store.shared_state import SharedState
@@ -45,6 +46,7 @@
 class RequestChecks(Struct, frozen=True):
     """The components that the rules query.
 
+    :param process_end: when this process ends.
     :param is_fresh: returns whether this gateway would know of a newer configuration.
     :param authentication: determines the tenant of a request.
     :param quotas: limits the request rate of each tenant.
@@ -54,6 +56,7 @@
     """
 
     call_context: CallContext
+    process_end: ProcessEnd
     state: SharedState
     is_fresh: Callable[[], bool]
     authentication: Authentication
@@ -138,6 +141,12 @@
     return None
 
 
+def _check_process_end(checks: RequestChecks, request: ClientRequest) -> NotRun | None:
+    if request.received_at < checks.process_end.answers_until:
+        return None
+    return NotRun(PROCESS_ENDS, RETRY_AFTER_S)
+
+
 def _check_configuration(checks: RequestChecks, request: ClientRequest) -> NotRun | None:
     if request.routes is None or not checks.state.complete:
         return NotRun("no configuration is known yet", STARTUP_RETRY_AFTER_S)
@@ -181,6 +190,19 @@
     return checks.reachability.refusal(request.route)
 
 
+def _check_time_left(checks: RequestChecks, request: AuthorizedRequest) -> NotRun | None:
+    deadlines = request.deadlines
+    if not deadlines.is_shortened:
+        return None
+    context = checks.call_context
+    left_s = deadlines.deadline_at - context.loop.time()
+    shortest_s = context.shortest_time_s(request.route)
+    if left_s > shortest_s:
+        return None
+    detail = f"{PROCESS_ENDS} in {left_s:.3f} s, a request takes {shortest_s:.3f} s"
+    return NotRun(detail, RETRY_AFTER_S)
+
+
 def _check_memory(checks: RequestChecks, request: AuthorizedRequest) -> NotRun | None:
     memory = checks.call_context.memory
     if not memory.may_be_near:
@@ -213,6 +235,12 @@
         "Invalid: the one that is missing or malformed.",
         _check_protocol,
     ),
+    ArrivalRule(
+        "stopped",
+        "Does this process still answer?",
+        "NotRun: a planned stop is about to end.",
+        _check_process_end,
+    ),
     ArrivalRule(
         "configuration",
         "Has this gateway read the whole configuration and all back ends?",
@@ -238,6 +266,12 @@
     "OverQuota, or NotRun if the gateway that counts the tenant's requests does not answer.",
 )
 START_RULES = (
+    StartRule(
+        "stopping",
+        "During a planned stop, can a back end answer it before this process ends?",
+        "NotRun: the time left and the time that such requests take.",
+        _check_time_left,
+    ),
     StartRule(
         "cut zone",
         "Can enough of its shards, or one of its back ends, be reached from this zone?",
--- a/tinrudder/gateway/requests/request_handler.py
+++ b/tinrudder/gateway/requests/request_handler.py
@@ -1,6 +1,6 @@
 """Handles client requests: refuses those that may not run, and runs the others.
 
-Owns the index of the configuration in force and the number of requests in progress.  Depends on
+Owns the index of the configuration in force and the number of running requests.  Depends on
 :mod:`tinrudder.gateway.requests.refusals` for the reasons to refuse, and on
 :mod:`tinrudder.gateway.requests.run_planner` for where a request runs.
 """
@@ -44,7 +44,7 @@
         self._checks = checks
         self._planner = planner
         self._observer = observer
-        self._stopping = False
+        self.process_end = checks.process_end
         self._routes: RoutesInForce | None = None
         self._deadlines = ClientDeadlines(self.call_context.names)
         checks.state.subscribe(self._refresh)
@@ -52,11 +52,7 @@
     @property
     def closing(self) -> bool:
         """Return whether clients should use other gateways: on a planned stop or in a partition."""
-        return self._stopping or self._checks.reachability.is_partitioned
-
-    def stop(self) -> None:
-        """From now on, tell clients with their next answer to use another gateway."""
-        self._stopping = True
+        return self.process_end.is_announced or self._checks.reachability.is_partitioned
 
     @property
     def routes(self) -> RoutesInForce | None:
@@ -107,6 +103,7 @@
         deadlines = self._deadlines.of(
             request.route, request.authenticated.request, request.received_at
         )
+        self.process_end.apply(deadlines)
         authorized = request.authorized(deadlines)
         refusal = refusal_at_start(self._checks, authorized)
         if refusal is not None:
--- a/tinrudder/gateway/requests/run_planner.py
+++ b/tinrudder/gateway/requests/run_planner.py
@@ -100,7 +100,7 @@
         encoded = RequestBytes(
             request.authenticated.request,
             request.request_id,
-            deadlines.deadline_at,
+            deadlines,
             self._call_context.names,
         )
 
--- a/tinrudder/gateway/runs/call_context.py
+++ b/tinrudder/gateway/runs/call_context.py
@@ -19,6 +19,7 @@
 from tinrudder.gateway.backends.load_reports import LoadReports
 from tinrudder.gateway.clients.memory_account import MemoryAccount
 from tinrudder.gateway.decisions.admission.shared_service import (
+    MIN_OBSERVED_CALLS,
     has_room,
     mean_service_time_s,
 )
@@ -36,6 +37,8 @@
 MEDIAN_QUANTILE = 0.5
 """The quantile used as the latency of calls that did not queue.  Unlike a mean or a high quantile,
 it stays stable while some of the back ends are slow."""
+SHORT_QUANTILE = 0.1
+"""The quantile used as the shortest time of a single call: nine of ten calls take longer."""
 SIZE_GAIN = 0.1
 """Weight of the latest answer in the moving average of answer sizes, a share.  The average covers
 about ten answers, so that a single outlier hardly moves it."""
@@ -230,6 +233,17 @@
             self.latency(route), route.objective_s
         )
 
+    def shortest_time_s(self, route: Route) -> float:
+        """Return the time in which a request of a route can end at best, seconds.
+
+        A scatter needs the answers of most shards, and so at least the median of its calls.
+        0 while too few calls were observed.
+        """
+        latency = self.latency(route)
+        if len(latency) < MIN_OBSERVED_CALLS:
+            return 0.0
+        return latency.quantile(MEDIAN_QUANTILE if route.shards else SHORT_QUANTILE)
+
     def has_room(self, service: str, route: Route, left_s: float, now: float) -> bool:
         """Return whether some back end of a service is expected to answer within ``left_s``."""
         backends = self.observations(service)
--- a/tinrudder/gateway/runs/request_bytes.py
+++ b/tinrudder/gateway/runs/request_bytes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from tinrudder.gateway.clients.client_deadlines import Deadlines
 from tinrudder.gateway.model.configuration import HeaderNames
 from tinrudder.gateway.model.http_messages import CONNECTION_HEADERS, HttpRequest, without_headers
 from tinrudder.gateway.runs.request_fingerprint import fingerprint_of, origin_of
@@ -16,17 +17,14 @@
 
 
 class RequestBytes:
-    """Encodes one request for each back end that it is sent to.
-
-    :ivar deadline_at: monotonic time at which the request times out.
-    """
+    """Encodes one request for each back end that it is sent to."""
 
     def __init__(
-        self, request: HttpRequest, request_id: bytes, deadline_at: float, names: HeaderNames
+        self, request: HttpRequest, request_id: bytes, deadlines: Deadlines, names: HeaderNames
     ) -> None:
         """Encode the part that is the same for all back ends."""
         self.request_id = request_id
-        self.deadline_at = deadline_at
+        self._deadlines = deadlines
         self.body_expected = request.method != b"HEAD"
         self._request = request
         self._fingerprint: bytes | None = None
@@ -41,6 +39,11 @@
         self._head = b"\r\n".join(lines)
         self._body = request.body
 
+    @property
+    def deadline_at(self) -> float:
+        """Return the monotonic time at which the request times out."""
+        return self._deadlines.deadline_at
+
     @property
     def fingerprint(self) -> bytes:
         """Return the fingerprint shared by all tries of this request, computed on first use."""
--- a/tinrudder/gateway/runs/request_run.py
+++ b/tinrudder/gateway/runs/request_run.py
@@ -168,6 +168,12 @@
         self._context.call_context.counters.clients_left += 1
         self._stop()
 
+    def on_deadline_shortened(self) -> None:
+        """Apply a deadline that a planned stop has brought forward."""
+        if self._finished:
+            return
+        self._on_due(self._context.call_context.loop.time())
+
     def _on_shard_change(self, shard: ShardCalls) -> None:
         """Decide again after a change of one shard."""
         # Shards that change while the first calls are sent are counted after the last one is sent.
@@ -246,6 +252,8 @@
             self._arm_for_shards()
         if decision.verdict is Verdict.WAIT:
             self._arm(decision.until)
+            if now < (latest_send_at := self._context.latest_send_at):
+                self._arm(latest_send_at)
         elif decision.verdict is Verdict.ANSWER:
             self._finish(answer_of(self._context, self.shards, self._groups, self._total))
         else:
@@ -286,9 +294,13 @@
         if self._finished:
             return
         # The loop may call early by up to the resolution of its clock.
-        now = max(self._timer_at, self._context.call_context.loop.time())
+        self._on_due(max(self._timer_at, self._context.call_context.loop.time()))
+
+    def _on_due(self, now: float) -> None:
+        """Act on everything that is due, then decide."""
         for shard in self.shards:
             shard.on_due(now)
+            shard.stop_unsendable(now)
             # A call may end synchronously, and so end the run.
             if self._finished:
                 return
--- a/tinrudder/gateway/runs/run_context.py
+++ b/tinrudder/gateway/runs/run_context.py
@@ -42,6 +42,13 @@
         guard = RunGuard(call_context.evidence, request, route)
         return cls(call_context, route, request, deadlines, guard)
 
+    @property
+    def latest_send_at(self) -> float:
+        """Return the time after which no call can be answered before this process ends."""
+        if not self.deadlines.is_shortened:
+            return NEVER
+        return self.deadlines.deadline_at - self.call_context.shortest_time_s(self.route)
+
     @property
     def is_scatter(self) -> bool:
         """Return whether the answers of shards are merged, rather than one answer relayed."""
--- a/tinrudder/gateway/runs/shard_calls.py
+++ b/tinrudder/gateway/runs/shard_calls.py
@@ -52,6 +52,8 @@
 HOLD_POLL_INTERVAL_S = 0.02
 """Poll interval of a call that must wait for another one to end, where no event reports that end,
 seconds.  A third of the tightest objective (0.056 s)."""
+PROCESS_ENDS = "the gateway stops before a back end could answer"
+"""Why a call was not sent during a planned stop."""
 RELEASED_ANSWER = HttpAnswer(200, b"", (), b"")
 """Placeholder for an answer that was released."""
 
@@ -151,6 +153,12 @@
         self.next_at = NEVER
         self.last_error = POISON_REFUSAL
 
+    def stop_unsendable(self, now: float) -> None:
+        """Send nothing more if it could not be answered before this process ends."""
+        if self.part is None and now >= self._run.latest_send_at:
+            self.last_error = PROCESS_ENDS
+            self.cancel_unsent()
+
     def cancel_unsent(self) -> None:
         """Cancel the calls that wait for a connection, so that they are never sent."""
         self.next_at = NEVER
@@ -241,7 +249,10 @@
                 self._run.call_context.zone_unanswered(zone, attempt.running.sent_at)
 
     def _is_blocked(self, now: float) -> bool:
-        """Return whether the guard forbids sending now; for a hold, schedule the next check."""
+        """Return whether nothing may be sent now; for a hold, schedule the next check."""
+        if now >= self._run.latest_send_at:
+            self.last_error = PROCESS_ENDS
+            return True
         permission = self._run.guard.permission(now)
         if permission is Permission.HOLD:
             self.next_at = now + HOLD_POLL_INTERVAL_S
@@ -256,6 +267,8 @@
         chosen back end may have begun to drain, and other calls of the shard may have been sent, so
         that this one exceeds a limit or has become a repeat that was not charged to the budget.
         """
+        if now >= self._run.latest_send_at:
+            return False
         if self._run.guard.permission(now) is not Permission.SEND:
             return False
         if not self._run.call_context.directory.may_send_to(attempt.backend):
--- a/tinrudder/gateway/scatters/delegated_scatter.py
+++ b/tinrudder/gateway/scatters/delegated_scatter.py
@@ -81,7 +81,23 @@
         if self._local_run is not None:
             self._local_run.abandon()
         elif self._task is not None:
+            task, self._task = self._task, None
+            task.cancel()
+
+    def on_deadline_shortened(self) -> None:
+        """Apply a deadline that a planned stop has brought forward."""
+        if self._local_run is not None:
+            self._local_run.on_deadline_shortened()
+        elif self._task is not None and not self._task.done():
+            loop = self._delegation_context.call_context.loop
+            loop.call_at(self._deadlines.deadline_at, self._on_process_end)
+
+    def _on_process_end(self) -> None:
+        """Report that no coordinator has answered before this process ends."""
+        # Neither abandoned nor answered meanwhile.
+        if self._local_run is None and self._task is not None and not self._task.done():
             self._task.cancel()
+            self._on_outcome(TimedOut("; ".join([*self._failures, "no answer in time"])))
 
     async def _run(self) -> None:
         """Ask coordinators until one answers."""
--- a/tinrudder/gateway/scatters/delegation_service.py
+++ b/tinrudder/gateway/scatters/delegation_service.py
@@ -1,7 +1,8 @@
 """Serves scatters that other gateways delegate to this one.
 
-Owns the scatters that run here for other gateways, and the reasons to decline or refuse one. They
-use the same admission and planner as the scatters of this gateway's own clients.
+Owns the scatters that run here for other gateways, which end with this process, and the reasons to
+decline or refuse one. They use the same admission and planner as the scatters of this gateway's own
+clients.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 )
 from tinrudder.gateway.peers.poison_watch import PoisonWatch
 from tinrudder.gateway.peers.reachability import Reachability
+from tinrudder.gateway.requests.process_end import ProcessEnd
 from tinrudder.gateway.requests.routes_in_force import RoutesInForce
 from tinrudder.gateway.runs.call_context import CallContext
 from tinrudder.gateway.runs.request_bytes import RequestBytes
@@ -33,11 +35,28 @@
 from tinrudder.gateway.store.shared_state import SharedState
 
 
+class _CoordinatedRun:
+    """One scatter for another gateway; its deadline moves when a planned stop begins."""
+
+    def __init__(self, run: WaitingScatter | RequestRun, deadlines: Deadlines) -> None:
+        """Hold a run that has been started."""
+        self._run = run
+        self._deadlines = deadlines
+
+    def end_by(self, at: float) -> None:
+        """Move its deadline to ``at``, unless it ends earlier anyway."""
+        if self._deadlines.shorten(at):
+            self._run.on_deadline_shortened()
+
+    def end_with_process(self) -> None:
+        """End its calls; the gateway that delegated it sees the connection end."""
+        self._run.abandon()
+
+
 class DelegationService:
     """Runs scatters for other gateways; declines those that they can serve better.
 
     :ivar in_progress: scatters that run now.
-    :ivar closing: a planned stop has begun; new scatters are declined.
     """
 
     def __init__(
@@ -49,16 +68,18 @@
         routes: Callable[[], RoutesInForce | None],
         reachability: Reachability,
         poison: PoisonWatch,
+        process_end: ProcessEnd,
     ) -> None:
         """Prepare the service.
 
         :param admissions: the admission queues of whole scatters.
         :param routes: returns the configuration in force; ``None`` before the first one.
+        :param process_end: when this process ends; new scatters are declined once it is known.
         """
         self._poison = poison
         self._reachability = reachability
         self.in_progress = 0
-        self.closing = False
+        self._process_end = process_end
         self._call_context = call_context
         self._state = state
         self._admissions = admissions
@@ -85,7 +106,10 @@
                 ended.set_result(outcome)
 
         run = self._run(route, scatter, deadlines, report)
-        outcome = await self._run_to_outcome(run, ended)
+        outcome = await self._run_to_outcome(run, deadlines, ended)
+        if isinstance(outcome, NotRun) and deadlines.is_shortened:
+            # Another coordinator has the time that this process lacks.
+            return Declined("stopping")
         elapsed_s = run.decided_at - deadlines.received_at
         end = ScatterEnd(outcome, version, run.repeats, run.missing_shards, elapsed_s)
         log_coordinated(scatter, route, end)
@@ -94,7 +118,7 @@
     def _find_route(self, scatter: ScatterRequest) -> tuple[RoutesInForce, Route] | Declined:
         """Find a scatter's route, or decline: the delegating gateway may ask another one."""
         routes = self._routes()
-        if self.closing:
+        if self._process_end.is_announced:
             return Declined("stopping")
         if routes is None or not self._state.complete:
             return Declined("starting")
@@ -160,9 +184,14 @@
         )
 
     async def _run_to_outcome(
-        self, run: WaitingScatter | RequestRun, ended: asyncio.Future[RequestOutcome]
+        self,
+        run: WaitingScatter | RequestRun,
+        deadlines: Deadlines,
+        ended: asyncio.Future[RequestOutcome],
     ) -> RequestOutcome:
         """Run to the outcome; abandon the run if the delegating gateway gives up."""
+        coordinated = _CoordinatedRun(run, deadlines)
+        self._process_end.add(coordinated)
         self.in_progress += 1
         self._call_context.counters.coordinated += 1
         try:
@@ -173,6 +202,7 @@
             raise
         finally:
             self.in_progress -= 1
+            self._process_end.remove(coordinated)
 
     def _deadlines(self, scatter: ScatterRequest) -> Deadlines:
         """Convert the remaining times in the request to deadlines on this gateway's clock."""
@@ -187,4 +217,4 @@
     def _request_bytes(self, scatter: ScatterRequest, deadlines: Deadlines) -> RequestBytes:
         """Encode the request for the back ends."""
         names = self._call_context.names
-        return RequestBytes(scatter.request, scatter.request_id, deadlines.deadline_at, names)
+        return RequestBytes(scatter.request, scatter.request_id, deadlines, names)
--- a/tinrudder/gateway/scatters/scatter_admission.py
+++ b/tinrudder/gateway/scatters/scatter_admission.py
@@ -104,6 +104,18 @@
             self.queue.leave(ticket.scatter)
         self._schedule_check()
 
+    def shorten(self, ticket: Ticket) -> None:
+        """Apply the shortened deadlines of a scatter that waits; refuse it if it would be late."""
+        scatter = ticket.scatter
+        if scatter is None or scatter not in self._waiting:
+            return
+        deadlines = ticket.waiting.deadlines
+        scatter.objective_at = deadlines.objective_at
+        scatter.deadline_at = deadlines.deadline_at
+        start_by = deadlines.deadline_at - scatter.typical_time_s
+        scatter.latest_start_at = min(scatter.latest_start_at, start_by)
+        self._refuse_too_late(self._call_context.loop.time())
+
     def _schedule_check(self) -> None:
         """Schedule a check of the queue; answers that are ready are sent before it."""
         if self.queue and self._scheduled_check is None:
--- a/tinrudder/gateway/scatters/scatter_planner.py
+++ b/tinrudder/gateway/scatters/scatter_planner.py
@@ -51,7 +51,7 @@
         on_outcome: OutcomeListener,
     ) -> RequestRun:
         """Return the run of one scatter, not started yet."""
-        encoded = RequestBytes(request, request_id, deadlines.deadline_at, self._call_context.names)
+        encoded = RequestBytes(request, request_id, deadlines, self._call_context.names)
         delegations = [
             one for one in self._delegations(route) if self._in_time(one, route, deadlines)
         ]
--- a/tinrudder/gateway/scatters/waiting_scatter.py
+++ b/tinrudder/gateway/scatters/waiting_scatter.py
@@ -28,6 +28,9 @@
     def leave(self, ticket: Ticket) -> None:
         """Remove a scatter that has ended, or whose client has disconnected."""
 
+    def shorten(self, ticket: Ticket) -> None:
+        """Apply the shortened deadlines of a scatter that waits; it may be refused."""
+
 
 class Ticket:
     """The record of one scatter in the admission of its index: waiting, running or removed.
@@ -47,6 +50,10 @@
         """Ask for admission: the scatter starts, waits or is refused."""
         self._admission.enter(self)
 
+    def shorten(self) -> None:
+        """Apply the shortened deadlines to the place in the queue."""
+        self._admission.shorten(self)
+
     def leave(self) -> None:
         """Release the place in the queue, or the part of the concurrency limit."""
         self._admission.leave(self)
@@ -108,6 +115,13 @@
             self._run.abandon()
         self._ticket.leave()
 
+    def on_deadline_shortened(self) -> None:
+        """Apply a deadline that a planned stop has brought forward."""
+        if self._run is not None:
+            self._run.on_deadline_shortened()
+        else:
+            self._ticket.shorten()
+
     def begin(self) -> RequestRun:
         """Create the run; the admission starts it."""
         self._run = self._make_run(self._end)
--- a/tinrudder/gateway/wiring.py
+++ b/tinrudder/gateway/wiring.py
@@ -65,6 +65,7 @@
 from tinrudder.gateway.quotas.quotas import Quotas
 from tinrudder.gateway.quotas.tenants_in_force import TenantsInForce
 from tinrudder.gateway.requests.authentication import Authentication
+from tinrudder.gateway.requests.process_end import ProcessEnd
 from tinrudder.gateway.requests.refusals import RequestChecks
 from tinrudder.gateway.requests.request_handler import RequestHandler
 from tinrudder.gateway.requests.run_planner import RunPlanner
@@ -337,9 +338,11 @@
 
     configuration_is_fresh = freshness.is_up_to_date
     service_admission = ServiceAdmission(call_context)
+    process_end = ProcessEnd()
     handler = RequestHandler(
         RequestChecks(
             call_context=call_context,
+            process_end=process_end,
             state=state,
             is_fresh=configuration_is_fresh,
             authentication=Authentication(
@@ -362,9 +365,10 @@
         lambda: handler.routes,
         reachability,
         backends.poison_watch,
+        process_end,
     )
     return RequestParts(
-        request_metrics, freshness, reachability, quotas, admissions, handler, service
+        request_metrics, freshness, reachability, quotas, admissions, handler, service, process_end
     )
 
 
--- a/tinrudder_lab/emulator/backend.py
+++ b/tinrudder_lab/emulator/backend.py
@@ -72,6 +72,7 @@
         self.on_crash: Callable[[ServedRequest], None] = lambda request: None
         self.slots = slots
         self.answer_record_count: Callable[[ServedRequest], int] = lambda request: ANSWER_RECORDS
+        self.stated_work_s: Callable[[ServedRequest], float | None] = lambda request: None
         self.open_connections: set[ServerConnection] = set()
         self.peak_connections = 0
         self._ledger = ledger
@@ -148,7 +149,9 @@
                 continue
             self._running.add(job)
             begin = max(self._loop.time(), self._paused_until)
-            self._loop.call_at(begin + self._work_s(), self._finish, job)
+            stated_s = self.stated_work_s(job.request)
+            work_s = stated_s if stated_s is not None else self._work_s()
+            self._loop.call_at(begin + work_s, self._finish, job)
 
     def _drop(self, job: _Job) -> None:
         """Cancel the job of a caller that closed its connection."""
--- a/tinrudder_lab/emulator/client.py
+++ b/tinrudder_lab/emulator/client.py
@@ -80,6 +80,7 @@
         top_records=request.top_records,
         minimum_share=request.minimum_share,
         disconnected_early=request.disconnects_after_s is not None,
+        patience_s=wait_s,
     )
     ledger.results.append(result)
     return result
--- a/tinrudder_lab/emulator/ledger.py
+++ b/tinrudder_lab/emulator/ledger.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from tinrudder.gateway.scatters.record_merge import RECORD_BYTES
@@ -50,8 +52,17 @@
     revocation_s: float | None = None
     crashes: list[CrashedBackend] = field(default_factory=list)
     disturbances: list[Disturbance] = field(default_factory=list)
+    planned_stops: list[Disturbance] = field(default_factory=list)
     _serial: itertools.count[int] = field(default_factory=itertools.count)
 
+    @contextlib.contextmanager
+    def planned_stop(self, host: str, clock: Callable[[], float]) -> Iterator[None]:
+        """Record a planned stop of a gateway, from its signal until its process has ended."""
+        stop = Disturbance(host, clock())
+        self.planned_stops.append(stop)
+        yield
+        stop.until = clock()
+
     def issue(self, request_id: str, service: str, body: bytes) -> str:
         """Record an answer and return its signature."""
         stamp = f"{next(self._serial):x}.signed"
--- a/tinrudder_lab/emulator/records.py
+++ b/tinrudder_lab/emulator/records.py
@@ -74,7 +74,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientResult:
-    """The answer that a client got; status 0 if there was none."""
+    """The answer that a client got; status 0 if there was none.
+
+    :param patience_s: time after which the client would have given up.
+    """
 
     request_id: str
     target: str
@@ -88,6 +91,7 @@
     top_records: int = 0
     minimum_share: float = 0.0
     disconnected_early: bool = False
+    patience_s: float = float("inf")
 
 
 @dataclass(slots=True)
--- a/tinrudder_lab/emulator/site.py
+++ b/tinrudder_lab/emulator/site.py
@@ -125,6 +125,11 @@
     :param tenants: tenants of the configuration, with their keys.
     :param restarts_under_same_id: whether crashed back ends restart under their ids.
     :param variants: further scatter routes, each as its differences from the first one.
+    :param single_routes: further routes to the single service.
+    :param max_connections: connections that each back end accepts.
+    :param header_timeout_s: time within which a client must send a whole request.
+    :param stop_grace_s: grace period of a gateway's planned stop.
+    :param stated_work_s: returns how long a request takes if it says so itself.
     :param revocation_s: time within which a revoked key stops working on all gateways.
     """
 
@@ -142,6 +147,11 @@
     tenants: tuple[SiteTenant, ...] = ()
     restarts_under_same_id: bool = False
     variants: tuple[dict[str, Any], ...] = ()
+    single_routes: tuple[dict[str, Any], ...] = ()
+    max_connections: int = 26
+    header_timeout_s: float = 3.0
+    stop_grace_s: float = GRACE_S
+    stated_work_s: Callable[[ServedRequest], float | None] = lambda request: None
     revocation_s: float | None = None
     ledger: Ledger = field(default_factory=Ledger)
     nodes: list[EmulatedNode] = field(default_factory=list)
@@ -214,6 +224,7 @@
         )
         backend.crashes_on = lambda request: self.crashes_on(request)
         backend.answer_record_count = lambda request: self.answer_record_count(request)
+        backend.stated_work_s = lambda request: self.stated_work_s(request)
         backend.on_crash = lambda request: self._on_crash(backend, request)
         self.backends[backend_id] = backend
         return backend
@@ -377,15 +388,20 @@
             "top_k": 10,
             "oldest_version": 0.75,
         } | changes
-        routes = [scatter, _single("single", "safe"), _single("once", "unsafe")]
+        routes = [scatter, single_route("single", "safe"), single_route("once", "unsafe")]
         routes.extend(scatter | changed for changed in self.variants)
-        routes.extend(_single(name, "safe") for name in self.extra_routes())
+        routes.extend(self.single_routes)
+        routes.extend(single_route(name, "safe") for name in self.extra_routes())
         names = {*self.shard_services, "single", *scatter["gather"]}
         services = [
-            {"name": name, "max_conns": 26, "cold_per_s": self.cold_calls_per_s}
+            {"name": name, "max_conns": self.max_connections, "cold_per_s": self.cold_calls_per_s}
             for name in sorted(names)
         ]
-        limits = {"max_body_bytes": 65536, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+        limits = {
+            "max_body_bytes": 65536,
+            "header_timeout_ms": int(self.header_timeout_s * MS_PER_SECOND),
+            "idle_timeout_ms": 15000,
+        }
         document = {
             "version": self.version,
             "routes": routes,
@@ -434,7 +450,7 @@
             store=Address(self.store.host, node.store_port),
             capacity=self.capacities[node.index % len(self.capacities)],
             drain_s=DRAIN_S,
-            stop_grace_s=GRACE_S,
+            stop_grace_s=self.stop_grace_s,
             repeats=REPEATS,
             cold=COLD,
             revocation_s=self.revocation_s,
@@ -510,7 +526,7 @@
         return [f"{violation.promise}: {violation.what}" for violation in violations]
 
 
-def _single(name: str, kind: str) -> dict[str, Any]:
+def single_route(name: str, kind: str) -> dict[str, Any]:
     """Return a route to the single service."""
     return {
         "name": name,
--- a/tinrudder_lab/main.py
+++ b/tinrudder_lab/main.py
@@ -136,6 +136,7 @@
         restores=not parsed.no_restores,
         silences=True,
         surroundings=True,
+        stops=True,
     )
     runs = [from_arguments]
     if parsed.regressions:
@@ -155,6 +156,7 @@
             restores=one.restores,
             silences=one.silences,
             surroundings=one.surroundings,
+            stops=one.stops,
         )
         result = asyncio.run(soaking)
         print(msgspec.json.encode(result).decode(), flush=True)
--- a/tinrudder_lab/soak/faults.py
+++ b/tinrudder_lab/soak/faults.py
@@ -46,8 +46,9 @@
 async def stop(site: ProcessSite) -> str:
     """Stop a gateway gracefully and restart it."""
     async with site.lock_random_node() as node:
-        site.signal_node(node, signal.SIGTERM)
-        code = await site.wait_for_end(node)
+        with site.ledger.planned_stop(node.host, site.loop.time):
+            site.signal_node(node, signal.SIGTERM)
+            code = await site.wait_for_end(node)
         if code != 0:
             site.problems.append(f"planned stop: {node.name} ended with {code}")
             site.kill_node(node)
--- a/tinrudder_lab/soak/regressions.py
+++ b/tinrudder_lab/soak/regressions.py
@@ -17,6 +17,7 @@
     :param restores: whether the store was restored from older copies.
     :param silences: whether open connections were silenced.
     :param surroundings: whether gateways ran in odd surroundings.
+    :param stops: whether gateways were stopped as planned under long requests.
     """
 
     seed: int
@@ -29,6 +30,7 @@
     restores: bool = False
     silences: bool = False
     surroundings: bool = False
+    stops: bool = False
 
 
 REGRESSIONS = (
--- a/tinrudder_lab/soak/run.py
+++ b/tinrudder_lab/soak/run.py
@@ -11,8 +11,10 @@
 
 import msgspec
 
+from tinrudder_lab.planned_stops import long_routes, stated_work_s
 from tinrudder_lab.soak.entry_faults import change_entries
 from tinrudder_lab.soak.faults import FAULTS, LIMITED_TENANT, TENANTS, SoakFault
+from tinrudder_lab.soak.planned_stops import stop_repeatedly, stop_violations
 from tinrudder_lab.soak.process_site import QUOTAS, REVOCATION_S, ProcessSite
 from tinrudder_lab.soak.restores import restore_repeatedly
 from tinrudder_lab.soak.silences import silence_repeatedly
@@ -59,6 +61,7 @@
     restores: float
     silences: float
     surroundings: float
+    stops: float
 
 
 async def soak(
@@ -73,6 +76,7 @@
     restores: bool = True,
     silences: bool = True,
     surroundings: bool = True,
+    stops: bool = True,
 ) -> SoakResult:
     """Run one soak; settings and logs of the gateways are left in ``folder``.
 
@@ -84,6 +88,7 @@
     :param restores: restore the store from older copies.
     :param silences: silence open connections, often just before a configuration change.
     :param surroundings: start gateways in odd surroundings and disturb those of running ones.
+    :param stops: stop gateways as planned while clients send requests that take long.
     """
     loop = asyncio.get_running_loop()
     site = ProcessSite(
@@ -93,6 +98,8 @@
         node_count=gateways,
         tenants=TENANTS,
         revocation_s=REVOCATION_S,
+        single_routes=tuple(long_routes()) if stops else (),
+        stated_work_s=stated_work_s,
     )
     task = asyncio.current_task()
     assert task is not None
@@ -106,6 +113,7 @@
             seconds if restores else 0.0,
             seconds if silences else 0.0,
             seconds if surroundings else 0.0,
+            seconds if stops else 0.0,
         )
         return await _run(site, seconds, spans)
     finally:
@@ -150,6 +158,7 @@
     restores = asyncio.create_task(restore_repeatedly(site, spans.restores))
     silences = asyncio.create_task(silence_repeatedly(site, spans.silences))
     surroundings = asyncio.create_task(disturb_surroundings(site, spans.surroundings))
+    stops = asyncio.create_task(stop_repeatedly(site, spans.stops))
     *_, slow_readers = await asyncio.gather(
         site.traffic(seconds, REQUESTS_PER_SECOND, ROUTES),
         send_over_quota(site, seconds),
@@ -162,6 +171,7 @@
     descriptions.extend(await restores)
     descriptions.extend(await silences)
     descriptions.extend(await surroundings)
+    descriptions.extend(await stops)
     await faults
     return descriptions, slow_readers
 
@@ -180,6 +190,7 @@
     texts.extend(site.problems)
     texts.extend(site.unexpected_exits())
     texts.extend(quota_violations(site))
+    texts.extend(stop_violations(site))
     texts.extend(memory_violations(site))
     if served_after < MINIMUM_SERVED_AFTER:
         texts.append(f"recovery: {served_after:.3f} served after all faults had ended")
