The soak's starts and its faults of running gateways are two modules

Nothing changes for callers. `soak/process_site.py` and `soak/surroundings.py` imported each other (one of them for types alone). What a start is like stays in `surroundings`; what disturbs running gateways, which needs the site, is in `surrounding_faults`.

--- a/tinrudder_lab/soak/run.py
+++ b/tinrudder_lab/soak/run.py
@@ -19,7 +19,8 @@
 from tinrudder_lab.soak.restores import restore_repeatedly
 from tinrudder_lab.soak.silences import silence_repeatedly
 from tinrudder_lab.soak.slow_readers import memory_violations, read_slowly, watch_memory
-from tinrudder_lab.soak.surroundings import disturb_surroundings, draw_surroundings
+from tinrudder_lab.soak.surrounding_faults import disturb_surroundings
+from tinrudder_lab.soak.surroundings import draw_surroundings
 from tinrudder_lab.soak.versions import probe_versions
 
 START_S = 2.5
