--- a/tinrudder/gateway/gateway.py
+++ b/tinrudder/gateway/gateway.py
@@ -18,6 +18,7 @@
 from tinrudder.common.listening import Listener, Listeners
 from tinrudder.common.logs import LogValue, log_event
 from tinrudder.common.supervisor import Supervisor
+from tinrudder.gateway.build_context import BuildContext, StoreFactory
 from tinrudder.gateway.clients.client_connection import ClientConnection, HttpRequestHandler
 from tinrudder.gateway.clients.connection_limit import ConnectionLimit
 from tinrudder.gateway.clients.plain_answers import (
@@ -32,7 +33,7 @@
 from tinrudder.gateway.observability.gateway_log import log_configuration
 from tinrudder.gateway.requests.process_end import RETRY_AFTER_S
 from tinrudder.gateway.store.stored_values import Topic, ValueDecoders
-from tinrudder.gateway.wiring import BuildContext, StoreFactory, build_gateway
+from tinrudder.gateway.wiring import build_gateway
 
 if TYPE_CHECKING:
     from tinrudder.gateway.observability.gateway_metrics import GatewayMetrics
--- a/tinrudder/gateway/wiring.py
+++ b/tinrudder/gateway/wiring.py
@@ -8,14 +8,10 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
 from functools import partial
 
-from msgspec import Struct
-
-from tinrudder.common.address import Address
 from tinrudder.common.lifecycle import NodeLifecycle
 from tinrudder.common.transport.peer_client import PeerClient
 from tinrudder.gateway.backends.backend_directory import (
@@ -25,11 +21,11 @@
 )
 from tinrudder.gateway.backends.load_report_exchange import LoadReportExchange
 from tinrudder.gateway.backends.load_reports import LoadReports
+from tinrudder.gateway.build_context import BuildContext
 from tinrudder.gateway.clients.held_bytes import HeldBytes
 from tinrudder.gateway.clients.memory_account import MemoryAccount
 from tinrudder.gateway.decisions.admission.memory_bound import account_bytes, largest_answer_bytes
 from tinrudder.gateway.decisions.fleet.process_pause import ProcessPause
-from tinrudder.gateway.model.configuration import GatewaySettings, HeaderNames
 from tinrudder.gateway.observability.gateway_log import (
     log_coordination,
     log_missed_change,
@@ -39,8 +35,6 @@
     log_store_reading,
     log_store_restored,
 )
-from tinrudder.gateway.observability.request_log import FinishedRequest, log_request
-from tinrudder.gateway.observability.request_metrics import RequestMetrics
 from tinrudder.gateway.parts import (
     BackendParts,
     FleetParts,
@@ -59,25 +53,12 @@
 from tinrudder.gateway.peers.peer_service import PeerService
 from tinrudder.gateway.peers.poison_watch import PoisonWatch
 from tinrudder.gateway.peers.probes import Probes
-from tinrudder.gateway.peers.reachability import Reachability
 from tinrudder.gateway.peers.snapshot_pulls import SnapshotPulls
 from tinrudder.gateway.peers.zone_monitor import ZoneMonitor
-from tinrudder.gateway.quotas.quotas import Quotas
-from tinrudder.gateway.quotas.tenants_in_force import TenantsInForce
-from tinrudder.gateway.requests.authentication import Authentication
-from tinrudder.gateway.requests.process_end import ProcessEnd
-from tinrudder.gateway.requests.refusals import RequestChecks
-from tinrudder.gateway.requests.request_handler import RequestHandler
-from tinrudder.gateway.requests.run_planner import RunPlanner
-from tinrudder.gateway.requests.service_admission import ServiceAdmission
+from tinrudder.gateway.request_wiring import build_requests
 from tinrudder.gateway.runs.call_context import CallContext, CallCounters
 from tinrudder.gateway.scatters.coordination import Coordination
 from tinrudder.gateway.scatters.coordinators import Coordinators
-from tinrudder.gateway.scatters.delegation_context import DelegationContext
-from tinrudder.gateway.scatters.delegation_service import DelegationService
-from tinrudder.gateway.scatters.scatter_admission import ScatterAdmissions
-from tinrudder.gateway.scatters.scatter_planner import ScatterPlanner
-from tinrudder.gateway.store.configuration_freshness import ConfigurationFreshness
 from tinrudder.gateway.store.epoch_change import HistoryListener
 from tinrudder.gateway.store.shared_state import SharedState
 from tinrudder.gateway.store.staleness_bound import StalenessBound
@@ -85,7 +66,7 @@
 from tinrudder.gateway.store.store_follower import FollowerDependencies, StoreFollower
 from tinrudder.gateway.store.store_readers import ReadReason, StoreReaders
 from tinrudder.gateway.store.store_status import StoreStatus
-from tinrudder.gateway.store.stored_values import MetadataStore, Topic, ValueDecoders
+from tinrudder.gateway.store.stored_values import MetadataStore, Topic
 from tinrudder.gateway.store.unreadable_values import UnreadableValues
 
 UNACKNOWLEDGED_TIMEOUT_S = 1.0
@@ -105,39 +86,6 @@
 """Largest factor on that wait: spreads gateways that start together over a period as long as the
 shortest wait, so that one of them reads the store first and sends its state to the others."""
 
-StoreFactory = Callable[[Address, Callable[[], None], HeldBytes], MetadataStore]
-
-
-class BuildContext(Struct, frozen=True):
-    """Inputs shared by all components.
-
-    :param own: the address by which other gateways identify this one.
-    :param random: the gateway's random source, seeded with its name; the order in which components
-        draw from it determines the outcome of a seeded run.
-    """
-
-    settings: GatewaySettings
-    names: HeaderNames
-    decoders: ValueDecoders
-    make_store: StoreFactory
-    loop: asyncio.AbstractEventLoop
-    own: Address
-    random: random.Random
-
-    @classmethod
-    def of(
-        cls,
-        settings: GatewaySettings,
-        names: HeaderNames,
-        decoders: ValueDecoders,
-        make_store: StoreFactory,
-    ) -> BuildContext:
-        """Return the inputs for a gateway in the running event loop."""
-        loop = asyncio.get_running_loop()
-        own = settings.peers or settings.clients
-        source = random.Random(settings.name)
-        return cls(settings, names, decoders, make_store, loop, own, source)
-
 
 def build_gateway(context: BuildContext) -> GatewayParts:
     """Return the components of a gateway; none of them runs yet."""
@@ -145,7 +93,7 @@
     knowledge = _build_knowledge(context, process)
     fleet = _build_fleet(context, process, knowledge)
     backends = _build_backends(context, process, knowledge, fleet)
-    requests = _build_requests(context, process, knowledge, fleet, backends)
+    requests = build_requests(context, process, knowledge, fleet, backends)
     store = _build_store(context, process, knowledge, fleet, requests)
     exchange = _build_exchange(context, process, knowledge, fleet, requests, store)
     return GatewayParts(process, knowledge, fleet, backends, requests, store, exchange)
@@ -300,94 +248,6 @@
     )
 
 
-def _build_requests(
-    context: BuildContext,
-    process: ProcessParts,
-    knowledge: KnowledgeParts,
-    fleet: FleetParts,
-    backends: BackendParts,
-) -> RequestParts:
-    state = knowledge.state
-    call_context = backends.call_context
-    delegation_context = DelegationContext(
-        client=fleet.client,
-        coordinators=backends.coordinators,
-        call_context=call_context,
-        zone_monitor=fleet.zone_monitor,
-        configuration=lambda: state.accepted,
-        traffic=fleet.datagrams.traffic,
-    )
-    tenants = TenantsInForce(state)
-    freshness = _build_freshness(context, knowledge, fleet, tenants)
-    reachability = Reachability(backends.directory, fleet.zone_monitor, context.loop.time)
-    quotas = Quotas(
-        context.own,
-        fleet.peers,
-        fleet.zone_monitor,
-        fleet.datagrams,
-        context.settings.quotas,
-        tenants.find,
-    )
-    planner = ScatterPlanner(call_context, delegation_context, context.random)
-    admissions = ScatterAdmissions(delegation_context, context.random)
-    request_metrics = RequestMetrics()
-
-    def finish(request: FinishedRequest) -> None:
-        request_metrics.observe(request)
-        log_request(request)
-
-    configuration_is_fresh = freshness.is_up_to_date
-    service_admission = ServiceAdmission(call_context)
-    process_end = ProcessEnd()
-    handler = RequestHandler(
-        RequestChecks(
-            call_context=call_context,
-            process_end=process_end,
-            state=state,
-            is_fresh=configuration_is_fresh,
-            authentication=Authentication(
-                context.names, freshness.is_too_old, configuration_is_fresh, context.random
-            ),
-            quotas=quotas,
-            reachability=reachability,
-            poison=backends.poison_watch,
-            service_admission=service_admission,
-            random=context.random,
-        ),
-        RunPlanner(call_context, service_admission, delegation_context, planner, admissions),
-        finish,
-    )
-    service = DelegationService(
-        call_context,
-        state,
-        admissions,
-        planner,
-        lambda: handler.routes,
-        reachability,
-        backends.poison_watch,
-        process_end,
-    )
-    return RequestParts(
-        request_metrics, freshness, reachability, quotas, admissions, handler, service, process_end
-    )
-
-
-def _build_freshness(
-    context: BuildContext, knowledge: KnowledgeParts, fleet: FleetParts, tenants: TenantsInForce
-) -> ConfigurationFreshness:
-    return ConfigurationFreshness(
-        knowledge.staleness_bound,
-        context.settings.revocation_s,
-        context.settings.change_in_force_s,
-        lambda: knowledge.state.unconfirmed_s(Topic.OPERATOR),
-        tenants.has_tenants,
-        fleet.peers,
-        knowledge.store_status,
-        lambda: knowledge.state.may_lack_lost_writes,
-        context.loop.time,
-    )
-
-
 def _build_store(
     context: BuildContext,
     process: ProcessParts,
