--- a/tests/functional/gateway/test_client_headers.py
+++ b/tests/functional/gateway/test_client_headers.py
@@ -9,13 +9,16 @@
 from hypothesis import strategies as st
 from msgspec.structs import astuple
 
+from tinrudder.gateway.clients.answers import build_answer
 from tinrudder.gateway.clients.client_deadlines import Deadlines
 from tinrudder.gateway.model.configuration import Tenant
 from tinrudder.gateway.model.http_messages import (
     CONNECTION_HEADERS,
+    HttpAnswer,
     HttpRequest,
     end_to_end_headers,
 )
+from tinrudder.gateway.model.outcomes import Relayed
 from tinrudder.gateway.requests.api_keys import without_credentials
 from tinrudder.gateway.runs.request_bytes import RequestBytes
 from tinrudder.platform.headers import HEADERS
@@ -82,6 +85,14 @@
 UPGRADE = ("Connection: Upgrade, HTTP2-Settings", "Upgrade: h2c", "HTTP2-Settings: AAMAAABk")
 
 
+@pytest.mark.parametrize("listed", [HEADERS.stamp, HEADERS.request_id])
+def test_a_back_end_cannot_have_its_stamp_or_the_request_id_dropped(listed: bytes) -> None:
+    headers = ((HEADERS.request_id, b"r"), (HEADERS.stamp, b"s"), (b"connection", listed))
+    relayed = Relayed(HttpAnswer(200, b"OK", headers, b"x"))
+    answer = build_answer(relayed, HEADERS, b"r")
+    assert answer.headers == headers[:2]
+
+
 @pytest.mark.parametrize("body", ["", "abc"])
 def test_a_request_that_offers_another_protocol_is_answered_and_its_connection_kept(
     body: str,
